--- /dev/null
+++ b/src/bin/archmast-router/main.rs
@@ -0,0 +1,7 @@
+//! The router process.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    archmast::router::main()
+}
--- /dev/null
+++ b/src/bin/archmast-sidecar/main.rs
@@ -0,0 +1,7 @@
+//! The sidecar process.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    archmast::sidecar::main()
+}
--- /dev/null
+++ b/src/codes/ran.rs
@@ -0,0 +1,29 @@
+use {
+    serde::{Deserialize, Serialize},
+    std::fmt,
+};
+
+/// What is known about whether a request ran on its upstream.
+///
+/// `No` is a proof: no sidecar was sent the request, or the one that was said
+/// that it has not started it and never will. Everything else is `Unknown`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Ran {
+    No,
+    Unknown,
+    Yes,
+}
+
+impl fmt::Display for Ran {
+    fn fmt(
+        &self,
+        f: &mut fmt::Formatter,
+    ) -> fmt::Result {
+        f.write_str(match self {
+            Self::No => "no",
+            Self::Unknown => "unknown",
+            Self::Yes => "yes",
+        })
+    }
+}
--- /dev/null
+++ b/src/conf/link_settings.rs
@@ -0,0 +1,33 @@
+use {
+    super::{ConfError, SettingsFile},
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// `[link]`: the address and identity towards the fleet's own processes.
+#[derive(Debug, Clone)]
+pub struct LinkSettings {
+    pub listen: SocketAddr,     // QUIC over UDP
+    pub authority: String,      // path of the fleet's certificate
+    pub certificate: String,    // path
+    pub private_key: String,    // path
+    pub idle_timeout: Duration, // silence that ends a connection
+    pub keep_alive: Duration,   // pause between pings
+    pub max_exchanges: u32,     // streams at once on one connection
+}
+
+impl LinkSettings {
+    /// Reads the section: codes 14 to 17.
+    pub fn read(file: &SettingsFile) -> Result<Self, ConfError> {
+        let section = file.section("link")?;
+        let second = Duration::from_secs(1);
+        Ok(Self {
+            listen: section.parsed("listen", "an IP:port")?,
+            authority: section.text("authority")?.to_owned(),
+            certificate: section.text("certificate")?.to_owned(),
+            private_key: section.text("private_key")?.to_owned(),
+            idle_timeout: section.duration("idle_timeout", second..=60 * second)?,
+            keep_alive: section.duration("keep_alive", second / 10..=30 * second)?,
+            max_exchanges: section.number("max_exchanges", 1..=65_536)?,
+        })
+    }
+}
--- /dev/null
+++ b/src/conf/operator_settings.rs
@@ -0,0 +1,22 @@
+use {
+    super::{ConfError, SettingsFile},
+    std::net::SocketAddr,
+};
+
+/// `[operator]`: the port that callers cannot reach.
+#[derive(Debug, Clone)]
+pub struct OperatorSettings {
+    pub listen: SocketAddr,
+    pub audit_entries: usize, // kept in memory
+}
+
+impl OperatorSettings {
+    /// Reads the section: codes 14 to 17.
+    pub fn read(file: &SettingsFile) -> Result<Self, ConfError> {
+        let section = file.section("operator")?;
+        Ok(Self {
+            listen: section.parsed("listen", "an IP:port")?,
+            audit_entries: section.number("audit_entries", 10..=1_000_000)?,
+        })
+    }
+}
--- /dev/null
+++ b/src/conf/settings_file.rs
@@ -0,0 +1,81 @@
+use {
+    super::{ConfError, IniDocument, SectionReader},
+    crate::codes::ResultCode,
+};
+
+/// A settings file over the defaults that ship with the product.
+///
+/// The shipped file is the schema too: a section or key that it does not have,
+/// commented default and all, is unknown.
+pub struct SettingsFile {
+    user: IniDocument,
+    defaults: IniDocument,
+}
+
+impl SettingsFile {
+    /// Reads `path` over `shipped`: codes 10 to 13 and 18.
+    pub fn read(
+        path: &str,
+        shipped: &str,
+    ) -> Result<Self, ConfError> {
+        Self::new(IniDocument::read(path)?, shipped)
+    }
+
+    /// Lays a parsed file over `shipped`: codes 12 and 13.
+    pub fn new(
+        mut user: IniDocument,
+        shipped: &str,
+    ) -> Result<Self, ConfError> {
+        let defaults = IniDocument::parse("shipped defaults", shipped)?;
+        refuse_unknown(&user, &defaults)?;
+        for section in &defaults.sections {
+            if user.section(&section.name).is_none() {
+                user.sections.push(super::IniSection {
+                    name: section.name.clone(),
+                    line: 0,
+                    entries: Vec::new(),
+                });
+            }
+        }
+        Ok(Self { user, defaults })
+    }
+
+    /// The reader of a section that the shipped file has.
+    pub fn section(
+        &self,
+        name: &str,
+    ) -> Result<SectionReader<'_>, ConfError> {
+        let section = self.user.section(name).ok_or_else(|| {
+            ConfError::of_file(
+                ResultCode::UnknownSection,
+                &self.user.file,
+                format!("no section [{name}]"),
+            )
+        })?;
+        Ok(SectionReader::new(
+            &self.user.file,
+            section,
+            self.defaults.section(name),
+        ))
+    }
+}
+
+fn refuse_unknown(
+    user: &IniDocument,
+    defaults: &IniDocument,
+) -> Result<(), ConfError> {
+    for section in &user.sections {
+        let known = defaults.section(&section.name);
+        let reader = SectionReader::new(&user.file, section, known);
+        let Some(known) = known else {
+            let fault = reader.fault(ResultCode::UnknownSection, "", "is not known here");
+            return Err(fault);
+        };
+        for entry in &section.entries {
+            if known.entry(&entry.key).is_none() {
+                return Err(reader.fault(ResultCode::UnknownKey, &entry.key, "is not known here"));
+            }
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/fleet/fleet_config.rs
@@ -0,0 +1,163 @@
+use {
+    super::{
+        Account, AccountId, Class, Exclusion, Group, HostEntry, KeyDigest, Labels, Placement, Rule,
+    },
+    std::collections::HashMap,
+};
+
+/// A validated configuration.
+#[derive(Debug, Clone, Default)]
+pub struct FleetConfig {
+    pub accounts: Vec<Account>,
+    pub classes: Vec<Class>,
+    pub groups: Vec<Group>,
+    pub rules: Vec<Rule>,
+    pub zones: HashMap<String, Labels>, // labels of each availability zone
+    pub hosts: HashMap<String, Labels>, // labels of each host
+    pub by_key: HashMap<KeyDigest, usize>, // index into `accounts`
+    pub by_id: HashMap<AccountId, usize>, // index into `accounts`
+    pub shares: Vec<f64>,               // in force, by index into `accounts`
+}
+
+impl FleetConfig {
+    /// The account that a caller's key belongs to.
+    pub fn account_of_key(
+        &self,
+        key: &str,
+    ) -> Option<&Account> {
+        let index = self.by_key.get(&KeyDigest::of_key(key))?;
+        Some(&self.accounts[*index])
+    }
+
+    /// The account with this identifier.
+    pub fn account(
+        &self,
+        id: AccountId,
+    ) -> Option<&Account> {
+        self.by_id.get(&id).map(|index| &self.accounts[*index])
+    }
+
+    /// The share in force for an account, after the rules.
+    pub fn share(
+        &self,
+        id: AccountId,
+    ) -> Option<f64> {
+        self.by_id.get(&id).map(|index| self.shares[*index])
+    }
+
+    /// The group that serves a model.
+    pub fn group_of_model(
+        &self,
+        model: &str,
+    ) -> Option<&Group> {
+        self.groups.iter().find(|group| group.serves_model(model))
+    }
+
+    /// The group with the longest prefix of a path.
+    pub fn group_of_path(
+        &self,
+        path: &str,
+    ) -> Option<&Group> {
+        self.groups
+            .iter()
+            .filter_map(|group| group.prefix_match(path).map(|length| (length, group)))
+            .max_by_key(|(length, _)| *length)
+            .map(|(_, group)| group)
+    }
+
+    /// The group with this name.
+    pub fn group(
+        &self,
+        name: &str,
+    ) -> Option<&Group> {
+        self.groups.iter().find(|group| group.name == name)
+    }
+
+    /// The class with this name.
+    pub fn class(
+        &self,
+        name: &str,
+    ) -> Option<&Class> {
+        self.classes.iter().find(|class| class.name == name)
+    }
+
+    /// The class of an account's requests, after the rules that select `labels`.
+    pub fn class_of(
+        &self,
+        account: &Account,
+        labels: &Labels,
+    ) -> &Class {
+        let by_rule = self
+            .rules
+            .iter()
+            .rev()
+            .filter(|rule| rule.requests.matches(labels))
+            .find_map(|rule| rule.class);
+        &self.classes[by_rule.unwrap_or(account.class)]
+    }
+
+    /// The labels of a host: its zone's, then its own, then `host` and `zone`.
+    pub fn host_labels(
+        &self,
+        host: &str,
+        zone: &str,
+    ) -> Labels {
+        let mut labels = self.zones.get(zone).cloned().unwrap_or_default();
+        if let Some(own) = self.hosts.get(host) {
+            labels.extend(own);
+        }
+        labels.set("host", host);
+        labels.set("zone", zone);
+        labels
+    }
+
+    /// Which of these hosts may serve a request, and which rule excludes others.
+    pub fn place<'h>(
+        &self,
+        group: &Group,
+        request: &Labels,
+        hosts: impl Iterator<Item = &'h HostEntry>,
+    ) -> Placement {
+        let rules: Vec<&Rule> = self
+            .rules
+            .iter()
+            .filter(|rule| rule.requests.matches(request))
+            .collect();
+        let mut placement = Placement {
+            rules: rules.iter().map(|rule| rule.name.clone()).collect(),
+            ..Placement::default()
+        };
+        for host in hosts {
+            let labels = self.host_labels(&host.name, &host.zone);
+            if !group.hosts.matches(&labels) {
+                continue;
+            }
+            match rules.iter().find(|rule| !rule.hosts.matches(&labels)) {
+                None => placement.hosts.push(host.name.clone()),
+                Some(rule) => placement.excluded.push(Exclusion {
+                    host: host.name.clone(),
+                    rule: rule.name.clone(),
+                }),
+            }
+        }
+        placement.hosts.sort();
+        placement
+    }
+
+    /// Whether one host may serve a request: the sidecar's own check.
+    pub fn admits(
+        &self,
+        group: &Group,
+        request: &Labels,
+        host: &str,
+        zone: &str,
+    ) -> bool {
+        let labels = self.host_labels(host, zone);
+        group.hosts.matches(&labels)
+            && self
+                .rules
+                .iter()
+                .filter(|rule| rule.requests.matches(request))
+                .all(|rule| rule.hosts.matches(&labels))
+    }
+}
--- /dev/null
+++ b/src/keys/errors.rs
@@ -0,0 +1,41 @@
+use {crate::codes::ResultCode, std::fmt};
+
+/// A key or certificate that cannot be used.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeyError {
+    pub code: ResultCode,
+    pub file: String,
+    pub detail: String, // never key material
+}
+
+impl KeyError {
+    /// An error about a file.
+    pub fn new(
+        code: ResultCode,
+        file: &str,
+        detail: impl fmt::Display,
+    ) -> Self {
+        Self {
+            code,
+            file: file.to_owned(),
+            detail: detail.to_string(),
+        }
+    }
+}
+
+impl fmt::Display for KeyError {
+    fn fmt(
+        &self,
+        f: &mut fmt::Formatter,
+    ) -> fmt::Result {
+        write!(
+            f,
+            "error {}: {}: {}",
+            self.code.number(),
+            self.file,
+            self.detail
+        )
+    }
+}
+
+impl std::error::Error for KeyError {}
--- /dev/null
+++ b/src/keys/mod.rs
@@ -0,0 +1,15 @@
+//! The fleet's authority and the certificates it issues.
+
+mod authority;
+mod crypto;
+mod errors;
+mod identity;
+mod peer_name;
+
+pub use {
+    authority::{Authority, IssuedKey},
+    crypto::install_crypto,
+    errors::KeyError,
+    identity::{Identity, peer_name},
+    peer_name::PeerName,
+};
--- /dev/null
+++ b/src/node/mod.rs
@@ -0,0 +1,22 @@
+//! What routers and sidecars have in common: identity, configuration in force,
+//! host list, watches, membership.
+
+mod background;
+mod config_store;
+mod host_store;
+mod node;
+mod peer_config;
+mod readiness;
+mod start;
+mod watches;
+
+pub use {
+    background::{follow_readiness, start_watches, stop_signal},
+    config_store::ConfigStore,
+    host_store::HostStore,
+    node::Node,
+    peer_config::{fetch_from_peer, serve_config},
+    readiness::Readiness,
+    start::{StartError, run_process},
+    watches::{watch_config, watch_hosts},
+};
--- /dev/null
+++ b/src/node/node.rs
@@ -0,0 +1,210 @@
+use {
+    super::{ConfigStore, HostStore, Readiness, fetch_from_peer},
+    crate::{
+        conf::{OperatorSettings, ProcessSettings},
+        fleet::{AccountId, HostRole, Revision},
+        link::Peer,
+        ops::{AuditTrail, ProcessStatus, Uptime},
+        policy::{Incarnation, Membership, Moment, Sighting, Verdict},
+        wire::{ControlMessage, Envelope},
+    },
+    std::{
+        collections::{BTreeMap, HashMap},
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicBool, Ordering},
+        },
+    },
+};
+
+/// Hexadecimal digits of a configuration's digest that messages carry.
+const DIGEST_DIGITS: usize = 8;
+
+/// One process of the fleet: who it is and what it knows.
+///
+/// Lock order, here and in its users: `membership`, then a role's own table,
+/// then leaf locks (audit, counters, peers, gate). No lock is held across an
+/// await.
+pub struct Node {
+    pub host: String,
+    pub zone: String,
+    pub role: HostRole,
+    pub incarnation: Incarnation,
+    pub uptime: Uptime,
+    pub audit: Arc<AuditTrail>,
+    pub config: ConfigStore,
+    pub hosts: HostStore,
+    pub membership: Mutex<Membership>,
+    pub readiness: Readiness,
+    leaving: AtomicBool,
+    fetching: AtomicBool, // a configuration from a peer
+}
+
+impl Node {
+    /// A process that has just started and knows nothing.
+    pub fn new(
+        role: HostRole,
+        process: &ProcessSettings,
+        operator: &OperatorSettings,
+    ) -> Self {
+        let audit = Arc::new(AuditTrail::new(&process.host, operator.audit_entries));
+        Self {
+            host: process.host.clone(),
+            zone: process.zone.clone(),
+            role,
+            incarnation: Uptime::new_incarnation(),
+            uptime: Uptime::start(),
+            config: ConfigStore::new(audit.clone()),
+            audit,
+            hosts: HostStore::default(),
+            membership: Mutex::default(),
+            readiness: Readiness::default(),
+            leaving: AtomicBool::new(false),
+            fetching: AtomicBool::new(false),
+        }
+    }
+
+    /// Time since the start.
+    pub fn now(&self) -> Moment {
+        self.uptime.now()
+    }
+
+    /// Whether the process has begun to stop.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::SeqCst)
+    }
+
+    /// Begins to stop. False if it had begun before.
+    pub fn begin_leaving(&self) -> bool {
+        let first = !self.leaving.swap(true, Ordering::SeqCst);
+        if first {
+            self.audit
+                .record("leaving", None, None, "takes no new work");
+        }
+        first
+    }
+
+    /// The first message on each connection.
+    pub fn hello(&self) -> ControlMessage {
+        ControlMessage::Hello {
+            role: self.role,
+            incarnation: self.incarnation,
+            leaving: self.is_leaving(),
+        }
+    }
+
+    /// Stamps a message with the configuration in force.
+    pub fn envelope(
+        &self,
+        message: ControlMessage,
+    ) -> Envelope {
+        let current = self.config.current();
+        Envelope {
+            revision: current.as_ref().map(|c| c.revision).unwrap_or_default(),
+            digest: current.map_or_else(String::new, |c| c.digest[..DIGEST_DIGITS].to_owned()),
+            message,
+        }
+    }
+
+    /// Takes in who a new connection is from.
+    pub fn sight(
+        &self,
+        peer: &Peer,
+    ) -> Sighting {
+        let sighting = {
+            let mut membership = self.membership.lock().expect("membership lock");
+            let sighting = membership.sight(&peer.host, peer.incarnation);
+            if peer.leaving && sighting != Sighting::Stale {
+                membership.leave(&peer.host);
+            }
+            sighting
+        };
+        let what = match sighting {
+            Sighting::New => "peer_new",
+            Sighting::Restarted => "peer_restarted",
+            Sighting::Stale => "peer_stale_refused",
+            Sighting::Same => return sighting,
+        };
+        let detail = format!("{} incarnation {}", peer.name, peer.incarnation);
+        self.audit.record(what, None, None, detail);
+        sighting
+    }
+
+    /// Fetches a peer's configuration, or its host list, if it is ahead.
+    pub fn notice_revision(
+        self: Arc<Self>,
+        peer: &Arc<Peer>,
+        revision: Revision,
+        digest: &str,
+    ) {
+        let wants_hosts = self.hosts.revision() == Revision(0);
+        let behind =
+            revision > Revision(0) && self.config.judge(revision, digest) == Verdict::Fetch;
+        if !behind {
+            self.readiness.heard_peer(&peer.host);
+        }
+        if !(behind || wants_hosts) || self.fetching.swap(true, Ordering::SeqCst) {
+            return;
+        }
+        let peer = peer.clone();
+        tokio::spawn(async move {
+            if let Err(error) = fetch_from_peer(&self, &peer).await {
+                log::debug!(code = error.code.number(); "nothing from {}: {error}", peer.host);
+            } else {
+                self.readiness.heard_peer(&peer.host);
+            }
+            self.fetching.store(false, Ordering::SeqCst);
+        });
+    }
+
+    /// Whether a peer said, in its newest life, that it is leaving.
+    pub fn is_peer_leaving(
+        &self,
+        host: &str,
+    ) -> bool {
+        let membership = self.membership.lock().expect("membership lock");
+        membership.is_leaving(host)
+    }
+
+    /// Whether the process may take new work.
+    pub fn is_ready(&self) -> bool {
+        !self.is_leaving() && self.readiness.has_asked() && self.config.current().is_some()
+    }
+
+    /// The names of the accounts in force.
+    pub fn account_names(&self) -> HashMap<AccountId, String> {
+        let Some(current) = self.config.current() else {
+            return HashMap::new();
+        };
+        let accounts = current.config.accounts.iter();
+        accounts.map(|a| (a.id, a.name.clone())).collect()
+    }
+
+    /// What every role says of itself; the role fills in the rest.
+    pub fn status(&self) -> ProcessStatus {
+        let current = self.config.current();
+        ProcessStatus {
+            host: self.host.clone(),
+            role: self.role,
+            zone: self.zone.clone(),
+            version: env!("CARGO_PKG_VERSION").to_owned(),
+            incarnation: self.incarnation,
+            uptime_ms: self.now().as_millis() as u64,
+            ready: self.is_ready(),
+            leaving: self.is_leaving(),
+            revision: current.as_ref().map(|c| c.revision),
+            digest: current.map_or_else(String::new, |c| c.digest.clone()),
+            peers: Vec::new(),
+            waiting: 0,
+            running: 0,
+            slots: 0,
+            busy_slot_ms: 0,
+            contended_ms: 0,
+            contended_busy_slot_ms: 0,
+            kept_accounts: 0,
+            control_bytes: BTreeMap::new(),
+            link_bytes: 0,
+            accounts: Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/src/node/peer_config.rs
@@ -0,0 +1,100 @@
+use {
+    super::Node,
+    crate::{
+        codes::ResultCode,
+        fleet::{HostList, Revision, VersionedConfig},
+        link::{LinkError, Peer},
+        wire::{ConfigBundle, StreamOpen, encode_frame, read_frame},
+    },
+    quinn::{RecvStream, SendStream},
+    std::{collections::BTreeMap, sync::Arc},
+};
+
+/// Fetches the configuration and host list that a peer has, when newer.
+pub async fn fetch_from_peer(
+    node: &Node,
+    peer: &Peer,
+) -> Result<(), LinkError> {
+    let mut parts = node.config.held_parts();
+    let open = StreamOpen::FetchConfig {
+        have: parts.keys().cloned().collect(),
+    };
+    let (_send, mut recv) = peer.open(&open).await?;
+    let mut root: Option<(Revision, String)> = None;
+    loop {
+        match next_bundle(&mut recv).await? {
+            ConfigBundle::Root { revision, text } => root = Some((revision, text)),
+            ConfigBundle::Part { digest, text } => {
+                parts.insert(digest, text.into());
+            }
+            ConfigBundle::Hosts { revision, hosts } => {
+                node.hosts.offer(revision, hosts);
+            }
+            ConfigBundle::End => break,
+        }
+    }
+    if let Some((revision, text)) = root {
+        let needed = VersionedConfig::needed_parts(&text).unwrap_or_default();
+        parts.retain(|digest, _| needed.contains(digest));
+        node.config
+            .offer(revision, text.into(), parts, &peer.host)
+            .await;
+    }
+    Ok(())
+}
+
+/// Answers a peer that fetches, leaving out the parts it has.
+pub async fn serve_config(
+    node: &Node,
+    have: &[String],
+    mut send: SendStream,
+) -> Result<(), LinkError> {
+    if let Some(config) = node.config.current() {
+        let root = ConfigBundle::Root {
+            revision: config.revision,
+            text: config.root.to_string(),
+        };
+        write_bundle(&mut send, &root).await?;
+        write_parts(&mut send, &config.parts, have).await?;
+    }
+    let hosts = ConfigBundle::Hosts {
+        revision: node.hosts.revision(),
+        hosts: HostList::clone(&node.hosts.current()),
+    };
+    write_bundle(&mut send, &hosts).await?;
+    write_bundle(&mut send, &ConfigBundle::End).await?;
+    send.finish().map_err(LinkError::unreachable)
+}
+
+async fn write_parts(
+    send: &mut SendStream,
+    parts: &BTreeMap<String, Arc<str>>,
+    have: &[String],
+) -> Result<(), LinkError> {
+    for (digest, text) in parts {
+        if have.contains(digest) {
+            continue;
+        }
+        let part = ConfigBundle::Part {
+            digest: digest.clone(),
+            text: text.to_string(),
+        };
+        write_bundle(send, &part).await?;
+    }
+    Ok(())
+}
+
+async fn write_bundle(
+    send: &mut SendStream,
+    bundle: &ConfigBundle,
+) -> Result<(), LinkError> {
+    let frame = encode_frame(bundle).map_err(|e| LinkError::new(e.code, e.detail))?;
+    send.write_all(&frame).await.map_err(LinkError::unreachable)
+}
+
+async fn next_bundle(recv: &mut RecvStream) -> Result<ConfigBundle, LinkError> {
+    read_frame(recv)
+        .await
+        .map_err(|error| LinkError::new(error.code, error.detail))?
+        .ok_or_else(|| LinkError::new(ResultCode::PeerUnreachable, "cut configuration"))
+}
--- /dev/null
+++ b/src/node/watches.rs
@@ -0,0 +1,117 @@
+use {
+    super::Node,
+    crate::{
+        codes::ResultCode,
+        conf::PlatformSettings,
+        fleet::{HostList, Revision, VersionedConfig, sha256_hex},
+        platform::{FLEET_KEY, HOSTS_KEY, PlatformClient, PlatformError, Watched},
+        policy::Verdict,
+    },
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
+};
+
+/// Follows the platform's configuration for as long as the process lives.
+pub async fn watch_config(
+    node: Arc<Node>,
+    client: PlatformClient,
+    settings: PlatformSettings,
+) {
+    let mut seen = Revision(0);
+    loop {
+        let outcome = match client.watch(FLEET_KEY, seen, settings.watch_wait).await {
+            Ok(Some(watched)) => {
+                let outcome = take_config(&node, &client, &watched).await;
+                if outcome.is_ok() {
+                    seen = watched.revision;
+                }
+                outcome
+            }
+            Ok(None) => Ok(()),
+            Err(error) => Err(error),
+        };
+        pause(outcome.err(), FLEET_KEY, settings.retry_pause).await;
+    }
+}
+
+/// Follows the platform's host list for as long as the process lives.
+pub async fn watch_hosts(
+    node: Arc<Node>,
+    client: PlatformClient,
+    settings: PlatformSettings,
+) {
+    let mut seen = Revision(0);
+    loop {
+        let outcome = match client.watch(HOSTS_KEY, seen, settings.watch_wait).await {
+            Ok(Some(watched)) => {
+                seen = watched.revision;
+                take_hosts(&node, &watched)
+            }
+            Ok(None) => Ok(()),
+            Err(error) => Err(error),
+        };
+        pause(outcome.err(), HOSTS_KEY, settings.retry_pause).await;
+    }
+}
+
+async fn take_config(
+    node: &Node,
+    client: &PlatformClient,
+    watched: &Watched,
+) -> Result<(), PlatformError> {
+    let digest = sha256_hex(watched.text.as_bytes());
+    let parts = match node.config.judge(watched.revision, &digest) {
+        Verdict::Fetch => fetch_parts(node, client, &watched.text).await?,
+        _ => BTreeMap::new(),
+    };
+    let root = watched.text.as_str().into();
+    node.config
+        .offer(watched.revision, root, parts, "platform")
+        .await;
+    Ok(())
+}
+
+async fn fetch_parts(
+    node: &Node,
+    client: &PlatformClient,
+    root: &str,
+) -> Result<BTreeMap<String, Arc<str>>, PlatformError> {
+    let held = node.config.held_parts();
+    let mut parts = BTreeMap::new();
+    for digest in VersionedConfig::needed_parts(root).unwrap_or_default() {
+        let text = match held.get(&digest) {
+            Some(text) => Some(text.clone()),
+            None => client.part(&digest).await?.map(Arc::from),
+        };
+        if let Some(text) = text {
+            parts.insert(digest, text);
+        }
+    }
+    Ok(parts)
+}
+
+fn take_hosts(
+    node: &Node,
+    watched: &Watched,
+) -> Result<(), PlatformError> {
+    let hosts: HostList = serde_json::from_str(&watched.text)
+        .map_err(|error| PlatformError::new(ResultCode::PlatformReply, error))?;
+    let listed = hosts.hosts.len();
+    if node.hosts.offer(watched.revision, hosts) {
+        let detail = format!("host list {} with {listed} hosts", watched.revision);
+        node.audit.record("hosts_accepted", None, None, detail);
+    }
+    Ok(())
+}
+
+/// After a failure, pauses at random up to `longest`, so that a service that
+/// comes back is not met by all at once.
+async fn pause(
+    failed: Option<PlatformError>,
+    key: &str,
+    longest: Duration,
+) {
+    if let Some(error) = failed {
+        log::warn!(code = error.code.number(), key = key; "watch failed: {error}");
+        tokio::time::sleep(longest.mul_f64(rand::random::<f64>())).await;
+    }
+}
--- /dev/null
+++ b/src/ops/metric_names.rs
@@ -0,0 +1,20 @@
+//! Names of the metrics, in one place so that the docs can list them.
+
+/// Requests from callers, by `code` and `ran`.
+pub const REQUESTS: &str = "archmast_requests_total";
+/// Requests that wait at a router.
+pub const WAITING: &str = "archmast_waiting_requests";
+/// Requests in slots of a sidecar.
+pub const RUNNING: &str = "archmast_running_requests";
+/// Grants issued, by `outcome`.
+pub const GRANTS: &str = "archmast_grants_total";
+/// Control messages sent, in bytes, by `kind`.
+pub const CONTROL_BYTES: &str = "archmast_control_bytes_total";
+/// Retries made, by `why`.
+pub const RETRIES: &str = "archmast_retries_total";
+/// Revision of the configuration in force.
+pub const REVISION: &str = "archmast_revision";
+/// Calls to the platform's service, by `outcome`.
+pub const PLATFORM_CALLS: &str = "archmast_platform_calls_total";
+/// Pauses of the process that made it drop its views.
+pub const PAUSES: &str = "archmast_pauses_total";
--- /dev/null
+++ b/src/ops/mod.rs
@@ -0,0 +1,19 @@
+//! What operators see: logs, metrics, audit trail, health and status.
+
+mod audit_entry;
+mod audit_trail;
+mod json_log;
+mod metric_names;
+mod operator_port;
+mod process_status;
+mod uptime;
+
+pub use {
+    audit_entry::AuditEntry,
+    audit_trail::AuditTrail,
+    json_log::start_logging,
+    metric_names::*,
+    operator_port::{OperatorPort, StatusSource, quiet_config},
+    process_status::{AccountStatus, PeerStatus, ProcessStatus},
+    uptime::Uptime,
+};
--- /dev/null
+++ b/src/platform/platform_client.rs
@@ -0,0 +1,102 @@
+use {
+    super::{PlatformError, REVISION_HEADER, Watched},
+    crate::{codes::ResultCode, fleet::Revision, ops::PLATFORM_CALLS},
+    reqwest::{Client, Response, StatusCode, retry},
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// Added to a watch's own wait before it counts as lost.
+const GRACE: Duration = Duration::from_secs(5);
+
+/// Reads and watches values of the platform's service.
+#[derive(Clone)]
+pub struct PlatformClient {
+    http: Client,
+    base: String,
+}
+
+impl PlatformClient {
+    /// A client of the service at this address: code 93.
+    pub fn new(address: SocketAddr) -> Result<Self, PlatformError> {
+        let http = Client::builder()
+            .retry(retry::never())
+            .no_proxy()
+            .connect_timeout(GRACE)
+            .build()
+            .map_err(|error| PlatformError::new(ResultCode::StartFailed, error))?;
+        Ok(Self {
+            http,
+            base: format!("http://{address}/v1"),
+        })
+    }
+
+    /// Waits until a value is newer than `after`: none when `wait` passes
+    /// first or the key has no value. Codes 80 to 82.
+    pub async fn watch(
+        &self,
+        key: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<Option<Watched>, PlatformError> {
+        let url = format!(
+            "{}/watch/{key}?after={after}&wait_ms={}",
+            self.base,
+            wait.as_millis()
+        );
+        let Some(response) = self.get(&url, wait + GRACE).await? else {
+            return Ok(None);
+        };
+        let revision = response
+            .headers()
+            .get(REVISION_HEADER)
+            .and_then(|value| value.to_str().ok()?.parse().ok())
+            .map(Revision)
+            .ok_or_else(|| PlatformError::new(ResultCode::PlatformReply, "no revision"))?;
+        let text = text(response).await?;
+        Ok(Some(Watched { revision, text }))
+    }
+
+    /// Reads a part of the configuration by its digest: codes 80 to 82.
+    pub async fn part(
+        &self,
+        digest: &str,
+    ) -> Result<Option<String>, PlatformError> {
+        let url = format!("{}/parts/{digest}", self.base);
+        match self.get(&url, GRACE).await? {
+            Some(response) => text(response).await.map(Some),
+            None => Ok(None),
+        }
+    }
+
+    async fn get(
+        &self,
+        url: &str,
+        timeout: Duration,
+    ) -> Result<Option<Response>, PlatformError> {
+        let sent = self.http.get(url).timeout(timeout).send().await;
+        let outcome = match sent {
+            Err(error) => Err(PlatformError::new(ResultCode::PlatformDown, error)),
+            Ok(response) => match response.status() {
+                StatusCode::OK => Ok(Some(response)),
+                StatusCode::NOT_MODIFIED | StatusCode::NOT_FOUND => Ok(None),
+                StatusCode::TOO_MANY_REQUESTS => {
+                    Err(PlatformError::new(ResultCode::PlatformBudget, "429"))
+                }
+                status if status.is_server_error() => {
+                    Err(PlatformError::new(ResultCode::PlatformDown, status))
+                }
+                status => Err(PlatformError::new(ResultCode::PlatformReply, status)),
+            },
+        };
+        let label = if outcome.is_ok() { "ok" } else { "failed" };
+        metrics::counter!(PLATFORM_CALLS, "outcome" => label).increment(1);
+        outcome
+    }
+}
+
+async fn text(response: Response) -> Result<String, PlatformError> {
+    response
+        .text()
+        .await
+        .map_err(|error| PlatformError::new(ResultCode::PlatformDown, error))
+}
--- /dev/null
+++ b/src/policy/dispatcher.rs
@@ -0,0 +1,487 @@
+use {
+    super::{
+        AheadEstimate, DemandLine, DemandTable, DispatchSettings, Grant, GrantNumber, GrantTable,
+        IssuedGrant, Ledger, Moment, OrderMode, ReportEntry, TotalEntry,
+    },
+    crate::{codes::ResultCode, fleet::AccountId},
+    std::collections::{BTreeMap, HashMap, VecDeque},
+};
+
+/// Numbers the exchanges of one incarnation of a sidecar.
+pub type ExchangeId = u64;
+
+/// A request that reached the sidecar.
+#[derive(Debug, Clone, Copy)]
+pub struct Arrival<R> {
+    pub exchange: ExchangeId,
+    pub router: R,
+    pub account: AccountId,
+    pub grant: Option<GrantNumber>, // none for an offer to an idle upstream
+}
+
+/// What becomes of a request that reached the sidecar.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    Start,
+    Ready, // starts when a slot frees up
+    Refused(ResultCode),
+}
+
+/// How a request left its slot.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Finished {
+    Cost(f64), // service units, known now that it ended
+    NotRun,    // it never reached the upstream
+}
+
+/// Owns an upstream's capacity: decides which account's request runs next.
+///
+/// `R` identifies a connected router.
+#[derive(Debug, Clone)]
+pub struct Dispatcher<R> {
+    settings: DispatchSettings,
+    ledger: Ledger,
+    demand: DemandTable<R>,
+    grants: GrantTable<R>,
+    ready: VecDeque<(ExchangeId, Held)>, // granted, waiting for a slot
+    running: HashMap<ExchangeId, Held>,
+    busy: BTreeMap<AccountId, u32>, // ready and running, by account
+    ahead: AheadEstimate,
+    next_number: GrantNumber,
+    leaving: bool,
+    closed_until: Moment, // the upstream does not take connections
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Held {
+    account: AccountId,
+    charged: f64,
+    started: Moment, // meaningful once running
+}
+
+impl<R: Copy + Ord> Dispatcher<R> {
+    /// A dispatcher with every slot free.
+    pub fn new(settings: DispatchSettings) -> Self {
+        Self {
+            settings,
+            ledger: Ledger::new(settings.totals, settings.idle_grace, settings.debt_ceiling),
+            demand: DemandTable::default(),
+            grants: GrantTable::default(),
+            ready: VecDeque::new(),
+            running: HashMap::new(),
+            busy: BTreeMap::new(),
+            ahead: AheadEstimate::default(),
+            next_number: 1,
+            leaving: false,
+            closed_until: Moment::ZERO,
+        }
+    }
+
+    /// Takes in what a router announces.
+    pub fn announce(
+        &mut self,
+        router: R,
+        now: Moment,
+        seen: GrantNumber,
+        lines: &[DemandLine],
+    ) {
+        for line in lines {
+            self.demand.announce(router, now, seen, line);
+            self.note_activity(line.account, now);
+        }
+    }
+
+    /// Forgets a router that is gone, with its demand and its grants.
+    pub fn forget_router(
+        &mut self,
+        router: R,
+        now: Moment,
+    ) {
+        let waiting: Vec<AccountId> = self.demand.waiting().collect();
+        self.demand.forget_router(router);
+        for grant in self.grants.forget_router(router) {
+            self.refund(&grant, now);
+        }
+        for account in waiting {
+            self.note_activity(account, now);
+        }
+    }
+
+    /// The next grant to send out, if there is room and demand.
+    pub fn next_grant(
+        &mut self,
+        now: Moment,
+    ) -> Option<(R, Grant)> {
+        if self.leaving || now < self.closed_until || self.room() == 0 {
+            return None;
+        }
+        let (account, router) = self.choose(now)?;
+        let grant = Grant {
+            number: self.next_number,
+            account,
+        };
+        self.next_number += 1;
+        let charge = self.ledger.expected_cost(account);
+        self.ledger.charge(account, charge, now);
+        self.demand.granted(account, router, grant.number);
+        self.grants.insert(IssuedGrant {
+            grant,
+            router,
+            issued: now,
+            expires: now + self.settings.grant_ttl,
+            charge,
+        });
+        Some((router, grant))
+    }
+
+    /// Decides on a request that reached the sidecar.
+    pub fn arrive(
+        &mut self,
+        now: Moment,
+        arrival: &Arrival<R>,
+    ) -> Admission {
+        if self.leaving {
+            return Admission::Refused(ResultCode::Leaving);
+        }
+        if now < self.closed_until {
+            return Admission::Refused(ResultCode::UpstreamUnreachable);
+        }
+        match arrival.grant {
+            Some(number) => self.arrive_granted(now, arrival, number),
+            None => self.arrive_offered(now, arrival),
+        }
+    }
+
+    /// Takes a grant back that its router has nothing to send for.
+    pub fn decline(
+        &mut self,
+        router: R,
+        number: GrantNumber,
+        now: Moment,
+    ) {
+        if let Some(grant) = self.grants.decline(number, router) {
+            self.refund(&grant, now);
+            self.demand.declined(grant.grant.account, router);
+            self.note_activity(grant.grant.account, now);
+        }
+    }
+
+    /// Voids the grants that were not used in time.
+    pub fn expire(
+        &mut self,
+        now: Moment,
+    ) -> usize {
+        let expired = self.grants.expire(now);
+        for grant in &expired {
+            self.refund(grant, now);
+            self.note_activity(grant.grant.account, now);
+        }
+        expired.len()
+    }
+
+    /// Charges what a running request has cost so far beyond its advance.
+    pub fn progress(
+        &mut self,
+        exchange: ExchangeId,
+        units: f64,
+        now: Moment,
+    ) {
+        if let Some(held) = self.running.get_mut(&exchange)
+            && units > held.charged
+        {
+            let more = units - held.charged;
+            held.charged = units;
+            let account = held.account;
+            self.ledger.charge(account, more, now);
+        }
+    }
+
+    /// Frees a slot, or a place among the ready ones.
+    pub fn finish(
+        &mut self,
+        exchange: ExchangeId,
+        finished: Finished,
+        now: Moment,
+    ) {
+        let held = match self.running.remove(&exchange) {
+            Some(held) => {
+                self.ahead.observe_service(now.saturating_sub(held.started));
+                held
+            }
+            None => match self.take_ready(exchange) {
+                Some(held) => held,
+                None => return,
+            },
+        };
+        let cost = match finished {
+            Finished::Cost(units) => {
+                self.ledger.observe_cost(held.account, units, now);
+                units
+            }
+            Finished::NotRun => 0.0,
+        };
+        self.ledger.charge(held.account, cost - held.charged, now);
+        self.release(held.account, now);
+    }
+
+    /// Moves the next ready request into a free slot.
+    pub fn start_ready(
+        &mut self,
+        now: Moment,
+    ) -> Option<ExchangeId> {
+        if self.leaving || self.running.len() >= self.settings.slots as usize {
+            return None;
+        }
+        let (exchange, held) = self.ready.pop_front()?;
+        self.running.insert(
+            exchange,
+            Held {
+                started: now,
+                ..held
+            },
+        );
+        Some(exchange)
+    }
+
+    /// Stops granting. Gives the requests that will now never start.
+    pub fn leave(
+        &mut self,
+        now: Moment,
+    ) -> Vec<ExchangeId> {
+        self.leaving = true;
+        self.void_grants(now);
+        self.demand.clear();
+        let handed_back: Vec<(ExchangeId, Held)> = self.ready.drain(..).collect();
+        for (_, held) in &handed_back {
+            self.ledger.charge(held.account, -held.charged, now);
+            self.release(held.account, now);
+        }
+        handed_back
+            .into_iter()
+            .map(|(exchange, _)| exchange)
+            .collect()
+    }
+
+    /// Drops grants and demand, which may be old after a pause.
+    pub fn forget_views(
+        &mut self,
+        now: Moment,
+    ) {
+        self.void_grants(now);
+        self.demand.clear();
+    }
+
+    /// Grants nothing until then: the upstream refuses connections.
+    pub fn close_until(
+        &mut self,
+        until: Moment,
+    ) {
+        self.closed_until = until;
+    }
+
+    /// The next report to keepers, at most `bound` entries.
+    pub fn report(
+        &mut self,
+        now: Moment,
+        bound: usize,
+    ) -> Vec<ReportEntry> {
+        self.ledger.report(now, bound)
+    }
+
+    /// Takes in a keeper's total.
+    pub fn hear(
+        &mut self,
+        total: &TotalEntry,
+    ) {
+        self.ledger.hear(total);
+    }
+
+    /// Takes over the shares of the configuration in force.
+    pub fn set_shares(
+        &mut self,
+        shares: HashMap<AccountId, f64>,
+    ) {
+        self.ledger.set_shares(shares);
+    }
+
+    /// The sidecar's account of service.
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    /// Requests in slots.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Granted requests that wait for a slot.
+    pub fn ready(&self) -> usize {
+        self.ready.len()
+    }
+
+    /// Grants outstanding.
+    pub fn granted(&self) -> usize {
+        self.grants.len()
+    }
+
+    /// Requests announced by routers that no grant covers yet.
+    pub fn waiting(&self) -> u64 {
+        self.demand.count()
+    }
+
+    /// An account's requests that no grant covers yet.
+    pub fn waiting_of(
+        &self,
+        account: AccountId,
+    ) -> u64 {
+        self.demand.count_of(account)
+    }
+
+    /// Whether the sidecar has stopped granting for good.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Slots that an offer without a grant may take.
+    pub fn free_for_offers(
+        &self,
+        now: Moment,
+    ) -> u32 {
+        if self.leaving || now < self.closed_until || self.demand.count() > 0 {
+            return 0;
+        }
+        let used = self.running.len() + self.ready.len() + self.grants.len();
+        self.settings.slots.saturating_sub(used as u32)
+    }
+
+    fn room(&self) -> u32 {
+        let held = self.running.len() + self.ready.len() + self.grants.len();
+        let ahead = self.ahead.target(self.settings.slots, self.settings.ahead);
+        (self.settings.slots + ahead).saturating_sub(held as u32)
+    }
+
+    fn choose(
+        &mut self,
+        now: Moment,
+    ) -> Option<(AccountId, R)> {
+        if self.settings.order == OrderMode::Arrival {
+            return self.demand.longest_waiting(now);
+        }
+        let standings = self.ledger.standings(self.demand.waiting(), now);
+        let least = self.ledger.floor()?;
+        let level = least + self.settings.slack;
+        standings
+            .iter()
+            .filter(|(_, standing)| *standing <= level)
+            .filter_map(|(account, standing)| {
+                let (deadline, router) = self.demand.most_urgent(*account)?;
+                Some((deadline, *standing, *account, router))
+            })
+            .min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)))
+            .map(|(_, _, account, router)| (account, router))
+    }
+
+    fn arrive_granted(
+        &mut self,
+        now: Moment,
+        arrival: &Arrival<R>,
+        number: GrantNumber,
+    ) -> Admission {
+        let Some(grant) = self.grants.redeem(number, arrival.router, now) else {
+            return Admission::Refused(ResultCode::GrantExpired);
+        };
+        if grant.grant.account != arrival.account {
+            self.refund(&grant, now);
+            return Admission::Refused(ResultCode::GrantExpired);
+        }
+        self.ahead
+            .observe_round_trip(now.saturating_sub(grant.issued));
+        self.hold(now, arrival, grant.charge)
+    }
+
+    fn arrive_offered(
+        &mut self,
+        now: Moment,
+        arrival: &Arrival<R>,
+    ) -> Admission {
+        if self.free_for_offers(now) == 0 {
+            return Admission::Refused(ResultCode::Busy);
+        }
+        let charge = self.ledger.expected_cost(arrival.account);
+        self.ledger.wake(arrival.account, now);
+        self.ledger.charge(arrival.account, charge, now);
+        self.hold(now, arrival, charge)
+    }
+
+    fn hold(
+        &mut self,
+        now: Moment,
+        arrival: &Arrival<R>,
+        charged: f64,
+    ) -> Admission {
+        let held = Held {
+            account: arrival.account,
+            charged,
+            started: now,
+        };
+        *self.busy.entry(arrival.account).or_default() += 1;
+        let free = self.running.len() < self.settings.slots as usize;
+        if free && self.ready.is_empty() {
+            self.running.insert(arrival.exchange, held);
+            return Admission::Start;
+        }
+        self.ready.push_back((arrival.exchange, held));
+        Admission::Ready
+    }
+
+    fn take_ready(
+        &mut self,
+        exchange: ExchangeId,
+    ) -> Option<Held> {
+        let index = self.ready.iter().position(|(id, _)| *id == exchange)?;
+        self.ready.remove(index).map(|(_, held)| held)
+    }
+
+    fn release(
+        &mut self,
+        account: AccountId,
+        now: Moment,
+    ) {
+        if let Some(count) = self.busy.get_mut(&account) {
+            *count -= 1;
+            if *count == 0 {
+                self.busy.remove(&account);
+            }
+        }
+        self.note_activity(account, now);
+    }
+
+    fn refund(
+        &mut self,
+        grant: &IssuedGrant<R>,
+        now: Moment,
+    ) {
+        self.ledger.charge(grant.grant.account, -grant.charge, now);
+    }
+
+    fn void_grants(
+        &mut self,
+        now: Moment,
+    ) {
+        for grant in self.grants.clear() {
+            self.refund(&grant, now);
+        }
+    }
+
+    fn note_activity(
+        &mut self,
+        account: AccountId,
+        now: Moment,
+    ) {
+        if self.demand.is_waiting(account) || self.busy.contains_key(&account) {
+            self.ledger.wake(account, now);
+        } else {
+            self.ledger.rest(account, now);
+        }
+    }
+}
--- /dev/null
+++ b/src/policy/grant_table.rs
@@ -0,0 +1,96 @@
+use {
+    super::{GrantNumber, IssuedGrant, Moment},
+    std::collections::BTreeMap,
+};
+
+/// The grants that a sidecar has issued and that are still good.
+#[derive(Debug, Clone)]
+pub struct GrantTable<R> {
+    issued: BTreeMap<GrantNumber, IssuedGrant<R>>,
+}
+
+impl<R: Copy + PartialEq> Default for GrantTable<R> {
+    fn default() -> Self {
+        Self {
+            issued: BTreeMap::new(),
+        }
+    }
+}
+
+impl<R: Copy + PartialEq> GrantTable<R> {
+    /// How many grants are outstanding.
+    pub fn len(&self) -> usize {
+        self.issued.len()
+    }
+
+    /// Whether no grant is outstanding.
+    pub fn is_empty(&self) -> bool {
+        self.issued.is_empty()
+    }
+
+    /// Records a new grant.
+    pub fn insert(
+        &mut self,
+        grant: IssuedGrant<R>,
+    ) {
+        self.issued.insert(grant.grant.number, grant);
+    }
+
+    /// Uses a grant up: none if it is unknown, another router's or expired.
+    pub fn redeem(
+        &mut self,
+        number: GrantNumber,
+        router: R,
+        now: Moment,
+    ) -> Option<IssuedGrant<R>> {
+        let grant = self.issued.get(&number)?;
+        if grant.router != router || grant.expires <= now {
+            return None;
+        }
+        self.issued.remove(&number)
+    }
+
+    /// Takes a grant back that its router declines.
+    pub fn decline(
+        &mut self,
+        number: GrantNumber,
+        router: R,
+    ) -> Option<IssuedGrant<R>> {
+        let grant = self.issued.get(&number)?;
+        if grant.router != router {
+            return None;
+        }
+        self.issued.remove(&number)
+    }
+
+    /// Removes the grants that have expired.
+    pub fn expire(
+        &mut self,
+        now: Moment,
+    ) -> Vec<IssuedGrant<R>> {
+        self.remove_where(|grant| grant.expires <= now)
+    }
+
+    /// Removes the grants of a router that is gone.
+    pub fn forget_router(
+        &mut self,
+        router: R,
+    ) -> Vec<IssuedGrant<R>> {
+        self.remove_where(|grant| grant.router == router)
+    }
+
+    /// Removes every grant.
+    pub fn clear(&mut self) -> Vec<IssuedGrant<R>> {
+        self.remove_where(|_| true)
+    }
+
+    fn remove_where(
+        &mut self,
+        condition: impl Fn(&IssuedGrant<R>) -> bool,
+    ) -> Vec<IssuedGrant<R>> {
+        self.issued
+            .extract_if(.., |_, grant| condition(grant))
+            .map(|(_, grant)| grant)
+            .collect()
+    }
+}
--- /dev/null
+++ b/src/policy/kept_account.rs
@@ -0,0 +1,138 @@
+use {
+    super::{Incarnation, Moment, ReportEntry, TotalEntry},
+    std::{collections::HashMap, sync::Arc, time::Duration},
+};
+
+/// One account's fleet total, as its keeper sums it.
+///
+/// The total is `base` plus what each sidecar served since it first reported
+/// here. Sidecars tell a new keeper the last total they heard, so the sum goes
+/// on where the old keeper left it.
+#[derive(Debug, Clone, Default)]
+pub struct KeptAccount {
+    base: f64,
+    sources: HashMap<Arc<str>, Source>, // by the sidecar's host
+    last_active: Option<Moment>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Source {
+    incarnation: Incarnation,
+    sequence: u64,     // of the newest report
+    own: f64,          // served, by that report
+    counted_from: f64, // of `own`, what was in `base` from the beginning
+}
+
+impl Source {
+    fn counted(&self) -> f64 {
+        self.own - self.counted_from
+    }
+}
+
+impl KeptAccount {
+    /// Service units given by the whole fleet.
+    pub fn total(&self) -> f64 {
+        self.base + self.sources.values().map(Source::counted).sum::<f64>()
+    }
+
+    /// When the account last waited or was served.
+    pub fn last_active(&self) -> Option<Moment> {
+        self.last_active
+    }
+
+    /// Takes in a report; an older one than the newest changes nothing.
+    pub fn report(
+        &mut self,
+        now: Moment,
+        host: &Arc<str>,
+        incarnation: Incarnation,
+        sequence: u64,
+        entry: &ReportEntry,
+    ) -> TotalEntry {
+        let known = self.sources.get(host).copied();
+        match known {
+            Some(source) if source.incarnation > incarnation => {}
+            Some(source) if source.incarnation == incarnation => {
+                if source.sequence < sequence {
+                    self.update(now, host, source, sequence, entry);
+                }
+            }
+            _ => self.begin(now, host, incarnation, sequence, entry),
+        }
+        let source = self.sources.get(host);
+        TotalEntry {
+            account: entry.account,
+            total: self.total(),
+            included: source
+                .filter(|source| source.incarnation == incarnation)
+                .map_or(entry.own, |source| source.own),
+        }
+    }
+
+    /// Whether the account had no work anywhere for `grace` until now.
+    pub fn was_idle(
+        &self,
+        now: Moment,
+        grace: Duration,
+    ) -> Option<bool> {
+        self.last_active
+            .map(|last| now.saturating_sub(last) > grace)
+    }
+
+    /// Moves the total into a range: an account back from idle brings no
+    /// credit and only a bounded debt.
+    pub fn clamp(
+        &mut self,
+        low: f64,
+        high: f64,
+    ) {
+        let total = self.total();
+        self.base += total.clamp(low, high) - total;
+    }
+
+    fn update(
+        &mut self,
+        now: Moment,
+        host: &Arc<str>,
+        source: Source,
+        sequence: u64,
+        entry: &ReportEntry,
+    ) {
+        if entry.waiting || entry.own > source.own {
+            self.last_active = Some(now);
+        }
+        let newer = Source {
+            sequence,
+            own: entry.own,
+            ..source
+        };
+        self.sources.insert(host.clone(), newer);
+    }
+
+    fn begin(
+        &mut self,
+        now: Moment,
+        host: &Arc<str>,
+        incarnation: Incarnation,
+        sequence: u64,
+        entry: &ReportEntry,
+    ) {
+        let first = Source {
+            incarnation,
+            sequence,
+            own: entry.own,
+            counted_from: entry.included,
+        };
+        if let Some(ended) = self.sources.insert(host.clone(), first) {
+            self.base += ended.counted();
+        }
+        let known_there = entry.heard + first.counted();
+        let missing = known_there - self.total();
+        if missing > 0.0 {
+            self.base += missing;
+        }
+        if entry.waiting || entry.own > entry.included {
+            self.last_active = Some(now);
+        }
+    }
+}
--- /dev/null
+++ b/src/policy/mod.rs
@@ -0,0 +1,75 @@
+//! Decisions: order, shares, demand, grants, totals, membership, at most once.
+//!
+//! Nothing in here does I/O, reads a clock, draws a random number or locks.
+
+mod account_queue;
+mod ahead_estimate;
+mod announced_demand;
+mod config_gate;
+mod cost_estimate;
+mod demand_line;
+mod demand_table;
+mod dispatch_settings;
+mod dispatcher;
+mod drain_rate;
+mod grant;
+mod grant_table;
+mod host_set;
+mod incarnation;
+mod keeper;
+mod kept_account;
+mod key_memory;
+mod ledger;
+mod ledger_entry;
+mod membership;
+mod moment;
+mod order_mode;
+mod pause_detector;
+mod prefix_memory;
+mod reach;
+mod rendezvous;
+mod report;
+mod retry_budget;
+mod router_exchange;
+mod sidecar_exchange;
+mod slot_clock;
+mod totals_mode;
+mod waiting_request;
+mod waiting_room;
+
+pub use {
+    account_queue::AccountQueue,
+    ahead_estimate::AheadEstimate,
+    announced_demand::AnnouncedDemand,
+    config_gate::{ConfigGate, Verdict},
+    cost_estimate::CostEstimate,
+    demand_line::DemandLine,
+    demand_table::DemandTable,
+    dispatch_settings::DispatchSettings,
+    dispatcher::{Admission, Arrival, Dispatcher, ExchangeId, Finished},
+    drain_rate::DrainRate,
+    grant::{Grant, GrantNumber, IssuedGrant},
+    grant_table::GrantTable,
+    host_set::HostSet,
+    incarnation::Incarnation,
+    keeper::Keeper,
+    kept_account::KeptAccount,
+    key_memory::{KeyMemory, KeyVerdict},
+    ledger::Ledger,
+    ledger_entry::LedgerEntry,
+    membership::{Membership, Sighting},
+    moment::Moment,
+    order_mode::OrderMode,
+    pause_detector::PauseDetector,
+    prefix_memory::{PrefixHash, PrefixMemory},
+    reach::Reach,
+    rendezvous::rendezvous,
+    report::{ReportEntry, TotalEntry},
+    retry_budget::RetryBudget,
+    router_exchange::{AnswerEvent, RouterExchange},
+    sidecar_exchange::SidecarExchange,
+    slot_clock::SlotClock,
+    totals_mode::TotalsMode,
+    waiting_request::WaitingRequest,
+    waiting_room::{Shed, WaitingBounds, WaitingRoom},
+};
--- /dev/null
+++ b/src/policy/waiting_request.rs
@@ -0,0 +1,16 @@
+use {
+    super::{HostSet, Moment, PrefixHash},
+    crate::fleet::AccountId,
+};
+
+/// A request that waits at its router for a grant.
+#[derive(Debug, Clone)]
+pub struct WaitingRequest {
+    pub id: u64, // in order of arrival
+    pub account: AccountId,
+    pub arrived: Moment,
+    pub deadline: Moment, // end of its patience
+    pub bytes: u64,       // held in memory
+    pub hosts: HostSet,   // that may serve it, sorted
+    pub prefix: Option<PrefixHash>,
+}
--- /dev/null
+++ b/src/policy/waiting_room.rs
@@ -0,0 +1,288 @@
+use {
+    super::{AccountQueue, Moment, PrefixMemory, WaitingRequest},
+    crate::{codes::ResultCode, fleet::AccountId},
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
+};
+
+/// What may wait at one router.
+#[derive(Debug, Clone, Copy)]
+pub struct WaitingBounds {
+    pub requests: usize,
+    pub bytes: u64,
+    pub per_account: usize, // requests
+    pub refuse_early: bool, // when patience cannot be met
+}
+
+/// A request that is given up, with why and when its caller should come back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Shed {
+    pub id: u64,
+    pub code: ResultCode,
+    pub retry_after: Duration,
+}
+
+/// The requests that wait at a router, per client account.
+#[derive(Debug, Clone)]
+pub struct WaitingRoom {
+    queues: BTreeMap<AccountId, AccountQueue>,
+    bounds: WaitingBounds,
+    requests: usize,
+    bytes: u64,
+    prefixes: PrefixMemory,
+    prefix_slack: Duration,
+}
+
+impl WaitingRoom {
+    /// An empty room.
+    pub fn new(
+        bounds: WaitingBounds,
+        prefix_slack: Duration,
+    ) -> Self {
+        Self {
+            queues: BTreeMap::new(),
+            bounds,
+            requests: 0,
+            bytes: 0,
+            prefixes: PrefixMemory::default(),
+            prefix_slack,
+        }
+    }
+
+    /// Requests that wait.
+    pub fn len(&self) -> usize {
+        self.requests
+    }
+
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.requests == 0
+    }
+
+    /// Bytes held by the requests that wait.
+    pub fn bytes(&self) -> u64 {
+        self.bytes
+    }
+
+    /// Adds a request. Gives those that are given up for it: itself, or the
+    /// least urgent ones of the account that holds most.
+    pub fn push(
+        &mut self,
+        now: Moment,
+        request: WaitingRequest,
+    ) -> Vec<Shed> {
+        let queue = self.queues.entry(request.account).or_default();
+        let waiting = queue.len();
+        let shed_code = if waiting >= self.bounds.per_account {
+            Some(ResultCode::TooManyWaiting)
+        } else if self.bounds.refuse_early && outlasts_patience(queue, now, &request) {
+            Some(ResultCode::PatienceTooShort)
+        } else {
+            None
+        };
+        if let Some(code) = shed_code {
+            return vec![shed(&request, queue, now, code)];
+        }
+        self.requests += 1;
+        self.bytes += request.bytes;
+        queue.push(request);
+        self.shed_excess(now)
+    }
+
+    /// Puts a request back that a sidecar handed back before starting it.
+    /// It keeps its place and is never refused.
+    pub fn push_back(
+        &mut self,
+        request: WaitingRequest,
+    ) {
+        self.requests += 1;
+        self.bytes += request.bytes;
+        self.queues
+            .entry(request.account)
+            .or_default()
+            .push(request);
+    }
+
+    /// Takes the request that answers a host's grant to an account.
+    pub fn take_for(
+        &mut self,
+        now: Moment,
+        host: &Arc<str>,
+        account: AccountId,
+    ) -> Option<WaitingRequest> {
+        let queue = self.queues.get_mut(&account)?;
+        let request = queue.take_for(host, &self.prefixes, self.prefix_slack)?;
+        queue.drain.started(now);
+        self.requests -= 1;
+        self.bytes -= request.bytes;
+        if let Some(prefix) = request.prefix {
+            self.prefixes.served(prefix, host);
+        }
+        Some(request)
+    }
+
+    /// Notes that a host serves a prefix without a wait.
+    pub fn note_prefix(
+        &mut self,
+        request: &WaitingRequest,
+        host: &Arc<str>,
+    ) {
+        if let Some(prefix) = request.prefix {
+            self.prefixes.served(prefix, host);
+        }
+    }
+
+    /// The host that served a request's prefix last.
+    pub fn prefix_host(
+        &self,
+        request: &WaitingRequest,
+    ) -> Option<&Arc<str>> {
+        self.prefixes.host(request.prefix?)
+    }
+
+    /// Removes a request whose caller is gone.
+    pub fn remove(
+        &mut self,
+        request: &WaitingRequest,
+    ) -> bool {
+        let removed = self
+            .queues
+            .get_mut(&request.account)
+            .and_then(|queue| queue.remove(&request.hosts, request.deadline, request.id));
+        if let Some(removed) = &removed {
+            self.requests -= 1;
+            self.bytes -= removed.bytes;
+        }
+        removed.is_some()
+    }
+
+    /// Gives up what cannot start within its patience any more. Each gets its
+    /// answer at once.
+    pub fn give_up(
+        &mut self,
+        now: Moment,
+    ) -> Vec<Shed> {
+        let mut given_up = Vec::new();
+        let mut requests = Vec::new();
+        for queue in self.queues.values() {
+            for request in queue.overdue(now) {
+                given_up.push(shed(&request, queue, now, ResultCode::PatienceOver));
+                requests.push(request);
+            }
+        }
+        for request in &requests {
+            self.remove(request);
+        }
+        self.queues
+            .retain(|_, queue| !queue.is_empty() || recently_drained(queue, now));
+        given_up
+    }
+
+    /// Whether an account has requests waiting.
+    pub fn is_waiting(
+        &self,
+        account: AccountId,
+    ) -> bool {
+        self.queues
+            .get(&account)
+            .is_some_and(|queue| !queue.is_empty())
+    }
+
+    /// Each account's queue.
+    pub fn queues(&self) -> impl Iterator<Item = (AccountId, &AccountQueue)> {
+        self.queues.iter().map(|(account, queue)| (*account, queue))
+    }
+
+    /// How long the oldest request has waited.
+    pub fn oldest_wait(
+        &self,
+        now: Moment,
+    ) -> Duration {
+        self.queues
+            .values()
+            .filter_map(AccountQueue::oldest)
+            .min()
+            .map_or(Duration::ZERO, |oldest| now.saturating_sub(oldest))
+    }
+
+    /// Everything that waits, emptied out: the router answers and stops.
+    pub fn drain_all(
+        &mut self,
+        now: Moment,
+        code: ResultCode,
+    ) -> Vec<Shed> {
+        let everything: Vec<WaitingRequest> = self
+            .queues
+            .values()
+            .flat_map(|queue| queue.overdue(Moment::MAX))
+            .collect();
+        everything
+            .iter()
+            .filter_map(|request| {
+                let queue = self.queues.get(&request.account)?;
+                let given_up = shed(request, queue, now, code);
+                self.remove(request).then_some(given_up)
+            })
+            .collect()
+    }
+
+    fn shed_excess(
+        &mut self,
+        now: Moment,
+    ) -> Vec<Shed> {
+        let mut given_up = Vec::new();
+        while self.requests > self.bounds.requests || self.bytes > self.bounds.bytes {
+            let Some(request) = self.victim() else {
+                break;
+            };
+            let queue = &self.queues[&request.account];
+            given_up.push(shed(&request, queue, now, ResultCode::TooManyWaiting));
+            self.remove(&request);
+        }
+        given_up
+    }
+
+    /// The least urgent request of the account that holds most.
+    fn victim(&self) -> Option<WaitingRequest> {
+        let by_bytes = self.bytes > self.bounds.bytes;
+        let fullest = self.queues.values().max_by_key(|queue| {
+            let requests = queue.len() as u64;
+            if by_bytes { queue.bytes } else { requests }
+        })?;
+        fullest.least_urgent().cloned()
+    }
+}
+
+fn outlasts_patience(
+    queue: &AccountQueue,
+    now: Moment,
+    request: &WaitingRequest,
+) -> bool {
+    let patience = request.deadline.saturating_sub(now);
+    queue
+        .drain
+        .wait(now, queue.len() + 1)
+        .is_some_and(|wait| wait > patience)
+}
+
+fn recently_drained(
+    queue: &AccountQueue,
+    now: Moment,
+) -> bool {
+    queue
+        .drain
+        .wait(now, 1)
+        .is_some_and(|wait| wait < Duration::from_secs(1))
+}
+
+fn shed(
+    request: &WaitingRequest,
+    queue: &AccountQueue,
+    now: Moment,
+    code: ResultCode,
+) -> Shed {
+    Shed {
+        id: request.id,
+        code,
+        retry_after: queue.drain.retry_after(now, queue.len()),
+    }
+}
--- /dev/null
+++ b/src/router/caller_port.rs
@@ -0,0 +1,242 @@
+use {
+    super::{
+        answer_body::answer_stream,
+        classify::{RawRequest, authenticate, classify},
+        error_answer::ErrorAnswer,
+        request_flow::{Answer, answer_request},
+        router::Router,
+    },
+    crate::{
+        codes::ResultCode,
+        fleet::{FleetConfig, GroupKind},
+        ops::{REQUESTS, quiet_config},
+    },
+    rocket::{
+        Data, Ignite, Request, Response, Rocket, Route, async_trait,
+        data::ByteUnit,
+        http::{Method, Status},
+        route::{Handler, Outcome},
+    },
+    serde_json::json,
+    std::{io::Cursor, sync::Arc, time::Duration},
+    tokio_util::io::StreamReader,
+};
+
+/// Where a balancer asks whether to send requests here. It needs no key.
+const READY_PATH: &str = "/archmast/ready";
+
+/// The models that a caller may use.
+const MODELS_PATH: &str = "/v1/models";
+
+/// Headers of an answer that belong to one connection, or are set anew.
+const OWN_HEADERS: &[&str] = &[
+    "connection",
+    "content-length",
+    "date",
+    "keep-alive",
+    "transfer-encoding",
+    "upgrade",
+    "x-request-id",
+];
+
+const METHODS: &[Method] = &[
+    Method::Get,
+    Method::Head,
+    Method::Post,
+    Method::Put,
+    Method::Patch,
+    Method::Delete,
+    Method::Options,
+];
+
+/// The HTTP port for callers: every method and path comes through one handler.
+#[derive(Clone)]
+struct CallerPort {
+    router: Arc<Router>,
+}
+
+/// The server for callers, ready to launch.
+pub async fn caller_server(router: Arc<Router>) -> Result<Rocket<Ignite>, rocket::Error> {
+    let mut config = quiet_config(router.settings.callers);
+    config.workers = router.settings.process.workers;
+    let port = CallerPort { router };
+    let routes: Vec<Route> = METHODS
+        .iter()
+        .map(|method| Route::new(*method, "/<path..>", port.clone()))
+        .collect();
+    rocket::custom(config).mount("/", routes).ignite().await
+}
+
+#[async_trait]
+impl Handler for CallerPort {
+    async fn handle<'r>(
+        &self,
+        request: &'r Request<'_>,
+        data: Data<'r>,
+    ) -> Outcome<'r> {
+        let path = request.uri().path().as_str();
+        if path == READY_PATH {
+            return Outcome::Success(ready(&self.router));
+        }
+        let request_id = format!("{:016x}", rand::random::<u64>());
+        let response = match self.answer(request, data, &request_id).await {
+            Ok(response) => response,
+            Err(error) => error_response(&error, &request_id),
+        };
+        Outcome::Success(response)
+    }
+}
+
+impl CallerPort {
+    async fn answer<'r>(
+        &self,
+        request: &'r Request<'_>,
+        data: Data<'r>,
+        request_id: &str,
+    ) -> Result<Response<'r>, ErrorAnswer> {
+        let held = self.router.hold(request_id);
+        if self.router.is_refusing() {
+            return Err(ErrorAnswer::new(ResultCode::Stopping).retry_after(Duration::from_secs(1)));
+        }
+        let current = self
+            .router
+            .node
+            .config
+            .current()
+            .filter(|_| self.router.node.readiness.has_asked())
+            .ok_or_else(|| {
+                ErrorAnswer::new(ResultCode::NoConfiguration).retry_after(Duration::from_secs(1))
+            })?;
+        let raw = self.raw_request(request, data, request_id).await?;
+        if raw.path == MODELS_PATH && raw.method == "GET" {
+            authenticate(&current.config, &raw)?;
+            return Ok(models(&current.config));
+        }
+        let hosts = self.router.node.hosts.current();
+        let prefix_bytes = self.router.settings.prefix_bytes;
+        let request = classify(&current.config, &hosts, prefix_bytes, raw)?;
+        let answer = answer_request(&self.router, &request).await?;
+        metrics::counter!(REQUESTS, "code" => "0", "ran" => "yes").increment(1);
+        Ok(respond(answer, request_id, held))
+    }
+
+    async fn raw_request<'r>(
+        &self,
+        request: &'r Request<'_>,
+        data: Data<'r>,
+        request_id: &str,
+    ) -> Result<RawRequest, ErrorAnswer> {
+        let bound = self.router.settings.max_body;
+        let body = data
+            .open(ByteUnit::Byte(bound))
+            .into_bytes()
+            .await
+            .map_err(|_| ErrorAnswer::new(ResultCode::BadBody).detail("the body was cut"))?;
+        if !body.is_complete() {
+            return Err(ErrorAnswer::new(ResultCode::BodyTooLarge)
+                .detail(format!("the body is over {bound} bytes")));
+        }
+        let headers = request
+            .headers()
+            .iter()
+            .map(|header| (header.name.to_string(), header.value.to_string()))
+            .collect();
+        Ok(RawRequest {
+            request_id: request_id.to_owned(),
+            method: request.method().as_str().to_owned(),
+            path: request.uri().path().to_string(),
+            query: request.uri().query().map(|query| query.to_string()),
+            headers,
+            body: body.into_inner().into(),
+        })
+    }
+}
+
+fn respond<'r>(
+    answer: Answer,
+    request_id: &str,
+    held: super::router::HeldRequest,
+) -> Response<'r> {
+    let mut response = Response::build();
+    response.status(Status::new(answer.head.status));
+    for (name, value) in &answer.head.headers {
+        let own = OWN_HEADERS.contains(&name.to_ascii_lowercase().as_str());
+        if let (false, Ok(value)) = (own, std::str::from_utf8(value)) {
+            response.raw_header_adjoin(name.clone(), value.to_owned());
+        }
+    }
+    response.raw_header("x-request-id", request_id.to_owned());
+    match answer.rest {
+        Some(reader) => {
+            let stream = answer_stream(answer.first, reader, held);
+            response.streamed_body(StreamReader::new(Box::pin(stream)));
+        }
+        None => {
+            let body = answer.first.concat();
+            response.sized_body(body.len(), Cursor::new(body));
+        }
+    }
+    response.finalize()
+}
+
+fn error_response<'r>(
+    error: &ErrorAnswer,
+    request_id: &str,
+) -> Response<'r> {
+    let code = error.code.number();
+    metrics::counter!(
+        REQUESTS,
+        "code" => code.to_string(),
+        "ran" => error.ran.to_string()
+    )
+    .increment(1);
+    log::info!(
+        code = code,
+        ran = error.ran.to_string().as_str(),
+        request_id = request_id;
+        "refused: {}", error.code.meaning()
+    );
+    let mut response = json_response(error.status(), error.to_json(request_id));
+    response.set_raw_header("x-request-id", request_id.to_owned());
+    if let Some(wait) = error.retry_after {
+        let seconds = wait.as_secs_f64().ceil() as u64;
+        response.set_raw_header("retry-after", seconds.to_string());
+    }
+    response
+}
+
+fn models<'r>(config: &FleetConfig) -> Response<'r> {
+    let data: Vec<_> = config
+        .groups
+        .iter()
+        .filter_map(|group| match &group.kind {
+            GroupKind::Model { models, .. } => Some((group, models)),
+            GroupKind::Plain { .. } => None,
+        })
+        .flat_map(|(group, models)| {
+            models.iter().map(|model| {
+                json!({"id": model, "object": "model", "created": 0, "owned_by": group.name})
+            })
+        })
+        .collect();
+    json_response(200, json!({"object": "list", "data": data}).to_string())
+}
+
+fn ready<'r>(router: &Router) -> Response<'r> {
+    let ready = router.node.is_ready();
+    json_response(
+        if ready { 200 } else { 503 },
+        json!({"ready": ready}).to_string(),
+    )
+}
+
+fn json_response<'r>(
+    status: u16,
+    body: String,
+) -> Response<'r> {
+    Response::build()
+        .status(Status::new(status))
+        .raw_header("content-type", "application/json")
+        .sized_body(body.len(), Cursor::new(body))
+        .finalize()
+}
--- /dev/null
+++ b/src/router/classify.rs
@@ -0,0 +1,248 @@
+use {
+    super::{caller_request::CallerRequest, error_answer::ErrorAnswer},
+    crate::{
+        codes::ResultCode,
+        fleet::{
+            Account, Exclusion, FleetConfig, Group, HostEntry, HostList, HostRole, LABELS_HEADER,
+            Labels, Placement, RequestLabels,
+        },
+        policy::{HostSet, PrefixHash, rendezvous},
+    },
+    bytes::Bytes,
+    serde::Deserialize,
+    serde_json::Value,
+    std::sync::Arc,
+};
+
+/// The path of the chat-completions interface.
+pub const CHAT_PATH: &str = "/v1/chat/completions";
+
+/// The header that tells a repeated request from a new one.
+const KEY_HEADER: &str = "idempotency-key";
+
+/// The longest idempotency key.
+const MAX_KEY: usize = 256;
+
+/// Headers that belong to one connection, or that the fleet sets itself.
+const OWN_HEADERS: &[&str] = &[
+    "authorization",
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "keep-alive",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "x-archmast-priority",
+    "x-request-id",
+];
+
+/// A request as it came in.
+pub struct RawRequest {
+    pub request_id: String,
+    pub method: String,
+    pub path: String,
+    pub query: Option<String>,
+    pub headers: Vec<(String, String)>,
+    pub body: Bytes,
+}
+
+#[derive(Deserialize)]
+struct ChatBody {
+    model: String,
+    messages: Vec<Value>,
+}
+
+/// What the request is for, by its path.
+struct Target<'c> {
+    group: &'c Group,
+    model: Option<String>,
+    prefix: Option<PrefixHash>,
+}
+
+/// Checks a caller's request and decides where it may run: codes 30 to 35.
+pub fn classify(
+    config: &FleetConfig,
+    hosts: &HostList,
+    prefix_bytes: usize,
+    raw: RawRequest,
+) -> Result<CallerRequest, ErrorAnswer> {
+    let account = authenticate(config, &raw)?;
+    let target = target(config, prefix_bytes, &raw)?;
+    let group = target.group;
+    let sent = sent_labels(&raw)?;
+    let default_class = &config.classes[account.class];
+    let model = target.model.as_deref();
+    let by_account = RequestLabels::build(account, default_class, group, model, &sent);
+    let class = config.class_of(account, &by_account);
+    let labels = RequestLabels::build(account, class, group, model, &sent);
+    let repeatable = group.may_repeat(&raw.method);
+    let once_key = match header(&raw, KEY_HEADER) {
+        Some(key) if !repeatable => Some(checked_key(key)?),
+        _ => None,
+    };
+    let hosts = match &once_key {
+        None => placed(config, group, &labels, hosts.live(HostRole::Sidecar))?,
+        Some(key) => {
+            let listed = hosts.hosts.iter().filter(|h| h.role == HostRole::Sidecar);
+            owner(account, key, &placed(config, group, &labels, listed)?)
+        }
+    };
+    let path = match &raw.query {
+        Some(query) => format!("{}?{query}", raw.path),
+        None => raw.path.clone(),
+    };
+    Ok(CallerRequest {
+        account: account.id,
+        class: class.name.clone(),
+        patience: class.patience,
+        group: group.name.clone(),
+        labels: sent,
+        path,
+        headers: forwarded(&raw.headers),
+        hosts,
+        repeatable,
+        once_key,
+        model: target.model,
+        prefix: target.prefix,
+        request_id: raw.request_id,
+        method: raw.method,
+        body: raw.body,
+    })
+}
+
+/// The account a request's key belongs to: code 30.
+pub fn authenticate<'c>(
+    config: &'c FleetConfig,
+    raw: &RawRequest,
+) -> Result<&'c Account, ErrorAnswer> {
+    header(raw, "authorization")
+        .and_then(|value| value.strip_prefix("Bearer "))
+        .and_then(|key| config.account_of_key(key.trim()))
+        .ok_or_else(|| ErrorAnswer::new(ResultCode::UnknownCallerKey))
+}
+
+fn target<'c>(
+    config: &'c FleetConfig,
+    prefix_bytes: usize,
+    raw: &RawRequest,
+) -> Result<Target<'c>, ErrorAnswer> {
+    if raw.path != CHAT_PATH {
+        let group = config.group_of_path(&raw.path).ok_or_else(|| {
+            ErrorAnswer::new(ResultCode::UnknownModel)
+                .detail(format!("no group serves the path {}", raw.path))
+        })?;
+        return Ok(Target {
+            group,
+            model: None,
+            prefix: None,
+        });
+    }
+    let body: ChatBody = serde_json::from_slice(&raw.body).map_err(|error| {
+        ErrorAnswer::new(ResultCode::BadBody).detail(format!("cannot read the body: {error}"))
+    })?;
+    let group = config.group_of_model(&body.model).ok_or_else(|| {
+        ErrorAnswer::new(ResultCode::UnknownModel)
+            .detail(format!("no group serves the model {}", body.model))
+    })?;
+    Ok(Target {
+        group,
+        prefix: Some(prefix_hash(&body, prefix_bytes)),
+        model: Some(body.model),
+    })
+}
+
+fn prefix_hash(
+    body: &ChatBody,
+    prefix_bytes: usize,
+) -> PrefixHash {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(body.model.as_bytes());
+    if let Some(first) = body.messages.first() {
+        let text = first.to_string();
+        hasher.update(&text.as_bytes()[..text.len().min(prefix_bytes)]);
+    }
+    hasher.finalize()
+}
+
+fn placed<'h>(
+    config: &FleetConfig,
+    group: &Group,
+    labels: &Labels,
+    hosts: impl Iterator<Item = &'h HostEntry>,
+) -> Result<HostSet, ErrorAnswer> {
+    let placement = config.place(group, labels, hosts);
+    if placement.hosts.is_empty() {
+        return Err(no_placement(group, &placement));
+    }
+    Ok(placement.hosts.into_iter().map(Arc::from).collect())
+}
+
+fn no_placement(
+    group: &Group,
+    placement: &Placement,
+) -> ErrorAnswer {
+    let excluded: Vec<String> = placement
+        .excluded
+        .iter()
+        .map(Exclusion::to_string)
+        .collect();
+    let detail = if excluded.is_empty() {
+        format!("group {} has no live upstream", group.name)
+    } else {
+        format!("every upstream is excluded: {}", excluded.join(", "))
+    };
+    ErrorAnswer::new(ResultCode::NoPlacement).detail(detail)
+}
+
+/// The one host that remembers a key. It does not depend on who is reachable,
+/// or a repeat could reach a host that has not heard of the first.
+fn owner(
+    account: &Account,
+    key: &str,
+    hosts: &HostSet,
+) -> HostSet {
+    let name = format!("{}/{key}", account.id);
+    let order = rendezvous(&name, hosts.iter().map(|host| &**host));
+    order.into_iter().take(1).map(Arc::from).collect()
+}
+
+fn checked_key(key: &str) -> Result<String, ErrorAnswer> {
+    if key.is_empty() || key.len() > MAX_KEY {
+        return Err(ErrorAnswer::new(ResultCode::BadHeader)
+            .detail(format!("an idempotency key has 1 to {MAX_KEY} bytes")));
+    }
+    Ok(key.to_owned())
+}
+
+fn sent_labels(raw: &RawRequest) -> Result<Labels, ErrorAnswer> {
+    let text = header(raw, LABELS_HEADER).unwrap_or("");
+    Labels::parse(text).ok_or_else(|| {
+        ErrorAnswer::new(ResultCode::BadHeader)
+            .detail(format!("{LABELS_HEADER} is not a list of name=value"))
+    })
+}
+
+fn header<'r>(
+    raw: &'r RawRequest,
+    name: &str,
+) -> Option<&'r str> {
+    raw.headers
+        .iter()
+        .find(|(known, _)| known.eq_ignore_ascii_case(name))
+        .map(|(_, value)| value.as_str())
+}
+
+fn forwarded(headers: &[(String, String)]) -> Vec<(String, Vec<u8>)> {
+    headers
+        .iter()
+        .filter(|(name, _)| {
+            let name = name.to_ascii_lowercase();
+            !OWN_HEADERS.contains(&name.as_str()) && name != LABELS_HEADER
+        })
+        .map(|(name, value)| (name.clone(), value.as_bytes().to_vec()))
+        .collect()
+}
--- /dev/null
+++ b/src/router/error_answer.rs
@@ -0,0 +1,88 @@
+use {
+    crate::codes::{Ran, ResultCode},
+    serde::Serialize,
+    std::time::Duration,
+};
+
+/// Why a request was not answered whole, for its caller.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ErrorAnswer {
+    pub code: ResultCode,
+    pub ran: Ran,
+    pub retry_after: Option<Duration>,
+    pub detail: String, // in place of the code's meaning, if not empty
+}
+
+#[derive(Serialize)]
+struct Body<'b> {
+    error: Error<'b>,
+}
+
+#[derive(Serialize)]
+struct Error<'b> {
+    message: &'b str,
+    r#type: &'static str,
+    code: u8,
+    ran: Ran,
+    request_id: &'b str,
+}
+
+impl ErrorAnswer {
+    /// An error with what its code says.
+    pub fn new(code: ResultCode) -> Self {
+        Self {
+            code,
+            ran: code.ran(),
+            retry_after: None,
+            detail: String::new(),
+        }
+    }
+
+    /// Adds when the caller should come back.
+    pub fn retry_after(
+        mut self,
+        wait: Duration,
+    ) -> Self {
+        self.retry_after = Some(wait);
+        self
+    }
+
+    /// Says more than the code does.
+    pub fn detail(
+        mut self,
+        detail: impl Into<String>,
+    ) -> Self {
+        self.detail = detail.into();
+        self
+    }
+
+    /// The HTTP status; 500 for a code that was not meant for callers.
+    pub fn status(&self) -> u16 {
+        match self.code.http_status() {
+            0 => 500,
+            status => status,
+        }
+    }
+
+    /// The body, in the shape of the chat-completions interface.
+    pub fn to_json(
+        &self,
+        request_id: &str,
+    ) -> String {
+        let message = if self.detail.is_empty() {
+            self.code.meaning()
+        } else {
+            &self.detail
+        };
+        let body = Body {
+            error: Error {
+                message,
+                r#type: "archmast_error",
+                code: self.code.number(),
+                ran: self.ran,
+                request_id,
+            },
+        };
+        serde_json::to_string(&body).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/src/router/mod.rs
@@ -0,0 +1,20 @@
+//! The process on an entry host: takes callers' requests, holds them per client
+//! account, and sends each to the sidecar that grants it capacity.
+
+mod announcer;
+mod answer_body;
+mod answer_reader;
+mod attempt;
+mod caller_port;
+mod caller_request;
+mod classify;
+mod error_answer;
+mod housekeeping;
+mod request_flow;
+mod router;
+mod serve;
+mod sidecar_view;
+mod turn;
+mod waiting_table;
+
+pub use {router::Router, serve::main};
--- /dev/null
+++ b/src/router/serve.rs
@@ -0,0 +1,105 @@
+use {
+    super::{
+        announcer::announce_demand,
+        caller_port::caller_server,
+        housekeeping::{follow_config, keep_house},
+        router::Router,
+    },
+    crate::{
+        codes::ResultCode,
+        conf::RouterSettings,
+        fleet::HostRole,
+        keys::Identity,
+        link::{DialSet, Link},
+        node::{Node, StartError, follow_readiness, run_process, start_watches, stop_signal},
+        ops::OperatorPort,
+        wire::ControlMessage,
+    },
+    error_stack::{Report, ResultExt},
+    std::{process::ExitCode, sync::Arc},
+    tokio::runtime::Builder,
+};
+
+/// The router's command line.
+pub fn main() -> ExitCode {
+    run_process(
+        "archmast-router",
+        RouterSettings::SHIPPED,
+        RouterSettings::read,
+        |settings| settings.process.host.clone(),
+        serve,
+    )
+}
+
+fn serve(settings: RouterSettings) -> Result<(), Report<StartError>> {
+    let failed = || StartError(ResultCode::StartFailed);
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(settings.process.workers)
+        .enable_all()
+        .build()
+        .change_context_lazy(failed)?;
+    runtime.block_on(run(settings))
+}
+
+async fn run(settings: RouterSettings) -> Result<(), Report<StartError>> {
+    let failed = || StartError(ResultCode::StartFailed);
+    let identity = Identity::read(&settings.link).change_context_lazy(failed)?;
+    let node = Arc::new(Node::new(
+        HostRole::Router,
+        &settings.process,
+        &settings.operator,
+    ));
+    let router = Arc::new(Router::new(node.clone(), settings.clone()));
+    let link = Link::bind(&settings.link, &identity, router.clone()).change_context_lazy(failed)?;
+    router.set_link(link.clone());
+    let dials = Arc::new(DialSet::new(link.clone(), settings.platform.retry_pause));
+    start_watches(&node, &settings.platform, &dials).change_context_lazy(failed)?;
+    tokio::spawn(link.clone().accept());
+    tokio::spawn(announce_demand(router.clone()));
+    tokio::spawn(follow_config(router.clone()));
+    tokio::spawn(keep_house(router.clone(), dials));
+    tokio::spawn(follow_readiness(
+        node.clone(),
+        HostRole::Sidecar,
+        settings.platform.bootstrap_wait,
+    ));
+    let operator = tokio::spawn(OperatorPort::serve(
+        settings.operator.listen,
+        router.clone(),
+    ));
+    let server = caller_server(router.clone())
+        .await
+        .change_context_lazy(failed)?;
+    let shutdown = server.shutdown();
+    let callers = tokio::spawn(server.launch());
+    log::info!(
+        callers = settings.callers.to_string().as_str(),
+        link = settings.link.listen.to_string().as_str(),
+        operator = settings.operator.listen.to_string().as_str();
+        "router started"
+    );
+    tokio::pin!(callers);
+    tokio::select! {
+        () = stop_signal() => {}
+        ended = operator => {
+            ended.change_context_lazy(failed)?.change_context_lazy(failed)?;
+        }
+        ended = &mut callers => {
+            ended.change_context_lazy(failed)?.change_context_lazy(failed)?;
+        }
+    }
+    // Readiness fails first, while requests are still taken: the balancer lags.
+    node.begin_leaving();
+    link.send_to_all(&ControlMessage::Leaving);
+    tokio::time::sleep(settings.balancer_lag).await;
+    router.refuse_new();
+    router.all_answered().await;
+    shutdown.notify();
+    callers
+        .await
+        .change_context_lazy(failed)?
+        .change_context_lazy(failed)?;
+    log::info!("router stopped: everything it held is answered");
+    link.close().await;
+    Ok(())
+}
--- /dev/null
+++ b/src/sidecar/exchange.rs
@@ -0,0 +1,375 @@
+use {
+    super::{
+        sidecar::Sidecar, turn::Turn, upstream_client::REQUEST_ID_HEADER, usage_meter::UsageMeter,
+    },
+    crate::{
+        codes::ResultCode,
+        fleet::{FleetConfig, Group, Labels, RequestLabels},
+        link::Peer,
+        policy::{Admission, Arrival, ExchangeId, Finished, KeyVerdict, Moment, SidecarExchange},
+        wire::{AnswerFrame, MAX_FRAME, RequestHead, encode_frame},
+    },
+    bytes::Bytes,
+    quinn::{RecvStream, SendStream},
+    reqwest::Response,
+    std::{sync::Arc, time::Duration},
+    tokio::io::AsyncReadExt,
+};
+
+/// The largest request body, whatever the router allows.
+const MAX_BODY: u64 = 64 << 20;
+
+/// How often the service of a running request is charged.
+const CHARGE_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Serves one request that a router sent, to its end.
+pub async fn serve_exchange(
+    sidecar: Arc<Sidecar>,
+    peer: Arc<Peer>,
+    head: RequestHead,
+    mut send: SendStream,
+    mut recv: RecvStream,
+) {
+    let _open = sidecar.count_open();
+    let Some(body) = read_body(&mut recv, head.body_len).await else {
+        return; // cut before it was whole: never started
+    };
+    let exchange = Exchange {
+        id: sidecar.next_exchange_id(),
+        sidecar: &sidecar,
+        peer: &peer,
+        head: &head,
+        state: SidecarExchange::Received,
+    };
+    exchange.run(body, &mut send).await;
+    if send.finish().is_ok() {
+        // Until the router has everything, a planned stop must wait.
+        let _all_received = send.stopped().await;
+    }
+}
+
+struct Exchange<'x> {
+    id: ExchangeId,
+    sidecar: &'x Arc<Sidecar>,
+    peer: &'x Peer,
+    head: &'x RequestHead,
+    state: SidecarExchange,
+}
+
+impl Exchange<'_> {
+    async fn run(
+        mut self,
+        body: Bytes,
+        send: &mut SendStream,
+    ) {
+        let group = match self.check() {
+            Ok(group) => group,
+            Err(code) => return self.refuse(code, send).await,
+        };
+        if let Err(code) = self.begin_key() {
+            return self.refuse(code, send).await;
+        }
+        match self.take_slot(send).await {
+            Ok(()) => self.run_upstream(&group, body, send).await,
+            Err(code) => {
+                self.forget_key();
+                self.refuse(code, send).await;
+            }
+        }
+    }
+
+    /// The sidecar's own checks, by its own configuration: a stale router
+    /// cannot place work wrongly.
+    fn check(&self) -> Result<Group, ResultCode> {
+        if self.head.incarnation != self.sidecar.node.incarnation {
+            return Err(ResultCode::GrantExpired);
+        }
+        let config = self
+            .sidecar
+            .node
+            .config
+            .current()
+            .ok_or(ResultCode::NoConfiguration)?;
+        let group = config
+            .config
+            .group(&self.head.group)
+            .ok_or(ResultCode::PlacementRefused)?;
+        if self.admitted(&config.config, group) {
+            Ok(group.clone())
+        } else {
+            Err(ResultCode::PlacementRefused)
+        }
+    }
+
+    fn admitted(
+        &self,
+        config: &FleetConfig,
+        group: &Group,
+    ) -> bool {
+        let (Some(account), Some(class)) = (
+            config.account(self.head.account),
+            config.class(&self.head.class),
+        ) else {
+            return false;
+        };
+        let mut sent = Labels::default();
+        for (name, value) in &self.head.labels {
+            sent.set(name, value);
+        }
+        let model = self.head.model.as_deref();
+        let labels = RequestLabels::build(account, class, group, model, &sent);
+        let node = &self.sidecar.node;
+        config.admits(group, &labels, &node.host, &node.zone)
+    }
+
+    fn begin_key(&self) -> Result<(), ResultCode> {
+        let Some(key) = &self.head.once_key else {
+            return Ok(());
+        };
+        let now = self.sidecar.node.now();
+        let mut keys = self.sidecar.keys.lock().expect("key lock");
+        match keys.begin(now, self.head.account, key) {
+            KeyVerdict::Fresh => Ok(()),
+            KeyVerdict::InProgress => Err(ResultCode::KeyInProgress),
+            KeyVerdict::Ran => Err(ResultCode::KeyAlreadyRan),
+            KeyVerdict::Unsure => Err(ResultCode::KeyMemoryYoung),
+        }
+    }
+
+    fn forget_key(&self) {
+        if let Some(key) = &self.head.once_key {
+            let mut keys = self.sidecar.keys.lock().expect("key lock");
+            keys.not_run(self.head.account, key);
+        }
+    }
+
+    fn remember_key(&self) {
+        if let Some(key) = &self.head.once_key {
+            let now = self.sidecar.node.now();
+            let mut keys = self.sidecar.keys.lock().expect("key lock");
+            keys.ran(now, self.head.account, key);
+        }
+    }
+
+    /// Waits for a slot, unless the router gives the request up first.
+    async fn take_slot(
+        &mut self,
+        send: &mut SendStream,
+    ) -> Result<(), ResultCode> {
+        let turn = match self.sidecar.arrive(&Arrival {
+            exchange: self.id,
+            router: self.sidecar.router_key(&self.peer.host),
+            account: self.head.account,
+            grant: self.head.grant,
+        }) {
+            (Admission::Refused(code), _) => return Err(code),
+            (Admission::Start, _) => Turn::Start,
+            (Admission::Ready, None) => Turn::HandedBack,
+            (Admission::Ready, Some(receiver)) => tokio::select! {
+                turn = receiver => turn.unwrap_or(Turn::HandedBack),
+                _ = send.stopped() => {
+                    self.finish(Finished::NotRun);
+                    return Err(ResultCode::RequestCancelled);
+                }
+            },
+        };
+        match turn {
+            Turn::Start if self.peer.is_open() && self.state.start() => Ok(()),
+            Turn::Start => {
+                self.finish(Finished::NotRun);
+                Err(ResultCode::RequestCancelled)
+            }
+            Turn::HandedBack => Err(ResultCode::NotStarted),
+        }
+    }
+
+    async fn run_upstream(
+        mut self,
+        group: &Group,
+        body: Bytes,
+        send: &mut SendStream,
+    ) {
+        let started = self.sidecar.node.now();
+        let mut meter = UsageMeter::new(&group.kind, body.len());
+        let outcome = tokio::select! {
+            outcome = self.sidecar.upstream.send(self.head, body) => outcome,
+            _ = send.stopped() => {
+                // Dropping the call closes its connection, which frees the slot.
+                self.remember_key();
+                self.finish_with_cost(&meter, started);
+                return;
+            }
+        };
+        match outcome {
+            Ok(response) => self.relay(response, &mut meter, started, send).await,
+            Err(failure) if failure.unsent && self.state.refused_by_upstream() => {
+                self.forget_key();
+                self.sidecar.upstream_refused();
+                self.finish(Finished::NotRun);
+                answer(send, &AnswerFrame::NotRun(failure.code)).await;
+            }
+            Err(failure) => {
+                self.remember_key();
+                self.finish_with_cost(&meter, started);
+                answer(send, &AnswerFrame::Failed(failure.code)).await;
+            }
+        }
+    }
+
+    async fn relay(
+        &mut self,
+        mut response: Response,
+        meter: &mut UsageMeter,
+        started: Moment,
+        send: &mut SendStream,
+    ) {
+        let outcome = if self.is_own_answer(&response) {
+            self.relay_body(&mut response, meter, started, send).await
+        } else {
+            Err(ResultCode::AnswerMismatch)
+        };
+        drop(response);
+        meter.end();
+        self.state.end();
+        self.remember_key();
+        self.finish_with_cost(meter, started);
+        if let Err(code) = outcome {
+            answer(send, &AnswerFrame::Failed(code)).await;
+        }
+    }
+
+    /// Whether the upstream answers this request, where it echoes the name.
+    fn is_own_answer(
+        &self,
+        response: &Response,
+    ) -> bool {
+        response
+            .headers()
+            .get(REQUEST_ID_HEADER)
+            .is_none_or(|echo| echo.as_bytes() == self.head.request_id.as_bytes())
+    }
+
+    async fn relay_body(
+        &mut self,
+        response: &mut Response,
+        meter: &mut UsageMeter,
+        started: Moment,
+        send: &mut SendStream,
+    ) -> Result<(), ResultCode> {
+        meter.begin(is_event_stream(response));
+        let head = AnswerFrame::Head {
+            request_id: self.head.request_id.clone(),
+            status: response.status().as_u16(),
+            headers: answer_headers(response),
+        };
+        if !answer(send, &head).await {
+            return Err(ResultCode::RequestCancelled);
+        }
+        let (mut length, mut crc) = (0, crc32fast::Hasher::new());
+        let mut charged = started;
+        loop {
+            let chunk = tokio::select! {
+                chunk = self.sidecar.upstream.chunk(response) => chunk?,
+                _ = send.stopped() => return Err(ResultCode::RequestCancelled),
+            };
+            let Some(chunk) = chunk else { break };
+            length += chunk.len() as u64;
+            crc.update(&chunk);
+            meter.chunk(&chunk);
+            charged = self.charge(meter, started, charged);
+            for piece in chunk.chunks(MAX_FRAME / 2) {
+                if !answer(send, &AnswerFrame::Chunk(piece.to_vec())).await {
+                    return Err(ResultCode::RequestCancelled);
+                }
+            }
+        }
+        let end = AnswerFrame::End {
+            length,
+            crc: crc.finalize(),
+        };
+        answer(send, &end).await;
+        Ok(())
+    }
+
+    fn charge(
+        &self,
+        meter: &UsageMeter,
+        started: Moment,
+        charged: Moment,
+    ) -> Moment {
+        let now = self.sidecar.node.now();
+        if now.saturating_sub(charged) < CHARGE_INTERVAL {
+            return charged;
+        }
+        let units = meter.units(now.saturating_sub(started));
+        self.sidecar.charge(self.id, units, now);
+        now
+    }
+
+    fn finish_with_cost(
+        &self,
+        meter: &UsageMeter,
+        started: Moment,
+    ) {
+        let elapsed = self.sidecar.node.now().saturating_sub(started);
+        self.finish(Finished::Cost(meter.units(elapsed)));
+    }
+
+    fn finish(
+        &self,
+        finished: Finished,
+    ) {
+        self.sidecar.finish(self.id, finished);
+    }
+
+    async fn refuse(
+        &mut self,
+        code: ResultCode,
+        send: &mut SendStream,
+    ) {
+        if self.state.hand_back() {
+            answer(send, &AnswerFrame::NotRun(code)).await;
+        }
+    }
+}
+
+async fn read_body(
+    recv: &mut RecvStream,
+    length: u64,
+) -> Option<Bytes> {
+    if length > MAX_BODY {
+        return None;
+    }
+    let mut body = Vec::new();
+    recv.take(length).read_to_end(&mut body).await.ok()?;
+    (body.len() as u64 == length).then(|| body.into())
+}
+
+/// Sends a frame. False if the router does not take it any more.
+async fn answer(
+    send: &mut SendStream,
+    frame: &AnswerFrame,
+) -> bool {
+    match encode_frame(frame) {
+        Ok(bytes) => send.write_all(&bytes).await.is_ok(),
+        Err(error) => {
+            log::error!(code = error.code.number(); "answer not sent: {error}");
+            false
+        }
+    }
+}
+
+fn is_event_stream(response: &Response) -> bool {
+    response
+        .headers()
+        .get("content-type")
+        .is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"))
+}
+
+fn answer_headers(response: &Response) -> Vec<(String, Vec<u8>)> {
+    response
+        .headers()
+        .iter()
+        .map(|(name, value)| (name.to_string(), value.as_bytes().to_vec()))
+        .collect()
+}
--- /dev/null
+++ b/src/sidecar/mod.rs
@@ -0,0 +1,14 @@
+//! The process beside an upstream, which owns the upstream's capacity.
+
+mod dispatch_table;
+mod exchange;
+mod housekeeping;
+mod reporter;
+mod router_keys;
+mod serve;
+mod sidecar;
+mod turn;
+mod upstream_client;
+mod usage_meter;
+
+pub use {serve::main, sidecar::Sidecar, usage_meter::UsageMeter};
--- /dev/null
+++ b/src/sidecar/serve.rs
@@ -0,0 +1,89 @@
+use {
+    super::{
+        housekeeping::{follow_config, follow_hosts, keep_house},
+        reporter::report_service,
+        sidecar::Sidecar,
+        upstream_client::UpstreamClient,
+    },
+    crate::{
+        codes::ResultCode,
+        conf::SidecarSettings,
+        fleet::HostRole,
+        keys::Identity,
+        link::{DialSet, Link},
+        node::{Node, StartError, follow_readiness, run_process, start_watches, stop_signal},
+        ops::OperatorPort,
+    },
+    error_stack::{Report, ResultExt},
+    std::{process::ExitCode, sync::Arc},
+    tokio::runtime::Builder,
+};
+
+/// The sidecar's command line.
+pub fn main() -> ExitCode {
+    run_process(
+        "archmast-sidecar",
+        SidecarSettings::SHIPPED,
+        SidecarSettings::read,
+        |settings| settings.process.host.clone(),
+        serve,
+    )
+}
+
+fn serve(settings: SidecarSettings) -> Result<(), Report<StartError>> {
+    let failed = || StartError(ResultCode::StartFailed);
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(settings.process.workers)
+        .enable_all()
+        .build()
+        .change_context_lazy(failed)?;
+    runtime.block_on(run(settings))
+}
+
+async fn run(settings: SidecarSettings) -> Result<(), Report<StartError>> {
+    let failed = || StartError(ResultCode::StartFailed);
+    let identity = Identity::read(&settings.link).change_context_lazy(failed)?;
+    let upstream = UpstreamClient::new(settings.upstream, settings.silence_limit)
+        .change_context_lazy(failed)?;
+    let node = Arc::new(Node::new(
+        HostRole::Sidecar,
+        &settings.process,
+        &settings.operator,
+    ));
+    let sidecar = Arc::new(Sidecar::new(node.clone(), settings.clone(), upstream));
+    let link =
+        Link::bind(&settings.link, &identity, sidecar.clone()).change_context_lazy(failed)?;
+    sidecar.set_link(link.clone());
+    let dials = Arc::new(DialSet::new(link.clone(), settings.platform.retry_pause));
+    start_watches(&node, &settings.platform, &dials).change_context_lazy(failed)?;
+    tokio::spawn(link.clone().accept());
+    tokio::spawn(follow_hosts(sidecar.clone()));
+    tokio::spawn(follow_config(sidecar.clone()));
+    tokio::spawn(keep_house(sidecar.clone()));
+    tokio::spawn(report_service(sidecar.clone(), dials));
+    tokio::spawn(follow_readiness(
+        node.clone(),
+        HostRole::Router,
+        settings.platform.bootstrap_wait,
+    ));
+    let operator = tokio::spawn(OperatorPort::serve(
+        settings.operator.listen,
+        sidecar.clone(),
+    ));
+    log::info!(
+        link = settings.link.listen.to_string().as_str(),
+        operator = settings.operator.listen.to_string().as_str();
+        "sidecar started"
+    );
+    tokio::select! {
+        () = stop_signal() => {}
+        ended = operator => {
+            ended.change_context_lazy(failed)?.change_context_lazy(failed)?;
+        }
+    }
+    sidecar.leave();
+    sidecar.all_closed().await;
+    log::info!("sidecar stopped: nothing runs here any more");
+    link.close().await;
+    Ok(())
+}
--- /dev/null
+++ b/src/wire/codec.rs
@@ -0,0 +1,82 @@
+use {
+    super::WireError,
+    crate::codes::ResultCode,
+    serde::{Serialize, de::DeserializeOwned},
+    tokio::io::{AsyncRead, AsyncReadExt},
+};
+
+/// The version of the messages between processes.
+pub const VERSION: u8 = 1;
+
+/// The largest frame, in bytes. Bodies are sent in chunks below it.
+pub const MAX_FRAME: usize = 8 << 20;
+
+/// A message as a frame.
+pub fn encode_frame<T: Serialize>(message: &T) -> Result<Vec<u8>, WireError> {
+    let head = vec![0, 0, 0, 0, VERSION];
+    let mut frame = postcard::to_extend(message, head)
+        .map_err(|error| WireError::new(ResultCode::FrameMalformed, error.to_string()))?;
+    let length = frame.len() - 4;
+    if length > MAX_FRAME {
+        let detail = format!("{length} bytes");
+        return Err(WireError::new(ResultCode::FrameTooLarge, detail));
+    }
+    frame[..4].copy_from_slice(&(length as u32).to_be_bytes());
+    Ok(frame)
+}
+
+/// The message in a frame's payload: codes 70 and 72.
+pub fn decode_payload<T: DeserializeOwned>(payload: &[u8]) -> Result<T, WireError> {
+    match payload.split_first() {
+        None => Err(WireError::new(ResultCode::FrameMalformed, "empty")),
+        Some((&VERSION, message)) => decode_whole(message),
+        Some((version, _)) => {
+            let detail = format!("version {version}, this process speaks {VERSION}");
+            Err(WireError::new(ResultCode::VersionUnknown, detail))
+        }
+    }
+}
+
+/// Reads one frame: none at the stream's clean end, codes 70 to 74 otherwise.
+pub async fn read_frame<T, R>(reader: &mut R) -> Result<Option<T>, WireError>
+where
+    T: DeserializeOwned,
+    R: AsyncRead + Unpin,
+{
+    let mut head = [0; 4];
+    let first = reader.read(&mut head).await.map_err(lost)?;
+    if first == 0 {
+        return Ok(None);
+    }
+    reader.read_exact(&mut head[first..]).await.map_err(lost)?;
+    let length = u32::from_be_bytes(head) as usize;
+    if length > MAX_FRAME {
+        let detail = format!("{length} bytes");
+        return Err(WireError::new(ResultCode::FrameTooLarge, detail));
+    }
+    let mut payload = Vec::new();
+    reader
+        .take(length as u64)
+        .read_to_end(&mut payload)
+        .await
+        .map_err(lost)?;
+    if payload.len() < length {
+        return Err(WireError::new(ResultCode::PeerUnreachable, "cut frame"));
+    }
+    decode_payload(&payload).map(Some)
+}
+
+fn decode_whole<T: DeserializeOwned>(message: &[u8]) -> Result<T, WireError> {
+    let malformed = |detail: String| WireError::new(ResultCode::FrameMalformed, detail);
+    let (decoded, rest) =
+        postcard::take_from_bytes(message).map_err(|error| malformed(error.to_string()))?;
+    if rest.is_empty() {
+        Ok(decoded)
+    } else {
+        Err(malformed(format!("{} bytes too many", rest.len())))
+    }
+}
+
+fn lost(error: std::io::Error) -> WireError {
+    WireError::new(ResultCode::PeerUnreachable, error.to_string())
+}
--- /dev/null
+++ b/testbed/src/fleet/caller.rs
@@ -0,0 +1,213 @@
+use {
+    super::Outcome,
+    crate::standin::ChatBody,
+    reqwest::{Client, Method, RequestBuilder, Response, retry},
+    serde_json::Value,
+    std::{
+        net::SocketAddr,
+        sync::atomic::{AtomicU64, Ordering},
+        time::Instant,
+    },
+};
+
+static NEXT_NONCE: AtomicU64 = AtomicU64::new(1);
+
+/// A mark that no other request of this run has.
+pub fn nonce() -> String {
+    format!("n{}", NEXT_NONCE.fetch_add(1, Ordering::Relaxed))
+}
+
+/// A caller with one account's key.
+#[derive(Clone)]
+pub struct Caller {
+    http: Client,
+    base: String,
+    account: String,
+    key: String,
+}
+
+impl Caller {
+    /// A caller of the router, or of the stand-in, at this address.
+    pub fn new(
+        address: SocketAddr,
+        account: &str,
+    ) -> Self {
+        let http = Client::builder()
+            .retry(retry::never())
+            .no_proxy()
+            .build()
+            .expect("a plain client can be built");
+        Self {
+            http,
+            base: format!("http://{address}"),
+            account: account.to_owned(),
+            key: super::account_key(account),
+        }
+    }
+
+    /// The same caller with another key.
+    pub fn with_key(
+        mut self,
+        key: &str,
+    ) -> Self {
+        key.clone_into(&mut self.key);
+        self
+    }
+
+    /// A request of this caller, for whoever wants to add to it.
+    pub fn request(
+        &self,
+        method: Method,
+        path: &str,
+    ) -> RequestBuilder {
+        self.http
+            .request(method, format!("{}{path}", self.base))
+            .bearer_auth(&self.key)
+            .header("x-account", &self.account)
+    }
+
+    /// Sends a chat request and checks every token's mark.
+    pub async fn chat(
+        &self,
+        body: &ChatBody,
+    ) -> Outcome {
+        let started = Instant::now();
+        let request = self
+            .request(Method::POST, "/v1/chat/completions")
+            .json(body);
+        let response = match request.send().await {
+            Ok(response) => response,
+            Err(_) => return Outcome::NoAnswer,
+        };
+        if !response.status().is_success() {
+            return refused(response, started).await;
+        }
+        if body.stream {
+            read_stream(response, body, started).await
+        } else {
+            read_whole(response, body, started).await
+        }
+    }
+
+    /// Sends a plain call and checks that the answer echoes it.
+    pub async fn plain(
+        &self,
+        method: Method,
+        path: &str,
+        nonce: &str,
+        key: Option<&str>,
+    ) -> Outcome {
+        let started = Instant::now();
+        let mut request = self.request(method, path).header("x-nonce", nonce);
+        if let Some(key) = key {
+            request = request.header("idempotency-key", key);
+        }
+        let response = match request.body(nonce.to_owned()).send().await {
+            Ok(response) => response,
+            Err(_) => return Outcome::NoAnswer,
+        };
+        if !response.status().is_success() {
+            return refused(response, started).await;
+        }
+        match response.text().await {
+            Ok(text) if text == format!("{nonce}:{nonce}") => Outcome::Whole {
+                tokens: 0,
+                first: started.elapsed(),
+                total: started.elapsed(),
+            },
+            Ok(text) => Outcome::Wrong(text),
+            Err(_) => Outcome::Cut,
+        }
+    }
+}
+
+async fn refused(
+    response: Response,
+    started: Instant,
+) -> Outcome {
+    let status = response.status().as_u16();
+    let retry_after = response
+        .headers()
+        .get("retry-after")
+        .and_then(|value| value.to_str().ok()?.parse().ok());
+    let Ok(text) = response.text().await else {
+        return Outcome::Cut;
+    };
+    let body: Value = serde_json::from_str(&text).unwrap_or(Value::Null);
+    let error = &body["error"];
+    match error["code"].as_u64() {
+        Some(code) => Outcome::Refused {
+            status,
+            code,
+            ran: error["ran"].as_str().unwrap_or("").to_owned(),
+            retry_after,
+            total: started.elapsed(),
+        },
+        None => Outcome::Wrong(format!("{status}: {text}")),
+    }
+}
+
+async fn read_whole(
+    response: Response,
+    body: &ChatBody,
+    started: Instant,
+) -> Outcome {
+    let Ok(text) = response.text().await else {
+        return Outcome::Cut;
+    };
+    let total = started.elapsed();
+    let answer: Value = serde_json::from_str(&text).unwrap_or(Value::Null);
+    let content = answer["choices"][0]["message"]["content"].as_str();
+    match content {
+        Some(content) if content == expected(body) => Outcome::Whole {
+            tokens: body.max_tokens,
+            first: total,
+            total,
+        },
+        _ => Outcome::Wrong(text),
+    }
+}
+
+async fn read_stream(
+    mut response: Response,
+    body: &ChatBody,
+    started: Instant,
+) -> Outcome {
+    let (mut text, mut first) = (Vec::new(), None);
+    loop {
+        match response.chunk().await {
+            Ok(Some(chunk)) => {
+                first.get_or_insert(started.elapsed());
+                text.extend_from_slice(&chunk);
+            }
+            Ok(None) => break,
+            Err(_) => return Outcome::Cut,
+        }
+    }
+    let text = String::from_utf8_lossy(&text);
+    if !text.ends_with("data: [DONE]\n\n") {
+        return Outcome::Wrong(format!("ended without its end mark: {text}"));
+    }
+    let content: String = text.lines().filter_map(token).collect();
+    if content != expected(body) {
+        return Outcome::Wrong(content);
+    }
+    Outcome::Whole {
+        tokens: body.max_tokens,
+        first: first.unwrap_or_default(),
+        total: started.elapsed(),
+    }
+}
+
+fn token(line: &str) -> Option<String> {
+    let event: Value = serde_json::from_str(line.strip_prefix("data: ")?).ok()?;
+    event["choices"][0]["delta"]["content"]
+        .as_str()
+        .map(str::to_owned)
+}
+
+fn expected(body: &ChatBody) -> String {
+    (1..=body.max_tokens)
+        .map(|number| format!("{}#{number} ", body.nonce()))
+        .collect()
+}
--- /dev/null
+++ b/testbed/src/fleet/mod.rs
@@ -0,0 +1,25 @@
+//! Runs the product's real processes on free loopback ports, with stand-ins
+//! around them and proxies between them.
+
+mod caller;
+mod deployments;
+mod fleet;
+mod ini_text;
+mod loopback;
+mod outcome;
+mod plan;
+mod process;
+mod sidecar_host;
+mod wait;
+
+pub use {
+    caller::{Caller, nonce},
+    deployments::{Deployment, account_key, association, parking},
+    fleet::{Fleet, RouterHost},
+    ini_text::{FleetText, overlay},
+    outcome::Outcome,
+    plan::{FleetPlan, SidecarPlan, UpstreamPlan},
+    process::Process,
+    sidecar_host::{SidecarHost, Upstream},
+    wait::{until, until_async},
+};
--- /dev/null
+++ b/testbed/src/fleet/plan.rs
@@ -0,0 +1,156 @@
+use {super::FleetText, crate::standin::EngineSettings, std::time::Duration};
+
+/// What stands behind a sidecar.
+#[derive(Debug, Clone, Copy)]
+pub enum UpstreamPlan {
+    Engine(EngineSettings),
+    Plain { slots: usize, time: Duration },
+}
+
+impl UpstreamPlan {
+    /// Requests run at once.
+    pub fn slots(&self) -> usize {
+        match self {
+            Self::Engine(settings) => settings.slots,
+            Self::Plain { slots, .. } => *slots,
+        }
+    }
+
+    fn kind(&self) -> &'static str {
+        match self {
+            Self::Engine(_) => "model",
+            Self::Plain { .. } => "plain",
+        }
+    }
+}
+
+/// One sidecar with its upstream.
+#[derive(Debug, Clone)]
+pub struct SidecarPlan {
+    pub host: String,
+    pub zone: String,
+    pub labels: String,
+    pub upstream: UpstreamPlan,
+}
+
+/// A fleet to run.
+#[derive(Debug, Clone, Default)]
+pub struct FleetPlan {
+    pub routers: Vec<(String, String)>, // host and zone
+    pub sidecars: Vec<SidecarPlan>,
+    pub config: FleetText,                       // without the hosts' labels
+    pub router_settings: Vec<(String, String)>,  // section.key and value
+    pub sidecar_settings: Vec<(String, String)>, // section.key and value
+    pub one_way: Duration,                       // between routers and sidecars
+}
+
+impl FleetPlan {
+    /// A fleet with this configuration and no hosts yet.
+    pub fn new(config: FleetText) -> Self {
+        Self {
+            config,
+            ..Self::default()
+        }
+        .set_both("platform.retry_pause", "300 ms")
+        .set_both("platform.bootstrap_wait", "2 s")
+        .set_router("stop.balancer_lag", "300 ms")
+        .set_sidecar("once.key_quarantine", "0 ms")
+    }
+
+    /// Adds `count` routers, spread over three zones.
+    pub fn routers(
+        mut self,
+        count: usize,
+    ) -> Self {
+        for index in 0..count {
+            self.routers
+                .push((format!("r{}", index + 1), format!("z{}", index % 3 + 1)));
+        }
+        self
+    }
+
+    /// Adds `count` engines with their sidecars, spread over three zones.
+    pub fn engines(
+        self,
+        count: usize,
+        settings: EngineSettings,
+    ) -> Self {
+        self.upstreams(count, "m", UpstreamPlan::Engine(settings))
+    }
+
+    /// Adds `count` plain services with their sidecars.
+    pub fn plains(
+        self,
+        count: usize,
+        slots: usize,
+        time: Duration,
+    ) -> Self {
+        self.upstreams(count, "p", UpstreamPlan::Plain { slots, time })
+    }
+
+    /// Sets one of the routers' settings.
+    pub fn set_router(
+        mut self,
+        key: &str,
+        value: &str,
+    ) -> Self {
+        self.router_settings
+            .push((key.to_owned(), value.to_owned()));
+        self
+    }
+
+    /// Sets one of the sidecars' settings.
+    pub fn set_sidecar(
+        mut self,
+        key: &str,
+        value: &str,
+    ) -> Self {
+        self.sidecar_settings
+            .push((key.to_owned(), value.to_owned()));
+        self
+    }
+
+    /// Sets a setting that routers and sidecars both have.
+    pub fn set_both(
+        self,
+        key: &str,
+        value: &str,
+    ) -> Self {
+        self.set_router(key, value).set_sidecar(key, value)
+    }
+
+    /// Delays every packet between routers and sidecars by this much.
+    pub fn one_way(
+        mut self,
+        delay: Duration,
+    ) -> Self {
+        self.one_way = delay;
+        self
+    }
+
+    /// The configuration with the hosts' labels.
+    pub fn config_text(&self) -> FleetText {
+        self.sidecars
+            .iter()
+            .fold(self.config.clone(), |text, sidecar| {
+                text.host(&sidecar.host, &sidecar.labels)
+            })
+    }
+
+    fn upstreams(
+        mut self,
+        count: usize,
+        letter: &str,
+        upstream: UpstreamPlan,
+    ) -> Self {
+        for index in 0..count {
+            self.sidecars.push(SidecarPlan {
+                host: format!("{letter}{}", index + 1),
+                zone: format!("z{}", index % 3 + 1),
+                labels: format!("kind={}, number={}", upstream.kind(), index + 1),
+                upstream,
+            });
+        }
+        self
+    }
+}
--- /dev/null
+++ b/testbed/src/fleet/process.rs
@@ -0,0 +1,121 @@
+use {
+    rustix::process::{Pid, Signal, kill_process},
+    std::{
+        fs::File,
+        io,
+        path::{Path, PathBuf},
+        process::{Child, Command, ExitStatus, Stdio},
+    },
+};
+
+/// One process of the product, which can be stopped, frozen and killed.
+pub struct Process {
+    program: PathBuf,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Child,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        if matches!(self.child.try_wait(), Ok(None)) {
+            self.kill();
+        }
+    }
+}
+
+impl Process {
+    /// Starts a program of the product.
+    pub fn start(
+        program: &str,
+        settings: &Path,
+        log: &Path,
+    ) -> io::Result<Self> {
+        let program = program_path(program);
+        let child = spawn(&program, settings, log)?;
+        Ok(Self {
+            program,
+            settings: settings.to_owned(),
+            log: log.to_owned(),
+            child,
+        })
+    }
+
+    /// Starts it again after its end, with the same settings and no memory.
+    pub fn restart(&mut self) -> io::Result<()> {
+        self.child = spawn(&self.program, &self.settings, &self.log)?;
+        Ok(())
+    }
+
+    /// The process's number.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Ends it at once, and waits until it is gone.
+    pub fn kill(&mut self) {
+        self.signal(Signal::KILL);
+        let gone = self.child.wait();
+        debug_assert!(gone.is_ok(), "a killed process can be waited for");
+    }
+
+    /// Asks it to stop.
+    pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Freezes it.
+    pub fn freeze(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets it go on.
+    pub fn thaw(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// How it ended, if it has.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
+    /// Its log so far.
+    pub fn log_text(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
+    fn signal(
+        &self,
+        signal: Signal,
+    ) {
+        let pid = Pid::from_raw(self.child.id() as i32).expect("a started process has a number");
+        if let Err(error) = kill_process(pid, signal) {
+            log::debug!("signal not sent: {error}");
+        }
+    }
+}
+
+/// The product's programs lie beside the testbed's, or above its tests.
+pub fn program_path(program: &str) -> PathBuf {
+    let own = std::env::current_exe().expect("a running program has a path");
+    own.ancestors()
+        .skip(1)
+        .map(|folder| folder.join(program))
+        .find(|path| path.is_file())
+        .unwrap_or_else(|| panic!("{program} is not built: cargo build --workspace"))
+}
+
+fn spawn(
+    program: &Path,
+    settings: &Path,
+    log: &Path,
+) -> io::Result<Child> {
+    let log = File::options().create(true).append(true).open(log)?;
+    Command::new(program)
+        .arg("--settings")
+        .arg(settings)
+        .stdin(Stdio::null())
+        .stdout(Stdio::null())
+        .stderr(log)
+        .spawn()
+}
--- /dev/null
+++ b/testbed/src/proxy/udp_proxy.rs
@@ -0,0 +1,153 @@
+use {
+    super::Faults,
+    std::{
+        collections::HashMap,
+        io,
+        net::{IpAddr, SocketAddr},
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    tokio::{net::UdpSocket, task::JoinHandle},
+};
+
+/// The largest packet.
+const MAX_PACKET: usize = 65_536;
+
+/// How much longer a reordered packet takes.
+const HELD_BACK: Duration = Duration::from_millis(10);
+
+/// A UDP proxy in front of one server.
+pub struct UdpProxy {
+    pub address: SocketAddr,
+    shared: Arc<Shared>,
+    task: JoinHandle<()>,
+}
+
+struct Shared {
+    target: SocketAddr,
+    front: Arc<UdpSocket>,
+    faults: Mutex<Faults>,
+    clients: Mutex<HashMap<SocketAddr, Arc<UdpSocket>>>, // a back socket each
+    returns: Mutex<Vec<JoinHandle<()>>>,
+}
+
+impl Drop for UdpProxy {
+    fn drop(&mut self) {
+        self.task.abort();
+        let returns = self.shared.returns.lock().expect("task lock");
+        returns.iter().for_each(JoinHandle::abort);
+    }
+}
+
+impl UdpProxy {
+    /// Starts a proxy to `target` on a port that the system chooses.
+    pub async fn start(
+        ip: IpAddr,
+        target: SocketAddr,
+    ) -> io::Result<Self> {
+        let front = Arc::new(UdpSocket::bind(SocketAddr::new(ip, 0)).await?);
+        let address = front.local_addr()?;
+        let shared = Arc::new(Shared {
+            target,
+            front,
+            faults: Mutex::default(),
+            clients: Mutex::default(),
+            returns: Mutex::default(),
+        });
+        let task = tokio::spawn(forward(shared.clone()));
+        Ok(Self {
+            address,
+            shared,
+            task,
+        })
+    }
+
+    /// Changes what the proxy breaks.
+    pub fn set(
+        &self,
+        change: impl FnOnce(&mut Faults),
+    ) {
+        change(&mut self.shared.faults.lock().expect("fault lock"));
+    }
+}
+
+async fn forward(shared: Arc<Shared>) {
+    let mut buffer = vec![0; MAX_PACKET];
+    loop {
+        let Ok((length, client)) = shared.front.recv_from(&mut buffer).await else {
+            continue; // an earlier packet was refused at its target
+        };
+        let Ok(back) = back_socket(&shared, client).await else {
+            continue;
+        };
+        let packet = buffer[..length].to_vec();
+        pass(&shared, client, packet, back, shared.target);
+    }
+}
+
+async fn back_socket(
+    shared: &Arc<Shared>,
+    client: SocketAddr,
+) -> io::Result<Arc<UdpSocket>> {
+    let known = {
+        let clients = shared.clients.lock().expect("client lock");
+        clients.get(&client).cloned()
+    };
+    if let Some(back) = known {
+        return Ok(back);
+    }
+    let back =
+        Arc::new(UdpSocket::bind(SocketAddr::new(shared.front.local_addr()?.ip(), 0)).await?);
+    let mut clients = shared.clients.lock().expect("client lock");
+    clients.insert(client, back.clone());
+    let task = tokio::spawn(send_back(shared.clone(), client, back.clone()));
+    shared.returns.lock().expect("task lock").push(task);
+    Ok(back)
+}
+
+async fn send_back(
+    shared: Arc<Shared>,
+    client: SocketAddr,
+    back: Arc<UdpSocket>,
+) {
+    let mut buffer = vec![0; MAX_PACKET];
+    loop {
+        if let Ok((length, _)) = back.recv_from(&mut buffer).await {
+            let packet = buffer[..length].to_vec();
+            pass(&shared, client, packet, shared.front.clone(), client);
+        }
+    }
+}
+
+/// Sends a packet on, as the faults have it.
+fn pass(
+    shared: &Shared,
+    client: SocketAddr,
+    packet: Vec<u8>,
+    socket: Arc<UdpSocket>,
+    to: SocketAddr,
+) {
+    let faults = shared.faults.lock().expect("fault lock").clone();
+    let chance = |share: f64| rand::random::<f64>() < share;
+    if faults.cut || faults.cut_sources.contains(&client) || chance(faults.drop) {
+        return;
+    }
+    let copies = if chance(faults.duplicate) { 2 } else { 1 };
+    let mut delay = faults.delay;
+    if chance(faults.reorder) {
+        delay += HELD_BACK;
+    }
+    if delay.is_zero() && copies == 1 && socket.try_send_to(&packet, to).is_ok() {
+        return;
+    }
+    tokio::spawn(async move {
+        if !delay.is_zero() {
+            tokio::time::sleep(delay).await;
+        }
+        for _ in 0..copies {
+            if socket.send_to(&packet, to).await.is_err() {
+                return; // the target is down: lost, as on a network
+            }
+        }
+    });
+}
--- /dev/null
+++ b/testbed/src/standin/mod.rs
@@ -0,0 +1,24 @@
+//! Stand-ins: the platform's service, a model engine, a plain service.
+
+mod chat_body;
+mod engine;
+mod engine_fault;
+mod engine_settings;
+mod plain_service;
+mod platform;
+mod platform_switches;
+mod prefix_cache;
+mod run_log;
+mod server;
+
+pub use {
+    chat_body::{ChatBody, ChatMessage},
+    engine::Engine,
+    engine_fault::EngineFault,
+    engine_settings::EngineSettings,
+    plain_service::PlainService,
+    platform::{Platform, PublishError},
+    platform_switches::PlatformSwitches,
+    run_log::{Run, RunLog},
+    server::{BoundServer, bind_server},
+};
--- /dev/null
+++ b/testbed/src/standin/platform.rs
@@ -0,0 +1,318 @@
+use {
+    super::{BoundServer, PlatformSwitches, bind_server},
+    archmast::{
+        fleet::{HostList, Manifest, ManifestPart, sha256_hex},
+        platform::{FLEET_KEY, HOSTS_KEY, REVISION_HEADER},
+    },
+    rocket::{
+        FromForm, Responder, State, get,
+        http::{Header, Status},
+        routes,
+    },
+    std::{
+        collections::HashMap,
+        fmt,
+        net::{IpAddr, SocketAddr},
+        sync::{Arc, Mutex},
+        time::{Duration, Instant},
+    },
+    tokio::sync::watch,
+};
+
+/// The largest value.
+pub const MAX_VALUE: usize = 1_000_000;
+
+/// The platform's service: values with revisions that can be watched, and a
+/// way for operators to publish, which the product never uses.
+pub struct Platform {
+    pub address: SocketAddr,
+    shared: Arc<Shared>,
+    _server: BoundServer,
+}
+
+/// Why a value was not published.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PublishError {
+    TooLarge,
+    Raced, // another operator published first
+}
+
+impl fmt::Display for PublishError {
+    fn fmt(
+        &self,
+        f: &mut fmt::Formatter,
+    ) -> fmt::Result {
+        f.write_str(match self {
+            Self::TooLarge => "the value is over a megabyte",
+            Self::Raced => "another operator published first",
+        })
+    }
+}
+
+#[derive(Default)]
+struct Values {
+    last: u64,                                    // revision
+    history: HashMap<String, Vec<(u64, String)>>, // by key, oldest first
+    parts: HashMap<String, String>,               // by digest
+}
+
+struct Shared {
+    values: Mutex<Values>,
+    changed: watch::Sender<u64>,
+    switches: watch::Sender<PlatformSwitches>,
+    calls: Mutex<CallCount>,
+}
+
+#[derive(Default)]
+struct CallCount {
+    total: u64,
+    window: Option<Instant>, // start of the present second
+    in_window: u32,
+    refused: u64,
+}
+
+impl Platform {
+    /// Starts the service on a port that the system chooses.
+    pub async fn start(ip: IpAddr) -> Self {
+        let shared = Arc::new(Shared {
+            values: Mutex::default(),
+            changed: watch::Sender::new(0),
+            switches: watch::Sender::new(PlatformSwitches::default()),
+            calls: Mutex::default(),
+        });
+        let managed = shared.clone();
+        let server = bind_server(ip, |config| {
+            rocket::custom(config)
+                .manage(managed)
+                .mount("/v1", routes![watch_value, part])
+        })
+        .await;
+        Self {
+            address: server.address,
+            shared,
+            _server: server,
+        }
+    }
+
+    /// Publishes a value. With `expect`, only if that is the key's revision.
+    pub fn publish(
+        &self,
+        key: &str,
+        text: &str,
+        expect: Option<u64>,
+    ) -> Result<u64, PublishError> {
+        if text.len() > MAX_VALUE {
+            return Err(PublishError::TooLarge);
+        }
+        let revision = {
+            let mut values = self.shared.values.lock().expect("value lock");
+            let newest = values.newest(key).map_or(0, |(revision, _)| revision);
+            if expect.is_some_and(|expected| expected != newest) {
+                return Err(PublishError::Raced);
+            }
+            values.last += 1;
+            let revision = values.last;
+            let history = values.history.entry(key.to_owned()).or_default();
+            history.push((revision, text.to_owned()));
+            revision
+        };
+        self.shared.changed.send_replace(revision);
+        Ok(revision)
+    }
+
+    /// Publishes a configuration.
+    pub fn publish_fleet(
+        &self,
+        text: &str,
+    ) -> u64 {
+        self.publish(FLEET_KEY, text, None)
+            .expect("the configuration fits one value")
+    }
+
+    /// Publishes a configuration in parts, with its manifest.
+    pub fn publish_parts(
+        &self,
+        parts: &[(String, String)],
+    ) -> Result<u64, PublishError> {
+        let mut manifest = Manifest { parts: Vec::new() };
+        {
+            let mut values = self.shared.values.lock().expect("value lock");
+            for (name, text) in parts {
+                if text.len() > MAX_VALUE {
+                    return Err(PublishError::TooLarge);
+                }
+                let digest = sha256_hex(text.as_bytes());
+                values.parts.insert(digest.clone(), text.clone());
+                manifest.parts.push(ManifestPart {
+                    name: name.clone(),
+                    digest,
+                });
+            }
+        }
+        self.publish(FLEET_KEY, &manifest.to_text(), None)
+    }
+
+    /// Publishes a host list.
+    pub fn publish_hosts(
+        &self,
+        hosts: &HostList,
+    ) -> u64 {
+        let text = serde_json::to_string(hosts).expect("a host list is JSON");
+        self.publish(HOSTS_KEY, &text, None)
+            .expect("the host list fits one value")
+    }
+
+    /// Misbehaves from now on.
+    pub fn set_switches(
+        &self,
+        switches: PlatformSwitches,
+    ) {
+        self.shared.switches.send_replace(switches);
+    }
+
+    /// The revision published last.
+    pub fn last_revision(&self) -> u64 {
+        self.shared.values.lock().expect("value lock").last
+    }
+
+    /// Calls so far, and how many of them were refused over the rate.
+    pub fn calls(&self) -> (u64, u64) {
+        let calls = self.shared.calls.lock().expect("call lock");
+        (calls.total, calls.refused)
+    }
+}
+
+impl Values {
+    fn newest(
+        &self,
+        key: &str,
+    ) -> Option<(u64, &str)> {
+        self.newest_up_to(key, u64::MAX)
+    }
+
+    fn newest_up_to(
+        &self,
+        key: &str,
+        bound: u64,
+    ) -> Option<(u64, &str)> {
+        self.history
+            .get(key)?
+            .iter()
+            .rev()
+            .find(|(revision, _)| *revision <= bound)
+            .map(|(revision, text)| (*revision, text.as_str()))
+    }
+}
+
+impl Shared {
+    /// Counts a call. False if it is over the rate.
+    fn count_call(&self) -> bool {
+        let bound = self.switches.borrow().calls_per_second;
+        let mut calls = self.calls.lock().expect("call lock");
+        calls.total += 1;
+        let now = Instant::now();
+        let same_second = calls
+            .window
+            .is_some_and(|start| now.duration_since(start) < Duration::from_secs(1));
+        if !same_second {
+            calls.window = Some(now);
+            calls.in_window = 0;
+        }
+        calls.in_window += 1;
+        let allowed = bound.is_none_or(|bound| calls.in_window <= bound);
+        if !allowed {
+            calls.refused += 1;
+        }
+        allowed
+    }
+
+    fn newer(
+        &self,
+        key: &str,
+        after: u64,
+    ) -> Option<(u64, String)> {
+        let bound = self.switches.borrow().stale_at.unwrap_or(u64::MAX);
+        let values = self.values.lock().expect("value lock");
+        let (revision, text) = values.newest_up_to(key, bound)?;
+        // A stale service serves what it has, even to one who has more.
+        let serves = revision > after || (bound < after);
+        serves.then(|| (revision, text.to_owned()))
+    }
+
+    async fn wait_newer(
+        &self,
+        key: &str,
+        after: u64,
+    ) -> (u64, String) {
+        let mut changed = self.changed.subscribe();
+        let mut switches = self.switches.subscribe();
+        loop {
+            if let Some(found) = self.newer(key, after) {
+                return found;
+            }
+            tokio::select! {
+                _ = changed.changed() => {}
+                _ = switches.changed() => {}
+            }
+        }
+    }
+
+    async fn wait_down(&self) {
+        let mut switches = self.switches.subscribe();
+        if switches.wait_for(|s| s.down).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
+#[derive(Responder)]
+struct Value {
+    text: String,
+    revision: Header<'static>,
+}
+
+#[derive(FromForm)]
+struct WatchQuery {
+    after: u64,
+    wait_ms: u64,
+}
+
+#[get("/watch/<key>?<query..>")]
+async fn watch_value(
+    key: &str,
+    query: WatchQuery,
+    shared: &State<Arc<Shared>>,
+) -> Result<Value, Status> {
+    admit(shared).await?;
+    let wait = Duration::from_millis(query.wait_ms);
+    tokio::select! {
+        (revision, text) = shared.wait_newer(key, query.after) => Ok(Value {
+            text,
+            revision: Header::new(REVISION_HEADER, revision.to_string()),
+        }),
+        () = shared.wait_down() => Err(Status::ServiceUnavailable),
+        () = tokio::time::sleep(wait) => Err(Status::NotModified),
+    }
+}
+
+#[get("/parts/<digest>")]
+async fn part(
+    digest: &str,
+    shared: &State<Arc<Shared>>,
+) -> Result<String, Status> {
+    admit(shared).await?;
+    let values = shared.values.lock().expect("value lock");
+    values.parts.get(digest).cloned().ok_or(Status::NotFound)
+}
+
+async fn admit(shared: &Shared) -> Result<(), Status> {
+    let switches = *shared.switches.borrow();
+    if !shared.count_call() {
+        return Err(Status::TooManyRequests);
+    }
+    if switches.down {
+        return Err(Status::ServiceUnavailable);
+    }
+    tokio::time::sleep(switches.slow).await;
+    Ok(())
+}
