--- /dev/null
+++ b/src/ctl/fleet_reader.rs
@@ -0,0 +1,106 @@
+use {
+    super::CtlError,
+    crate::{
+        codes::ResultCode,
+        fleet::{HostEntry, HostList, Revision},
+        ops::{AuditEntry, ProcessStatus},
+        platform::{HOSTS_KEY, PlatformClient},
+    },
+    futures::future::join_all,
+    getopts::Matches,
+    reqwest::Client,
+    serde::de::DeserializeOwned,
+    std::{cell::RefCell, fs, time::Duration},
+};
+
+/// How long a process may take to answer.
+const TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Asks every process of a fleet, and notes which did not answer.
+pub struct FleetReader {
+    hosts: HostList,
+    http: Client,
+    silent: RefCell<Vec<String>>,
+}
+
+impl FleetReader {
+    /// Reads the host list, from the platform or a file: codes 10, 80 and 90.
+    pub async fn connect(matches: &Matches) -> Result<Self, CtlError> {
+        Ok(Self {
+            hosts: read_hosts(matches).await?,
+            http: Client::builder()
+                .no_proxy()
+                .timeout(TIMEOUT)
+                .build()
+                .map_err(|error| CtlError::new(ResultCode::StartFailed, error))?,
+            silent: RefCell::default(),
+        })
+    }
+
+    /// What each process that answers says of itself.
+    pub async fn statuses(&self) -> Vec<ProcessStatus> {
+        self.ask_all("status").await
+    }
+
+    /// The audit trails of the processes that answer, one list.
+    pub async fn audits(&self) -> Vec<AuditEntry> {
+        let trails: Vec<Vec<AuditEntry>> = self.ask_all("audit").await;
+        trails.into_iter().flatten().collect()
+    }
+
+    /// The hosts that did not answer, if any.
+    pub fn unreachable(&self) -> Option<String> {
+        let silent = self.silent.borrow();
+        (!silent.is_empty()).then(|| format!("no answer from {}", silent.join(", ")))
+    }
+
+    async fn ask_all<T: DeserializeOwned>(
+        &self,
+        page: &str,
+    ) -> Vec<T> {
+        let asked = self.hosts.hosts.iter().map(|host| self.ask(host, page));
+        join_all(asked).await.into_iter().flatten().collect()
+    }
+
+    async fn ask<T: DeserializeOwned>(
+        &self,
+        host: &HostEntry,
+        page: &str,
+    ) -> Option<T> {
+        let url = format!("http://{}/{page}", host.operator);
+        let answer = async { self.http.get(url).send().await?.json().await }.await;
+        match answer {
+            Ok(answer) => Some(answer),
+            Err(error) => {
+                log::debug!("{}: {error}", host.name);
+                self.silent.borrow_mut().push(host.name.clone());
+                None
+            }
+        }
+    }
+}
+
+/// Reads the host list that the options name.
+pub async fn read_hosts(matches: &Matches) -> Result<HostList, CtlError> {
+    let text = if let Some(file) = matches.opt_str("hosts") {
+        fs::read_to_string(&file).map_err(|error| {
+            CtlError::new(ResultCode::SettingsFileMissing, format!("{file}: {error}"))
+        })?
+    } else {
+        watched_hosts(matches).await?
+    };
+    serde_json::from_str(&text).map_err(|error| CtlError::new(ResultCode::PlatformReply, error))
+}
+
+async fn watched_hosts(matches: &Matches) -> Result<String, CtlError> {
+    let address = matches
+        .opt_str("platform")
+        .ok_or_else(|| CtlError::usage("--platform or --hosts is required"))?
+        .parse()
+        .map_err(|_| CtlError::usage("--platform takes IP:PORT"))?;
+    let watched = PlatformClient::new(address)?
+        .watch(HOSTS_KEY, Revision(0), Duration::ZERO)
+        .await?
+        .ok_or_else(|| CtlError::new(ResultCode::NothingFound, "no host list is published"))?;
+    Ok(watched.text)
+}
--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -1,1 +1,13 @@
-//! x
+//! The operator's command line. It only reads.
+
+mod audit;
+mod check;
+mod command;
+mod errors;
+mod explain;
+mod fleet_reader;
+mod output;
+mod shares;
+mod status;
+
+pub use {command::main, errors::CtlError};
--- /dev/null
+++ b/src/ctl/output.rs
@@ -0,0 +1,22 @@
+use {
+    comfy_table::{Table, presets::NOTHING},
+    serde::Serialize,
+};
+
+/// A table for people: a head and rows of words.
+pub fn table(
+    head: &[&str],
+    rows: impl IntoIterator<Item = Vec<String>>,
+) -> String {
+    let mut table = Table::new();
+    table.load_preset(NOTHING).set_header(head);
+    for row in rows {
+        table.add_row(row);
+    }
+    format!("{table}\n")
+}
+
+/// The same for machines.
+pub fn json<T: Serialize>(value: &T) -> String {
+    serde_json::to_string_pretty(value).unwrap_or_default() + "\n"
+}
--- /dev/null
+++ b/src/ctl/status.rs
@@ -0,0 +1,80 @@
+use {
+    super::{
+        CtlError,
+        fleet_reader::FleetReader,
+        output::{json, table},
+    },
+    crate::ops::ProcessStatus,
+};
+
+/// Every process in a row.
+pub async fn status(
+    reader: &FleetReader,
+    as_json: bool,
+) -> Result<String, CtlError> {
+    let mut statuses = reader.statuses().await;
+    statuses.sort_by(|a, b| (a.role, &a.host).cmp(&(b.role, &b.host)));
+    if as_json {
+        return Ok(json(&statuses));
+    }
+    let head = [
+        "host",
+        "role",
+        "zone",
+        "version",
+        "revision",
+        "ready",
+        "up",
+        "peers",
+        "waiting",
+        "running",
+        "slots",
+        "used",
+        "control B/s",
+    ];
+    Ok(table(&head, statuses.iter().map(row)))
+}
+
+fn row(status: &ProcessStatus) -> Vec<String> {
+    let seconds = status.uptime_ms as f64 / 1000.0;
+    let control: u64 = status.control_bytes.values().sum();
+    vec![
+        status.host.clone(),
+        status.role.to_string(),
+        status.zone.clone(),
+        status.version.clone(),
+        status.revision.map_or("none".to_owned(), |r| r.to_string()),
+        ready(status).to_owned(),
+        format!("{seconds:.0} s"),
+        status.peers.len().to_string(),
+        status.waiting.to_string(),
+        status.running.to_string(),
+        status.slots.to_string(),
+        used(status),
+        format!("{:.0}", control as f64 / seconds.max(0.001)),
+    ]
+}
+
+fn ready(status: &ProcessStatus) -> &'static str {
+    match (status.leaving, status.ready) {
+        (true, _) => "leaving",
+        (false, true) => "yes",
+        (false, false) => "no",
+    }
+}
+
+/// Busy slot time by slot time while work waited, or over all if none did.
+fn used(status: &ProcessStatus) -> String {
+    if status.slots == 0 {
+        return String::new();
+    }
+    let (busy, time) = if status.contended_ms > 0 {
+        (status.contended_busy_slot_ms, status.contended_ms)
+    } else {
+        (status.busy_slot_ms, status.uptime_ms.max(1))
+    };
+    format!(
+        "{:.3}",
+        busy as f64 / (time * u64::from(status.slots)) as f64
+    )
+}
--- a/src/keys/mod.rs
+++ b/src/keys/mod.rs
@@ -1,6 +1,7 @@
 //! The fleet's authority and the certificates it issues.
 
 mod authority;
+mod command;
 mod crypto;
 mod errors;
 mod identity;
@@ -8,6 +9,7 @@
 
 pub use {
     authority::{Authority, IssuedKey},
+    command::main,
     crypto::install_crypto,
     errors::KeyError,
     identity::{Identity, peer_name},
--- a/src/node/config_store.rs
+++ b/src/node/config_store.rs
@@ -35,9 +35,12 @@
         self.current.borrow().clone()
     }
 
-    /// A receiver that sees each configuration that comes into force.
+    /// A receiver that sees each configuration that comes into force, and
+    /// first the one that is in force already.
     pub fn subscribe(&self) -> watch::Receiver<Option<Arc<VersionedConfig>>> {
-        self.current.subscribe()
+        let mut receiver = self.current.subscribe();
+        receiver.mark_changed();
+        receiver
     }
 
     /// What to do with a revision that somebody has.
--- a/src/node/host_store.rs
+++ b/src/node/host_store.rs
@@ -44,8 +44,10 @@
         self.current.borrow().0
     }
 
-    /// A receiver that sees each new list.
+    /// A receiver that sees each new list, and first the one that is known.
     pub fn subscribe(&self) -> watch::Receiver<(Revision, Arc<HostList>)> {
-        self.current.subscribe()
+        let mut receiver = self.current.subscribe();
+        receiver.mark_changed();
+        receiver
     }
 }
--- a/src/ops/json_log.rs
+++ b/src/ops/json_log.rs
@@ -10,7 +10,7 @@
 };
 
 /// Loggers of libraries that speak too much at the default level.
-const QUIET: &str = "info,rocket=warn,rocket::server=off,quinn=warn,rustls=warn,hyper=warn";
+const QUIET: &str = "info,rocket=error,quinn=warn,rustls=warn,hyper=warn";
 
 /// Sends logs as JSON lines to standard error. `RUST_LOG` sets the level.
 pub fn start_logging(host: &str) {
--- a/src/policy/kept_account.rs
+++ b/src/policy/kept_account.rs
@@ -21,12 +21,19 @@
     sequence: u64,     // of the newest report
     own: f64,          // served, by that report
     counted_from: f64, // of `own`, what was in `base` from the beginning
+    first_own: f64,    // `own` in the first report here
 }
 
 impl Source {
     fn counted(&self) -> f64 {
         self.own - self.counted_from
     }
+
+    /// What it served since its first report here. Only this can be in a total
+    /// that another sidecar heard from an earlier keeper.
+    fn grown(&self) -> f64 {
+        self.own - self.first_own
+    }
 }
 
 impl KeptAccount {
@@ -122,15 +129,13 @@
             sequence,
             own: entry.own,
             counted_from: entry.included,
+            first_own: entry.own,
         };
+        let grown: f64 = self.sources.values().map(Source::grown).sum();
+        self.base = self.base.max(entry.heard - grown);
         if let Some(ended) = self.sources.insert(host.clone(), first) {
             self.base += ended.counted();
         }
-        let known_there = entry.heard + first.counted();
-        let missing = known_there - self.total();
-        if missing > 0.0 {
-            self.base += missing;
-        }
         if entry.waiting || entry.own > entry.included {
             self.last_active = Some(now);
         }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -5,6 +5,7 @@
 mod account_queue;
 mod ahead_estimate;
 mod announced_demand;
+mod attempts;
 mod config_gate;
 mod cost_estimate;
 mod demand_line;
@@ -41,6 +42,7 @@
     account_queue::AccountQueue,
     ahead_estimate::AheadEstimate,
     announced_demand::AnnouncedDemand,
+    attempts::Attempts,
     config_gate::{ConfigGate, Verdict},
     cost_estimate::CostEstimate,
     demand_line::DemandLine,
--- a/src/policy/router_exchange.rs
+++ b/src/policy/router_exchange.rs
@@ -14,7 +14,7 @@
 
 /// A router's knowledge of one attempt. Only a sidecar's own word, or never
 /// having sent anything, proves that a request did not run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum RouterExchange {
     Unsent,
     Sent,
--- a/src/policy/sidecar_exchange.rs
+++ b/src/policy/sidecar_exchange.rs
@@ -1,7 +1,7 @@
 /// A sidecar's side of one request. It may say "not run" only before it has
 /// begun to send the request upstream, or when the upstream refused the
 /// connection, and then never starts it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum SidecarExchange {
     Received,
     HandedBack, // said "not run"; final
--- a/src/router/request_flow.rs
+++ b/src/router/request_flow.rs
@@ -11,7 +11,7 @@
         codes::{Ran, ResultCode},
         link::Peer,
         ops::RETRIES,
-        policy::{GrantNumber, Moment, RouterExchange, WaitingRequest},
+        policy::{Attempts, GrantNumber, Moment, RouterExchange, WaitingRequest},
     },
     bytes::Bytes,
     std::{sync::Arc, time::Duration},
@@ -47,7 +47,7 @@
     router: &'f Arc<Router>,
     request: &'f CallerRequest,
     waiting: WaitingRequest,
-    attempts: u32,
+    attempts: Attempts,
 }
 
 impl<'f> Flow<'f> {
@@ -69,7 +69,7 @@
             router,
             request,
             waiting,
-            attempts: 0,
+            attempts: Attempts::default(),
         }
     }
 
@@ -89,14 +89,24 @@
     }
 
     async fn wait(&self) -> Result<(Arc<Peer>, GrantNumber), ErrorAnswer> {
-        let again = self.attempts > 0;
+        let again = self.attempts.count() > 0;
         let turn = self.router.wait_for_turn(self.waiting.clone(), again).await;
         match turn {
             Some(Turn::Granted { peer, grant }) => Ok((peer, grant)),
-            Some(Turn::Shed(shed)) => {
-                Err(ErrorAnswer::new(shed.code).retry_after(shed.retry_after))
-            }
-            None => Err(ErrorAnswer::new(ResultCode::Stopping).retry_after(RETRY_SOON)),
+            Some(Turn::Shed(shed)) => Err(self.error(shed.code).retry_after(shed.retry_after)),
+            None => Err(self.error(ResultCode::Stopping).retry_after(RETRY_SOON)),
+        }
+    }
+
+    /// An error that says what all attempts together know.
+    fn error(
+        &self,
+        code: ResultCode,
+    ) -> ErrorAnswer {
+        let error = ErrorAnswer::new(code);
+        ErrorAnswer {
+            ran: self.attempts.ran(error.ran),
+            ..error
         }
     }
 
@@ -106,26 +116,26 @@
         peer: &Arc<Peer>,
         grant: Option<GrantNumber>,
     ) -> Option<Result<Answer, ErrorAnswer>> {
-        self.attempts += 1;
         let state = match self.send(peer, grant).await {
             Ok(answer) => return Some(Ok(answer)),
             Err(state) => state,
         };
+        self.attempts.ended(state);
         let (ran, code) = outcome(state);
         log::debug!(
             code = code.number(),
             request_id = self.request.request_id.as_str(),
             peer = &*peer.host;
-            "attempt {} ended", self.attempts
+            "attempt {} ended", self.attempts.count()
         );
         if self.goes_on(state, ran, code) {
             return None;
         }
         let error = ErrorAnswer {
-            ran,
+            ran: self.attempts.ran(ran),
             ..ErrorAnswer::new(code)
         };
-        let come_back = ran == Ran::No && !is_final(code);
+        let come_back = error.ran == Ran::No && !is_final(code);
         Some(Err(if come_back {
             error.retry_after(RETRY_SOON)
         } else {
@@ -179,7 +189,7 @@
         ran: Ran,
         code: ResultCode,
     ) -> bool {
-        let in_time = self.now() < self.waiting.deadline && self.attempts < MAX_ATTEMPTS;
+        let in_time = self.now() < self.waiting.deadline && self.attempts.count() < MAX_ATTEMPTS;
         if !in_time || is_final(code) || !state.may_retry(self.request.repeatable, false) {
             return false;
         }
--- /dev/null
+++ b/testbed/src/command/main.rs
@@ -0,0 +1,91 @@
+use {
+    super::fairness::fairness,
+    getopts::{Matches, Options},
+    std::process::ExitCode,
+};
+
+const BRIEF: &str = "\
+archmast-testbed COMMAND [OPTIONS]
+
+Commands:
+  fairness   ten backlogged accounts: gap over time, utilisation, control bytes";
+
+/// The exit code for a wrong command line, as the product has it.
+const USAGE: u8 = 90;
+
+/// The command line.
+pub fn main() -> ExitCode {
+    let options = options();
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    let matches = match options.parse(&words) {
+        Ok(matches) => matches,
+        Err(error) => return usage(&options, &error.to_string()),
+    };
+    if matches.opt_present("help") {
+        println!("{}", options.usage(BRIEF));
+        return ExitCode::SUCCESS;
+    }
+    archmast::ops::start_logging("testbed");
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(3)
+        .enable_all()
+        .build()
+        .expect("a runtime can start");
+    runtime.block_on(run(&options, &matches))
+}
+
+async fn run(
+    options: &Options,
+    matches: &Matches,
+) -> ExitCode {
+    match matches.free.first().map(String::as_str) {
+        Some("fairness") => fairness(matches).await,
+        Some(other) => return usage(options, &format!("no command {other}")),
+        None => return usage(options, "a command is required"),
+    }
+    ExitCode::SUCCESS
+}
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options
+        .optopt("", "seconds", "length of a run", "NUMBER")
+        .optopt("", "case", "full, rules or kinds", "NAME")
+        .optmulti(
+            "",
+            "router",
+            "a router setting, section.key=value",
+            "SETTING",
+        )
+        .optmulti(
+            "",
+            "sidecar",
+            "a sidecar setting, section.key=value",
+            "SETTING",
+        )
+        .optopt("", "seed", "of the random costs", "NUMBER")
+        .optflag("j", "json", "print JSON")
+        .optflag("h", "help", "print this text");
+    options
+}
+
+/// A number given as an option, or its default.
+pub fn number(
+    matches: &Matches,
+    name: &str,
+    default: u64,
+) -> u64 {
+    matches
+        .opt_str(name)
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(default)
+}
+
+fn usage(
+    options: &Options,
+    fault: &str,
+) -> ExitCode {
+    eprintln!("error {USAGE}: {fault}");
+    eprintln!("{}", options.usage(BRIEF));
+    ExitCode::from(USAGE)
+}
--- a/testbed/src/standin/engine.rs
+++ b/testbed/src/standin/engine.rs
@@ -118,6 +118,7 @@
 
 impl Drop for GeneratingRun {
     fn drop(&mut self) {
+        self.shared.log.slot(false);
         let (finished, sent) = (self.finished, self.sent);
         self.shared.log.update(self.number, |run| {
             run.tokens = sent;
@@ -136,6 +137,7 @@
     ) -> Self {
         let number = shared.log.start(request_id, body.nonce(), account);
         let slot = shared.slots.clone().acquire_owned().await;
+        shared.log.slot(true);
         let fault = *shared.fault.lock().expect("fault lock");
         Self {
             shared: shared.clone(),
--- a/testbed/src/standin/plain_service.rs
+++ b/testbed/src/standin/plain_service.rs
@@ -84,8 +84,10 @@
         let body = data.open(MAX_BODY).into_bytes().await;
         let body = body.map_or_else(|_| Vec::new(), |body| body.into_inner());
         let slot = self.slots.acquire().await;
+        self.log.slot(true);
         let time = *self.service_time.lock().expect("time lock");
         tokio::time::sleep(time).await;
+        self.log.slot(false);
         drop(slot);
         self.log.update(number, |run| run.ended = true);
         let answer = format!("{nonce}:{}", String::from_utf8_lossy(&body));
--- a/testbed/src/standin/platform.rs
+++ b/testbed/src/standin/platform.rs
@@ -271,6 +271,14 @@
     revision: Header<'static>,
 }
 
+/// What a watch gives.
+#[derive(Responder)]
+enum Watched {
+    Value(Value),
+    #[response(status = 304)]
+    Unchanged(()),
+}
+
 #[derive(FromForm)]
 struct WatchQuery {
     after: u64,
@@ -282,16 +290,16 @@
     key: &str,
     query: WatchQuery,
     shared: &State<Arc<Shared>>,
-) -> Result<Value, Status> {
+) -> Result<Watched, Status> {
     admit(shared).await?;
     let wait = Duration::from_millis(query.wait_ms);
     tokio::select! {
-        (revision, text) = shared.wait_newer(key, query.after) => Ok(Value {
+        (revision, text) = shared.wait_newer(key, query.after) => Ok(Watched::Value(Value {
             text,
             revision: Header::new(REVISION_HEADER, revision.to_string()),
-        }),
+        })),
         () = shared.wait_down() => Err(Status::ServiceUnavailable),
-        () = tokio::time::sleep(wait) => Err(Status::NotModified),
+        () = tokio::time::sleep(wait) => Ok(Watched::Unchanged(())),
     }
 }
 
--- a/testbed/src/standin/run_log.rs
+++ b/testbed/src/standin/run_log.rs
@@ -1,4 +1,11 @@
-use std::{collections::HashMap, sync::Mutex, time::Instant};
+use {
+    archmast::policy::SlotClock,
+    std::{
+        collections::HashMap,
+        sync::Mutex,
+        time::{Duration, Instant},
+    },
+};
 
 /// One request that reached a stand-in.
 #[derive(Debug, Clone)]
@@ -13,12 +20,53 @@
 }
 
 /// What ran, as the stand-in itself saw it: the truth to hold answers against.
-#[derive(Default)]
 pub struct RunLog {
+    begun: Instant,
     runs: Mutex<Vec<Run>>,
+    slots: Mutex<(SlotClock, usize)>, // and how many are taken now
+}
+
+impl Default for RunLog {
+    fn default() -> Self {
+        Self {
+            begun: Instant::now(),
+            runs: Mutex::default(),
+            slots: Mutex::default(),
+        }
+    }
 }
 
 impl RunLog {
+    /// Notes that a slot was taken, or given back.
+    pub fn slot(
+        &self,
+        taken: bool,
+    ) {
+        let mut slots = self.slots.lock().expect("slot lock");
+        slots.1 = if taken { slots.1 + 1 } else { slots.1 - 1 };
+        let used = slots.1;
+        slots.0.observe(self.begun.elapsed(), used, false);
+    }
+
+    /// Busy slot time so far.
+    pub fn busy(&self) -> Duration {
+        let mut slots = self.slots.lock().expect("slot lock");
+        let used = slots.1;
+        slots.0.observe(self.begun.elapsed(), used, false);
+        slots.0.busy()
+    }
+
+    /// Tokens sent so far, and requests whole, by account.
+    pub fn service(&self) -> HashMap<String, (u64, u64)> {
+        let mut service: HashMap<String, (u64, u64)> = HashMap::new();
+        for run in self.runs.lock().expect("run lock").iter() {
+            let sums = service.entry(run.account.clone()).or_default();
+            sums.0 += u64::from(run.tokens);
+            sums.1 += u64::from(run.ended);
+        }
+        service
+    }
+
     /// Notes a start and gives its number.
     pub fn start(
         &self,
