--- a/testbed/src/fleet/mod.rs
+++ b/testbed/src/fleet/mod.rs
@@ -19,7 +19,7 @@
     ini_text::{FleetText, overlay},
     outcome::Outcome,
     plan::{FleetPlan, SidecarPlan, UpstreamPlan},
-    process::Process,
+    process::{Process, program_path},
     sidecar_host::{SidecarHost, Upstream},
     wait::{until, until_async},
 };
--- a/testbed/src/fleet/wait.rs
+++ b/testbed/src/fleet/wait.rs
@@ -5,7 +5,7 @@
 
 /// After this long a condition counts as never met. It bounds a failing run
 /// and says nothing about speed.
-const NEVER: Duration = Duration::from_secs(90);
+const NEVER: Duration = Duration::from_secs(60);
 
 /// Waits until a condition holds.
 pub async fn until(
