--- a/testbed/src/command/main.rs
+++ b/testbed/src/command/main.rs
@@ -1,5 +1,8 @@
 use {
-    super::fairness::fairness,
+    super::{
+        fairness::fairness,
+        measures::{ahead, control, latency, prefix, revision, zone_loss},
+    },
     getopts::{Matches, Options},
     std::process::ExitCode,
 };
@@ -8,7 +11,13 @@
 archmast-testbed COMMAND [OPTIONS]
 
 Commands:
-  fairness   ten backlogged accounts: gap over time, utilisation, control bytes";
+  fairness   ten backlogged accounts: gap over time, utilisation, control bytes
+  latency    what a call through an idle fleet takes more than a direct one
+  ahead      utilisation on 20 ms calls, with and without grants ahead
+  prefix     prefix cache hits, with and without affinity
+  control    control bytes by kind, idle and backlogged
+  revision   time until a change of configuration is in force everywhere
+  zone-loss  what the death of an availability zone does to requests";
 
 /// The exit code for a wrong command line, as the product has it.
 const USAGE: u8 = 90;
@@ -40,6 +49,12 @@
 ) -> ExitCode {
     match matches.free.first().map(String::as_str) {
         Some("fairness") => fairness(matches).await,
+        Some("latency") => latency().await,
+        Some("ahead") => ahead(matches).await,
+        Some("prefix") => prefix(matches).await,
+        Some("control") => control(matches).await,
+        Some("revision") => revision().await,
+        Some("zone-loss") => zone_loss(matches).await,
         Some(other) => return usage(options, &format!("no command {other}")),
         None => return usage(options, "a command is required"),
     }
--- a/testbed/src/command/mod.rs
+++ b/testbed/src/command/mod.rs
@@ -2,5 +2,6 @@
 
 mod fairness;
 mod main;
+mod measures;
 
 pub use main::main;
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod command;
 pub mod fleet;
 pub mod load;
+pub mod measure;
 pub mod proxy;
 pub mod standin;
--- /dev/null
+++ b/testbed/src/measure/mod.rs
@@ -0,0 +1,19 @@
+//! Measurements on running fleets, each beside its baseline.
+
+mod ahead;
+mod control;
+mod latency;
+mod prefix;
+mod revision_time;
+mod stats;
+mod zone_loss;
+
+pub use {
+    ahead::{AheadResult, measure_ahead},
+    control::{ControlResult, control_since, control_snapshot},
+    latency::{LatencyResult, measure_latency},
+    prefix::{PrefixResult, measure_prefix},
+    revision_time::{RevisionResult, measure_revision},
+    stats::{median, percentile},
+    zone_loss::{ZoneLossResult, measure_zone_loss},
+};
--- /dev/null
+++ b/testbed/src/measure/revision_time.rs
@@ -0,0 +1,53 @@
+use {
+    super::stats::percentile,
+    crate::{
+        fleet::{Fleet, FleetPlan},
+        standin::PlatformSwitches,
+    },
+    serde::Serialize,
+    std::time::{Duration, Instant},
+};
+
+/// Changes published for each figure.
+const CHANGES: usize = 20;
+
+/// How long a published revision takes to be in force everywhere.
+#[derive(Debug, Clone, Serialize)]
+pub struct RevisionResult {
+    pub processes: usize,
+    pub median_ms: f64,
+    pub worst_ms: f64,
+    pub by_peers_worst_ms: f64, // while the platform answers two calls a second in all
+}
+
+/// Publishes changes and waits for each to be everywhere.
+pub async fn measure_revision(plan: FleetPlan) -> RevisionResult {
+    let fleet = Fleet::start(plan).await;
+    let mut times = Vec::new();
+    for _ in 0..CHANGES {
+        times.push(time_change(&fleet).await);
+    }
+    fleet.platform.set_switches(PlatformSwitches {
+        calls_per_second: Some(2),
+        ..PlatformSwitches::default()
+    });
+    let mut by_peers = Vec::new();
+    for _ in 0..CHANGES / 4 {
+        by_peers.push(time_change(&fleet).await);
+    }
+    RevisionResult {
+        processes: fleet.operators().len(),
+        median_ms: percentile(&times, 0.5),
+        worst_ms: percentile(&times, 1.0),
+        by_peers_worst_ms: percentile(&by_peers, 1.0),
+    }
+}
+
+async fn time_change(fleet: &Fleet) -> Duration {
+    let started = Instant::now();
+    let revision = fleet
+        .platform
+        .publish_fleet(fleet.plan.config_text().text());
+    fleet.in_force(&fleet.operators(), revision).await;
+    started.elapsed()
+}
--- a/testbed/tests/edges.rs
+++ b/testbed/tests/edges.rs
@@ -2,7 +2,7 @@
 
 use {
     archmast_testbed::{
-        fleet::{Fleet, FleetPlan, FleetText, Outcome, nonce, until},
+        fleet::{Fleet, FleetPlan, FleetText, Outcome, nonce, until, until_async},
         standin::{ChatBody, EngineSettings},
     },
     reqwest::{Client, Method, Response},
@@ -176,10 +176,14 @@
     // The stranger's router is pointed at this fleet's sidecars.
     stranger.hosts = fleet.hosts.clone();
     stranger.platform.publish_hosts(&stranger.hosts);
-    let caller = stranger.caller(0, "lot-b");
+    let router = stranger.routers[0].operator;
+    until_async("the stranger serves", async || {
+        stranger.is_ready(router).await
+    })
+    .await;
     let body = ChatBody::new("drafter", "p", &nonce(), 1, false);
-    let outcome = caller.chat(&body).await;
-    assert!(!outcome.is_whole(), "{outcome:?}");
+    let outcome = stranger.caller(0, "hasty").chat(&body).await;
+    assert_eq!(outcome.code(), Some(38), "nobody takes it: {outcome:?}");
     assert!(fleet.run_counts().is_empty());
     let status = fleet
         .status(fleet.sidecars[0].operator)
