Testbed: ports of the product's processes lie on an address of their own

Cause of a run that hung: a port found free for a router was taken by a stand-in started after it, which then answered 'no matching routes' to the router's readiness. Ports found free are now on another loopback address than stand-ins and proxies, and none is given twice.

--- a/testbed/src/fleet/fleet.rs
+++ b/testbed/src/fleet/fleet.rs
@@ -1,7 +1,6 @@
 use {
     super::{
-        Caller, FleetPlan, Process, SidecarHost, SidecarPlan, Upstream,
-        loopback::{free_tcp, free_udp, own_address},
+        Caller, FleetPlan, Process, SidecarHost, SidecarPlan, Upstream, loopback::Loopback,
         overlay, until_async,
     },
     crate::{
@@ -67,7 +66,8 @@
     /// Starts everything, with configuration and host list published.
     pub async fn start_unready(plan: FleetPlan) -> Self {
         install_crypto();
-        let ip = own_address();
+        let loopback = Loopback::new();
+        let ip = loopback.standins;
         let folder =
             std::env::temp_dir().join(format!("archmast-{}", ip.to_string().replace('.', "-")));
         if folder.exists() {
@@ -80,6 +80,7 @@
             .expect("a proxy can start");
         platform.publish_fleet(plan.config_text().text());
         let starter = Starter {
+            loopback,
             ip,
             folder: folder.clone(),
             authority: Authority::create().expect("an authority can be made"),
@@ -248,7 +249,8 @@
 }
 
 struct Starter {
-    ip: IpAddr,
+    loopback: Loopback,
+    ip: IpAddr, // of the stand-ins
     folder: PathBuf,
     authority: Authority,
     platform: SocketAddr,
@@ -272,9 +274,9 @@
         let upstream_link = TcpProxy::start(self.ip, upstream.address())
             .await
             .expect("a proxy can start");
-        let listen = free_udp(self.ip).expect("a port is free");
+        let listen = self.loopback.free_udp().expect("a port is free");
         let link = self.proxy(listen).await;
-        let operator = free_tcp(self.ip).expect("a port is free");
+        let operator = self.loopback.free_tcp().expect("a port is free");
         let mut values = self.common(&plan.host, &plan.zone, HostRole::Sidecar, listen, operator);
         values.push(("upstream.address".into(), upstream_link.address.to_string()));
         values.push(("upstream.slots".into(), plan.upstream.slots().to_string()));
@@ -305,10 +307,10 @@
         zone: &str,
         hosts: &mut HostList,
     ) -> RouterHost {
-        let callers = free_tcp(self.ip).expect("a port is free");
-        let listen = free_udp(self.ip).expect("a port is free");
+        let callers = self.loopback.free_tcp().expect("a port is free");
+        let listen = self.loopback.free_udp().expect("a port is free");
         let link = self.proxy(listen).await;
-        let operator = free_tcp(self.ip).expect("a port is free");
+        let operator = self.loopback.free_tcp().expect("a port is free");
         let mut values = self.common(host, zone, HostRole::Router, listen, operator);
         values.push(("callers.listen".into(), callers.to_string()));
         values.extend(self.plan.router_settings.iter().cloned());
