Demand is told again on a fourfold change, and that nothing waits after 100 ms

Cause: of 17.5 KB/s of control that each router sent while ten accounts were backlogged on 20 upstreams, 14.4 KB/s was demand: every request that one sidecar took changed a small count at the 19 others, and accounts with two callers at a router went between nothing and something all the time. Ruled out: deadlines (they only move later) and the cap (counts were small).

--- a/src/policy/account_queue.rs
+++ b/src/policy/account_queue.rs
@@ -1,5 +1,5 @@
 use {
-    super::{DrainRate, HostSet, Moment, PrefixMemory, WaitingRequest},
+    super::{CurrentDemand, DrainRate, HostSet, Moment, PrefixMemory, WaitingRequest},
     std::{
         collections::{BTreeMap, HashMap},
         sync::Arc,
@@ -23,14 +23,6 @@
     pub drain: DrainRate,
 }
 
-/// What waits in a queue for one host.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct QueueDemand {
-    pub count: u32,
-    pub deadline: Moment, // of the most urgent request
-    pub oldest: Moment,   // arrival
-}
-
 impl AccountQueue {
     /// Requests that wait.
     pub fn len(&self) -> usize {
@@ -98,14 +90,14 @@
     pub fn demand_for(
         &self,
         host: &str,
-    ) -> Option<QueueDemand> {
-        let mut demand: Option<QueueDemand> = None;
+    ) -> Option<CurrentDemand> {
+        let mut demand: Option<CurrentDemand> = None;
         for bucket in self.buckets_of(host) {
             let Some(first) = bucket.values().next() else {
                 continue;
             };
             let count = bucket.len() as u32;
-            let so_far = demand.get_or_insert(QueueDemand {
+            let so_far = demand.get_or_insert(CurrentDemand {
                 count: 0,
                 deadline: first.deadline,
                 oldest: first.arrived,
--- a/src/policy/announced_demand.rs
+++ b/src/policy/announced_demand.rs
@@ -1,13 +1,33 @@
 use {
     super::{DemandLine, Moment},
     crate::fleet::AccountId,
-    std::collections::{BTreeMap, HashMap},
+    std::{
+        collections::{BTreeMap, HashMap},
+        time::Duration,
+    },
 };
 
+/// A count is told again when it is this many times what is left of the count
+/// told, or this many times less.
+const CHANGE_FACTOR: u32 = 4;
+
+/// That nothing waits any more is told after this long: most often something
+/// does again before, and until then a grant is declined at worst.
+const LINGER: Duration = Duration::from_millis(100);
+
+/// What waits at a router for one sidecar, of one account.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CurrentDemand {
+    pub count: u32,
+    pub deadline: Moment, // of the most urgent request
+    pub oldest: Moment,   // arrival
+}
+
 /// What a router last told one sidecar, and what it must tell it now.
 ///
 /// A deep queue is announced with a large count and not again until grants
-/// have used up half of it, so a flood costs a count and not messages.
+/// have used up most of it, so a flood costs a count and not messages. Nor is
+/// a count told again for what other sidecars took.
 #[derive(Debug, Clone, Default)]
 pub struct AnnouncedDemand {
     lines: HashMap<AccountId, Announced>,
@@ -18,12 +38,24 @@
     count: u32,
     granted: u32, // since then
     deadline: Moment,
+    empty_since: Option<Moment>, // nothing waits any more
 }
 
 impl Announced {
     fn remaining(&self) -> u32 {
         self.count.saturating_sub(self.granted)
     }
+
+    fn must_tell_again(
+        &self,
+        count: u32,
+        deadline: Moment,
+    ) -> bool {
+        let remaining = self.remaining();
+        deadline < self.deadline
+            || remaining * CHANGE_FACTOR < count
+            || count * CHANGE_FACTOR < remaining
+    }
 }
 
 impl AnnouncedDemand {
@@ -51,77 +83,71 @@
     }
 
     /// The lines that have changed enough to be told, `cap` being the largest
-    /// count told. `current` maps accounts to count, deadline and arrival of
-    /// the oldest.
+    /// count told.
     pub fn changes(
         &mut self,
         now: Moment,
         cap: u32,
-        current: &BTreeMap<AccountId, (u32, Moment, Moment)>,
+        current: &BTreeMap<AccountId, CurrentDemand>,
     ) -> Vec<DemandLine> {
         let mut lines = Vec::new();
-        for (account, (count, deadline, oldest)) in current {
-            let count = (*count).min(cap);
-            if !self.must_tell(*account, count, *deadline) {
-                continue;
+        for (account, demand) in current {
+            let count = demand.count.min(cap);
+            if let Some(told) = self.lines.get_mut(account) {
+                told.empty_since = None;
+                if !told.must_tell_again(count, demand.deadline) {
+                    continue;
+                }
             }
             self.lines.insert(
                 *account,
                 Announced {
                     count,
                     granted: 0,
-                    deadline: *deadline,
+                    deadline: demand.deadline,
+                    empty_since: None,
                 },
             );
             lines.push(DemandLine {
                 account: *account,
                 count,
-                patience_ms: millis(deadline.saturating_sub(now)),
-                waited_ms: millis(now.saturating_sub(*oldest)),
+                patience_ms: millis(demand.deadline.saturating_sub(now)),
+                waited_ms: millis(now.saturating_sub(demand.oldest)),
             });
         }
-        lines.extend(self.ended(current));
+        lines.extend(self.ended(now, current));
         lines
     }
 
-    fn must_tell(
-        &self,
-        account: AccountId,
-        count: u32,
-        deadline: Moment,
-    ) -> bool {
-        let Some(told) = self.lines.get(&account) else {
-            return true;
-        };
-        let remaining = told.remaining();
-        deadline < told.deadline || count < remaining || remaining * 2 < count
-    }
-
+    /// Lines of accounts for which nothing has waited for a while.
     fn ended(
         &mut self,
-        current: &BTreeMap<AccountId, (u32, Moment, Moment)>,
+        now: Moment,
+        current: &BTreeMap<AccountId, CurrentDemand>,
     ) -> Vec<DemandLine> {
-        let ended: Vec<AccountId> = self
-            .lines
-            .keys()
-            .filter(|account| !current.contains_key(account))
-            .copied()
-            .collect();
-        ended
-            .into_iter()
-            .filter_map(|account| {
-                let told = self.lines.remove(&account)?;
-                (told.remaining() > 0).then_some(DemandLine {
-                    account,
+        let mut lines = Vec::new();
+        self.lines.retain(|account, told| {
+            if current.contains_key(account) {
+                return true;
+            }
+            let since = *told.empty_since.get_or_insert(now);
+            if now.saturating_sub(since) < LINGER {
+                return true;
+            }
+            if told.remaining() > 0 {
+                lines.push(DemandLine {
+                    account: *account,
                     count: 0,
                     patience_ms: 0,
                     waited_ms: 0,
-                })
-            })
-            .collect()
+                });
+            }
+            false
+        });
+        lines
     }
 }
 
-fn millis(duration: std::time::Duration) -> u32 {
+fn millis(duration: Duration) -> u32 {
     duration.as_millis().min(u128::from(u32::MAX)) as u32
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -41,7 +41,7 @@
 pub use {
     account_queue::AccountQueue,
     ahead_estimate::AheadEstimate,
-    announced_demand::AnnouncedDemand,
+    announced_demand::{AnnouncedDemand, CurrentDemand},
     attempts::Attempts,
     config_gate::{ConfigGate, Verdict},
     cost_estimate::CostEstimate,
--- a/src/router/announcer.rs
+++ b/src/router/announcer.rs
@@ -2,18 +2,21 @@
     super::router::Router,
     crate::{
         fleet::AccountId,
-        policy::{Moment, WaitingRoom},
+        policy::{CurrentDemand, WaitingRoom},
         wire::ControlMessage,
     },
-    std::{collections::BTreeMap, sync::Arc},
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
 };
 
-type Demand = BTreeMap<AccountId, (u32, Moment, Moment)>; // count, deadline, oldest arrival
+/// Without a change, what has ended is looked for this often.
+const IDLE_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Tells sidecars what waits for them: at once after a change, then paced.
 pub async fn announce_demand(router: Arc<Router>) {
     loop {
-        router.demand_changed.notified().await;
+        let changed = router.demand_changed.notified();
+        // An idle interval is no fault: what has ended is told then.
+        let _idle = tokio::time::timeout(IDLE_INTERVAL, changed).await;
         announce(&router);
         tokio::time::sleep(router.settings.demand_interval).await;
     }
@@ -51,11 +54,11 @@
 fn demand_for(
     room: &WaitingRoom,
     host: &str,
-) -> Demand {
+) -> BTreeMap<AccountId, CurrentDemand> {
     room.queues()
         .filter_map(|(account, queue)| {
             let demand = queue.demand_for(host)?;
-            Some((account, (demand.count, demand.deadline, demand.oldest)))
+            Some((account, demand))
         })
         .collect()
 }
--- /dev/null
+++ b/tests/announced_demand.rs
@@ -0,0 +1,91 @@
+//! What routers tell sidecars of their demand: enough, and no more.
+
+use {
+    archmast::{
+        fleet::AccountId,
+        policy::{AnnouncedDemand, CurrentDemand, DemandTable},
+    },
+    proptest::prelude::*,
+    std::{collections::BTreeMap, time::Duration},
+};
+
+const CAP: u32 = 64;
+const ACCOUNT: AccountId = AccountId(1);
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn current(count: u32) -> BTreeMap<AccountId, CurrentDemand> {
+    let demand = CurrentDemand {
+        count,
+        deadline: ms(60_000),
+        oldest: ms(0),
+    };
+    (count > 0)
+        .then_some((ACCOUNT, demand))
+        .into_iter()
+        .collect()
+}
+
+#[test]
+fn a_flood_costs_one_message_until_grants_have_used_most_of_it() {
+    let mut announced = AnnouncedDemand::default();
+    let mut messages = 0;
+    for step in 0..10_000 {
+        messages += announced
+            .changes(ms(step), CAP, &current(1 + step as u32))
+            .len();
+    }
+    assert!(messages <= 4, "{messages} messages");
+    let mut announced = AnnouncedDemand::default();
+    assert_eq!(announced.changes(ms(0), CAP, &current(9_000)).len(), 1);
+    for grant in 1..=48 {
+        announced.granted(ACCOUNT);
+        let now = ms(1_000 * grant);
+        assert!(announced.changes(now, CAP, &current(9_000)).is_empty());
+    }
+    announced.granted(ACCOUNT);
+    assert_eq!(announced.changes(ms(60_000), CAP, &current(9_000)).len(), 1);
+}
+
+#[test]
+fn a_queue_that_runs_empty_for_a_moment_is_not_told() {
+    let mut announced = AnnouncedDemand::default();
+    assert_eq!(announced.changes(ms(0), CAP, &current(1)).len(), 1);
+    assert!(announced.changes(ms(10), CAP, &current(0)).is_empty());
+    assert!(announced.changes(ms(50), CAP, &current(1)).is_empty());
+    assert!(announced.changes(ms(60), CAP, &current(0)).is_empty());
+    let ended = announced.changes(ms(200), CAP, &current(0));
+    assert_eq!(ended.iter().map(|line| line.count).collect::<Vec<_>>(), [0]);
+}
+
+proptest! {
+    #[test]
+    fn while_work_waits_the_sidecar_always_knows_of_some(
+        counts in prop::collection::vec((0u32..200, any::<bool>()), 1..100),
+    ) {
+        let mut announced = AnnouncedDemand::default();
+        let mut table = DemandTable::default();
+        let (mut number, mut seen) = (0, 0);
+        for (step, (count, grants)) in counts.into_iter().enumerate() {
+            let now = ms(step as u64 * 7);
+            for line in announced.changes(now, CAP, &current(count)) {
+                table.announce(1u32, now, seen, &line);
+            }
+            if count > 0 {
+                prop_assert!(table.is_waiting(ACCOUNT), "{count} wait unknown");
+            }
+            if grants && table.is_waiting(ACCOUNT) {
+                number += 1;
+                table.granted(ACCOUNT, 1, number);
+                seen = number;
+                announced.granted(ACCOUNT);
+                if count == 0 {
+                    announced.declined(ACCOUNT);
+                    table.declined(ACCOUNT, 1);
+                }
+            }
+        }
+    }
+}
