A router counts its own offers instead of using up what it was told

Cause: a router took one off the free slots it was told with each offer, and the sidecar tells again only when its count has changed at its own next look. Calls that end between two looks change nothing there, so after as many calls as there are slots every call went by way of demand and grant.

--- a/src/router/request_flow.rs
+++ b/src/router/request_flow.rs
@@ -79,10 +79,12 @@
 
     async fn run(mut self) -> Result<Answer, ErrorAnswer> {
         self.router.count_request();
-        if let Some(peer) = self.router.pick_offer(&self.waiting)
-            && let Some(done) = self.attempt(&peer, None).await
-        {
-            return done;
+        if let Some(peer) = self.router.pick_offer(&self.waiting) {
+            let done = self.attempt(&peer, None).await;
+            self.router.offer_ended(&peer);
+            if let Some(done) = done {
+                return done;
+            }
         }
         loop {
             let (peer, grant) = self.wait().await?;
--- a/src/router/router.rs
+++ b/src/router/router.rs
@@ -178,7 +178,7 @@
             let cached = waiting.room.prefix_host(request);
             let host = offer_host(&sidecars, request, cached)?;
             let view = sidecars.get_mut(&host)?;
-            view.free -= 1;
+            view.offered += 1;
             host
         };
         waiting.room.note_prefix(request, &host);
@@ -186,6 +186,14 @@
         link.peer(&host)
     }
 
+    /// An offer ended, in whatever way.
+    pub fn offer_ended(
+        &self,
+        peer: &Peer,
+    ) {
+        self.with_sidecar(peer, |view| view.offered = view.offered.saturating_sub(1));
+    }
+
     fn on_grants(
         &self,
         peer: &Arc<Peer>,
@@ -426,23 +434,19 @@
     request: &WaitingRequest,
     cached: Option<&Arc<str>>,
 ) -> Option<Arc<str>> {
-    let is_open = |host: &&Arc<str>| {
-        sidecars
-            .get(*host)
-            .is_some_and(|view| view.free > 0 && !view.leaving)
-    };
-    let free = |host: &Arc<str>| sidecars.get(host).map_or(0, |view| view.free);
+    let room = |host: &Arc<str>| sidecars.get(host).map_or(0, SidecarView::room);
+    let is_open = |host: &&Arc<str>| room(host) > 0;
     if let Some(host) = cached.filter(is_open)
         && request.hosts.binary_search(host).is_ok()
     {
         return Some(host.clone());
     }
-    let most = request.hosts.iter().filter(is_open).map(free).max()?;
+    let most = request.hosts.iter().filter(is_open).map(room).max()?;
     let emptiest: Vec<&Arc<str>> = request
         .hosts
         .iter()
         .filter(is_open)
-        .filter(|host| free(host) == most)
+        .filter(|host| room(host) == most)
         .collect();
     // Requests are numbered, so successive ones go round the emptiest.
     let turn = request.id as usize % emptiest.len();
--- a/testbed/tests/path.rs
+++ b/testbed/tests/path.rs
@@ -37,3 +37,18 @@
         .await;
     assert!(outcome.is_whole(), "{outcome:?}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn on_an_idle_fleet_no_call_waits_for_a_grant() {
+    let fleet = Fleet::start(plan()).await;
+    let caller = fleet.caller(0, "lot-b");
+    for _ in 0..50 {
+        let outcome = caller
+            .plain(Method::POST, "/gate/open", &nonce(), None)
+            .await;
+        assert!(outcome.is_whole(), "{outcome:?}");
+    }
+    let status = fleet.status(fleet.routers[0].operator).await;
+    let control = status.expect("a status").control_bytes;
+    assert_eq!(control.get("demand"), None, "{control:?}");
+}
