--- a/src/link/errors.rs
+++ b/src/codes/fault.rs
@@ -1,14 +1,15 @@
-use {crate::codes::ResultCode, std::fmt};
+use {super::ResultCode, std::fmt};
 
-/// Why a connection could not be had or did not last.
+/// A numbered error with what was found. Links, messages and the platform's
+/// service all fail with one.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct LinkError {
+pub struct Fault {
     pub code: ResultCode,
     pub detail: String,
 }
 
-impl LinkError {
-    /// An error with this code.
+impl Fault {
+    /// A fault with this code.
     pub fn new(
         code: ResultCode,
         detail: impl fmt::Display,
@@ -19,13 +20,13 @@
         }
     }
 
-    /// No connection, or it ended.
+    /// No connection to a peer, or it ended: code 74.
     pub fn unreachable(detail: impl fmt::Display) -> Self {
         Self::new(ResultCode::PeerUnreachable, detail)
     }
 }
 
-impl fmt::Display for LinkError {
+impl fmt::Display for Fault {
     fn fmt(
         &self,
         f: &mut fmt::Formatter,
@@ -34,4 +35,4 @@
     }
 }
 
-impl std::error::Error for LinkError {}
+impl std::error::Error for Fault {}
--- a/src/ctl/errors.rs
+++ b/src/ctl/errors.rs
@@ -1,5 +1,8 @@
 use {
-    crate::{codes::ResultCode, conf::ConfError, platform::PlatformError},
+    crate::{
+        codes::{Fault, ResultCode},
+        conf::ConfError,
+    },
     std::fmt,
 };
 
@@ -48,8 +51,8 @@
     }
 }
 
-impl From<PlatformError> for CtlError {
-    fn from(error: PlatformError) -> Self {
+impl From<Fault> for CtlError {
+    fn from(error: Fault) -> Self {
         Self::new(error.code, error.detail)
     }
 }
--- a/src/link/link.rs
+++ b/src/link/link.rs
@@ -1,7 +1,7 @@
 use {
-    super::{ByteCounters, DialTarget, LinkError, LinkHandler, Peer},
+    super::{ByteCounters, DialTarget, LinkHandler, Peer},
     crate::{
-        codes::ResultCode,
+        codes::{Fault, ResultCode},
         conf::LinkSettings,
         fleet::HostRole,
         keys::{Identity, PeerName, peer_name},
@@ -45,8 +45,8 @@
         settings: &LinkSettings,
         identity: &Identity,
         handler: Arc<H>,
-    ) -> Result<Arc<Self>, LinkError> {
-        let failed = |error: &dyn std::fmt::Display| LinkError::new(ResultCode::StartFailed, error);
+    ) -> Result<Arc<Self>, Fault> {
+        let failed = |error: &dyn std::fmt::Display| Fault::new(ResultCode::StartFailed, error);
         let transport = Arc::new(transport(settings));
         let tls = identity.server_config().map_err(|e| failed(&e))?;
         let tls = QuicServerConfig::try_from(tls).map_err(|e| failed(&e))?;
@@ -80,7 +80,7 @@
             tokio::spawn(async move {
                 let outcome = match incoming.await {
                     Ok(connection) => link.run(connection).await,
-                    Err(error) => Err(LinkError::new(ResultCode::PeerRefused, error)),
+                    Err(error) => Err(Fault::new(ResultCode::PeerRefused, error)),
                 };
                 if let Err(error) = outcome {
                     log::debug!(code = error.code.number(); "incoming connection: {error}");
@@ -93,13 +93,13 @@
     pub async fn dial(
         self: &Arc<Self>,
         target: &DialTarget,
-    ) -> Result<(), LinkError> {
+    ) -> Result<(), Fault> {
         let connection = self
             .endpoint
             .connect(target.address, &target.name.to_string())
-            .map_err(LinkError::unreachable)?
+            .map_err(Fault::unreachable)?
             .await
-            .map_err(LinkError::unreachable)?;
+            .map_err(Fault::unreachable)?;
         self.clone().run(connection).await
     }
 
@@ -176,21 +176,15 @@
     async fn run(
         self: Arc<Self>,
         connection: Connection,
-    ) -> Result<(), LinkError> {
+    ) -> Result<(), Fault> {
         let name = verified_name(&connection)
-            .ok_or_else(|| LinkError::new(ResultCode::PeerRefused, "no name of the fleet"))?;
+            .ok_or_else(|| Fault::new(ResultCode::PeerRefused, "no name of the fleet"))?;
         let (outgoing, queue) = mpsc::channel(OUTGOING_BOUND);
         let hello = encode_frame(&self.handler.envelope(self.handler.hello()))
-            .map_err(LinkError::unreachable)?;
-        let control = connection
-            .open_uni()
-            .await
-            .map_err(LinkError::unreachable)?;
+            .map_err(Fault::unreachable)?;
+        let control = connection.open_uni().await.map_err(Fault::unreachable)?;
         tokio::spawn(write_control(control, hello, queue));
-        let mut incoming = connection
-            .accept_uni()
-            .await
-            .map_err(LinkError::unreachable)?;
+        let mut incoming = connection.accept_uni().await.map_err(Fault::unreachable)?;
         let peer = self
             .greet(&connection, name, outgoing, &mut incoming)
             .await?;
@@ -205,22 +199,21 @@
         name: PeerName,
         outgoing: mpsc::Sender<Vec<u8>>,
         incoming: &mut RecvStream,
-    ) -> Result<Arc<Peer>, LinkError> {
+    ) -> Result<Arc<Peer>, Fault> {
         let envelope: Envelope = read_frame(incoming)
-            .await
-            .map_err(|error| LinkError::new(error.code, error.detail))?
-            .ok_or_else(|| LinkError::unreachable("closed before its first message"))?;
+            .await?
+            .ok_or_else(|| Fault::unreachable("closed before its first message"))?;
         let ControlMessage::Hello {
             role,
             incarnation,
             leaving,
         } = envelope.message
         else {
-            return Err(LinkError::new(ResultCode::FrameMalformed, "no greeting"));
+            return Err(Fault::new(ResultCode::FrameMalformed, "no greeting"));
         };
         if role != name.role {
             connection.close(1u32.into(), b"wrong role");
-            return Err(LinkError::new(ResultCode::PeerRefused, "wrong role"));
+            return Err(Fault::new(ResultCode::PeerRefused, "wrong role"));
         }
         let peer = Peer::new(name, incarnation, leaving, connection.clone(), outgoing);
         peer.heard_revision(envelope.revision);
@@ -229,7 +222,7 @@
         if !self.handler.on_up(&peer) {
             self.unregister(&peer);
             peer.close("an earlier life");
-            return Err(LinkError::new(ResultCode::PeerRefused, "an earlier life"));
+            return Err(Fault::new(ResultCode::PeerRefused, "an earlier life"));
         }
         self.handler.on_message(&peer, envelope);
         Ok(peer)
@@ -240,14 +233,14 @@
         peer: &Arc<Peer>,
         connection: &Connection,
         incoming: &mut RecvStream,
-    ) -> Result<(), LinkError> {
+    ) -> Result<(), Fault> {
         let streams = self.accept_streams(peer, connection);
         let messages = async {
             loop {
                 let envelope: Envelope = match read_frame(incoming).await {
                     Ok(Some(envelope)) => envelope,
-                    Ok(None) => return Err(LinkError::unreachable("closed")),
-                    Err(error) => return Err(LinkError::new(error.code, error.detail)),
+                    Ok(None) => return Err(Fault::unreachable("closed")),
+                    Err(error) => return Err(error),
                 };
                 peer.heard_revision(envelope.revision);
                 self.handler.on_message(peer, envelope);
@@ -265,13 +258,13 @@
         &self,
         peer: &Arc<Peer>,
         connection: &Connection,
-    ) -> LinkError {
+    ) -> Fault {
         loop {
             match connection.accept_bi().await {
                 Ok((send, recv)) => {
                     tokio::spawn(serve_stream(self.handler.clone(), peer.clone(), send, recv));
                 }
-                Err(error) => return LinkError::unreachable(error),
+                Err(error) => return Fault::unreachable(error),
             }
         }
     }
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -3,12 +3,11 @@
 mod byte_counters;
 mod dial_set;
 mod dial_target;
-mod errors;
 mod link;
 mod link_handler;
 mod peer;
 
 pub use {
-    byte_counters::ByteCounters, dial_set::DialSet, dial_target::DialTarget, errors::LinkError,
-    link::Link, link_handler::LinkHandler, peer::Peer,
+    byte_counters::ByteCounters, dial_set::DialSet, dial_target::DialTarget, link::Link,
+    link_handler::LinkHandler, peer::Peer,
 };
--- a/src/link/peer.rs
+++ b/src/link/peer.rs
@@ -1,6 +1,6 @@
 use {
-    super::LinkError,
     crate::{
+        codes::Fault,
         fleet::{HostRole, Revision},
         keys::PeerName,
         policy::Incarnation,
@@ -94,16 +94,14 @@
     pub async fn open(
         &self,
         open: &StreamOpen,
-    ) -> Result<(SendStream, RecvStream), LinkError> {
-        let frame = encode_frame(open).map_err(LinkError::unreachable)?;
+    ) -> Result<(SendStream, RecvStream), Fault> {
+        let frame = encode_frame(open).map_err(Fault::unreachable)?;
         let (mut send, recv) = self
             .connection
             .open_bi()
             .await
-            .map_err(LinkError::unreachable)?;
-        send.write_all(&frame)
-            .await
-            .map_err(LinkError::unreachable)?;
+            .map_err(Fault::unreachable)?;
+        send.write_all(&frame).await.map_err(Fault::unreachable)?;
         Ok((send, recv))
     }
 }
--- a/src/node/background.rs
+++ b/src/node/background.rs
@@ -1,10 +1,11 @@
 use {
     super::{Node, watch_config, watch_hosts},
     crate::{
+        codes::Fault,
         conf::PlatformSettings,
         fleet::HostRole,
         link::{DialSet, LinkHandler},
-        platform::{PlatformClient, PlatformError},
+        platform::PlatformClient,
     },
     std::{sync::Arc, time::Duration},
     tokio::signal::unix::{SignalKind, signal},
@@ -18,7 +19,7 @@
     node: &Arc<Node>,
     settings: &PlatformSettings,
     dials: &DialSet<H>,
-) -> Result<(), PlatformError> {
+) -> Result<(), Fault> {
     let client = PlatformClient::new(settings.address)?;
     for seed in &settings.seeds {
         dials.add(seed.clone());
--- a/src/node/peer_config.rs
+++ b/src/node/peer_config.rs
@@ -1,9 +1,9 @@
 use {
     super::Node,
     crate::{
-        codes::ResultCode,
+        codes::{Fault, ResultCode},
         fleet::{HostList, Revision, VersionedConfig},
-        link::{LinkError, Peer},
+        link::Peer,
         wire::{ConfigBundle, StreamOpen, encode_frame, read_frame},
     },
     quinn::{RecvStream, SendStream},
@@ -14,7 +14,7 @@
 pub async fn fetch_from_peer(
     node: &Node,
     peer: &Peer,
-) -> Result<(), LinkError> {
+) -> Result<(), Fault> {
     let mut parts = node.config.held_parts();
     let open = StreamOpen::FetchConfig {
         have: parts.keys().cloned().collect(),
@@ -48,7 +48,7 @@
     node: &Node,
     have: &[String],
     mut send: SendStream,
-) -> Result<(), LinkError> {
+) -> Result<(), Fault> {
     if let Some(config) = node.config.current() {
         let root = ConfigBundle::Root {
             revision: config.revision,
@@ -63,14 +63,14 @@
     };
     write_bundle(&mut send, &hosts).await?;
     write_bundle(&mut send, &ConfigBundle::End).await?;
-    send.finish().map_err(LinkError::unreachable)
+    send.finish().map_err(Fault::unreachable)
 }
 
 async fn write_parts(
     send: &mut SendStream,
     parts: &BTreeMap<String, Arc<str>>,
     have: &[String],
-) -> Result<(), LinkError> {
+) -> Result<(), Fault> {
     for (digest, text) in parts {
         if have.contains(digest) {
             continue;
@@ -87,14 +87,13 @@
 async fn write_bundle(
     send: &mut SendStream,
     bundle: &ConfigBundle,
-) -> Result<(), LinkError> {
-    let frame = encode_frame(bundle).map_err(|e| LinkError::new(e.code, e.detail))?;
-    send.write_all(&frame).await.map_err(LinkError::unreachable)
+) -> Result<(), Fault> {
+    let frame = encode_frame(bundle)?;
+    send.write_all(&frame).await.map_err(Fault::unreachable)
 }
 
-async fn next_bundle(recv: &mut RecvStream) -> Result<ConfigBundle, LinkError> {
+async fn next_bundle(recv: &mut RecvStream) -> Result<ConfigBundle, Fault> {
     read_frame(recv)
-        .await
-        .map_err(|error| LinkError::new(error.code, error.detail))?
-        .ok_or_else(|| LinkError::new(ResultCode::PeerUnreachable, "cut configuration"))
+        .await?
+        .ok_or_else(|| Fault::new(ResultCode::PeerUnreachable, "cut configuration"))
 }
--- a/src/node/watches.rs
+++ b/src/node/watches.rs
@@ -1,10 +1,10 @@
 use {
     super::Node,
     crate::{
-        codes::ResultCode,
+        codes::{Fault, ResultCode},
         conf::PlatformSettings,
         fleet::{HostList, Revision, VersionedConfig, sha256_hex},
-        platform::{FLEET_KEY, HOSTS_KEY, PlatformClient, PlatformError, Watched},
+        platform::{FLEET_KEY, HOSTS_KEY, PlatformClient, Watched},
         policy::Verdict,
     },
     std::{collections::BTreeMap, sync::Arc, time::Duration},
@@ -57,7 +57,7 @@
     node: &Node,
     client: &PlatformClient,
     watched: &Watched,
-) -> Result<(), PlatformError> {
+) -> Result<(), Fault> {
     let digest = sha256_hex(watched.text.as_bytes());
     let parts = match node.config.judge(watched.revision, &digest) {
         Verdict::Fetch => fetch_parts(node, client, &watched.text).await?,
@@ -74,7 +74,7 @@
     node: &Node,
     client: &PlatformClient,
     root: &str,
-) -> Result<BTreeMap<String, Arc<str>>, PlatformError> {
+) -> Result<BTreeMap<String, Arc<str>>, Fault> {
     let held = node.config.held_parts();
     let mut parts = BTreeMap::new();
     for digest in VersionedConfig::needed_parts(root).unwrap_or_default() {
@@ -92,9 +92,9 @@
 fn take_hosts(
     node: &Node,
     watched: &Watched,
-) -> Result<(), PlatformError> {
+) -> Result<(), Fault> {
     let hosts: HostList = serde_json::from_str(&watched.text)
-        .map_err(|error| PlatformError::new(ResultCode::PlatformReply, error))?;
+        .map_err(|error| Fault::new(ResultCode::PlatformReply, error))?;
     let listed = hosts.hosts.len();
     if node.hosts.offer(watched.revision, hosts) {
         let detail = format!("host list {} with {listed} hosts", watched.revision);
@@ -106,7 +106,7 @@
 /// After a failure, pauses at random up to `longest`, so that a service that
 /// comes back is not met by all at once.
 async fn pause(
-    failed: Option<PlatformError>,
+    failed: Option<Fault>,
     key: &str,
     longest: Duration,
 ) {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -2,11 +2,10 @@
 //!
 //! `docs/PLATFORM-PROTOCOL.md` states the protocol.
 
-mod errors;
 mod platform_client;
 mod watched;
 
-pub use {errors::PlatformError, platform_client::PlatformClient, watched::Watched};
+pub use {platform_client::PlatformClient, watched::Watched};
 
 /// The key of the configuration.
 pub const FLEET_KEY: &str = "fleet";
--- a/src/platform/platform_client.rs
+++ b/src/platform/platform_client.rs
@@ -1,6 +1,10 @@
 use {
-    super::{PlatformError, REVISION_HEADER, Watched},
-    crate::{codes::ResultCode, fleet::Revision, ops::PLATFORM_CALLS},
+    super::{REVISION_HEADER, Watched},
+    crate::{
+        codes::{Fault, ResultCode},
+        fleet::Revision,
+        ops::PLATFORM_CALLS,
+    },
     reqwest::{Client, Response, StatusCode, retry},
     std::{net::SocketAddr, time::Duration},
 };
@@ -17,13 +21,13 @@
 
 impl PlatformClient {
     /// A client of the service at this address: code 93.
-    pub fn new(address: SocketAddr) -> Result<Self, PlatformError> {
+    pub fn new(address: SocketAddr) -> Result<Self, Fault> {
         let http = Client::builder()
             .retry(retry::never())
             .no_proxy()
             .connect_timeout(GRACE)
             .build()
-            .map_err(|error| PlatformError::new(ResultCode::StartFailed, error))?;
+            .map_err(|error| Fault::new(ResultCode::StartFailed, error))?;
         Ok(Self {
             http,
             base: format!("http://{address}/v1"),
@@ -37,7 +41,7 @@
         key: &str,
         after: Revision,
         wait: Duration,
-    ) -> Result<Option<Watched>, PlatformError> {
+    ) -> Result<Option<Watched>, Fault> {
         let url = format!(
             "{}/watch/{key}?after={after}&wait_ms={}",
             self.base,
@@ -51,7 +55,7 @@
             .get(REVISION_HEADER)
             .and_then(|value| value.to_str().ok()?.parse().ok())
             .map(Revision)
-            .ok_or_else(|| PlatformError::new(ResultCode::PlatformReply, "no revision"))?;
+            .ok_or_else(|| Fault::new(ResultCode::PlatformReply, "no revision"))?;
         let text = text(response).await?;
         Ok(Some(Watched { revision, text }))
     }
@@ -60,7 +64,7 @@
     pub async fn part(
         &self,
         digest: &str,
-    ) -> Result<Option<String>, PlatformError> {
+    ) -> Result<Option<String>, Fault> {
         let url = format!("{}/parts/{digest}", self.base);
         match self.get(&url, GRACE).await? {
             Some(response) => text(response).await.map(Some),
@@ -72,20 +76,18 @@
         &self,
         url: &str,
         timeout: Duration,
-    ) -> Result<Option<Response>, PlatformError> {
+    ) -> Result<Option<Response>, Fault> {
         let sent = self.http.get(url).timeout(timeout).send().await;
         let outcome = match sent {
-            Err(error) => Err(PlatformError::new(ResultCode::PlatformDown, error)),
+            Err(error) => Err(Fault::new(ResultCode::PlatformDown, error)),
             Ok(response) => match response.status() {
                 StatusCode::OK => Ok(Some(response)),
                 StatusCode::NOT_MODIFIED | StatusCode::NOT_FOUND => Ok(None),
-                StatusCode::TOO_MANY_REQUESTS => {
-                    Err(PlatformError::new(ResultCode::PlatformBudget, "429"))
-                }
+                StatusCode::TOO_MANY_REQUESTS => Err(Fault::new(ResultCode::PlatformBudget, "429")),
                 status if status.is_server_error() => {
-                    Err(PlatformError::new(ResultCode::PlatformDown, status))
+                    Err(Fault::new(ResultCode::PlatformDown, status))
                 }
-                status => Err(PlatformError::new(ResultCode::PlatformReply, status)),
+                status => Err(Fault::new(ResultCode::PlatformReply, status)),
             },
         };
         let label = if outcome.is_ok() { "ok" } else { "failed" };
@@ -94,9 +96,9 @@
     }
 }
 
-async fn text(response: Response) -> Result<String, PlatformError> {
+async fn text(response: Response) -> Result<String, Fault> {
     response
         .text()
         .await
-        .map_err(|error| PlatformError::new(ResultCode::PlatformDown, error))
+        .map_err(|error| Fault::new(ResultCode::PlatformDown, error))
 }
--- a/src/policy/dispatcher.rs
+++ b/src/policy/dispatcher.rs
@@ -1,62 +1,29 @@
 use {
     super::{
-        AheadEstimate, DemandLine, DemandTable, DispatchSettings, Grant, GrantNumber, GrantTable,
-        IssuedGrant, Ledger, Moment, OrderMode, ReportEntry, TotalEntry,
+        Admission, AheadEstimate, Arrival, DemandLine, DemandTable, DispatchSettings, ExchangeId,
+        Finished, Grant, GrantNumber, GrantTable, IssuedGrant, Ledger, Moment, OrderMode,
+        ReportEntry, SlotHold, TotalEntry,
     },
     crate::{codes::ResultCode, fleet::AccountId},
     std::collections::{BTreeMap, HashMap, VecDeque},
 };
 
-/// Numbers the exchanges of one incarnation of a sidecar.
-pub type ExchangeId = u64;
-
-/// A request that reached the sidecar.
-#[derive(Debug, Clone, Copy)]
-pub struct Arrival<R> {
-    pub exchange: ExchangeId,
-    pub router: R,
-    pub account: AccountId,
-    pub grant: Option<GrantNumber>, // none for an offer to an idle upstream
-}
-
-/// What becomes of a request that reached the sidecar.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Admission {
-    Start,
-    Ready, // starts when a slot frees up
-    Refused(ResultCode),
-}
-
-/// How a request left its slot.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Finished {
-    Cost(f64), // service units, known now that it ended
-    NotRun,    // it never reached the upstream
-}
-
 /// Owns an upstream's capacity: decides which account's request runs next.
 ///
 /// `R` identifies a connected router.
 #[derive(Debug, Clone)]
 pub struct Dispatcher<R> {
-    settings: DispatchSettings,
-    ledger: Ledger,
-    demand: DemandTable<R>,
-    grants: GrantTable<R>,
-    ready: VecDeque<(ExchangeId, Held)>, // granted, waiting for a slot
-    running: HashMap<ExchangeId, Held>,
+    pub(super) settings: DispatchSettings,
+    pub(super) ledger: Ledger,
+    pub(super) demand: DemandTable<R>,
+    pub(super) grants: GrantTable<R>,
+    pub(super) ready: VecDeque<(ExchangeId, SlotHold)>, // granted, waiting for a slot
+    pub(super) running: HashMap<ExchangeId, SlotHold>,
     busy: BTreeMap<AccountId, u32>, // ready and running, by account
     ahead: AheadEstimate,
     next_number: GrantNumber,
-    leaving: bool,
-    closed_until: Moment, // the upstream does not take connections
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Held {
-    account: AccountId,
-    charged: f64,
-    started: Moment, // meaningful once running
+    pub(super) leaving: bool,
+    pub(super) closed_until: Moment, // the upstream does not take connections
 }
 
 impl<R: Copy + Ord> Dispatcher<R> {
@@ -235,7 +202,7 @@
         let (exchange, held) = self.ready.pop_front()?;
         self.running.insert(
             exchange,
-            Held {
+            SlotHold {
                 started: now,
                 ..held
             },
@@ -251,7 +218,7 @@
         self.leaving = true;
         self.void_grants(now);
         self.demand.clear();
-        let handed_back: Vec<(ExchangeId, Held)> = self.ready.drain(..).collect();
+        let handed_back: Vec<(ExchangeId, SlotHold)> = self.ready.drain(..).collect();
         for (_, held) in &handed_back {
             self.ledger.charge(held.account, -held.charged, now);
             self.release(held.account, now);
@@ -304,56 +271,6 @@
         self.ledger.set_shares(shares);
     }
 
-    /// The sidecar's account of service.
-    pub fn ledger(&self) -> &Ledger {
-        &self.ledger
-    }
-
-    /// Requests in slots.
-    pub fn running(&self) -> usize {
-        self.running.len()
-    }
-
-    /// Granted requests that wait for a slot.
-    pub fn ready(&self) -> usize {
-        self.ready.len()
-    }
-
-    /// Grants outstanding.
-    pub fn granted(&self) -> usize {
-        self.grants.len()
-    }
-
-    /// Requests announced by routers that no grant covers yet.
-    pub fn waiting(&self) -> u64 {
-        self.demand.count()
-    }
-
-    /// An account's requests that no grant covers yet.
-    pub fn waiting_of(
-        &self,
-        account: AccountId,
-    ) -> u64 {
-        self.demand.count_of(account)
-    }
-
-    /// Whether the sidecar has stopped granting for good.
-    pub fn is_leaving(&self) -> bool {
-        self.leaving
-    }
-
-    /// Slots that an offer without a grant may take.
-    pub fn free_for_offers(
-        &self,
-        now: Moment,
-    ) -> u32 {
-        if self.leaving || now < self.closed_until || self.demand.count() > 0 {
-            return 0;
-        }
-        let used = self.running.len() + self.ready.len() + self.grants.len();
-        self.settings.slots.saturating_sub(used as u32)
-    }
-
     fn room(&self) -> u32 {
         let held = self.running.len() + self.ready.len() + self.grants.len();
         let ahead = self.ahead.target(self.settings.slots, self.settings.ahead);
@@ -419,7 +336,7 @@
         arrival: &Arrival<R>,
         charged: f64,
     ) -> Admission {
-        let held = Held {
+        let held = SlotHold {
             account: arrival.account,
             charged,
             started: now,
@@ -437,7 +354,7 @@
     fn take_ready(
         &mut self,
         exchange: ExchangeId,
-    ) -> Option<Held> {
+    ) -> Option<SlotHold> {
         let index = self.ready.iter().position(|(id, _)| *id == exchange)?;
         self.ready.remove(index).map(|(_, held)| held)
     }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -3,8 +3,10 @@
 //! Nothing in here does I/O, reads a clock, draws a random number or locks.
 
 mod account_queue;
+mod admission;
 mod ahead_estimate;
 mod announced_demand;
+mod arrival;
 mod attempts;
 mod config_gate;
 mod cost_estimate;
@@ -12,7 +14,9 @@
 mod demand_table;
 mod dispatch_settings;
 mod dispatcher;
+mod dispatcher_readers;
 mod drain_rate;
+mod finished;
 mod grant;
 mod grant_table;
 mod host_set;
@@ -34,22 +38,26 @@
 mod router_exchange;
 mod sidecar_exchange;
 mod slot_clock;
+mod slot_hold;
 mod totals_mode;
 mod waiting_request;
 mod waiting_room;
 
 pub use {
     account_queue::AccountQueue,
+    admission::Admission,
     ahead_estimate::AheadEstimate,
     announced_demand::{AnnouncedDemand, CurrentDemand},
+    arrival::{Arrival, ExchangeId},
     attempts::Attempts,
     config_gate::{ConfigGate, Verdict},
     cost_estimate::CostEstimate,
     demand_line::DemandLine,
     demand_table::DemandTable,
     dispatch_settings::DispatchSettings,
-    dispatcher::{Admission, Arrival, Dispatcher, ExchangeId, Finished},
+    dispatcher::Dispatcher,
     drain_rate::DrainRate,
+    finished::Finished,
     grant::{Grant, GrantNumber, IssuedGrant},
     grant_table::GrantTable,
     host_set::HostSet,
@@ -71,6 +79,7 @@
     router_exchange::{AnswerEvent, RouterExchange},
     sidecar_exchange::SidecarExchange,
     slot_clock::SlotClock,
+    slot_hold::SlotHold,
     totals_mode::TotalsMode,
     waiting_request::WaitingRequest,
     waiting_room::{Shed, WaitingBounds, WaitingRoom},
--- /dev/null
+++ b/src/policy/slot_hold.rs
@@ -0,0 +1,9 @@
+use {super::Moment, crate::fleet::AccountId};
+
+/// A request that holds a slot, or a place among those that wait for one.
+#[derive(Debug, Clone, Copy)]
+pub struct SlotHold {
+    pub account: AccountId,
+    pub charged: f64,    // service units so far
+    pub started: Moment, // meaningful once running
+}
--- /dev/null
+++ b/src/router/link_events.rs
@@ -0,0 +1,106 @@
+//! What a router does with its connections.
+
+use {
+    super::{router::Router, sidecar_view::SidecarView},
+    crate::{
+        fleet::HostRole,
+        link::{LinkHandler, Peer},
+        node::serve_config,
+        policy::Sighting,
+        wire::{ControlMessage, Envelope, StreamOpen},
+    },
+    quinn::{RecvStream, SendStream},
+    std::sync::Arc,
+};
+
+impl LinkHandler for Router {
+    fn envelope(
+        &self,
+        message: ControlMessage,
+    ) -> Envelope {
+        self.node.envelope(message)
+    }
+
+    fn hello(&self) -> ControlMessage {
+        self.node.hello()
+    }
+
+    fn on_up(
+        &self,
+        peer: &Arc<Peer>,
+    ) -> bool {
+        if self.node.sight(peer) == Sighting::Stale {
+            return false;
+        }
+        if peer.role() == HostRole::Sidecar {
+            let view = SidecarView::new(peer.leaving);
+            let mut sidecars = self.sidecars.lock().expect("sidecar lock");
+            sidecars.insert(peer.host.clone(), view);
+        }
+        self.demand_changed.notify_one();
+        true
+    }
+
+    fn on_message(
+        &self,
+        peer: &Arc<Peer>,
+        envelope: Envelope,
+    ) {
+        self.node
+            .clone()
+            .notice_revision(peer, envelope.revision, &envelope.digest);
+        if peer.role() != HostRole::Sidecar {
+            return; // routers have nothing to tell a router
+        }
+        match envelope.message {
+            ControlMessage::Grants(grants) => self.on_grants(peer, &grants),
+            ControlMessage::Room { free } => self.with_sidecar(peer, |view| view.free = free),
+            ControlMessage::Leaving => {
+                self.with_sidecar(peer, |view| {
+                    view.leaving = true;
+                    view.free = 0;
+                });
+                let mut membership = self.node.membership.lock().expect("membership lock");
+                membership.leave(&peer.host);
+            }
+            ControlMessage::AskDemand => {
+                self.with_sidecar(peer, |view| view.announced.clear());
+                self.demand_changed.notify_one();
+            }
+            ControlMessage::Report {
+                sequence,
+                floor,
+                entries,
+            } => self.on_report(peer, sequence, floor, &entries),
+            _ => {}
+        }
+    }
+
+    fn on_down(
+        &self,
+        peer: &Arc<Peer>,
+        last: bool,
+    ) {
+        if last {
+            let mut sidecars = self.sidecars.lock().expect("sidecar lock");
+            sidecars.remove(&peer.host);
+        }
+    }
+
+    async fn on_stream(
+        self: Arc<Self>,
+        peer: Arc<Peer>,
+        open: StreamOpen,
+        send: SendStream,
+        _recv: RecvStream,
+    ) {
+        match open {
+            StreamOpen::FetchConfig { have } => {
+                if let Err(error) = serve_config(&self.node, &have, send).await {
+                    log::debug!(code = error.code.number(); "configuration not given: {error}");
+                }
+            }
+            StreamOpen::Exchange(_) => log::warn!("{} sent a request to a router", peer.name),
+        }
+    }
+}
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -11,10 +11,13 @@
 mod error_answer;
 mod held_body;
 mod housekeeping;
+mod link_events;
+mod offers;
 mod request_flow;
 mod router;
 mod serve;
 mod sidecar_view;
+mod status;
 mod turn;
 mod waiting_table;
 
--- a/src/router/router.rs
+++ b/src/router/router.rs
@@ -1,18 +1,16 @@
 use {
-    super::{sidecar_view::SidecarView, turn::Turn, waiting_table::WaitingTable},
+    super::{
+        offers::offer_host, sidecar_view::SidecarView, turn::Turn, waiting_table::WaitingTable,
+    },
     crate::{
         conf::RouterSettings,
-        fleet::HostRole,
-        link::{Link, LinkHandler, Peer},
-        node::{Node, serve_config},
-        ops::{AccountStatus, AuditTrail, PeerStatus, ProcessStatus, StatusSource, WAITING},
+        link::{Link, Peer},
+        node::Node,
         policy::{
-            Grant, Keeper, ReportEntry, RetryBudget, Sighting, WaitingBounds, WaitingRequest,
-            WaitingRoom,
+            Grant, Keeper, ReportEntry, RetryBudget, WaitingBounds, WaitingRequest, WaitingRoom,
         },
-        wire::{ControlMessage, Envelope, StreamOpen},
+        wire::ControlMessage,
     },
-    quinn::{RecvStream, SendStream},
     std::{
         collections::HashMap,
         sync::{
@@ -123,6 +121,11 @@
         }
     }
 
+    /// Requests that are not wholly answered yet.
+    pub fn held(&self) -> u64 {
+        *self.held.borrow() as u64
+    }
+
     /// Refuses requests from now on.
     pub fn refuse_new(&self) {
         self.refusing.store(true, Ordering::SeqCst);
@@ -194,7 +197,7 @@
         self.with_sidecar(peer, |view| view.offered = view.offered.saturating_sub(1));
     }
 
-    fn on_grants(
+    pub(super) fn on_grants(
         &self,
         peer: &Arc<Peer>,
         grants: &[Grant],
@@ -222,7 +225,7 @@
         self.demand_changed.notify_one();
     }
 
-    fn on_report(
+    pub(super) fn on_report(
         &self,
         peer: &Arc<Peer>,
         sequence: u64,
@@ -274,181 +277,3 @@
         }
     }
 }
-
-impl LinkHandler for Router {
-    fn envelope(
-        &self,
-        message: ControlMessage,
-    ) -> Envelope {
-        self.node.envelope(message)
-    }
-
-    fn hello(&self) -> ControlMessage {
-        self.node.hello()
-    }
-
-    fn on_up(
-        &self,
-        peer: &Arc<Peer>,
-    ) -> bool {
-        if self.node.sight(peer) == Sighting::Stale {
-            return false;
-        }
-        if peer.role() == HostRole::Sidecar {
-            let view = SidecarView::new(peer.leaving);
-            let mut sidecars = self.sidecars.lock().expect("sidecar lock");
-            sidecars.insert(peer.host.clone(), view);
-        }
-        self.demand_changed.notify_one();
-        true
-    }
-
-    fn on_message(
-        &self,
-        peer: &Arc<Peer>,
-        envelope: Envelope,
-    ) {
-        self.node
-            .clone()
-            .notice_revision(peer, envelope.revision, &envelope.digest);
-        if peer.role() != HostRole::Sidecar {
-            return; // routers have nothing to tell a router
-        }
-        match envelope.message {
-            ControlMessage::Grants(grants) => self.on_grants(peer, &grants),
-            ControlMessage::Room { free } => self.with_sidecar(peer, |view| view.free = free),
-            ControlMessage::Leaving => {
-                self.with_sidecar(peer, |view| {
-                    view.leaving = true;
-                    view.free = 0;
-                });
-                let mut membership = self.node.membership.lock().expect("membership lock");
-                membership.leave(&peer.host);
-            }
-            ControlMessage::AskDemand => {
-                self.with_sidecar(peer, |view| view.announced.clear());
-                self.demand_changed.notify_one();
-            }
-            ControlMessage::Report {
-                sequence,
-                floor,
-                entries,
-            } => self.on_report(peer, sequence, floor, &entries),
-            _ => {}
-        }
-    }
-
-    fn on_down(
-        &self,
-        peer: &Arc<Peer>,
-        last: bool,
-    ) {
-        if last {
-            let mut sidecars = self.sidecars.lock().expect("sidecar lock");
-            sidecars.remove(&peer.host);
-        }
-    }
-
-    async fn on_stream(
-        self: Arc<Self>,
-        peer: Arc<Peer>,
-        open: StreamOpen,
-        send: SendStream,
-        _recv: RecvStream,
-    ) {
-        match open {
-            StreamOpen::FetchConfig { have } => {
-                if let Err(error) = serve_config(&self.node, &have, send).await {
-                    log::debug!(code = error.code.number(); "configuration not given: {error}");
-                }
-            }
-            StreamOpen::Exchange(_) => log::warn!("{} sent a request to a router", peer.name),
-        }
-    }
-}
-
-impl StatusSource for Router {
-    fn status(&self) -> ProcessStatus {
-        let mut status = self.node.status();
-        {
-            let waiting = self.waiting.lock().expect("waiting lock");
-            status.waiting = waiting.room.len() as u64;
-            metrics::gauge!(WAITING).set(waiting.room.len() as f64);
-            status.accounts = self.account_statuses(&waiting.room);
-        }
-        status.running =
-            *self.held.borrow() as u64 - status.waiting.min(*self.held.borrow() as u64);
-        status.kept_accounts = self.keeper.lock().expect("keeper lock").len() as u64;
-        if let Some(link) = self.link() {
-            status.peers = PeerStatus::of_link(link);
-            status.control_bytes = link.counters().totals();
-            status.link_bytes = link.sent_bytes();
-        }
-        status
-    }
-
-    fn is_ready(&self) -> bool {
-        self.node.is_ready()
-    }
-
-    fn audit(&self) -> &AuditTrail {
-        &self.node.audit
-    }
-}
-
-impl Router {
-    /// The accounts that this router keeps, or that wait here.
-    fn account_statuses(
-        &self,
-        room: &WaitingRoom,
-    ) -> Vec<AccountStatus> {
-        let names = self.node.account_names();
-        let kept: HashMap<_, _> = {
-            let keeper = self.keeper.lock().expect("keeper lock");
-            keeper.totals().collect()
-        };
-        let waiting: HashMap<_, _> = room
-            .queues()
-            .map(|(id, queue)| (id, queue.len() as u64))
-            .collect();
-        let config = self.node.config.current();
-        names
-            .into_iter()
-            .filter(|(id, _)| kept.contains_key(id) || waiting.contains_key(id))
-            .map(|(id, account)| AccountStatus {
-                account,
-                share: config
-                    .as_ref()
-                    .and_then(|c| c.config.share(id))
-                    .unwrap_or(1.0),
-                own: 0.0,
-                total: kept.get(&id).copied().unwrap_or(0.0),
-                waiting: waiting.get(&id).copied().unwrap_or(0),
-            })
-            .collect()
-    }
-}
-
-fn offer_host(
-    sidecars: &HashMap<Arc<str>, SidecarView>,
-    request: &WaitingRequest,
-    cached: Option<&Arc<str>>,
-) -> Option<Arc<str>> {
-    let room = |host: &Arc<str>| sidecars.get(host).map_or(0, SidecarView::room);
-    let is_open = |host: &&Arc<str>| room(host) > 0;
-    if let Some(host) = cached.filter(is_open)
-        && request.hosts.binary_search(host).is_ok()
-    {
-        return Some(host.clone());
-    }
-    let most = request.hosts.iter().filter(is_open).map(room).max()?;
-    let emptiest: Vec<&Arc<str>> = request
-        .hosts
-        .iter()
-        .filter(is_open)
-        .filter(|host| room(host) == most)
-        .collect();
-    // Requests are numbered, so successive ones go round the emptiest.
-    let turn = request.id as usize % emptiest.len();
-    Some(emptiest[turn].clone())
-}
--- /dev/null
+++ b/src/router/status.rs
@@ -0,0 +1,71 @@
+//! What a router says of itself.
+
+use {
+    super::router::Router,
+    crate::{
+        ops::{AccountStatus, AuditTrail, PeerStatus, ProcessStatus, StatusSource, WAITING},
+        policy::WaitingRoom,
+    },
+    std::collections::HashMap,
+};
+
+impl StatusSource for Router {
+    fn status(&self) -> ProcessStatus {
+        let mut status = self.node.status();
+        {
+            let waiting = self.waiting.lock().expect("waiting lock");
+            status.waiting = waiting.room.len() as u64;
+            metrics::gauge!(WAITING).set(waiting.room.len() as f64);
+            status.accounts = self.account_statuses(&waiting.room);
+        }
+        status.running = self.held().saturating_sub(status.waiting);
+        status.kept_accounts = self.keeper.lock().expect("keeper lock").len() as u64;
+        if let Some(link) = self.link() {
+            status.peers = PeerStatus::of_link(link);
+            status.control_bytes = link.counters().totals();
+            status.link_bytes = link.sent_bytes();
+        }
+        status
+    }
+
+    fn is_ready(&self) -> bool {
+        self.node.is_ready()
+    }
+
+    fn audit(&self) -> &AuditTrail {
+        &self.node.audit
+    }
+}
+
+impl Router {
+    /// The accounts that this router keeps, or that wait here.
+    fn account_statuses(
+        &self,
+        room: &WaitingRoom,
+    ) -> Vec<AccountStatus> {
+        let names = self.node.account_names();
+        let kept: HashMap<_, _> = {
+            let keeper = self.keeper.lock().expect("keeper lock");
+            keeper.totals().collect()
+        };
+        let waiting: HashMap<_, _> = room
+            .queues()
+            .map(|(id, queue)| (id, queue.len() as u64))
+            .collect();
+        let config = self.node.config.current();
+        names
+            .into_iter()
+            .filter(|(id, _)| kept.contains_key(id) || waiting.contains_key(id))
+            .map(|(id, account)| AccountStatus {
+                account,
+                share: config
+                    .as_ref()
+                    .and_then(|c| c.config.share(id))
+                    .unwrap_or(1.0),
+                own: 0.0,
+                total: kept.get(&id).copied().unwrap_or(0.0),
+                waiting: waiting.get(&id).copied().unwrap_or(0),
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/src/sidecar/link_events.rs
@@ -0,0 +1,101 @@
+//! What a sidecar does with its connections.
+
+use {
+    super::{exchange::serve_exchange, sidecar::Sidecar},
+    crate::{
+        fleet::HostRole,
+        link::{LinkHandler, Peer},
+        node::serve_config,
+        policy::Sighting,
+        wire::{ControlMessage, Envelope, StreamOpen},
+    },
+    quinn::{RecvStream, SendStream},
+    std::sync::Arc,
+};
+
+impl LinkHandler for Sidecar {
+    fn envelope(
+        &self,
+        message: ControlMessage,
+    ) -> Envelope {
+        self.node.envelope(message)
+    }
+
+    fn hello(&self) -> ControlMessage {
+        self.node.hello()
+    }
+
+    fn on_up(
+        &self,
+        peer: &Arc<Peer>,
+    ) -> bool {
+        match self.node.sight(peer) {
+            Sighting::Stale => return false,
+            Sighting::Restarted => self.forget_router(&peer.host),
+            Sighting::New | Sighting::Same => {}
+        }
+        if let Some(link) = self.link() {
+            let free = self.table.lock().expect("table lock").room_told;
+            link.send(peer, ControlMessage::Room { free });
+        }
+        true
+    }
+
+    fn on_message(
+        &self,
+        peer: &Arc<Peer>,
+        envelope: Envelope,
+    ) {
+        self.node
+            .clone()
+            .notice_revision(peer, envelope.revision, &envelope.digest);
+        if peer.role() != HostRole::Router {
+            return; // sidecars have nothing to tell a sidecar
+        }
+        match envelope.message {
+            ControlMessage::Demand { seen, lines } => self.on_demand(peer, seen, &lines),
+            ControlMessage::Declines(numbers) => self.on_declines(peer, &numbers),
+            ControlMessage::Totals { entries, .. } => {
+                let mut table = self.table.lock().expect("table lock");
+                entries
+                    .iter()
+                    .for_each(|entry| table.dispatcher.hear(entry));
+            }
+            ControlMessage::Leaving => {
+                let mut membership = self.node.membership.lock().expect("membership lock");
+                membership.leave(&peer.host);
+            }
+            _ => {}
+        }
+    }
+
+    fn on_down(
+        &self,
+        peer: &Arc<Peer>,
+        last: bool,
+    ) {
+        if last {
+            self.forget_router(&peer.host);
+        }
+    }
+
+    async fn on_stream(
+        self: Arc<Self>,
+        peer: Arc<Peer>,
+        open: StreamOpen,
+        send: SendStream,
+        recv: RecvStream,
+    ) {
+        match open {
+            StreamOpen::Exchange(head) if peer.role() == HostRole::Router => {
+                serve_exchange(self, peer, *head, send, recv).await;
+            }
+            StreamOpen::Exchange(_) => log::warn!("{} may not send requests", peer.name),
+            StreamOpen::FetchConfig { have } => {
+                if let Err(error) = serve_config(&self.node, &have, send).await {
+                    log::debug!(code = error.code.number(); "configuration not given: {error}");
+                }
+            }
+        }
+    }
+}
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -3,10 +3,12 @@
 mod dispatch_table;
 mod exchange;
 mod housekeeping;
+mod link_events;
 mod reporter;
 mod router_keys;
 mod serve;
 mod sidecar;
+mod status;
 mod turn;
 mod upstream_client;
 mod usage_meter;
--- a/src/sidecar/sidecar.rs
+++ b/src/sidecar/sidecar.rs
@@ -1,24 +1,20 @@
 use {
     super::{
-        dispatch_table::DispatchTable, exchange::serve_exchange, router_keys::RouterKey,
-        turn::Turn, upstream_client::UpstreamClient,
+        dispatch_table::DispatchTable, router_keys::RouterKey, turn::Turn,
+        upstream_client::UpstreamClient,
     },
     crate::{
         conf::SidecarSettings,
-        fleet::HostRole,
-        link::{Link, LinkHandler, Peer},
-        node::{Node, serve_config},
-        ops::{
-            AccountStatus, AuditTrail, GRANTS, PeerStatus, ProcessStatus, RUNNING, StatusSource,
-        },
+        link::{Link, Peer},
+        node::Node,
+        ops::GRANTS,
         policy::{
-            Admission, Arrival, DispatchSettings, ExchangeId, Finished, KeyMemory, Moment, Sighting,
+            Admission, Arrival, DemandLine, DispatchSettings, ExchangeId, Finished, KeyMemory,
+            Moment,
         },
-        wire::{ControlMessage, Envelope, StreamOpen},
+        wire::ControlMessage,
     },
-    quinn::{RecvStream, SendStream},
     std::{
-        collections::HashMap,
         sync::{
             Arc, Mutex, OnceLock,
             atomic::{AtomicU64, Ordering},
@@ -204,11 +200,11 @@
         }
     }
 
-    fn on_demand(
+    pub(super) fn on_demand(
         &self,
         peer: &Peer,
         seen: u64,
-        lines: &[crate::policy::DemandLine],
+        lines: &[DemandLine],
     ) {
         {
             let mut table = self.table.lock().expect("table lock");
@@ -220,7 +216,7 @@
         self.pump();
     }
 
-    fn on_declines(
+    pub(super) fn on_declines(
         &self,
         peer: &Peer,
         numbers: &[u64],
@@ -236,7 +232,7 @@
         self.pump();
     }
 
-    fn forget_router(
+    pub(super) fn forget_router(
         &self,
         host: &Arc<str>,
     ) {
@@ -248,145 +244,3 @@
         self.pump();
     }
 }
-
-impl LinkHandler for Sidecar {
-    fn envelope(
-        &self,
-        message: ControlMessage,
-    ) -> Envelope {
-        self.node.envelope(message)
-    }
-
-    fn hello(&self) -> ControlMessage {
-        self.node.hello()
-    }
-
-    fn on_up(
-        &self,
-        peer: &Arc<Peer>,
-    ) -> bool {
-        match self.node.sight(peer) {
-            Sighting::Stale => return false,
-            Sighting::Restarted => self.forget_router(&peer.host),
-            Sighting::New | Sighting::Same => {}
-        }
-        if let Some(link) = self.link() {
-            let free = self.table.lock().expect("table lock").room_told;
-            link.send(peer, ControlMessage::Room { free });
-        }
-        true
-    }
-
-    fn on_message(
-        &self,
-        peer: &Arc<Peer>,
-        envelope: Envelope,
-    ) {
-        self.node
-            .clone()
-            .notice_revision(peer, envelope.revision, &envelope.digest);
-        if peer.role() != HostRole::Router {
-            return; // sidecars have nothing to tell a sidecar
-        }
-        match envelope.message {
-            ControlMessage::Demand { seen, lines } => self.on_demand(peer, seen, &lines),
-            ControlMessage::Declines(numbers) => self.on_declines(peer, &numbers),
-            ControlMessage::Totals { entries, .. } => {
-                let mut table = self.table.lock().expect("table lock");
-                entries
-                    .iter()
-                    .for_each(|entry| table.dispatcher.hear(entry));
-            }
-            ControlMessage::Leaving => {
-                let mut membership = self.node.membership.lock().expect("membership lock");
-                membership.leave(&peer.host);
-            }
-            _ => {}
-        }
-    }
-
-    fn on_down(
-        &self,
-        peer: &Arc<Peer>,
-        last: bool,
-    ) {
-        if last {
-            self.forget_router(&peer.host);
-        }
-    }
-
-    async fn on_stream(
-        self: Arc<Self>,
-        peer: Arc<Peer>,
-        open: StreamOpen,
-        send: SendStream,
-        recv: RecvStream,
-    ) {
-        match open {
-            StreamOpen::Exchange(head) if peer.role() == HostRole::Router => {
-                serve_exchange(self, peer, *head, send, recv).await;
-            }
-            StreamOpen::Exchange(_) => log::warn!("{} may not send requests", peer.name),
-            StreamOpen::FetchConfig { have } => {
-                if let Err(error) = serve_config(&self.node, &have, send).await {
-                    log::debug!(code = error.code.number(); "configuration not given: {error}");
-                }
-            }
-        }
-    }
-}
-
-impl StatusSource for Sidecar {
-    fn status(&self) -> ProcessStatus {
-        let mut status = self.node.status();
-        {
-            let mut table = self.table.lock().expect("table lock");
-            let running = table.dispatcher.running();
-            let contended = table.dispatcher.waiting() > 0;
-            table.clock.observe(self.node.now(), running, contended);
-            metrics::gauge!(RUNNING).set(running as f64);
-            status.running = running as u64;
-            status.waiting = table.dispatcher.waiting();
-            status.slots = self.settings.slots;
-            status.busy_slot_ms = table.clock.busy().as_millis() as u64;
-            status.contended_ms = table.clock.contended_time().as_millis() as u64;
-            status.contended_busy_slot_ms = table.clock.contended_busy().as_millis() as u64;
-            status.accounts = self.account_statuses(&table);
-        }
-        if let Some(link) = self.link() {
-            status.peers = PeerStatus::of_link(link);
-            status.control_bytes = link.counters().totals();
-            status.link_bytes = link.sent_bytes();
-        }
-        status
-    }
-
-    fn is_ready(&self) -> bool {
-        self.node.is_ready()
-    }
-
-    fn audit(&self) -> &AuditTrail {
-        &self.node.audit
-    }
-}
-
-impl Sidecar {
-    fn account_statuses(
-        &self,
-        table: &DispatchTable,
-    ) -> Vec<AccountStatus> {
-        let names: HashMap<_, _> = self.node.account_names();
-        table
-            .dispatcher
-            .ledger()
-            .accounts()
-            .map(|(id, own, total, share)| AccountStatus {
-                account: names.get(&id).cloned().unwrap_or_else(|| id.to_string()),
-                share,
-                own,
-                total,
-                waiting: table.dispatcher.waiting_of(id),
-            })
-            .collect()
-    }
-}
--- a/src/wire/codec.rs
+++ b/src/wire/codec.rs
@@ -1,6 +1,5 @@
 use {
-    super::WireError,
-    crate::codes::ResultCode,
+    crate::codes::{Fault, ResultCode},
     serde::{Serialize, de::DeserializeOwned},
     tokio::io::{AsyncRead, AsyncReadExt},
 };
@@ -12,33 +11,33 @@
 pub const MAX_FRAME: usize = 8 << 20;
 
 /// A message as a frame.
-pub fn encode_frame<T: Serialize>(message: &T) -> Result<Vec<u8>, WireError> {
+pub fn encode_frame<T: Serialize>(message: &T) -> Result<Vec<u8>, Fault> {
     let head = vec![0, 0, 0, 0, VERSION];
     let mut frame = postcard::to_extend(message, head)
-        .map_err(|error| WireError::new(ResultCode::FrameMalformed, error.to_string()))?;
+        .map_err(|error| Fault::new(ResultCode::FrameMalformed, error.to_string()))?;
     let length = frame.len() - 4;
     if length > MAX_FRAME {
         let detail = format!("{length} bytes");
-        return Err(WireError::new(ResultCode::FrameTooLarge, detail));
+        return Err(Fault::new(ResultCode::FrameTooLarge, detail));
     }
     frame[..4].copy_from_slice(&(length as u32).to_be_bytes());
     Ok(frame)
 }
 
 /// The message in a frame's payload: codes 70 and 72.
-pub fn decode_payload<T: DeserializeOwned>(payload: &[u8]) -> Result<T, WireError> {
+pub fn decode_payload<T: DeserializeOwned>(payload: &[u8]) -> Result<T, Fault> {
     match payload.split_first() {
-        None => Err(WireError::new(ResultCode::FrameMalformed, "empty")),
+        None => Err(Fault::new(ResultCode::FrameMalformed, "empty")),
         Some((&VERSION, message)) => decode_whole(message),
         Some((version, _)) => {
             let detail = format!("version {version}, this process speaks {VERSION}");
-            Err(WireError::new(ResultCode::VersionUnknown, detail))
+            Err(Fault::new(ResultCode::VersionUnknown, detail))
         }
     }
 }
 
 /// Reads one frame: none at the stream's clean end, codes 70 to 74 otherwise.
-pub async fn read_frame<T, R>(reader: &mut R) -> Result<Option<T>, WireError>
+pub async fn read_frame<T, R>(reader: &mut R) -> Result<Option<T>, Fault>
 where
     T: DeserializeOwned,
     R: AsyncRead + Unpin,
@@ -52,7 +51,7 @@
     let length = u32::from_be_bytes(head) as usize;
     if length > MAX_FRAME {
         let detail = format!("{length} bytes");
-        return Err(WireError::new(ResultCode::FrameTooLarge, detail));
+        return Err(Fault::new(ResultCode::FrameTooLarge, detail));
     }
     let mut payload = Vec::new();
     reader
@@ -61,13 +60,13 @@
         .await
         .map_err(lost)?;
     if payload.len() < length {
-        return Err(WireError::new(ResultCode::PeerUnreachable, "cut frame"));
+        return Err(Fault::new(ResultCode::PeerUnreachable, "cut frame"));
     }
     decode_payload(&payload).map(Some)
 }
 
-fn decode_whole<T: DeserializeOwned>(message: &[u8]) -> Result<T, WireError> {
-    let malformed = |detail: String| WireError::new(ResultCode::FrameMalformed, detail);
+fn decode_whole<T: DeserializeOwned>(message: &[u8]) -> Result<T, Fault> {
+    let malformed = |detail: String| Fault::new(ResultCode::FrameMalformed, detail);
     let (decoded, rest) =
         postcard::take_from_bytes(message).map_err(|error| malformed(error.to_string()))?;
     if rest.is_empty() {
@@ -77,6 +76,6 @@
     }
 }
 
-fn lost(error: std::io::Error) -> WireError {
-    WireError::new(ResultCode::PeerUnreachable, error.to_string())
+fn lost(error: std::io::Error) -> Fault {
+    Fault::new(ResultCode::PeerUnreachable, error.to_string())
 }
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -8,7 +8,6 @@
 mod config_bundle;
 mod control_message;
 mod envelope;
-mod errors;
 mod request_head;
 mod stream_open;
 
@@ -18,7 +17,6 @@
     config_bundle::ConfigBundle,
     control_message::ControlMessage,
     envelope::Envelope,
-    errors::WireError,
     request_head::RequestHead,
     stream_open::StreamOpen,
 };
