--- a/testbed/src/command/main.rs
+++ b/testbed/src/command/main.rs
@@ -1,7 +1,9 @@
 use {
     super::{
+        demo::{demo, traces},
         fairness::fairness,
         measures::{ahead, control, latency, prefix, revision, zone_loss},
+        slopes::{capacity, slopes},
     },
     getopts::{Matches, Options},
     std::process::ExitCode,
@@ -11,12 +13,16 @@
 archmast-testbed COMMAND [OPTIONS]
 
 Commands:
+  demo       replays a deployment of the brief, beside a baseline
+  traces     makes the deployments' traces anew
   fairness   ten backlogged accounts: gap over time, utilisation, control bytes
   latency    what a call through an idle fleet takes more than a direct one
   ahead      utilisation on 20 ms calls, with and without grants ahead
   prefix     prefix cache hits, with and without affinity
   control    control bytes by kind, idle and backlogged
   revision   time until a change of configuration is in force everywhere
+  slopes     what the processes cost at several sizes; writes docs/capacity and the page
+  capacity   writes docs/CAPACITY.md anew from the committed slopes
   zone-loss  what the death of an availability zone does to requests";
 
 /// The exit code for a wrong command line, as the product has it.
@@ -48,12 +54,16 @@
     matches: &Matches,
 ) -> ExitCode {
     match matches.free.first().map(String::as_str) {
+        Some("demo") => demo(matches).await,
+        Some("traces") => traces(),
         Some("fairness") => fairness(matches).await,
         Some("latency") => latency().await,
         Some("ahead") => ahead(matches).await,
         Some("prefix") => prefix(matches).await,
         Some("control") => control(matches).await,
         Some("revision") => revision().await,
+        Some("slopes") => slopes(matches).await,
+        Some("capacity") => capacity(),
         Some("zone-loss") => zone_loss(matches).await,
         Some(other) => return usage(options, &format!("no command {other}")),
         None => return usage(options, "a command is required"),
@@ -79,6 +89,10 @@
             "SETTING",
         )
         .optopt("", "seed", "of the random costs", "NUMBER")
+        .optopt("", "deployment", "parking or association", "NAME")
+        .optopt("", "html", "a page with plots (demo)", "FILE")
+        .optopt("", "only", "accounts: only that part (slopes)", "PART")
+        .optopt("", "out", "where slopes are written", "FILE")
         .optflag("j", "json", "print JSON")
         .optflag("h", "help", "print this text");
     options
--- a/testbed/src/fleet/caller.rs
+++ b/testbed/src/fleet/caller.rs
@@ -39,6 +39,7 @@
     base: String,
     account: String,
     key: String,
+    header: Option<(String, String)>, // sent with each request
 }
 
 impl Caller {
@@ -52,6 +53,7 @@
             base: format!("http://{address}"),
             account: account.to_owned(),
             key: super::account_key(account),
+            header: None,
         }
     }
 
@@ -64,16 +66,31 @@
         self
     }
 
+    /// The same caller with a header on each request.
+    pub fn with_header(
+        mut self,
+        name: &str,
+        value: &str,
+    ) -> Self {
+        self.header = Some((name.to_owned(), value.to_owned()));
+        self
+    }
+
     /// A request of this caller, for whoever wants to add to it.
     pub fn request(
         &self,
         method: Method,
         path: &str,
     ) -> RequestBuilder {
-        self.http
+        let request = self
+            .http
             .request(method, format!("{}{path}", self.base))
             .bearer_auth(&self.key)
-            .header("x-account", &self.account)
+            .header("x-account", &self.account);
+        match &self.header {
+            Some((name, value)) => request.header(name, value),
+            None => request,
+        }
     }
 
     /// Sends a chat request and checks every token's mark.
--- a/testbed/src/fleet/deployments.rs
+++ b/testbed/src/fleet/deployments.rs
@@ -1,15 +1,27 @@
 use {
     super::{FleetPlan, FleetText},
-    crate::standin::EngineSettings,
-    std::time::Duration,
+    crate::{load::TraceSource, standin::EngineSettings},
+    std::{collections::BTreeMap, time::Duration},
 };
 
-/// One of the brief's two deployments.
+/// What a class of a trace calls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Work {
+    Model(&'static str),
+    Plain(&'static str), // a path
+}
+
+/// One of the brief's two deployments, with its recorded trace.
 #[derive(Debug, Clone)]
 pub struct Deployment {
     pub name: &'static str,
     pub plan: FleetPlan,
-    pub trace: &'static str, // recorded, in the traces folder
+    pub shares: BTreeMap<String, f64>,
+    pub patience: BTreeMap<String, Duration>, // by class
+    pub work: BTreeMap<String, Work>,         // by class
+    pub trace: &'static str,                  // recorded
+    pub sources: &'static [TraceSource],      // that the trace was made from
+    pub seed: u64,                            // that the trace was made with
 }
 
 /// The key of an account in the testbed, made from its name.
@@ -20,21 +32,60 @@
 /// Engines as both users have them, sped up so that a demonstration is short.
 const ENGINE: EngineSettings = EngineSettings {
     slots: 4,
-    token_time: Duration::from_millis(4),
+    token_time: Duration::from_millis(8),
     prefill_time: Duration::from_millis(20),
     cached_prefixes: 4,
 };
 
+/// One source of a trace.
+const fn source(
+    account: &'static str,
+    class: &'static str,
+    per_second: f64,
+    median_tokens: f64,
+) -> TraceSource {
+    TraceSource {
+        account,
+        class,
+        per_second,
+        median_tokens,
+    }
+}
+
+/// Ten client accounts of the parking operator, a few of them large; one lot
+/// asks for far more than its share.
+const PARKING_SOURCES: &[TraceSource] = &[
+    source("lot-yvr", "draft", 60.0, 90.0),
+    source("lot-yyj", "draft", 12.0, 90.0),
+    source("lot-ylw", "draft", 4.0, 90.0),
+    source("lot-yxx", "draft", 4.0, 90.0),
+    source("disputes", "draft", 6.0, 120.0),
+    source("shift-logs", "draft", 3.0, 150.0),
+    source("refunds", "chat", 6.0, 50.0),
+    source("attendants", "chat", 5.0, 40.0),
+    source("travellers", "chat", 12.0, 40.0),
+    source("travellers", "gate", 40.0, 0.0),
+    source("gates", "gate", 120.0, 0.0),
+];
+
+/// Ten members of the brokers' association, a few of them large.
+const ASSOCIATION_SOURCES: &[TraceSource] = &[
+    source("member-1", "digest", 45.0, 80.0),
+    source("member-2", "digest", 20.0, 80.0),
+    source("member-3", "digest", 12.0, 80.0),
+    source("member-4", "digest", 4.0, 80.0),
+    source("member-5", "digest", 4.0, 80.0),
+    source("member-6", "patient", 8.0, 120.0),
+    source("member-7", "patient", 5.0, 120.0),
+    source("member-8", "patient", 3.0, 60.0),
+    source("member-9", "quote", 120.0, 0.0),
+    source("member-10", "quote", 60.0, 0.0),
+];
+
 /// The airport parking operator: three availability zones, 20 model replicas,
 /// 3 gate replicas, ten client accounts.
 pub fn parking() -> Deployment {
-    let text = FleetText::default()
-        .class("gate", "1500 ms")
-        .class("chat", "6 s")
-        .class("draft", "20 s")
-        .models("drafting", "drafter, summariser, chatter")
-        .plain("gates", "/gate");
-    let accounts = [
+    let shares = [
         ("lot-yvr", 3.0),
         ("lot-yyj", 2.0),
         ("lot-ylw", 1.0),
@@ -46,50 +97,105 @@
         ("shift-logs", 1.0),
         ("disputes", 1.0),
     ];
-    let text = accounts.iter().fold(text, |text, (name, share)| {
-        let class = match *name {
-            "gates" => "gate",
-            "travellers" | "attendants" => "chat",
-            _ => "draft",
-        };
-        text.account(name, *share, class, "")
-    });
+    let classes = [
+        ("gate", 1_500, Work::Plain("/gate/confirm")),
+        ("chat", 3_000, Work::Model("chatter")),
+        ("draft", 20_000, Work::Model("drafter")),
+    ];
+    let text = FleetText::default()
+        .models("drafting", "drafter, chatter")
+        .plain("gates", "/gate");
     Deployment {
         name: "parking",
-        plan: FleetPlan::new(text)
+        plan: plan(text, &shares, &classes)
             .routers(3)
             .engines(20, ENGINE)
-            .plains(3, 4, Duration::from_millis(20))
-            .one_way(Duration::from_millis(1)),
-        trace: "parking.csv",
+            .plains(3, 4, Duration::from_millis(20)),
+        trace: include_str!("../../traces/parking.csv"),
+        sources: PARKING_SOURCES,
+        seed: 11,
+        ..deployment(&shares, &classes)
     }
 }
 
 /// The brokers' association: four availability zones, 20 model replicas, 4
 /// data-service replicas, ten client accounts.
 pub fn association() -> Deployment {
+    let shares = [
+        ("member-1", 3.0),
+        ("member-2", 3.0),
+        ("member-3", 2.0),
+        ("member-4", 1.0),
+        ("member-5", 1.0),
+        ("member-6", 2.0),
+        ("member-7", 1.0),
+        ("member-8", 1.0),
+        ("member-9", 2.0),
+        ("member-10", 1.0),
+    ];
+    let classes = [
+        ("quote", 1_500, Work::Plain("/quotes/snapshot")),
+        ("digest", 5_000, Work::Model("digester")),
+        ("patient", 20_000, Work::Model("explainer")),
+    ];
     let text = FleetText::default()
-        .class("quote", "1500 ms")
-        .class("digest", "6 s")
-        .class("patient", "20 s")
-        .models("writing", "digester, explainer, alerter")
+        .models("writing", "digester, explainer")
         .plain("quotes", "/quotes");
-    let text = (1..=10).fold(text, |text, number| {
-        let share = if number <= 3 { 3.0 } else { 1.0 };
-        let class = match number {
-            1..=5 => "digest",
-            6..=8 => "patient",
-            _ => "quote",
-        };
-        text.account(&format!("member-{number}"), share, class, "")
-    });
     Deployment {
         name: "association",
-        plan: FleetPlan::new(text)
+        plan: plan(text, &shares, &classes)
             .routers(4)
             .engines(20, ENGINE)
-            .plains(4, 4, Duration::from_millis(20))
-            .one_way(Duration::from_millis(1)),
-        trace: "association.csv",
+            .plains(4, 4, Duration::from_millis(20)),
+        trace: include_str!("../../traces/association.csv"),
+        sources: ASSOCIATION_SOURCES,
+        seed: 12,
+        ..deployment(&shares, &classes)
+    }
+}
+
+type Shares = [(&'static str, f64)];
+type Classes = [(&'static str, u64, Work)]; // name, patience in ms, what it calls
+
+fn plan(
+    text: FleetText,
+    shares: &Shares,
+    classes: &Classes,
+) -> FleetPlan {
+    let text = classes.iter().fold(text, |text, (class, patience, _)| {
+        text.class(class, &format!("{patience} ms")).rule(
+            &format!("{class}-work"),
+            &[("requests", &format!("work = {class}")), ("class", class)],
+        )
+    });
+    let (default_class, ..) = classes[1];
+    let text = shares.iter().fold(text, |text, (account, share)| {
+        text.account(account, *share, default_class, "")
+    });
+    FleetPlan::new(text).one_way(Duration::from_millis(1))
+}
+
+fn deployment(
+    shares: &Shares,
+    classes: &Classes,
+) -> Deployment {
+    Deployment {
+        name: "",
+        plan: FleetPlan::default(),
+        shares: shares
+            .iter()
+            .map(|(account, share)| ((*account).to_owned(), *share))
+            .collect(),
+        patience: classes
+            .iter()
+            .map(|(class, patience, _)| ((*class).to_owned(), Duration::from_millis(*patience)))
+            .collect(),
+        work: classes
+            .iter()
+            .map(|(class, _, work)| ((*class).to_owned(), *work))
+            .collect(),
+        trace: "",
+        sources: &[],
+        seed: 0,
     }
 }
--- a/testbed/src/fleet/mod.rs
+++ b/testbed/src/fleet/mod.rs
@@ -14,7 +14,7 @@
 
 pub use {
     caller::{Caller, nonce},
-    deployments::{Deployment, account_key, association, parking},
+    deployments::{Deployment, Work, account_key, association, parking},
     fleet::{Fleet, RouterHost},
     ini_text::{FleetText, overlay},
     outcome::Outcome,
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -6,4 +6,6 @@
 pub mod load;
 pub mod measure;
 pub mod proxy;
+pub mod report;
+pub mod slopes;
 pub mod standin;
--- /dev/null
+++ b/testbed/src/slopes/mod.rs
@@ -0,0 +1,19 @@
+//! Slopes of what the product's processes cost, and the capacity page that is
+//! worked out from them.
+
+mod accounts;
+mod fit;
+mod load;
+mod page;
+mod peers;
+mod process_usage;
+mod series;
+mod size;
+mod slopes;
+
+pub use {
+    page::capacity_page,
+    process_usage::ProcessUsage,
+    series::Series,
+    slopes::{Slopes, measure_accounts, measure_slopes},
+};
--- /dev/null
+++ b/testbed/tests/traces.rs
@@ -0,0 +1,77 @@
+//! Recorded traces, replayed against their stated outcomes.
+
+use {
+    archmast_testbed::{
+        fleet::{Deployment, Fleet, association, parking},
+        load::{COLUMNS, TraceError, make_trace, read_trace, replay},
+    },
+    serde::Deserialize,
+    std::collections::BTreeMap,
+};
+
+/// What must come of a trace, stated beside it.
+#[derive(Deserialize)]
+struct Stated {
+    requests: u64,
+    wrong: u64,
+    cut_or_unknown: u64,
+    ran_twice: u64,
+    least_whole: BTreeMap<String, u64>, // by class
+}
+
+async fn check(
+    deployment: Deployment,
+    stated: &str,
+) {
+    let stated: Stated = serde_json::from_str(stated).expect("stated outcomes");
+    let rows = read_trace(deployment.trace).expect("a trace");
+    assert_eq!(rows.len() as u64, stated.requests);
+    let fleet = Fleet::start(deployment.plan.clone()).await;
+    let result = replay(&fleet, &deployment, &rows, |_| {}).await;
+    let sum = |count: fn(&archmast_testbed::load::ClassResult) -> u64| {
+        result.classes.values().map(count).sum::<u64>()
+    };
+    assert_eq!(sum(|class| class.requests), stated.requests);
+    assert_eq!(sum(|class| class.wrong), stated.wrong);
+    assert_eq!(sum(|class| class.other), stated.cut_or_unknown);
+    assert_eq!(result.doubled, stated.ran_twice);
+    for (class, least) in &stated.least_whole {
+        let whole = result.classes[class].whole;
+        assert!(whole >= *least, "{class}: {whole} whole, {least} stated");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_parking_trace_ends_as_stated() {
+    check(parking(), include_str!("../traces/parking.stated.json")).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_association_trace_ends_as_stated() {
+    check(
+        association(),
+        include_str!("../traces/association.stated.json"),
+    )
+    .await;
+}
+
+#[test]
+fn a_trace_of_the_published_layout_is_read_and_a_broken_line_is_named() {
+    let text = format!(
+        "{COLUMNS}\n2023-11-16 18:15:46.6805900,374,44,lot-yvr,draft\n\
+         2023-11-16 18:15:50.9951690,396,109,lot-yvr,draft\n"
+    );
+    let rows = read_trace(&text).expect("a trace");
+    assert_eq!(rows[1].generated_tokens, 109);
+    assert!((rows[1].at.as_secs_f64() - 4.314_579).abs() < 1e-6);
+    let broken = format!("{text}2023-11-16 18:15:50.9951690,396,many,lot-yvr,draft\n");
+    assert_eq!(read_trace(&broken), Err(TraceError(4)));
+}
+
+#[test]
+fn the_committed_traces_are_what_their_sources_make() {
+    for deployment in [parking(), association()] {
+        let made = make_trace(deployment.sources, 8.0, deployment.seed);
+        assert!(made == deployment.trace, "{}", deployment.name);
+    }
+}
