--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -9,7 +9,7 @@
         wire::{ControlMessage, Envelope},
     },
     std::{
-        collections::{BTreeMap, HashMap},
+        collections::BTreeMap,
         sync::{
             Arc, Mutex,
             atomic::{AtomicBool, Ordering},
@@ -171,13 +171,14 @@
         !self.is_leaving() && self.readiness.has_asked() && self.config.current().is_some()
     }
 
-    /// The names of the accounts in force.
-    pub fn account_names(&self) -> HashMap<AccountId, String> {
-        let Some(current) = self.config.current() else {
-            return HashMap::new();
-        };
-        let accounts = current.config.accounts.iter();
-        accounts.map(|a| (a.id, a.name.clone())).collect()
+    /// An account's name in the configuration in force, or its identifier.
+    pub fn account_name(
+        &self,
+        id: AccountId,
+    ) -> String {
+        let current = self.config.current();
+        let account = current.as_ref().and_then(|c| c.config.account(id));
+        account.map_or_else(|| id.to_string(), |account| account.name.clone())
     }
 
     /// What every role says of itself; the role fills in the rest.
--- a/src/router/status.rs
+++ b/src/router/status.rs
@@ -3,10 +3,11 @@
 use {
     super::router::Router,
     crate::{
+        fleet::AccountId,
         ops::{AccountStatus, AuditTrail, PeerStatus, ProcessStatus, StatusSource, WAITING},
         policy::WaitingRoom,
     },
-    std::collections::HashMap,
+    std::collections::{BTreeSet, HashMap},
 };
 
 impl StatusSource for Router {
@@ -43,7 +44,6 @@
         &self,
         room: &WaitingRoom,
     ) -> Vec<AccountStatus> {
-        let names = self.node.account_names();
         let kept: HashMap<_, _> = {
             let keeper = self.keeper.lock().expect("keeper lock");
             keeper.totals().collect()
@@ -53,15 +53,12 @@
             .map(|(id, queue)| (id, queue.len() as u64))
             .collect();
         let config = self.node.config.current();
-        names
-            .into_iter()
-            .filter(|(id, _)| kept.contains_key(id) || waiting.contains_key(id))
-            .map(|(id, account)| AccountStatus {
-                account,
-                share: config
-                    .as_ref()
-                    .and_then(|c| c.config.share(id))
-                    .unwrap_or(1.0),
+        let share = |id| config.as_ref().and_then(|c| c.config.share(id));
+        let ids: BTreeSet<AccountId> = kept.keys().chain(waiting.keys()).copied().collect();
+        ids.into_iter()
+            .map(|id| AccountStatus {
+                account: self.node.account_name(id),
+                share: share(id).unwrap_or(1.0),
                 own: 0.0,
                 total: kept.get(&id).copied().unwrap_or(0.0),
                 waiting: waiting.get(&id).copied().unwrap_or(0),
--- a/src/sidecar/status.rs
+++ b/src/sidecar/status.rs
@@ -3,7 +3,6 @@
 use {
     super::{dispatch_table::DispatchTable, sidecar::Sidecar},
     crate::ops::{AccountStatus, AuditTrail, PeerStatus, ProcessStatus, RUNNING, StatusSource},
-    std::collections::HashMap,
 };
 
 impl StatusSource for Sidecar {
@@ -45,13 +44,12 @@
         &self,
         table: &DispatchTable,
     ) -> Vec<AccountStatus> {
-        let names: HashMap<_, _> = self.node.account_names();
         table
             .dispatcher
             .ledger()
             .accounts()
             .map(|(id, own, total, share)| AccountStatus {
-                account: names.get(&id).cloned().unwrap_or_else(|| id.to_string()),
+                account: self.node.account_name(id),
                 share,
                 own,
                 total,
