One thread validates configurations

Cause: each validation ran on whichever blocking thread was free, and the allocator keeps what each thread once used; 40,000 accounts were paid for once for every thread that had ever validated.

--- a/src/node/start.rs
+++ b/src/node/start.rs
@@ -5,6 +5,10 @@
     std::{fmt, process::ExitCode},
 };
 
+/// Threads for validating configurations. Each keeps what it once allocated,
+/// so there are few.
+pub const BLOCKING_THREADS: usize = 1;
+
 /// Why a process did not start. Its code is the exit code.
 #[derive(Debug)]
 pub struct StartError(pub ResultCode);
--- a/src/router/serve.rs
+++ b/src/router/serve.rs
@@ -11,7 +11,10 @@
         fleet::HostRole,
         keys::Identity,
         link::{DialSet, Link},
-        node::{Node, StartError, follow_readiness, run_process, start_watches, stop_signal},
+        node::{
+            BLOCKING_THREADS, Node, StartError, follow_readiness, run_process, start_watches,
+            stop_signal,
+        },
         ops::OperatorPort,
         wire::ControlMessage,
     },
@@ -35,6 +38,7 @@
     let failed = || StartError(ResultCode::StartFailed);
     let runtime = Builder::new_multi_thread()
         .worker_threads(settings.process.workers)
+        .max_blocking_threads(BLOCKING_THREADS)
         .enable_all()
         .build()
         .change_context_lazy(failed)?;
