Announcements of demand stay within a budget

A sidecar that knows of nothing to grant is told at once all the same, so the budget is for news and not for work.

--- a/src/conf/router_settings.rs
+++ b/src/conf/router_settings.rs
@@ -20,6 +20,7 @@
     pub max_per_account: usize,    // waiting for one account
     pub refuse_early: bool,        // refuse at once when patience cannot be met
     pub demand_interval: Duration, // pace of announcements
+    pub demand_budget: u64,        // bytes a second, over all sidecars
     pub demand_cap: u32,           // largest count announced
     pub reach: usize,              // sidecars connected to begin with, 0 is all
     pub retry_fraction: f64,       // retries per request
@@ -62,6 +63,7 @@
             max_per_account: waiting.number("max_per_account", 1..=10_000_000)?,
             refuse_early: waiting.flag("refuse_early")?,
             demand_interval: dispatch.duration("demand_interval", second / 1000..=second)?,
+            demand_budget: dispatch.size("demand_budget", 100..=1 << 30)?,
             demand_cap: dispatch.number("demand_cap", 1..=100_000)?,
             reach: dispatch.number("reach", 0..=100_000)?,
             retry_fraction: dispatch.number("retry_fraction", 0.0..=1.0)?,
--- a/src/policy/announced_demand.rs
+++ b/src/policy/announced_demand.rs
@@ -19,6 +19,10 @@
 /// often, unless a more urgent one arrives: it has something to grant meanwhile.
 const PACE: Duration = Duration::from_millis(200);
 
+/// What a line of demand costs on its way, in bytes, with its part of the
+/// message around it.
+const LINE_BYTES: f64 = 40.0;
+
 /// What waits at a router for one sidecar, of one account.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CurrentDemand {
@@ -36,6 +40,7 @@
 pub struct AnnouncedDemand {
     lines: HashMap<AccountId, Announced>,
     last_told: Moment,
+    pause: Duration, // after the last message, by its size
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -88,14 +93,16 @@
     }
 
     /// The lines that have changed enough to be told, `cap` being the largest
-    /// count told.
+    /// count told and `bytes_per_second` this sidecar's part of the router's
+    /// budget for demand.
     pub fn changes(
         &mut self,
         now: Moment,
         cap: u32,
+        bytes_per_second: f64,
         current: &BTreeMap<AccountId, CurrentDemand>,
     ) -> Vec<DemandLine> {
-        if now.saturating_sub(self.last_told) < PACE && self.can_wait(current) {
+        if now.saturating_sub(self.last_told) < self.pause && self.can_wait(current) {
             return Vec::new();
         }
         let mut lines = Vec::new();
@@ -126,6 +133,8 @@
         lines.extend(self.ended(now, current));
         if !lines.is_empty() {
             self.last_told = now;
+            let paid_for = lines.len() as f64 * LINE_BYTES / bytes_per_second;
+            self.pause = PACE.max(Duration::from_secs_f64(paid_for));
         }
         lines
     }
--- a/src/router/announcer.rs
+++ b/src/router/announcer.rs
@@ -26,13 +26,15 @@
     let Some(link) = router.link() else { return };
     let now = router.node.now();
     let cap = router.settings.demand_cap;
+    let budget = router.settings.demand_budget as f64;
     let mut messages = Vec::new();
     {
         let waiting = router.waiting.lock().expect("waiting lock");
         let mut sidecars = router.sidecars.lock().expect("sidecar lock");
+        let told = sidecars.len() as f64;
         for (host, view) in sidecars.iter_mut().filter(|(_, view)| !view.leaving) {
             let current = demand_for(&waiting.room, host);
-            let lines = view.announced.changes(now, cap, &current);
+            let lines = view.announced.changes(now, cap, budget / told, &current);
             if !lines.is_empty() {
                 messages.push((
                     host.clone(),
--- a/tests/announced_demand.rs
+++ b/tests/announced_demand.rs
@@ -10,6 +10,7 @@
 };
 
 const CAP: u32 = 64;
+const SHARE: f64 = 1e9;
 const ACCOUNT: AccountId = AccountId(1);
 
 fn ms(millis: u64) -> Duration {
@@ -34,33 +35,79 @@
     let mut messages = 0;
     for step in 0..10_000 {
         messages += announced
-            .changes(ms(step), CAP, &current(1 + step as u32))
+            .changes(ms(step), CAP, SHARE, &current(1 + step as u32))
             .len();
     }
     assert!(messages <= 4, "{messages} messages");
     let mut announced = AnnouncedDemand::default();
-    assert_eq!(announced.changes(ms(0), CAP, &current(9_000)).len(), 1);
+    assert_eq!(
+        announced.changes(ms(0), CAP, SHARE, &current(9_000)).len(),
+        1
+    );
     for grant in 1..=48 {
         announced.granted(ACCOUNT);
         let now = ms(1_000 * grant);
-        assert!(announced.changes(now, CAP, &current(9_000)).is_empty());
+        assert!(
+            announced
+                .changes(now, CAP, SHARE, &current(9_000))
+                .is_empty()
+        );
     }
     announced.granted(ACCOUNT);
-    assert_eq!(announced.changes(ms(60_000), CAP, &current(9_000)).len(), 1);
+    assert_eq!(
+        announced
+            .changes(ms(60_000), CAP, SHARE, &current(9_000))
+            .len(),
+        1
+    );
 }
 
 #[test]
 fn a_queue_that_runs_empty_for_a_moment_is_not_told() {
     let mut announced = AnnouncedDemand::default();
-    assert_eq!(announced.changes(ms(0), CAP, &current(1)).len(), 1);
-    assert!(announced.changes(ms(10), CAP, &current(0)).is_empty());
-    assert!(announced.changes(ms(50), CAP, &current(1)).is_empty());
-    assert!(announced.changes(ms(60), CAP, &current(0)).is_empty());
-    assert!(announced.changes(ms(200), CAP, &current(0)).is_empty());
-    let ended = announced.changes(ms(300), CAP, &current(0));
+    assert_eq!(announced.changes(ms(0), CAP, SHARE, &current(1)).len(), 1);
+    assert!(
+        announced
+            .changes(ms(10), CAP, SHARE, &current(0))
+            .is_empty()
+    );
+    assert!(
+        announced
+            .changes(ms(50), CAP, SHARE, &current(1))
+            .is_empty()
+    );
+    assert!(
+        announced
+            .changes(ms(60), CAP, SHARE, &current(0))
+            .is_empty()
+    );
+    assert!(
+        announced
+            .changes(ms(200), CAP, SHARE, &current(0))
+            .is_empty()
+    );
+    let ended = announced.changes(ms(300), CAP, SHARE, &current(0));
     assert_eq!(ended.iter().map(|line| line.count).collect::<Vec<_>>(), [0]);
 }
 
+#[test]
+fn a_sidecar_that_knows_of_work_is_told_within_its_part_of_the_budget() {
+    let mut announced = AnnouncedDemand::default();
+    let mut lines = 0;
+    for step in 0..100_000 {
+        // A small queue that flips all the time, beside a deep one.
+        let mut demand = current(40);
+        if step % 2 == 0 {
+            demand.insert(AccountId(2), current(1)[&ACCOUNT]);
+        }
+        lines += announced.changes(ms(step), CAP, 10.0, &demand).len();
+    }
+    assert!(
+        lines <= 30,
+        "{lines} lines of 40 bytes in 100 s at 10 bytes a second"
+    );
+}
+
 proptest! {
     #[test]
     fn while_work_waits_the_sidecar_always_knows_of_some(
@@ -71,7 +118,7 @@
         let (mut number, mut seen) = (0, 0);
         for (step, (count, grants)) in counts.into_iter().enumerate() {
             let now = ms(step as u64 * 7);
-            for line in announced.changes(now, CAP, &current(count)) {
+            for line in announced.changes(now, CAP, SHARE, &current(count)) {
                 table.announce(1u32, now, seen, &line);
             }
             if count > 0 {
