--- a/testbed/src/slopes/load.rs
+++ b/testbed/src/slopes/load.rs
@@ -3,7 +3,7 @@
     crate::{
         fleet::{Fleet, FleetPlan, FleetText, nonce},
         load::Backlog,
-        measure::{control_since, control_snapshot},
+        measure::{ControlResult, control_since, control_snapshot},
         standin::{ChatBody, EngineSettings},
     },
     reqwest::Method,
@@ -26,6 +26,9 @@
 /// Streams open at once, each at 100 tokens a second.
 const STREAMS: [usize; 4] = [4, 8, 16, 32];
 
+/// Sidecars that are told of ten accounts.
+const SIDECARS_TOLD: [usize; 4] = [4, 8, 16, 32];
+
 /// Accounts backlogged.
 const BACKLOGGED: [usize; 4] = [5, 10, 20, 40];
 
@@ -148,46 +151,63 @@
     }
 }
 
-/// Control bytes with more and more accounts backlogged on the same upstreams.
+/// Control bytes with more and more accounts backlogged, and with more and more
+/// sidecars told of them.
 pub async fn backlog_series() -> Vec<Series> {
     let (mut router, mut sidecar) = (Vec::new(), Vec::new());
     for accounts in BACKLOGGED {
-        let mut text = FleetText::default()
-            .class("patient", "120 s")
-            .models("drafting", "drafter");
-        for number in 1..=accounts {
-            text = text.account(&format!("a{number}"), 1.0, "patient", "");
-        }
-        let engine = EngineSettings {
-            slots: 4,
-            token_time: Duration::from_millis(10),
-            ..EngineSettings::default()
-        };
-        let fleet = Fleet::start(FleetPlan::new(text).routers(2).engines(8, engine)).await;
-        let load = Backlog {
-            shares: (1..=accounts).map(|n| (format!("a{n}"), 1.0)).collect(),
-            callers: 6,
-            spread: vec![2, 1],
-            ..Backlog::ten_accounts("drafter")
-        };
-        let (_, control) = tokio::join!(load.run(&fleet, WARM_UP, LOOK, |_| {}), async {
-            tokio::time::sleep(WARM_UP).await;
-            let before = control_snapshot(&fleet).await;
-            tokio::time::sleep(LOOK).await;
-            control_since(&before, &control_snapshot(&fleet).await)
-        });
-        let x = accounts as f64;
-        router.push((x, control.router_total / 8.0));
-        sidecar.push((x, control.sidecar_total));
+        let control = control_of(accounts, 8).await;
+        router.push((accounts as f64, control.router_total));
+        sidecar.push((accounts as f64, control.sidecar_total));
+    }
+    let mut by_sidecars = Vec::new();
+    for sidecars in SIDECARS_TOLD {
+        let control = control_of(10, sidecars).await;
+        by_sidecars.push((sidecars as f64, control.router_total));
     }
-    let per = "accounts backlogged";
+    let (accounts, unit) = ("accounts backlogged", "B/s of control");
     vec![
+        Series::new("router_control_backlog", accounts, unit, &router),
+        Series::new("sidecar_control_backlog", accounts, unit, &sidecar),
         Series::new(
-            "router_control_backlog",
-            per,
-            "B/s of control, by sidecar connected",
-            &router,
+            "router_control_sidecars",
+            "sidecars told",
+            unit,
+            &by_sidecars,
         ),
-        Series::new("sidecar_control_backlog", per, "B/s of control", &sidecar),
     ]
 }
+
+/// Control bytes at two routers with these accounts backlogged on these many
+/// upstreams.
+async fn control_of(
+    accounts: usize,
+    sidecars: usize,
+) -> ControlResult {
+    let mut text = FleetText::default()
+        .class("patient", "120 s")
+        .models("drafting", "drafter");
+    for number in 1..=accounts {
+        text = text.account(&format!("a{number}"), 1.0, "patient", "");
+    }
+    let engine = EngineSettings {
+        slots: 4,
+        token_time: Duration::from_millis(20),
+        ..EngineSettings::default()
+    };
+    let plan = FleetPlan::new(text).routers(2).engines(sidecars, engine);
+    let fleet = Fleet::start(plan).await;
+    let load = Backlog {
+        shares: (1..=accounts).map(|n| (format!("a{n}"), 1.0)).collect(),
+        callers: 6 + 6 * sidecars / accounts,
+        spread: vec![2, 1],
+        ..Backlog::ten_accounts("drafter")
+    };
+    let (_, control) = tokio::join!(load.run(&fleet, WARM_UP, LOOK, |_| {}), async {
+        tokio::time::sleep(WARM_UP).await;
+        let before = control_snapshot(&fleet).await;
+        tokio::time::sleep(LOOK).await;
+        control_since(&before, &control_snapshot(&fleet).await)
+    });
+    control
+}
--- a/testbed/src/slopes/page.rs
+++ b/testbed/src/slopes/page.rs
@@ -55,19 +55,25 @@
 |---|---|---|
 | every sidecar reports to the keepers of all accounts it serves | keepers are spread over all routers, so sidecars dial nearly all 360: the mesh above, whatever the reach | keepers chosen among a few routers of each zone, which sum their zone and exchange zone sums |
 | keep-alive of one second on every connection | idle bytes and processor time grow with peers | a longer keep-alive for connections that carry no demand, or closing them |
-| demand told to every sidecar that may serve it | messages grow with sidecars in reach and accounts waiting | tell an account's demand to a few sidecars of its reach and widen as the reach does |
+| a reply to each report of each sidecar | totals grow with the sidecars that serve an account; demand itself stays within its budget | totals of a zone once, spread in the zone |
 | one validation of the whole configuration for each change | a change of one part validates all 40,000 accounts again | keep parsed parts, validate references only |
 | status, shares and audit ask every process | 960 calls for each command | ask keepers for shares, one process of each zone for status |
 
-The two largest misses are the connections of the full mesh (bytes, then
-processor time); both have the keepers' spread as their cause, and neither is
-mended.
+Mended in measured rounds on the way to this page: demand, which grew with the
+sidecars told (64 times the bound), stays within a budget; memory with 40,000
+accounts (196 MB) is under the bound where connections are few. The two largest
+misses that are left are in the table of bounds; they have one cause, the full
+mesh, which the keepers' spread forces whatever the reach.
 
 ";
 
 fn bounds(slopes: &Slopes) -> Vec<Row> {
     let at = |name: &str, x: f64| slopes.get(name).at(x);
-    let control = |sidecars: f64| at("router_control_backlog", accounts_at_router()) * sidecars;
+    // Accounts add to what eight sidecars cost; sidecars beyond these add theirs.
+    let control = |sidecars: f64| {
+        let by_accounts = at("router_control_backlog", accounts_at_router());
+        by_accounts + slopes.get("router_control_sidecars").slope * (sidecars - 8.0)
+    };
     let accounts = |name: &str| slopes.get(name).slope * ACCOUNTS;
     vec![
         Row {
@@ -100,7 +106,7 @@
             expected: control(SIDECARS),
             bound: BYTES_BOUND,
             unit: "B/s",
-            mechanism: "demand by change, paced",
+            mechanism: "demand by change, within a budget; a reply to each report",
         },
         Row {
             role: "router, reach 32",
@@ -124,7 +130,7 @@
             expected: control(REACH),
             bound: BYTES_BOUND,
             unit: "B/s",
-            mechanism: "demand by change, paced; reach",
+            mechanism: "the same; reach",
         },
         Row {
             role: "sidecar, mesh",
@@ -326,7 +332,7 @@
 fn drawn_out(series: &Series) -> f64 {
     let used = match series.per.as_str() {
         "client accounts configured" => ACCOUNTS,
-        "sidecars connected" => SIDECARS,
+        "sidecars connected" | "sidecars told" => SIDECARS,
         "routers connected" => ROUTERS,
         "sidecars restarted at once" => SIDECARS / ZONES,
         "plain calls a second" => REQUESTS / ROUTERS,
