--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -1,6 +1,7 @@
 //! Connections between the fleet's processes: QUIC, mutually authenticated.
 
 mod byte_counters;
+mod connection;
 mod dial_set;
 mod dial_target;
 mod link;
--- a/src/link/peer.rs
+++ b/src/link/peer.rs
@@ -20,6 +20,7 @@
     pub host: Arc<str>,
     pub incarnation: Incarnation,
     pub leaving: bool, // as it said in its first message
+    pub settled: bool, // knew the newest configuration by its own word then
     connection: Connection,
     outgoing: mpsc::Sender<Vec<u8>>, // encoded control messages
     revision: AtomicU64,             // of its configuration, last heard
@@ -30,6 +31,7 @@
         name: PeerName,
         incarnation: Incarnation,
         leaving: bool,
+        settled: bool,
         connection: Connection,
         outgoing: mpsc::Sender<Vec<u8>>,
     ) -> Self {
@@ -38,6 +40,7 @@
             name,
             incarnation,
             leaving,
+            settled,
             connection,
             outgoing,
             revision: AtomicU64::new(0),
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -90,6 +90,7 @@
             role: self.role,
             incarnation: self.incarnation,
             leaving: self.is_leaving(),
+            settled: self.readiness.has_asked(),
         }
     }
 
@@ -140,7 +141,7 @@
         let wants_hosts = self.hosts.revision() == Revision(0);
         let behind =
             revision > Revision(0) && self.config.judge(revision, digest) == Verdict::Fetch;
-        if !behind {
+        if !behind && peer.settled {
             self.readiness.heard_peer(&peer.host);
         }
         if !(behind || wants_hosts) || self.fetching.swap(true, Ordering::SeqCst) {
@@ -150,7 +151,7 @@
         tokio::spawn(async move {
             if let Err(error) = fetch_from_peer(&self, &peer).await {
                 log::debug!(code = error.code.number(); "nothing from {}: {error}", peer.host);
-            } else {
+            } else if peer.settled {
                 self.readiness.heard_peer(&peer.host);
             }
             self.fetching.store(false, Ordering::SeqCst);
--- a/src/node/readiness.rs
+++ b/src/node/readiness.rs
@@ -8,7 +8,7 @@
 };
 
 /// How many peers a starting process hears before it trusts its revision.
-const PEERS_ASKED: usize = 3;
+pub const PEERS_ASKED: usize = 3;
 
 /// Whether a process may serve: it has a configuration, and has asked its
 /// peers for a newer one.
@@ -19,7 +19,7 @@
 }
 
 impl Readiness {
-    /// Notes that a peer has nothing newer, or has given it.
+    /// Notes that a peer that knows the newest has nothing newer, or has given it.
     pub fn heard_peer(
         &self,
         host: &Arc<str>,
--- a/src/policy/dispatcher.rs
+++ b/src/policy/dispatcher.rs
@@ -1,10 +1,10 @@
 use {
     super::{
-        Admission, AheadEstimate, Arrival, DemandLine, DemandTable, DispatchSettings, ExchangeId,
-        Finished, Grant, GrantNumber, GrantTable, IssuedGrant, Ledger, Moment, OrderMode,
-        ReportEntry, SlotHold, TotalEntry,
+        AheadEstimate, DemandLine, DemandTable, DispatchSettings, ExchangeId, Finished, Grant,
+        GrantNumber, GrantTable, IssuedGrant, Ledger, Moment, OrderMode, ReportEntry, SlotHold,
+        TotalEntry,
     },
-    crate::{codes::ResultCode, fleet::AccountId},
+    crate::fleet::AccountId,
     std::collections::{BTreeMap, HashMap, VecDeque},
 };
 
@@ -19,8 +19,8 @@
     pub(super) grants: GrantTable<R>,
     pub(super) ready: VecDeque<(ExchangeId, SlotHold)>, // granted, waiting for a slot
     pub(super) running: HashMap<ExchangeId, SlotHold>,
-    busy: BTreeMap<AccountId, u32>, // ready and running, by account
-    ahead: AheadEstimate,
+    pub(super) busy: BTreeMap<AccountId, u32>, // ready and running, by account
+    pub(super) ahead: AheadEstimate,
     next_number: GrantNumber,
     pub(super) leaving: bool,
     pub(super) closed_until: Moment, // the upstream does not take connections
@@ -101,24 +101,6 @@
         Some((router, grant))
     }
 
-    /// Decides on a request that reached the sidecar.
-    pub fn arrive(
-        &mut self,
-        now: Moment,
-        arrival: &Arrival<R>,
-    ) -> Admission {
-        if self.leaving {
-            return Admission::Refused(ResultCode::Leaving);
-        }
-        if now < self.closed_until {
-            return Admission::Refused(ResultCode::UpstreamUnreachable);
-        }
-        match arrival.grant {
-            Some(number) => self.arrive_granted(now, arrival, number),
-            None => self.arrive_offered(now, arrival),
-        }
-    }
-
     /// Takes a grant back that its router has nothing to send for.
     pub fn decline(
         &mut self,
@@ -210,42 +192,6 @@
         Some(exchange)
     }
 
-    /// Stops granting. Gives the requests that will now never start.
-    pub fn leave(
-        &mut self,
-        now: Moment,
-    ) -> Vec<ExchangeId> {
-        self.leaving = true;
-        self.void_grants(now);
-        self.demand.clear();
-        let handed_back: Vec<(ExchangeId, SlotHold)> = self.ready.drain(..).collect();
-        for (_, held) in &handed_back {
-            self.ledger.charge(held.account, -held.charged, now);
-            self.release(held.account, now);
-        }
-        handed_back
-            .into_iter()
-            .map(|(exchange, _)| exchange)
-            .collect()
-    }
-
-    /// Drops grants and demand, which may be old after a pause.
-    pub fn forget_views(
-        &mut self,
-        now: Moment,
-    ) {
-        self.void_grants(now);
-        self.demand.clear();
-    }
-
-    /// Grants nothing until then: the upstream refuses connections.
-    pub fn close_until(
-        &mut self,
-        until: Moment,
-    ) {
-        self.closed_until = until;
-    }
-
     /// The next report to keepers, at most `bound` entries.
     pub fn report(
         &mut self,
@@ -271,7 +217,7 @@
         self.ledger.set_shares(shares);
     }
 
-    fn room(&self) -> u32 {
+    pub(super) fn room(&self) -> u32 {
         let held = self.running.len() + self.ready.len() + self.grants.len();
         let ahead = self.ahead.target(self.settings.slots, self.settings.ahead);
         (self.settings.slots + ahead).saturating_sub(held as u32)
@@ -298,59 +244,6 @@
             .map(|(_, _, account, router)| (account, router))
     }
 
-    fn arrive_granted(
-        &mut self,
-        now: Moment,
-        arrival: &Arrival<R>,
-        number: GrantNumber,
-    ) -> Admission {
-        let Some(grant) = self.grants.redeem(number, arrival.router, now) else {
-            return Admission::Refused(ResultCode::GrantExpired);
-        };
-        if grant.grant.account != arrival.account {
-            self.refund(&grant, now);
-            return Admission::Refused(ResultCode::GrantExpired);
-        }
-        self.ahead
-            .observe_round_trip(now.saturating_sub(grant.issued));
-        self.hold(now, arrival, grant.charge)
-    }
-
-    fn arrive_offered(
-        &mut self,
-        now: Moment,
-        arrival: &Arrival<R>,
-    ) -> Admission {
-        if self.free_for_offers(now) == 0 {
-            return Admission::Refused(ResultCode::Busy);
-        }
-        let charge = self.ledger.expected_cost(arrival.account);
-        self.ledger.wake(arrival.account, now);
-        self.ledger.charge(arrival.account, charge, now);
-        self.hold(now, arrival, charge)
-    }
-
-    fn hold(
-        &mut self,
-        now: Moment,
-        arrival: &Arrival<R>,
-        charged: f64,
-    ) -> Admission {
-        let held = SlotHold {
-            account: arrival.account,
-            charged,
-            started: now,
-        };
-        *self.busy.entry(arrival.account).or_default() += 1;
-        let free = self.running.len() < self.settings.slots as usize;
-        if free && self.ready.is_empty() {
-            self.running.insert(arrival.exchange, held);
-            return Admission::Start;
-        }
-        self.ready.push_back((arrival.exchange, held));
-        Admission::Ready
-    }
-
     fn take_ready(
         &mut self,
         exchange: ExchangeId,
@@ -359,7 +252,7 @@
         self.ready.remove(index).map(|(_, held)| held)
     }
 
-    fn release(
+    pub(super) fn release(
         &mut self,
         account: AccountId,
         now: Moment,
@@ -373,7 +266,7 @@
         self.note_activity(account, now);
     }
 
-    fn refund(
+    pub(super) fn refund(
         &mut self,
         grant: &IssuedGrant<R>,
         now: Moment,
@@ -381,15 +274,6 @@
         self.ledger.charge(grant.grant.account, -grant.charge, now);
     }
 
-    fn void_grants(
-        &mut self,
-        now: Moment,
-    ) {
-        for grant in self.grants.clear() {
-            self.refund(&grant, now);
-        }
-    }
-
     fn note_activity(
         &mut self,
         account: AccountId,
--- /dev/null
+++ b/src/policy/dispatcher_arrivals.rs
@@ -0,0 +1,79 @@
+//! How a dispatcher admits requests that reach the sidecar.
+
+use {
+    super::{Admission, Arrival, Dispatcher, GrantNumber, Moment, SlotHold},
+    crate::codes::ResultCode,
+};
+
+impl<R: Copy + Ord> Dispatcher<R> {
+    /// Decides on a request that reached the sidecar.
+    pub fn arrive(
+        &mut self,
+        now: Moment,
+        arrival: &Arrival<R>,
+    ) -> Admission {
+        if self.leaving {
+            return Admission::Refused(ResultCode::Leaving);
+        }
+        if now < self.closed_until {
+            return Admission::Refused(ResultCode::UpstreamUnreachable);
+        }
+        match arrival.grant {
+            Some(number) => self.arrive_granted(now, arrival, number),
+            None => self.arrive_offered(now, arrival),
+        }
+    }
+
+    fn arrive_granted(
+        &mut self,
+        now: Moment,
+        arrival: &Arrival<R>,
+        number: GrantNumber,
+    ) -> Admission {
+        let Some(grant) = self.grants.redeem(number, arrival.router, now) else {
+            return Admission::Refused(ResultCode::GrantExpired);
+        };
+        if grant.grant.account != arrival.account {
+            self.refund(&grant, now);
+            return Admission::Refused(ResultCode::GrantExpired);
+        }
+        self.ahead
+            .observe_round_trip(now.saturating_sub(grant.issued));
+        self.hold(now, arrival, grant.charge)
+    }
+
+    fn arrive_offered(
+        &mut self,
+        now: Moment,
+        arrival: &Arrival<R>,
+    ) -> Admission {
+        if self.free_for_offers(now) == 0 {
+            return Admission::Refused(ResultCode::Busy);
+        }
+        let charge = self.ledger.expected_cost(arrival.account);
+        self.ledger.wake(arrival.account, now);
+        self.ledger.charge(arrival.account, charge, now);
+        self.hold(now, arrival, charge)
+    }
+
+    fn hold(
+        &mut self,
+        now: Moment,
+        arrival: &Arrival<R>,
+        charged: f64,
+    ) -> Admission {
+        let held = SlotHold {
+            account: arrival.account,
+            charged,
+            started: now,
+        };
+        *self.busy.entry(arrival.account).or_default() += 1;
+        let free = self.running.len() < self.settings.slots as usize;
+        if free && self.ready.is_empty() {
+            self.running.insert(arrival.exchange, held);
+            return Admission::Start;
+        }
+        self.ready.push_back((arrival.exchange, held));
+        Admission::Ready
+    }
+}
--- /dev/null
+++ b/src/policy/dispatcher_endings.rs
@@ -0,0 +1,50 @@
+//! How a dispatcher stops granting: for good, after a pause, or for a moment.
+
+use super::{Dispatcher, ExchangeId, Moment, SlotHold};
+
+impl<R: Copy + Ord> Dispatcher<R> {
+    /// Stops granting. Gives the requests that will now never start.
+    pub fn leave(
+        &mut self,
+        now: Moment,
+    ) -> Vec<ExchangeId> {
+        self.leaving = true;
+        self.void_grants(now);
+        self.demand.clear();
+        let handed_back: Vec<(ExchangeId, SlotHold)> = self.ready.drain(..).collect();
+        for (_, held) in &handed_back {
+            self.ledger.charge(held.account, -held.charged, now);
+            self.release(held.account, now);
+        }
+        handed_back
+            .into_iter()
+            .map(|(exchange, _)| exchange)
+            .collect()
+    }
+
+    /// Drops grants and demand, which may be old after a pause.
+    pub fn forget_views(
+        &mut self,
+        now: Moment,
+    ) {
+        self.void_grants(now);
+        self.demand.clear();
+    }
+
+    /// Grants nothing until then: the upstream refuses connections.
+    pub fn close_until(
+        &mut self,
+        until: Moment,
+    ) {
+        self.closed_until = until;
+    }
+
+    fn void_grants(
+        &mut self,
+        now: Moment,
+    ) {
+        for grant in self.grants.clear() {
+            self.refund(&grant, now);
+        }
+    }
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -14,6 +14,8 @@
 mod demand_table;
 mod dispatch_settings;
 mod dispatcher;
+mod dispatcher_arrivals;
+mod dispatcher_endings;
 mod dispatcher_readers;
 mod drain_rate;
 mod finished;
--- a/src/sidecar/housekeeping.rs
+++ b/src/sidecar/housekeeping.rs
@@ -1,9 +1,12 @@
 use {
     super::sidecar::Sidecar,
     crate::{
-        fleet::{HostRole, HostState},
+        fleet::{HostList, HostRole, HostState},
+        keys::PeerName,
+        link::{DialSet, DialTarget},
+        node::PEERS_ASKED,
         ops::{GRANTS, PAUSES},
-        policy::PauseDetector,
+        policy::{PauseDetector, rendezvous},
         wire::ControlMessage,
     },
     std::{sync::Arc, time::Duration},
@@ -34,8 +37,13 @@
     }
 }
 
-/// Leaves when the platform says that this host does.
-pub async fn follow_hosts(sidecar: Arc<Sidecar>) {
+/// Leaves when the platform says that this host does. Dials a few routers at
+/// the start, to ask them for the newest configuration: those that knew an
+/// earlier life of this process notice its end late.
+pub async fn follow_hosts(
+    sidecar: Arc<Sidecar>,
+    dials: Arc<DialSet<Sidecar>>,
+) {
     let mut lists = sidecar.node.hosts.subscribe();
     loop {
         let hosts = lists.borrow_and_update().1.clone();
@@ -43,12 +51,34 @@
         if own.is_some_and(|host| host.state == HostState::Leaving) {
             sidecar.leave();
         }
+        if !sidecar.node.readiness.has_asked() {
+            dial_some_routers(&sidecar, &dials, &hosts);
+        }
         if lists.changed().await.is_err() {
             return;
         }
     }
 }
 
+fn dial_some_routers(
+    sidecar: &Sidecar,
+    dials: &DialSet<Sidecar>,
+    hosts: &HostList,
+) {
+    let routers = hosts.live(HostRole::Router).map(|host| host.name.as_str());
+    for host in rendezvous(&sidecar.node.host, routers)
+        .into_iter()
+        .take(PEERS_ASKED)
+    {
+        if let Some(listed) = hosts.find(host) {
+            dials.add(DialTarget {
+                name: PeerName::new(host, HostRole::Router),
+                address: listed.link,
+            });
+        }
+    }
+}
+
 /// Takes over shares when a configuration comes into force, and tells peers.
 pub async fn follow_config(sidecar: Arc<Sidecar>) {
     let mut configs = sidecar.node.config.subscribe();
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -4,6 +4,7 @@
 mod exchange;
 mod housekeeping;
 mod link_events;
+mod relay;
 mod reporter;
 mod router_keys;
 mod serve;
--- /dev/null
+++ b/src/sidecar/relay.rs
@@ -0,0 +1,175 @@
+//! From an upstream's answer to the router that waits for it.
+
+use {
+    super::{
+        exchange::{Exchange, answer},
+        upstream_client::REQUEST_ID_HEADER,
+        usage_meter::UsageMeter,
+    },
+    crate::{
+        codes::ResultCode,
+        fleet::Group,
+        policy::{Finished, Moment},
+        wire::{AnswerFrame, MAX_FRAME},
+    },
+    bytes::Bytes,
+    quinn::SendStream,
+    reqwest::Response,
+    std::time::Duration,
+};
+
+/// How often the service of a running request is charged.
+const CHARGE_INTERVAL: Duration = Duration::from_millis(50);
+
+impl Exchange<'_> {
+    /// Runs the request, which holds a slot, and relays the answer.
+    pub(super) async fn run_upstream(
+        mut self,
+        group: &Group,
+        body: Bytes,
+        send: &mut SendStream,
+    ) {
+        let started = self.sidecar.node.now();
+        let mut meter = UsageMeter::new(&group.kind, body.len());
+        let outcome = tokio::select! {
+            outcome = self.sidecar.upstream.send(self.head, body) => outcome,
+            _ = send.stopped() => {
+                // Dropping the call closes its connection, which frees the slot.
+                self.remember_key();
+                self.finish_with_cost(&meter, started);
+                return;
+            }
+        };
+        match outcome {
+            Ok(response) => self.relay(response, &mut meter, started, send).await,
+            Err(failure) if failure.unsent && self.state.refused_by_upstream() => {
+                self.forget_key();
+                self.sidecar.upstream_refused();
+                self.finish(Finished::NotRun);
+                answer(send, &AnswerFrame::NotRun(failure.code)).await;
+            }
+            Err(failure) => {
+                self.remember_key();
+                self.finish_with_cost(&meter, started);
+                answer(send, &AnswerFrame::Failed(failure.code)).await;
+            }
+        }
+    }
+
+    async fn relay(
+        &mut self,
+        mut response: Response,
+        meter: &mut UsageMeter,
+        started: Moment,
+        send: &mut SendStream,
+    ) {
+        let outcome = if self.is_own_answer(&response) {
+            self.relay_body(&mut response, meter, started, send).await
+        } else {
+            Err(ResultCode::AnswerMismatch)
+        };
+        drop(response);
+        meter.end();
+        self.state.end();
+        self.remember_key();
+        self.finish_with_cost(meter, started);
+        if let Err(code) = outcome {
+            answer(send, &AnswerFrame::Failed(code)).await;
+        }
+    }
+
+    /// Whether the upstream answers this request, where it echoes the name.
+    fn is_own_answer(
+        &self,
+        response: &Response,
+    ) -> bool {
+        response
+            .headers()
+            .get(REQUEST_ID_HEADER)
+            .is_none_or(|echo| echo.as_bytes() == self.head.request_id.as_bytes())
+    }
+
+    async fn relay_body(
+        &mut self,
+        response: &mut Response,
+        meter: &mut UsageMeter,
+        started: Moment,
+        send: &mut SendStream,
+    ) -> Result<(), ResultCode> {
+        meter.begin(is_event_stream(response));
+        let head = AnswerFrame::Head {
+            request_id: self.head.request_id.clone(),
+            status: response.status().as_u16(),
+            headers: answer_headers(response),
+        };
+        if !answer(send, &head).await {
+            return Err(ResultCode::RequestCancelled);
+        }
+        let (mut length, mut crc) = (0, crc32fast::Hasher::new());
+        let mut charged = started;
+        loop {
+            let chunk = tokio::select! {
+                chunk = self.sidecar.upstream.chunk(response) => chunk?,
+                _ = send.stopped() => return Err(ResultCode::RequestCancelled),
+            };
+            let Some(chunk) = chunk else { break };
+            length += chunk.len() as u64;
+            crc.update(&chunk);
+            meter.chunk(&chunk);
+            charged = self.charge(meter, started, charged);
+            for piece in chunk.chunks(MAX_FRAME / 2) {
+                if !answer(send, &AnswerFrame::Chunk(piece.to_vec())).await {
+                    return Err(ResultCode::RequestCancelled);
+                }
+            }
+        }
+        if !meter.is_whole() {
+            return Err(ResultCode::AnswerCut);
+        }
+        let end = AnswerFrame::End {
+            length,
+            crc: crc.finalize(),
+        };
+        answer(send, &end).await;
+        Ok(())
+    }
+
+    fn charge(
+        &self,
+        meter: &UsageMeter,
+        started: Moment,
+        charged: Moment,
+    ) -> Moment {
+        let now = self.sidecar.node.now();
+        if now.saturating_sub(charged) < CHARGE_INTERVAL {
+            return charged;
+        }
+        let units = meter.units(now.saturating_sub(started));
+        self.sidecar.charge(self.id, units, now);
+        now
+    }
+
+    fn finish_with_cost(
+        &self,
+        meter: &UsageMeter,
+        started: Moment,
+    ) {
+        let elapsed = self.sidecar.node.now().saturating_sub(started);
+        self.finish(Finished::Cost(meter.units(elapsed)));
+    }
+}
+
+fn is_event_stream(response: &Response) -> bool {
+    response
+        .headers()
+        .get("content-type")
+        .is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"))
+}
+
+fn answer_headers(response: &Response) -> Vec<(String, Vec<u8>)> {
+    response
+        .headers()
+        .iter()
+        .map(|(name, value)| (name.to_string(), value.as_bytes().to_vec()))
+        .collect()
+}
--- a/src/sidecar/serve.rs
+++ b/src/sidecar/serve.rs
@@ -61,7 +61,7 @@
     let dials = Arc::new(DialSet::new(link.clone(), settings.platform.retry_pause));
     start_watches(&node, &settings.platform, &dials).change_context_lazy(failed)?;
     tokio::spawn(link.clone().accept());
-    tokio::spawn(follow_hosts(sidecar.clone()));
+    tokio::spawn(follow_hosts(sidecar.clone(), dials.clone()));
     tokio::spawn(follow_config(sidecar.clone()));
     tokio::spawn(keep_house(sidecar.clone()));
     tokio::spawn(report_service(sidecar.clone(), dials));
--- a/src/wire/control_message.rs
+++ b/src/wire/control_message.rs
@@ -14,6 +14,7 @@
         role: HostRole,
         incarnation: Incarnation,
         leaving: bool,
+        settled: bool, // has itself asked peers for the newest configuration
     },
     /// Router to sidecar: what waits.
     Demand {
--- a/testbed/src/fleet/mod.rs
+++ b/testbed/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 mod plan;
 mod process;
 mod sidecar_host;
+mod starter;
 mod wait;
 
 pub use {
--- a/testbed/src/fleet/plan.rs
+++ b/testbed/src/fleet/plan.rs
@@ -52,7 +52,7 @@
             ..Self::default()
         }
         .set_both("platform.retry_pause", "300 ms")
-        .set_both("platform.bootstrap_wait", "2 s")
+        .set_both("platform.bootstrap_wait", "1 s")
         .set_router("stop.balancer_lag", "300 ms")
         .set_sidecar("once.key_quarantine", "0 ms")
     }
--- a/testbed/src/report/demo_report.rs
+++ b/testbed/src/report/demo_report.rs
@@ -4,6 +4,9 @@
     std::fmt::Write,
 };
 
+/// How a row of the report reads its value.
+type Value = fn(&ReplayResult) -> String;
+
 /// A deployment replayed under one order.
 pub struct DemoRun {
     pub order: &'static str,
@@ -39,7 +42,7 @@
                 format!("{class}: whole, in patience")
             ));
         }
-        let rows: [(&str, fn(&ReplayResult) -> String); 7] = [
+        let rows: [(&str, Value); 7] = [
             ("told not run", |r| total(r, |c| c.not_run)),
             ("cut or unknown", |r| total(r, |c| c.other)),
             ("wrong answers", |r| total(r, |c| c.wrong)),
--- a/testbed/src/standin/mod.rs
+++ b/testbed/src/standin/mod.rs
@@ -1,5 +1,6 @@
 //! Stand-ins: the platform's service, a model engine, a plain service.
 
+mod call_count;
 mod chat_body;
 mod engine;
 mod engine_fault;
@@ -8,8 +9,10 @@
 mod platform;
 mod platform_switches;
 mod prefix_cache;
+mod publish_error;
 mod run_log;
 mod server;
+mod values;
 
 pub use {
     chat_body::{ChatBody, ChatMessage},
@@ -17,8 +20,9 @@
     engine_fault::EngineFault,
     engine_settings::EngineSettings,
     plain_service::PlainService,
-    platform::{Platform, PublishError},
+    platform::Platform,
     platform_switches::PlatformSwitches,
+    publish_error::PublishError,
     run_log::{Run, RunLog},
     server::{BoundServer, bind_server},
 };
