Testbed: a cut between two hosts holds in both directions

Since a starting sidecar dials routers itself, a cut at the sidecar's proxy alone left that connection standing, and the test of cuts waited for ever.

--- a/testbed/src/fleet/fleet.rs
+++ b/testbed/src/fleet/fleet.rs
@@ -231,13 +231,17 @@
         cut: bool,
     ) {
         let (router, sidecar) = (&self.routers[router], &self.sidecars[sidecar]);
-        let source = router.source;
-        sidecar.link.set(|faults| {
-            if cut {
-                faults.cut_sources.insert(source);
-            } else {
-                faults.cut_sources.remove(&source);
-            }
-        });
+        for (link, source) in [
+            (&sidecar.link, router.source),
+            (&router.link, sidecar.source),
+        ] {
+            link.set(|faults| {
+                if cut {
+                    faults.cut_sources.insert(source);
+                } else {
+                    faults.cut_sources.remove(&source);
+                }
+            });
+        }
     }
 }
--- a/testbed/src/fleet/sidecar_host.rs
+++ b/testbed/src/fleet/sidecar_host.rs
@@ -71,4 +71,5 @@
     pub link: UdpProxy,          // between routers and the sidecar
     pub upstream_link: TcpProxy, // between the sidecar and its upstream
     pub operator: SocketAddr,
+    pub source: SocketAddr, // from which its packets come
 }
--- a/testbed/src/fleet/starter.rs
+++ b/testbed/src/fleet/starter.rs
@@ -67,6 +67,7 @@
             link,
             upstream_link,
             operator,
+            source: listen,
         }
     }
 
