--- a/testbed/src/slopes/mod.rs
+++ b/testbed/src/slopes/mod.rs
@@ -2,6 +2,7 @@
 //! worked out from them.
 
 mod accounts;
+mod bounds;
 mod fit;
 mod load;
 mod page;
