A decline that arrives late does not wipe out a newer announcement

The sidecar took the decline last and forgot the announcement, which the router held to be known. Ruled out: a lost announcement (both processes were connected throughout) and the pace (it lets a sidecar without work be told at once). Now a decline leaves announcements alone that were made after its grant was seen, and what waits for 5 s without any grant is told again. Both new tests fail on the commit before.

--- a/src/policy/announced_demand.rs
+++ b/src/policy/announced_demand.rs
@@ -19,6 +19,10 @@
 /// often, unless a more urgent one arrives: it has something to grant meanwhile.
 const PACE: Duration = Duration::from_millis(200);
 
+/// A count for which no grant has come for this long is told again, in case its
+/// sidecar does not know it after all.
+const REFRESH: Duration = Duration::from_secs(5);
+
 /// What a line of demand costs on its way, in bytes, with its part of the
 /// message around it.
 const LINE_BYTES: f64 = 40.0;
@@ -49,6 +53,7 @@
     granted: u32, // since then
     deadline: Moment,
     empty_since: Option<Moment>, // nothing waits any more
+    told_at: Moment,
 }
 
 impl Announced {
@@ -58,11 +63,14 @@
 
     fn must_tell_again(
         &self,
+        now: Moment,
         count: u32,
         deadline: Moment,
     ) -> bool {
         let remaining = self.remaining();
-        deadline < self.deadline
+        let unanswered = self.granted == 0 && now.saturating_sub(self.told_at) >= REFRESH;
+        unanswered
+            || deadline < self.deadline
             || remaining * CHANGE_FACTOR < count
             || count * CHANGE_FACTOR < remaining
     }
@@ -110,7 +118,7 @@
             let count = demand.count.min(cap);
             if let Some(told) = self.lines.get_mut(account) {
                 told.empty_since = None;
-                if !told.must_tell_again(count, demand.deadline) {
+                if !told.must_tell_again(now, count, demand.deadline) {
                     continue;
                 }
             }
@@ -121,6 +129,7 @@
                     granted: 0,
                     deadline: demand.deadline,
                     empty_since: None,
+                    told_at: now,
                 },
             );
             lines.push(DemandLine {
--- a/src/policy/demand_table.rs
+++ b/src/policy/demand_table.rs
@@ -16,6 +16,7 @@
     deadline: Moment,         // of the most urgent request
     announced: Moment,        // when this was announced
     waited: Duration,         // by the oldest request, when announced
+    seen: GrantNumber,        // newest grant that the announcement knows of
     unseen: Vec<GrantNumber>, // grants that the announcement does not know of
 }
 
@@ -63,6 +64,7 @@
                 deadline: now + Duration::from_millis(line.patience_ms.into()),
                 announced: now,
                 waited: Duration::from_millis(line.waited_ms.into()),
+                seen,
                 unseen,
             };
             routers.insert(router, announced);
@@ -88,14 +90,20 @@
         }
     }
 
-    /// Takes a router's word that it had nothing to send for a grant.
+    /// Takes a router's word that it had nothing to send for a grant. An
+    /// announcement made after that grant was seen still stands, whichever of
+    /// the two arrives first.
     pub fn declined(
         &mut self,
         account: AccountId,
         router: R,
+        number: GrantNumber,
     ) {
         if let Some(routers) = self.accounts.get_mut(&account) {
-            routers.remove(&router);
+            let older = |announced: &Announced| announced.seen < number;
+            if routers.get(&router).is_some_and(older) {
+                routers.remove(&router);
+            }
             if routers.is_empty() {
                 self.accounts.remove(&account);
             }
--- a/src/policy/dispatcher.rs
+++ b/src/policy/dispatcher.rs
@@ -110,7 +110,7 @@
     ) {
         if let Some(grant) = self.grants.decline(number, router) {
             self.refund(&grant, now);
-            self.demand.declined(grant.grant.account, router);
+            self.demand.declined(grant.grant.account, router, number);
             self.note_activity(grant.grant.account, now);
         }
     }
--- a/tests/announced_demand.rs
+++ b/tests/announced_demand.rs
@@ -108,6 +108,35 @@
     );
 }
 
+#[test]
+fn a_decline_that_arrives_late_leaves_a_newer_announcement_alone() {
+    let mut announced = AnnouncedDemand::default();
+    let mut table = DemandTable::default();
+    let line = announced.changes(ms(0), CAP, SHARE, &current(1))[0];
+    table.announce(1u32, ms(0), 0, &line);
+    table.granted(ACCOUNT, 1, 7);
+    // The router declines grant 7, and announces a new request that overtakes
+    // the decline on another connection.
+    table.announce(1u32, ms(1), 7, &line);
+    table.declined(ACCOUNT, 1, 7);
+    assert!(table.is_waiting(ACCOUNT));
+}
+
+#[test]
+fn what_waits_without_any_grant_is_told_again() {
+    let mut announced = AnnouncedDemand::default();
+    assert_eq!(announced.changes(ms(0), CAP, SHARE, &current(3)).len(), 1);
+    assert!(
+        announced
+            .changes(ms(4_000), CAP, SHARE, &current(3))
+            .is_empty()
+    );
+    assert_eq!(
+        announced.changes(ms(6_000), CAP, SHARE, &current(3)).len(),
+        1
+    );
+}
+
 proptest! {
     #[test]
     fn while_work_waits_the_sidecar_always_knows_of_some(
@@ -131,7 +160,7 @@
                 announced.granted(ACCOUNT);
                 if count == 0 {
                     announced.declined(ACCOUNT);
-                    table.declined(ACCOUNT, 1);
+                    table.declined(ACCOUNT, 1, number);
                 }
             }
         }
