SIGHUP and silent changes of settings; bound on kept connections; Retry-After from the account's share

A connection at rest held the room of its answer's future; it is boxed now, and beyond max_connections those at rest are closed. An account over its share was told to come back after 100 ms; now after the time that its usage takes to fade to its share.

--- a/src/conf/direct_settings.rs
+++ b/src/conf/direct_settings.rs
@@ -7,9 +7,11 @@
 /// Everything a router is told that carries requests to the replicas itself.
 #[derive(Debug, Clone)]
 pub struct DirectSettings {
+    pub path: String, // of the file they were read from; empty if none
     pub process: ProcessSettings,
     pub operator: OperatorSettings,
     pub callers: SocketAddr,      // HTTP address for callers
+    pub max_connections: usize,   // of callers; beyond it those at rest are closed
     pub ready: SocketAddr,        // HTTP address for the balancer
     pub ready_path: String,       // what the balancer asks for
     pub peers: SocketAddr,        // QUIC address for other routers
@@ -34,7 +36,11 @@
 
     /// Reads a settings file: codes 10 to 18.
     pub fn read(path: &str) -> Result<Self, ConfError> {
-        Self::from_file(&SettingsFile::read(path, Self::SHIPPED)?)
+        let settings = Self::from_file(&SettingsFile::read(path, Self::SHIPPED)?)?;
+        Ok(Self {
+            path: path.to_owned(),
+            ..settings
+        })
     }
 
     /// Reads a parsed settings file: codes 12 to 17.
@@ -43,6 +49,7 @@
     }
 
     fn from_file(file: &SettingsFile) -> Result<Self, ConfError> {
+        let callers = file.section("callers")?;
         let ready = file.section("ready")?;
         let peers = file.section("peers")?;
         let catalog = file.section("catalog")?;
@@ -51,9 +58,11 @@
         let (ms, second) = (Duration::from_millis(1), Duration::from_secs(1));
         let peer_age = peers.duration("age", 50 * ms..=60 * second)?;
         Ok(Self {
+            path: String::new(),
             process: ProcessSettings::read(file)?,
             operator: OperatorSettings::read(file)?,
-            callers: file.section("callers")?.parsed("listen", "an IP:port")?,
+            callers: callers.parsed("listen", "an IP:port")?,
+            max_connections: callers.number("max_connections", 1..=1_000_000)?,
             ready: ready.parsed("listen", "an IP:port")?,
             ready_path: ready.text("path")?.to_owned(),
             peers: peers.parsed("listen", "an IP:port")?,
--- a/src/direct/caller_connections.rs
+++ b/src/direct/caller_connections.rs
@@ -23,6 +23,9 @@
 /// How often a connection looks whether it has rested too long.
 const REST_CHECK: Duration = Duration::from_millis(500);
 
+/// How long a connection may rest while more are open than are kept.
+const CROWDED_REST: Duration = Duration::from_millis(300);
+
 /// Pause after an accept that failed.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -82,12 +85,18 @@
         }
     }
 
+    /// Whether more connections are open than are kept.
+    fn is_crowded(&self) -> bool {
+        *self.open.borrow() > self.gateway.settings().max_connections
+    }
+
     async fn serve(
         self: Arc<Self>,
         stream: TcpStream,
     ) {
         watch_over(&stream);
         self.open.send_modify(|count| *count += 1);
+        self.gateway.crowded(self.is_crowded());
         let _counted = CountedConnection(self.clone());
         let activity = Arc::new(Activity::new(&self.gateway));
         let gateway = self.gateway.clone();
@@ -95,11 +104,12 @@
         let service = service_fn(move |request| {
             let busy = noted.begin();
             let gateway = gateway.clone();
-            async move {
+            // Boxed, so that a connection at rest holds no room for it.
+            Box::pin(async move {
                 let answer = answer_caller(gateway, request).await;
                 drop(busy);
                 answer
-            }
+            })
         });
         let limits = self.gateway.catalog.config().map(|table| table.limits);
         let limits = limits.unwrap_or_default();
@@ -125,7 +135,7 @@
                     break;
                 }
                 () = tokio::time::sleep(REST_CHECK) => {
-                    if activity.rested(&self.gateway) {
+                    if activity.rested(&self.gateway, self.is_crowded()) {
                         break;
                     }
                 }
@@ -143,6 +153,7 @@
 impl Drop for CountedConnection {
     fn drop(&mut self) {
         self.0.open.send_modify(|count| *count -= 1);
+        self.0.gateway.crowded(self.0.is_crowded());
     }
 }
 
@@ -183,13 +194,16 @@
         self.last_ms.store(now, Ordering::Relaxed);
     }
 
-    /// Whether it has rested longer than the limit in force.
+    /// Whether it has rested longer than the limit in force, or than a crowd
+    /// leaves it.
     fn rested(
         &self,
         gateway: &Gateway,
+        crowded: bool,
     ) -> bool {
         let limits = gateway.catalog.config().map(|table| table.limits);
-        let most = limits.unwrap_or_default().idle_timeout.as_millis() as usize;
+        let usual = limits.unwrap_or_default().idle_timeout;
+        let most = if crowded { CROWDED_REST } else { usual }.as_millis() as usize;
         let rested = (gateway.now().as_millis() as usize)
             .saturating_sub(self.last_ms.load(Ordering::Relaxed));
         self.busy.load(Ordering::Relaxed) == 0 && rested > most
--- a/src/direct/caller_port.rs
+++ b/src/direct/caller_port.rs
@@ -33,7 +33,7 @@
         }
         Ok(call) => answer_call(&gateway, Arc::new(call)).await,
     };
-    if gateway.is_stopping() {
+    if gateway.closes_connections() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
--- a/src/direct/exchange.rs
+++ b/src/direct/exchange.rs
@@ -226,15 +226,16 @@
     fn choose(&mut self) -> Result<(Target, Duration), ErrorAnswer> {
         let now = self.gateway.now();
         let call = self.call.clone();
-        let over_share = self.is_over_share();
+        let over_for = self.over_for();
+        let zone = self.gateway.settings().process.zone.clone();
         let mut board = self.gateway.board();
         let request = PlacementRequest {
             service: &call.service,
-            zone: &self.gateway.settings.process.zone,
+            zone: &zone,
             engine: call.engine,
             prompt: call.prompt.as_ref(),
             aim: call.service_aim,
-            over_share,
+            over_for,
             tried: &self.tried,
         };
         match board.choose(now, &request) {
@@ -345,10 +346,10 @@
         }
     }
 
-    fn is_over_share(&self) -> bool {
+    fn over_for(&self) -> Option<Duration> {
         let now = self.gateway.now();
-        self.account()
-            .is_some_and(|account| self.gateway.shares().is_over(now, account))
+        let account = self.account()?;
+        self.gateway.shares().over_for(now, account)
     }
 
     /// Charges the account, once.
--- a/src/direct/gateway.rs
+++ b/src/direct/gateway.rs
@@ -6,14 +6,14 @@
         ops::{AuditTrail, Uptime},
         peers::PeerTable,
         policy::{
-            Moment,
+            Incarnation, Moment,
             placement::ReplicaBoard,
             shares::{RetryWindow, ShareBook},
         },
     },
     std::{
         sync::{
-            Arc, Mutex, MutexGuard,
+            Arc, Mutex, MutexGuard, RwLock,
             atomic::{AtomicBool, Ordering},
         },
         time::Duration,
@@ -25,8 +25,9 @@
 /// Lock order: `board`, `shares`, `retries`, then leaf locks (catalog, pool,
 /// peers). None is held across an await.
 pub struct Gateway {
-    pub settings: DirectSettings,
+    settings: RwLock<Arc<DirectSettings>>, // a leaf lock
     pub dialect: Dialect,
+    pub incarnation: Incarnation,
     pub uptime: Uptime,
     pub audit: AuditTrail,
     pub catalog: Arc<Catalog>,
@@ -36,6 +37,7 @@
     shares: Mutex<ShareBook>,
     retries: Mutex<RetryWindow>,
     stopping: AtomicBool,
+    crowded: AtomicBool, // more connections of callers than are kept
 }
 
 impl Gateway {
@@ -52,6 +54,7 @@
         );
         Self {
             dialect,
+            incarnation: Uptime::new_incarnation(),
             uptime: Uptime::start(),
             audit: AuditTrail::new(&settings.process.host, settings.operator.audit_entries),
             catalog,
@@ -61,10 +64,34 @@
             shares: Mutex::new(ShareBook::new(settings.share_window, settings.peer_age)),
             retries: Mutex::new(retries),
             stopping: AtomicBool::new(false),
-            settings,
+            crowded: AtomicBool::new(false),
+            settings: RwLock::new(Arc::new(settings)),
         }
     }
 
+    /// The settings in force.
+    pub fn settings(&self) -> Arc<DirectSettings> {
+        self.settings.read().expect("settings lock").clone()
+    }
+
+    /// Puts changed settings in force, but for addresses, which a running
+    /// process keeps.
+    pub fn change_settings(
+        &self,
+        settings: DirectSettings,
+    ) {
+        self.board().set_settings(settings.placement);
+        self.shares()
+            .set_window(settings.share_window, settings.peer_age);
+        self.retries.lock().expect("retries lock").set_bounds(
+            settings.retry_window,
+            settings.retry_ratio,
+            settings.retry_extra,
+        );
+        self.peers.add_seeds(&settings.seeds);
+        *self.settings.write().expect("settings lock") = Arc::new(settings);
+    }
+
     /// Time since the start.
     pub fn now(&self) -> Moment {
         self.uptime.now()
@@ -102,8 +129,9 @@
     /// Routers in the fleet as far as known, this one too; never fewer than
     /// there are seeds.
     pub fn router_count(&self) -> usize {
-        let alive = self.peers.alive(self.now(), self.settings.peer_forget);
-        (alive + 1).max(self.settings.seeds.len())
+        let settings = self.settings();
+        let alive = self.peers.alive(self.now(), settings.peer_forget);
+        (alive + 1).max(settings.seeds.len())
     }
 
     /// Whether the process has begun to stop.
@@ -116,6 +144,19 @@
         self.stopping.store(true, Ordering::SeqCst);
     }
 
+    /// Whether more connections of callers are open than are kept.
+    pub fn crowded(
+        &self,
+        crowded: bool,
+    ) {
+        self.crowded.store(crowded, Ordering::Relaxed);
+    }
+
+    /// Whether answers should end their connections.
+    pub fn closes_connections(&self) -> bool {
+        self.is_stopping() || self.crowded.load(Ordering::Relaxed)
+    }
+
     /// Whether callers should be sent here.
     pub fn is_ready(&self) -> bool {
         let version = self.catalog.version();
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -18,7 +18,9 @@
 mod reply;
 mod request_reader;
 mod serve;
+mod settings_watch;
 mod sockets;
+mod status;
 mod upstream_connection;
 mod upstream_pool;
 
--- a/src/direct/ready_port.rs
+++ b/src/direct/ready_port.rs
@@ -17,8 +17,8 @@
 
 /// The server for the balancer, ready to launch.
 pub async fn ready_server(gateway: Arc<Gateway>) -> Result<Rocket<Ignite>, rocket::Error> {
-    let config = quiet_config(gateway.settings.ready);
-    let path = gateway.settings.ready_path.clone();
+    let config = quiet_config(gateway.settings().ready);
+    let path = gateway.settings().ready_path.clone();
     let route = Route::new(Method::Get, &path, ReadyPort { gateway });
     rocket::custom(config)
         .mount("/", vec![route])
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -1,10 +1,14 @@
 use {
-    super::{caller_connections::CallerConnections, gateway::Gateway, ready_port::ready_server},
+    super::{
+        caller_connections::CallerConnections, gateway::Gateway, ready_port::ready_server,
+        settings_watch::watch_settings,
+    },
     crate::{
         catalog::{Catalog, follow_source},
         codes::ResultCode,
         conf::DirectSettings,
         node::{BLOCKING_THREADS, StartError, run_process, stop_signal},
+        ops::OperatorPort,
         peers::PeerLink,
         platform::{StoreClient, dialect, parse_config, parse_replica},
     },
@@ -52,6 +56,11 @@
     tokio::spawn(gateway.clone().follow_catalog());
     tokio::spawn(gateway.clone().tidy_pool());
     link.clone().start();
+    tokio::spawn(watch_settings(gateway.clone(), settings.path.clone()));
+    let operator = tokio::spawn(OperatorPort::serve(
+        settings.operator.listen,
+        gateway.clone(),
+    ));
     let accepting = tokio::spawn(connections.clone().accept(listener));
     let readiness = tokio::spawn(ready.launch());
     log::info!(
@@ -61,6 +70,9 @@
     );
     tokio::select! {
         () = stop_signal() => {}
+        ended = operator => {
+            ended.change_context_lazy(failed)?.change_context_lazy(failed)?;
+        }
         ended = readiness => {
             ended.change_context_lazy(failed)?.change_context_lazy(failed)?;
         }
--- /dev/null
+++ b/src/direct/status.rs
@@ -0,0 +1,60 @@
+//! What a router says of itself that carries requests itself.
+
+use {
+    super::gateway::Gateway,
+    crate::{
+        fleet::{HostRole, Revision},
+        ops::{AuditTrail, PeerStatus, ProcessStatus, RUNNING, StatusSource},
+        policy::Incarnation,
+    },
+    std::collections::BTreeMap,
+};
+
+impl StatusSource for Gateway {
+    fn status(&self) -> ProcessStatus {
+        let settings = self.settings();
+        let version = self.catalog.version();
+        let running: u32 = self.board().replicas().map(|view| view.own.running).sum();
+        metrics::gauge!(RUNNING).set(f64::from(running));
+        let peers = self.peers.heard(self.now(), settings.peer_age);
+        ProcessStatus {
+            host: settings.process.host.clone(),
+            role: HostRole::Router,
+            zone: settings.process.zone.clone(),
+            version: env!("CARGO_PKG_VERSION").to_owned(),
+            incarnation: self.incarnation,
+            uptime_ms: self.now().as_millis() as u64,
+            ready: Gateway::is_ready(self),
+            leaving: self.is_stopping(),
+            revision: (version.config > 0).then_some(Revision(version.config)),
+            digest: String::new(),
+            peers: peers
+                .into_iter()
+                .map(|address| PeerStatus {
+                    host: address.to_string(),
+                    role: HostRole::Router,
+                    incarnation: Incarnation::default(),
+                    revision: Revision(self.peers.version(address).config),
+                })
+                .collect(),
+            waiting: 0,
+            running: u64::from(running),
+            slots: 0,
+            busy_slot_ms: 0,
+            contended_ms: 0,
+            contended_busy_slot_ms: 0,
+            kept_accounts: 0,
+            control_bytes: BTreeMap::new(),
+            link_bytes: 0,
+            accounts: Vec::new(),
+        }
+    }
+
+    fn is_ready(&self) -> bool {
+        Gateway::is_ready(self)
+    }
+
+    fn audit(&self) -> &AuditTrail {
+        &self.audit
+    }
+}
--- a/src/direct/upstream_connection.rs
+++ b/src/direct/upstream_connection.rs
@@ -123,12 +123,9 @@
         &mut self,
         headers: &HeaderMap,
     ) {
-        let word = |name: &str, word: &str| {
-            let values = headers.get_all(name);
-            let mut texts = values.iter().filter_map(|value| value.to_str().ok());
-            texts.any(|text| text.to_ascii_lowercase().contains(word))
-        };
-        self.closing = word(CONNECTION.as_str(), "close");
+        let values = headers.get_all(CONNECTION);
+        let mut texts = values.iter().filter_map(|value| value.to_str().ok());
+        self.closing = texts.any(|text| text.to_ascii_lowercase().contains("close"));
         let told = headers
             .get("keep-alive")
             .and_then(|value| value.to_str().ok())
--- a/src/peers/peer_link.rs
+++ b/src/peers/peer_link.rs
@@ -42,7 +42,7 @@
     /// Binds the address for peers: code 93.
     pub fn bind(gateway: Arc<Gateway>) -> Result<Arc<Self>, Fault> {
         let (server, client) = quic_configs()?;
-        let mut endpoint = Endpoint::server(server, gateway.settings.peers)
+        let mut endpoint = Endpoint::server(server, gateway.settings().peers)
             .map_err(|error| Fault::new(ResultCode::StartFailed, error))?;
         endpoint.set_default_client_config(client);
         Ok(Arc::new(Self {
@@ -197,7 +197,7 @@
             }
             tokio::time::sleep(LEAST_PAUSE).await;
             tokio::select! {
-                () = tokio::time::sleep(self.gateway.settings.peer_interval) => {}
+                () = tokio::time::sleep(self.gateway.settings().peer_interval) => {}
                 () = self.wanted.notified() => {}
                 _ = changes.changed() => {}
             }
@@ -213,7 +213,7 @@
         drop(board);
         let accounts = gateway.shares().own(now).clone();
         RouterState {
-            address: gateway.settings.peers,
+            address: gateway.settings().peers,
             incarnation: self.incarnation,
             sequence: self.sequence.fetch_add(1, Ordering::Relaxed) + 1,
             leaving: gateway.is_stopping(),
@@ -221,18 +221,18 @@
             replicas,
             accounts: accounts.into_iter().collect(),
             notes,
-            routers: gateway.peers.heard(now, gateway.settings.peer_forget),
+            routers: gateway.peers.heard(now, gateway.settings().peer_forget),
         }
     }
 
     /// Connects to routers as they become known, and forgets silent ones.
     async fn follow_routers(self: Arc<Self>) {
         let mut dialled = HashSet::new();
-        let pause = self.gateway.settings.peer_interval * 2;
+        let pause = self.gateway.settings().peer_interval * 2;
         loop {
             let now = self.gateway.now();
             let peers = &self.gateway.peers;
-            peers.forget_silent(now, self.gateway.settings.peer_forget);
+            peers.forget_silent(now, self.gateway.settings().peer_forget);
             let known: HashSet<_> = peers.addresses().into_iter().collect();
             dialled.retain(|address| known.contains(address));
             for address in known {
@@ -240,7 +240,7 @@
                     tokio::spawn(keep_peer(self.clone(), address));
                 }
             }
-            let alive = peers.alive(now, self.gateway.settings.peer_age);
+            let alive = peers.alive(now, self.gateway.settings().peer_age);
             metrics::gauge!(PEERS).set(alive as f64);
             tokio::time::sleep(pause).await;
         }
--- a/src/peers/peer_table.rs
+++ b/src/peers/peer_table.rs
@@ -43,6 +43,17 @@
         }
     }
 
+    /// Takes in seeds that changed.
+    pub fn add_seeds(
+        &self,
+        seeds: &[SocketAddr],
+    ) {
+        let mut peers = self.peers();
+        for address in seeds.iter().filter(|seed| **seed != self.own) {
+            peers.entry(*address).or_default().is_seed = true;
+        }
+    }
+
     /// Takes in a router's own report. False if a later one was heard before.
     pub fn hear(
         &self,
--- a/src/policy/placement/replica_board.rs
+++ b/src/policy/placement/replica_board.rs
@@ -29,6 +29,9 @@
 /// When to come back where no replica is known.
 const NO_REPLICA_RETRY: Duration = Duration::from_millis(500);
 
+/// The shortest and longest time to come back after.
+const RETRY_BOUNDS: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(5));
+
 /// More requests than slots that a plain replica is sent, as a factor.
 const PLAIN_QUEUE: f64 = 2.0;
 
@@ -39,9 +42,9 @@
     pub zone: &'r str, // of this router
     pub engine: Option<EngineFacts>,
     pub prompt: Option<&'r PromptShape>,
-    pub aim: Duration,         // shortest among the service's routes
-    pub over_share: bool,      // its account has had its share
-    pub tried: &'r [Arc<str>], // replicas it was sent to before
+    pub aim: Duration,              // shortest among the service's routes
+    pub over_for: Option<Duration>, // until its account is within its share again
+    pub tried: &'r [Arc<str>],      // replicas it was sent to before
 }
 
 /// The replicas, what is at them, and who gets the next request.
@@ -82,6 +85,14 @@
         }
     }
 
+    /// Puts changed bounds in force.
+    pub fn set_settings(
+        &mut self,
+        settings: PlacementSettings,
+    ) {
+        self.settings = settings;
+    }
+
     /// Takes in the newest list. Replicas that it lacks are forgotten.
     pub fn set_entries(
         &mut self,
@@ -223,7 +234,7 @@
     ) -> Choice {
         let settings = &self.settings;
         let aim_ms = request.aim.as_secs_f64() * 1000.0;
-        let share = if request.over_share {
+        let share = if request.over_for.is_some() {
             settings.over_share
         } else {
             1.0
@@ -316,14 +327,14 @@
         request: &PlacementRequest,
         wait_ms: f64,
     ) -> Choice {
-        let reason = if request.over_share {
-            RefusalReason::OverShare
-        } else {
-            RefusalReason::NoRoom
+        let room_in = Duration::from_secs_f64(wait_ms / 1000.0);
+        let (reason, wait) = match request.over_for {
+            Some(over_for) => (RefusalReason::OverShare, over_for.max(room_in)),
+            None => (RefusalReason::NoRoom, room_in),
         };
         Choice::Refuse {
             reason,
-            retry_after: Duration::from_secs_f64(wait_ms.clamp(100.0, 5000.0) / 1000.0),
+            retry_after: wait.clamp(RETRY_BOUNDS.0, RETRY_BOUNDS.1),
         }
     }
 
--- a/src/policy/shares/retry_window.rs
+++ b/src/policy/shares/retry_window.rs
@@ -34,6 +34,18 @@
         }
     }
 
+    /// Changes the bounds; what was counted stays.
+    pub fn set_bounds(
+        &mut self,
+        window: Duration,
+        ratio: f64,
+        extra: f64,
+    ) {
+        self.window = window;
+        self.ratio = ratio;
+        self.extra = extra;
+    }
+
     /// Counts a first attempt.
     pub fn request(
         &mut self,
--- a/src/policy/shares/share_book.rs
+++ b/src/policy/shares/share_book.rs
@@ -49,6 +49,16 @@
         }
     }
 
+    /// Changes the bounds; what was counted stays.
+    pub fn set_window(
+        &mut self,
+        window: Duration,
+        peer_age: Duration,
+    ) {
+        self.window = window;
+        self.peer_age = peer_age;
+    }
+
     /// An account asked for this many tokens.
     pub fn ask(
         &mut self,
@@ -109,22 +119,26 @@
         &self.own
     }
 
-    /// Whether an account has had its max-min share of what was given lately.
-    pub fn is_over(
+    /// How long until an account that has had more than its max-min share of
+    /// what was given lately is within it again, if nothing is given until then.
+    /// None if it is within.
+    pub fn over_for(
         &self,
         now: Moment,
         account: u64,
-    ) -> bool {
+    ) -> Option<Duration> {
         let usage = self.fleet_usage(now);
-        let Some(mine) = usage.get(&account) else {
-            return false;
-        };
+        let mine = usage.get(&account)?;
         let given: f32 = usage.values().map(|usage| usage.got).sum();
         let asked = usage
             .values()
             .map(|usage| usage.asked.max(usage.got))
             .collect();
-        mine.got > fair_level(asked, given) * SLACK
+        let level = fair_level(asked, given) * SLACK;
+        (mine.got > level).then(|| {
+            let windows = (mine.got / level.max(1.0)).ln();
+            self.window.mul_f32(windows)
+        })
     }
 
     /// What each account asked for and got over the fleet.
