Belief of what replicas keep counts tokens placed there by the whole fleet

Cause: each router aged parts by its own traffic alone, a quarter of what makes a replica give parts up, and heard of a part's use by others only once. Now reports carry the tokens placed at each replica, and each use is noted.

--- a/src/peers/peer_link.rs
+++ b/src/peers/peer_link.rs
@@ -171,7 +171,7 @@
         board.hear(now, peer, &told);
         for note in &state.notes {
             if let Some(view) = board.by_key(note.replica) {
-                view.cache.note(now, note.part, note.tokens);
+                view.cache.note(note.part);
             }
         }
         drop(board);
--- a/src/policy/placement/cache_note.rs
+++ b/src/policy/placement/cache_note.rs
@@ -1,9 +1,8 @@
 use serde::{Deserialize, Serialize};
 
-/// A shared part of a prompt that a replica was sent, for other routers.
+/// A part of a prompt that a replica was sent, for other routers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CacheNote {
     pub replica: u64, // short name
     pub part: u64,
-    pub tokens: u32,
 }
--- a/src/policy/placement/prefix_cache.rs
+++ b/src/policy/placement/prefix_cache.rs
@@ -1,20 +1,19 @@
-use {super::PromptShape, crate::policy::Moment, std::collections::HashMap};
+use {super::PromptShape, std::collections::HashMap};
 
-/// Parts that are known at most; the oldest are forgotten in bulk beyond it.
+/// Parts that are known at most; those unused longest are forgotten beyond it.
 const KNOWN_PARTS: usize = 4096;
 
-/// What one replica is believed to keep of prompts. A belief: events come late,
-/// and the replica gives parts up without a word.
+/// What one replica is believed to keep of prompts.
+///
+/// Replicas give up the parts that were unused longest, so age is counted in
+/// tokens: a part is believed to be there until as many tokens were placed at
+/// the replica after its last use as the replica has room for. A belief: events
+/// come late, and a replica gives parts up without a word.
 #[derive(Debug, Clone, Default)]
 pub struct PrefixCache {
-    parts: HashMap<u64, Kept>,
-    tokens: u64,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Kept {
-    tokens: u32,
-    used: Moment,
+    used: HashMap<u64, u64>, // tokens placed at the replica when a part was last used
+    placed: u64,             // tokens placed at the replica so far
+    room: u64,               // tokens that fit beside running requests
 }
 
 impl PrefixCache {
@@ -23,40 +22,44 @@
         &self,
         prompt: &PromptShape,
     ) -> u32 {
-        let missing = prompt
-            .parts
-            .iter()
-            .skip_while(|part| self.parts.contains_key(&part.id));
+        let missing = prompt.parts.iter().skip_while(|part| self.holds(part.id));
         missing.map(|part| part.tokens).sum()
     }
 
-    /// A prompt was sent there: all its parts will be kept, in place of those
-    /// that were unused longest, up to `capacity` tokens.
-    pub fn note_prompt(
+    /// Whether a part is believed to be kept.
+    pub fn holds(
+        &self,
+        part: u64,
+    ) -> bool {
+        let used = self.used.get(&part);
+        used.is_some_and(|used| self.placed.saturating_sub(*used) < self.room)
+    }
+
+    /// Tokens were placed there, by whichever router.
+    pub fn place(
         &mut self,
-        now: Moment,
-        prompt: &PromptShape,
-        capacity: u64,
+        tokens: u64,
     ) {
-        for part in &prompt.parts {
-            self.note(now, part.id, part.tokens);
-        }
-        while self.tokens > capacity || self.parts.len() > KNOWN_PARTS {
-            self.forget_oldest();
-        }
+        self.placed += tokens;
+    }
+
+    /// How many tokens fit beside the running requests.
+    pub fn set_room(
+        &mut self,
+        tokens: u64,
+    ) {
+        self.room = tokens;
     }
 
-    /// A part is kept there.
+    /// A part is used there.
     pub fn note(
         &mut self,
-        now: Moment,
         part: u64,
-        tokens: u32,
     ) {
-        let kept = Kept { tokens, used: now };
-        let before = self.parts.insert(part, kept);
-        self.tokens += u64::from(tokens);
-        self.tokens -= before.map_or(0, |kept| u64::from(kept.tokens));
+        self.used.insert(part, self.placed);
+        if self.used.len() > KNOWN_PARTS {
+            self.forget_oldest();
+        }
     }
 
     /// A part is not kept there any more.
@@ -64,35 +67,19 @@
         &mut self,
         part: u64,
     ) {
-        if let Some(kept) = self.parts.remove(&part) {
-            self.tokens -= u64::from(kept.tokens);
-        }
+        self.used.remove(&part);
     }
 
     /// Nothing is kept there.
     pub fn clear(&mut self) {
-        self.parts.clear();
-        self.tokens = 0;
-    }
-
-    /// Whether a part is believed to be kept.
-    pub fn holds(
-        &self,
-        part: u64,
-    ) -> bool {
-        self.parts.contains_key(&part)
+        self.used.clear();
     }
 
     /// Forgets the quarter that was unused longest.
     fn forget_oldest(&mut self) {
-        let mut ages: Vec<(Moment, u64)> = self
-            .parts
-            .iter()
-            .map(|(id, kept)| (kept.used, *id))
-            .collect();
+        let mut ages: Vec<u64> = self.used.values().copied().collect();
         ages.sort_unstable();
-        for (_, id) in ages.iter().take(ages.len() / 4 + 1) {
-            self.forget(*id);
-        }
+        let oldest = ages[ages.len() / 4];
+        self.used.retain(|_, used| *used > oldest);
     }
 }
--- a/src/policy/placement/replica_board.rs
+++ b/src/policy/placement/replica_board.rs
@@ -164,7 +164,7 @@
     ) {
         for (id, view) in &mut self.replicas {
             match told.get(&replica_key(id)) {
-                Some(report) => view.hear(now, peer, report.load, report.rests),
+                Some(report) => view.hear(now, peer, report),
                 None => view.forget_peer(peer),
             }
         }
@@ -178,10 +178,11 @@
         let views = self.replicas.iter().map(|(id, view)| ReplicaReport {
             replica: replica_key(id),
             load: view.own,
+            placed: view.placed,
             rests: view.health.rests(now),
         });
         views
-            .filter(|report| report.rests || report.load != Load::default())
+            .filter(|report| report.rests || report.placed > 0 || report.load != Load::default())
             .collect()
     }
 
@@ -409,19 +410,20 @@
         if let (Some(prompt), Some(engine)) = (prompt, engine) {
             load.reading = reading;
             load.memory = load.reading + prompt.output_tokens;
-            for part in &prompt.parts[..prompt.parts.len().saturating_sub(1)] {
-                if !view.cache.holds(part.id) && self.notes.len() < MAX_NOTES {
+            let memory = view.load(now, age).memory + load.memory;
+            view.cache
+                .set_room(engine.memory_tokens.saturating_sub(u64::from(memory)));
+            view.placed += u64::from(load.memory);
+            view.cache.place(u64::from(load.memory));
+            for part in &prompt.parts {
+                view.cache.note(part.id);
+                if self.notes.len() < MAX_NOTES {
                     self.notes.push(CacheNote {
                         replica: replica_key(replica),
                         part: part.id,
-                        tokens: part.tokens,
                     });
                 }
             }
-            let capacity = engine
-                .memory_tokens
-                .saturating_sub(u64::from(view.own.memory));
-            view.cache.note_prompt(now, prompt, capacity);
         }
         view.own += load;
         let work = Work {
--- a/src/policy/placement/replica_report.rs
+++ b/src/policy/placement/replica_report.rs
@@ -8,5 +8,6 @@
 pub struct ReplicaReport {
     pub replica: u64, // short name
     pub load: Load,
+    pub placed: u64, // tokens sent there so far that it had to take in
     pub rests: bool,
 }
--- a/src/policy/placement/replica_view.rs
+++ b/src/policy/placement/replica_view.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Load, PrefixCache, ReadingSpeed, ReplicaHealth},
+    super::{Load, PrefixCache, ReadingSpeed, ReplicaHealth, ReplicaReport},
     crate::{catalog::UpstreamEntry, policy::Moment},
     std::{collections::HashMap, sync::Arc, time::Duration},
 };
@@ -15,6 +15,7 @@
     pub health: ReplicaHealth,
     pub cache: PrefixCache,
     pub speed: ReadingSpeed,
+    pub placed: u64,     // tokens that this router sent there so far
     pub service_ms: f64, // moving time of a plain request
     peers: HashMap<u64, PeerReport>,
 }
@@ -22,6 +23,7 @@
 #[derive(Debug, Clone, Copy)]
 struct PeerReport {
     load: Load,
+    placed: u64,
     avoids: bool, // it lets the replica rest
     heard: Moment,
 }
@@ -38,6 +40,7 @@
             health: ReplicaHealth::default(),
             cache: PrefixCache::default(),
             speed: ReadingSpeed::new(speed),
+            placed: 0,
             service_ms: 10.0,
             peers: HashMap::new(),
         }
@@ -73,18 +76,19 @@
         &mut self,
         now: Moment,
         peer: u64,
-        load: Load,
-        avoids: bool,
+        report: &ReplicaReport,
     ) {
-        let heard = now;
-        self.peers.insert(
-            peer,
-            PeerReport {
-                load,
-                avoids,
-                heard,
-            },
-        );
+        let told = PeerReport {
+            load: report.load,
+            placed: report.placed,
+            avoids: report.rests,
+            heard: now,
+        };
+        let before = self.peers.insert(peer, told);
+        // A router that started anew counts from zero.
+        let known = before.map_or(0, |before| before.placed);
+        let fresh = report.placed.checked_sub(known).unwrap_or(report.placed);
+        self.cache.place(fresh);
     }
 
     /// A peer is gone, or has nothing there.
