--- a/src/direct/attempt_end.rs
+++ b/src/direct/attempt_end.rs
@@ -10,6 +10,8 @@
         status: u16,
         retry_after: Option<Duration>,
     },
+    /// The request ran and its replica answered with a failure, which is kept.
+    Failed { status: u16 },
     /// The request was sent and may have run.
     Unknown { code: ResultCode, detail: String },
 }
@@ -20,12 +22,13 @@
         match self {
             Self::NotSent { .. } => ResultCode::UpstreamUnreachable,
             Self::Refused { .. } => ResultCode::ReplicaRefused,
+            Self::Failed { .. } => ResultCode::OutcomeUnknown,
             Self::Unknown { code, .. } => *code,
         }
     }
 
     /// Whether it is proved that the request did not run.
     pub fn did_not_run(&self) -> bool {
-        !matches!(self, Self::Unknown { .. })
+        !matches!(self, Self::Unknown { .. } | Self::Failed { .. })
     }
 }
--- a/src/direct/exchange.rs
+++ b/src/direct/exchange.rs
@@ -42,11 +42,12 @@
 pub struct Exchange {
     pub gateway: Arc<Gateway>,
     pub call: Arc<Call>,
-    tried: Vec<Arc<str>>, // replicas that it went to
-    sent: u32,            // attempts of which something was sent
-    unsent: u32,          // attempts that ended before
-    may_have_run: bool,   // some attempt's outcome is unknown
-    granted: f32,         // tokens that its account was charged
+    tried: Vec<Arc<str>>,                 // replicas that it went to
+    sent: u32,                            // attempts of which something was sent
+    unsent: u32,                          // attempts that ended before
+    may_have_run: bool,                   // some attempt's outcome is unknown
+    granted: f32,                         // tokens that its account was charged
+    failure: Option<Response<ReplyBody>>, // a replica's own, if nothing better comes
 }
 
 /// An answer that has begun, and what its replica was expected to take.
@@ -69,6 +70,7 @@
             unsent: 0,
             may_have_run: false,
             granted: 0.0,
+            failure: None,
         }
     }
 
@@ -77,7 +79,10 @@
         self.gateway.count_request(&self.call.service);
         self.ask();
         loop {
-            let begun = self.begin(None).await?;
+            let begun = match self.begin(None).await {
+                Ok(begun) => begun,
+                Err(error) => return self.failure.ok_or(error),
+            };
             let is_events = self.call.route.kind.is_stream() && begun.answer.head.status == 200;
             let outcome = if is_events {
                 let relay = EventsRelay::new(self, begun.answer);
@@ -94,10 +99,20 @@
                     Err(end) => end,
                 }
             };
-            self.end_attempt(&outcome)?;
+            if let Err(error) = self.end_attempt(&outcome) {
+                return self.failure.ok_or(error);
+            }
         }
     }
 
+    /// Keeps a replica's failure for the caller, if nothing better comes.
+    pub fn keep_failure(
+        &mut self,
+        failure: Response<ReplyBody>,
+    ) {
+        self.failure = Some(failure);
+    }
+
     /// Sends the call on until a replica begins to answer.
     pub async fn begin(
         &mut self,
@@ -165,16 +180,6 @@
         Err(self.error(end))
     }
 
-    /// The replica answered with a failure of its own; whether the call goes on
-    /// elsewhere instead of passing it to the caller.
-    pub fn goes_on_after_failure(&mut self) -> bool {
-        let retries = self.may_repeat() && self.gateway.take_retry(&self.call.service);
-        if retries {
-            metrics::counter!(RETRIES, "why" => "failure").increment(1);
-        }
-        retries
-    }
-
     fn goes_on(
         &self,
         end: &AttemptEnd,
@@ -184,6 +189,7 @@
         match end {
             AttemptEnd::NotSent { .. } => in_time && self.unsent < MAX_UNSENT,
             AttemptEnd::Refused { .. } => in_time && more && self.take_retry("refused"),
+            AttemptEnd::Failed { .. } => self.may_repeat() && self.take_retry("failure"),
             AttemptEnd::Unknown { .. } => self.may_repeat() && self.take_retry("unknown"),
         }
     }
@@ -343,7 +349,7 @@
                 board.unreachable(now, replica);
             }
             AttemptEnd::Refused { .. } => board.full(now, replica),
-            AttemptEnd::Unknown { .. } => board.failed(now, replica),
+            AttemptEnd::Failed { .. } | AttemptEnd::Unknown { .. } => board.failed(now, replica),
         }
     }
 
--- a/src/direct/plain_relay.rs
+++ b/src/direct/plain_relay.rs
@@ -32,15 +32,8 @@
     let status = answer.head.status;
     let replica = answer.work.replica().clone();
     let now = exchange.gateway.now();
-    if status.is_server_error() {
-        exchange.gateway.board().failed(now, &replica);
-        if exchange.goes_on_after_failure() {
-            return Err(AttemptEnd::Unknown {
-                code: ResultCode::OutcomeUnknown,
-                detail: format!("the replica answered {status}"),
-            });
-        }
-    } else {
+    let failed = status.is_server_error();
+    if !failed {
         let mut board = exchange.gateway.board();
         board.succeeded(&replica);
         if let Some(view) = board.replica_mut(&replica) {
@@ -49,7 +42,14 @@
     }
     if is_whole {
         let length = (exchange.call.method != hyper::Method::HEAD).then_some(kept.len());
-        return Ok(replica_reply(answer.head, whole_body(kept), length));
+        let reply = replica_reply(answer.head, whole_body(kept), length);
+        if !failed {
+            return Ok(reply);
+        }
+        exchange.keep_failure(reply);
+        return Err(AttemptEnd::Failed {
+            status: status.as_u16(),
+        });
     }
     let left = exchange.time_left();
     Ok(long_reply(answer, kept, left))
--- a/src/policy/placement/replica_board.rs
+++ b/src/policy/placement/replica_board.rs
@@ -214,21 +214,23 @@
         now: Moment,
         request: &PlacementRequest,
     ) -> Vec<&ReplicaView> {
-        let ready: Vec<&ReplicaView> = self
+        let untried: Vec<&ReplicaView> = self
             .replicas
             .values()
             .filter(|view| &*view.entry.service == request.service)
             .filter(|view| view.entry.state == UpstreamState::Ready)
+            .filter(|view| !request.tried.contains(&view.entry.id))
             .collect();
-        let fresh = |view: &&&ReplicaView| !request.tried.contains(&view.entry.id);
-        let awake: Vec<&ReplicaView> = ready
+        let awake: Vec<&ReplicaView> = untried
             .iter()
             .filter(|view| !view.health.rests(now))
             .copied()
             .collect();
-        let enough = awake.len() * 2 >= ready.len();
-        let pool = if enough { &awake } else { &ready };
-        pool.iter().filter(fresh).copied().collect()
+        if awake.len() * 2 >= untried.len() {
+            awake
+        } else {
+            untried
+        }
     }
 
     fn choose_engine(
--- /dev/null
+++ b/testbed/src/direct/direct_fleet.rs
@@ -0,0 +1,122 @@
+use {
+    super::{Client, ClientRequest, Replica, ReplicaAnswer, Store, StorePort},
+    crate::fleet::{Loopback, Process, until_async},
+    std::{net::SocketAddr, path::PathBuf},
+};
+
+/// Routers that carry requests themselves, their replicas and their store.
+pub struct DirectFleet {
+    pub store: Store,
+    pub ports: Vec<StorePort>, // one for each router
+    pub routers: Vec<Process>,
+    pub callers: Vec<SocketAddr>,
+    pub ready: Vec<SocketAddr>,
+    pub settings: Vec<PathBuf>,
+    loopback: Loopback,
+    _folder: Folder,
+}
+
+/// A folder of a test's own, removed with it.
+struct Folder(PathBuf);
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        if let Err(error) = std::fs::remove_dir_all(&self.0) {
+            log::debug!("folder left behind: {error}");
+        }
+    }
+}
+
+impl DirectFleet {
+    /// Starts this many routers before a store that is empty yet. `callers` goes
+    /// into that section of their settings.
+    pub async fn start(
+        count: usize,
+        callers_text: &str,
+    ) -> Self {
+        let loopback = Loopback::new();
+        let name = format!("archmast-direct-{:016x}", rand::random::<u64>());
+        let folder = Folder(std::env::temp_dir().join(name));
+        std::fs::create_dir_all(&folder.0).expect("a folder for settings");
+        let store = Store::default();
+        let peers: Vec<SocketAddr> = (0..count)
+            .map(|_| loopback.free_udp().expect("a free port"))
+            .collect();
+        let seeds: Vec<String> = peers.iter().map(SocketAddr::to_string).collect();
+        let mut fleet = Self {
+            store: store.clone(),
+            ports: Vec::new(),
+            routers: Vec::new(),
+            callers: Vec::new(),
+            ready: Vec::new(),
+            settings: Vec::new(),
+            loopback,
+            _folder: folder,
+        };
+        for (index, peer) in peers.iter().enumerate() {
+            let port = StorePort::start(fleet.loopback.standins, store.clone()).await;
+            let free = || fleet.loopback.free_tcp().expect("a free port");
+            let (callers, ready, operator) = (free(), free(), free());
+            let text = format!(
+                "[process]\nhost = router-{index}\nzone = z\n[callers]\nlisten = {callers}\n{callers_text}\
+                 [ready]\nlisten = {ready}\npath = /v1/ready\n[operator]\nlisten = {operator}\n\
+                 [peers]\nlisten = {peer}\nseeds = {}\n[catalog]\naddress = {}\npause = 20 ms\n\
+                 retry_pause = 50 ms\n[stop]\ngrace = 20 s\nbalancer_lag = 300 ms\n",
+                seeds.join(","),
+                port.address
+            );
+            let settings = fleet._folder.0.join(format!("router-{index}.ini"));
+            std::fs::write(&settings, text).expect("settings are written");
+            let log = fleet._folder.0.join(format!("router-{index}.log"));
+            let process = Process::start_with("archmast-router", &["--direct"], &settings, &log);
+            fleet.routers.push(process.expect("the router starts"));
+            fleet.ports.push(port);
+            fleet.callers.push(callers);
+            fleet.ready.push(ready);
+            fleet.settings.push(settings);
+        }
+        fleet
+    }
+
+    /// Starts a replica and lists it as ready.
+    pub async fn replica(
+        &self,
+        id: &str,
+        service: &str,
+        usual: ReplicaAnswer,
+    ) -> Replica {
+        let replica = Replica::start(self.loopback.standins, id, usual).await;
+        self.store.list(id, service, replica.address, "ready");
+        replica
+    }
+
+    /// Whether a router says that it is ready.
+    pub async fn is_ready(
+        &self,
+        router: usize,
+    ) -> bool {
+        let request = ClientRequest::get("/v1/ready", "ready");
+        Client::ask(self.ready[router], &request).await.status == 200
+    }
+
+    /// Waits until every router is ready.
+    pub async fn all_ready(&self) {
+        for router in 0..self.routers.len() {
+            until_async("the router is ready", async || self.is_ready(router).await).await;
+        }
+    }
+
+    /// Waits until a path is answered by a router with this status.
+    pub async fn serves(
+        &self,
+        router: usize,
+        path: &str,
+        status: u16,
+    ) {
+        until_async("the path is served", async || {
+            let request = ClientRequest::get(path, "probe");
+            Client::ask(self.callers[router], &request).await.status == status
+        })
+        .await;
+    }
+}
--- /dev/null
+++ b/testbed/src/direct/mod.rs
@@ -0,0 +1,24 @@
+//! Routers that carry requests themselves, as real processes, with stand-ins
+//! that speak the users' platform: its store, its replicas, its clients.
+
+mod client;
+mod client_answer;
+mod direct_fleet;
+mod replica;
+mod replica_answer;
+mod seen_request;
+mod store;
+mod store_mode;
+mod store_port;
+
+pub use {
+    client::{Client, ClientRequest},
+    client_answer::ClientAnswer,
+    direct_fleet::DirectFleet,
+    replica::Replica,
+    replica_answer::ReplicaAnswer,
+    seen_request::SeenRequest,
+    store::{RouteText, Store},
+    store_mode::StoreMode,
+    store_port::StorePort,
+};
--- /dev/null
+++ b/testbed/src/direct/seen_request.rs
@@ -0,0 +1,25 @@
+use std::collections::HashMap;
+
+/// A request as a replica got it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SeenRequest {
+    pub method: String,
+    pub target: String,                   // path and query
+    pub headers: HashMap<String, String>, // names in lower case
+    pub body: Vec<u8>,
+}
+
+impl SeenRequest {
+    /// A header's text; empty if there is none.
+    pub fn header(
+        &self,
+        name: &str,
+    ) -> &str {
+        self.headers.get(name).map_or("", String::as_str)
+    }
+
+    /// The id of the client's attempt.
+    pub fn id(&self) -> &str {
+        self.header("archmast-attempt-id")
+    }
+}
--- /dev/null
+++ b/testbed/src/direct/store.rs
@@ -0,0 +1,241 @@
+use {
+    serde_json::{Value, json},
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+    },
+    tokio::sync::watch,
+};
+
+/// The stand-in of the platform's store: items by key, one revision counter,
+/// and a history that can be forgotten.
+#[derive(Clone)]
+pub struct Store {
+    state: Arc<Mutex<State>>,
+    changed: Arc<watch::Sender<u64>>, // the revision
+}
+
+#[derive(Default)]
+struct State {
+    items: BTreeMap<String, Item>,
+    events: Vec<Value>,
+    revision: u64,
+    forgotten: u64, // events up to this revision are gone
+}
+
+struct Item {
+    value: String, // in base64
+    revision: u64,
+}
+
+/// A route as the operator writes it.
+#[derive(Debug, Clone)]
+pub struct RouteText {
+    pub prefix: &'static str,
+    pub service: &'static str,
+    pub kind: &'static str,
+    pub attempts: u32,
+    pub timeout_ms: u32,
+    pub resumable: bool,
+    pub public: bool,
+}
+
+impl RouteText {
+    /// A route that is given up after ten seconds and sent to two replicas.
+    pub fn new(
+        prefix: &'static str,
+        service: &'static str,
+        kind: &'static str,
+    ) -> Self {
+        Self {
+            prefix,
+            service,
+            kind,
+            attempts: 2,
+            timeout_ms: 10_000,
+            resumable: true,
+            public: false,
+        }
+    }
+}
+
+impl Default for Store {
+    fn default() -> Self {
+        Self {
+            state: Arc::default(),
+            changed: Arc::new(watch::Sender::new(0)),
+        }
+    }
+}
+
+impl Store {
+    /// Publishes a configuration for the host `app.example`, in which the
+    /// account `lot` has the key `key-1`.
+    pub fn publish(
+        &self,
+        version: u64,
+        routes: &[RouteText],
+    ) {
+        self.publish_with_keys(version, routes, &["key-1"]);
+    }
+
+    /// The same with other keys.
+    pub fn publish_with_keys(
+        &self,
+        version: u64,
+        routes: &[RouteText],
+        keys: &[&str],
+    ) {
+        let services: Vec<Value> = routes
+            .iter()
+            .map(|route| json!({"name": route.service, "health_path": "/health", "max_connections": 100, "protocol": "h1"}))
+            .collect();
+        let routes: Vec<Value> = routes
+            .iter()
+            .map(|route| {
+                json!({
+                    "name": format!("r{}", route.prefix.replace('/', "-")),
+                    "host": "app.example", "path_prefix": route.prefix,
+                    "kind": route.kind, "service": route.service,
+                    "timeout_ms": route.timeout_ms, "target_latency_ms": 500,
+                    "priority": 1, "max_attempts": route.attempts,
+                    "public": route.public, "resumable": route.resumable,
+                })
+            })
+            .collect();
+        let config = json!({
+            "version": version, "routes": routes, "services": services,
+            "limits": {"max_header_bytes": 8192, "max_body_bytes": 65536,
+                       "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+            "tenants": [{"name": "lot", "api_keys": keys}],
+        });
+        self.put("op/config", &config);
+    }
+
+    /// Lists a replica.
+    pub fn list(
+        &self,
+        id: &str,
+        service: &str,
+        address: SocketAddr,
+        state: &str,
+    ) {
+        let entry = json!({
+            "service": service, "address": address, "zone": "z", "version": "v1",
+            "slots": 8, "state": state, "cold_remaining_ms": 0, "sequence": 1,
+        });
+        self.put(&format!("servers/{id}"), &entry);
+    }
+
+    /// Takes a replica off the list.
+    pub fn remove(
+        &self,
+        id: &str,
+    ) {
+        let key = format!("servers/{id}");
+        let revision = {
+            let mut state = self.state.lock().expect("store lock");
+            state.items.remove(&key);
+            state.revision += 1;
+            let revision = state.revision;
+            let event = json!({"private_key": key, "revision": revision, "gone": true});
+            state.events.push(event);
+            revision
+        };
+        self.changed.send_replace(revision);
+    }
+
+    /// Forgets all changes so far; what there is stays.
+    pub fn forget_history(&self) {
+        let mut state = self.state.lock().expect("store lock");
+        state.forgotten = state.revision;
+        state.events.clear();
+    }
+
+    fn put(
+        &self,
+        key: &str,
+        value: &Value,
+    ) {
+        let value = base64(value.to_string().as_bytes());
+        let revision = {
+            let mut state = self.state.lock().expect("store lock");
+            state.revision += 1;
+            let revision = state.revision;
+            state.events.push(item(key, &value, revision));
+            state.items.insert(key.to_owned(), Item { value, revision });
+            revision
+        };
+        self.changed.send_replace(revision);
+    }
+
+    pub(super) fn key(
+        &self,
+        key: &str,
+    ) -> Option<Value> {
+        let state = self.state.lock().expect("store lock");
+        let found = state.items.get(key)?;
+        let mut answer = item(key, &found.value, found.revision);
+        answer["at"] = state.revision.into();
+        Some(answer)
+    }
+
+    /// Items below a prefix and behind a key, two a page.
+    pub(super) fn range(
+        &self,
+        prefix: &str,
+        after: &str,
+    ) -> Value {
+        const PAGE: usize = 2;
+        let state = self.state.lock().expect("store lock");
+        let below: Vec<_> = state
+            .items
+            .iter()
+            .filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after)
+            .collect();
+        let page = below.iter().take(PAGE);
+        let items: Vec<Value> = page
+            .map(|(key, found)| item(key, &found.value, found.revision))
+            .collect();
+        json!({"items": items, "more": below.len() > PAGE, "at": state.revision})
+    }
+
+    /// Events after a revision; none when they are forgotten.
+    pub(super) fn events(
+        &self,
+        prefix: &str,
+        after: u64,
+    ) -> Option<Vec<Value>> {
+        let state = self.state.lock().expect("store lock");
+        if after < state.forgotten {
+            return None;
+        }
+        let fresh = state.events.iter().filter(|event| {
+            let key = event["private_key"].as_str().unwrap_or("");
+            event["revision"].as_u64() > Some(after) && key.starts_with(prefix)
+        });
+        Some(fresh.cloned().collect())
+    }
+
+    pub(super) fn revision(&self) -> u64 {
+        *self.changed.borrow()
+    }
+
+    pub(super) fn subscribe(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+}
+
+fn item(
+    key: &str,
+    value: &str,
+    revision: u64,
+) -> Value {
+    json!({"private_key": key, "value": value, "revision": revision, "made": revision, "lease": 0})
+}
+
+fn base64(bytes: &[u8]) -> String {
+    use base64::{Engine, engine::general_purpose::STANDARD};
+    STANDARD.encode(bytes)
+}
--- /dev/null
+++ b/testbed/src/direct/store_port.rs
@@ -0,0 +1,134 @@
+use {
+    super::{Store, StoreMode},
+    crate::standin::{BoundServer, bind_server},
+    rocket::{Build, Rocket, State, get, http::Status, response::status::Custom, routes},
+    serde_json::json,
+    std::{
+        net::{IpAddr, SocketAddr},
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    tokio::time::timeout,
+};
+
+/// One address of the stand-in store, with troubles of its own.
+pub struct StorePort {
+    pub address: SocketAddr,
+    mode: Arc<Mutex<StoreMode>>,
+    _server: BoundServer,
+}
+
+type Mode = Arc<Mutex<StoreMode>>;
+type Answer = Custom<String>;
+
+impl StorePort {
+    /// Serves the store at a free port.
+    pub async fn start(
+        ip: IpAddr,
+        store: Store,
+    ) -> Self {
+        let mode = Arc::new(Mutex::new(StoreMode::Well));
+        let told = mode.clone();
+        let build = move |config| -> Rocket<Build> {
+            rocket::custom(config)
+                .manage(store)
+                .manage(told)
+                .mount("/v1", routes![key, range, watch])
+        };
+        let server = bind_server(ip, build).await;
+        Self {
+            address: server.address,
+            mode,
+            _server: server,
+        }
+    }
+
+    /// Answers like this from now on, watches that wait too.
+    pub fn set(
+        &self,
+        mode: StoreMode,
+    ) {
+        *self.mode.lock().expect("mode lock") = mode;
+    }
+}
+
+/// The refusal that the mode asks for, if it does.
+async fn trouble(mode: &Mode) -> Option<Answer> {
+    let now = *mode.lock().expect("mode lock");
+    match now {
+        StoreMode::Well => None,
+        StoreMode::Busy => Some(Custom(Status::ServiceUnavailable, String::new())),
+        StoreMode::Many => Some(Custom(Status::TooManyRequests, String::new())),
+        StoreMode::Silent => std::future::pending().await,
+    }
+}
+
+#[get("/kv-key?<private_key>")]
+async fn key(
+    private_key: &str,
+    store: &State<Store>,
+    mode: &State<Mode>,
+) -> Answer {
+    if let Some(refusal) = trouble(mode).await {
+        return refusal;
+    }
+    match store.key(private_key) {
+        Some(item) => Custom(Status::Ok, item.to_string()),
+        None => Custom(Status::NotFound, String::new()),
+    }
+}
+
+#[get("/kv-range?<path_prefix>&<after_revision>")]
+async fn range(
+    path_prefix: &str,
+    after_revision: Option<&str>,
+    store: &State<Store>,
+    mode: &State<Mode>,
+) -> Answer {
+    if let Some(refusal) = trouble(mode).await {
+        return refusal;
+    }
+    let page = store.range(path_prefix, after_revision.unwrap_or(""));
+    Custom(Status::Ok, page.to_string())
+}
+
+#[get("/kv-watch?<path_prefix>&<after_revision>&<wait_ms>")]
+async fn watch(
+    path_prefix: &str,
+    after_revision: u64,
+    wait_ms: u64,
+    store: &State<Store>,
+    mode: &State<Mode>,
+) -> Answer {
+    if let Some(refusal) = trouble(mode).await {
+        return refusal;
+    }
+    let mut changes = store.subscribe();
+    let news = async {
+        loop {
+            match store.events(path_prefix, after_revision) {
+                Some(events) if events.is_empty() => {}
+                found => return found,
+            }
+            if changes.changed().await.is_err() {
+                return None;
+            }
+        }
+    };
+    let found = timeout(Duration::from_millis(wait_ms), news).await;
+    if let Some(refusal) = trouble(mode).await {
+        return refusal;
+    }
+    match found {
+        Ok(None) => Custom(Status::Gone, String::new()),
+        Ok(Some(events)) => {
+            let at = events.last().and_then(|event| event["revision"].as_u64());
+            let answer = json!({"events": events, "at": at});
+            Custom(Status::Ok, answer.to_string())
+        }
+        Err(_) => {
+            let at = store.revision().max(after_revision);
+            Custom(Status::Ok, json!({"events": [], "at": at}).to_string())
+        }
+    }
+}
--- a/testbed/src/fleet/loopback.rs
+++ b/testbed/src/fleet/loopback.rs
@@ -20,6 +20,12 @@
     given: Mutex<HashSet<u16>>, // ports found free before
 }
 
+impl Default for Loopback {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl Loopback {
     /// Addresses that no other fleet of this machine has at this time.
     pub fn new() -> Self {
--- a/testbed/src/fleet/mod.rs
+++ b/testbed/src/fleet/mod.rs
@@ -18,6 +18,7 @@
     deployments::{Deployment, Work, account_key, association, parking},
     fleet::{Fleet, RouterHost},
     ini_text::{FleetText, overlay},
+    loopback::Loopback,
     outcome::Outcome,
     plan::{FleetPlan, SidecarPlan, UpstreamPlan},
     process::{Process, program_path},
--- a/testbed/src/fleet/process.rs
+++ b/testbed/src/fleet/process.rs
@@ -11,6 +11,7 @@
 /// One process of the product, which can be stopped, frozen and killed.
 pub struct Process {
     program: PathBuf,
+    words: Vec<String>, // of its command line, before the settings
     settings: PathBuf,
     log: PathBuf,
     child: Child,
@@ -30,11 +31,23 @@
         program: &str,
         settings: &Path,
         log: &Path,
+    ) -> io::Result<Self> {
+        Self::start_with(program, &[], settings, log)
+    }
+
+    /// Starts a program of the product with words before its settings.
+    pub fn start_with(
+        program: &str,
+        words: &[&str],
+        settings: &Path,
+        log: &Path,
     ) -> io::Result<Self> {
         let program = program_path(program);
-        let child = spawn(&program, settings, log)?;
+        let words: Vec<String> = words.iter().map(|word| (*word).to_owned()).collect();
+        let child = spawn(&program, &words, settings, log)?;
         Ok(Self {
             program,
+            words,
             settings: settings.to_owned(),
             log: log.to_owned(),
             child,
@@ -43,7 +56,7 @@
 
     /// Starts it again after its end, with the same settings and no memory.
     pub fn restart(&mut self) -> io::Result<()> {
-        self.child = spawn(&self.program, &self.settings, &self.log)?;
+        self.child = spawn(&self.program, &self.words, &self.settings, &self.log)?;
         Ok(())
     }
 
@@ -64,6 +77,11 @@
         self.signal(Signal::TERM);
     }
 
+    /// Tells it that its settings file changed.
+    pub fn hang_up(&self) {
+        self.signal(Signal::HUP);
+    }
+
     /// Freezes it.
     pub fn freeze(&self) {
         self.signal(Signal::STOP);
@@ -107,11 +125,13 @@
 
 fn spawn(
     program: &Path,
+    words: &[String],
     settings: &Path,
     log: &Path,
 ) -> io::Result<Child> {
     let log = File::options().create(true).append(true).open(log)?;
     Command::new(program)
+        .args(words)
         .arg("--settings")
         .arg(settings)
         .stdin(Stdio::null())
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -2,6 +2,7 @@
 //! harness that runs the product's real processes, trace replay and reports.
 
 pub mod command;
+pub mod direct;
 pub mod fleet;
 pub mod load;
 pub mod measure;
--- /dev/null
+++ b/testbed/tests/direct_fleet.rs
@@ -0,0 +1,239 @@
+//! Routers that carry requests themselves, together: configuration, the list of
+//! replicas, stops, settings, through a store in trouble and restarts.
+
+use {
+    archmast_testbed::{
+        direct::{
+            Client, ClientRequest, DirectFleet, Replica, ReplicaAnswer, RouteText, StoreMode,
+        },
+        fleet::{until, until_async},
+    },
+    std::{fmt::Write, time::Duration},
+};
+
+fn route(prefix: &'static str) -> RouteText {
+    RouteText::new(prefix, "s", "idempotent")
+}
+
+async fn status(
+    fleet: &DirectFleet,
+    router: usize,
+    path: &str,
+) -> u16 {
+    let request = ClientRequest::get(path, "probe");
+    Client::ask(fleet.callers[router], &request).await.status
+}
+
+async fn fleet_of(count: usize) -> (DirectFleet, Replica) {
+    let fleet = DirectFleet::start(count, "").await;
+    let replica = fleet.replica("i-a", "s", ReplicaAnswer::ok("a")).await;
+    fleet.store.publish(1, &[route("/first/")]);
+    fleet.all_ready().await;
+    (fleet, replica)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_that_knows_no_configuration_is_not_ready_and_says_503() {
+    let fleet = DirectFleet::start(1, "").await;
+    until_async("the router listens", async || {
+        status(&fleet, 0, "/first/").await != 0
+    })
+    .await;
+    let answer = Client::ask(fleet.callers[0], &ClientRequest::get("/first/", "x")).await;
+    assert_eq!((answer.status, answer.code()), (503, Some(25)));
+    assert!(!fleet.is_ready(0).await);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn new_routes_and_keys_come_into_force_and_old_ones_go() {
+    let (fleet, _replica) = fleet_of(2).await;
+    fleet
+        .store
+        .publish_with_keys(4, &[route("/second/")], &["key-1", "key-2"]);
+    for router in 0..2 {
+        fleet.serves(router, "/second/", 200).await;
+        assert_eq!(status(&fleet, router, "/first/").await, 404);
+    }
+    fleet
+        .store
+        .publish_with_keys(5, &[route("/second/")], &["key-2"]);
+    for router in 0..2 {
+        fleet.serves(router, "/second/", 401).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_that_the_store_turns_away_learns_from_its_peers() {
+    for mode in [StoreMode::Busy, StoreMode::Many, StoreMode::Silent] {
+        let (fleet, replica) = fleet_of(2).await;
+        fleet.ports[1].set(mode);
+        fleet.store.publish(7, &[route("/second/")]);
+        fleet.serves(1, "/second/", 200).await;
+        fleet.store.list("i-a", "s", replica.address, "draining");
+        fleet.serves(1, "/second/", 503).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_that_starts_anew_without_the_store_learns_from_its_peers() {
+    let (mut fleet, _replica) = fleet_of(2).await;
+    fleet.ports[1].set(StoreMode::Silent);
+    fleet.routers[1].kill();
+    fleet.store.publish(9, &[route("/second/")]);
+    fleet.serves(0, "/second/", 200).await;
+    fleet.routers[1].restart().expect("it starts again");
+    until_async("it is ready again", async || fleet.is_ready(1).await).await;
+    fleet.serves(1, "/second/", 200).await;
+    assert_eq!(status(&fleet, 1, "/first/").await, 404);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_store_that_forgot_its_history_is_read_anew() {
+    let (fleet, replica) = fleet_of(1).await;
+    fleet.ports[0].set(StoreMode::Busy);
+    fleet.store.remove("i-a");
+    fleet.store.publish(3, &[route("/second/")]);
+    fleet.store.forget_history();
+    fleet.ports[0].set(StoreMode::Well);
+    fleet.serves(0, "/second/", 503).await;
+    fleet.store.list("i-b", "s", replica.address, "ready");
+    replica.become_another("i-b");
+    fleet.serves(0, "/second/", 200).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replica_that_drains_or_is_gone_gets_nothing_more() {
+    let (fleet, first) = fleet_of(2).await;
+    let second = fleet.replica("i-b", "s", ReplicaAnswer::ok("b")).await;
+    let got_by = async |router: usize| {
+        let request = ClientRequest::get("/first/", "probe");
+        Client::ask(fleet.callers[router], &request).await.text()
+    };
+    fleet.store.list("i-a", "s", first.address, "draining");
+    for router in 0..2 {
+        until_async("the second serves", async || got_by(router).await == "b").await;
+    }
+    let before = first.seen().len();
+    for router in 0..2 {
+        for _ in 0..20 {
+            assert_eq!(got_by(router).await, "b");
+        }
+    }
+    assert_eq!(first.seen().len(), before);
+    until("its connections are closed when it is off the list", || {
+        fleet.store.remove("i-a");
+        first.open() == 0
+    })
+    .await;
+    drop(second);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_cuts_nothing() {
+    let (mut fleet, _replica) = fleet_of(1).await;
+    let stream = RouteText::new("/events/", "s", "streaming");
+    let slow = ReplicaAnswer::Slow {
+        body: "late".to_owned(),
+        after: Duration::from_millis(900),
+    };
+    _replica.usually(slow);
+    fleet.store.publish(2, &[route("/first/"), stream]);
+    fleet.serves(0, "/first/", 200).await;
+    let mut kept = Client::connect(fleet.callers[0])
+        .await
+        .expect("a connection");
+    assert_eq!(
+        kept.call(&ClientRequest::get("/first/", "k-1"))
+            .await
+            .status,
+        200
+    );
+    let mut busy = Client::connect(fleet.callers[0])
+        .await
+        .expect("a connection");
+    let request = ClientRequest::get("/first/", "b-1");
+    busy.send(&request.bytes()).await.expect("sent");
+    let held = || _replica.seen().iter().any(|request| request.id() == "b-1");
+    until("the request is at the replica", held).await;
+    fleet.routers[0].terminate();
+    until_async("it is not ready", async || !fleet.is_ready(0).await).await;
+    // A kept connection still serves, and is told to end.
+    let answer = kept.call(&ClientRequest::get("/first/", "k-2")).await;
+    assert_eq!((answer.status, answer.header("connection")), (200, "close"));
+    let answer = busy.answer().await;
+    assert!(answer.status == 200 && answer.whole);
+    until("it stops by itself", || fleet.routers[0].ended().is_some()).await;
+    assert!(
+        fleet.routers[0]
+            .ended()
+            .is_some_and(|status| status.success())
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn changed_settings_come_into_force_with_and_without_a_signal() {
+    let (mut fleet, _replica) = fleet_of(1).await;
+    let path = fleet.settings[0].clone();
+    let mut text = std::fs::read_to_string(&path).expect("settings");
+    fleet.routers[0].hang_up();
+    until("it reads them again", || {
+        fleet.routers[0]
+            .log_text()
+            .contains("settings in force again")
+    })
+    .await;
+    writeln!(text, "[shares]\nwindow = 7 s").expect("text");
+    std::fs::write(&path, &text).expect("settings are written");
+    until("it sees the change", || {
+        fleet.routers[0]
+            .log_text()
+            .matches("settings in force again")
+            .count()
+            >= 2
+    })
+    .await;
+    writeln!(text, "unknown = 1").expect("text");
+    std::fs::write(&path, &text).expect("settings are written");
+    until("it refuses a wrong file", || {
+        fleet.routers[0].log_text().contains("settings refused")
+    })
+    .await;
+    assert!(fleet.routers[0].ended().is_none());
+    assert_eq!(status(&fleet, 0, "/first/").await, 200);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_at_rest_are_closed_when_there_are_too_many() {
+    let fleet = DirectFleet::start(1, "max_connections = 10\n").await;
+    let _replica = fleet.replica("i-a", "s", ReplicaAnswer::ok("a")).await;
+    fleet.store.publish(1, &[route("/first/")]);
+    fleet.all_ready().await;
+    let mut clients = Vec::new();
+    for _ in 0..30 {
+        let mut client = Client::connect(fleet.callers[0])
+            .await
+            .expect("a connection");
+        let answer = client.call(&ClientRequest::get("/first/", "x")).await;
+        assert_eq!(answer.status, 200);
+        clients.push(client);
+    }
+    // Ten are kept; the others end, each between two requests.
+    let mut ended = 0;
+    for mut client in clients.drain(..20) {
+        if client.is_closed_by_router().await {
+            ended += 1;
+        }
+    }
+    assert_eq!(ended, 20);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn routers_find_each_other_through_one_seed() {
+    let (fleet, _replica) = fleet_of(3).await;
+    for router in &fleet.routers {
+        until("it has heard of both others", || {
+            router.log_text().matches("router heard of").count() >= 2
+        })
+        .await;
+    }
+}
--- /dev/null
+++ b/testbed/tests/direct_requests.rs
@@ -0,0 +1,358 @@
+//! One request through a router that carries it itself: where it goes, what the
+//! replica gets, what the client gets, and what "not run" means.
+
+use {
+    archmast_testbed::{
+        direct::{
+            Client, ClientAnswer, ClientRequest, DirectFleet, Replica, ReplicaAnswer, RouteText,
+        },
+        fleet::{until, until_async},
+    },
+    std::time::Duration,
+};
+
+/// A router, and two replicas of one service behind routes of every kind.
+async fn two_replicas(usual: ReplicaAnswer) -> (DirectFleet, [Replica; 2]) {
+    let fleet = DirectFleet::start(1, "").await;
+    let replicas = [
+        fleet.replica("i-a", "s", usual.clone()).await,
+        fleet.replica("i-b", "s", usual).await,
+    ];
+    let single = RouteText {
+        attempts: 1,
+        ..RouteText::new("/one/", "s", "idempotent")
+    };
+    let hasty = RouteText {
+        attempts: 1,
+        timeout_ms: 400,
+        ..RouteText::new("/hasty/", "s", "non_idempotent")
+    };
+    let public = RouteText {
+        public: true,
+        ..RouteText::new("/open/", "s", "idempotent")
+    };
+    let once_stream = RouteText {
+        resumable: false,
+        ..RouteText::new("/digest/", "s", "streaming")
+    };
+    fleet.store.publish(
+        1,
+        &[
+            RouteText::new("/read/", "s", "idempotent"),
+            RouteText::new("/charge/", "s", "non_idempotent"),
+            RouteText::new("/events/", "s", "streaming"),
+            RouteText::new("/empty/", "nobody", "idempotent"),
+            single,
+            hasty,
+            public,
+            once_stream,
+        ],
+    );
+    fleet.all_ready().await;
+    until_async("both replicas are known", async || {
+        fleet.routers[0]
+            .log_text()
+            .matches("upstream Ready")
+            .count()
+            >= 2
+    })
+    .await;
+    (fleet, replicas)
+}
+
+async fn ask(
+    fleet: &DirectFleet,
+    request: ClientRequest,
+) -> ClientAnswer {
+    Client::ask(fleet.callers[0], &request).await
+}
+
+fn runs(
+    replicas: &[Replica],
+    id: &str,
+) -> usize {
+    let seen = replicas.iter().flat_map(Replica::seen);
+    seen.filter(|request| request.id() == id).count()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replica_gets_the_request_as_it_was_and_the_client_its_answer() {
+    let (fleet, replicas) = two_replicas(ReplicaAnswer::ok("hello")).await;
+    let request = ClientRequest::post("/read/x%20y?q=1&r=", "id-1", "the body")
+        .header("Archmast-Deadline-Ms", "3000")
+        .header("X-Own", "kept")
+        .header("X-Hop", "dropped")
+        .header("Connection", "X-Hop")
+        .header("Archmast-Tenant", "forged")
+        .header("Archmast-Expected-Replica", "forged")
+        .header("Kv-From", "10.0.0.1:1/h");
+    let answer = ask(&fleet, request).await;
+    assert_eq!((answer.status, answer.text().as_str()), (200, "hello"));
+    assert_eq!(answer.header("archmast-replica-signature"), "s.1");
+    assert_eq!(answer.header("archmast-attempt-id"), "id-1");
+    let seen: Vec<_> = replicas.iter().flat_map(Replica::seen).collect();
+    let [seen] = seen.as_slice() else {
+        panic!("seen {} times", seen.len());
+    };
+    assert_eq!(seen.method, "POST");
+    assert_eq!(seen.target, "/read/x%20y?q=1&r=");
+    assert_eq!(seen.body, b"the body");
+    assert_eq!(seen.header("host"), "app.example");
+    assert_eq!(seen.header("archmast-tenant"), "lot");
+    assert_eq!(seen.header("x-own"), "kept");
+    assert!(seen.header("archmast-expected-replica").starts_with("i-"));
+    let left: u64 = seen.header("archmast-deadline-ms").parse().expect("a time");
+    assert!((1..=3000).contains(&left));
+    for dropped in ["x-hop", "connection", "archmast-credential", "kv-from"] {
+        assert_eq!(seen.header(dropped), "", "{dropped}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_may_not_pass_gets_its_own_numbered_error() {
+    let (fleet, replicas) = two_replicas(ReplicaAnswer::ok("hello")).await;
+    let expect = async |request: ClientRequest, status: u16, code: u64| {
+        let answer = ask(&fleet, request).await;
+        assert_eq!((answer.status, answer.code()), (status, Some(code)));
+    };
+    let get = |path: &str| ClientRequest::get(path, "id-1");
+    expect(get("/nowhere/"), 404, 62).await;
+    expect(get("/read/").header("Host", "other.example"), 404, 62).await;
+    expect(
+        get("/read/").header("Archmast-Credential", "wrong"),
+        401,
+        30,
+    )
+    .await;
+    expect(get("/read/").header("X-Long", &"x".repeat(9000)), 431, 63).await;
+    let long = "x".repeat(70_000);
+    expect(ClientRequest::post("/read/", "id-1", &long), 413, 33).await;
+    expect(get("/empty/"), 503, 65).await;
+    assert_eq!(runs(&replicas, "id-1"), 0);
+    let open = get("/open/").header("Archmast-Credential", "wrong");
+    assert_eq!(ask(&fleet, open).await.status, 200);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_request_is_smuggled_inside_another() {
+    let (fleet, replicas) = two_replicas(ReplicaAnswer::ok("hello")).await;
+    let head = "POST /read/ HTTP/1.1\r\nHost: app.example\r\nArchmast-Attempt-Id: id-1\r\nArchmast-Credential: key-1\r\n";
+    let inner = "GET /read/ HTTP/1.1\r\nHost: app.example\r\nArchmast-Attempt-Id: inner\r\nArchmast-Credential: key-1\r\n\r\n";
+    let lengths = format!(
+        "Content-Length: 5\r\nContent-Length: {}\r\n\r\n",
+        inner.len()
+    );
+    let cases = [
+        format!("{head}{lengths}{inner}"),
+        format!("{head}Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n{inner}"),
+        format!("{head}Transfer-Encoding: chunked\r\n\r\n5;\r\nxx{inner}"),
+        format!("{head}Transfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n{inner}"),
+        format!("{head}X-Folded: a\r\n b\r\nContent-Length: 0\r\n\r\n{inner}"),
+    ];
+    for (number, case) in cases.iter().enumerate() {
+        let mut client = Client::connect(fleet.callers[0])
+            .await
+            .expect("a connection");
+        client.send(case.as_bytes()).await.expect("sent");
+        let answer = client.answer().await;
+        assert!(
+            answer.status != 200 || number == 1,
+            "case {number}: {answer:?}"
+        );
+        if number == 1 {
+            // Chunked wins over a length; what follows must not be run on the
+            // word of the length, and the connection must end.
+            assert!(client.is_closed_by_router().await, "case {number}");
+        }
+        assert_eq!(runs(&replicas, "inner"), 0, "case {number}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_runs_once_is_not_repeated_after_an_unknown_outcome() {
+    let (fleet, replicas) = two_replicas(ReplicaAnswer::ok("hello")).await;
+    let troubles = [
+        ReplicaAnswer::Close,
+        ReplicaAnswer::Cut,
+        ReplicaAnswer::WrongId,
+        ReplicaAnswer::Unsigned,
+        ReplicaAnswer::Garbage,
+    ];
+    for (number, trouble) in troubles.into_iter().enumerate() {
+        replicas
+            .iter()
+            .for_each(|replica| replica.usually(trouble.clone()));
+        let id = format!("charge-{number}");
+        let answer = ask(&fleet, ClientRequest::post("/charge/", &id, "10")).await;
+        assert_eq!(answer.status, 502, "{trouble:?}");
+        assert_eq!(
+            answer.header("archmast-replica-signature"),
+            "",
+            "{trouble:?}"
+        );
+        assert_eq!(runs(&replicas, &id), 1, "{trouble:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_may_be_repeated_goes_to_another_replica() {
+    let (fleet, replicas) = two_replicas(ReplicaAnswer::ok("hello")).await;
+    let troubles = [
+        ReplicaAnswer::Close,
+        ReplicaAnswer::Cut,
+        ReplicaAnswer::Garbage,
+        ReplicaAnswer::NotExecuted { status: 503 },
+        ReplicaAnswer::Whole {
+            status: 500,
+            body: "sorry".to_owned(),
+        },
+    ];
+    for (number, trouble) in troubles.into_iter().enumerate() {
+        let id = format!("read-{number}");
+        // Whichever is asked first fails; the other answers.
+        replicas
+            .iter()
+            .for_each(|replica| replica.usually(ReplicaAnswer::ok("hello")));
+        let chosen = chosen_next(&fleet, &replicas).await;
+        replicas[chosen].next(trouble.clone());
+        let answer = ask(&fleet, ClientRequest::get("/read/", &id)).await;
+        assert!(
+            answer.status == 200 && answer.whole,
+            "{trouble:?}: {answer:?}"
+        );
+        assert!((1..=2).contains(&runs(&replicas, &id)), "{trouble:?}");
+    }
+}
+
+/// The replica that got the last of a few requests.
+async fn chosen_next(
+    fleet: &DirectFleet,
+    replicas: &[Replica],
+) -> usize {
+    let id = format!("probe-{:x}", rand::random::<u64>());
+    ask(fleet, ClientRequest::get("/one/", &id)).await;
+    let got = |replica: &Replica| replica.seen().iter().any(|request| request.id() == id);
+    replicas.iter().position(got).unwrap_or(0)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_route_of_one_attempt_is_refused_when_the_replica_is_full() {
+    let (fleet, replicas) = two_replicas(ReplicaAnswer::NotExecuted { status: 503 }).await;
+    let answer = ask(&fleet, ClientRequest::get("/one/", "id-1")).await;
+    assert_eq!((answer.status, answer.code()), (503, Some(68)));
+    assert!(
+        answer
+            .retry_after()
+            .is_some_and(|wait| wait < Duration::from_secs(2))
+    );
+    assert_eq!(runs(&replicas, "id-1"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn never_more_replicas_than_the_route_allows() {
+    let (fleet, replicas) = two_replicas(ReplicaAnswer::Close).await;
+    let answer = ask(&fleet, ClientRequest::get("/read/", "id-1")).await;
+    assert_eq!(answer.status, 502);
+    assert_eq!(runs(&replicas, "id-1"), 2);
+    let answer = ask(&fleet, ClientRequest::get("/one/", "id-2")).await;
+    assert_eq!(answer.status, 502);
+    assert_eq!(runs(&replicas, "id-2"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_replica_ends_at_the_routes_time() {
+    let (fleet, replicas) = two_replicas(ReplicaAnswer::Silent).await;
+    let answer = ask(&fleet, ClientRequest::post("/hasty/", "id-1", "x")).await;
+    assert_eq!((answer.status, answer.code()), (504, Some(58)));
+    assert_eq!(runs(&replicas, "id-1"), 1);
+    let open = || replicas.iter().map(Replica::open).sum::<usize>();
+    until("the replica is let go", || open() == 0).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_failure_of_the_replica_passes_as_it_is() {
+    let failure = ReplicaAnswer::Whole {
+        status: 500,
+        body: "sorry".to_owned(),
+    };
+    let (fleet, replicas) = two_replicas(failure).await;
+    let answer = ask(&fleet, ClientRequest::post("/charge/", "id-1", "10")).await;
+    assert_eq!((answer.status, answer.text().as_str()), (500, "sorry"));
+    assert_eq!(answer.header("archmast-replica-signature"), "s.1");
+    assert_eq!(runs(&replicas, "id-1"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_surplus_answer_reaches_nobody() {
+    let surplus = ReplicaAnswer::Surplus {
+        body: "mine".to_owned(),
+    };
+    let (fleet, replicas) = two_replicas(surplus).await;
+    let mut client = Client::connect(fleet.callers[0])
+        .await
+        .expect("a connection");
+    for number in 0..20 {
+        let id = format!("id-{number}");
+        let answer = client.call(&ClientRequest::get("/read/", &id)).await;
+        if answer.status == 200 {
+            assert_eq!(answer.text(), "mine");
+            assert_eq!(answer.header("archmast-attempt-id"), id);
+        } else {
+            assert_eq!(answer.status, 502);
+        }
+    }
+    assert!(replicas.iter().map(Replica::opened).sum::<usize>() >= 2);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_to_replicas_are_kept() {
+    let (fleet, replicas) = two_replicas(ReplicaAnswer::ok("hello")).await;
+    for number in 0..20 {
+        let request = ClientRequest::get("/read/", &format!("id-{number}"));
+        assert_eq!(ask(&fleet, request).await.status, 200);
+    }
+    let opened: usize = replicas.iter().map(Replica::opened).sum();
+    assert!(opened <= 3, "{opened} connections for 20 requests");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn another_replica_at_the_same_address_is_never_taken_for_the_old_one() {
+    let (fleet, replicas) = two_replicas(ReplicaAnswer::ok("hello")).await;
+    replicas[0].become_another("i-new");
+    replicas[1].become_another("i-other");
+    let answer = ask(&fleet, ClientRequest::post("/charge/", "id-1", "10")).await;
+    assert_eq!(answer.status, 503);
+    assert_eq!(runs(&replicas, "id-1"), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_client_that_leaves_stops_the_work() {
+    let (fleet, replicas) = two_replicas(ReplicaAnswer::Silent).await;
+    let mut client = Client::connect(fleet.callers[0])
+        .await
+        .expect("a connection");
+    let request = ClientRequest::post("/charge/", "id-1", "10");
+    client.send(&request.bytes()).await.expect("sent");
+    until("the request is at a replica", || {
+        runs(&replicas, "id-1") == 1
+    })
+    .await;
+    drop(client);
+    let open = || replicas.iter().map(Replica::open).sum::<usize>();
+    until("the replica is let go", || open() == 0).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_in_chunks_arrive_whole() {
+    let (fleet, replicas) = two_replicas(ReplicaAnswer::ok("hello")).await;
+    let mut client = Client::connect(fleet.callers[0])
+        .await
+        .expect("a connection");
+    let request = ClientRequest::get("/read/", "id-1").header("Transfer-Encoding", "chunked");
+    client.send(&request.bytes()).await.expect("sent");
+    client.send(b"3\r\nabc\r\n").await.expect("sent");
+    client.send(b"4\r\ndefg\r\n0\r\n\r\n").await.expect("sent");
+    assert_eq!(client.answer().await.status, 200);
+    let seen = replicas.iter().flat_map(Replica::seen).next();
+    assert_eq!(seen.expect("it ran").body, b"abcdefg");
+}
--- /dev/null
+++ b/testbed/tests/direct_streams.rs
@@ -0,0 +1,130 @@
+//! Streams of events: whole, in order, and taken up elsewhere where they may be.
+
+use {
+    archmast_testbed::{
+        direct::{Client, ClientRequest, DirectFleet, Replica, ReplicaAnswer, RouteText},
+        fleet::{until, until_async},
+    },
+    std::time::Duration,
+};
+
+async fn two_replicas(usual: ReplicaAnswer) -> (DirectFleet, [Replica; 2]) {
+    let fleet = DirectFleet::start(1, "").await;
+    let replicas = [
+        fleet.replica("i-a", "s", usual.clone()).await,
+        fleet.replica("i-b", "s", usual).await,
+    ];
+    let once = RouteText {
+        resumable: false,
+        ..RouteText::new("/digest/", "s", "streaming")
+    };
+    let chat = RouteText::new("/chat/", "s", "streaming");
+    fleet.store.publish(1, &[chat, once]);
+    fleet.all_ready().await;
+    until_async("both replicas are known", async || {
+        fleet.routers[0]
+            .log_text()
+            .matches("upstream Ready")
+            .count()
+            >= 2
+    })
+    .await;
+    (fleet, replicas)
+}
+
+fn events(numbers: std::ops::RangeInclusive<u32>) -> String {
+    numbers
+        .map(|number| format!("id: {number}\ndata: piece {number}\n\n"))
+        .collect()
+}
+
+fn starts(replicas: &[Replica]) -> Vec<String> {
+    let seen = replicas.iter().flat_map(Replica::seen);
+    seen.map(|request| request.header("last-event-id").to_owned())
+        .collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn events_pass_as_they_come() {
+    let slow = ReplicaAnswer::Events {
+        last: 3,
+        pause: Duration::from_millis(100),
+    };
+    let (fleet, _replicas) = two_replicas(slow).await;
+    let mut client = Client::connect(fleet.callers[0])
+        .await
+        .expect("a connection");
+    let request = ClientRequest::post("/chat/", "id-1", "prompt");
+    client.send(&request.bytes()).await.expect("sent");
+    assert!(client.wait_for("piece 1").await);
+    assert!(!client.answer().await.text().is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_resumable_stream_goes_on_at_another_replica() {
+    for trouble in [
+        ReplicaAnswer::EventsCut { after: 4, last: 9 },
+        ReplicaAnswer::EventsStall { after: 4, last: 9 },
+    ] {
+        let (fleet, replicas) = two_replicas(trouble.clone()).await;
+        let first = ClientRequest::post("/chat/", "id-1", "prompt");
+        let answer = Client::ask(fleet.callers[0], &first).await;
+        assert!(answer.status == 200 && answer.whole, "{trouble:?}");
+        assert_eq!(answer.text(), events(1..=9), "{trouble:?}");
+        let mut starts = starts(&replicas);
+        starts.sort();
+        assert_eq!(starts, ["", "4"], "{trouble:?}");
+        // The head is the first replica's.
+        let first_replica = replicas.iter().find(|replica| {
+            replica
+                .seen()
+                .iter()
+                .any(|r| r.header("last-event-id").is_empty())
+        });
+        let signature = format!("s.{}", first_replica.expect("one was first").id);
+        assert_eq!(answer.header("archmast-replica-signature"), signature);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_runs_once_is_cut_visibly() {
+    let (fleet, replicas) = two_replicas(ReplicaAnswer::EventsCut { after: 4, last: 9 }).await;
+    let request = ClientRequest::post("/digest/", "id-1", "prompt");
+    let answer = Client::ask(fleet.callers[0], &request).await;
+    assert_eq!(answer.status, 200);
+    assert!(!answer.whole);
+    assert_eq!(answer.text(), events(1..=4));
+    assert_eq!(starts(&replicas).len(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_ends_before_its_first_event_is_a_plain_error() {
+    let (fleet, replicas) = two_replicas(ReplicaAnswer::EventsCut { after: 0, last: 9 }).await;
+    let request = ClientRequest::post("/digest/", "id-1", "prompt");
+    let answer = Client::ask(fleet.callers[0], &request).await;
+    assert_eq!((answer.status, answer.code()), (502, Some(51)));
+    assert_eq!(starts(&replicas).len(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_client_takes_a_stream_up_where_it_was() {
+    let (fleet, replicas) = two_replicas(ReplicaAnswer::events(6)).await;
+    let request = ClientRequest::post("/chat/", "id-1", "prompt").header("Last-Event-Id", "3");
+    let answer = Client::ask(fleet.callers[0], &request).await;
+    assert_eq!(answer.text(), events(4..=6));
+    assert_eq!(starts(&replicas), ["3"]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_whose_client_left_stops() {
+    let (fleet, replicas) = two_replicas(ReplicaAnswer::EventsStall { after: 2, last: 9 }).await;
+    let mut client = Client::connect(fleet.callers[0])
+        .await
+        .expect("a connection");
+    let request = ClientRequest::post("/digest/", "id-1", "prompt");
+    client.send(&request.bytes()).await.expect("sent");
+    assert!(client.wait_for("piece 2").await);
+    drop(client);
+    let open = || replicas.iter().map(Replica::open).sum::<usize>();
+    until("the replica is let go", || open() == 0).await;
+}
--- /dev/null
+++ b/tests/catalog.rs
@@ -0,0 +1,225 @@
+//! What a process believes of the configuration and the upstreams never goes
+//! back, whoever tells it and in whatever order.
+
+use {
+    archmast::{
+        catalog::{
+            Catalog, CatalogChange, CatalogSource, FollowPace, Item, Listing, UpstreamRecord,
+            UpstreamState, follow_source,
+        },
+        codes::{Fault, ResultCode},
+        platform::{parse_config, parse_replica},
+    },
+    proptest::prelude::*,
+    std::{
+        collections::VecDeque,
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+};
+
+fn config(version: u64) -> String {
+    format!(r#"{{"version":{version},"routes":[],"services":[]}}"#)
+}
+
+fn entry(
+    state: &str,
+    port: u16,
+) -> String {
+    format!(
+        r#"{{"service":"s","address":"127.0.0.1:{port}","zone":"z","slots":4,"state":"{state}","sequence":1}}"#
+    )
+}
+
+fn record(
+    id: &str,
+    revision: u64,
+    text: Option<String>,
+) -> UpstreamRecord {
+    UpstreamRecord {
+        id: id.to_owned(),
+        revision,
+        text,
+    }
+}
+
+fn catalog() -> Arc<Catalog> {
+    Arc::new(Catalog::new(parse_config, parse_replica))
+}
+
+fn ids(catalog: &Catalog) -> Vec<String> {
+    let entries = catalog.upstreams();
+    entries.iter().map(|entry| entry.id.to_string()).collect()
+}
+
+#[test]
+fn an_older_configuration_is_ignored_and_a_broken_one_refused() {
+    let catalog = catalog();
+    assert_eq!(catalog.offer_config(&config(7), "store"), Ok(true));
+    assert_eq!(catalog.offer_config(&config(6), "peer"), Ok(false));
+    assert_eq!(catalog.offer_config(&config(7), "peer"), Ok(false));
+    let refused = catalog.offer_config(r#"{"version":9,"routes":[{}]}"#, "store");
+    let code = refused.expect_err("a broken configuration").code;
+    assert_eq!(code, ResultCode::PlatformReply);
+    assert_eq!(catalog.version().config, 7);
+    assert_eq!(catalog.offer_config(&config(8), "peer"), Ok(true));
+    assert_eq!(catalog.config().expect("in force").version, 8);
+}
+
+#[test]
+fn an_upstream_that_is_gone_does_not_come_back_from_a_peer_that_is_behind() {
+    let catalog = catalog();
+    let ready = Some(entry("ready", 1));
+    catalog.offer_records(vec![record("a", 5, ready.clone())], 5, "store");
+    catalog.offer_records(vec![record("a", 8, None)], 8, "store");
+    catalog.offer_records(vec![record("a", 5, ready.clone())], 6, "peer");
+    assert_eq!(ids(&catalog), Vec::<String>::new());
+    assert_eq!(catalog.version().upstreams, 8);
+    catalog.offer_records(vec![record("a", 9, ready)], 9, "peer");
+    assert_eq!(ids(&catalog), ["a"]);
+}
+
+#[test]
+fn a_whole_reading_drops_what_it_lacks_but_nothing_newer() {
+    let catalog = catalog();
+    let ready = || Some(entry("ready", 1));
+    let known = vec![record("a", 3, ready()), record("b", 12, ready())];
+    catalog.offer_records(known, 12, "peer");
+    let listing = Listing {
+        change: CatalogChange {
+            items: vec![Item::Upstream(record("c", 9, ready()))],
+            at: 10,
+        },
+        complete: true,
+    };
+    catalog.offer_listing(listing, "store");
+    assert_eq!(ids(&catalog), ["b", "c"]);
+    assert_eq!(catalog.version().upstreams, 12);
+}
+
+#[test]
+fn peers_are_given_what_they_lack() {
+    let catalog = catalog();
+    let known = vec![
+        record("a", 3, Some(entry("ready", 1))),
+        record("b", 5, None),
+        record("c", 7, Some(entry("draining", 2))),
+    ];
+    catalog.offer_records(known, 7, "store");
+    let told: Vec<_> = catalog.records_after(3);
+    let ids: Vec<_> = told.iter().map(|record| record.id.as_str()).collect();
+    assert_eq!(ids, ["b", "c"]);
+    let states: Vec<_> = catalog
+        .upstreams()
+        .iter()
+        .map(|entry| entry.state)
+        .collect();
+    assert_eq!(states, [UpstreamState::Ready, UpstreamState::Draining]);
+}
+
+proptest! {
+    #[test]
+    fn any_order_of_news_ends_the_same(
+        order in Just((1..=12u64).collect::<Vec<_>>()).prop_shuffle()
+    ) {
+        let catalog = catalog();
+        for revision in order {
+            let text = (revision % 4 != 0).then(|| entry("ready", revision as u16));
+            let id = ["a", "b", "c"][revision as usize % 3];
+            catalog.offer_records(vec![record(id, revision, text)], revision, "peer");
+        }
+        // The newest of "a" is 12, which says that it is gone.
+        prop_assert_eq!(ids(&catalog), ["b", "c"]);
+        let ports: Vec<u16> = catalog.upstreams().iter().map(|e| e.address.port()).collect();
+        prop_assert_eq!(ports, [10, 11]);
+    }
+}
+
+/// A store that answers from a script, then with nothing new for ever.
+struct ScriptedStore {
+    lists: Mutex<VecDeque<Result<Listing, Fault>>>,
+    watches: Mutex<VecDeque<Result<Option<CatalogChange>, Fault>>>,
+    asked: Mutex<Vec<String>>,
+}
+
+impl CatalogSource for ScriptedStore {
+    async fn list(&self) -> Result<Listing, Fault> {
+        self.asked.lock().expect("lock").push("list".to_owned());
+        let next = self.lists.lock().expect("lock").pop_front();
+        match next {
+            Some(answer) => answer,
+            None => std::future::pending().await,
+        }
+    }
+
+    async fn watch(
+        &self,
+        after: u64,
+        _wait: Duration,
+    ) -> Result<Option<CatalogChange>, Fault> {
+        self.asked
+            .lock()
+            .expect("lock")
+            .push(format!("watch {after}"));
+        let next = self.watches.lock().expect("lock").pop_front();
+        match next {
+            Some(answer) => answer,
+            None => std::future::pending().await,
+        }
+    }
+}
+
+fn listing(
+    version: u64,
+    at: u64,
+) -> Listing {
+    let text = config(version);
+    Listing {
+        change: CatalogChange {
+            items: vec![Item::Config { text }],
+            at,
+        },
+        complete: true,
+    }
+}
+
+#[tokio::test]
+async fn the_store_is_followed_through_failures_and_lost_history() {
+    let down = || Fault::new(ResultCode::PlatformDown, "503");
+    let change = CatalogChange {
+        items: vec![Item::Config { text: config(4) }],
+        at: 14,
+    };
+    let store = Arc::new(ScriptedStore {
+        lists: Mutex::new(VecDeque::from([
+            Err(down()),
+            Ok(listing(3, 10)),
+            Ok(listing(5, 30)),
+        ])),
+        watches: Mutex::new(VecDeque::from([
+            Ok(Some(change)),
+            Err(Fault::new(ResultCode::PlatformBudget, "429")),
+            Ok(None),
+        ])),
+        asked: Mutex::default(),
+    });
+    let catalog = catalog();
+    let mut changes = catalog.subscribe();
+    let pace = FollowPace {
+        watch_wait: Duration::from_millis(10),
+        pause: Duration::ZERO,
+        retry_pause: Duration::from_millis(1),
+    };
+    let following = tokio::spawn(follow_source(catalog.clone(), store.clone(), pace));
+    let reached = changes.wait_for(|version| version.config == 5).await;
+    assert!(reached.is_ok());
+    let asked = || store.asked.lock().expect("lock").clone();
+    while asked().len() < 7 {
+        tokio::task::yield_now().await;
+    }
+    following.abort();
+    let expected = [
+        "list", "list", "watch 10", "watch 14", "watch 14", "list", "watch 30",
+    ];
+    assert_eq!(asked(), expected);
+}
--- /dev/null
+++ b/tests/event_splitter.rs
@@ -0,0 +1,60 @@
+//! Streams are passed on in whole events, however their bytes arrive.
+
+use {archmast::direct::EventSplitter, proptest::prelude::*};
+
+fn stream(
+    events: usize,
+    end: &str,
+) -> Vec<u8> {
+    (1..=events)
+        .flat_map(|id| format!("id: {id}\ndata: piece {id}{end}").into_bytes())
+        .collect()
+}
+
+proptest! {
+    #[test]
+    fn any_cutting_gives_the_same_bytes(
+        cuts in prop::collection::vec(1usize..40, 1..60),
+        carriage in any::<bool>(),
+    ) {
+        let bytes = stream(12, if carriage { "\r\n\r\n" } else { "\n\n" });
+        let mut splitter = EventSplitter::default();
+        let mut passed = Vec::new();
+        let (mut at, mut cut) = (0, cuts.iter().cycle());
+        while at < bytes.len() {
+            let next = (at + cut.next().expect("endless")).min(bytes.len());
+            if let Some(events) = splitter.push(&bytes[at..next]) {
+                let whole = events.ends_with(b"\n\n") || events.ends_with(b"\r\n\r\n");
+                prop_assert!(whole);
+                passed.extend_from_slice(&events);
+            }
+            at = next;
+        }
+        prop_assert_eq!(splitter.last_id(), Some("12"));
+        prop_assert!(splitter.take_rest().is_empty());
+        prop_assert_eq!(passed, bytes);
+    }
+}
+
+#[test]
+fn a_part_of_an_event_is_held_back_and_can_be_dropped() {
+    let mut splitter = EventSplitter::default();
+    assert_eq!(
+        splitter.push(b"id: 1\ndata: a\n\nid: 2\nda").as_deref(),
+        Some(&b"id: 1\ndata: a\n\n"[..])
+    );
+    assert_eq!(splitter.last_id(), Some("1"));
+    splitter.drop_rest();
+    assert_eq!(
+        splitter.push(b"id: 2\ndata: b\n\n").as_deref(),
+        Some(&b"id: 2\ndata: b\n\n"[..])
+    );
+    assert_eq!(splitter.last_id(), Some("2"));
+}
+
+#[test]
+fn what_follows_the_last_event_is_kept_for_a_clean_end() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(b"id: 1\n\ndata: tail");
+    assert_eq!(&splitter.take_rest()[..], b"data: tail");
+}
--- /dev/null
+++ b/tests/fair_shares.rs
@@ -0,0 +1,124 @@
+//! Max-min shares over the fleet, and the bound on repeats.
+
+use {
+    archmast::policy::shares::{RetryWindow, ShareBook, account_key, fair_level},
+    proptest::prelude::*,
+    std::time::Duration,
+};
+
+const WINDOW: Duration = Duration::from_secs(4);
+const AGE: Duration = Duration::from_secs(1);
+
+#[test]
+fn the_level_divides_what_small_accounts_leave() {
+    assert_eq!(fair_level(vec![1.0, 5.0, 9.0], 9.0), 4.0);
+    assert_eq!(fair_level(vec![1.0, 5.0, 9.0], 3.0), 1.0);
+    assert!(fair_level(vec![1.0, 2.0], 3.0).is_infinite());
+    assert!(fair_level(Vec::new(), 0.0).is_infinite());
+}
+
+proptest! {
+    #[test]
+    fn nobody_gets_more_than_asked_and_all_is_given(
+        asked in prop::collection::vec(0.0f32..1000.0, 1..20),
+        part in 0.01f32..0.99,
+    ) {
+        let capacity = asked.iter().sum::<f32>() * part;
+        let level = fair_level(asked.clone(), capacity);
+        let given: f32 = asked.iter().map(|ask| ask.min(level)).sum();
+        prop_assert!((given - capacity).abs() <= capacity * 0.001 + 0.01);
+    }
+}
+
+#[test]
+fn an_account_is_over_only_while_others_are_owed() {
+    let (big, small) = (account_key("big"), account_key("small"));
+    let mut book = ShareBook::new(WINDOW, AGE);
+    let now = Duration::from_secs(10);
+    for account in [big, small] {
+        book.ask(now, account, 1000.0);
+    }
+    book.give(now, big, 1000.0);
+    assert!(book.over_for(now, big).is_some());
+    assert_eq!(book.over_for(now, small), None);
+    book.give(now, small, 1000.0);
+    assert_eq!(book.over_for(now, big), None);
+}
+
+#[test]
+fn what_peers_gave_counts_until_it_is_old() {
+    let (big, small) = (account_key("big"), account_key("small"));
+    let mut here = ShareBook::new(WINDOW, AGE);
+    let mut there = ShareBook::new(WINDOW, AGE);
+    let now = Duration::from_secs(10);
+    here.ask(now, big, 500.0);
+    here.ask(now, small, 500.0);
+    there.ask(now, big, 3000.0);
+    there.give(now, big, 3000.0);
+    here.hear(now, 1, there.own(now).clone());
+    assert!(here.over_for(now, big).is_some());
+    assert_eq!(here.over_for(now + AGE * 2, big), None);
+    here.hear(now, 1, there.own(now).clone());
+    here.forget_peer(1);
+    assert_eq!(here.over_for(now, big), None);
+}
+
+#[test]
+fn the_time_to_come_back_is_when_the_share_is_free_again() {
+    let (big, small) = (account_key("big"), account_key("small"));
+    let mut book = ShareBook::new(WINDOW, AGE);
+    let now = Duration::from_secs(10);
+    book.ask(now, big, 10_000.0);
+    book.ask(now, small, 1000.0);
+    book.give(now, big, 4000.0);
+    book.give(now, small, 500.0);
+    let wait = book.over_for(now, big).expect("over its share");
+    assert!(wait > Duration::ZERO && wait < WINDOW * 3);
+    // Nothing more is given to it, while the small one goes on as before.
+    let then = now + wait + Duration::from_millis(100);
+    book.ask(then, small, 600.0);
+    book.give(then, small, 600.0);
+    book.ask(then, big, 100.0);
+    let left = book.over_for(then, big).unwrap_or_default();
+    assert!(left < wait, "{left:?} after {wait:?}");
+}
+
+#[test]
+fn what_was_taken_back_counts_no_more() {
+    let (big, small) = (account_key("big"), account_key("small"));
+    let mut book = ShareBook::new(WINDOW, AGE);
+    let now = Duration::from_secs(10);
+    book.ask(now, big, 1000.0);
+    book.ask(now, small, 1000.0);
+    book.give(now, big, 1000.0);
+    book.take_back(big, 1000.0);
+    assert_eq!(book.over_for(now, big), None);
+}
+
+#[test]
+fn repeats_stay_within_the_fleets_bound_in_every_window() {
+    let window = Duration::from_secs(10);
+    let (ratio, extra, routers) = (0.2, 12.0, 4);
+    let mut retries: Vec<RetryWindow> = (0..routers)
+        .map(|_| RetryWindow::new(window, ratio, extra))
+        .collect();
+    let mut taken: Vec<Duration> = Vec::new();
+    let mut requests: Vec<Duration> = Vec::new();
+    for step in 0..3000u32 {
+        let now = Duration::from_millis(u64::from(step) * 10);
+        let router = &mut retries[step as usize % routers];
+        if step % 3 == 0 {
+            router.request(now, "s");
+            requests.push(now);
+        }
+        if router.take(now, "s", routers) {
+            taken.push(now);
+        }
+    }
+    for (index, end) in taken.iter().enumerate() {
+        let within = |at: &&Duration| **at + window >= *end && **at <= *end;
+        let repeats = taken[..=index].iter().filter(within).count() as f64;
+        let asked = requests.iter().filter(within).count() as f64;
+        assert!(repeats <= ratio * asked + extra + 0.001);
+    }
+}
--- /dev/null
+++ b/tests/placement.rs
@@ -0,0 +1,448 @@
+//! Which replica a request goes to, and when it is refused.
+
+use {
+    archmast::{
+        catalog::{UpstreamEntry, UpstreamState},
+        policy::placement::{
+            Choice, Load, PlacementRequest, PlacementSettings, PromptPart, PromptShape,
+            RefusalReason, ReplicaBoard, ReplicaReport, replica_key,
+        },
+        routing::EngineFacts,
+    },
+    std::{collections::HashMap, sync::Arc, time::Duration},
+};
+
+const NOW: Duration = Duration::from_secs(100);
+const AIM: Duration = Duration::from_millis(600);
+const ENGINE: EngineFacts = EngineFacts {
+    memory_tokens: 100_000,
+    token_bytes: 0.0,
+    link_mbps: 0.0,
+    moves: false,
+};
+
+fn entry(
+    id: &str,
+    zone: &str,
+    state: UpstreamState,
+) -> Arc<UpstreamEntry> {
+    Arc::new(UpstreamEntry {
+        id: id.into(),
+        service: "model".into(),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        zone: zone.into(),
+        slots: 8,
+        state,
+    })
+}
+
+fn board(ids: &[&str]) -> ReplicaBoard {
+    let mut board = ReplicaBoard::new(PlacementSettings::default());
+    let entries = ids.iter().map(|id| entry(id, "z", UpstreamState::Ready));
+    board.set_entries(entries.collect());
+    board
+}
+
+fn prompt(
+    shared: u64,
+    own: u64,
+) -> PromptShape {
+    PromptShape {
+        parts: vec![
+            PromptPart {
+                id: shared,
+                tokens: 4000,
+            },
+            PromptPart {
+                id: own,
+                tokens: 1000,
+            },
+        ],
+        output_tokens: 50,
+    }
+}
+
+fn request(prompt: &PromptShape) -> PlacementRequest<'_> {
+    PlacementRequest {
+        service: "model",
+        zone: "z",
+        engine: Some(ENGINE),
+        prompt: Some(prompt),
+        aim: AIM,
+        over_for: None,
+        tried: &[],
+    }
+}
+
+fn sent(choice: Choice) -> (Arc<str>, u32) {
+    match choice {
+        Choice::Send {
+            replica, reading, ..
+        } => (replica, reading),
+        Choice::Refuse { reason, .. } => panic!("refused: {reason:?}"),
+    }
+}
+
+fn refused(choice: Choice) -> (RefusalReason, Duration) {
+    match choice {
+        Choice::Refuse {
+            reason,
+            retry_after,
+        } => (reason, retry_after),
+        Choice::Send { replica, .. } => panic!("sent to {replica}"),
+    }
+}
+
+fn place(
+    board: &mut ReplicaBoard,
+    prompt: &PromptShape,
+) -> Arc<str> {
+    let (replica, reading) = sent(board.choose(NOW, &request(prompt)));
+    board.start(NOW, &replica, reading, Some(prompt), Some(ENGINE));
+    replica
+}
+
+#[test]
+fn a_prompt_goes_where_its_shared_part_is_kept() {
+    let mut board = board(&["a", "b", "c", "d"]);
+    let home = place(&mut board, &prompt(1, 100));
+    let (again, reading) = sent(board.choose(NOW, &request(&prompt(1, 101))));
+    assert_eq!(again, home);
+    assert_eq!(reading, 1000);
+}
+
+#[test]
+fn routers_that_know_nothing_agree_on_a_home() {
+    let ids = ["a", "b", "c", "d", "e"];
+    for shared in 0..50 {
+        let first = sent(board(&ids).choose(NOW, &request(&prompt(shared, 1))));
+        let second = sent(board(&ids).choose(NOW, &request(&prompt(shared, 2))));
+        assert_eq!(first, second);
+    }
+}
+
+#[test]
+fn a_replica_that_leaves_moves_only_its_own_prompts() {
+    let all = board(&["a", "b", "c", "d", "e"]);
+    let fewer = board(&["a", "b", "c", "d"]);
+    for shared in 0..50 {
+        let before = sent(all.choose(NOW, &request(&prompt(shared, 1)))).0;
+        let after = sent(fewer.choose(NOW, &request(&prompt(shared, 1)))).0;
+        assert!(&*before == "e" || before == after);
+    }
+}
+
+#[test]
+fn a_home_with_too_much_in_front_is_passed_over() {
+    let mut board = board(&["a", "b"]);
+    let home = place(&mut board, &prompt(1, 100));
+    let busy = ReplicaReport {
+        replica: replica_key(&home),
+        load: Load {
+            running: 3,
+            reading: 12_000,
+            memory: 12_000,
+        },
+        placed: 0,
+        rests: false,
+    };
+    board.hear(NOW, 1, &HashMap::from([(busy.replica, busy)]));
+    let (replica, _) = sent(board.choose(NOW, &request(&prompt(1, 101))));
+    assert_ne!(replica, home);
+    // A report that is old counts for nothing.
+    let later = NOW + Duration::from_secs(2);
+    let (replica, _) = sent(board.choose(later, &request(&prompt(1, 101))));
+    assert_eq!(replica, home);
+}
+
+#[test]
+fn beyond_the_aim_it_is_refused_at_once_with_a_time_to_come_back() {
+    let mut board = board(&["a", "b"]);
+    for own in 0..3 {
+        for shared in [1, 2, 3] {
+            place_if_possible(&mut board, &prompt(shared * 10 + own, own));
+        }
+    }
+    let (reason, wait) = refused(board.choose(NOW, &request(&prompt(99, 99))));
+    assert_eq!(reason, RefusalReason::NoRoom);
+    assert!(wait > Duration::ZERO && wait < AIM * 2, "{wait:?}");
+}
+
+fn place_if_possible(
+    board: &mut ReplicaBoard,
+    prompt: &PromptShape,
+) {
+    if let Choice::Send {
+        replica, reading, ..
+    } = board.choose(NOW, &request(prompt))
+    {
+        board.start(NOW, &replica, reading, Some(prompt), Some(ENGINE));
+    }
+}
+
+#[test]
+fn a_prompt_longer_than_the_aim_is_let_in_where_nothing_is_in_front() {
+    let mut board = board(&["a"]);
+    let mut huge = prompt(1, 2);
+    huge.parts[1].tokens = 60_000;
+    place(&mut board, &huge);
+    assert!(matches!(
+        board.choose(NOW, &request(&huge)),
+        Choice::Refuse { .. }
+    ));
+}
+
+#[test]
+fn an_account_over_its_share_uses_only_what_is_left_over() {
+    let mut board = board(&["a"]);
+    place(&mut board, &prompt(1, 2));
+    let another = prompt(1, 3);
+    let over = PlacementRequest {
+        over_for: Some(Duration::from_millis(1700)),
+        ..request(&another)
+    };
+    let (reason, wait) = refused(board.choose(NOW, &over));
+    assert_eq!(reason, RefusalReason::OverShare);
+    assert_eq!(wait, Duration::from_millis(1700));
+    sent(board.choose(NOW, &request(&another)));
+}
+
+#[test]
+fn an_account_over_its_share_is_served_where_nothing_waits() {
+    let board = board(&["a"]);
+    let prompt = prompt(1, 2);
+    let over = PlacementRequest {
+        over_for: Some(Duration::from_secs(1)),
+        ..request(&prompt)
+    };
+    sent(board.choose(NOW, &over));
+}
+
+#[test]
+fn a_leaving_or_foreign_replica_gets_nothing() {
+    let mut board = ReplicaBoard::new(PlacementSettings::default());
+    board.set_entries(vec![entry("a", "z", UpstreamState::Draining)]);
+    let prompt = prompt(1, 2);
+    let (reason, _) = refused(board.choose(NOW, &request(&prompt)));
+    assert_eq!(reason, RefusalReason::NoReplica);
+    board.set_entries(vec![entry("a", "z", UpstreamState::Ready)]);
+    let foreign = PlacementRequest {
+        service: "other",
+        ..request(&prompt)
+    };
+    refused(board.choose(NOW, &foreign));
+    sent(board.choose(NOW, &request(&prompt)));
+}
+
+#[test]
+fn a_replica_is_not_tried_twice() {
+    let board = board(&["a", "b"]);
+    let prompt = prompt(1, 2);
+    let (first, _) = sent(board.choose(NOW, &request(&prompt)));
+    let tried = [first.clone()];
+    let again = PlacementRequest {
+        tried: &tried,
+        ..request(&prompt)
+    };
+    let (second, _) = sent(board.choose(NOW, &again));
+    assert_ne!(first, second);
+    let both = [first, second];
+    let nowhere = PlacementRequest {
+        tried: &both,
+        ..request(&prompt)
+    };
+    refused(board.choose(NOW, &nowhere));
+}
+
+#[test]
+fn a_failing_replica_rests_and_returns_by_evidence() {
+    let mut board = board(&["a", "b", "c"]);
+    let prompt = prompt(1, 2);
+    let (home, _) = sent(board.choose(NOW, &request(&prompt)));
+    for _ in 0..3 {
+        board.failed(NOW, &home);
+    }
+    assert_ne!(sent(board.choose(NOW, &request(&prompt))).0, home);
+    let later = NOW + Duration::from_secs(10);
+    assert_eq!(sent(board.choose(later, &request(&prompt))).0, home);
+}
+
+#[test]
+fn a_repeat_goes_to_a_resting_replica_rather_than_nowhere() {
+    let mut board = board(&["a", "b"]);
+    let prompt = prompt(1, 2);
+    board.unreachable(NOW, "b");
+    let tried = ["a".into()];
+    let again = PlacementRequest {
+        tried: &tried,
+        ..request(&prompt)
+    };
+    assert_eq!(&*sent(board.choose(NOW, &again)).0, "b");
+}
+
+#[test]
+fn when_most_replicas_fail_none_is_left_out_for_it() {
+    let mut board = board(&["a", "b", "c"]);
+    for id in ["a", "b", "c"] {
+        board.unreachable(NOW, id);
+    }
+    sent(board.choose(NOW, &request(&prompt(1, 2))));
+}
+
+#[test]
+fn failures_that_all_replicas_share_eject_none() {
+    let mut board = board(&["a", "b", "c"]);
+    for _ in 0..40 {
+        for id in ["a", "b", "c"] {
+            board.failed(NOW, id);
+            board.succeeded(id);
+        }
+    }
+    let awake = board.replicas().filter(|view| !view.health.rests(NOW));
+    assert_eq!(awake.count(), 3);
+}
+
+#[test]
+fn a_replica_that_fails_far_more_than_its_fellows_rests() {
+    let mut board = board(&["a", "b", "c"]);
+    for turn in 0..40 {
+        for id in ["a", "b", "c"] {
+            board.succeeded(id);
+        }
+        if turn % 2 == 0 {
+            board.failed(NOW, "a");
+        }
+    }
+    let rests = |id| board.replica(id).expect("listed").health.rests(NOW);
+    assert_eq!((rests("a"), rests("b"), rests("c")), (true, false, false));
+}
+
+#[test]
+fn what_ended_counts_no_more() {
+    let mut board = board(&["a"]);
+    let prompt = prompt(1, 2);
+    let number = board
+        .start(NOW, &"a".into(), 5000, Some(&prompt), Some(ENGINE))
+        .expect("listed");
+    let own = |board: &ReplicaBoard| board.replica("a").expect("listed").own;
+    assert_eq!(own(&board).reading, 5000);
+    board.first_token(NOW + Duration::from_millis(200), number);
+    assert_eq!((own(&board).reading, own(&board).running), (0, 1));
+    board.finish(number);
+    board.finish(number);
+    assert_eq!(own(&board), Load::default());
+}
+
+#[test]
+fn reading_speed_is_learnt() {
+    let mut board = board(&["a"]);
+    let guess = board.replica("a").expect("listed").speed.tokens_per_ms();
+    let mut now = NOW;
+    for own in 0..200 {
+        let prompt = prompt(own, own + 1000);
+        let number = board
+            .start(now, &"a".into(), 5000, Some(&prompt), Some(ENGINE))
+            .expect("listed");
+        now += Duration::from_secs(1);
+        board.first_token(now, number);
+        board.finish(number);
+    }
+    let learnt = board.replica("a").expect("listed").speed.tokens_per_ms();
+    assert!(learnt < guess / 4.0 && learnt > 4.0, "{learnt}");
+}
+
+#[test]
+fn a_spilled_prompt_is_fetched_where_engines_can() {
+    let mut board = board(&["a", "b"]);
+    let home = place(&mut board, &prompt(1, 100));
+    let other = if &*home == "a" { "b" } else { "a" };
+    let tried = [home.clone()];
+    let prompt = prompt(1, 101);
+    let able = EngineFacts {
+        token_bytes: 300_000.0,
+        link_mbps: 1_000_000.0,
+        moves: true,
+        ..ENGINE
+    };
+    // The home keeps it, is not tried again, but may still hand it over.
+    let spilled = PlacementRequest {
+        engine: Some(able),
+        ..request(&prompt)
+    };
+    let busy = ReplicaReport {
+        replica: replica_key(&home),
+        load: Load {
+            running: 8,
+            ..Load::default()
+        },
+        placed: 0,
+        rests: false,
+    };
+    board.hear(NOW, 1, &HashMap::from([(busy.replica, busy)]));
+    let Choice::Send {
+        replica,
+        reading,
+        fetch_from,
+        ..
+    } = board.choose(NOW, &spilled)
+    else {
+        panic!("refused");
+    };
+    assert_eq!((&*replica, reading), (other, 1000));
+    assert_eq!(fetch_from.as_deref(), Some(&*home));
+    let unable = PlacementRequest {
+        tried: &tried,
+        ..request(&prompt)
+    };
+    let (_, reading) = sent(board.choose(NOW, &unable));
+    assert_eq!(reading, 5000);
+}
+
+#[test]
+fn a_part_is_given_up_when_the_fleet_has_placed_more_than_fits() {
+    let mut board = board(&["a"]);
+    place(&mut board, &prompt(1, 100));
+    let report = |placed| ReplicaReport {
+        replica: replica_key("a"),
+        load: Load::default(),
+        placed,
+        rests: false,
+    };
+    let uncached = |board: &ReplicaBoard| {
+        let view = board.replica("a").expect("listed");
+        view.cache.uncached(&prompt(1, 101))
+    };
+    board.hear(NOW, 1, &HashMap::from([(replica_key("a"), report(50_000))]));
+    assert_eq!(uncached(&board), 1000);
+    board.hear(NOW, 1, &HashMap::from([(replica_key("a"), report(99_000))]));
+    assert_eq!(uncached(&board), 5000);
+}
+
+#[test]
+fn plain_requests_go_to_the_least_busy_and_are_bounded() {
+    let mut board = board(&["a", "b"]);
+    let plain = PlacementRequest {
+        service: "model",
+        zone: "z",
+        engine: None,
+        prompt: None,
+        aim: AIM,
+        over_for: None,
+        tried: &[],
+    };
+    let mut counts = HashMap::new();
+    loop {
+        match board.choose(NOW, &plain) {
+            Choice::Send { replica, .. } => {
+                board.start(NOW, &replica, 0, None, None);
+                *counts.entry(replica).or_insert(0) += 1;
+            }
+            Choice::Refuse { reason, .. } => {
+                assert_eq!(reason, RefusalReason::NoRoom);
+                break;
+            }
+        }
+    }
+    let counts: Vec<i32> = counts.into_values().collect();
+    assert_eq!(counts, [24, 24]);
+}
