--- a/src/direct/gateway.rs
+++ b/src/direct/gateway.rs
@@ -37,7 +37,8 @@
     shares: Mutex<ShareBook>,
     retries: Mutex<RetryWindow>,
     stopping: AtomicBool,
-    crowded: AtomicBool, // more connections of callers than are kept
+    refusing: AtomicBool, // stops, and takes no more requests
+    crowded: AtomicBool,  // more connections of callers than are kept
 }
 
 impl Gateway {
@@ -64,6 +65,7 @@
             shares: Mutex::new(ShareBook::new(settings.share_window, settings.peer_age)),
             retries: Mutex::new(retries),
             stopping: AtomicBool::new(false),
+            refusing: AtomicBool::new(false),
             crowded: AtomicBool::new(false),
             settings: RwLock::new(Arc::new(settings)),
         }
@@ -144,6 +146,16 @@
         self.stopping.store(true, Ordering::SeqCst);
     }
 
+    /// Refuses requests from now on.
+    pub fn refuse_new(&self) {
+        self.refusing.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether requests are refused because the router stops.
+    pub fn is_refusing(&self) -> bool {
+        self.refusing.load(Ordering::SeqCst)
+    }
+
     /// Whether more connections of callers are open than are kept.
     pub fn crowded(
         &self,
--- a/src/direct/request_reader.rs
+++ b/src/direct/request_reader.rs
@@ -19,6 +19,9 @@
 /// When to come back to a router that has no configuration yet.
 const NO_CONFIG_RETRY: Duration = Duration::from_millis(500);
 
+/// When to come back, to another router, after this one stops.
+const STOPPING_RETRY: Duration = Duration::from_millis(50);
+
 /// How long a body may take.
 const BODY_TIME: Duration = Duration::from_secs(10);
 
@@ -37,6 +40,9 @@
     request: Request<Incoming>,
     arrived: Moment,
 ) -> Result<Call, ErrorAnswer> {
+    if gateway.is_refusing() {
+        return Err(ErrorAnswer::new(ResultCode::Stopping).retry_after(STOPPING_RETRY));
+    }
     let table = gateway.catalog.config().ok_or_else(|| {
         ErrorAnswer::new(ResultCode::NoConfiguration).retry_after(NO_CONFIG_RETRY)
     })?;
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -20,6 +20,9 @@
 /// Before the kill, this much is left for the process's own end.
 const END_MARGIN: Duration = Duration::from_millis(300);
 
+/// How long late connections are still taken, for a refusal that says so.
+const REFUSING_TIME: Duration = Duration::from_millis(500);
+
 /// The command line of a router that carries requests itself.
 pub fn main() -> ExitCode {
     run_process(
@@ -82,6 +85,9 @@
     link.tell_now();
     let end = tokio::time::Instant::now() + settings.grace.saturating_sub(END_MARGIN);
     tokio::time::sleep(settings.balancer_lag).await;
+    // What still comes would not be done in time: it is refused, "not run".
+    gateway.refuse_new();
+    tokio::time::sleep(REFUSING_TIME).await;
     accepting.abort();
     connections.close_resting();
     let in_time = tokio::time::timeout_at(end, connections.all_closed()).await;
--- a/testbed/tests/direct_fleet.rs
+++ b/testbed/tests/direct_fleet.rs
@@ -130,36 +130,43 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_planned_stop_cuts_nothing() {
-    let (mut fleet, _replica) = fleet_of(1).await;
-    let stream = RouteText::new("/events/", "s", "streaming");
+    let (mut fleet, replica) = fleet_of(1).await;
     let slow = ReplicaAnswer::Slow {
         body: "late".to_owned(),
-        after: Duration::from_millis(900),
+        after: Duration::from_millis(1500),
     };
-    _replica.usually(slow);
-    fleet.store.publish(2, &[route("/first/"), stream]);
-    fleet.serves(0, "/first/", 200).await;
+    replica.usually(slow);
+    fleet
+        .store
+        .publish(2, &[RouteText::new("/slow/", "s", "non_idempotent")]);
+    fleet.serves(0, "/slow/", 200).await;
     let mut kept = Client::connect(fleet.callers[0])
         .await
         .expect("a connection");
     assert_eq!(
-        kept.call(&ClientRequest::get("/first/", "k-1"))
-            .await
-            .status,
+        kept.call(&ClientRequest::get("/slow/", "k-1")).await.status,
         200
     );
     let mut busy = Client::connect(fleet.callers[0])
         .await
         .expect("a connection");
-    let request = ClientRequest::get("/first/", "b-1");
+    let request = ClientRequest::get("/slow/", "b-1");
     busy.send(&request.bytes()).await.expect("sent");
-    let held = || _replica.seen().iter().any(|request| request.id() == "b-1");
+    let held = || replica.seen().iter().any(|request| request.id() == "b-1");
     until("the request is at the replica", held).await;
     fleet.routers[0].terminate();
     until_async("it is not ready", async || !fleet.is_ready(0).await).await;
+    replica.next(ReplicaAnswer::ok("a"));
     // A kept connection still serves, and is told to end.
-    let answer = kept.call(&ClientRequest::get("/first/", "k-2")).await;
+    let answer = kept.call(&ClientRequest::get("/slow/", "k-2")).await;
     assert_eq!((answer.status, answer.header("connection")), (200, "close"));
+    // What comes too late to be done is refused at once, with the proof.
+    let refused = async || {
+        let late = ClientRequest::get("/nowhere/", "late");
+        let answer = Client::ask(fleet.callers[0], &late).await;
+        (answer.status, answer.code()) == (503, Some(39))
+    };
+    until_async("late requests are refused", refused).await;
     let answer = busy.answer().await;
     assert!(answer.status == 200 && answer.whole);
     until("it stops by itself", || fleet.routers[0].ended().is_some()).await;
