--- a/src/direct/exchange.rs
+++ b/src/direct/exchange.rs
@@ -353,7 +353,7 @@
         }
     }
 
-    fn account(&self) -> Option<u64> {
+    fn account(&self) -> Option<u32> {
         self.call.account.as_deref().map(account_key)
     }
 
--- a/src/peers/peer_link.rs
+++ b/src/peers/peer_link.rs
@@ -30,7 +30,7 @@
 
 /// Datagrams a second that one router sends at most, but for its interval:
 /// where there are many routers, each is told less often.
-const DATAGRAMS_PER_SECOND: f64 = 250.0;
+const DATAGRAMS_PER_SECOND: f64 = 100.0;
 
 /// How long this router may be behind a peer before it asks it for news: the
 /// store tells most changes by then.
@@ -118,7 +118,7 @@
         }
         gateway.peers.learn(now, &report.routers);
         let peer = replica_key(&report.address.to_string());
-        let told: HashMap<u64, ReplicaReport> = report
+        let told: HashMap<u32, ReplicaReport> = report
             .replicas
             .into_iter()
             .map(|report| (report.replica, report))
--- a/src/peers/router_report.rs
+++ b/src/peers/router_report.rs
@@ -28,7 +28,7 @@
     pub leaving: bool,
     pub version: CatalogVersion,
     pub replicas: Vec<ReplicaReport>,
-    pub accounts: Vec<(u64, AccountUsage)>,
+    pub accounts: Vec<(u32, AccountUsage)>,
     pub notes: Vec<CacheNote>,
     pub routers: Vec<SocketAddr>, // others that it knows
 }
--- a/src/policy/placement/cache_note.rs
+++ b/src/policy/placement/cache_note.rs
@@ -3,6 +3,6 @@
 /// A part of a prompt that a replica was sent, for other routers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CacheNote {
-    pub replica: u64, // short name
+    pub replica: u32, // short name
     pub part: u64,
 }
--- a/src/policy/placement/replica_board.rs
+++ b/src/policy/placement/replica_board.rs
@@ -58,7 +58,7 @@
 pub struct ReplicaBoard {
     settings: PlacementSettings,
     replicas: BTreeMap<Arc<str>, ReplicaView>,
-    keys: HashMap<u64, Arc<str>>, // ids by key
+    keys: HashMap<u32, Arc<str>>, // ids by key
     works: HashMap<WorkNumber, Work>,
     next_work: WorkNumber,
     notes: Vec<CacheNote>, // parts that were sent to replicas anew
@@ -68,8 +68,8 @@
 const MAX_NOTES: usize = 400;
 
 /// A short name of a replica for messages between routers.
-pub fn replica_key(id: &str) -> u64 {
-    hash_of(&id)
+pub fn replica_key(id: &str) -> u32 {
+    hash_of(&id) as u32
 }
 
 fn hash_of(value: &impl Hash) -> u64 {
@@ -139,7 +139,7 @@
     /// A replica by its short name.
     pub fn by_key(
         &mut self,
-        key: u64,
+        key: u32,
     ) -> Option<&mut ReplicaView> {
         let id = self.keys.get(&key)?;
         self.replicas.get_mut(id)
@@ -160,8 +160,8 @@
     pub fn hear(
         &mut self,
         now: Moment,
-        peer: u64,
-        told: &HashMap<u64, ReplicaReport>,
+        peer: u32,
+        told: &HashMap<u32, ReplicaReport>,
     ) {
         for (key, report) in told {
             if let Some(view) = self.by_key(*key) {
--- a/src/policy/placement/replica_report.rs
+++ b/src/policy/placement/replica_report.rs
@@ -6,7 +6,7 @@
 /// What one router has at one replica, and whether it lets it rest.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReplicaReport {
-    pub replica: u64, // short name
+    pub replica: u32, // short name
     pub load: Load,
     pub placed: u64, // tokens sent there so far that it had to take in
     pub rests: bool,
--- a/src/policy/placement/replica_view.rs
+++ b/src/policy/placement/replica_view.rs
@@ -17,7 +17,7 @@
     pub speed: ReadingSpeed,
     pub placed: u64,     // tokens that this router sent there so far
     pub service_ms: f64, // moving time of a plain request
-    peers: HashMap<u64, PeerReport>,
+    peers: HashMap<u32, PeerReport>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -75,7 +75,7 @@
     pub fn hear(
         &mut self,
         now: Moment,
-        peer: u64,
+        peer: u32,
         report: &ReplicaReport,
     ) {
         let told = PeerReport {
@@ -94,7 +94,7 @@
     /// A peer is gone, or has nothing there.
     pub fn forget_peer(
         &mut self,
-        peer: u64,
+        peer: u32,
     ) {
         self.peers.remove(&peer);
     }
--- a/src/policy/shares/share_book.rs
+++ b/src/policy/shares/share_book.rs
@@ -18,10 +18,10 @@
 const SLACK: f32 = 1.05;
 
 /// A short name of an account for messages between routers.
-pub fn account_key(name: &str) -> u64 {
+pub fn account_key(name: &str) -> u32 {
     let mut hasher = DefaultHasher::new();
     name.hash(&mut hasher);
-    hasher.finish()
+    hasher.finish() as u32
 }
 
 /// What accounts asked for and got, here and at the peers.
@@ -29,8 +29,8 @@
 pub struct ShareBook {
     window: Duration,
     peer_age: Duration, // older reports of peers are ignored
-    own: HashMap<u64, AccountUsage>,
-    peers: HashMap<u64, HashMap<u64, (Moment, AccountUsage)>>, // by peer and account
+    own: HashMap<u32, AccountUsage>,
+    peers: HashMap<u32, HashMap<u32, (Moment, AccountUsage)>>, // by peer and account
     faded: Moment,
 }
 
@@ -63,7 +63,7 @@
     pub fn ask(
         &mut self,
         now: Moment,
-        account: u64,
+        account: u32,
         tokens: f32,
     ) {
         self.fade(now);
@@ -74,7 +74,7 @@
     pub fn give(
         &mut self,
         now: Moment,
-        account: u64,
+        account: u32,
         tokens: f32,
     ) {
         self.fade(now);
@@ -84,7 +84,7 @@
     /// Tokens that were given did not come: they count no more.
     pub fn take_back(
         &mut self,
-        account: u64,
+        account: u32,
         tokens: f32,
     ) {
         if let Some(usage) = self.own.get_mut(&account) {
@@ -96,8 +96,8 @@
     pub fn hear(
         &mut self,
         now: Moment,
-        peer: u64,
-        usage: &[(u64, AccountUsage)],
+        peer: u32,
+        usage: &[(u32, AccountUsage)],
     ) {
         let told = self.peers.entry(peer).or_default();
         told.extend(
@@ -112,7 +112,7 @@
     /// A peer is gone.
     pub fn forget_peer(
         &mut self,
-        peer: u64,
+        peer: u32,
     ) {
         self.peers.remove(&peer);
     }
@@ -121,7 +121,7 @@
     pub fn own(
         &mut self,
         now: Moment,
-    ) -> &HashMap<u64, AccountUsage> {
+    ) -> &HashMap<u32, AccountUsage> {
         self.fade(now);
         &self.own
     }
@@ -132,7 +132,7 @@
     pub fn over_for(
         &self,
         now: Moment,
-        account: u64,
+        account: u32,
     ) -> Option<Duration> {
         let usage = self.fleet_usage(now);
         let mine = usage.get(&account)?;
@@ -152,7 +152,7 @@
     pub fn fleet_usage(
         &self,
         now: Moment,
-    ) -> HashMap<u64, AccountUsage> {
+    ) -> HashMap<u32, AccountUsage> {
         let mut sum = self.own.clone();
         for (account, (heard, usage)) in self.peers.values().flatten() {
             if now.saturating_sub(*heard) <= self.peer_age {
--- a/tests/fair_shares.rs
+++ b/tests/fair_shares.rs
@@ -48,7 +48,7 @@
 fn told(
     book: &mut ShareBook,
     now: Duration,
-) -> Vec<(u64, AccountUsage)> {
+) -> Vec<(u32, AccountUsage)> {
     book.own(now).clone().into_iter().collect()
 }
 
