--- a/src/ctl/command.rs
+++ b/src/ctl/command.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         CtlError, audit::audit, check::check, explain::explain, fleet_reader::FleetReader,
-        shares::shares, status::status,
+        shares::shares, status::status, trace::trace,
     },
     crate::{codes::ResultCode, keys::install_crypto},
     getopts::{Matches, Options},
@@ -17,6 +17,7 @@
   status                 every process: version, revision in force, load
   shares                 service per share of each client account, fleet-wide
   audit                  every process's changes, merged by time
+  trace ID FILE...       what collected logs say of a request, by time
   codes                  the result codes";
 
 /// The command line: 0 when all went well, else the result code's number.
@@ -55,6 +56,7 @@
     match matches.free.first().map(String::as_str) {
         Some("check") => plain(check(&matches.free[1..], json)),
         Some("explain") => plain(explain(&matches, json)),
+        Some("trace") => plain(trace(&matches.free[1..], json)),
         Some("codes") => Ok(codes()),
         Some("status") => with_fleet(&matches, async |reader: &FleetReader| {
             status(reader, json).await
--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -9,5 +9,6 @@
 mod output;
 mod shares;
 mod status;
+mod trace;
 
 pub use {command::main, errors::CtlError};
--- a/src/direct/events_relay.rs
+++ b/src/direct/events_relay.rs
@@ -6,7 +6,7 @@
         live_answer::LiveAnswer,
         reply::{ReplyBody, copy_head, cut, replica_reply},
     },
-    crate::codes::ResultCode,
+    crate::{codes::ResultCode, ops::STREAMS},
     bytes::Bytes,
     futures::stream,
     http_body_util::{BodyExt, StreamBody},
@@ -23,10 +23,29 @@
 
 /// A stream of events on its way to a caller, from one replica after another.
 pub struct EventsRelay {
-    exchange: Exchange,
+    exchange: Option<Exchange>, // none once it is given back
     answer: LiveAnswer,
     splitter: EventSplitter,
     done: bool,
+    ended: &'static str, // how, for the log
+}
+
+impl Drop for EventsRelay {
+    fn drop(&mut self) {
+        let Some(exchange) = &self.exchange else {
+            return;
+        };
+        metrics::counter!(STREAMS, "how" => self.ended).increment(1);
+        let took = exchange.gateway.now().saturating_sub(exchange.call.arrived);
+        log::info!(
+            request_id = exchange.call.request_id.as_str(),
+            replica = &**self.answer.work.replica(),
+            last_event = self.splitter.last_id().unwrap_or(""),
+            how = self.ended,
+            ms = took.as_millis() as u64;
+            "stream ended"
+        );
+    }
 }
 
 impl EventsRelay {
@@ -36,10 +55,11 @@
         answer: LiveAnswer,
     ) -> Self {
         Self {
-            exchange,
+            exchange: Some(exchange),
             answer,
             splitter: EventSplitter::default(),
             done: false,
+            ended: "left",
         }
     }
 
@@ -55,7 +75,10 @@
         };
         let first = match first {
             Ok(first) => first,
-            Err(end) => return Err((self.exchange, end)),
+            Err(end) => {
+                let exchange = self.exchange.take().expect("given back once");
+                return Err((exchange, end));
+            }
         };
         self.answer.work.first_token();
         let head = copy_head(&self.answer.head);
@@ -76,7 +99,7 @@
             if self.done {
                 return None;
             }
-            let left = self.exchange.time_left();
+            let left = self.exchange().time_left();
             let limit = if self.may_resume() {
                 self.longest_gap().min(left)
             } else {
@@ -92,6 +115,7 @@
                 Err(end) => {
                     if let Err(error) = self.resume(&end).await {
                         self.done = true;
+                        self.ended = "cut";
                         return Some(Err(error));
                     }
                 }
@@ -113,6 +137,7 @@
                 }
                 None => {
                     self.done = true;
+                    self.ended = "whole";
                     self.succeeded();
                     let rest = self.splitter.take_rest();
                     return Ok((!rest.is_empty()).then_some(rest));
@@ -121,12 +146,25 @@
         }
     }
 
+    fn exchange(&self) -> &Exchange {
+        self.exchange.as_ref().expect("held until given back")
+    }
+
+    fn exchange_mut(&mut self) -> &mut Exchange {
+        self.exchange.as_mut().expect("held until given back")
+    }
+
     fn may_resume(&self) -> bool {
-        self.exchange.may_repeat() && self.splitter.last_id().is_some()
+        self.exchange().may_repeat() && self.splitter.last_id().is_some()
     }
 
     fn longest_gap(&self) -> Duration {
-        let pause = self.exchange.call.route.pause_aim.unwrap_or(DEFAULT_PAUSE);
+        let pause = self
+            .exchange()
+            .call
+            .route
+            .pause_aim
+            .unwrap_or(DEFAULT_PAUSE);
         (pause * 5).max(LEAST_GAP)
     }
 
@@ -136,7 +174,7 @@
         end: &AttemptEnd,
     ) -> Result<(), io::Error> {
         let resumable = self.may_resume();
-        let ended = self.exchange.end_attempt(end);
+        let ended = self.exchange_mut().end_attempt(end);
         if let Err(error) = ended {
             return Err(cut(error.code));
         }
@@ -147,7 +185,7 @@
         self.answer.abandon();
         self.splitter.drop_rest();
         let last = self.splitter.last_id().map(str::to_owned);
-        let begun = self.exchange.begin(last.as_deref()).await;
+        let begun = self.exchange_mut().begin(last.as_deref()).await;
         let begun = begun.map_err(|error| cut(error.code))?;
         if begun.answer.head.status != 200 {
             return Err(cut(format!("resumed with {}", begun.answer.head.status)));
@@ -158,7 +196,7 @@
 
     fn succeeded(&self) {
         let replica = self.answer.work.replica().clone();
-        self.exchange.gateway.board().succeeded(&replica);
+        self.exchange().gateway.board().succeeded(&replica);
     }
 }
 
--- a/src/direct/exchange.rs
+++ b/src/direct/exchange.rs
@@ -12,14 +12,14 @@
     },
     crate::{
         codes::{ErrorAnswer, Ran, ResultCode},
-        ops::RETRIES,
+        ops::{PROMPT_TOKENS, RETRIES},
         policy::{
-            placement::{Choice, PlacementRequest, RefusalReason},
+            placement::{Choice, PlacementRequest, PromptShape, RefusalReason},
             shares::account_key,
         },
     },
     hyper::Response,
-    std::{sync::Arc, time::Duration},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::time::timeout,
 };
 
@@ -260,12 +260,14 @@
             } => {
                 let number = board.start(now, &replica, reading, call.prompt.as_ref(), call.engine);
                 let entry = board.replica(&replica).map(|view| view.entry.clone());
+                let in_front = board.replica(&replica).map_or(0, |view| view.own.reading);
                 let source = fetch_from.and_then(|id| board.replica(&id));
                 let fetch_from = source.map(|view| view.entry.address);
                 drop(board);
                 let (Some(number), Some(entry)) = (number, entry) else {
                     return Err(self.refusal(RefusalReason::NoReplica, REFUSED_RETRY));
                 };
+                self.log_sent(&replica, reading, in_front, fetch_from, expected);
                 let work = HeldWork::new(self.gateway.clone(), number, replica.clone());
                 self.tried.push(replica);
                 self.grant();
@@ -281,6 +283,42 @@
         }
     }
 
+    /// One line for the decision, with what decided it.
+    fn log_sent(
+        &self,
+        replica: &str,
+        reading: u32,
+        in_front: u32,
+        fetch_from: Option<SocketAddr>,
+        expected: Duration,
+    ) {
+        let tokens = self.call.prompt.as_ref().map_or(0, PromptShape::tokens);
+        let other = if fetch_from.is_some() {
+            "fetched"
+        } else {
+            "kept"
+        };
+        metrics::counter!(PROMPT_TOKENS, "kind" => "read").increment(u64::from(reading));
+        let saved = u64::from(tokens.saturating_sub(reading));
+        metrics::counter!(PROMPT_TOKENS, "kind" => other).increment(saved);
+        let fetch_from = fetch_from.map_or_else(String::new, |address| address.to_string());
+        log::info!(
+            request_id = self.call.request_id.as_str(),
+            replica = replica,
+            service = &*self.call.service,
+            prompt_tokens = tokens,
+            reading_tokens = reading,
+            own_reading_there = in_front,
+            fetch_from = fetch_from.as_str(),
+            expected_ms = expected.as_millis() as u64,
+            attempt = self.sent + self.unsent + 1,
+            config = self.call.config_version,
+            upstreams_at = self.gateway.catalog.version().upstreams,
+            left_ms = self.time_left().as_millis() as u64;
+            "sent"
+        );
+    }
+
     fn refusal(
         &mut self,
         reason: RefusalReason,
--- a/src/direct/status.rs
+++ b/src/direct/status.rs
@@ -4,7 +4,7 @@
     super::gateway::Gateway,
     crate::{
         fleet::{HostRole, Revision},
-        ops::{AuditTrail, PeerStatus, ProcessStatus, RUNNING, StatusSource},
+        ops::{AuditTrail, PeerStatus, ProcessStatus, RESTING, REVISION, RUNNING, StatusSource},
         policy::Incarnation,
     },
     std::collections::BTreeMap,
@@ -16,6 +16,14 @@
         let version = self.catalog.version();
         let running: u32 = self.board().replicas().map(|view| view.own.running).sum();
         metrics::gauge!(RUNNING).set(f64::from(running));
+        let now = self.now();
+        let resting = self
+            .board()
+            .replicas()
+            .filter(|view| view.health.rests(now))
+            .count();
+        metrics::gauge!(RESTING).set(resting as f64);
+        metrics::gauge!(REVISION).set(version.config as f64);
         let peers = self.peers.heard(self.now(), settings.peer_age);
         ProcessStatus {
             host: settings.process.host.clone(),
--- a/src/ops/json_log.rs
+++ b/src/ops/json_log.rs
@@ -1,33 +1,75 @@
 use {
-    super::Uptime,
-    env_logger::{Builder, Env},
+    super::{LogPipe, LogRate, Uptime},
+    env_logger::{Builder, Env, Target},
     log::{
-        Record,
+        Level, Record,
         kv::{Error, Key, Value, VisitSource},
     },
     serde_json::{Map, Value as Json},
-    std::io::Write,
+    std::{
+        io::Write,
+        sync::{Mutex, atomic::Ordering},
+    },
 };
 
 /// Loggers of libraries that speak too much at the default level.
 const QUIET: &str = "info,rocket=error,quinn=warn,rustls=warn,hyper=warn";
 
-/// Sends logs as JSON lines to standard error. `RUST_LOG` sets the level.
+/// Lines a second that a process writes at most; half of them are kept for
+/// failures.
+const LINES_PER_SECOND: f64 = 400.0;
+
+/// The key that marks a line as a failure, beside its level.
+const CODE_KEY: &str = "code";
+
+/// Sends logs as JSON lines to standard output, at a bounded rate and without
+/// ever waiting for it. `RUST_LOG` sets the level.
 pub fn start_logging(host: &str) {
+    let pipe = match LogPipe::start(std::io::stdout()) {
+        Ok(pipe) => pipe,
+        Err(error) => {
+            eprintln!("no logs: {error}");
+            return;
+        }
+    };
     let host = host.to_owned();
+    let lost = pipe.lost();
+    let uptime = Uptime::start();
+    let rate = Mutex::new(LogRate::new(LINES_PER_SECOND, uptime.now()));
     let started = Builder::from_env(Env::default().default_filter_or(QUIET))
-        .format(move |out, record| writeln!(out, "{}", line(&host, record)))
+        .target(Target::Pipe(Box::new(pipe)))
+        .format(move |out, record| {
+            let admitted = {
+                let mut rate = rate.lock().expect("log rate lock");
+                rate.admit(uptime.now(), is_failure(record))
+            };
+            match admitted {
+                Some(left_out) => {
+                    let lost = lost.swap(0, Ordering::Relaxed);
+                    writeln!(out, "{}", line(&host, record, left_out + lost))
+                }
+                None => Ok(()),
+            }
+        })
         .try_init();
     if started.is_err() {
         log::debug!("logging was started before");
     }
 }
 
+fn is_failure(record: &Record) -> bool {
+    record.level() <= Level::Warn || record.key_values().get(Key::from_str(CODE_KEY)).is_some()
+}
+
 fn line(
     host: &str,
     record: &Record,
+    left_out: u64,
 ) -> Json {
     let mut fields = Fields(Map::new());
+    if left_out > 0 {
+        fields.set("lines_left_out", left_out.into());
+    }
     fields.set("unix_ms", Uptime::unix_millis().into());
     fields.set("level", record.level().as_str().into());
     fields.set("host", host.into());
--- a/src/ops/metric_names.rs
+++ b/src/ops/metric_names.rs
@@ -22,3 +22,10 @@
 pub const ANSWER_SECONDS: &str = "archmast_answer_seconds";
 /// Routers that were heard of lately.
 pub const PEERS: &str = "archmast_peers";
+/// Prompt tokens of requests that were placed, by `kind`: `read`, `kept`,
+/// `fetched`.
+pub const PROMPT_TOKENS: &str = "archmast_prompt_tokens_total";
+/// Replicas that are left alone for a time, by evidence.
+pub const RESTING: &str = "archmast_resting_replicas";
+/// Streams that ended, by `how`: `whole`, `cut`, `left` by their caller.
+pub const STREAMS: &str = "archmast_streams_total";
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -3,6 +3,8 @@
 mod audit_entry;
 mod audit_trail;
 mod json_log;
+mod log_pipe;
+mod log_rate;
 mod metric_names;
 mod operator_port;
 mod process_status;
@@ -12,6 +14,8 @@
     audit_entry::AuditEntry,
     audit_trail::AuditTrail,
     json_log::start_logging,
+    log_pipe::LogPipe,
+    log_rate::LogRate,
     metric_names::*,
     operator_port::{OperatorPort, StatusSource, quiet_config},
     process_status::{AccountStatus, PeerStatus, ProcessStatus},
--- a/src/ops/operator_port.rs
+++ b/src/ops/operator_port.rs
@@ -9,7 +9,7 @@
         routes,
         serde::json::Json,
     },
-    std::{net::SocketAddr, sync::Arc},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
 /// What the operator port asks of its process.
@@ -33,8 +33,12 @@
         listen: SocketAddr,
         source: Source,
     ) -> Result<(), rocket::Error> {
-        let recorder = PrometheusBuilder::new().build_recorder();
+        let recorder = PrometheusBuilder::new()
+            .set_buckets(BUCKETS)
+            .expect("there are buckets")
+            .build_recorder();
         let handle = recorder.handle();
+        tokio::spawn(keep_up(handle.clone()));
         if metrics::set_global_recorder(recorder).is_err() {
             log::debug!("metrics were started before");
         }
@@ -48,6 +52,22 @@
     }
 }
 
+/// Bounds of the buckets of histograms, in seconds.
+const BUCKETS: &[f64] = &[
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.0, 1.5, 2.5, 5.0, 10.0,
+];
+
+/// How often samples of histograms are put into their buckets.
+const KEEP_UP_EVERY: Duration = Duration::from_secs(5);
+
+/// Keeps samples from piling up where nobody reads the metrics.
+async fn keep_up(handle: PrometheusHandle) {
+    loop {
+        tokio::time::sleep(KEEP_UP_EVERY).await;
+        handle.run_upkeep();
+    }
+}
+
 /// Rocket's settings, with its own signal handling off.
 pub fn quiet_config(listen: SocketAddr) -> Config {
     Config {
--- a/testbed/src/fleet/process.rs
+++ b/testbed/src/fleet/process.rs
@@ -135,7 +135,7 @@
         .arg("--settings")
         .arg(settings)
         .stdin(Stdio::null())
-        .stdout(Stdio::null())
+        .stdout(log.try_clone()?)
         .stderr(log)
         .spawn()
 }
--- a/testbed/tests/direct_requests.rs
+++ b/testbed/tests/direct_requests.rs
@@ -6,7 +6,7 @@
         direct::{
             Client, ClientAnswer, ClientRequest, DirectFleet, Replica, ReplicaAnswer, RouteText,
         },
-        fleet::{until, until_async},
+        fleet::{program_path, until, until_async},
     },
     std::time::Duration,
 };
@@ -356,3 +356,39 @@
     let seen = replicas.iter().flat_map(Replica::seen).next();
     assert_eq!(seen.expect("it ran").body, b"abcdefg");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_failed_request_is_followed_by_its_id_to_its_cause() {
+    let (fleet, replicas) = two_replicas(ReplicaAnswer::Close).await;
+    let answer = ask(
+        &fleet,
+        ClientRequest::post("/charge/", "id-of-the-lost", "10"),
+    )
+    .await;
+    assert_eq!(answer.status, 502);
+    assert_eq!(runs(&replicas, "id-of-the-lost"), 1);
+    let log = fleet.settings[0].with_extension("log");
+    until("the refusal is in the log", || {
+        fleet.routers[0].log_text().contains("not answered")
+    })
+    .await;
+    let output = std::process::Command::new(program_path("archmastctl"))
+        .arg("trace")
+        .arg("id-of-the-lost")
+        .arg(&log)
+        .output()
+        .expect("archmastctl runs");
+    let text = String::from_utf8_lossy(&output.stdout);
+    let places: Vec<Option<usize>> = ["sent", "attempt ended", "not answered", "code 50:"]
+        .iter()
+        .map(|what| text.find(what))
+        .collect();
+    assert!(
+        places.iter().all(Option::is_some) && places.is_sorted(),
+        "{text}"
+    );
+    assert!(
+        text.contains("ran=unknown") && text.contains("replica=i-"),
+        "{text}"
+    );
+}
