--- a/src/direct/gateway.rs
+++ b/src/direct/gateway.rs
@@ -6,7 +6,7 @@
         ops::{AuditTrail, Uptime},
         peers::PeerTable,
         policy::{
-            Incarnation, Moment,
+            Incarnation, LagGauge, Moment,
             placement::ReplicaBoard,
             shares::{RetryWindow, ShareBook},
         },
@@ -14,12 +14,19 @@
     std::{
         sync::{
             Arc, Mutex, MutexGuard, RwLock,
-            atomic::{AtomicBool, Ordering},
+            atomic::{AtomicBool, AtomicU64, Ordering},
         },
         time::Duration,
     },
 };
 
+/// A process that is this far behind its timers refuses requests: what it read
+/// now would be sent on too late, by knowledge that is old.
+const MOST_LAG: Duration = Duration::from_millis(150);
+
+/// How often the lag is measured.
+const LAG_TICK: Duration = Duration::from_millis(20);
+
 /// The shared tables of a router that carries requests itself.
 ///
 /// Lock order: `board`, `shares`, `retries`, then leaf locks (catalog, pool,
@@ -38,6 +45,7 @@
     retries: Mutex<RetryWindow>,
     stopping: AtomicBool,
     refusing: AtomicBool, // stops, and takes no more requests
+    lag_ms: AtomicU64,    // of the process behind its timers
     crowded: AtomicBool,  // more connections of callers than are kept
 }
 
@@ -66,6 +74,7 @@
             retries: Mutex::new(retries),
             stopping: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
+            lag_ms: AtomicU64::new(0),
             crowded: AtomicBool::new(false),
             settings: RwLock::new(Arc::new(settings)),
         }
@@ -146,6 +155,29 @@
         self.stopping.store(true, Ordering::SeqCst);
     }
 
+    /// Whether what arrives waits too long for the processor to be served.
+    pub fn is_choked(&self) -> bool {
+        self.lag_ms.load(Ordering::Relaxed) > MOST_LAG.as_millis() as u64
+    }
+
+    /// Measures how far the process is behind its timers.
+    pub async fn measure_lag(self: Arc<Self>) {
+        let mut gauge = LagGauge::default();
+        let mut choked = false;
+        loop {
+            let before = self.now();
+            tokio::time::sleep(LAG_TICK).await;
+            let took = self.now().saturating_sub(before);
+            gauge.sample(took.saturating_sub(LAG_TICK));
+            let lag_ms = gauge.lag().as_millis() as u64;
+            self.lag_ms.store(lag_ms, Ordering::Relaxed);
+            if choked != self.is_choked() {
+                choked = !choked;
+                log::warn!(lag_ms = lag_ms, choked = choked; "processor is short, or not any more");
+            }
+        }
+    }
+
     /// Refuses requests from now on.
     pub fn refuse_new(&self) {
         self.refusing.store(true, Ordering::SeqCst);
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -60,6 +60,7 @@
     tokio::spawn(follow_source(catalog, store, settings.catalog_pace));
     tokio::spawn(gateway.clone().follow_catalog());
     tokio::spawn(gateway.clone().tidy_pool());
+    tokio::spawn(gateway.clone().measure_lag());
     link.clone().start();
     tokio::spawn(watch_settings(gateway.clone(), settings.path.clone()));
     let operator = tokio::spawn(OperatorPort::serve(
--- a/src/node/start.rs
+++ b/src/node/start.rs
@@ -1,5 +1,10 @@
 use {
-    crate::{codes::ResultCode, conf::ConfError, keys::install_crypto, ops::start_logging},
+    crate::{
+        codes::ResultCode,
+        conf::ConfError,
+        keys::install_crypto,
+        ops::{flush_logs, start_logging},
+    },
     error_stack::{Report, ResultExt},
     getopts::Options,
     std::{fmt, process::ExitCode},
@@ -77,14 +82,16 @@
     }
     install_crypto();
     start_logging(&host(&settings));
-    match serve(settings).attach_with(|| format!("{program} with {path}")) {
+    let code = match serve(settings).attach_with(|| format!("{program} with {path}")) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
             let code = report.current_context().0;
             log::error!(code = code.number(); "{report:?}");
             ExitCode::from(code.number())
         }
-    }
+    };
+    flush_logs();
+    code
 }
 
 fn usage(
--- a/src/ops/json_log.rs
+++ b/src/ops/json_log.rs
@@ -33,6 +33,7 @@
         }
     };
     let host = host.to_owned();
+    pipe.is_the_process_log();
     let lost = pipe.lost();
     let uptime = Uptime::start();
     let rate = Mutex::new(LogRate::new(LINES_PER_SECOND, uptime.now()));
--- a/src/ops/log_pipe.rs
+++ b/src/ops/log_pipe.rs
@@ -1,39 +1,55 @@
 use std::{
     io::{self, Write},
     sync::{
-        Arc,
+        Arc, Condvar, Mutex, OnceLock,
         atomic::{AtomicU64, Ordering},
-        mpsc::{Receiver, SyncSender, sync_channel},
     },
     thread,
+    time::Duration,
 };
 
-/// Lines that may wait for their writer.
-const WAITING_LINES: usize = 1024;
+/// Bytes of lines that may wait for their writer.
+const WAITING_BYTES: usize = 256 << 10;
+
+/// Lines are gathered this long, so that many cost one call.
+const GATHER: Duration = Duration::from_millis(50);
+
+/// How long a process that ends waits for its last lines.
+const LAST_LINES: Duration = Duration::from_millis(200);
+
+/// The lines of this process's logger, once it is started.
+static STARTED: OnceLock<Arc<Waiting>> = OnceLock::new();
 
 /// Hands log lines to a thread that writes them, so that a reader that stands
 /// still costs lines and never holds a request up.
 pub struct LogPipe {
-    lines: SyncSender<Vec<u8>>,
+    waiting: Arc<Waiting>,
     lost: Arc<AtomicU64>, // lines that found no room
 }
 
+#[derive(Default)]
+struct Waiting {
+    lines: Mutex<Lines>,
+    changed: Condvar,
+}
+
+#[derive(Default)]
+struct Lines {
+    bytes: Vec<u8>,
+    writing: bool, // some are on their way out
+}
+
 impl LogPipe {
     /// Starts the thread that writes to `out`.
-    pub fn start(mut out: impl Write + Send + 'static) -> io::Result<Self> {
-        let (lines, waiting): (_, Receiver<Vec<u8>>) = sync_channel(WAITING_LINES);
+    pub fn start(out: impl Write + Send + 'static) -> io::Result<Self> {
+        let waiting = Arc::new(Waiting::default());
+        let gathered = waiting.clone();
         thread::Builder::new()
             .name("log".to_owned())
             .stack_size(64 << 10)
-            .spawn(move || {
-                for line in waiting {
-                    if out.write_all(&line).and_then(|()| out.flush()).is_err() {
-                        return;
-                    }
-                }
-            })?;
+            .spawn(move || write_gathered(&gathered, out))?;
         Ok(Self {
-            lines,
+            waiting,
             lost: Arc::default(),
         })
     }
@@ -42,17 +58,71 @@
     pub fn lost(&self) -> Arc<AtomicU64> {
         self.lost.clone()
     }
+
+    /// Lets [`flush_logs`] wait for this pipe's lines.
+    pub fn is_the_process_log(&self) {
+        if STARTED.set(self.waiting.clone()).is_err() {
+            log::debug!("logging was started before");
+        }
+    }
+}
+
+/// Waits, within a bound, until the lines logged so far are written.
+pub fn flush_logs() {
+    let Some(waiting) = STARTED.get() else { return };
+    let lines = waiting.lines.lock().expect("log lock");
+    let outcome = waiting
+        .changed
+        .wait_timeout_while(lines, LAST_LINES, |lines| {
+            lines.writing || !lines.bytes.is_empty()
+        });
+    drop(outcome.expect("log lock"));
+}
+
+fn write_gathered(
+    waiting: &Waiting,
+    mut out: impl Write,
+) {
+    loop {
+        let lines = waiting.lines.lock().expect("log lock");
+        let none_yet = |lines: &mut Lines| lines.bytes.is_empty();
+        drop(
+            waiting
+                .changed
+                .wait_while(lines, none_yet)
+                .expect("log lock"),
+        );
+        thread::sleep(GATHER);
+        let bytes = {
+            let mut lines = waiting.lines.lock().expect("log lock");
+            lines.writing = true;
+            std::mem::take(&mut lines.bytes)
+        };
+        if out.write_all(&bytes).and_then(|()| out.flush()).is_err() {
+            return;
+        }
+        waiting.lines.lock().expect("log lock").writing = false;
+        waiting.changed.notify_all();
+    }
 }
 
 impl Write for LogPipe {
     fn write(
         &mut self,
-        bytes: &[u8],
+        line: &[u8],
     ) -> io::Result<usize> {
-        if !bytes.is_empty() && self.lines.try_send(bytes.to_vec()).is_err() {
+        let mut lines = self.waiting.lines.lock().expect("log lock");
+        if lines.bytes.len() + line.len() > WAITING_BYTES {
             self.lost.fetch_add(1, Ordering::Relaxed);
+            return Ok(line.len());
+        }
+        let is_first = lines.bytes.is_empty();
+        lines.bytes.extend_from_slice(line);
+        drop(lines);
+        if is_first && !line.is_empty() {
+            self.waiting.changed.notify_all();
         }
-        Ok(bytes.len())
+        Ok(line.len())
     }
 
     fn flush(&mut self) -> io::Result<()> {
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -14,7 +14,7 @@
     audit_entry::AuditEntry,
     audit_trail::AuditTrail,
     json_log::start_logging,
-    log_pipe::LogPipe,
+    log_pipe::{LogPipe, flush_logs},
     log_rate::LogRate,
     metric_names::*,
     operator_port::{OperatorPort, StatusSource, quiet_config},
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -26,6 +26,7 @@
 mod keeper;
 mod kept_account;
 mod key_memory;
+mod lag_gauge;
 mod ledger;
 mod ledger_entry;
 mod membership;
@@ -69,6 +70,7 @@
     keeper::Keeper,
     kept_account::KeptAccount,
     key_memory::{KeyMemory, KeyVerdict},
+    lag_gauge::LagGauge,
     ledger::Ledger,
     ledger_entry::LedgerEntry,
     membership::{Membership, Sighting},
--- a/src/policy/placement/replica_board.rs
+++ b/src/policy/placement/replica_board.rs
@@ -250,11 +250,12 @@
         };
         let bound_ms = aim_ms * settings.aim_share * share;
         let homes = homes(prompt, usable);
+        let sources = Sources::new(prompt, usable);
         let mut best: Option<(f64, Offer)> = None;
         let mut soonest = f64::MAX;
-        for (view, home) in usable.iter().zip(homes) {
+        for (index, (view, home)) in usable.iter().zip(homes).enumerate() {
             let load = view.load(now, settings.peer_age);
-            let offer = self.offer(view, prompt, engine, usable);
+            let offer = offer(index, engine, usable, &sources);
             let speed = view.speed.tokens_per_ms();
             let front_ms = f64::from(load.reading) / speed;
             let own_ms = f64::from(offer.reading) / speed + offer.fetch_ms;
@@ -295,46 +296,6 @@
         }
     }
 
-    /// What a prompt costs at a replica, with what another may hand it.
-    fn offer<'v>(
-        &self,
-        view: &'v ReplicaView,
-        prompt: &PromptShape,
-        engine: EngineFacts,
-        usable: &[&'v ReplicaView],
-    ) -> Offer<'v> {
-        let uncached = view.cache.uncached(prompt);
-        let others = usable
-            .iter()
-            .copied()
-            .filter(|other| other.entry.id != view.entry.id);
-        let (least, source) = others
-            .map(|other| (other.cache.uncached(prompt), other))
-            .min_by_key(|(left, other)| (*left, other.entry.zone != view.entry.zone))
-            .map_or((uncached, None), |(left, other)| (left, Some(other)));
-        let gained = uncached.saturating_sub(least);
-        let fetch_ms = fetch_time(engine, gained);
-        let pays = fetch_ms.filter(|_| gained >= LEAST_FETCH);
-        match (pays, source) {
-            (Some(fetch_ms), Some(source)) => Offer {
-                view,
-                source: Some(source),
-                reading: least,
-                again: 0,
-                fetch_ms,
-                expected_ms: 0.0,
-            },
-            _ => Offer {
-                view,
-                source: None,
-                reading: uncached,
-                again: gained,
-                fetch_ms: 0.0,
-                expected_ms: 0.0,
-            },
-        }
-    }
-
     fn choose_plain(
         &self,
         now: Moment,
@@ -550,6 +511,76 @@
     expected_ms: f64, // until the first token
 }
 
+/// What each replica lacks of a prompt, and who keeps the most of it.
+struct Sources {
+    uncached: Vec<u32>,    // by replica
+    best: Option<usize>,   // the replica that lacks least
+    second: Option<usize>, // the next one, for the best itself
+}
+
+impl Sources {
+    fn new(
+        prompt: &PromptShape,
+        usable: &[&ReplicaView],
+    ) -> Self {
+        let lacks = usable.iter().map(|view| view.cache.uncached(prompt));
+        let uncached: Vec<u32> = lacks.collect();
+        let least = |skipped: Option<usize>| {
+            (0..uncached.len())
+                .filter(|index| Some(*index) != skipped)
+                .min_by_key(|index| uncached[*index])
+        };
+        let best = least(None);
+        let second = least(best);
+        Self {
+            uncached,
+            best,
+            second,
+        }
+    }
+
+    /// The replica other than this one that keeps the most.
+    fn other(
+        &self,
+        index: usize,
+    ) -> Option<usize> {
+        self.best
+            .filter(|best| *best != index)
+            .or_else(|| self.second.filter(|second| *second != index))
+    }
+}
+
+/// What a prompt costs at a replica, with what another may hand it.
+fn offer<'v>(
+    index: usize,
+    engine: EngineFacts,
+    usable: &[&'v ReplicaView],
+    sources: &Sources,
+) -> Offer<'v> {
+    let uncached = sources.uncached[index];
+    let source = sources.other(index);
+    let least = source.map_or(uncached, |other| sources.uncached[other]);
+    let gained = uncached.saturating_sub(least);
+    let alone = Offer {
+        view: usable[index],
+        source: None,
+        reading: uncached,
+        again: gained,
+        fetch_ms: 0.0,
+        expected_ms: 0.0,
+    };
+    match fetch_time(engine, gained).filter(|_| gained >= LEAST_FETCH) {
+        None => alone,
+        Some(fetch_ms) => Offer {
+            source: source.map(|other| usable[other]),
+            reading: least,
+            again: 0,
+            fetch_ms,
+            ..alone
+        },
+    }
+}
+
 /// How long fetching some tokens takes, in milliseconds; none where engines
 /// cannot.
 fn fetch_time(
--- a/tests/logs.rs
+++ b/tests/logs.rs
@@ -67,10 +67,10 @@
     let mut pipe = LogPipe::start(StuckReader(gate.clone())).expect("a thread");
     let lost = pipe.lost();
     // Every write returns, although nothing is read: this test would not end.
-    for number in 0..5000 {
-        writeln!(pipe, "line {number}").expect("writing never fails");
+    for number in 0..20_000 {
+        writeln!(pipe, "line {number} of many that nobody reads").expect("writing never fails");
     }
-    assert!(lost.load(Ordering::Relaxed) > 3000);
+    assert!(lost.load(Ordering::Relaxed) > 5000);
     *gate.0.lock().expect("lock") = true;
     gate.1.notify_all();
 }
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -3,6 +3,7 @@
 use {
     archmast::{
         catalog::{UpstreamEntry, UpstreamState},
+        policy::LagGauge,
         policy::placement::{
             Choice, Load, PlacementRequest, PlacementSettings, PromptPart, PromptShape,
             RefusalReason, ReplicaBoard, ReplicaReport, replica_key,
@@ -418,6 +419,19 @@
     assert_eq!(uncached(&board), 5000);
 }
 
+#[test]
+fn lag_rises_at_once_and_falls_slowly() {
+    let mut gauge = LagGauge::default();
+    gauge.sample(Duration::from_millis(400));
+    assert_eq!(gauge.lag(), Duration::from_millis(400));
+    gauge.sample(Duration::ZERO);
+    assert!(gauge.lag() > Duration::from_millis(200));
+    for _ in 0..20 {
+        gauge.sample(Duration::ZERO);
+    }
+    assert!(gauge.lag() < Duration::from_millis(5));
+}
+
 #[test]
 fn plain_requests_go_to_the_least_busy_and_are_bounded() {
     let mut board = board(&["a", "b"]);
