--- a/src/ops/json_log.rs
+++ b/src/ops/json_log.rs
@@ -17,7 +17,7 @@
 
 /// Lines a second that a process writes at most; half of them are kept for
 /// failures.
-const LINES_PER_SECOND: f64 = 400.0;
+const LINES_PER_SECOND: f64 = 1000.0;
 
 /// The key that marks a line as a failure, beside its level.
 const CODE_KEY: &str = "code";
