Memory is fetched from any of the replicas that keep it; choices are scattered by half of the reports' pace

Ruled out: one replica handing all memory out (the first of those that keep it was always asked; mended with a test), routers meeting at the same least loaded replica (scattered).

--- a/src/peers/peer_link.rs
+++ b/src/peers/peer_link.rs
@@ -147,8 +147,10 @@
             self.send_reports(&addresses).await;
             tokio::time::sleep(LEAST_PAUSE).await;
             let paced = Duration::from_secs_f64(addresses.len() as f64 / DATAGRAMS_PER_SECOND);
+            let pace = settings.peer_interval.max(paced);
+            self.gateway.board().set_report_pace(pace);
             tokio::select! {
-                () = tokio::time::sleep(settings.peer_interval.max(paced)) => {}
+                () = tokio::time::sleep(pace) => {}
                 () = self.wanted.notified() => {}
                 _ = changes.changed() => {}
             }
--- a/src/policy/placement/replica_board.rs
+++ b/src/policy/placement/replica_board.rs
@@ -38,6 +38,10 @@
 /// Milliseconds that a fetch takes beside its bytes.
 const FETCH_SETUP_MS: f64 = 3.0;
 
+/// What a replica has in front is known as of a report ago, and all routers see
+/// the same least one: choices are scattered by this part of that time.
+const SPREAD: f64 = 0.5;
+
 /// More requests than slots that a plain replica is sent, as a factor.
 const PLAIN_QUEUE: f64 = 2.0;
 
@@ -62,6 +66,7 @@
     works: HashMap<WorkNumber, Work>,
     next_work: WorkNumber,
     notes: Vec<CacheNote>, // parts that were sent to replicas anew
+    report_pace: Duration, // between two reports of a peer
 }
 
 /// Notes that are kept for peers at most.
@@ -88,6 +93,7 @@
             works: HashMap::new(),
             next_work: 1,
             notes: Vec::new(),
+            report_pace: Duration::ZERO,
         }
     }
 
@@ -99,6 +105,14 @@
         self.settings = settings;
     }
 
+    /// How far apart the reports of each peer are.
+    pub fn set_report_pace(
+        &mut self,
+        pace: Duration,
+    ) {
+        self.report_pace = pace;
+    }
+
     /// Takes in the newest list. Replicas that it lacks are forgotten.
     pub fn set_entries(
         &mut self,
@@ -273,6 +287,7 @@
             let mut score = front_ms + own_ms + again_ms;
             score += if avoided { AVOIDED_PENALTY } else { 0.0 };
             score += self.zone_ms(request, view);
+            score += self.report_pace.as_secs_f64() * 1000.0 * SPREAD * scatter(prompt, view);
             score -= HOME_LEAD / f64::from(home + 1);
             if best.as_ref().is_none_or(|(least, _)| score < *least) {
                 let expected_ms = front_ms + own_ms;
@@ -513,9 +528,10 @@
 
 /// What each replica lacks of a prompt, and who keeps the most of it.
 struct Sources {
-    uncached: Vec<u32>,    // by replica
-    best: Option<usize>,   // the replica that lacks least
-    second: Option<usize>, // the next one, for the best itself
+    uncached: Vec<u32>, // by replica
+    best: Vec<usize>,   // replicas that lack least
+    next: Vec<usize>,   // those after them, for the best itself
+    draw: u64,          // the same for one request, whoever decides
 }
 
 impl Sources {
@@ -525,28 +541,48 @@
     ) -> Self {
         let lacks = usable.iter().map(|view| view.cache.uncached(prompt));
         let uncached: Vec<u32> = lacks.collect();
-        let least = |skipped: Option<usize>| {
-            (0..uncached.len())
-                .filter(|index| Some(*index) != skipped)
-                .min_by_key(|index| uncached[*index])
+        let with = |least: Option<&u32>| -> Vec<usize> {
+            let all = 0..uncached.len();
+            all.filter(|index| Some(&uncached[*index]) == least)
+                .collect()
         };
-        let best = least(None);
-        let second = least(best);
+        let least = uncached.iter().min();
+        let after = uncached.iter().filter(|lack| Some(*lack) > least).min();
+        let own = prompt.parts.last().map_or(0, |part| part.id);
         Self {
+            best: with(least),
+            next: with(after),
+            draw: hash_of(&own),
             uncached,
-            best,
-            second,
         }
     }
 
-    /// The replica other than this one that keeps the most.
+    /// The replica to fetch from for another: one of those that keep the most,
+    /// in its own zone if there is one. Which of several is drawn by request,
+    /// since a replica hands memory out one after another.
     fn other(
         &self,
         index: usize,
+        usable: &[&ReplicaView],
     ) -> Option<usize> {
-        self.best
-            .filter(|best| *best != index)
-            .or_else(|| self.second.filter(|second| *second != index))
+        let others = |list: &[usize]| -> Vec<usize> {
+            list.iter()
+                .copied()
+                .filter(|other| *other != index)
+                .collect()
+        };
+        let best = others(&self.best);
+        let list = if best.is_empty() {
+            others(&self.next)
+        } else {
+            best
+        };
+        let zone = &usable[index].entry.zone;
+        let near = |other: &&usize| usable[**other].entry.zone == *zone;
+        let near: Vec<usize> = list.iter().filter(near).copied().collect();
+        let list = if near.is_empty() { list } else { near };
+        let drawn = self.draw.checked_rem(list.len() as u64)?;
+        list.get(drawn as usize).copied()
     }
 }
 
@@ -558,7 +594,7 @@
     sources: &Sources,
 ) -> Offer<'v> {
     let uncached = sources.uncached[index];
-    let source = sources.other(index);
+    let source = sources.other(index, usable);
     let least = source.map_or(uncached, |other| sources.uncached[other]);
     let gained = uncached.saturating_sub(least);
     let alone = Offer {
@@ -592,6 +628,16 @@
     told.then(|| FETCH_SETUP_MS + bits / engine.link_mbps / 1000.0)
 }
 
+/// A number from 0 to 1 that looks drawn, and is the same for one request at one
+/// replica.
+fn scatter(
+    prompt: &PromptShape,
+    view: &ReplicaView,
+) -> f64 {
+    let own = prompt.parts.last().map_or(0, |part| part.id);
+    hash_of(&(own, &*view.entry.id)) as f64 / u64::MAX as f64
+}
+
 /// The rank of each replica for a prompt: 0 is its home. Every router derives
 /// the same, and a replica that comes or goes moves only its own prompts.
 fn homes(
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -399,6 +399,52 @@
     assert_eq!(reading, 5000);
 }
 
+#[test]
+fn many_prompts_are_not_all_fetched_from_one_replica() {
+    let ids = ["a", "b", "c", "d", "e", "f"];
+    let mut board = board(&ids);
+    let able = EngineFacts {
+        token_bytes: 300_000.0,
+        link_mbps: 1_000_000.0,
+        moves: true,
+        ..ENGINE
+    };
+    for keeper in &ids[..3] {
+        board.start(NOW, &(*keeper).into(), 0, Some(&prompt(1, 100)), Some(able));
+    }
+    let full: Vec<Arc<str>> = ids[..3].iter().map(|id| (*id).into()).collect();
+    for id in &full {
+        let busy = ReplicaReport {
+            replica: replica_key(id),
+            load: Load {
+                running: 8,
+                ..Load::default()
+            },
+            placed: 0,
+            rests: false,
+        };
+        board.hear(NOW, 1, &HashMap::from([(busy.replica, busy)]));
+    }
+    let mut sources = HashMap::new();
+    for own in 0..60 {
+        let prompt = prompt(1, 1000 + own);
+        let spilled = PlacementRequest {
+            engine: Some(able),
+            ..request(&prompt)
+        };
+        if let Choice::Send {
+            fetch_from: Some(source),
+            ..
+        } = board.choose(NOW, &spilled)
+        {
+            *sources.entry(source).or_insert(0) += 1;
+        }
+    }
+    assert_eq!(sources.values().sum::<i32>(), 60);
+    assert_eq!(sources.len(), 3);
+    assert!(sources.values().all(|count| *count >= 8), "{sources:?}");
+}
+
 #[test]
 fn a_part_is_given_up_when_the_fleet_has_placed_more_than_fits() {
     let mut board = board(&["a"]);
