--- a/src/direct/events_relay.rs
+++ b/src/direct/events_relay.rs
@@ -2,7 +2,7 @@
     super::{
         attempt_end::AttemptEnd,
         event_splitter::EventSplitter,
-        exchange::Exchange,
+        exchange::{Exchange, wait_while_alive},
         live_answer::LiveAnswer,
         reply::{ReplyBody, copy_head, cut, replica_reply},
     },
@@ -69,10 +69,11 @@
         mut self,
         limit: Duration,
     ) -> Result<Response<ReplyBody>, (Exchange, AttemptEnd)> {
-        let first = match timeout(limit, self.piece()).await {
-            Ok(outcome) => outcome,
-            Err(_) => Err(silent(limit)),
-        };
+        let gateway = self.exchange().gateway.clone();
+        let replica = self.answer.work.replica().clone();
+        let left = self.exchange().time_left();
+        let first = wait_while_alive(&gateway, &replica, limit, left, self.piece()).await;
+        let first = first.unwrap_or_else(|| Err(silent(limit)));
         let first = match first {
             Ok(first) => first,
             Err(end) => {
--- a/src/direct/exchange.rs
+++ b/src/direct/exchange.rs
@@ -38,6 +38,40 @@
 /// The least time that a first event gets before another replica is tried.
 const LEAST_FIRST_EVENT: Duration = Duration::from_millis(900);
 
+/// A replica that answered something within this is alive, and slow at most.
+const ALIVE: Duration = Duration::from_millis(400);
+
+/// The longest that a first answer of a replica that is alive is waited for,
+/// where the call could go elsewhere.
+const LONGEST_FIRST: Duration = Duration::from_millis(2000);
+
+/// How often a late replica is looked at.
+const LATE_LOOK: Duration = Duration::from_millis(100);
+
+/// Waits for something of a replica: up to `limit`, and longer while the replica
+/// answers others, since what waits there would wait anew elsewhere. None if it
+/// did not come.
+pub async fn wait_while_alive<T>(
+    gateway: &Gateway,
+    replica: &str,
+    limit: Duration,
+    left: Duration,
+    coming: impl Future<Output = T>,
+) -> Option<T> {
+    tokio::pin!(coming);
+    let longest = LONGEST_FIRST.min(left).max(limit);
+    let mut waited = limit;
+    let mut outcome = timeout(limit, &mut coming).await;
+    while outcome.is_err() && waited < longest {
+        if !gateway.board().is_alive(gateway.now(), replica, ALIVE) {
+            return None;
+        }
+        outcome = timeout(LATE_LOOK, &mut coming).await;
+        waited += LATE_LOOK;
+    }
+    outcome.ok()
+}
+
 /// One call on its way to an answer: attempt by attempt.
 pub struct Exchange {
     pub gateway: Arc<Gateway>,
@@ -124,13 +158,14 @@
             let limit = self.limit(expected);
             let started = self.gateway.now();
             let sending = send_call(&self.gateway, &self.call, target, last_event);
-            let outcome = match timeout(limit, sending).await {
-                Ok(outcome) => outcome,
-                Err(_) => Err(AttemptEnd::Unknown {
+            let waited =
+                wait_while_alive(&self.gateway, &replica, limit, self.time_left(), sending);
+            let outcome = waited.await.unwrap_or_else(|| {
+                Err(AttemptEnd::Unknown {
                     code: ResultCode::UpstreamTimeout,
                     detail: format!("no answer in {} ms", limit.as_millis()),
-                }),
-            };
+                })
+            });
             self.note_sent(&replica, &outcome);
             match outcome {
                 Ok(answer) => {
--- a/src/direct/live_answer.rs
+++ b/src/direct/live_answer.rs
@@ -44,6 +44,9 @@
             match self.body.frame().await {
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
+                        self.gateway
+                            .board()
+                            .heard(self.gateway.now(), self.work.replica());
                         return Ok(Some(data));
                     }
                 }
--- a/src/policy/placement/replica_board.rs
+++ b/src/policy/placement/replica_board.rs
@@ -452,6 +452,28 @@
         Some(work)
     }
 
+    /// Something came from a replica.
+    pub fn heard(
+        &mut self,
+        now: Moment,
+        replica: &str,
+    ) {
+        if let Some(view) = self.replicas.get_mut(replica) {
+            view.heard = now;
+        }
+    }
+
+    /// Whether something came from a replica within `age`.
+    pub fn is_alive(
+        &self,
+        now: Moment,
+        replica: &str,
+        age: Duration,
+    ) -> bool {
+        let view = self.replicas.get(replica);
+        view.is_some_and(|view| now.saturating_sub(view.heard) <= age)
+    }
+
     /// A request ended well at a replica.
     pub fn succeeded(
         &mut self,
--- a/src/policy/placement/replica_view.rs
+++ b/src/policy/placement/replica_view.rs
@@ -16,6 +16,7 @@
     pub cache: PrefixCache,
     pub speed: ReadingSpeed,
     pub placed: u64,     // tokens that this router sent there so far
+    pub heard: Moment,   // when it last answered anything
     pub service_ms: f64, // moving time of a plain request
     peers: HashMap<u32, PeerReport>,
 }
@@ -41,6 +42,7 @@
             cache: PrefixCache::default(),
             speed: ReadingSpeed::new(speed),
             placed: 0,
+            heard: Moment::ZERO,
             service_ms: 10.0,
             peers: HashMap::new(),
         }
--- a/tests/fair_shares.rs
+++ b/tests/fair_shares.rs
@@ -129,3 +129,42 @@
         assert!(repeats <= ratio * asked + extra + 0.001);
     }
 }
+
+/// What two accounts that always ask get in the six seconds after one of them
+/// had four seconds of all capacity at once.
+fn after_a_burst(window: Duration) -> (f32, f32) {
+    const CAPACITY: f32 = 100.0; // tokens a step
+    let step = Duration::from_millis(100);
+    let (hot, other) = (account_key("hot"), account_key("other"));
+    let mut book = ShareBook::new(window, AGE);
+    let mut now = Duration::from_secs(10);
+    book.ask(now, hot, CAPACITY * 40.0);
+    book.give(now, hot, CAPACITY * 40.0);
+    let mut got = (0.0, 0.0);
+    for _ in 0..60 {
+        now += step;
+        book.ask(now, hot, CAPACITY * 2.0);
+        book.ask(now, other, CAPACITY * 2.0);
+        let hot_may = book.over_for(now, hot).is_none();
+        let other_may = book.over_for(now, other).is_none();
+        let each = CAPACITY / f32::from(u8::from(hot_may) + u8::from(other_may)).max(1.0);
+        if hot_may {
+            book.give(now, hot, each);
+            got.0 += each;
+        }
+        if other_may {
+            book.give(now, other, each);
+            got.1 += each;
+        }
+    }
+    got
+}
+
+#[test]
+fn an_account_that_got_much_at_once_is_not_shut_out_for_long() {
+    let (hot, other) = after_a_burst(Duration::from_millis(1500));
+    assert!(hot >= other / 2.0, "{hot} of {other}");
+    // Over four seconds it was: the finding that this test holds.
+    let (hot, other) = after_a_burst(Duration::from_secs(4));
+    assert!(hot < other / 2.0, "{hot} of {other}");
+}
