--- a/src/direct/events_relay.rs
+++ b/src/direct/events_relay.rs
@@ -2,7 +2,8 @@
     super::{
         attempt_end::AttemptEnd,
         event_splitter::EventSplitter,
-        exchange::{Exchange, wait_while_alive},
+        exchange::Exchange,
+        late_wait::wait_while_alive,
         live_answer::LiveAnswer,
         reply::{ReplyBody, copy_head, cut, replica_reply},
     },
--- /dev/null
+++ b/src/direct/exchange_choice.rs
@@ -0,0 +1,165 @@
+//! Where a call goes, and what its account is charged for it.
+
+use {
+    super::{
+        attempt::Target,
+        exchange::{Exchange, REFUSED_RETRY},
+        held_work::HeldWork,
+    },
+    crate::{
+        codes::{ErrorAnswer, ResultCode},
+        ops::PROMPT_TOKENS,
+        policy::{
+            placement::{Choice, PlacementRequest, PromptShape, RefusalReason},
+            shares::account_key,
+        },
+    },
+    std::{net::SocketAddr, time::Duration},
+};
+
+impl Exchange {
+    /// Asks the board for a replica and counts the call there.
+    pub(super) fn choose(&mut self) -> Result<(Target, Duration), ErrorAnswer> {
+        let now = self.gateway.now();
+        let call = self.call.clone();
+        let over_for = self.over_for();
+        let zone = self.gateway.settings().process.zone.clone();
+        let mut board = self.gateway.board();
+        let request = PlacementRequest {
+            service: &call.service,
+            zone: &zone,
+            engine: call.engine,
+            prompt: call.prompt.as_ref(),
+            aim: call.service_aim,
+            over_for,
+            tried: &self.tried,
+        };
+        match board.choose(now, &request) {
+            Choice::Refuse {
+                reason,
+                retry_after,
+            } => {
+                drop(board);
+                Err(self.refusal(reason, retry_after))
+            }
+            Choice::Send {
+                replica,
+                reading,
+                fetch_from,
+                expected,
+            } => {
+                let number = board.start(now, &replica, reading, call.prompt.as_ref(), call.engine);
+                let entry = board.replica(&replica).map(|view| view.entry.clone());
+                let in_front = board.replica(&replica).map_or(0, |view| view.own.reading);
+                let source = fetch_from.and_then(|id| board.replica(&id));
+                let fetch_from = source.map(|view| view.entry.address);
+                drop(board);
+                let (Some(number), Some(entry)) = (number, entry) else {
+                    return Err(self.refusal(RefusalReason::NoReplica, REFUSED_RETRY));
+                };
+                self.log_sent(&replica, reading, in_front, fetch_from, expected);
+                let work = HeldWork::new(self.gateway.clone(), number, replica.clone());
+                self.tried.push(replica);
+                self.grant();
+                Ok((
+                    Target {
+                        entry,
+                        fetch_from,
+                        work,
+                    },
+                    expected,
+                ))
+            }
+        }
+    }
+
+    /// One line for the decision, with what decided it.
+    fn log_sent(
+        &self,
+        replica: &str,
+        reading: u32,
+        in_front: u32,
+        fetch_from: Option<SocketAddr>,
+        expected: Duration,
+    ) {
+        let tokens = self.call.prompt.as_ref().map_or(0, PromptShape::tokens);
+        let other = if fetch_from.is_some() {
+            "fetched"
+        } else {
+            "kept"
+        };
+        metrics::counter!(PROMPT_TOKENS, "kind" => "read").increment(u64::from(reading));
+        let saved = u64::from(tokens.saturating_sub(reading));
+        metrics::counter!(PROMPT_TOKENS, "kind" => other).increment(saved);
+        let fetch_from = fetch_from.map_or_else(String::new, |address| address.to_string());
+        log::info!(
+            request_id = self.call.request_id.as_str(),
+            replica = replica,
+            service = &*self.call.service,
+            prompt_tokens = tokens,
+            reading_tokens = reading,
+            own_reading_there = in_front,
+            fetch_from = fetch_from.as_str(),
+            expected_ms = expected.as_millis() as u64,
+            attempt = self.sent + self.unsent + 1,
+            config = self.call.config_version,
+            upstreams_at = self.gateway.catalog.version().upstreams,
+            left_ms = self.time_left().as_millis() as u64;
+            "sent"
+        );
+    }
+
+    pub(super) fn refusal(
+        &mut self,
+        reason: RefusalReason,
+        retry_after: Duration,
+    ) -> ErrorAnswer {
+        self.take_back();
+        if self.may_have_run {
+            return ErrorAnswer::new(ResultCode::OutcomeUnknown);
+        }
+        let code = match reason {
+            RefusalReason::NoReplica => ResultCode::NoReplica,
+            RefusalReason::NoRoom => ResultCode::NoRoom,
+            RefusalReason::OverShare => ResultCode::OverShare,
+        };
+        ErrorAnswer::new(code).retry_after(retry_after)
+    }
+
+    pub(super) fn account(&self) -> Option<u32> {
+        self.call.account.as_deref().map(account_key)
+    }
+
+    pub(super) fn ask(&self) {
+        if let Some(account) = self.account() {
+            let now = self.gateway.now();
+            self.gateway.shares().ask(now, account, self.call.tokens());
+        }
+    }
+
+    pub(super) fn over_for(&self) -> Option<Duration> {
+        let now = self.gateway.now();
+        let account = self.account()?;
+        self.gateway.shares().over_for(now, account)
+    }
+
+    /// Charges the account, once.
+    pub(super) fn grant(&mut self) {
+        if self.granted > 0.0 {
+            return;
+        }
+        if let Some(account) = self.account() {
+            self.granted = self.call.tokens();
+            let now = self.gateway.now();
+            self.gateway.shares().give(now, account, self.granted);
+        }
+    }
+
+    /// Charges it back: it got nothing.
+    pub(super) fn take_back(&mut self) {
+        if let Some(account) = self.account() {
+            let tokens = std::mem::take(&mut self.granted);
+            self.gateway.shares().take_back(account, tokens);
+        }
+    }
+}
--- a/src/direct/gateway.rs
+++ b/src/direct/gateway.rs
@@ -3,6 +3,7 @@
     crate::{
         catalog::Catalog,
         conf::DirectSettings,
+        fleet::Revision,
         ops::{AuditTrail, Uptime},
         peers::PeerTable,
         policy::{
@@ -210,7 +211,15 @@
     /// Keeps the board and the pool in step with the list of replicas.
     pub async fn follow_catalog(self: Arc<Self>) {
         let mut changes = self.catalog.subscribe();
+        let mut known = 0;
         loop {
+            let version = self.catalog.version();
+            if version.config != known {
+                known = version.config;
+                let revision = Some(Revision(known));
+                let detail = format!("configuration {known} in force");
+                self.audit.record("config_accepted", revision, None, detail);
+            }
             let entries = self.catalog.upstreams();
             self.board().set_entries(entries.clone());
             self.pool
--- a/src/policy/placement/mod.rs
+++ b/src/policy/placement/mod.rs
@@ -1,15 +1,20 @@
 //! Which replica runs a request: what its prompt costs to read there, what is
 //! in front of it, what memory is left, and what evidence speaks against it.
 
+mod board_choice;
+mod board_evidence;
 mod cache_note;
 mod choice;
 mod load;
+mod offer;
+mod placement_request;
 mod placement_settings;
 mod prefix_cache;
 mod prompt;
 mod reading_speed;
 mod replica_board;
 mod replica_health;
+mod replica_key;
 mod replica_report;
 mod replica_view;
 mod work;
@@ -18,12 +23,14 @@
     cache_note::CacheNote,
     choice::{Choice, RefusalReason},
     load::Load,
+    placement_request::PlacementRequest,
     placement_settings::PlacementSettings,
     prefix_cache::PrefixCache,
     prompt::{PromptPart, PromptShape},
     reading_speed::ReadingSpeed,
-    replica_board::{PlacementRequest, ReplicaBoard, replica_key},
+    replica_board::ReplicaBoard,
     replica_health::ReplicaHealth,
+    replica_key::replica_key,
     replica_report::ReplicaReport,
     replica_view::ReplicaView,
     work::{Work, WorkNumber},
--- a/src/policy/placement/prefix_cache.rs
+++ b/src/policy/placement/prefix_cache.rs
@@ -62,19 +62,6 @@
         }
     }
 
-    /// A part is not kept there any more.
-    pub fn forget(
-        &mut self,
-        part: u64,
-    ) {
-        self.used.remove(&part);
-    }
-
-    /// Nothing is kept there.
-    pub fn clear(&mut self) {
-        self.used.clear();
-    }
-
     /// Forgets the quarter that was unused longest.
     fn forget_oldest(&mut self) {
         let mut ages: Vec<u64> = self.used.values().copied().collect();
--- a/src/policy/placement/replica_view.rs
+++ b/src/policy/placement/replica_view.rs
@@ -93,14 +93,6 @@
         self.cache.place(fresh);
     }
 
-    /// A peer is gone, or has nothing there.
-    pub fn forget_peer(
-        &mut self,
-        peer: u32,
-    ) {
-        self.peers.remove(&peer);
-    }
-
     /// A plain request took this long.
     pub fn learn_time(
         &mut self,
--- /dev/null
+++ b/tests/direct_settings.rs
@@ -0,0 +1,65 @@
+//! Settings of a router that carries requests itself: checked, and the same
+//! keys in the file that the users' platform fills in.
+
+use {
+    archmast::{
+        codes::ResultCode,
+        conf::{DirectSettings, IniDocument},
+    },
+    std::time::Duration,
+};
+
+/// The deploy file's template with every gap filled.
+fn filled() -> String {
+    let template = include_str!("../deploy/router.ini");
+    let values = [
+        ("{{node_name}}", "edge-1"),
+        ("{{zone}}", "z"),
+        ("{{ip}}", "10.0.0.1"),
+        ("{{listeners_addr.frontend}}", "10.0.0.1:80"),
+        ("{{listeners_addr.ready}}", "10.0.0.1:81"),
+        ("{{listeners_addr.control_plane}}", "10.0.0.1:82"),
+        ("{{internal_port_range.0}}", "7400"),
+        ("{{internal_port_range.1}}", "7401"),
+        ("{{seeds}}", "10.0.0.1:82,10.0.0.2:82"),
+        ("{{platform.address}}", "10.0.0.9:83"),
+        ("{{bounds.budget_window_s}}", "10"),
+        ("{{bounds.grace_s}}", "8"),
+    ];
+    let text = values
+        .iter()
+        .fold(template.to_owned(), |text, (gap, value)| {
+            text.replace(gap, value)
+        });
+    assert!(!text.contains("{{"), "a gap is left:\n{text}");
+    text
+}
+
+fn read(text: &str) -> Result<DirectSettings, ResultCode> {
+    let document = IniDocument::parse("router.ini", text).map_err(|error| error.code)?;
+    DirectSettings::from_document(document).map_err(|error| error.code)
+}
+
+#[test]
+fn the_file_that_the_platform_fills_in_is_accepted() {
+    let settings = read(&filled()).expect("a valid file");
+    assert_eq!(settings.seeds.len(), 2);
+    assert_eq!(settings.grace, Duration::from_secs(8));
+    assert_eq!(settings.ready_path, "/v1/ready");
+    assert!(settings.balancer_lag < settings.grace);
+}
+
+#[test]
+fn faults_get_their_own_codes() {
+    let with = |line: &str| read(&format!("{}{line}\n", filled())).expect_err("refused");
+    assert_eq!(with("patience = 3 s"), ResultCode::UnknownKey);
+    assert_eq!(with("[nowhere]\nkey = 1"), ResultCode::UnknownSection);
+    assert_eq!(with("balancer_lag = 3"), ResultCode::WrongUnit);
+    assert_eq!(with("balancer_lag = soon"), ResultCode::BadValue);
+    assert_eq!(with("balancer_lag = 2 h"), ResultCode::OutOfRange);
+    assert_eq!(with("[placement]\naim_share = 99"), ResultCode::OutOfRange);
+    let lacking = filled().replace("host = edge-1", "host =");
+    assert_eq!(read(&lacking).expect_err("refused"), ResultCode::MissingKey);
+    let seeds = filled().replace("10.0.0.2:82", "here");
+    assert_eq!(read(&seeds).expect_err("refused"), ResultCode::BadValue);
+}
--- /dev/null
+++ b/tests/platform_adapter.rs
@@ -0,0 +1,90 @@
+//! The users' platform in the product's own terms.
+
+use {
+    archmast::{
+        catalog::UpstreamState,
+        codes::ResultCode,
+        platform::{dialect, parse_config, parse_replica},
+        routing::RouteKind,
+    },
+    hyper::{HeaderMap, header::HeaderValue},
+    std::time::Duration,
+};
+
+const CONFIG: &str = r#"{"version":7,"routes":[
+ {"name":"a","host":"One.example","path_prefix":"/a/","kind":"streaming","timeout_ms":6000,
+  "target_latency_ms":600,"priority":1,"traffic_split":[{"service":"s","weight":90},{"service":"t","weight":10}],
+  "max_attempts":2,"public":false,"sticky":true,"resumable":true,"itl_target_ms":200,"new_field":1},
+ {"name":"b","host":"one.example","path_prefix":"/b/","kind":"non_idempotent","timeout_ms":800.5,
+  "target_latency_ms":100,"priority":2,"service":"t","max_attempts":1,"public":true}],
+ "services":[{"name":"s","health_path":"/health","max_connections":360,"protocol":"h1","tls":false,
+  "engine":{"slots":64,"kv_capacity_tokens":232000,"kv_bytes":327680,"link_mbps":1100000.0,"moves":true}},
+  {"name":"t","max_connections":96}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,
+  "idle_timeout_ms":15000,"tokens_per_s":390000},
+ "tenants":[{"name":"lot","api_keys":["k1","k2"],"priority":1}]}"#;
+
+#[test]
+fn a_configuration_is_read() {
+    let table = parse_config(CONFIG).expect("a valid one");
+    assert_eq!(table.version, 7);
+    let stream = table.route("one.example", "/a/x").expect("a route");
+    assert_eq!(stream.kind, RouteKind::Stream { resumable: true });
+    assert_eq!(stream.shares.len(), 2);
+    assert_eq!(stream.pause_aim, Some(Duration::from_millis(200)));
+    let once = table.route("one.example", "/b/").expect("a route");
+    assert_eq!(once.kind, RouteKind::Once);
+    assert_eq!(once.timeout, Duration::from_micros(800_500));
+    assert!(once.public);
+    let engine = table.service("s").and_then(|service| service.engine);
+    assert_eq!(engine.map(|engine| engine.memory_tokens), Some(232_000));
+    assert!(
+        table
+            .service("t")
+            .is_some_and(|service| service.engine.is_none())
+    );
+    assert_eq!(table.account("k2").map(|name| &**name), Some("lot"));
+    assert_eq!(table.limits.tokens_per_s, Some(390_000.0));
+}
+
+#[test]
+fn a_kind_of_route_that_is_not_known_is_refused() {
+    let strange = CONFIG.replace("non_idempotent", "sometimes");
+    let error = parse_config(&strange).expect_err("refused");
+    assert_eq!(error.code, ResultCode::PlatformReply);
+    assert!(error.detail.contains("sometimes"));
+}
+
+#[test]
+fn a_replica_that_is_not_ready_takes_no_new_work() {
+    let entry = |state: &str| {
+        let text = format!(
+            r#"{{"service":"s","address":"10.0.0.9:8080","zone":"z","version":"v1","slots":64,"state":"{state}","sequence":4}}"#
+        );
+        parse_replica("i-1", &text).expect("an entry").state
+    };
+    assert_eq!(entry("ready"), UpstreamState::Ready);
+    assert_eq!(entry("draining"), UpstreamState::Draining);
+    assert_eq!(entry("something new"), UpstreamState::Draining);
+}
+
+#[test]
+fn a_prompt_is_read_from_its_headers_or_not_at_all() {
+    let shape = |parts: &str, counts: &str| {
+        let mut headers = HeaderMap::new();
+        for (name, text) in [
+            ("archmast-prefix-hash", parts),
+            ("archmast-token-count", counts),
+        ] {
+            headers.insert(name, HeaderValue::from_str(text).expect("text"));
+        }
+        (dialect().prompt)(&headers)
+    };
+    let prompt = shape("5c1e07a2:800,91bd3f06:410,e4402b7d:250", "1460,80").expect("a prompt");
+    assert_eq!((prompt.tokens(), prompt.output_tokens), (1460, 80));
+    assert_eq!(prompt.home_part(), Some(0x91bd_3f06));
+    for (parts, counts) in [("", "1,1"), ("a:x", "1,1"), ("a:1", "1"), ("a", "1,1")] {
+        assert_eq!(shape(parts, counts), None, "{parts} {counts}");
+    }
+    assert_eq!((dialect().prompt)(&HeaderMap::new()), None);
+}
