Beyond eight routers a request considers a part of the replicas first

Logs: within 0.2 s fifteen requests of 40,000 tokens from many routers met at one replica that looked idle in the last report; so at many. A request now considers 1/routers + 2 replicas (drawn by request), then all. Test fails without it.

--- a/src/peers/peer_link.rs
+++ b/src/peers/peer_link.rs
@@ -148,7 +148,8 @@
             tokio::time::sleep(LEAST_PAUSE).await;
             let paced = Duration::from_secs_f64(addresses.len() as f64 / DATAGRAMS_PER_SECOND);
             let pace = settings.peer_interval.max(paced);
-            self.gateway.board().set_report_pace(pace);
+            let routers = self.gateway.router_count();
+            self.gateway.board().set_reports(pace, routers);
             tokio::select! {
                 () = tokio::time::sleep(pace) => {}
                 () = self.wanted.notified() => {}
--- a/src/policy/placement/board_choice.rs
+++ b/src/policy/placement/board_choice.rs
@@ -27,6 +27,13 @@
 /// the same least one: choices are scattered by this part of that time.
 const SPREAD: f64 = 0.5;
 
+/// So few routers may all consider every replica: what they send between two
+/// reports is little, and a part of the replicas would cost more.
+const FEW_ROUTERS: usize = 8;
+
+/// Replicas that a request considers, beside its router's part of them.
+const LEAST_CONSIDERED: f64 = 2.0;
+
 /// More requests than slots that a plain replica is sent, as a factor.
 const PLAIN_QUEUE: f64 = 2.0;
 
@@ -96,7 +103,9 @@
         let bound_ms = aim_ms * settings.aim_share * share;
         let homes = homes(prompt, usable);
         let sources = Sources::new(prompt, usable);
+        let near = self.considered(usable.len());
         let mut best: Option<(f64, Offer)> = None;
+        let mut best_considered: Option<(f64, Offer)> = None;
         let mut soonest = f64::MAX;
         for (index, (view, home)) in usable.iter().zip(homes).enumerate() {
             let load = view.load(now, settings.peer_age);
@@ -118,20 +127,24 @@
             let mut score = front_ms + own_ms + again_ms;
             score += if avoided { AVOIDED_PENALTY } else { 0.0 };
             score += self.zone_ms(request, view);
-            score += self.report_pace.as_secs_f64() * 1000.0 * SPREAD * scatter(prompt, view);
+            let scatter = scatter(prompt, view);
+            score += self.report_pace.as_secs_f64() * 1000.0 * SPREAD * scatter;
             score -= HOME_LEAD / f64::from(home + 1);
-            if best.as_ref().is_none_or(|(least, _)| score < *least) {
-                let expected_ms = front_ms + own_ms;
-                best = Some((
-                    score,
-                    Offer {
-                        expected_ms,
-                        ..offer
-                    },
-                ));
+            let expected_ms = front_ms + own_ms;
+            let offer = Offer {
+                expected_ms,
+                ..offer
+            };
+            let slot = if scatter < near {
+                &mut best_considered
+            } else {
+                &mut best
+            };
+            if slot.as_ref().is_none_or(|(least, _)| score < *least) {
+                *slot = Some((score, offer));
             }
         }
-        match best {
+        match best_considered.or(best) {
             Some((_, offer)) => Choice::Send {
                 replica: offer.view.entry.id.clone(),
                 reading: offer.reading,
@@ -142,6 +155,20 @@
         }
     }
 
+    /// The part of the replicas that one request considers first. All routers
+    /// choose by the same reports, and what is least in them would get what all
+    /// of them send until the next ones.
+    fn considered(
+        &self,
+        replicas: usize,
+    ) -> f64 {
+        if self.routers <= FEW_ROUTERS {
+            return 1.0;
+        }
+        let replicas = replicas.max(1) as f64;
+        (1.0 / self.routers as f64) + LEAST_CONSIDERED / replicas
+    }
+
     fn choose_plain(
         &self,
         now: Moment,
--- a/src/policy/placement/replica_board.rs
+++ b/src/policy/placement/replica_board.rs
@@ -21,6 +21,7 @@
     next_work: WorkNumber,
     notes: Vec<CacheNote>,            // parts that were sent to replicas anew
     pub(super) report_pace: Duration, // between two reports of a peer
+    pub(super) routers: usize,        // that choose from the same reports
 }
 
 /// Notes that are kept for peers at most.
@@ -37,6 +38,7 @@
             next_work: 1,
             notes: Vec::new(),
             report_pace: Duration::ZERO,
+            routers: 1,
         }
     }
 
@@ -48,12 +50,15 @@
         self.settings = settings;
     }
 
-    /// How far apart the reports of each peer are.
-    pub fn set_report_pace(
+    /// How far apart the reports of each peer are, and how many routers choose
+    /// by them.
+    pub fn set_reports(
         &mut self,
         pace: Duration,
+        routers: usize,
     ) {
         self.report_pace = pace;
+        self.routers = routers.max(1);
     }
 
     /// Takes in the newest list. Replicas that it lacks are forgotten.
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -445,6 +445,36 @@
     assert!(sources.values().all(|count| *count >= 8), "{sources:?}");
 }
 
+#[test]
+fn many_routers_do_not_all_choose_what_looks_least_busy() {
+    let ids: Vec<String> = (0..20).map(|number| format!("r{number}")).collect();
+    let names: Vec<&str> = ids.iter().map(String::as_str).collect();
+    let chosen_idle = |routers: usize| {
+        let mut board = board(&names);
+        board.set_reports(Duration::from_millis(200), routers);
+        for id in &names[1..] {
+            let busy = ReplicaReport {
+                replica: replica_key(id),
+                load: Load {
+                    running: 2,
+                    reading: 5000,
+                    memory: 5000,
+                },
+                placed: 0,
+                rests: false,
+            };
+            board.hear(NOW, 1, &HashMap::from([(busy.replica, busy)]));
+        }
+        let prompts = (0..100).map(|own| prompt(own, 1000 + own));
+        prompts
+            .filter(|prompt| &*sent(board.choose(NOW, &request(prompt))).0 == names[0])
+            .count()
+    };
+    // Only one replica has nothing in front, as far as anyone has heard.
+    assert!(chosen_idle(4) > 80);
+    assert!(chosen_idle(20) < 40);
+}
+
 #[test]
 fn a_part_is_given_up_when_the_fleet_has_placed_more_than_fits() {
     let mut board = board(&["a"]);
