Requests that wait after a second connection to a sidecar are granted again

Cause: after a sidecar restarts, it and the router dial each other. The second connection of the same life made the router replace its view of the sidecar, with the newest grant seen set back to 0. The sidecar counted every grant that it had issued against the router's next announcement and believed that nothing waited; the refresh after 5 s told the same number, or was held back by a grant counted since. Ruled out: lost messages (both sides had the same connections), the ledger's floor (the sidecar's waiting count was 0, so it had nothing to weigh). Change: a second connection keeps the grants seen; used and expired grants are taken out of those an announcement does not know of; what gets no grant for 5 s is told again also after a first grant. Tests: dispatcher (failed first), announced_demand.

--- a/src/policy/announced_demand.rs
+++ b/src/policy/announced_demand.rs
@@ -54,6 +54,7 @@
     deadline: Moment,
     empty_since: Option<Moment>, // nothing waits any more
     told_at: Moment,
+    granted_at: Option<Moment>, // the last grant since then
 }
 
 impl Announced {
@@ -68,7 +69,8 @@
         deadline: Moment,
     ) -> bool {
         let remaining = self.remaining();
-        let unanswered = self.granted == 0 && now.saturating_sub(self.told_at) >= REFRESH;
+        let answered = self.granted_at.unwrap_or(self.told_at);
+        let unanswered = now.saturating_sub(answered) >= REFRESH;
         unanswered
             || deadline < self.deadline
             || remaining * CHANGE_FACTOR < count
@@ -85,10 +87,12 @@
     /// Counts a grant that arrived.
     pub fn granted(
         &mut self,
+        now: Moment,
         account: AccountId,
     ) {
         if let Some(line) = self.lines.get_mut(&account) {
             line.granted += 1;
+            line.granted_at = Some(now);
         }
     }
 
@@ -130,6 +134,7 @@
                     deadline: demand.deadline,
                     empty_since: None,
                     told_at: now,
+                    granted_at: None,
                 },
             );
             lines.push(DemandLine {
--- a/src/policy/demand_table.rs
+++ b/src/policy/demand_table.rs
@@ -17,12 +17,18 @@
     announced: Moment,        // when this was announced
     waited: Duration,         // by the oldest request, when announced
     seen: GrantNumber,        // newest grant that the announcement knows of
-    unseen: Vec<GrantNumber>, // grants that the announcement does not know of
+    unseen: Vec<GrantNumber>, // open grants that the announcement does not know of
+    used: u32,                // of those it did not know of, those that were used
 }
 
 impl Announced {
     fn remaining(&self) -> u32 {
-        self.count.saturating_sub(self.unseen.len() as u32)
+        self.count.saturating_sub(self.granted())
+    }
+
+    /// Grants since the announcement, open or used.
+    fn granted(&self) -> u32 {
+        self.unseen.len() as u32 + self.used
     }
 
     /// How long the next request has waited, if requests arrived evenly.
@@ -31,7 +37,7 @@
         now: Moment,
     ) -> f64 {
         let oldest = self.waited.as_secs_f64() + now.saturating_sub(self.announced).as_secs_f64();
-        let position = self.unseen.len() as f64 / f64::from(self.count.max(1));
+        let position = f64::from(self.granted()) / f64::from(self.count.max(1));
         oldest * (1.0 - position).max(0.0)
     }
 }
@@ -66,6 +72,7 @@
                 waited: Duration::from_millis(line.waited_ms.into()),
                 seen,
                 unseen,
+                used: 0,
             };
             routers.insert(router, announced);
         }
@@ -90,6 +97,42 @@
         }
     }
 
+    /// A grant was used: one request less waits at its router.
+    pub fn used(
+        &mut self,
+        account: AccountId,
+        router: R,
+        number: GrantNumber,
+    ) {
+        if let Some(announced) = self.announced_without(account, router, number) {
+            announced.used += 1;
+        }
+    }
+
+    /// A grant expired: the request that it was for may still wait.
+    pub fn expired(
+        &mut self,
+        account: AccountId,
+        router: R,
+        number: GrantNumber,
+    ) {
+        self.announced_without(account, router, number);
+    }
+
+    /// Takes a grant out of those that an announcement does not know of. None if
+    /// it was not among them.
+    fn announced_without(
+        &mut self,
+        account: AccountId,
+        router: R,
+        number: GrantNumber,
+    ) -> Option<&mut Announced> {
+        let announced = self.accounts.get_mut(&account)?.get_mut(&router)?;
+        let index = announced.unseen.iter().position(|open| *open == number)?;
+        announced.unseen.swap_remove(index);
+        Some(announced)
+    }
+
     /// Takes a router's word that it had nothing to send for a grant. An
     /// announcement made after that grant was seen still stands, whichever of
     /// the two arrives first.
--- a/src/policy/dispatcher.rs
+++ b/src/policy/dispatcher.rs
@@ -123,6 +123,9 @@
         let expired = self.grants.expire(now);
         for grant in &expired {
             self.refund(grant, now);
+            let number = grant.grant.number;
+            self.demand
+                .expired(grant.grant.account, grant.router, number);
             self.note_activity(grant.grant.account, now);
         }
         expired.len()
--- a/src/policy/dispatcher_arrivals.rs
+++ b/src/policy/dispatcher_arrivals.rs
@@ -33,6 +33,8 @@
         let Some(grant) = self.grants.redeem(number, arrival.router, now) else {
             return Admission::Refused(ResultCode::GrantExpired);
         };
+        self.demand
+            .used(grant.grant.account, arrival.router, number);
         if grant.grant.account != arrival.account {
             self.refund(&grant, now);
             return Admission::Refused(ResultCode::GrantExpired);
--- a/src/router/link_events.rs
+++ b/src/router/link_events.rs
@@ -29,13 +29,18 @@
         &self,
         peer: &Arc<Peer>,
     ) -> bool {
-        if self.node.sight(peer) == Sighting::Stale {
+        let sighting = self.node.sight(peer);
+        if sighting == Sighting::Stale {
             return false;
         }
         if peer.role() == HostRole::Sidecar {
-            let view = SidecarView::new(peer.leaving);
             let mut sidecars = self.sidecars.lock().expect("sidecar lock");
-            sidecars.insert(peer.host.clone(), view);
+            match sidecars.get_mut(&peer.host) {
+                Some(view) if sighting == Sighting::Same => view.connected_again(peer.leaving),
+                _ => {
+                    sidecars.insert(peer.host.clone(), SidecarView::new(peer.leaving));
+                }
+            }
         }
         self.demand_changed.notify_one();
         true
--- a/src/router/router.rs
+++ b/src/router/router.rs
@@ -212,7 +212,7 @@
                 .or_insert_with(|| SidecarView::new(false));
             for grant in grants {
                 view.seen = view.seen.max(grant.number);
-                view.announced.granted(grant.account);
+                view.announced.granted(now, grant.account);
                 if !waiting.grant(now, peer, grant.account, grant.number) {
                     view.announced.declined(grant.account);
                     declined.push(grant.number);
--- a/src/router/sidecar_view.rs
+++ b/src/router/sidecar_view.rs
@@ -19,6 +19,17 @@
         }
     }
 
+    /// Another connection to the same life of the sidecar: what was told on an
+    /// earlier one may be lost, so it is told again. The grants that were seen
+    /// stay seen, or the sidecar would count them against what is told.
+    pub fn connected_again(
+        &mut self,
+        leaving: bool,
+    ) {
+        self.announced.clear();
+        self.leaving |= leaving;
+    }
+
     /// Slots that another offer may take.
     pub fn room(&self) -> u32 {
         if self.leaving {
--- a/tests/announced_demand.rs
+++ b/tests/announced_demand.rs
@@ -45,15 +45,15 @@
         1
     );
     for grant in 1..=48 {
-        announced.granted(ACCOUNT);
         let now = ms(1_000 * grant);
+        announced.granted(now, ACCOUNT);
         assert!(
             announced
                 .changes(now, CAP, SHARE, &current(9_000))
                 .is_empty()
         );
     }
-    announced.granted(ACCOUNT);
+    announced.granted(ms(60_000), ACCOUNT);
     assert_eq!(
         announced
             .changes(ms(60_000), CAP, SHARE, &current(9_000))
@@ -137,6 +137,22 @@
     );
 }
 
+#[test]
+fn what_waits_after_the_last_grant_is_told_again() {
+    let mut announced = AnnouncedDemand::default();
+    assert_eq!(announced.changes(ms(0), CAP, SHARE, &current(3)).len(), 1);
+    announced.granted(ms(1_000), ACCOUNT);
+    assert!(
+        announced
+            .changes(ms(5_500), CAP, SHARE, &current(2))
+            .is_empty()
+    );
+    assert_eq!(
+        announced.changes(ms(6_500), CAP, SHARE, &current(2)).len(),
+        1
+    );
+}
+
 proptest! {
     #[test]
     fn while_work_waits_the_sidecar_always_knows_of_some(
@@ -157,7 +173,7 @@
                 number += 1;
                 table.granted(ACCOUNT, 1, number);
                 seen = number;
-                announced.granted(ACCOUNT);
+                announced.granted(now, ACCOUNT);
                 if count == 0 {
                     announced.declined(ACCOUNT);
                     table.declined(ACCOUNT, 1, number);
--- a/tests/dispatcher.rs
+++ b/tests/dispatcher.rs
@@ -180,6 +180,28 @@
     assert_eq!(own, 0.0);
 }
 
+#[test]
+fn a_router_that_lost_its_view_is_granted_for_all_that_it_announces() {
+    let mut dispatcher = Dispatcher::new(settings());
+    dispatcher.announce(ROUTER, ms(0), 0, &[line(1, 2)]);
+    let (router, used) = dispatcher.next_grant(ms(0)).expect("room and demand");
+    let (_, unused) = dispatcher.next_grant(ms(0)).expect("room and demand");
+    let arrival = Arrival {
+        exchange: 1,
+        router,
+        account: used.account,
+        grant: Some(used.number),
+    };
+    assert_eq!(dispatcher.arrive(ms(1), &arrival), Admission::Start);
+    dispatcher.finish(1, Finished::Cost(1.0), ms(2));
+    assert_eq!(dispatcher.expire(ms(900)), 1, "grant {}", unused.number);
+    // The router connects anew and no longer knows that it saw any grant.
+    dispatcher.announce(ROUTER, ms(901), 0, &[line(1, 2)]);
+    assert!(dispatcher.next_grant(ms(901)).is_some());
+    assert!(dispatcher.next_grant(ms(901)).is_some());
+    assert!(dispatcher.next_grant(ms(901)).is_none());
+}
+
 #[test]
 fn a_leaving_sidecar_grants_nothing_and_hands_back_what_has_not_started() {
     let mut dispatcher = Dispatcher::new(DispatchSettings {
