--- a/src/peers/peer_link.rs
+++ b/src/peers/peer_link.rs
@@ -31,7 +31,7 @@
 
 /// Datagrams a second that one router sends at most, but for its interval:
 /// where there are many routers, each is told less often.
-const DATAGRAMS_PER_SECOND: f64 = 200.0;
+const DATAGRAMS_PER_SECOND: f64 = 400.0;
 
 /// What did not change is told again after this part of the age at which peers
 /// stop believing it.
--- a/src/peers/told_reports.rs
+++ b/src/peers/told_reports.rs
@@ -4,7 +4,10 @@
         placement::{CacheNote, ReplicaReport},
         shares::AccountUsage,
     },
-    std::{collections::HashMap, time::Duration},
+    std::{
+        collections::{HashMap, hash_map::Entry},
+        time::Duration,
+    },
 };
 
 /// An account is told again when its usage differs by more than this part from
@@ -89,7 +92,8 @@
         self.notes.retain(|_, at| !is_old(now, *at, refresh));
         let mut due = Vec::new();
         for note in notes {
-            if self.notes.insert(note, now).is_none() {
+            if let Entry::Vacant(vacant) = self.notes.entry(note) {
+                vacant.insert(now);
                 due.push(note);
             }
         }
