--- a/src/direct/events_relay.rs
+++ b/src/direct/events_relay.rs
@@ -28,7 +28,8 @@
     answer: LiveAnswer,
     splitter: EventSplitter,
     done: bool,
-    ended: &'static str, // how, for the log
+    first_after: Option<Duration>, // from the call's arrival to its first event
+    ended: &'static str,           // how, for the log
 }
 
 impl Drop for EventsRelay {
@@ -43,6 +44,7 @@
             replica = &**self.answer.work.replica(),
             last_event = self.splitter.last_id().unwrap_or(""),
             how = self.ended,
+            first_ms = self.first_after.unwrap_or(took).as_millis() as u64,
             ms = took.as_millis() as u64;
             "stream ended"
         );
@@ -60,6 +62,7 @@
             answer,
             splitter: EventSplitter::default(),
             done: false,
+            first_after: None,
             ended: "left",
         }
     }
@@ -83,6 +86,8 @@
             }
         };
         self.answer.work.first_token();
+        let arrived = self.exchange().call.arrived;
+        self.first_after = Some(gateway.now().saturating_sub(arrived));
         let head = copy_head(&self.answer.head);
         let pieces = stream::unfold((first, self), |(first, mut relay)| async move {
             if let Some(first) = first {
