A router that is short of processor lets callers go elsewhere for a while

Cause: callers are spread over the hosts of a zone by a hash, and a busy caller stays with one host.

--- a/src/direct/gateway.rs
+++ b/src/direct/gateway.rs
@@ -7,7 +7,7 @@
         ops::{AuditTrail, Uptime},
         peers::PeerTable,
         policy::{
-            Incarnation, LagGauge, Moment,
+            Incarnation, LagGauge, Moment, OverloadPause,
             placement::ReplicaBoard,
             shares::{RetryWindow, ShareBook},
         },
@@ -49,6 +49,7 @@
     stopping: AtomicBool,
     refusing: AtomicBool, // stops, and takes no more requests
     lag_ms: AtomicU64,    // of the process behind its timers
+    paused: AtomicBool,   // lets callers go elsewhere, being short of processor
     crowded: AtomicBool,  // more connections of callers than are kept
 }
 
@@ -79,6 +80,7 @@
             stopping: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
             lag_ms: AtomicU64::new(0),
+            paused: AtomicBool::new(false),
             crowded: AtomicBool::new(false),
             settings: RwLock::new(Arc::new(settings)),
         }
@@ -167,6 +169,7 @@
     /// Measures how far the process is behind its timers.
     pub async fn measure_lag(self: Arc<Self>) {
         let mut gauge = LagGauge::default();
+        let mut pause = OverloadPause::default();
         let mut choked = false;
         loop {
             let before = self.now();
@@ -179,6 +182,10 @@
                 choked = !choked;
                 log::warn!(lag_ms = lag_ms, choked = choked; "processor is short, or not any more");
             }
+            let paused = pause.observe(self.now(), took, choked);
+            if paused != self.paused.swap(paused, Ordering::Relaxed) {
+                log::warn!(paused = paused; "callers are sent elsewhere, or here again");
+            }
         }
     }
 
@@ -202,13 +209,18 @@
 
     /// Whether answers should end their connections.
     pub fn closes_connections(&self) -> bool {
-        self.is_stopping() || self.crowded.load(Ordering::Relaxed)
+        self.is_stopping() || self.is_paused() || self.crowded.load(Ordering::Relaxed)
+    }
+
+    /// Whether callers are let go elsewhere, since the processor is short.
+    pub fn is_paused(&self) -> bool {
+        self.paused.load(Ordering::Relaxed)
     }
 
     /// Whether callers should be sent here.
     pub fn is_ready(&self) -> bool {
         let version = self.catalog.version();
-        !self.is_stopping() && version.config > 0 && version.upstreams > 0
+        !self.is_stopping() && !self.is_paused() && version.config > 0 && version.upstreams > 0
     }
 
     /// Keeps the board and the pool in step with the list of replicas.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -32,6 +32,7 @@
 mod membership;
 mod moment;
 mod order_mode;
+mod overload_pause;
 mod pause_detector;
 pub mod placement;
 mod prefix_memory;
@@ -76,6 +77,7 @@
     membership::{Membership, Sighting},
     moment::Moment,
     order_mode::OrderMode,
+    overload_pause::OverloadPause,
     pause_detector::PauseDetector,
     prefix_memory::{PrefixHash, PrefixMemory},
     reach::Reach,
