Accounts that were refused most of what they asked may use more of the aim

Change: accounts stand over, within or behind their share; behind means refused more than half of what was asked and less than half the share: twice the bound (behind_share).

--- a/src/conf/direct_settings.rs
+++ b/src/conf/direct_settings.rs
@@ -109,6 +109,7 @@
         reading_speed: section.number("reading_speed", 0.001..=1e6)?,
         aim_share: section.number("aim_share", 0.01..=10.0)?,
         over_share: section.number("over_share", 0.0..=1.0)?,
+        behind_share: section.number("behind_share", 1.0..=4.0)?,
         own_weight: section.number("own_weight", 0.0..=1.0)?,
         reread_weight: section.number("reread_weight", 0.0..=100.0)?,
         memory_share: section.number("memory_share", 0.01..=1.0)?,
--- a/src/direct/exchange_choice.rs
+++ b/src/direct/exchange_choice.rs
@@ -11,7 +11,7 @@
         ops::PROMPT_TOKENS,
         policy::{
             placement::{Choice, PlacementRequest, PromptShape, RefusalReason},
-            shares::account_key,
+            shares::{Standing, account_key},
         },
     },
     std::{net::SocketAddr, time::Duration},
@@ -26,7 +26,7 @@
     pub(super) fn choose(&mut self) -> Result<(Target, Duration), ErrorAnswer> {
         let now = self.gateway.now();
         let call = self.call.clone();
-        let over_for = self.over_for();
+        let standing = self.standing();
         let zone = self.gateway.settings().process.zone.clone();
         let mut board = self.gateway.board();
         let request = PlacementRequest {
@@ -35,7 +35,7 @@
             engine: call.engine,
             prompt: call.prompt.as_ref(),
             aim: call.service_aim,
-            over_for,
+            standing,
             tried: &self.tried,
         };
         match board.choose(now, &request) {
@@ -144,10 +144,13 @@
         }
     }
 
-    pub(super) fn over_for(&self) -> Option<Duration> {
+    fn standing(&self) -> Standing {
         let now = self.gateway.now();
-        let account = self.account()?;
-        self.gateway.shares().over_for(now, account)
+        let Some(account) = self.account() else {
+            return Standing::Within;
+        };
+        let asking = self.call.tokens();
+        self.gateway.shares().standing(now, account, asking)
     }
 
     /// Charges the account, once.
--- a/src/policy/placement/board_choice.rs
+++ b/src/policy/placement/board_choice.rs
@@ -6,7 +6,11 @@
         offer::{Offer, Sources, offer},
         replica_key::{homes, scatter},
     },
-    crate::{catalog::UpstreamState, policy::Moment, routing::EngineFacts},
+    crate::{
+        catalog::UpstreamState,
+        policy::{Moment, shares::Standing},
+        routing::EngineFacts,
+    },
     std::time::Duration,
 };
 
@@ -95,10 +99,10 @@
     ) -> Choice {
         let settings = &self.settings;
         let aim_ms = request.aim.as_secs_f64() * 1000.0;
-        let share = if request.over_for.is_some() {
-            settings.over_share
-        } else {
-            1.0
+        let share = match request.standing {
+            Standing::Over(_) => settings.over_share,
+            Standing::Within => 1.0,
+            Standing::Behind => settings.behind_share,
         };
         let bound_ms = aim_ms * settings.aim_share * share;
         let homes = homes(prompt, usable);
@@ -218,9 +222,9 @@
         wait_ms: f64,
     ) -> Choice {
         let room_in = Duration::from_secs_f64(wait_ms / 1000.0);
-        let (reason, wait) = match request.over_for {
-            Some(over_for) => (RefusalReason::OverShare, over_for.max(room_in)),
-            None => (RefusalReason::NoRoom, room_in),
+        let (reason, wait) = match request.standing {
+            Standing::Over(over_for) => (RefusalReason::OverShare, over_for.max(room_in)),
+            Standing::Within | Standing::Behind => (RefusalReason::NoRoom, room_in),
         };
         Choice::Refuse {
             reason,
--- a/src/policy/placement/placement_request.rs
+++ b/src/policy/placement/placement_request.rs
@@ -1,6 +1,6 @@
 use {
     super::PromptShape,
-    crate::routing::EngineFacts,
+    crate::{policy::shares::Standing, routing::EngineFacts},
     std::{sync::Arc, time::Duration},
 };
 
@@ -11,7 +11,7 @@
     pub zone: &'r str, // of this router
     pub engine: Option<EngineFacts>,
     pub prompt: Option<&'r PromptShape>,
-    pub aim: Duration,              // shortest among the service's routes
-    pub over_for: Option<Duration>, // until its account is within its share again
-    pub tried: &'r [Arc<str>],      // replicas it was sent to before
+    pub aim: Duration,         // shortest among the service's routes
+    pub standing: Standing,    // of its account
+    pub tried: &'r [Arc<str>], // replicas it was sent to before
 }
--- a/src/policy/placement/placement_settings.rs
+++ b/src/policy/placement/placement_settings.rs
@@ -6,6 +6,7 @@
     pub reading_speed: f64,     // prompt tokens a millisecond, until learnt
     pub aim_share: f64,         // part of the shortest aim that reading may take
     pub over_share: f64,        // part of that which accounts over their share may use
+    pub behind_share: f64,      // the same for accounts that got too little
     pub own_weight: f64,        // how much a request's own reading counts against the bound
     pub reread_weight: f64,     // cost of reading a part again, relative to reading
     pub memory_share: f64,      // part of an engine's memory that running requests may take
@@ -19,6 +20,7 @@
             reading_speed: 30.0,
             aim_share: 0.7,
             over_share: 0.3,
+            behind_share: 2.0,
             own_weight: 0.5,
             reread_weight: 1.0,
             memory_share: 0.9,
--- a/src/policy/shares/mod.rs
+++ b/src/policy/shares/mod.rs
@@ -5,10 +5,12 @@
 mod fair_level;
 mod retry_window;
 mod share_book;
+mod standing;
 
 pub use {
     account_usage::AccountUsage,
     fair_level::fair_level,
     retry_window::RetryWindow,
     share_book::{ShareBook, account_key},
+    standing::Standing,
 };
--- a/src/policy/shares/share_book.rs
+++ b/src/policy/shares/share_book.rs
@@ -1,5 +1,5 @@
 use {
-    super::{AccountUsage, fair_level},
+    super::{AccountUsage, Standing, fair_level},
     crate::policy::Moment,
     std::{
         collections::HashMap,
@@ -17,6 +17,10 @@
 /// What peers told is summed up anew after this long.
 const SUM_AGE: Duration = Duration::from_millis(20);
 
+/// An account that got less than this part of what it asked, and of the level,
+/// is behind.
+const BEHIND: f32 = 0.5;
+
 /// How far above the level an account may be and still count as within.
 const SLACK: f32 = 1.05;
 
@@ -139,26 +143,50 @@
         &self.own
     }
 
-    /// How long until an account that has had more than its max-min share of
-    /// what was given lately is within it again, if nothing is given until then.
-    /// None if it is within.
-    pub fn over_for(
+    /// How an account stands that now asks for `asking` tokens, which are counted
+    /// as asked already.
+    pub fn standing(
         &mut self,
         now: Moment,
         account: u32,
-    ) -> Option<Duration> {
+        asking: f32,
+    ) -> Standing {
         let usage = self.fleet_usage(now);
-        let mine = usage.get(&account)?;
+        let Some(mine) = usage.get(&account) else {
+            return Standing::Within;
+        };
         let given: f32 = usage.values().map(|usage| usage.got).sum();
         let asked = usage
             .values()
             .map(|usage| usage.asked.max(usage.got))
             .collect();
-        let level = fair_level(asked, given) * SLACK;
-        (mine.got > level).then(|| {
-            let windows = (mine.got / level.max(1.0)).ln();
-            self.window.mul_f32(windows)
-        })
+        let level = fair_level(asked, given);
+        let bound = level * SLACK;
+        if mine.got > bound {
+            let windows = (mine.got / bound.max(1.0)).ln();
+            return Standing::Over(self.window.mul_f32(windows));
+        }
+        let asked_before = mine.asked - asking;
+        let is_behind = mine.got < asked_before * BEHIND && mine.got < level * BEHIND;
+        if is_behind {
+            Standing::Behind
+        } else {
+            Standing::Within
+        }
+    }
+
+    /// How long until an account that has had more than its max-min share of
+    /// what was given lately is within it again, if nothing is given until then.
+    /// None if it is within.
+    pub fn over_for(
+        &mut self,
+        now: Moment,
+        account: u32,
+    ) -> Option<Duration> {
+        match self.standing(now, account, 0.0) {
+            Standing::Over(wait) => Some(wait),
+            Standing::Within | Standing::Behind => None,
+        }
     }
 
     /// What each account asked for and got over the fleet.
--- a/tests/fair_shares.rs
+++ b/tests/fair_shares.rs
@@ -1,7 +1,9 @@
 //! Max-min shares over the fleet, and the bound on repeats.
 
 use {
-    archmast::policy::shares::{AccountUsage, RetryWindow, ShareBook, account_key, fair_level},
+    archmast::policy::shares::{
+        AccountUsage, RetryWindow, ShareBook, Standing, account_key, fair_level,
+    },
     proptest::prelude::*,
     std::time::Duration,
 };
@@ -90,6 +92,23 @@
     assert!(left < wait, "{left:?} after {wait:?}");
 }
 
+#[test]
+fn an_account_that_was_refused_most_is_behind_until_it_catches_up() {
+    let (big, small) = (account_key("big"), account_key("small"));
+    let mut book = ShareBook::new(WINDOW, AGE);
+    let now = Duration::from_secs(10);
+    book.ask(now, big, 50_000.0);
+    book.give(now, big, 20_000.0);
+    // Its first request: nothing was refused yet.
+    book.ask(now, small, 5000.0);
+    assert_eq!(book.standing(now, small, 5000.0), Standing::Within);
+    // It was refused, and comes again.
+    book.ask(now, small, 5000.0);
+    assert_eq!(book.standing(now, small, 5000.0), Standing::Behind);
+    book.give(now, small, 5000.0);
+    assert_eq!(book.standing(now, small, 0.0), Standing::Within);
+}
+
 #[test]
 fn what_was_taken_back_counts_no_more() {
     let (big, small) = (account_key("big"), account_key("small"));
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -3,11 +3,11 @@
 use {
     archmast::{
         catalog::{UpstreamEntry, UpstreamState},
-        policy::LagGauge,
         policy::placement::{
             Choice, Load, PlacementRequest, PlacementSettings, PromptPart, PromptShape,
             RefusalReason, ReplicaBoard, ReplicaReport, replica_key,
         },
+        policy::{LagGauge, shares::Standing},
         routing::EngineFacts,
     },
     std::{collections::HashMap, sync::Arc, time::Duration},
@@ -70,7 +70,7 @@
         engine: Some(ENGINE),
         prompt: Some(prompt),
         aim: AIM,
-        over_for: None,
+        standing: Standing::Within,
         tried: &[],
     }
 }
@@ -199,7 +199,7 @@
     place(&mut board, &prompt(1, 2));
     let another = prompt(1, 3);
     let over = PlacementRequest {
-        over_for: Some(Duration::from_millis(1700)),
+        standing: Standing::Over(Duration::from_millis(1700)),
         ..request(&another)
     };
     let (reason, wait) = refused(board.choose(NOW, &over));
@@ -213,12 +213,28 @@
     let board = board(&["a"]);
     let prompt = prompt(1, 2);
     let over = PlacementRequest {
-        over_for: Some(Duration::from_secs(1)),
+        standing: Standing::Over(Duration::from_secs(1)),
         ..request(&prompt)
     };
     sent(board.choose(NOW, &over));
 }
 
+#[test]
+fn an_account_that_got_too_little_is_served_where_others_are_refused() {
+    let mut board = board(&["a"]);
+    let mut last = 2;
+    while let Choice::Send { .. } = board.choose(NOW, &request(&prompt(last, last))) {
+        place(&mut board, &prompt(last, last));
+        last += 1;
+    }
+    let another = prompt(last, last);
+    let behind = PlacementRequest {
+        standing: Standing::Behind,
+        ..request(&another)
+    };
+    sent(board.choose(NOW, &behind));
+}
+
 #[test]
 fn a_leaving_or_foreign_replica_gets_nothing() {
     let mut board = ReplicaBoard::new(PlacementSettings::default());
@@ -517,7 +533,7 @@
         engine: None,
         prompt: None,
         aim: AIM,
-        over_for: None,
+        standing: Standing::Within,
         tried: &[],
     };
     let mut counts = HashMap::new();
