Accounts far over their share leave idle replicas to others

Cause: what is left over goes to whoever asks most often. Change: the bound of an account over its share falls with the square of how far it is over; beyond 1.5 times it may not take a replica where nothing is read, unless most are idle.

--- a/src/policy/placement/board_choice.rs
+++ b/src/policy/placement/board_choice.rs
@@ -38,6 +38,9 @@
 /// Replicas that a request considers, beside its router's part of them.
 const LEAST_CONSIDERED: f64 = 2.0;
 
+/// An account that had this many times its share is far over it.
+const FAR_OVER: f32 = 1.5;
+
 /// More requests than slots that a plain replica is sent, as a factor.
 const PLAIN_QUEUE: f64 = 2.0;
 
@@ -100,11 +103,12 @@
         let settings = &self.settings;
         let aim_ms = request.aim.as_secs_f64() * 1000.0;
         let share = match request.standing {
-            Standing::Over(_) => settings.over_share,
+            Standing::Over { factor, .. } => settings.over_share / f64::from(factor * factor),
             Standing::Within => 1.0,
             Standing::Behind => settings.behind_share,
         };
         let bound_ms = aim_ms * settings.aim_share * share;
+        let may_use_idle = self.may_use_idle(now, request, usable);
         let homes = homes(prompt, usable);
         let sources = Sources::new(prompt, usable);
         let near = self.considered(usable.len());
@@ -123,7 +127,8 @@
                 && (memory <= engine.memory_tokens as f64 * settings.memory_share
                     || load.running == 0);
             soonest = soonest.min((weighed - bound_ms).max(0.0));
-            if !fits || (weighed > bound_ms && load.reading > 0) {
+            let is_idle = load.reading == 0 && may_use_idle;
+            if !fits || (weighed > bound_ms && !is_idle) {
                 continue;
             }
             let again_ms = f64::from(offer.again) / speed * settings.reread_weight;
@@ -159,6 +164,27 @@
         }
     }
 
+    /// Whether a request may have a replica where nothing is read, however long
+    /// it takes itself. Accounts far over their share leave those to others,
+    /// unless most replicas are idle: who asks most often would get most of them.
+    fn may_use_idle(
+        &self,
+        now: Moment,
+        request: &PlacementRequest,
+        usable: &[&ReplicaView],
+    ) -> bool {
+        match request.standing {
+            Standing::Over { factor, .. } if factor > FAR_OVER => {
+                let age = self.settings.peer_age;
+                let idle = usable
+                    .iter()
+                    .filter(|view| view.load(now, age).reading == 0);
+                idle.count() * 2 > usable.len()
+            }
+            _ => true,
+        }
+    }
+
     /// The part of the replicas that one request considers first. All routers
     /// choose by the same reports, and what is least in them would get what all
     /// of them send until the next ones.
@@ -223,7 +249,7 @@
     ) -> Choice {
         let room_in = Duration::from_secs_f64(wait_ms / 1000.0);
         let (reason, wait) = match request.standing {
-            Standing::Over(over_for) => (RefusalReason::OverShare, over_for.max(room_in)),
+            Standing::Over { wait, .. } => (RefusalReason::OverShare, wait.max(room_in)),
             Standing::Within | Standing::Behind => (RefusalReason::NoRoom, room_in),
         };
         Choice::Refuse {
--- a/src/policy/shares/share_book.rs
+++ b/src/policy/shares/share_book.rs
@@ -163,8 +163,9 @@
         let level = fair_level(asked, given);
         let bound = level * SLACK;
         if mine.got > bound {
-            let windows = (mine.got / bound.max(1.0)).ln();
-            return Standing::Over(self.window.mul_f32(windows));
+            let factor = mine.got / bound.max(1.0);
+            let wait = self.window.mul_f32(factor.ln());
+            return Standing::Over { wait, factor };
         }
         let asked_before = mine.asked - asking;
         let is_behind = mine.got < asked_before * BEHIND && mine.got < level * BEHIND;
@@ -184,7 +185,7 @@
         account: u32,
     ) -> Option<Duration> {
         match self.standing(now, account, 0.0) {
-            Standing::Over(wait) => Some(wait),
+            Standing::Over { wait, .. } => Some(wait),
             Standing::Within | Standing::Behind => None,
         }
     }
--- a/src/policy/shares/standing.rs
+++ b/src/policy/shares/standing.rs
@@ -1,10 +1,11 @@
 use std::time::Duration;
 
 /// How an account stands to its max-min share of what was given lately.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub enum Standing {
-    /// It had more; within its share again after this long if nothing is given.
-    Over(Duration),
+    /// It had `factor` times its share; within it again after `wait` if nothing
+    /// is given.
+    Over { wait: Duration, factor: f32 },
     /// It is within its share.
     #[default]
     Within,
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -193,13 +193,38 @@
     ));
 }
 
+fn over(
+    wait_ms: u64,
+    factor: f32,
+) -> Standing {
+    Standing::Over {
+        wait: Duration::from_millis(wait_ms),
+        factor,
+    }
+}
+
+#[test]
+fn an_account_far_over_its_share_leaves_idle_replicas_to_others_when_few_are() {
+    let mut board = board(&["a", "b"]);
+    place(&mut board, &prompt(1, 2));
+    let another = prompt(3, 4);
+    let with = |standing| PlacementRequest {
+        standing,
+        ..request(&another)
+    };
+    refused(board.choose(NOW, &with(over(1000, 3.0))));
+    sent(board.choose(NOW, &with(over(1000, 1.2))));
+    let idle = self::board(&["a", "b"]);
+    sent(idle.choose(NOW, &with(over(1000, 3.0))));
+}
+
 #[test]
 fn an_account_over_its_share_uses_only_what_is_left_over() {
     let mut board = board(&["a"]);
     place(&mut board, &prompt(1, 2));
     let another = prompt(1, 3);
     let over = PlacementRequest {
-        standing: Standing::Over(Duration::from_millis(1700)),
+        standing: over(1700, 1.2),
         ..request(&another)
     };
     let (reason, wait) = refused(board.choose(NOW, &over));
@@ -213,7 +238,7 @@
     let board = board(&["a"]);
     let prompt = prompt(1, 2);
     let over = PlacementRequest {
-        standing: Standing::Over(Duration::from_secs(1)),
+        standing: over(1000, 1.2),
         ..request(&prompt)
     };
     sent(board.choose(NOW, &over));
