--- /dev/null
+++ b/src/policy/placement/admission.rs
@@ -0,0 +1,68 @@
+use {
+    super::{Load, PlacementRequest, PlacementSettings, ReplicaView},
+    crate::{policy::shares::Standing, routing::EngineFacts},
+};
+
+/// An account that had this many times its share is far over it.
+const FAR_OVER: f32 = 1.5;
+
+/// What a replica may have in front for one request to be sent there.
+#[derive(Debug, Clone, Copy)]
+pub struct Admission {
+    bound_ms: f64,      // of reading, what is in front and the request's own, weighed
+    most_memory: f64,   // tokens that running requests may take
+    own_weight: f64,    // of the request's own reading against the bound
+    may_use_idle: bool, // a replica where nothing is read, whatever the bound
+}
+
+impl Admission {
+    /// The bounds for a request, by how its account stands to its share.
+    pub fn new(
+        settings: &PlacementSettings,
+        request: &PlacementRequest,
+        engine: EngineFacts,
+        most_are_idle: bool,
+    ) -> Self {
+        let share = match request.standing {
+            Standing::Over { factor, .. } => settings.over_share / f64::from(factor * factor),
+            Standing::Within => 1.0,
+            Standing::Behind => settings.behind_share,
+        };
+        let aim_ms = request.aim.as_secs_f64() * 1000.0;
+        Self {
+            bound_ms: aim_ms * settings.aim_share * share,
+            most_memory: engine.memory_tokens as f64 * settings.memory_share,
+            own_weight: settings.own_weight,
+            may_use_idle: most_are_idle || !is_far_over(request.standing),
+        }
+    }
+
+    /// By how many milliseconds a replica is beyond the bound.
+    pub fn excess_ms(
+        &self,
+        front_ms: f64,
+        own_ms: f64,
+    ) -> f64 {
+        (front_ms + own_ms * self.own_weight - self.bound_ms).max(0.0)
+    }
+
+    /// Whether a replica may take the request, which needs `tokens` of memory.
+    pub fn admits(
+        &self,
+        view: &ReplicaView,
+        load: &Load,
+        tokens: u32,
+        excess_ms: f64,
+    ) -> bool {
+        let memory = f64::from(load.memory) + f64::from(tokens);
+        let fits = memory <= self.most_memory || load.running == 0;
+        let is_idle = load.reading == 0 && self.may_use_idle;
+        load.running < view.entry.slots && fits && (excess_ms <= 0.0 || is_idle)
+    }
+}
+
+/// Accounts far over their share leave idle replicas to others, unless most
+/// are idle: who asks most often would get most of them.
+pub fn is_far_over(standing: Standing) -> bool {
+    matches!(standing, Standing::Over { factor, .. } if factor > FAR_OVER)
+}
--- a/src/policy/placement/board_choice.rs
+++ b/src/policy/placement/board_choice.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         Choice, PlacementRequest, PromptShape, RefusalReason, ReplicaBoard, ReplicaView,
+        admission::{Admission, is_far_over},
         offer::{Offer, Sources, offer},
         replica_key::{homes, scatter},
     },
@@ -38,9 +39,6 @@
 /// Replicas that a request considers, beside its router's part of them.
 const LEAST_CONSIDERED: f64 = 2.0;
 
-/// An account that had this many times its share is far over it.
-const FAR_OVER: f32 = 1.5;
-
 /// More requests than slots that a plain replica is sent, as a factor.
 const PLAIN_QUEUE: f64 = 2.0;
 
@@ -101,14 +99,8 @@
         usable: &[&ReplicaView],
     ) -> Choice {
         let settings = &self.settings;
-        let aim_ms = request.aim.as_secs_f64() * 1000.0;
-        let share = match request.standing {
-            Standing::Over { factor, .. } => settings.over_share / f64::from(factor * factor),
-            Standing::Within => 1.0,
-            Standing::Behind => settings.behind_share,
-        };
-        let bound_ms = aim_ms * settings.aim_share * share;
-        let may_use_idle = self.may_use_idle(now, request, usable);
+        let most_are_idle = is_far_over(request.standing) && self.most_are_idle(now, usable);
+        let admission = Admission::new(settings, request, engine, most_are_idle);
         let homes = homes(prompt, usable);
         let sources = Sources::new(prompt, usable);
         let near = self.considered(usable.len());
@@ -121,14 +113,10 @@
             let speed = view.speed.tokens_per_ms();
             let front_ms = f64::from(load.reading) / speed;
             let own_ms = f64::from(offer.reading) / speed + offer.fetch_ms;
-            let weighed = front_ms + own_ms * settings.own_weight;
-            let memory = f64::from(load.memory) + f64::from(offer.reading + prompt.output_tokens);
-            let fits = load.running < view.entry.slots
-                && (memory <= engine.memory_tokens as f64 * settings.memory_share
-                    || load.running == 0);
-            soonest = soonest.min((weighed - bound_ms).max(0.0));
-            let is_idle = load.reading == 0 && may_use_idle;
-            if !fits || (weighed > bound_ms && !is_idle) {
+            let excess_ms = admission.excess_ms(front_ms, own_ms);
+            soonest = soonest.min(excess_ms);
+            let tokens = offer.reading + prompt.output_tokens;
+            if !admission.admits(view, &load, tokens, excess_ms) {
                 continue;
             }
             let again_ms = f64::from(offer.again) / speed * settings.reread_weight;
@@ -164,25 +152,17 @@
         }
     }
 
-    /// Whether a request may have a replica where nothing is read, however long
-    /// it takes itself. Accounts far over their share leave those to others,
-    /// unless most replicas are idle: who asks most often would get most of them.
-    fn may_use_idle(
+    /// Whether nothing is read at most replicas.
+    fn most_are_idle(
         &self,
         now: Moment,
-        request: &PlacementRequest,
         usable: &[&ReplicaView],
     ) -> bool {
-        match request.standing {
-            Standing::Over { factor, .. } if factor > FAR_OVER => {
-                let age = self.settings.peer_age;
-                let idle = usable
-                    .iter()
-                    .filter(|view| view.load(now, age).reading == 0);
-                idle.count() * 2 > usable.len()
-            }
-            _ => true,
-        }
+        let age = self.settings.peer_age;
+        let idle = usable
+            .iter()
+            .filter(|view| view.load(now, age).reading == 0);
+        idle.count() * 2 > usable.len()
     }
 
     /// The part of the replicas that one request considers first. All routers
--- a/src/policy/placement/mod.rs
+++ b/src/policy/placement/mod.rs
@@ -1,6 +1,7 @@
 //! Which replica runs a request: what its prompt costs to read there, what is
 //! in front of it, what memory is left, and what evidence speaks against it.
 
+mod admission;
 mod board_choice;
 mod board_evidence;
 mod cache_note;
