Upstreams whose leases ran out together get time to come back

Until now the list was empty at the return, and every request refused (62: no replica). Change: when more than half of the entries vanish at once, those that were ready are kept for 1.8 s (drain_ms is 2 s on the shortest sheet); one that vanishes alone, or was leaving, is gone at once. Weighed: to keep what vanishes after any failed call: one 429 would hold a replica that is truly gone beyond drain_ms.

--- a/src/catalog/catalog.rs
+++ b/src/catalog/catalog.rs
@@ -1,12 +1,15 @@
 use {
-    super::{AcceptedConfig, Item, Listing, UpstreamEntry, UpstreamRecord},
+    super::{
+        AcceptedConfig, Item, Listing, UpstreamEntry, UpstreamRecord, UpstreamState,
+        lapse_grace::LapseGrace,
+    },
     crate::{codes::Fault, routing::RoutingTable},
     serde::{Deserialize, Serialize},
     std::{
         collections::BTreeMap,
         sync::{Arc, Mutex},
     },
-    tokio::sync::watch,
+    tokio::{sync::watch, time::Instant},
 };
 
 /// Reads a configuration's text: code 82.
@@ -37,6 +40,7 @@
     records: BTreeMap<String, UpstreamRecord>, // by id, those that are gone too
     entries: BTreeMap<String, Arc<UpstreamEntry>>,
     upstreams_at: u64,
+    lapses: LapseGrace,
 }
 
 impl Catalog {
@@ -135,6 +139,10 @@
         from: &str,
     ) {
         let mut state = self.state.lock().expect("catalog lock");
+        if vanish_together(&state, &records) {
+            log::warn!(from = from; "most upstreams vanished at once: their leases ran out");
+            state.lapses.begin(Instant::now());
+        }
         let changed = records
             .into_iter()
             .filter(|record| self.take(&mut state, record, from))
@@ -181,6 +189,20 @@
         self.offer_items(items, change.at, from);
     }
 
+    /// Takes the upstreams as gone whose entries did not come back in time.
+    pub fn drop_lapsed(&self) {
+        let mut state = self.state.lock().expect("catalog lock");
+        let expired = state.lapses.take_expired(Instant::now());
+        for id in &expired {
+            state.entries.remove(id);
+            log::info!(upstream = id.as_str(); "upstream gone: its entry did not come back");
+        }
+        drop(state);
+        if !expired.is_empty() {
+            self.changed.send_modify(|_| {});
+        }
+    }
+
     fn offer_logged(
         &self,
         text: &str,
@@ -241,6 +263,18 @@
         };
         let before = state.entries.get(&record.id);
         let same = before.map(|entry| &**entry) == entry.as_deref();
+        let was_ready = before.is_some_and(|entry| entry.state == UpstreamState::Ready);
+        let is_kept =
+            entry.is_none() && was_ready && state.lapses.keeps(&record.id, Instant::now());
+        if is_kept {
+            log::info!(
+                upstream = record.id.as_str(), revision = record.revision, from = from;
+                "upstream's entry lapsed: kept for a moment"
+            );
+            state.records.insert(record.id.clone(), record.clone());
+            return false;
+        }
+        state.lapses.forget(&record.id);
         if !same {
             log::info!(
                 upstream = record.id.as_str(), revision = record.revision, from = from;
@@ -255,3 +289,15 @@
         !same
     }
 }
+
+/// Whether records take away more than half of the upstreams at once. No planned
+/// work does; leases that ran out while the store was away do.
+fn vanish_together(
+    state: &State,
+    records: &[UpstreamRecord],
+) -> bool {
+    let vanishing = records.iter().filter(|record| record.text.is_none());
+    let known = vanishing.filter(|record| state.entries.contains_key(&record.id));
+    let count = known.count();
+    count > 1 && count * 2 > state.entries.len()
+}
--- a/src/catalog/follow.rs
+++ b/src/catalog/follow.rs
@@ -1,9 +1,15 @@
 use {
     super::{Catalog, CatalogSource},
     crate::codes::Fault,
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::{Arc, Weak},
+        time::Duration,
+    },
 };
 
+/// How often lapsed upstreams are looked at.
+const LAPSE_LOOK: Duration = Duration::from_millis(100);
+
 /// How often the store is asked.
 #[derive(Debug, Clone, Copy)]
 pub struct FollowPace {
@@ -19,6 +25,7 @@
     source: Arc<S>,
     pace: FollowPace,
 ) {
+    tokio::spawn(drop_lapsed(Arc::downgrade(&catalog)));
     let mut reached = None;
     let mut failures = 0u32;
     loop {
@@ -43,6 +50,15 @@
     }
 }
 
+/// Takes lapsed upstreams as gone in time, for as long as the catalog lives.
+async fn drop_lapsed(catalog: Weak<Catalog>) {
+    while let Some(catalog) = catalog.upgrade() {
+        catalog.drop_lapsed();
+        drop(catalog);
+        tokio::time::sleep(LAPSE_LOOK).await;
+    }
+}
+
 /// One call. Gives the revision to go on from, or none for a whole reading.
 async fn step<S: CatalogSource>(
     catalog: &Catalog,
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -7,6 +7,7 @@
 mod catalog_change;
 mod catalog_source;
 mod follow;
+mod lapse_grace;
 mod upstream_entry;
 mod upstream_record;
 mod upstream_state;
--- a/tests/catalog.rs
+++ b/tests/catalog.rs
@@ -97,6 +97,36 @@
     assert_eq!(catalog.version().upstreams, 12);
 }
 
+#[tokio::test(start_paused = true)]
+async fn upstreams_whose_leases_ran_out_together_get_time_to_come_back() {
+    let catalog = catalog();
+    let ready = |port| Some(entry("ready", port));
+    let known = vec![
+        record("a", 3, ready(1)),
+        record("b", 4, ready(2)),
+        record("c", 5, Some(entry("draining", 3))),
+    ];
+    catalog.offer_records(known, 5, "store");
+    let lapsed = ["a", "b", "c"].map(|id| record(id, 9, None));
+    catalog.offer_records(lapsed.to_vec(), 9, "store");
+    assert_eq!(ids(&catalog), ["a", "b"], "one that was leaving is gone");
+    catalog.offer_records(vec![record("a", 10, ready(1))], 10, "store");
+    tokio::time::advance(Duration::from_secs(2)).await;
+    catalog.drop_lapsed();
+    assert_eq!(ids(&catalog), ["a"], "one that did not come back is gone");
+    catalog.drop_lapsed();
+    assert_eq!(ids(&catalog), ["a"]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_upstream_that_vanishes_alone_is_gone_at_once() {
+    let catalog = catalog();
+    let known = (0..4).map(|n| record(&format!("u{n}"), 3, Some(entry("ready", n))));
+    catalog.offer_records(known.collect(), 3, "store");
+    catalog.offer_records(vec![record("u2", 4, None)], 4, "store");
+    assert_eq!(ids(&catalog), ["u0", "u1", "u3"]);
+}
+
 #[test]
 fn peers_are_given_what_they_lack() {
     let catalog = catalog();
