Tests: the two-replica fleet and the busy and able replicas stand once

direct_requests and direct_streams each started the same router with two replicas and waited for them; DirectFleet::with_two_replicas now does. placement had an engine that hands prompts over and a report of full slots twice each. No product code and no assertion changed.

--- a/testbed/src/direct/direct_fleet.rs
+++ b/testbed/src/direct/direct_fleet.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Client, ClientRequest, Replica, ReplicaAnswer, Store, StorePort},
+    super::{Client, ClientRequest, Replica, ReplicaAnswer, RouteText, Store, StorePort},
     crate::fleet::{Loopback, Process, until_async},
     std::{net::SocketAddr, path::PathBuf},
 };
@@ -79,6 +79,27 @@
         fleet
     }
 
+    /// Starts one router before two replicas of service `s`, which it knows, with
+    /// these routes.
+    pub async fn with_two_replicas(
+        usual: ReplicaAnswer,
+        routes: &[RouteText],
+    ) -> (Self, [Replica; 2]) {
+        let fleet = Self::start(1, "").await;
+        let replicas = [
+            fleet.replica("i-a", "s", usual.clone()).await,
+            fleet.replica("i-b", "s", usual).await,
+        ];
+        fleet.store.publish(1, routes);
+        fleet.all_ready().await;
+        until_async("both replicas are known", async || {
+            let log = fleet.routers[0].log_text();
+            log.matches("upstream Ready").count() >= 2
+        })
+        .await;
+        (fleet, replicas)
+    }
+
     /// Starts a replica and lists it as ready.
     pub async fn replica(
         &self,
--- a/testbed/tests/direct_requests.rs
+++ b/testbed/tests/direct_requests.rs
@@ -6,18 +6,13 @@
         direct::{
             Client, ClientAnswer, ClientRequest, DirectFleet, Replica, ReplicaAnswer, RouteText,
         },
-        fleet::{program_path, until, until_async},
+        fleet::{program_path, until},
     },
     std::time::Duration,
 };
 
 /// A router, and two replicas of one service behind routes of every kind.
 async fn two_replicas(usual: ReplicaAnswer) -> (DirectFleet, [Replica; 2]) {
-    let fleet = DirectFleet::start(1, "").await;
-    let replicas = [
-        fleet.replica("i-a", "s", usual.clone()).await,
-        fleet.replica("i-b", "s", usual).await,
-    ];
     let single = RouteText {
         attempts: 1,
         ..RouteText::new("/one/", "s", "idempotent")
@@ -35,8 +30,8 @@
         resumable: false,
         ..RouteText::new("/digest/", "s", "streaming")
     };
-    fleet.store.publish(
-        1,
+    DirectFleet::with_two_replicas(
+        usual,
         &[
             RouteText::new("/read/", "s", "idempotent"),
             RouteText::new("/charge/", "s", "non_idempotent"),
@@ -47,17 +42,8 @@
             public,
             once_stream,
         ],
-    );
-    fleet.all_ready().await;
-    until_async("both replicas are known", async || {
-        fleet.routers[0]
-            .log_text()
-            .matches("upstream Ready")
-            .count()
-            >= 2
-    })
-    .await;
-    (fleet, replicas)
+    )
+    .await
 }
 
 async fn ask(
--- a/testbed/tests/direct_streams.rs
+++ b/testbed/tests/direct_streams.rs
@@ -3,33 +3,18 @@
 use {
     archmast_testbed::{
         direct::{Client, ClientRequest, DirectFleet, Replica, ReplicaAnswer, RouteText},
-        fleet::{until, until_async},
+        fleet::until,
     },
     std::time::Duration,
 };
 
 async fn two_replicas(usual: ReplicaAnswer) -> (DirectFleet, [Replica; 2]) {
-    let fleet = DirectFleet::start(1, "").await;
-    let replicas = [
-        fleet.replica("i-a", "s", usual.clone()).await,
-        fleet.replica("i-b", "s", usual).await,
-    ];
     let once = RouteText {
         resumable: false,
         ..RouteText::new("/digest/", "s", "streaming")
     };
     let chat = RouteText::new("/chat/", "s", "streaming");
-    fleet.store.publish(1, &[chat, once]);
-    fleet.all_ready().await;
-    until_async("both replicas are known", async || {
-        fleet.routers[0]
-            .log_text()
-            .matches("upstream Ready")
-            .count()
-            >= 2
-    })
-    .await;
-    (fleet, replicas)
+    DirectFleet::with_two_replicas(usual, &[chat, once]).await
 }
 
 fn events(numbers: std::ops::RangeInclusive<u32>) -> String {
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -22,6 +22,14 @@
     moves: false,
 };
 
+/// An engine that hands prompts over to another.
+const ABLE: EngineFacts = EngineFacts {
+    token_bytes: 300_000.0,
+    link_mbps: 1_000_000.0,
+    moves: true,
+    ..ENGINE
+};
+
 fn entry(
     id: &str,
     zone: &str,
@@ -94,6 +102,19 @@
     }
 }
 
+/// A peer's report that every slot of a replica is taken.
+fn full_of_requests(id: &str) -> ReplicaReport {
+    ReplicaReport {
+        replica: replica_key(id),
+        load: Load {
+            running: 8,
+            ..Load::default()
+        },
+        placed: 0,
+        rests: false,
+    }
+}
+
 fn place(
     board: &mut ReplicaBoard,
     prompt: &PromptShape,
@@ -400,26 +421,12 @@
     let other = if &*home == "a" { "b" } else { "a" };
     let tried = [home.clone()];
     let prompt = prompt(1, 101);
-    let able = EngineFacts {
-        token_bytes: 300_000.0,
-        link_mbps: 1_000_000.0,
-        moves: true,
-        ..ENGINE
-    };
     // The home keeps it, is not tried again, but may still hand it over.
     let spilled = PlacementRequest {
-        engine: Some(able),
+        engine: Some(ABLE),
         ..request(&prompt)
     };
-    let busy = ReplicaReport {
-        replica: replica_key(&home),
-        load: Load {
-            running: 8,
-            ..Load::default()
-        },
-        placed: 0,
-        rests: false,
-    };
+    let busy = full_of_requests(&home);
     board.hear(NOW, 1, &HashMap::from([(busy.replica, busy)]));
     let Choice::Send {
         replica,
@@ -444,33 +451,19 @@
 fn many_prompts_are_not_all_fetched_from_one_replica() {
     let ids = ["a", "b", "c", "d", "e", "f"];
     let mut board = board(&ids);
-    let able = EngineFacts {
-        token_bytes: 300_000.0,
-        link_mbps: 1_000_000.0,
-        moves: true,
-        ..ENGINE
-    };
     for keeper in &ids[..3] {
-        board.start(NOW, &(*keeper).into(), 0, Some(&prompt(1, 100)), Some(able));
+        board.start(NOW, &(*keeper).into(), 0, Some(&prompt(1, 100)), Some(ABLE));
     }
     let full: Vec<Arc<str>> = ids[..3].iter().map(|id| (*id).into()).collect();
     for id in &full {
-        let busy = ReplicaReport {
-            replica: replica_key(id),
-            load: Load {
-                running: 8,
-                ..Load::default()
-            },
-            placed: 0,
-            rests: false,
-        };
+        let busy = full_of_requests(id);
         board.hear(NOW, 1, &HashMap::from([(busy.replica, busy)]));
     }
     let mut sources = HashMap::new();
     for own in 0..60 {
         let prompt = prompt(1, 1000 + own);
         let spilled = PlacementRequest {
-            engine: Some(able),
+            engine: Some(ABLE),
             ..request(&prompt)
         };
         if let Choice::Send {
