A router that is busy most of the time sends callers elsewhere before it is late

Cause: callers are spread by a hash and stay with their host.

Change: the part of the time in which the process has work for its processor decides the pause, beside the lag (callers.most_busy = 0.6).

--- a/src/direct/gateway.rs
+++ b/src/direct/gateway.rs
@@ -7,7 +7,7 @@
         ops::{AuditTrail, Uptime},
         peers::PeerTable,
         policy::{
-            Incarnation, LagGauge, Moment, OverloadPause,
+            Incarnation, Moment,
             placement::ReplicaBoard,
             shares::{RetryWindow, ShareBook},
         },
@@ -26,9 +26,6 @@
 /// now would be sent on too late, by knowledge that is old.
 const MOST_LAG: Duration = Duration::from_millis(150);
 
-/// How often the lag is measured.
-const LAG_TICK: Duration = Duration::from_millis(20);
-
 /// The shared tables of a router that carries requests itself.
 ///
 /// Lock order: `board`, `shares`, `retries`, then leaf locks (catalog, pool,
@@ -166,27 +163,24 @@
         self.lag_ms.load(Ordering::Relaxed) > MOST_LAG.as_millis() as u64
     }
 
-    /// Measures how far the process is behind its timers.
-    pub async fn measure_lag(self: Arc<Self>) {
-        let mut gauge = LagGauge::default();
-        let mut pause = OverloadPause::default();
-        let mut choked = false;
-        loop {
-            let before = self.now();
-            tokio::time::sleep(LAG_TICK).await;
-            let took = self.now().saturating_sub(before);
-            gauge.sample(took.saturating_sub(LAG_TICK));
-            let lag_ms = gauge.lag().as_millis() as u64;
-            self.lag_ms.store(lag_ms, Ordering::Relaxed);
-            if choked != self.is_choked() {
-                choked = !choked;
-                log::warn!(lag_ms = lag_ms, choked = choked; "processor is short, or not any more");
-            }
-            let paused = pause.observe(self.now(), took, choked);
-            if paused != self.paused.swap(paused, Ordering::Relaxed) {
-                log::warn!(paused = paused; "callers are sent elsewhere, or here again");
-            }
-        }
+    /// Notes how far the process is behind its timers. Whether it is choked, if
+    /// that changed.
+    pub fn set_lag(
+        &self,
+        lag: Duration,
+    ) -> Option<bool> {
+        let before = self.is_choked();
+        self.lag_ms.store(lag.as_millis() as u64, Ordering::Relaxed);
+        let choked = self.is_choked();
+        (choked != before).then_some(choked)
+    }
+
+    /// Lets callers go elsewhere, or takes them again. Whether that is new.
+    pub fn set_paused(
+        &self,
+        paused: bool,
+    ) -> bool {
+        self.paused.swap(paused, Ordering::Relaxed) != paused
     }
 
     /// Refuses requests from now on.
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -16,6 +16,7 @@
 mod late_wait;
 mod live_answer;
 mod plain_relay;
+mod processor_watch;
 mod ready_port;
 mod reply;
 mod request_reader;
--- /dev/null
+++ b/src/direct/processor_watch.rs
@@ -0,0 +1,76 @@
+use {
+    super::gateway::Gateway,
+    crate::policy::{BusyGauge, LagGauge, Moment, OverloadPause},
+    std::{sync::Arc, time::Duration},
+    tokio::runtime::{Handle, RuntimeMetrics},
+};
+
+/// How often the processor is looked at.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Watches whether this process gets enough of its processor: whether requests
+/// must be refused, and whether callers should go elsewhere for a while.
+pub struct ProcessorWatch {
+    gateway: Arc<Gateway>,
+    runtime: RuntimeMetrics,
+    lag: LagGauge,
+    busy: BusyGauge,
+    pause: OverloadPause,
+}
+
+impl ProcessorWatch {
+    /// Watches the runtime that it is called in.
+    pub fn new(gateway: Arc<Gateway>) -> Self {
+        Self {
+            gateway,
+            runtime: Handle::current().metrics(),
+            lag: LagGauge::default(),
+            busy: BusyGauge::default(),
+            pause: OverloadPause::default(),
+        }
+    }
+
+    /// Watches for as long as the process lives.
+    pub async fn run(mut self) {
+        loop {
+            let before = self.gateway.now();
+            tokio::time::sleep(TICK).await;
+            let now = self.gateway.now();
+            self.look(now, now.saturating_sub(before));
+        }
+    }
+
+    fn look(
+        &mut self,
+        now: Moment,
+        step: Duration,
+    ) {
+        self.lag.sample(step.saturating_sub(TICK));
+        self.busy.sample(step, self.worked());
+        let lag_ms = self.lag.lag().as_millis() as u64;
+        let busy = format!("{:.2}", self.busy.share());
+        if let Some(choked) = self.gateway.set_lag(self.lag.lag()) {
+            log::warn!(
+                lag_ms = lag_ms, busy = busy.as_str(), choked = choked;
+                "processor is short, or not any more"
+            );
+        }
+        let is_busy = self.busy.share() > self.gateway.settings().most_busy;
+        let paused = self
+            .pause
+            .observe(now, step, is_busy || self.gateway.is_choked());
+        if self.gateway.set_paused(paused) {
+            log::warn!(
+                lag_ms = lag_ms, busy = busy.as_str(), paused = paused;
+                "callers are sent elsewhere, or here again"
+            );
+        }
+    }
+
+    /// The time that the runtime's threads have worked, on average.
+    fn worked(&self) -> Duration {
+        let workers = self.runtime.num_workers();
+        let worked = (0..workers).map(|worker| self.runtime.worker_total_busy_duration(worker));
+        worked.sum::<Duration>() / workers.max(1) as u32
+    }
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -8,6 +8,7 @@
 mod announced_demand;
 mod arrival;
 mod attempts;
+mod busy_gauge;
 mod config_gate;
 mod cost_estimate;
 mod demand_line;
@@ -56,6 +57,7 @@
     announced_demand::{AnnouncedDemand, CurrentDemand},
     arrival::{Arrival, ExchangeId},
     attempts::Attempts,
+    busy_gauge::BusyGauge,
     config_gate::{ConfigGate, Verdict},
     cost_estimate::CostEstimate,
     demand_line::DemandLine,
--- a/tests/direct_settings.rs
+++ b/tests/direct_settings.rs
@@ -58,6 +58,8 @@
     assert_eq!(with("balancer_lag = soon"), ResultCode::BadValue);
     assert_eq!(with("balancer_lag = 2 h"), ResultCode::OutOfRange);
     assert_eq!(with("[placement]\naim_share = 99"), ResultCode::OutOfRange);
+    let busy = filled().replace("[callers]", "[callers]\nmost_busy = 60");
+    assert_eq!(read(&busy).expect_err("refused"), ResultCode::OutOfRange);
     let lacking = filled().replace("host = edge-1", "host =");
     assert_eq!(read(&lacking).expect_err("refused"), ResultCode::MissingKey);
     let seeds = filled().replace("10.0.0.2:82", "here");
--- a/tests/overload_pause.rs
+++ b/tests/overload_pause.rs
@@ -1,6 +1,9 @@
 //! When a router whose processor is short lets callers go elsewhere.
 
-use {archmast::policy::OverloadPause, std::time::Duration};
+use {
+    archmast::policy::{BusyGauge, OverloadPause},
+    std::time::Duration,
+};
 
 const STEP: Duration = Duration::from_millis(20);
 
@@ -58,3 +61,29 @@
     let over = step_until(&mut pause, again, false, false);
     assert_eq!(over - again, first);
 }
+
+#[test]
+fn the_busy_share_follows_the_work_within_a_second_and_forgets_it() {
+    let mut gauge = BusyGauge::default();
+    let mut worked = ms(0);
+    let mut steps = |count: u32, work: Duration| {
+        for _ in 0..count {
+            worked += work;
+            gauge.sample(STEP, worked);
+        }
+        gauge.share()
+    };
+    assert!((steps(50, ms(16)) - 0.8).abs() < 0.15);
+    assert!((steps(100, ms(16)) - 0.8).abs() < 0.02);
+    assert!(steps(50, ms(0)) < 0.15);
+}
+
+#[test]
+fn a_process_that_is_stopped_for_long_is_not_taken_as_busy() {
+    let mut gauge = BusyGauge::default();
+    gauge.sample(STEP, ms(2));
+    gauge.sample(ms(3000), ms(4));
+    assert!(gauge.share() < 0.01, "{}", gauge.share());
+    gauge.sample(ms(0), ms(4));
+    assert!(gauge.share() < 0.01);
+}
