All routers consider the replicas that keep a prompt's shared parts; a fetch weighs the room it takes

Cause: beyond 8 routers a request considered a tenth of the replicas, whatever they keep, so that half of the prompts were fetched to a replica that kept nothing of them.

Change: replicas that keep all shared parts are always considered and not scattered; a fetched token weighs 0.2 of a read one ([placement] fetch_weight).

--- a/src/conf/direct_settings.rs
+++ b/src/conf/direct_settings.rs
@@ -114,6 +114,7 @@
         behind_share: section.number("behind_share", 1.0..=4.0)?,
         own_weight: section.number("own_weight", 0.0..=1.0)?,
         reread_weight: section.number("reread_weight", 0.0..=100.0)?,
+        fetch_weight: section.number("fetch_weight", 0.0..=100.0)?,
         memory_share: section.number("memory_share", 0.01..=1.0)?,
         zone_penalty: section.duration("zone_penalty", Duration::ZERO..=Duration::from_secs(1))?,
         peer_age,
--- a/src/policy/placement/board_choice.rs
+++ b/src/policy/placement/board_choice.rs
@@ -121,18 +121,22 @@
             }
             let again_ms = f64::from(offer.again) / speed * settings.reread_weight;
             let avoided = view.is_avoided(now, settings.peer_age);
-            let mut score = front_ms + own_ms + again_ms;
+            let displaced_ms = f64::from(offer.fetched) / speed * settings.fetch_weight;
+            let mut score = front_ms + own_ms + again_ms + displaced_ms;
             score += if avoided { AVOIDED_PENALTY } else { 0.0 };
             score += self.zone_ms(request, view);
             let scatter = scatter(prompt, view);
-            score += self.report_pace.as_secs_f64() * 1000.0 * SPREAD * scatter;
+            let is_home = offer.keeps_shared(prompt);
+            if !is_home {
+                score += self.report_pace.as_secs_f64() * 1000.0 * SPREAD * scatter;
+            }
             score -= HOME_LEAD / f64::from(home + 1);
             let expected_ms = front_ms + own_ms;
             let offer = Offer {
                 expected_ms,
                 ..offer
             };
-            let slot = if scatter < near {
+            let slot = if scatter < near || is_home {
                 &mut best_considered
             } else {
                 &mut best
@@ -165,9 +169,9 @@
         idle.count() * 2 > usable.len()
     }
 
-    /// The part of the replicas that one request considers first. All routers
-    /// choose by the same reports, and what is least in them would get what all
-    /// of them send until the next ones.
+    /// The part of the replicas that one request considers first, beside those
+    /// that keep its shared parts. All routers choose by the same reports, and
+    /// what is least in them would get what all of them send until the next ones.
     fn considered(
         &self,
         replicas: usize,
--- a/src/policy/placement/offer.rs
+++ b/src/policy/placement/offer.rs
@@ -15,10 +15,22 @@
     pub source: Option<&'v ReplicaView>, // to fetch from
     pub reading: u32,                    // tokens it would read
     pub again: u32,                      // of these, kept elsewhere
+    pub fetched: u32,                    // tokens it would fetch
     pub fetch_ms: f64,
     pub expected_ms: f64, // until the first token
 }
 
+impl Offer<'_> {
+    /// Whether the replica itself keeps all that the prompt shares with others.
+    pub fn keeps_shared(
+        &self,
+        prompt: &PromptShape,
+    ) -> bool {
+        let own = prompt.parts.last().map_or(0, |part| part.tokens);
+        prompt.parts.len() > 1 && self.source.is_none() && self.reading <= own
+    }
+}
+
 /// What each replica lacks of a prompt, and who keeps the most of it.
 pub struct Sources {
     uncached: Vec<u32>, // by replica
@@ -96,6 +108,7 @@
         source: None,
         reading: uncached,
         again: gained,
+        fetched: 0,
         fetch_ms: 0.0,
         expected_ms: 0.0,
     };
@@ -105,6 +118,7 @@
             source: source.map(|other| usable[other]),
             reading: least,
             again: 0,
+            fetched: gained,
             fetch_ms,
             ..alone
         },
--- a/src/policy/placement/placement_settings.rs
+++ b/src/policy/placement/placement_settings.rs
@@ -9,6 +9,7 @@
     pub behind_share: f64,      // the same for accounts that got too little
     pub own_weight: f64,        // how much a request's own reading counts against the bound
     pub reread_weight: f64,     // cost of reading a part again, relative to reading
+    pub fetch_weight: f64,      // cost of a fetched token, relative to reading it
     pub memory_share: f64,      // part of an engine's memory that running requests may take
     pub zone_penalty: Duration, // of a replica in another availability zone
     pub peer_age: Duration,     // older reports of peers are ignored
@@ -23,6 +24,7 @@
             behind_share: 2.0,
             own_weight: 0.5,
             reread_weight: 1.0,
+            fetch_weight: 0.2,
             memory_share: 0.9,
             zone_penalty: Duration::from_millis(1),
             peer_age: Duration::from_secs(1),
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -102,6 +102,14 @@
     }
 }
 
+/// A request to engines that hand prompts over to each other.
+fn able(prompt: &PromptShape) -> PlacementRequest<'_> {
+    PlacementRequest {
+        engine: Some(ABLE),
+        ..request(prompt)
+    }
+}
+
 /// A peer's report that every slot of a replica is taken.
 fn full_of_requests(id: &str) -> ReplicaReport {
     ReplicaReport {
@@ -509,6 +517,50 @@
     assert!(chosen_idle(20) < 40);
 }
 
+#[test]
+fn among_many_routers_a_prompt_still_goes_where_its_shared_part_is_kept() {
+    let ids: Vec<String> = (0..38).map(|number| format!("r{number}")).collect();
+    let names: Vec<&str> = ids.iter().map(String::as_str).collect();
+    let mut board = board(&names);
+    board.set_reports(Duration::from_millis(100), 20);
+    let first = prompt(1, 100);
+    let (home, reading) = sent(board.choose(NOW, &able(&first)));
+    let work = board
+        .start(NOW, &home, reading, Some(&first), Some(ABLE))
+        .expect("started");
+    board.finish(work);
+    let prompts = (0..100).map(|own| prompt(1, 1000 + own));
+    let at_home = prompts.filter(|prompt| sent(board.choose(NOW, &able(prompt))).0 == home);
+    assert_eq!(at_home.count(), 100);
+}
+
+#[test]
+fn a_fetch_that_gains_little_time_is_not_made() {
+    let stays_at_home = |in_front: u32| {
+        let mut board = board(&["a", "b"]);
+        let first = prompt(1, 100);
+        let (home, reading) = sent(board.choose(NOW, &able(&first)));
+        let work = board
+            .start(NOW, &home, reading, Some(&first), Some(ABLE))
+            .expect("started");
+        board.finish(work);
+        let busy = ReplicaReport {
+            replica: replica_key(&home),
+            load: Load {
+                running: 1,
+                reading: in_front,
+                memory: in_front,
+            },
+            placed: 0,
+            rests: false,
+        };
+        board.hear(NOW, 1, &HashMap::from([(busy.replica, busy)]));
+        sent(board.choose(NOW, &able(&prompt(1, 101)))).0 == home
+    };
+    assert!(stays_at_home(1000));
+    assert!(!stays_at_home(6000));
+}
+
 #[test]
 fn a_part_is_given_up_when_the_fleet_has_placed_more_than_fits() {
     let mut board = board(&["a"]);
