Routers pause only where others are less busy, and for 4 s

When all are busy a pause sends callers to hosts that are no better.

Kept connections move within one pause.

--- a/src/direct/gateway.rs
+++ b/src/direct/gateway.rs
@@ -15,7 +15,7 @@
     std::{
         sync::{
             Arc, Mutex, MutexGuard, RwLock,
-            atomic::{AtomicBool, AtomicU64, Ordering},
+            atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering},
         },
         time::Duration,
     },
@@ -46,6 +46,7 @@
     stopping: AtomicBool,
     refusing: AtomicBool, // stops, and takes no more requests
     lag_ms: AtomicU64,    // of the process behind its timers
+    busy: AtomicU8,       // part of the time with work for its processor, in percent
     paused: AtomicBool,   // lets callers go elsewhere, being short of processor
     crowded: AtomicBool,  // more connections of callers than are kept
 }
@@ -77,6 +78,7 @@
             stopping: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
             lag_ms: AtomicU64::new(0),
+            busy: AtomicU8::new(0),
             paused: AtomicBool::new(false),
             crowded: AtomicBool::new(false),
             settings: RwLock::new(Arc::new(settings)),
@@ -175,6 +177,19 @@
         (choked != before).then_some(choked)
     }
 
+    /// Notes which part of the time the process has work for its processor, 0 to 1.
+    pub fn set_busy(
+        &self,
+        share: f64,
+    ) {
+        self.busy.store((share * 100.0) as u8, Ordering::Relaxed);
+    }
+
+    /// The part of the time with work for the processor, in percent.
+    pub fn busy_percent(&self) -> u8 {
+        self.busy.load(Ordering::Relaxed)
+    }
+
     /// Lets callers go elsewhere, or takes them again. Whether that is new.
     pub fn set_paused(
         &self,
--- a/src/direct/processor_watch.rs
+++ b/src/direct/processor_watch.rs
@@ -8,6 +8,9 @@
 /// How often the processor is looked at.
 const TICK: Duration = Duration::from_millis(20);
 
+/// A router this many times as busy as the others on average lets callers go.
+const BUSIER: f64 = 1.5;
+
 /// Watches whether this process gets enough of its processor: whether requests
 /// must be refused, and whether callers should go elsewhere for a while.
 pub struct ProcessorWatch {
@@ -47,6 +50,7 @@
     ) {
         self.lag.sample(step.saturating_sub(TICK));
         self.busy.sample(step, self.worked());
+        self.gateway.set_busy(self.busy.share());
         let lag_ms = self.lag.lag().as_millis() as u64;
         let busy = format!("{:.2}", self.busy.share());
         if let Some(choked) = self.gateway.set_lag(self.lag.lag()) {
@@ -55,10 +59,8 @@
                 "processor is short, or not any more"
             );
         }
-        let is_busy = self.busy.share() > self.gateway.settings().most_busy;
-        let paused = self
-            .pause
-            .observe(now, step, is_busy || self.gateway.is_choked());
+        let is_short = self.gateway.is_choked() || self.is_busier_than_others(now);
+        let paused = self.pause.observe(now, step, is_short);
         if self.gateway.set_paused(paused) {
             log::warn!(
                 lag_ms = lag_ms, busy = busy.as_str(), paused = paused;
@@ -67,6 +69,19 @@
         }
     }
 
+    /// Whether this router is busy while others have time to spare: callers that
+    /// are sent elsewhere are served better only then.
+    fn is_busier_than_others(
+        &self,
+        now: Moment,
+    ) -> bool {
+        let settings = self.gateway.settings();
+        let own = self.busy.share();
+        let others = self.gateway.peers.mean_busy(now, settings.peer_age);
+        let spare = others.is_some_and(|percent| own > percent / 100.0 * BUSIER);
+        own > settings.most_busy && spare
+    }
+
     /// The time that the runtime's threads have worked, on average.
     fn worked(&self) -> Duration {
         let workers = self.runtime.num_workers();
--- a/src/peers/peer_link.rs
+++ b/src/peers/peer_link.rs
@@ -215,6 +215,7 @@
             incarnation: self.incarnation,
             sequence: self.sequence.fetch_add(1, Ordering::Relaxed) + 1,
             leaving: gateway.is_stopping(),
+            busy: gateway.busy_percent(),
             version: gateway.catalog.version(),
             replicas: told.replicas(now, refresh, replicas),
             accounts: told.accounts(now, refresh, settings.share_window, &usage),
--- a/src/peers/peer_table.rs
+++ b/src/peers/peer_table.rs
@@ -25,6 +25,7 @@
     incarnation: u64,
     sequence: u64,
     leaving: bool,
+    busy: u8, // percent
     version: CatalogVersion,
 }
 
@@ -82,6 +83,7 @@
             incarnation: report.incarnation,
             sequence: report.sequence,
             leaving: report.leaving,
+            busy: report.busy,
             version: report.version,
             ..*entry
         };
@@ -161,6 +163,26 @@
         fresh.map(|(address, _)| *address).collect()
     }
 
+    /// How busy the routers are that were heard of within `age`, on average and in
+    /// percent; none if there are none.
+    pub fn mean_busy(
+        &self,
+        now: Moment,
+        age: Duration,
+    ) -> Option<f64> {
+        let peers = self.peers();
+        let fresh = |entry: &&PeerEntry| {
+            let heard = entry.heard.is_some_and(|at| now.saturating_sub(at) <= age);
+            heard && !entry.leaving
+        };
+        let busy: Vec<f64> = peers
+            .values()
+            .filter(fresh)
+            .map(|entry| f64::from(entry.busy))
+            .collect();
+        (!busy.is_empty()).then(|| busy.iter().sum::<f64>() / busy.len() as f64)
+    }
+
     /// How far a peer's catalog had come by its last report.
     pub fn version(
         &self,
--- a/src/peers/router_report.rs
+++ b/src/peers/router_report.rs
@@ -26,6 +26,7 @@
     pub incarnation: u64,    // of its process; higher is later
     pub sequence: u64,
     pub leaving: bool,
+    pub busy: u8, // part of the time with work for its processor, in percent
     pub version: CatalogVersion,
     pub replicas: Vec<ReplicaReport>,
     pub accounts: Vec<(u32, AccountUsage)>,
--- a/src/policy/overload_pause.rs
+++ b/src/policy/overload_pause.rs
@@ -7,7 +7,7 @@
 const RECOVERY: u32 = 4;
 
 /// The first pause, and the longest; each that follows soon is twice as long.
-const PAUSES: (Duration, Duration) = (Duration::from_secs(12), Duration::from_secs(48));
+const PAUSES: (Duration, Duration) = (Duration::from_secs(4), Duration::from_secs(16));
 
 /// A pause this long after the last one is a first one again.
 const FORGOTTEN: Duration = Duration::from_secs(30);
--- a/tests/peer_reports.rs
+++ b/tests/peer_reports.rs
@@ -2,13 +2,14 @@
 
 use {
     archmast::{
-        peers::ToldReports,
+        catalog::CatalogVersion,
+        peers::{PeerTable, RouterReport, ToldReports},
         policy::{
             placement::{CacheNote, Load, ReplicaReport},
             shares::AccountUsage,
         },
     },
-    std::{collections::HashMap, time::Duration},
+    std::{collections::HashMap, net::SocketAddr, time::Duration},
 };
 
 const REFRESH: Duration = Duration::from_millis(500);
@@ -88,3 +89,38 @@
     assert_eq!(told.notes(ms(400), REFRESH, vec![note]), []);
     assert_eq!(told.notes(ms(600), REFRESH, vec![note]), [note]);
 }
+
+fn heard_busy(
+    table: &PeerTable,
+    port: u16,
+    busy: u8,
+    leaving: bool,
+) {
+    let address = SocketAddr::from(([127, 0, 0, 1], port));
+    let report = RouterReport {
+        address,
+        news: address,
+        incarnation: 1,
+        sequence: 1,
+        leaving,
+        busy,
+        version: CatalogVersion::default(),
+        replicas: Vec::new(),
+        accounts: Vec::new(),
+        notes: Vec::new(),
+        routers: Vec::new(),
+    };
+    assert!(table.hear(ms(1000), &report));
+}
+
+#[test]
+fn how_busy_the_others_are_counts_those_heard_of_that_stay() {
+    let own = SocketAddr::from(([127, 0, 0, 1], 1));
+    let table = PeerTable::new(own, &[SocketAddr::from(([127, 0, 0, 1], 9))]);
+    assert_eq!(table.mean_busy(ms(1000), ms(500)), None);
+    heard_busy(&table, 2, 40, false);
+    heard_busy(&table, 3, 20, false);
+    heard_busy(&table, 4, 100, true);
+    assert_eq!(table.mean_busy(ms(1200), ms(500)), Some(30.0));
+    assert_eq!(table.mean_busy(ms(1600), ms(500)), None);
+}
