--- /dev/null
+++ b/src/direct/cache_survey.rs
@@ -0,0 +1,142 @@
+use {
+    super::gateway::Gateway,
+    crate::{
+        catalog::UpstreamEntry,
+        codes::{Fault, ResultCode},
+        policy::placement::KeptPart,
+    },
+    futures::{StreamExt, stream},
+    http_body_util::{BodyExt, Limited},
+    hyper::header::{HOST, HeaderValue},
+    std::{collections::HashSet, sync::Arc, time::Duration},
+    tokio::time::{Instant, timeout, timeout_at},
+};
+
+/// Replicas that are asked at the same time.
+const AT_ONCE: usize = 4;
+
+/// How long one answer may take.
+const ANSWER_TIME: Duration = Duration::from_millis(700);
+
+/// The largest answer that is read, in bytes.
+const LARGEST_ANSWER: usize = 1 << 20;
+
+/// Replicas that are listed later than this after the first ones are new, or
+/// peers have told of them by then.
+const SURVEY_TIME: Duration = Duration::from_secs(3);
+
+/// Asks the model replicas what they keep of prompts, once, when this router
+/// starts. Its peers tell only what they send from now on, and after a loss of
+/// all routers there are none that know.
+pub async fn survey_caches(gateway: Arc<Gateway>) {
+    let mut changes = gateway.catalog.subscribe();
+    let mut asked = HashSet::new();
+    let mut until = None;
+    loop {
+        let due = due(&gateway, &mut asked);
+        if !due.is_empty() {
+            until.get_or_insert_with(|| Instant::now() + SURVEY_TIME);
+            let asking = due.into_iter().map(|entry| survey(&gateway, entry));
+            stream::iter(asking)
+                .buffer_unordered(AT_ONCE)
+                .collect::<()>()
+                .await;
+        }
+        let changed = match until {
+            None => changes.changed().await,
+            Some(until) => match timeout_at(until, changes.changed()).await {
+                Ok(changed) => changed,
+                Err(_) => return,
+            },
+        };
+        if changed.is_err() {
+            return;
+        }
+    }
+}
+
+/// The model replicas not asked yet, those of the own availability zone first.
+fn due(
+    gateway: &Gateway,
+    asked: &mut HashSet<Arc<str>>,
+) -> Vec<Arc<UpstreamEntry>> {
+    let Some(table) = gateway.catalog.config() else {
+        return Vec::new();
+    };
+    let keeps_prompts = |entry: &UpstreamEntry| {
+        let service = table.service(&entry.service);
+        service.is_some_and(|service| service.engine.is_some())
+    };
+    let zone = &gateway.settings().process.zone;
+    let mut due = gateway.catalog.upstreams();
+    due.retain(|entry| keeps_prompts(entry) && asked.insert(entry.id.clone()));
+    due.sort_by_key(|entry| *entry.zone != **zone);
+    due
+}
+
+async fn survey(
+    gateway: &Gateway,
+    entry: Arc<UpstreamEntry>,
+) {
+    let answer = timeout(ANSWER_TIME, ask(gateway, &entry)).await;
+    match answer.map_err(Fault::unreachable).flatten() {
+        Ok(parts) => {
+            log::info!(
+                replica = &*entry.id, parts = parts.len();
+                "replica asked what it keeps"
+            );
+            learn(gateway, &entry, &parts);
+        }
+        Err(error) => {
+            log::info!(
+                replica = &*entry.id, code = error.code.number();
+                "replica did not say what it keeps: {error}"
+            );
+        }
+    }
+}
+
+fn learn(
+    gateway: &Gateway,
+    entry: &UpstreamEntry,
+    parts: &[KeptPart],
+) {
+    let table = gateway.catalog.config();
+    let service = table
+        .as_ref()
+        .and_then(|table| table.service(&entry.service));
+    let Some(engine) = service.and_then(|service| service.engine) else {
+        return;
+    };
+    let mut board = gateway.board();
+    if let Some(view) = board.replica_mut(&entry.id) {
+        view.cache.learn(parts, engine.memory_tokens);
+    }
+}
+
+async fn ask(
+    gateway: &Gateway,
+    entry: &UpstreamEntry,
+) -> Result<Vec<KeptPart>, Fault> {
+    let calls = gateway.dialect.cache;
+    let mut request = (calls.list)();
+    let host = HeaderValue::from_str(&entry.address.to_string()).map_err(Fault::unreachable)?;
+    request.headers_mut().insert(HOST, host);
+    let mut connection = gateway
+        .pool
+        .take(entry, AT_ONCE)
+        .await
+        .map_err(|end| Fault::unreachable(format!("{end:?}")))?;
+    let response = connection
+        .send(request)
+        .await
+        .map_err(|end| Fault::unreachable(format!("{end:?}")))?;
+    let status = response.status();
+    let body = Limited::new(response.into_body(), LARGEST_ANSWER);
+    let body = body.collect().await.map_err(Fault::unreachable)?.to_bytes();
+    gateway.pool.give_back(&entry.id, connection);
+    if !status.is_success() {
+        return Err(Fault::new(ResultCode::PlatformReply, status));
+    }
+    (calls.read_list)(&body)
+}
--- a/src/direct/dialect.rs
+++ b/src/direct/dialect.rs
@@ -1,4 +1,5 @@
 use {
+    super::cache_calls::CacheCalls,
     crate::policy::placement::PromptShape,
     hyper::{HeaderMap, header::HeaderName},
 };
@@ -24,4 +25,6 @@
     pub names: HeaderNames,
     /// What a request says of its prompt.
     pub prompt: fn(&HeaderMap) -> Option<PromptShape>,
+    /// How a replica is asked what it keeps.
+    pub cache: CacheCalls,
 }
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -3,6 +3,8 @@
 
 mod attempt;
 mod attempt_end;
+mod cache_calls;
+mod cache_survey;
 mod call;
 mod caller_connections;
 mod caller_port;
@@ -28,6 +30,7 @@
 mod upstream_pool;
 
 pub use {
+    cache_calls::CacheCalls,
     dialect::{Dialect, HeaderNames},
     event_splitter::EventSplitter,
     gateway::Gateway,
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        caller_connections::CallerConnections, gateway::Gateway, processor_watch::ProcessorWatch,
-        ready_port::ready_server, settings_watch::watch_settings,
+        cache_survey::survey_caches, caller_connections::CallerConnections, gateway::Gateway,
+        processor_watch::ProcessorWatch, ready_port::ready_server, settings_watch::watch_settings,
     },
     crate::{
         catalog::{Catalog, follow_source},
@@ -60,6 +60,7 @@
     tokio::spawn(follow_source(catalog, store, settings.catalog_pace));
     tokio::spawn(gateway.clone().follow_catalog());
     tokio::spawn(gateway.clone().tidy_pool());
+    tokio::spawn(survey_caches(gateway.clone()));
     tokio::spawn(ProcessorWatch::new(gateway.clone()).run());
     link.clone().start();
     tokio::spawn(watch_settings(gateway.clone(), settings.path.clone()));
--- a/src/platform/dialect.rs
+++ b/src/platform/dialect.rs
@@ -1,5 +1,5 @@
 use {
-    super::prompt_headers::prompt_shape,
+    super::{cache_json::CACHE_CALLS, prompt_headers::prompt_shape},
     crate::direct::{Dialect, HeaderNames},
     hyper::header::HeaderName,
 };
@@ -34,5 +34,6 @@
             system: SYSTEM_HEADERS.iter().map(|text| name(text)).collect(),
         },
         prompt: prompt_shape,
+        cache: CACHE_CALLS,
     }
 }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -2,6 +2,7 @@
 //! into the product's own. Nothing in here decides anything, and nothing
 //! outside knows these names.
 
+mod cache_json;
 mod config_json;
 mod dialect;
 mod prompt_headers;
--- a/src/policy/placement/mod.rs
+++ b/src/policy/placement/mod.rs
@@ -6,6 +6,7 @@
 mod board_evidence;
 mod cache_note;
 mod choice;
+mod kept_part;
 mod load;
 mod offer;
 mod placement_request;
@@ -23,6 +24,7 @@
 pub use {
     cache_note::CacheNote,
     choice::{Choice, RefusalReason},
+    kept_part::KeptPart,
     load::Load,
     placement_request::PlacementRequest,
     placement_settings::PlacementSettings,
--- a/src/policy/placement/prefix_cache.rs
+++ b/src/policy/placement/prefix_cache.rs
@@ -1,4 +1,7 @@
-use {super::PromptShape, std::collections::HashMap};
+use {
+    super::{KeptPart, PromptShape},
+    std::collections::HashMap,
+};
 
 /// Parts that are known at most; those unused longest are forgotten beyond it.
 const KNOWN_PARTS: usize = 4096;
@@ -51,6 +54,23 @@
         self.room = tokens;
     }
 
+    /// The replica's own word on what it keeps, in a memory of `memory` tokens.
+    /// What was noted here before is newer, and stays.
+    pub fn learn(
+        &mut self,
+        parts: &[KeptPart],
+        memory: u64,
+    ) {
+        if self.room == 0 {
+            self.room = memory;
+        }
+        for kept in parts.iter().filter(|kept| kept.tokens > 0) {
+            if !self.used.contains_key(&kept.part) {
+                self.note(kept.part);
+            }
+        }
+    }
+
     /// A part is used there.
     pub fn note(
         &mut self,
--- a/testbed/src/direct/direct_fleet.rs
+++ b/testbed/src/direct/direct_fleet.rs
@@ -1,7 +1,10 @@
 use {
     super::{Client, ClientRequest, Replica, ReplicaAnswer, RouteText, Store, StorePort},
     crate::fleet::{Loopback, Process, until_async},
-    std::{net::SocketAddr, path::PathBuf},
+    std::{
+        net::{IpAddr, SocketAddr},
+        path::PathBuf,
+    },
 };
 
 /// Routers that carry requests themselves, their replicas and their store.
@@ -100,6 +103,11 @@
         (fleet, replicas)
     }
 
+    /// The address at which stand-ins listen.
+    pub fn standins(&self) -> IpAddr {
+        self.loopback.standins
+    }
+
     /// Starts a replica and lists it as ready.
     pub async fn replica(
         &self,
--- a/testbed/src/direct/replica.rs
+++ b/testbed/src/direct/replica.rs
@@ -1,5 +1,6 @@
 use {
     super::{ReplicaAnswer, SeenRequest},
+    serde_json::{Value, json},
     std::{
         collections::{HashMap, VecDeque},
         io,
@@ -31,8 +32,10 @@
     script: Mutex<VecDeque<ReplicaAnswer>>,
     usual: Mutex<ReplicaAnswer>,
     seen: Mutex<Vec<SeenRequest>>,
-    open: AtomicUsize,   // connections
-    opened: AtomicUsize, // connections so far
+    kept: Mutex<Vec<Value>>,     // parts of prompts, as it lists them
+    list_after: Mutex<Duration>, // what listing takes
+    open: AtomicUsize,           // connections
+    opened: AtomicUsize,         // connections so far
 }
 
 impl Drop for Replica {
@@ -55,6 +58,8 @@
             script: Mutex::default(),
             usual: Mutex::new(usual),
             seen: Mutex::default(),
+            kept: Mutex::default(),
+            list_after: Mutex::default(),
             open: AtomicUsize::new(0),
             opened: AtomicUsize::new(0),
         });
@@ -88,6 +93,25 @@
         *self.state.usual.lock().expect("lock") = answer;
     }
 
+    /// The parts of prompts that it says it keeps: their ids and tokens.
+    pub fn keeps(
+        &self,
+        parts: &[(&str, u32)],
+    ) {
+        let parts = parts
+            .iter()
+            .map(|(id, tokens)| json!(["", id, tokens, "m"]));
+        *self.state.kept.lock().expect("lock") = parts.collect();
+    }
+
+    /// How long it takes to say what it keeps.
+    pub fn list_after(
+        &self,
+        time: Duration,
+    ) {
+        *self.state.list_after.lock().expect("lock") = time;
+    }
+
     /// From now on another replica runs at its address.
     pub fn become_another(
         &self,
@@ -131,6 +155,12 @@
 ) -> io::Result<()> {
     let mut rest = Vec::new();
     while let Some(request) = read_request(stream, &mut rest).await? {
+        if request.target == "/v1/kv-list" {
+            let wait = *state.list_after.lock().expect("lock");
+            tokio::time::sleep(wait).await;
+            write(stream, &list(state)).await?;
+            continue;
+        }
         let id = state.id.lock().expect("lock").clone();
         if request.header("archmast-expected-replica") != id {
             let text = format!(
@@ -149,6 +179,14 @@
     Ok(())
 }
 
+/// What it keeps, as an answer.
+fn list(state: &State) -> String {
+    let kept = state.kept.lock().expect("lock").clone();
+    let body = json!({"epoch": 1, "next_token": 1, "held": kept}).to_string();
+    let length = body.len();
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}")
+}
+
 /// Answers one request. False if the connection ends with it.
 async fn act(
     stream: &mut TcpStream,
--- a/testbed/src/direct/store.rs
+++ b/testbed/src/direct/store.rs
@@ -80,16 +80,36 @@
         self.publish_with_keys(version, routes, &["key-1"]);
     }
 
+    /// The same, where the replicas of all services are model engines.
+    pub fn publish_engines(
+        &self,
+        version: u64,
+        routes: &[RouteText],
+    ) {
+        let engine = json!({"slots": 8, "kv_capacity_tokens": 100_000});
+        self.publish_config(version, routes, &["key-1"], &engine);
+    }
+
     /// The same with other keys.
     pub fn publish_with_keys(
         &self,
         version: u64,
         routes: &[RouteText],
         keys: &[&str],
+    ) {
+        self.publish_config(version, routes, keys, &Value::Null);
+    }
+
+    fn publish_config(
+        &self,
+        version: u64,
+        routes: &[RouteText],
+        keys: &[&str],
+        engine: &Value,
     ) {
         let services: Vec<Value> = routes
             .iter()
-            .map(|route| json!({"name": route.service, "health_path": "/health", "max_connections": 100, "protocol": "h1"}))
+            .map(|route| json!({"name": route.service, "health_path": "/health", "max_connections": 100, "protocol": "h1", "engine": engine}))
             .collect();
         let routes: Vec<Value> = routes
             .iter()
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -4,7 +4,7 @@
     archmast::{
         catalog::{UpstreamEntry, UpstreamState},
         policy::placement::{
-            Choice, Load, PlacementRequest, PlacementSettings, PromptPart, PromptShape,
+            Choice, KeptPart, Load, PlacementRequest, PlacementSettings, PromptPart, PromptShape,
             RefusalReason, ReplicaBoard, ReplicaReport, replica_key,
         },
         policy::{LagGauge, shares::Standing},
@@ -561,6 +561,31 @@
     assert!(!stays_at_home(6000));
 }
 
+#[test]
+fn a_replicas_own_word_on_what_it_keeps_is_believed_until_other_prompts_take_the_room() {
+    let mut board = board(&["a", "b"]);
+    let parts: Vec<KeptPart> = (1..=20)
+        .map(|part| KeptPart { part, tokens: 4000 })
+        .collect();
+    let view = board.replica_mut("b").expect("listed");
+    view.cache.learn(&parts, ENGINE.memory_tokens);
+    view.cache.learn(
+        &[KeptPart {
+            part: 30,
+            tokens: 0,
+        }],
+        1,
+    );
+    for part in 1..=20 {
+        let (replica, reading) = sent(board.choose(NOW, &request(&prompt(part, 100))));
+        assert_eq!((&*replica, reading), ("b", 1000));
+    }
+    let view = board.replica_mut("b").expect("listed");
+    assert!(!view.cache.holds(30), "given up by its own word");
+    view.cache.place(ENGINE.memory_tokens);
+    assert!(!view.cache.holds(1));
+}
+
 #[test]
 fn a_part_is_given_up_when_the_fleet_has_placed_more_than_fits() {
     let mut board = board(&["a"]);
--- a/tests/platform_adapter.rs
+++ b/tests/platform_adapter.rs
@@ -88,3 +88,15 @@
     }
     assert_eq!((dialect().prompt)(&HeaderMap::new()), None);
 }
+
+#[test]
+fn what_a_replica_keeps_is_read() {
+    let cache = dialect().cache;
+    assert_eq!((cache.list)().uri().path(), "/v1/kv-list");
+    let text = br#"{"epoch":"e","next_token":7,"held":[["","5c1e07a2",800,"m"],["","91bd3f06",16,"m"]],"new":1}"#;
+    let parts = (cache.read_list)(text).expect("a list");
+    let told: Vec<_> = parts.iter().map(|part| (part.part, part.tokens)).collect();
+    assert_eq!(told, [(0x5c1e_07a2, 800), (0x91bd_3f06, 16)]);
+    let error = (cache.read_list)(b"{}").expect_err("refused");
+    assert_eq!(error.code, ResultCode::PlatformReply);
+}
