A sidecar says that it leaves only once it admits nothing

The flag that others see was set before the dispatcher knew: between the two a request was admitted although the sidecar had said leaving.

--- a/src/sidecar/sidecar.rs
+++ b/src/sidecar/sidecar.rs
@@ -186,15 +186,19 @@
         }
     }
 
-    /// Stops granting, hands back what has not started, tells the routers.
+    /// Stops granting, hands back what has not started, tells the routers. In
+    /// this order: once anyone is told that it leaves, nothing is admitted.
     pub fn leave(&self) {
-        if !self.node.begin_leaving() {
+        if self.node.is_leaving() {
             return;
         }
         {
             let mut table = self.table.lock().expect("table lock");
             table.leave(self.node.now());
         }
+        if !self.node.begin_leaving() {
+            return;
+        }
         if let Some(link) = self.link() {
             link.send_to_all(&ControlMessage::Leaving);
         }
