--- a/src/catalog/catalog.rs
+++ b/src/catalog/catalog.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         AcceptedConfig, Item, Listing, UpstreamEntry, UpstreamRecord, UpstreamState,
-        lapse_grace::LapseGrace,
+        lapse_grace::{LapseGrace, vanish_together},
     },
     crate::{codes::Fault, routing::RoutingTable},
     serde::{Deserialize, Serialize},
@@ -139,7 +139,7 @@
         from: &str,
     ) {
         let mut state = self.state.lock().expect("catalog lock");
-        if vanish_together(&state, &records) {
+        if vanish_together(&state.entries, &records) {
             log::warn!(from = from; "most upstreams vanished at once: their leases ran out");
             state.lapses.begin(Instant::now());
         }
@@ -289,15 +289,3 @@
         !same
     }
 }
-
-/// Whether records take away more than half of the upstreams at once. No planned
-/// work does; leases that ran out while the store was away do.
-fn vanish_together(
-    state: &State,
-    records: &[UpstreamRecord],
-) -> bool {
-    let vanishing = records.iter().filter(|record| record.text.is_none());
-    let known = vanishing.filter(|record| state.entries.contains_key(&record.id));
-    let count = known.count();
-    count > 1 && count * 2 > state.entries.len()
-}
--- a/src/catalog/lapse_grace.rs
+++ b/src/catalog/lapse_grace.rs
@@ -1,5 +1,6 @@
 use {
-    std::{collections::BTreeMap, time::Duration},
+    super::{UpstreamEntry, UpstreamRecord},
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
     tokio::time::Instant,
 };
 
@@ -56,3 +57,15 @@
         expired.map(|(id, _)| id).collect()
     }
 }
+
+/// Whether records take away more than half of the entries at once. No planned
+/// work does; leases that ran out while the store was away do.
+pub fn vanish_together(
+    entries: &BTreeMap<String, Arc<UpstreamEntry>>,
+    records: &[UpstreamRecord],
+) -> bool {
+    let vanishing = records.iter().filter(|record| record.text.is_none());
+    let known = vanishing.filter(|record| entries.contains_key(&record.id));
+    let count = known.count();
+    count > 1 && count * 2 > entries.len()
+}
--- a/src/direct/exchange_choice.rs
+++ b/src/direct/exchange_choice.rs
@@ -62,7 +62,7 @@
                     return Err(self.refusal(RefusalReason::NoReplica, REFUSED_RETRY));
                 };
                 if reading >= URGENT_READING {
-                    self.gateway.urgent_report.notify_one();
+                    self.gateway.report_wanted.notify_one();
                 }
                 self.log_sent(&replica, reading, in_front, fetch_from, expected);
                 let work = HeldWork::new(self.gateway.clone(), number, replica.clone());
--- a/src/direct/gateway.rs
+++ b/src/direct/gateway.rs
@@ -39,7 +39,7 @@
     pub catalog: Arc<Catalog>,
     pub pool: UpstreamPool,
     pub peers: PeerTable,
-    pub urgent_report: Notify, // peers should soon know what was sent from here
+    pub report_wanted: Notify, // peers should be told before the regular time
     board: Mutex<ReplicaBoard>,
     shares: Mutex<ShareBook>,
     retries: Mutex<RetryWindow>,
@@ -71,7 +71,7 @@
             catalog,
             pool: UpstreamPool::default(),
             peers: PeerTable::new(settings.peers, &settings.seeds),
-            urgent_report: Notify::new(),
+            report_wanted: Notify::new(),
             board: Mutex::new(ReplicaBoard::new(settings.placement)),
             shares: Mutex::new(ShareBook::new(settings.share_window, settings.peer_age)),
             retries: Mutex::new(retries),
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -86,7 +86,7 @@
     }
     log::info!("stopping: not ready from now on");
     gateway.begin_stopping();
-    link.tell_now();
+    gateway.report_wanted.notify_one();
     let end = tokio::time::Instant::now() + settings.grace.saturating_sub(END_MARGIN);
     tokio::time::sleep(settings.balancer_lag).await;
     // What still comes would not be done in time: it is refused, "not run".
--- a/src/peers/peer_link.rs
+++ b/src/peers/peer_link.rs
@@ -7,12 +7,11 @@
         codes::{Fault, ResultCode},
         direct::Gateway,
         ops::{CONTROL_BYTES, PEERS, Uptime},
-        policy::placement::{ReplicaReport, replica_key},
+        policy::placement::replica_key,
         wire::{decode_payload, encode_payload},
     },
     quinn::Endpoint,
     std::{
-        collections::HashMap,
         net::SocketAddr,
         sync::{
             Arc, Mutex,
@@ -20,7 +19,7 @@
         },
         time::Duration,
     },
-    tokio::{net::UdpSocket, sync::Notify},
+    tokio::net::UdpSocket,
 };
 
 /// The largest datagram that is read, in bytes.
@@ -57,7 +56,6 @@
     incarnation: u64,
     sequence: AtomicU64,
     told: Mutex<ToldReports>, // a leaf lock
-    wanted: Notify,           // a report before its time
 }
 
 impl PeerLink {
@@ -76,7 +74,6 @@
             incarnation: Uptime::unix_millis(),
             sequence: AtomicU64::new(0),
             told: Mutex::default(),
-            wanted: Notify::new(),
             gateway,
         }))
     }
@@ -92,11 +89,6 @@
         tokio::spawn(self.tell());
     }
 
-    /// Sends a report now, not at its time.
-    pub fn tell_now(&self) {
-        self.wanted.notify_one();
-    }
-
     async fn listen(self: Arc<Self>) {
         let mut datagram = vec![0; MAX_DATAGRAM];
         loop {
@@ -128,13 +120,8 @@
         }
         gateway.peers.learn(now, &report.routers);
         let peer = replica_key(&report.address.to_string());
-        let told: HashMap<u32, ReplicaReport> = report
-            .replicas
-            .into_iter()
-            .map(|report| (report.replica, report))
-            .collect();
         let mut board = gateway.board();
-        board.hear(now, peer, &told);
+        board.hear(now, peer, &report.replicas);
         for note in &report.notes {
             if let Some(view) = board.by_key(note.replica) {
                 view.cache.note(note.part);
@@ -164,8 +151,7 @@
             self.gateway.board().set_reports(pace, routers);
             tokio::select! {
                 () = tokio::time::sleep(pace) => {}
-                () = self.wanted.notified() => {}
-                () = self.gateway.urgent_report.notified() => {}
+                () = self.gateway.report_wanted.notified() => {}
                 _ = changes.changed() => {}
             }
         }
--- a/src/policy/placement/replica_board.rs
+++ b/src/policy/placement/replica_board.rs
@@ -118,10 +118,10 @@
         &mut self,
         now: Moment,
         peer: u32,
-        told: &HashMap<u32, ReplicaReport>,
+        told: &[ReplicaReport],
     ) {
-        for (key, report) in told {
-            if let Some(view) = self.by_key(*key) {
+        for report in told {
+            if let Some(view) = self.by_key(report.replica) {
                 view.hear(now, peer, report);
             }
         }
@@ -154,6 +154,7 @@
     ) -> Option<WorkNumber> {
         let age = self.settings.peer_age;
         let view = self.replicas.get_mut(replica)?;
+        let there = view.load(now, age);
         let mut load = Load {
             running: 1,
             ..Load::default()
@@ -161,7 +162,7 @@
         if let (Some(prompt), Some(engine)) = (prompt, engine) {
             load.reading = reading;
             load.memory = load.reading + prompt.output_tokens;
-            let memory = view.load(now, age).memory + load.memory;
+            let memory = there.memory + load.memory;
             view.cache
                 .set_room(engine.memory_tokens.saturating_sub(u64::from(memory)));
             view.placed += u64::from(load.memory);
@@ -181,7 +182,7 @@
             replica: replica.clone(),
             sent: now,
             load,
-            in_front: view.load(now, age).reading,
+            in_front: there.reading + load.reading,
         };
         let number = self.next_work;
         self.next_work += 1;
--- a/src/policy/shares/share_book.rs
+++ b/src/policy/shares/share_book.rs
@@ -176,20 +176,6 @@
         }
     }
 
-    /// How long until an account that has had more than its max-min share of
-    /// what was given lately is within it again, if nothing is given until then.
-    /// None if it is within.
-    pub fn over_for(
-        &mut self,
-        now: Moment,
-        account: u32,
-    ) -> Option<Duration> {
-        match self.standing(now, account, 0.0) {
-            Standing::Over { wait, .. } => Some(wait),
-            Standing::Within | Standing::Behind => None,
-        }
-    }
-
     /// What each account asked for and got over the fleet.
     pub fn fleet_usage(
         &mut self,
--- a/tests/fair_shares.rs
+++ b/tests/fair_shares.rs
@@ -32,6 +32,19 @@
     }
 }
 
+/// How long an account waits that has had more than its share; none if it has
+/// not.
+fn over_for(
+    book: &mut ShareBook,
+    now: Duration,
+    account: u32,
+) -> Option<Duration> {
+    match book.standing(now, account, 0.0) {
+        Standing::Over { wait, .. } => Some(wait),
+        Standing::Within | Standing::Behind => None,
+    }
+}
+
 #[test]
 fn an_account_is_over_only_while_others_are_owed() {
     let (big, small) = (account_key("big"), account_key("small"));
@@ -41,10 +54,10 @@
         book.ask(now, account, 1000.0);
     }
     book.give(now, big, 1000.0);
-    assert!(book.over_for(now, big).is_some());
-    assert_eq!(book.over_for(now, small), None);
+    assert!(over_for(&mut book, now, big).is_some());
+    assert_eq!(over_for(&mut book, now, small), None);
     book.give(now, small, 1000.0);
-    assert_eq!(book.over_for(now, big), None);
+    assert_eq!(over_for(&mut book, now, big), None);
 }
 
 fn told(
@@ -65,11 +78,11 @@
     there.ask(now, big, 3000.0);
     there.give(now, big, 3000.0);
     here.hear(now, 1, &told(&mut there, now));
-    assert!(here.over_for(now, big).is_some());
-    assert_eq!(here.over_for(now + AGE * 2, big), None);
+    assert!(over_for(&mut here, now, big).is_some());
+    assert_eq!(over_for(&mut here, now + AGE * 2, big), None);
     here.hear(now, 1, &told(&mut there, now));
     here.forget_peer(1);
-    assert_eq!(here.over_for(now, big), None);
+    assert_eq!(over_for(&mut here, now, big), None);
 }
 
 #[test]
@@ -81,14 +94,14 @@
     book.ask(now, small, 1000.0);
     book.give(now, big, 4000.0);
     book.give(now, small, 500.0);
-    let wait = book.over_for(now, big).expect("over its share");
+    let wait = over_for(&mut book, now, big).expect("over its share");
     assert!(wait > Duration::ZERO && wait < WINDOW * 3);
     // Nothing more is given to it, while the small one goes on as before.
     let then = now + wait + Duration::from_millis(100);
     book.ask(then, small, 600.0);
     book.give(then, small, 600.0);
     book.ask(then, big, 100.0);
-    let left = book.over_for(then, big).unwrap_or_default();
+    let left = over_for(&mut book, then, big).unwrap_or_default();
     assert!(left < wait, "{left:?} after {wait:?}");
 }
 
@@ -118,7 +131,7 @@
     book.ask(now, small, 1000.0);
     book.give(now, big, 1000.0);
     book.take_back(big, 1000.0);
-    assert_eq!(book.over_for(now, big), None);
+    assert_eq!(over_for(&mut book, now, big), None);
 }
 
 #[test]
@@ -164,8 +177,8 @@
         now += step;
         book.ask(now, hot, CAPACITY * 2.0);
         book.ask(now, other, CAPACITY * 2.0);
-        let hot_may = book.over_for(now, hot).is_none();
-        let other_may = book.over_for(now, other).is_none();
+        let hot_may = over_for(&mut book, now, hot).is_none();
+        let other_may = over_for(&mut book, now, other).is_none();
         let each = CAPACITY / f32::from(u8::from(hot_may) + u8::from(other_may)).max(1.0);
         if hot_may {
             book.give(now, hot, each);
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -176,7 +176,7 @@
         placed: 0,
         rests: false,
     };
-    board.hear(NOW, 1, &HashMap::from([(busy.replica, busy)]));
+    board.hear(NOW, 1, &[busy]);
     let (replica, _) = sent(board.choose(NOW, &request(&prompt(1, 101))));
     assert_ne!(replica, home);
     // A report that is old counts for nothing.
@@ -435,7 +435,7 @@
         ..request(&prompt)
     };
     let busy = full_of_requests(&home);
-    board.hear(NOW, 1, &HashMap::from([(busy.replica, busy)]));
+    board.hear(NOW, 1, &[busy]);
     let Choice::Send {
         replica,
         reading,
@@ -465,7 +465,7 @@
     let full: Vec<Arc<str>> = ids[..3].iter().map(|id| (*id).into()).collect();
     for id in &full {
         let busy = full_of_requests(id);
-        board.hear(NOW, 1, &HashMap::from([(busy.replica, busy)]));
+        board.hear(NOW, 1, &[busy]);
     }
     let mut sources = HashMap::new();
     for own in 0..60 {
@@ -505,7 +505,7 @@
                 placed: 0,
                 rests: false,
             };
-            board.hear(NOW, 1, &HashMap::from([(busy.replica, busy)]));
+            board.hear(NOW, 1, &[busy]);
         }
         let prompts = (0..100).map(|own| prompt(own, 1000 + own));
         prompts
@@ -554,7 +554,7 @@
             placed: 0,
             rests: false,
         };
-        board.hear(NOW, 1, &HashMap::from([(busy.replica, busy)]));
+        board.hear(NOW, 1, &[busy]);
         sent(board.choose(NOW, &able(&prompt(1, 101)))).0 == home
     };
     assert!(stays_at_home(1000));
@@ -600,9 +600,9 @@
         let view = board.replica("a").expect("listed");
         view.cache.uncached(&prompt(1, 101))
     };
-    board.hear(NOW, 1, &HashMap::from([(replica_key("a"), report(50_000))]));
+    board.hear(NOW, 1, &[report(50_000)]);
     assert_eq!(uncached(&board), 1000);
-    board.hear(NOW, 1, &HashMap::from([(replica_key("a"), report(99_000))]));
+    board.hear(NOW, 1, &[report(99_000)]);
     assert_eq!(uncached(&board), 5000);
 }
 
