Choices cost less where there are many routers and replicas; seldom reports are believed longer

By the code a request there compared every replica with every other twice (homes, sources) and summed the reports of 300 peers for each; and a peer told of itself each 1.5 s but was believed for 1 s.

Change: ranks by sorting, sources by zone once, the sum of the peers' loads kept as reports come; a report is believed for three paces where that is longer.

--- a/src/peers/peer_link.rs
+++ b/src/peers/peer_link.rs
@@ -148,7 +148,12 @@
             let paced = Duration::from_secs_f64(addresses.len() as f64 / DATAGRAMS_PER_SECOND);
             let pace = settings.peer_interval.max(paced);
             let routers = self.gateway.router_count();
-            self.gateway.board().set_reports(pace, routers);
+            let belief_age = {
+                let mut board = self.gateway.board();
+                board.set_reports(pace, routers);
+                board.belief_age()
+            };
+            self.gateway.shares().set_peer_age(belief_age);
             tokio::select! {
                 () = tokio::time::sleep(pace) => {}
                 () = self.gateway.report_wanted.notified() => {}
--- a/src/policy/placement/board_choice.rs
+++ b/src/policy/placement/board_choice.rs
@@ -99,6 +99,7 @@
         usable: &[&ReplicaView],
     ) -> Choice {
         let settings = &self.settings;
+        let age = self.belief_age();
         let most_are_idle = is_far_over(request.standing) && self.most_are_idle(now, usable);
         let admission = Admission::new(settings, request, engine, most_are_idle);
         let homes = homes(prompt, usable);
@@ -108,7 +109,7 @@
         let mut best_considered: Option<(f64, Offer)> = None;
         let mut soonest = f64::MAX;
         for (index, (view, home)) in usable.iter().zip(homes).enumerate() {
-            let load = view.load(now, settings.peer_age);
+            let load = view.load(now, age);
             let offer = offer(index, engine, usable, &sources);
             let speed = view.speed.tokens_per_ms();
             let front_ms = f64::from(load.reading) / speed;
@@ -120,7 +121,7 @@
                 continue;
             }
             let again_ms = f64::from(offer.again) / speed * settings.reread_weight;
-            let avoided = view.is_avoided(now, settings.peer_age);
+            let avoided = view.is_avoided(now, age);
             let displaced_ms = f64::from(offer.fetched) / speed * settings.fetch_weight;
             let mut score = front_ms + own_ms + again_ms + displaced_ms;
             score += if avoided { AVOIDED_PENALTY } else { 0.0 };
@@ -162,7 +163,7 @@
         now: Moment,
         usable: &[&ReplicaView],
     ) -> bool {
-        let age = self.settings.peer_age;
+        let age = self.belief_age();
         let idle = usable
             .iter()
             .filter(|view| view.load(now, age).reading == 0);
@@ -191,7 +192,7 @@
     ) -> Choice {
         let mut best: Option<(f64, &ReplicaView)> = None;
         for view in usable {
-            let running = f64::from(view.load(now, self.settings.peer_age).running);
+            let running = f64::from(view.load(now, self.belief_age()).running);
             let slots = f64::from(view.entry.slots.max(1));
             if running >= slots * (1.0 + PLAIN_QUEUE) {
                 continue;
--- a/src/policy/placement/load.rs
+++ b/src/policy/placement/load.rs
@@ -1,6 +1,6 @@
 use {
     serde::{Deserialize, Serialize},
-    std::ops::AddAssign,
+    std::ops::{AddAssign, SubAssign},
 };
 
 /// What one router has at one replica.
@@ -21,3 +21,14 @@
         self.memory += other.memory;
     }
 }
+
+impl SubAssign for Load {
+    fn sub_assign(
+        &mut self,
+        other: Self,
+    ) {
+        self.running = self.running.saturating_sub(other.running);
+        self.reading = self.reading.saturating_sub(other.reading);
+        self.memory = self.memory.saturating_sub(other.memory);
+    }
+}
--- a/src/policy/placement/mod.rs
+++ b/src/policy/placement/mod.rs
@@ -9,6 +9,7 @@
 mod kept_part;
 mod load;
 mod offer;
+mod peer_loads;
 mod placement_request;
 mod placement_settings;
 mod prefix_cache;
@@ -26,6 +27,7 @@
     choice::{Choice, RefusalReason},
     kept_part::KeptPart,
     load::Load,
+    peer_loads::PeerLoads,
     placement_request::PlacementRequest,
     placement_settings::PlacementSettings,
     prefix_cache::PrefixCache,
--- a/src/policy/placement/offer.rs
+++ b/src/policy/placement/offer.rs
@@ -1,6 +1,7 @@
 use {
     super::{PromptShape, ReplicaView, replica_key::hash_of},
     crate::routing::EngineFacts,
+    std::collections::HashMap,
 };
 
 /// Fewer tokens than this are read rather than fetched.
@@ -32,61 +33,53 @@
 }
 
 /// What each replica lacks of a prompt, and who keeps the most of it.
-pub struct Sources {
-    uncached: Vec<u32>, // by replica
-    best: Vec<usize>,   // replicas that lack least
-    next: Vec<usize>,   // those after them, for the best itself
-    draw: u64,          // the same for one request, whoever decides
+pub struct Sources<'v> {
+    uncached: Vec<u32>,                    // by replica
+    least: u32,                            // that a replica lacks
+    best: Vec<usize>,                      // replicas that lack no more
+    by_zone: HashMap<&'v str, Vec<usize>>, // the same, by availability zone
+    draw: u64,                             // the same for one request, whoever decides
 }
 
-impl Sources {
+impl<'v> Sources<'v> {
     /// Looks once at each replica.
     pub fn new(
         prompt: &PromptShape,
-        usable: &[&ReplicaView],
+        usable: &[&'v ReplicaView],
     ) -> Self {
         let lacks = usable.iter().map(|view| view.cache.uncached(prompt));
         let uncached: Vec<u32> = lacks.collect();
-        let with = |least: Option<&u32>| -> Vec<usize> {
-            let all = 0..uncached.len();
-            all.filter(|index| Some(&uncached[*index]) == least)
-                .collect()
-        };
-        let least = uncached.iter().min();
-        let after = uncached.iter().filter(|lack| Some(*lack) > least).min();
+        let least = uncached.iter().copied().min().unwrap_or(0);
+        let all = 0..uncached.len();
+        let best: Vec<usize> = all.filter(|index| uncached[*index] == least).collect();
+        let mut by_zone: HashMap<&str, Vec<usize>> = HashMap::new();
+        for index in &best {
+            let zone = &*usable[*index].entry.zone;
+            by_zone.entry(zone).or_default().push(*index);
+        }
         let own = prompt.parts.last().map_or(0, |part| part.id);
         Self {
-            best: with(least),
-            next: with(after),
-            draw: hash_of(&own),
             uncached,
+            least,
+            best,
+            by_zone,
+            draw: hash_of(&own),
         }
     }
 
-    /// The replica to fetch from for another: one of those that keep the most,
-    /// in its own zone if there is one. Which of several is drawn by request,
-    /// since a replica hands memory out one after another.
-    fn other(
+    /// The replica to fetch from for one that lacks more than others: one of
+    /// those that keep the most, in its own zone if there is one. Which of
+    /// several is drawn by request, since a replica hands memory out one after
+    /// another.
+    fn source(
         &self,
         index: usize,
-        usable: &[&ReplicaView],
+        view: &ReplicaView,
     ) -> Option<usize> {
-        let others = |list: &[usize]| -> Vec<usize> {
-            list.iter()
-                .copied()
-                .filter(|other| *other != index)
-                .collect()
-        };
-        let best = others(&self.best);
-        let list = if best.is_empty() {
-            others(&self.next)
-        } else {
-            best
-        };
-        let zone = &usable[index].entry.zone;
-        let near = |other: &&usize| usable[**other].entry.zone == *zone;
-        let near: Vec<usize> = list.iter().filter(near).copied().collect();
-        let list = if near.is_empty() { list } else { near };
+        if self.uncached[index] == self.least {
+            return None;
+        }
+        let list = self.by_zone.get(&*view.entry.zone).unwrap_or(&self.best);
         let drawn = self.draw.checked_rem(list.len() as u64)?;
         list.get(drawn as usize).copied()
     }
@@ -97,12 +90,11 @@
     index: usize,
     engine: EngineFacts,
     usable: &[&'v ReplicaView],
-    sources: &Sources,
+    sources: &Sources<'_>,
 ) -> Offer<'v> {
     let uncached = sources.uncached[index];
-    let source = sources.other(index, usable);
-    let least = source.map_or(uncached, |other| sources.uncached[other]);
-    let gained = uncached.saturating_sub(least);
+    let source = sources.source(index, usable[index]);
+    let gained = uncached - sources.least;
     let alone = Offer {
         view: usable[index],
         source: None,
@@ -116,7 +108,7 @@
         None => alone,
         Some(fetch_ms) => Offer {
             source: source.map(|other| usable[other]),
-            reading: least,
+            reading: sources.least,
             again: 0,
             fetched: gained,
             fetch_ms,
--- a/src/policy/placement/replica_board.rs
+++ b/src/policy/placement/replica_board.rs
@@ -24,6 +24,9 @@
     pub(super) routers: usize,        // that choose from the same reports
 }
 
+/// Reports of a peer that may be lost before the last one is no longer believed.
+const MISSED_REPORTS: u32 = 3;
+
 /// Notes that are kept for peers at most.
 const MAX_NOTES: usize = 400;
 
@@ -61,6 +64,14 @@
         self.routers = routers.max(1);
     }
 
+    /// How long a peer's report is believed: where there are so many routers that
+    /// each is told seldom, until some reports should have come.
+    pub fn belief_age(&self) -> Duration {
+        self.settings
+            .peer_age
+            .max(self.report_pace * MISSED_REPORTS)
+    }
+
     /// Takes in the newest list. Replicas that it lacks are forgotten.
     pub fn set_entries(
         &mut self,
@@ -120,9 +131,10 @@
         peer: u32,
         told: &[ReplicaReport],
     ) {
+        let age = self.belief_age();
         for report in told {
             if let Some(view) = self.by_key(report.replica) {
-                view.hear(now, peer, report);
+                view.hear(now, age, peer, report);
             }
         }
     }
@@ -152,7 +164,7 @@
         prompt: Option<&PromptShape>,
         engine: Option<EngineFacts>,
     ) -> Option<WorkNumber> {
-        let age = self.settings.peer_age;
+        let age = self.belief_age();
         let view = self.replicas.get_mut(replica)?;
         let there = view.load(now, age);
         let mut load = Load {
--- a/src/policy/placement/replica_key.rs
+++ b/src/policy/placement/replica_key.rs
@@ -38,6 +38,11 @@
         .iter()
         .map(|view| hash_of(&(home, &*view.entry.id)))
         .collect();
-    let rank = |weight: &u64| weights.iter().filter(|other| *other > weight).count() as u32;
-    weights.iter().map(rank).collect()
+    let mut by_weight: Vec<usize> = (0..weights.len()).collect();
+    by_weight.sort_unstable_by_key(|index| std::cmp::Reverse(weights[*index]));
+    let mut ranks = vec![0; weights.len()];
+    for (rank, index) in by_weight.into_iter().enumerate() {
+        ranks[index] = rank as u32;
+    }
+    ranks
 }
--- a/src/policy/placement/replica_view.rs
+++ b/src/policy/placement/replica_view.rs
@@ -1,7 +1,7 @@
 use {
-    super::{Load, PrefixCache, ReadingSpeed, ReplicaHealth, ReplicaReport},
+    super::{Load, PeerLoads, PrefixCache, ReadingSpeed, ReplicaHealth, ReplicaReport},
     crate::{catalog::UpstreamEntry, policy::Moment},
-    std::{collections::HashMap, sync::Arc, time::Duration},
+    std::{sync::Arc, time::Duration},
 };
 
 /// Weight of a new sample of the time that a plain request takes.
@@ -18,15 +18,7 @@
     pub placed: u64,     // tokens that this router sent there so far
     pub heard: Moment,   // when it last answered anything
     pub service_ms: f64, // moving time of a plain request
-    peers: HashMap<u32, PeerReport>,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct PeerReport {
-    load: Load,
-    placed: u64,
-    avoids: bool, // it lets the replica rest
-    heard: Moment,
+    peers: PeerLoads,
 }
 
 impl ReplicaView {
@@ -44,7 +36,7 @@
             placed: 0,
             heard: Moment::ZERO,
             service_ms: 10.0,
-            peers: HashMap::new(),
+            peers: PeerLoads::default(),
         }
     }
 
@@ -55,10 +47,7 @@
         age: Duration,
     ) -> Load {
         let mut sum = self.own;
-        let fresh = |report: &&PeerReport| now.saturating_sub(report.heard) <= age;
-        for report in self.peers.values().filter(fresh) {
-            sum += report.load;
-        }
+        sum += self.peers.load(now, age);
         sum
     }
 
@@ -68,29 +57,19 @@
         now: Moment,
         age: Duration,
     ) -> bool {
-        self.peers
-            .values()
-            .any(|report| report.avoids && now.saturating_sub(report.heard) <= age)
+        self.peers.is_avoided(now, age)
     }
 
-    /// A peer told what it has there.
+    /// A peer told what it has there; reports older than `age` count no more.
     pub fn hear(
         &mut self,
         now: Moment,
+        age: Duration,
         peer: u32,
         report: &ReplicaReport,
     ) {
-        let told = PeerReport {
-            load: report.load,
-            placed: report.placed,
-            avoids: report.rests,
-            heard: now,
-        };
-        let before = self.peers.insert(peer, told);
-        // A router that started anew counts from zero.
-        let known = before.map_or(0, |before| before.placed);
-        let fresh = report.placed.checked_sub(known).unwrap_or(report.placed);
-        self.cache.place(fresh);
+        let placed = self.peers.hear(now, age, peer, report);
+        self.cache.place(placed);
     }
 
     /// A plain request took this long.
--- a/src/policy/shares/share_book.rs
+++ b/src/policy/shares/share_book.rs
@@ -75,6 +75,14 @@
         self.peer_age = peer_age;
     }
 
+    /// How long what peers told is believed.
+    pub fn set_peer_age(
+        &mut self,
+        peer_age: Duration,
+    ) {
+        self.peer_age = peer_age;
+    }
+
     /// An account asked for this many tokens.
     pub fn ask(
         &mut self,
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -4,8 +4,8 @@
     archmast::{
         catalog::{UpstreamEntry, UpstreamState},
         policy::placement::{
-            Choice, KeptPart, Load, PlacementRequest, PlacementSettings, PromptPart, PromptShape,
-            RefusalReason, ReplicaBoard, ReplicaReport, replica_key,
+            Choice, KeptPart, Load, PeerLoads, PlacementRequest, PlacementSettings, PromptPart,
+            PromptShape, RefusalReason, ReplicaBoard, ReplicaReport, replica_key,
         },
         policy::{LagGauge, shares::Standing},
         routing::EngineFacts,
@@ -647,3 +647,51 @@
     let counts: Vec<i32> = counts.into_values().collect();
     assert_eq!(counts, [24, 24]);
 }
+
+fn reading(
+    tokens: u32,
+    placed: u64,
+    rests: bool,
+) -> ReplicaReport {
+    ReplicaReport {
+        replica: 1,
+        load: Load {
+            running: 1,
+            reading: tokens,
+            memory: tokens,
+        },
+        placed,
+        rests,
+    }
+}
+
+#[test]
+fn what_peers_have_at_a_replica_adds_up_until_it_is_old() {
+    let age = Duration::from_secs(1);
+    let at = |ms: u64| NOW + Duration::from_millis(ms);
+    let mut peers = PeerLoads::default();
+    assert_eq!(peers.hear(at(0), age, 1, &reading(100, 100, false)), 100);
+    assert_eq!(peers.hear(at(500), age, 2, &reading(20, 20, true)), 20);
+    assert_eq!(peers.hear(at(600), age, 2, &reading(30, 50, true)), 30);
+    assert_eq!(peers.load(at(700), age).reading, 130);
+    assert!(peers.is_avoided(at(700), age));
+    // The first peer is silent: nothing is heard, or only the others are.
+    assert_eq!(peers.load(at(1200), age).reading, 30);
+    peers.hear(at(1300), age, 3, &reading(5, 5, false));
+    assert_eq!(peers.load(at(1300), age).reading, 35);
+    assert_eq!(peers.load(at(1300), age).running, 2);
+    // It comes back: what it had placed before is no news.
+    assert_eq!(peers.hear(at(1400), age, 1, &reading(1, 101, false)), 1);
+    assert_eq!(peers.load(at(1400), age).reading, 36);
+    assert_eq!(peers.load(at(9000), age), Load::default());
+    assert!(!peers.is_avoided(at(9000), age));
+}
+
+#[test]
+fn reports_that_come_seldom_are_believed_for_longer() {
+    let mut board = board(&["a"]);
+    board.set_reports(Duration::from_millis(100), 20);
+    assert_eq!(board.belief_age(), Duration::from_secs(1));
+    board.set_reports(Duration::from_millis(1500), 300);
+    assert!(board.belief_age() > Duration::from_secs(3));
+}
