archmast-testbed soak: real processes under faults that a seed draws, held against the promises

Three routers, five replicas behind proxies, a store with a port for each router, callers on kept connections.

--- a/testbed/src/command/main.rs
+++ b/testbed/src/command/main.rs
@@ -4,6 +4,7 @@
         fairness::fairness,
         measures::{ahead, control, latency, prefix, revision, zone_loss},
         slopes::{capacity, slopes},
+        soak::soak_seeds,
     },
     getopts::{Matches, Options},
     std::process::ExitCode,
@@ -23,6 +24,7 @@
   revision   time until a change of configuration is in force everywhere
   slopes     what the processes cost at several sizes; writes docs/capacity and the page
   capacity   writes docs/CAPACITY.md anew from the committed slopes
+  soak       faults at random times; what breaks a promise (--seed, --seeds, --minutes)
   zone-loss  what the death of an availability zone does to requests";
 
 /// The exit code for a wrong command line, as the product has it.
@@ -64,6 +66,7 @@
         Some("revision") => revision().await,
         Some("slopes") => slopes(matches).await,
         Some("capacity") => capacity(),
+        Some("soak") => return soak_seeds(matches).await,
         Some("zone-loss") => zone_loss(matches).await,
         Some(other) => return usage(options, &format!("no command {other}")),
         None => return usage(options, "a command is required"),
@@ -89,10 +92,22 @@
             "SETTING",
         )
         .optopt("", "seed", "of the random costs", "NUMBER")
+        .optopt(
+            "",
+            "seeds",
+            "how many seeds, from --seed on (soak)",
+            "NUMBER",
+        )
+        .optopt("", "minutes", "of all seeds together (soak)", "NUMBER")
         .optopt("", "deployment", "parking or association", "NAME")
         .optopt("", "html", "a page with plots (demo)", "FILE")
         .optopt("", "only", "accounts: only that part (slopes)", "PART")
-        .optopt("", "out", "where slopes are written", "FILE")
+        .optopt(
+            "",
+            "out",
+            "where slopes are written, or logs of broken runs (soak)",
+            "FILE",
+        )
         .optflag("j", "json", "print JSON")
         .optflag("h", "help", "print this text");
     options
--- a/testbed/src/command/mod.rs
+++ b/testbed/src/command/mod.rs
@@ -5,5 +5,6 @@
 mod main;
 mod measures;
 mod slopes;
+mod soak;
 
 pub use main::main;
--- a/testbed/src/direct/mod.rs
+++ b/testbed/src/direct/mod.rs
@@ -15,7 +15,7 @@
     client::{Client, ClientRequest},
     client_answer::ClientAnswer,
     direct_fleet::DirectFleet,
-    replica::Replica,
+    replica::{Replica, event},
     replica_answer::ReplicaAnswer,
     seen_request::SeenRequest,
     store::{RouteText, Store},
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod proxy;
 pub mod report;
 pub mod slopes;
+pub mod soak;
 pub mod standin;
--- /dev/null
+++ b/testbed/src/soak/checks.rs
@@ -0,0 +1,135 @@
+//! The promises, held against what callers and replicas saw.
+
+use {
+    super::{
+        attempt::{Attempt, Kind},
+        record::Record,
+        replica_slot::{EVENTS, PLAIN_BODY},
+    },
+    crate::direct::event,
+    std::collections::HashSet,
+};
+
+/// Statuses that say that a request did not run and never will.
+const NOT_RUN: &[u16] = &[408, 421, 429, 503];
+
+/// Each broken promise, in words.
+pub fn broken(record: &Record) -> Vec<String> {
+    let attempts = record.attempts.iter();
+    let mut broken: Vec<String> = attempts
+        .flat_map(|attempt| broken_by(record, attempt))
+        .collect();
+    broken.extend(unasked(record));
+    broken.extend(drained(record));
+    broken.extend(
+        record
+            .unserved
+            .iter()
+            .map(|what| format!("recover: {what}")),
+    );
+    broken
+}
+
+fn broken_by(
+    record: &Record,
+    attempt: &Attempt,
+) -> Vec<String> {
+    let id = &attempt.id;
+    let none = Vec::new();
+    let runs = record.runs.get(id).unwrap_or(&none);
+    let mut broken = Vec::new();
+    if attempt.kind == Kind::Charge && runs.len() > 1 {
+        broken.push(format!("twice: {id} ran {} times", runs.len()));
+    }
+    if runs
+        .iter()
+        .any(|service| *service != attempt.kind.service())
+    {
+        broken.push(format!("route: {id} ran at {runs:?}"));
+    }
+    let refused = attempt
+        .status()
+        .is_some_and(|status| NOT_RUN.contains(&status));
+    if refused && !runs.is_empty() {
+        broken.push(format!("refused: {id} got {:?} and ran", attempt.status()));
+    }
+    if let Some(why) = mixed(attempt) {
+        broken.push(format!("mixed: {id} {why}"));
+    }
+    if let Some(why) = lost(record, attempt, !runs.is_empty()) {
+        broken.push(format!("lost: {id} at router {} {why}", attempt.router));
+    }
+    broken
+}
+
+/// A success must be the replica's whole answer to this very request.
+fn mixed(attempt: &Attempt) -> Option<String> {
+    let answer = attempt.answer.as_ref()?;
+    if answer.status != 200 || !answer.whole {
+        return None;
+    }
+    if answer.header("archmast-attempt-id") != attempt.id {
+        let other = answer.header("archmast-attempt-id");
+        return Some(format!("got the answer to {other:?}"));
+    }
+    if answer.header("archmast-replica-signature").is_empty() {
+        return Some("got a success without a signature".to_owned());
+    }
+    let expected = match attempt.kind {
+        Kind::Events => (1..=EVENTS).map(event).collect(),
+        Kind::Read | Kind::Charge => PLAIN_BODY.to_owned(),
+    };
+    (answer.text() != expected).then(|| format!("got {:?}", answer.text()))
+}
+
+/// Where nothing but planned work was going on, every request is served, or
+/// refused by a router that stops.
+fn lost(
+    record: &Record,
+    attempt: &Attempt,
+    ran: bool,
+) -> Option<String> {
+    let touching =
+        |span: &&_| super::fault_span::FaultSpan::touches(span, attempt.sent, attempt.ended);
+    let mut around = record.spans.iter().filter(touching);
+    if around.any(|span| !span.fault.is_planned()) {
+        return None;
+    }
+    let Some(answer) = &attempt.answer else {
+        return Some("got no answer in calm".to_owned());
+    };
+    let served = answer.status == 200 && answer.whole;
+    let crossed = answer.status == 0 && !ran;
+    let refused = NOT_RUN.contains(&answer.status);
+    let calm = !record.spans.iter().any(|span| touching(&span));
+    let fine = served || (!calm && (crossed || refused));
+    (!fine).then(|| {
+        format!(
+            "got {} (whole: {}) with ran = {ran}",
+            answer.status, answer.whole
+        )
+    })
+}
+
+fn unasked(record: &Record) -> Vec<String> {
+    let known: HashSet<&str> = record.attempts.iter().map(|a| a.id.as_str()).collect();
+    let runs = record.runs.keys();
+    runs.filter(|id| !known.contains(id.as_str()) && !id.starts_with("probe"))
+        .map(|id| format!("unasked: {id:?} ran, and nobody sent it"))
+        .collect()
+}
+
+fn drained(record: &Record) -> Vec<String> {
+    let due = record.drains.iter().filter(|drain| {
+        let mut spans = record.spans.iter();
+        !spans.any(|span| {
+            span.fault.hides_the_store() && span.touches(drain.span.began, drain.span.ended)
+        })
+    });
+    due.filter(|drain| drain.at_the_end > drain.when_due)
+        .map(|drain| {
+            let more = drain.at_the_end - drain.when_due;
+            format!("drain: {} got {more} requests late", drain.replica)
+        })
+        .collect()
+}
--- /dev/null
+++ b/testbed/src/soak/fault.rs
@@ -0,0 +1,57 @@
+use crate::direct::StoreMode;
+
+/// Something that happens to the fleet from outside.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Fault {
+    /// A router's process ends at once, and starts again.
+    KillRouter(usize),
+    /// All of them at the same moment.
+    KillAllRouters,
+    /// A planned stop, and a new start.
+    StopRouter(usize),
+    /// A router is paused and wakes.
+    FreezeRouter(usize),
+    /// A router is told that its settings changed.
+    HangUpRouter(usize),
+    /// The store answers one router like this.
+    StoreTrouble(usize, StoreMode),
+    /// The store answers everyone like this.
+    StoreDown(StoreMode),
+    /// The store forgets its history.
+    ForgetHistory,
+    /// The operator publishes a configuration with one more route.
+    Publish,
+    /// A replica says that it leaves, serves on, and is replaced.
+    DrainReplica(usize),
+    /// A replica is gone without a word, and another takes its place.
+    CrashReplica(usize),
+    /// What passes to and from a replica takes longer.
+    SlowLink(usize),
+    /// Nothing passes to and from a replica.
+    CutLink(usize),
+    /// All connections to a replica are reset.
+    ResetLink(usize),
+}
+
+impl Fault {
+    /// Whether it is planned work, which may cost no request.
+    pub fn is_planned(&self) -> bool {
+        matches!(
+            self,
+            Self::StopRouter(_) | Self::HangUpRouter(_) | Self::Publish | Self::DrainReplica(_)
+        )
+    }
+
+    /// Whether routers may learn late what the store says.
+    pub fn hides_the_store(&self) -> bool {
+        !matches!(
+            self,
+            Self::HangUpRouter(_)
+                | Self::Publish
+                | Self::DrainReplica(_)
+                | Self::SlowLink(_)
+                | Self::CutLink(_)
+                | Self::ResetLink(_)
+        )
+    }
+}
--- /dev/null
+++ b/testbed/src/soak/replica_slot.rs
@@ -0,0 +1,101 @@
+use {
+    crate::{
+        direct::{Replica, ReplicaAnswer, Store},
+        proxy::TcpProxy,
+    },
+    std::{net::IpAddr, time::Duration},
+};
+
+/// Events of a whole stream.
+pub const EVENTS: u32 = 12;
+
+/// What plain replicas answer.
+pub const PLAIN_BODY: &str = "a plain answer";
+
+/// Between two events.
+const EVENT_PAUSE: Duration = Duration::from_millis(8);
+
+/// One place for a replica, behind a proxy; replicas come and go there.
+pub struct ReplicaSlot {
+    pub service: &'static str,
+    pub replica: Replica,
+    pub proxy: TcpProxy,
+    number: usize,
+    lives: usize,
+    ip: IpAddr,
+}
+
+impl ReplicaSlot {
+    /// Starts its first replica and lists it.
+    pub async fn start(
+        number: usize,
+        service: &'static str,
+        ip: IpAddr,
+        store: &Store,
+    ) -> Self {
+        let (replica, proxy) = start_replica(number, 0, service, ip).await;
+        store.list(&replica.id, service, proxy.address, "ready");
+        Self {
+            service,
+            replica,
+            proxy,
+            number,
+            lives: 1,
+            ip,
+        }
+    }
+
+    /// Lists the present replica as leaving.
+    pub fn drain(
+        &self,
+        store: &Store,
+    ) {
+        store.list(
+            &self.replica.id,
+            self.service,
+            self.proxy.address,
+            "draining",
+        );
+    }
+
+    /// Takes the present replica off the list.
+    pub fn unlist(
+        &self,
+        store: &Store,
+    ) {
+        store.remove(&self.replica.id);
+    }
+
+    /// Starts another replica and lists it. Gives the one that is gone, of which
+    /// no connection is left.
+    pub async fn replace(
+        &mut self,
+        store: &Store,
+    ) -> Replica {
+        let (replica, proxy) = start_replica(self.number, self.lives, self.service, self.ip).await;
+        self.lives += 1;
+        store.list(&replica.id, self.service, proxy.address, "ready");
+        self.proxy = proxy;
+        std::mem::replace(&mut self.replica, replica)
+    }
+}
+
+async fn start_replica(
+    number: usize,
+    lives: usize,
+    service: &str,
+    ip: IpAddr,
+) -> (Replica, TcpProxy) {
+    let usual = match service {
+        "events" => ReplicaAnswer::Events {
+            last: EVENTS,
+            pause: EVENT_PAUSE,
+        },
+        _ => ReplicaAnswer::ok(PLAIN_BODY),
+    };
+    let replica = Replica::start(ip, &format!("i-{number}-{lives}"), usual).await;
+    let proxy = TcpProxy::start(ip, replica.address)
+        .await
+        .expect("a free port");
+    (replica, proxy)
+}
--- /dev/null
+++ b/testbed/src/soak/schedule.rs
@@ -0,0 +1,74 @@
+use {
+    super::fault::Fault,
+    crate::direct::StoreMode,
+    rand::{Rng, SeedableRng, rngs::StdRng},
+    std::time::Duration,
+};
+
+/// Between the beginnings of two faults, in milliseconds.
+const GAP_MS: std::ops::Range<u64> = 300..2500;
+
+/// How long a fault lasts, in milliseconds.
+const LENGTH_MS: std::ops::Range<u64> = 100..2500;
+
+/// A fault that is to come.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PlannedFault {
+    pub after: Duration, // since the beginning of the one before
+    pub lasts: Duration,
+    pub fault: Fault,
+}
+
+/// The faults of a run, the same for the same seed.
+pub fn schedule(
+    seed: u64,
+    length: Duration,
+    routers: usize,
+    replicas: usize,
+) -> Vec<PlannedFault> {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut faults = Vec::new();
+    let mut at = Duration::ZERO;
+    loop {
+        let after = Duration::from_millis(random.random_range(GAP_MS));
+        at += after;
+        if at >= length {
+            return faults;
+        }
+        faults.push(PlannedFault {
+            after,
+            lasts: Duration::from_millis(random.random_range(LENGTH_MS)),
+            fault: draw(&mut random, routers, replicas),
+        });
+    }
+}
+
+fn draw(
+    random: &mut StdRng,
+    routers: usize,
+    replicas: usize,
+) -> Fault {
+    let router = random.random_range(0..routers);
+    let replica = random.random_range(0..replicas);
+    let mode = match random.random_range(0..3) {
+        0 => StoreMode::Busy,
+        1 => StoreMode::Many,
+        _ => StoreMode::Silent,
+    };
+    match random.random_range(0..16) {
+        0 => Fault::KillRouter(router),
+        1 => Fault::KillAllRouters,
+        2 | 3 => Fault::StopRouter(router),
+        4 => Fault::FreezeRouter(router),
+        5 => Fault::HangUpRouter(router),
+        6 => Fault::StoreTrouble(router, mode),
+        7 => Fault::StoreDown(mode),
+        8 => Fault::ForgetHistory,
+        9 | 10 => Fault::Publish,
+        11 | 12 => Fault::DrainReplica(replica),
+        13 => Fault::CrashReplica(replica),
+        14 => Fault::SlowLink(replica),
+        _ if random.random_bool(0.5) => Fault::CutLink(replica),
+        _ => Fault::ResetLink(replica),
+    }
+}
--- /dev/null
+++ b/testbed/tests/soak.rs
@@ -0,0 +1,170 @@
+//! The fault soak: what it takes as broken, and a short run of it.
+
+use {
+    archmast_testbed::{
+        direct::{ClientAnswer, event},
+        soak::{
+            Attempt, DrainSeen, EVENTS, Fault, FaultSpan, Kind, PLAIN_BODY, Record, broken,
+            schedule, soak,
+        },
+    },
+    std::{
+        collections::HashMap,
+        time::{Duration, Instant},
+    },
+};
+
+fn answer(
+    status: u16,
+    id: &str,
+    body: &str,
+) -> ClientAnswer {
+    let headers = [
+        ("archmast-attempt-id", id),
+        ("archmast-replica-signature", "s.1"),
+    ];
+    ClientAnswer {
+        status,
+        headers: headers
+            .map(|(name, value)| (name.to_owned(), value.to_owned()))
+            .into(),
+        body: body.as_bytes().to_vec(),
+        whole: status != 0,
+    }
+}
+
+/// A record of one request that ran at these services.
+fn record(
+    kind: Kind,
+    answer: ClientAnswer,
+    runs: &[&'static str],
+) -> Record {
+    let now = Instant::now();
+    let attempt = Attempt {
+        id: "a".to_owned(),
+        kind,
+        router: 0,
+        sent: now,
+        ended: now,
+        answer: Some(answer),
+    };
+    let runs = if runs.is_empty() {
+        HashMap::new()
+    } else {
+        HashMap::from([("a".to_owned(), runs.to_vec())])
+    };
+    Record {
+        attempts: vec![attempt],
+        runs,
+        ..Record::default()
+    }
+}
+
+fn during(
+    mut record: Record,
+    fault: Fault,
+) -> Record {
+    let now = Instant::now();
+    record.spans.push(FaultSpan {
+        fault,
+        began: now - Duration::from_secs(1),
+        ended: now + Duration::from_secs(1),
+    });
+    record
+}
+
+fn assert_broken(
+    record: &Record,
+    rule: &str,
+) {
+    let found = broken(record);
+    assert_eq!(found.len(), 1, "{found:?}");
+    assert!(found[0].starts_with(rule), "{found:?}");
+}
+
+#[test]
+fn what_was_served_as_promised_is_not_broken() {
+    let plain = || answer(200, "a", PLAIN_BODY);
+    let events: String = (1..=EVENTS).map(event).collect();
+    for (kind, answer, runs) in [
+        (Kind::Charge, plain(), vec!["plain"]),
+        (Kind::Events, answer(200, "a", &events), vec!["events"]),
+    ] {
+        assert_eq!(broken(&record(kind, answer, &runs)), Vec::<String>::new());
+    }
+    // Faults excuse failures, and repeats of what may be repeated.
+    let cut = record(Kind::Read, answer(0, "", ""), &["plain", "plain"]);
+    let cut = during(cut, Fault::KillRouter(0));
+    assert_eq!(broken(&cut), Vec::<String>::new());
+    let refused = record(Kind::Read, answer(503, "a", ""), &[]);
+    let refused = during(refused, Fault::StopRouter(0));
+    assert_eq!(broken(&refused), Vec::<String>::new());
+}
+
+#[test]
+fn each_promise_that_is_broken_is_found_also_under_faults() {
+    let plain = || answer(200, "a", PLAIN_BODY);
+    let killed = Fault::KillRouter(0);
+    let twice = record(Kind::Charge, plain(), &["plain", "plain"]);
+    assert_broken(&during(twice, killed), "twice");
+    let refused = record(Kind::Read, answer(503, "a", ""), &["plain"]);
+    assert_broken(&during(refused, killed), "refused");
+    let route = record(Kind::Read, plain(), &["events"]);
+    assert_broken(&during(route, killed), "route");
+    let other = record(Kind::Read, answer(200, "b", PLAIN_BODY), &["plain"]);
+    assert_broken(&during(other, killed), "mixed");
+    let short = record(Kind::Read, answer(200, "a", "a pl"), &["plain"]);
+    assert_broken(&during(short, killed), "mixed");
+    let gap: String = (1..=EVENTS).filter(|n| *n != 4).map(event).collect();
+    let order = record(Kind::Events, answer(200, "a", &gap), &["events"]);
+    assert_broken(&during(order, killed), "mixed");
+    let mut unasked = record(Kind::Read, plain(), &["plain"]);
+    unasked.runs.insert("smuggled".to_owned(), vec!["plain"]);
+    assert_broken(&unasked, "unasked");
+}
+
+#[test]
+fn a_planned_stop_excuses_a_refusal_but_no_loss() {
+    let lost = record(Kind::Charge, answer(0, "", ""), &["plain"]);
+    assert_broken(&during(lost, Fault::StopRouter(0)), "lost");
+    let refused_in_calm = record(Kind::Read, answer(503, "a", ""), &[]);
+    assert_broken(&refused_in_calm, "lost");
+}
+
+#[test]
+fn requests_to_a_replica_that_left_are_found_unless_the_store_was_hidden() {
+    let now = Instant::now();
+    let drain = DrainSeen {
+        replica: "i-0-0".to_owned(),
+        span: FaultSpan {
+            fault: Fault::DrainReplica(0),
+            began: now,
+            ended: now + Duration::from_secs(1),
+        },
+        when_due: 10,
+        at_the_end: 12,
+    };
+    let record = Record {
+        drains: vec![drain],
+        ..Record::default()
+    };
+    assert_broken(&record, "drain");
+    let hidden = during(record, Fault::FreezeRouter(1));
+    assert_eq!(broken(&hidden), Vec::<String>::new());
+}
+
+#[test]
+fn a_seed_draws_the_same_faults_each_time() {
+    let length = Duration::from_secs(60);
+    let one = schedule(7, length, 3, 5);
+    assert_eq!(one, schedule(7, length, 3, 5));
+    assert_ne!(one, schedule(8, length, 3, 5));
+    assert!(one.len() > 20, "{}", one.len());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_short_run_breaks_nothing() {
+    let result = soak(1, Duration::from_secs(6)).await;
+    assert_eq!(result.broken, Vec::<String>::new(), "{}", result.summary());
+    assert!(result.statuses.contains_key(&200), "{}", result.summary());
+}
