--- a/testbed/src/slopes/page.rs
+++ b/testbed/src/slopes/page.rs
@@ -37,6 +37,9 @@
 UDP headers; control bytes are messages as encoded. **Nothing here was run at the
 design size.** The last table says how far each line is drawn out.
 
+The product's own form only. How the direct form grows on the users' machines
+stands in [design/on-the-platform.md](design/on-the-platform.md#how-it-grows).
+
 Assumed, not measured: a backlogged account waits at four routers; load is even
 over the nodes.
 
