--- a/src/peers/peer_table.rs
+++ b/src/peers/peer_table.rs
@@ -29,6 +29,18 @@
     version: CatalogVersion,
 }
 
+impl PeerEntry {
+    /// Whether it was heard of within `age`, and stays.
+    fn is_there(
+        &self,
+        now: Moment,
+        age: Duration,
+    ) -> bool {
+        let heard = self.heard.is_some_and(|at| now.saturating_sub(at) <= age);
+        heard && !self.leaving
+    }
+}
+
 impl PeerTable {
     /// A table of the seeds, which may be stale; this router itself is left out.
     pub fn new(
@@ -156,10 +168,7 @@
         age: Duration,
     ) -> Vec<SocketAddr> {
         let peers = self.peers();
-        let fresh = peers.iter().filter(|(_, entry)| {
-            let heard = entry.heard.is_some_and(|at| now.saturating_sub(at) <= age);
-            heard && !entry.leaving
-        });
+        let fresh = peers.iter().filter(|(_, entry)| entry.is_there(now, age));
         fresh.map(|(address, _)| *address).collect()
     }
 
@@ -171,15 +180,8 @@
         age: Duration,
     ) -> Option<f64> {
         let peers = self.peers();
-        let fresh = |entry: &&PeerEntry| {
-            let heard = entry.heard.is_some_and(|at| now.saturating_sub(at) <= age);
-            heard && !entry.leaving
-        };
-        let busy: Vec<f64> = peers
-            .values()
-            .filter(fresh)
-            .map(|entry| f64::from(entry.busy))
-            .collect();
+        let fresh = peers.values().filter(|entry| entry.is_there(now, age));
+        let busy: Vec<f64> = fresh.map(|entry| f64::from(entry.busy)).collect();
         (!busy.is_empty()).then(|| busy.iter().sum::<f64>() / busy.len() as f64)
     }
 
--- a/src/policy/placement/board_choice.rs
+++ b/src/policy/placement/board_choice.rs
@@ -4,8 +4,10 @@
     super::{
         Choice, PlacementRequest, PromptShape, RefusalReason, ReplicaBoard, ReplicaView,
         admission::{Admission, is_far_over},
-        offer::{Offer, Sources, offer},
-        replica_key::{homes, scatter},
+        candidate::Candidate,
+        cheapest::Cheapest,
+        offer::{Sources, offer},
+        replica_key::homes,
     },
     crate::{
         catalog::UpstreamState,
@@ -102,61 +104,59 @@
         let age = self.belief_age();
         let most_are_idle = is_far_over(request.standing) && self.most_are_idle(now, usable);
         let admission = Admission::new(settings, request, engine, most_are_idle);
-        let homes = homes(prompt, usable);
+        let ranks = homes(prompt, usable);
         let sources = Sources::new(prompt, usable);
         let near = self.considered(usable.len());
-        let mut best: Option<(f64, Offer)> = None;
-        let mut best_considered: Option<(f64, Offer)> = None;
+        let mut best = Cheapest::default();
+        let mut best_considered = Cheapest::default();
         let mut soonest = f64::MAX;
-        for (index, (view, home)) in usable.iter().zip(homes).enumerate() {
-            let load = view.load(now, age);
+        for (index, rank) in ranks.into_iter().enumerate() {
+            let load = usable[index].load(now, age);
             let offer = offer(index, engine, usable, &sources);
-            let speed = view.speed.tokens_per_ms();
-            let front_ms = f64::from(load.reading) / speed;
-            let own_ms = f64::from(offer.reading) / speed + offer.fetch_ms;
-            let excess_ms = admission.excess_ms(front_ms, own_ms);
-            soonest = soonest.min(excess_ms);
             let tokens = offer.reading + prompt.output_tokens;
-            if !admission.admits(view, &load, tokens, excess_ms) {
+            let candidate = Candidate::new(offer, prompt, load.reading, rank);
+            let excess_ms = admission.excess_ms(candidate.front_ms, candidate.own_ms);
+            soonest = soonest.min(excess_ms);
+            if !admission.admits(usable[index], &load, tokens, excess_ms) {
                 continue;
             }
-            let again_ms = f64::from(offer.again) / speed * settings.reread_weight;
-            let avoided = view.is_avoided(now, age);
-            let displaced_ms = f64::from(offer.fetched) / speed * settings.fetch_weight;
-            let mut score = front_ms + own_ms + again_ms + displaced_ms;
-            score += if avoided { AVOIDED_PENALTY } else { 0.0 };
-            score += self.zone_ms(request, view);
-            let scatter = scatter(prompt, view);
-            let is_home = offer.keeps_shared(prompt);
-            if !is_home {
-                score += self.report_pace.as_secs_f64() * 1000.0 * SPREAD * scatter;
-            }
-            score -= HOME_LEAD / f64::from(home + 1);
-            let expected_ms = front_ms + own_ms;
-            let offer = Offer {
-                expected_ms,
-                ..offer
-            };
-            let slot = if scatter < near || is_home {
-                &mut best_considered
+            let cost_ms = self.cost_ms(now, request, &candidate);
+            if candidate.is_home || candidate.scatter < near {
+                best_considered.show(cost_ms, candidate);
             } else {
-                &mut best
-            };
-            if slot.as_ref().is_none_or(|(least, _)| score < *least) {
-                *slot = Some((score, offer));
+                best.show(cost_ms, candidate);
             }
         }
-        match best_considered.or(best) {
-            Some((_, offer)) => Choice::Send {
-                replica: offer.view.entry.id.clone(),
-                reading: offer.reading,
-                fetch_from: offer.source.map(|view| view.entry.id.clone()),
-                expected: Duration::from_secs_f64(offer.expected_ms / 1000.0),
-            },
+        match best_considered.take().or(best.take()) {
+            Some(candidate) => send_to(&candidate),
             None => self.refuse(request, soonest),
         }
     }
 
+    /// What a candidate costs: the time until its first token, and what it costs
+    /// others, in milliseconds.
+    fn cost_ms(
+        &self,
+        now: Moment,
+        request: &PlacementRequest,
+        candidate: &Candidate,
+    ) -> f64 {
+        let settings = &self.settings;
+        let offer = &candidate.offer;
+        let mut cost = candidate.expected_ms();
+        cost += candidate.reading_ms(offer.again) * settings.reread_weight;
+        cost += candidate.reading_ms(offer.fetched) * settings.fetch_weight;
+        cost += self.zone_ms(request, offer.view);
+        cost -= HOME_LEAD / f64::from(candidate.rank + 1);
+        if offer.view.is_avoided(now, self.belief_age()) {
+            cost += AVOIDED_PENALTY;
+        }
+        if !candidate.is_home {
+            cost += self.report_pace.as_secs_f64() * 1000.0 * SPREAD * candidate.scatter;
+        }
+        cost
+    }
+
     /// Whether nothing is read at most replicas.
     fn most_are_idle(
         &self,
@@ -243,3 +243,13 @@
         }
     }
 }
+
+fn send_to(candidate: &Candidate) -> Choice {
+    let offer = &candidate.offer;
+    Choice::Send {
+        replica: offer.view.entry.id.clone(),
+        reading: offer.reading,
+        fetch_from: offer.source.map(|view| view.entry.id.clone()),
+        expected: Duration::from_secs_f64(candidate.expected_ms() / 1000.0),
+    }
+}
--- /dev/null
+++ b/src/policy/placement/candidate.rs
@@ -0,0 +1,44 @@
+use super::{PromptShape, offer::Offer, replica_key::scatter};
+
+/// A replica that may run a prompt, and what speaks for it.
+pub struct Candidate<'v> {
+    pub offer: Offer<'v>,
+    pub front_ms: f64, // of reading, in front of the prompt
+    pub own_ms: f64,   // of its own reading and fetching
+    pub rank: u32,     // among the prompt's homes, 0 is the first
+    pub scatter: f64,  // 0 to 1, as if drawn for this request and replica
+    pub is_home: bool, // it keeps all that the prompt shares with others
+}
+
+impl<'v> Candidate<'v> {
+    /// A replica with this much reading in front.
+    pub fn new(
+        offer: Offer<'v>,
+        prompt: &PromptShape,
+        front: u32,
+        rank: u32,
+    ) -> Self {
+        let speed = offer.view.speed.tokens_per_ms();
+        Self {
+            front_ms: f64::from(front) / speed,
+            own_ms: f64::from(offer.reading) / speed + offer.fetch_ms,
+            rank,
+            scatter: scatter(prompt, offer.view),
+            is_home: offer.keeps_shared(prompt),
+            offer,
+        }
+    }
+
+    /// Milliseconds until the first token, as far as can be told.
+    pub fn expected_ms(&self) -> f64 {
+        self.front_ms + self.own_ms
+    }
+
+    /// How long some of its tokens take to read there, in milliseconds.
+    pub fn reading_ms(
+        &self,
+        tokens: u32,
+    ) -> f64 {
+        f64::from(tokens) / self.offer.view.speed.tokens_per_ms()
+    }
+}
--- a/src/policy/placement/mod.rs
+++ b/src/policy/placement/mod.rs
@@ -5,6 +5,8 @@
 mod board_choice;
 mod board_evidence;
 mod cache_note;
+mod candidate;
+mod cheapest;
 mod choice;
 mod kept_part;
 mod load;
--- a/src/policy/placement/offer.rs
+++ b/src/policy/placement/offer.rs
@@ -18,7 +18,6 @@
     pub again: u32,                      // of these, kept elsewhere
     pub fetched: u32,                    // tokens it would fetch
     pub fetch_ms: f64,
-    pub expected_ms: f64, // until the first token
 }
 
 impl Offer<'_> {
@@ -102,7 +101,6 @@
         again: gained,
         fetched: 0,
         fetch_ms: 0.0,
-        expected_ms: 0.0,
     };
     match fetch_time(engine, gained).filter(|_| gained >= LEAST_FETCH) {
         None => alone,
