--- a/testbed/src/direct/replica.rs
+++ b/testbed/src/direct/replica.rs
@@ -85,6 +85,11 @@
         self.state.script.lock().expect("lock").push_back(answer);
     }
 
+    /// Forgets what it was told for requests to come.
+    pub fn forget_script(&self) {
+        self.state.script.lock().expect("lock").clear();
+    }
+
     /// What it does with all requests that nothing else is told for.
     pub fn usually(
         &self,
--- a/testbed/src/soak/fault.rs
+++ b/testbed/src/soak/fault.rs
@@ -25,6 +25,8 @@
     DrainReplica(usize),
     /// A replica is gone without a word, and another takes its place.
     CrashReplica(usize),
+    /// A replica runs its next requests, and loses or spoils their answers.
+    SpoilAnswers(usize),
     /// What passes to and from a replica takes longer.
     SlowLink(usize),
     /// Nothing passes to and from a replica.
@@ -49,6 +51,7 @@
             Self::HangUpRouter(_)
                 | Self::Publish
                 | Self::DrainReplica(_)
+                | Self::SpoilAnswers(_)
                 | Self::SlowLink(_)
                 | Self::CutLink(_)
                 | Self::ResetLink(_)
--- a/testbed/src/soak/replica_slot.rs
+++ b/testbed/src/soak/replica_slot.rs
@@ -12,6 +12,9 @@
 /// What plain replicas answer.
 pub const PLAIN_BODY: &str = "a plain answer";
 
+/// Answers that are spoilt in a row.
+const SPOILT: usize = 24;
+
 /// Between two events.
 const EVENT_PAUSE: Duration = Duration::from_millis(8);
 
@@ -66,6 +69,26 @@
         store.remove(&self.replica.id);
     }
 
+    /// Its next requests run, and their answers are lost or spoilt.
+    pub fn spoil_answers(&self) {
+        let mut spoilt = vec![
+            ReplicaAnswer::Close,
+            ReplicaAnswer::Cut,
+            ReplicaAnswer::Garbage,
+            ReplicaAnswer::WrongId,
+            ReplicaAnswer::Unsigned,
+        ];
+        if self.service == "plain" {
+            // A stream's replica would answer with what is no stream.
+            spoilt.push(ReplicaAnswer::Surplus {
+                body: PLAIN_BODY.to_owned(),
+            });
+        }
+        for answer in spoilt.iter().cycle().take(SPOILT) {
+            self.replica.next(answer.clone());
+        }
+    }
+
     /// Starts another replica and lists it. Gives the one that is gone, of which
     /// no connection is left.
     pub async fn replace(
--- a/testbed/src/soak/schedule.rs
+++ b/testbed/src/soak/schedule.rs
@@ -55,7 +55,7 @@
         1 => StoreMode::Many,
         _ => StoreMode::Silent,
     };
-    match random.random_range(0..16) {
+    match random.random_range(0..19) {
         0 => Fault::KillRouter(router),
         1 => Fault::KillAllRouters,
         2 | 3 => Fault::StopRouter(router),
@@ -68,6 +68,7 @@
         11 | 12 => Fault::DrainReplica(replica),
         13 => Fault::CrashReplica(replica),
         14 => Fault::SlowLink(replica),
+        15..=17 => Fault::SpoilAnswers(replica),
         _ if random.random_bool(0.5) => Fault::CutLink(replica),
         _ => Fault::ResetLink(replica),
     }
--- a/testbed/src/soak/soak.rs
+++ b/testbed/src/soak/soak.rs
@@ -152,6 +152,7 @@
             }
             Fault::DrainReplica(slot) => self.drain(slot).await,
             Fault::CrashReplica(slot) => self.crash(slot, lasts).await,
+            Fault::SpoilAnswers(slot) => self.spoil(slot, lasts).await,
             Fault::SlowLink(slot) => self.slow(slot, lasts).await,
             Fault::CutLink(slot) => self.cut(slot, lasts).await,
             Fault::ResetLink(slot) => {
@@ -282,6 +283,19 @@
         retired.push((slot.service, gone));
     }
 
+    async fn spoil(
+        &self,
+        slot: usize,
+        lasts: Duration,
+    ) -> Instant {
+        let slot = self.slots[slot].lock().await;
+        let began = Instant::now();
+        slot.spoil_answers();
+        sleep(lasts).await;
+        slot.replica.forget_script();
+        began
+    }
+
     async fn slow(
         &self,
         slot: usize,
