Test: the stranger's own sidecars are gone before its router asks another fleet's

It failed once beside soak runs (load average 28): the request was served, by a sidecar of the stranger's own fleet, whose list had been published a moment before.

--- a/testbed/tests/edges.rs
+++ b/testbed/tests/edges.rs
@@ -173,7 +173,11 @@
 async fn a_process_of_another_authority_is_not_let_in() {
     let fleet = Fleet::start(plan()).await;
     let mut stranger = Fleet::start_unready(plan()).await;
-    // The stranger's router is pointed at this fleet's sidecars.
+    // The stranger's router is pointed at this fleet's sidecars; its own, which
+    // it may have read of before, are gone.
+    for sidecar in &mut stranger.sidecars {
+        sidecar.process.kill();
+    }
     stranger.hosts = fleet.hosts.clone();
     stranger.platform.publish_hosts(&stranger.hosts);
     let router = stranger.routers[0].operator;
