Engines' times are learnt by regression, and told to peers

Change: EngineModel, a linear regression (fixed time, time a token) over first tokens whose samples fade; residuals beyond three mean residuals are cut, the first 30 samples less so; peers tell what they have learnt, so that a router that starts begins there. A belief that changed by a fifth is logged. The setting reading_speed is gone.

One request that hangs made a replica look full, and a router that started with the guess believed queues of seconds and so learnt nothing.

What is beyond the reading speed is the bound and the shares.

--- a/src/conf/direct_settings.rs
+++ b/src/conf/direct_settings.rs
@@ -108,7 +108,6 @@
 ) -> Result<PlacementSettings, ConfError> {
     let section = file.section("placement")?;
     Ok(PlacementSettings {
-        reading_speed: section.number("reading_speed", 0.001..=1e6)?,
         aim_share: section.number("aim_share", 0.01..=10.0)?,
         over_share: section.number("over_share", 0.0..=1.0)?,
         behind_share: section.number("behind_share", 1.0..=4.0)?,
--- a/src/direct/exchange_choice.rs
+++ b/src/direct/exchange_choice.rs
@@ -10,7 +10,7 @@
         codes::{ErrorAnswer, ResultCode},
         ops::PROMPT_TOKENS,
         policy::{
-            placement::{Choice, PlacementRequest, PromptShape, RefusalReason},
+            placement::{Choice, PlacementRequest, PromptShape, RefusalReason, SentPrompt},
             shares::{Standing, account_key},
         },
     },
@@ -50,11 +50,18 @@
                 replica,
                 reading,
                 fetch_from,
+                front_ms,
                 expected,
             } => {
-                let number = board.start(now, &replica, reading, call.prompt.as_ref(), call.engine);
+                let sent = call.prompt.as_ref().zip(call.engine);
+                let sent = sent.map(|(shape, engine)| SentPrompt {
+                    shape,
+                    engine,
+                    reading,
+                    front_ms,
+                });
+                let number = board.start(now, &replica, sent);
                 let entry = board.replica(&replica).map(|view| view.entry.clone());
-                let in_front = board.replica(&replica).map_or(0, |view| view.own.reading);
                 let source = fetch_from.and_then(|id| board.replica(&id));
                 let fetch_from = source.map(|view| view.entry.address);
                 drop(board);
@@ -64,7 +71,7 @@
                 if reading >= URGENT_READING {
                     self.gateway.report_wanted.notify_one();
                 }
-                self.log_sent(&replica, reading, in_front, fetch_from, expected);
+                self.log_sent(&replica, reading, front_ms, fetch_from, expected);
                 let work = HeldWork::new(self.gateway.clone(), number, replica.clone());
                 self.tried.push(replica);
                 self.grant();
@@ -85,7 +92,7 @@
         &self,
         replica: &str,
         reading: u32,
-        in_front: u32,
+        front_ms: f64,
         fetch_from: Option<SocketAddr>,
         expected: Duration,
     ) {
@@ -105,7 +112,7 @@
             service = &*self.call.service,
             prompt_tokens = tokens,
             reading_tokens = reading,
-            own_reading_there = in_front,
+            front_ms = front_ms as u64,
             fetch_from = fetch_from.as_str(),
             expected_ms = expected.as_millis() as u64,
             attempt = self.sent + self.unsent + 1,
--- a/src/direct/held_work.rs
+++ b/src/direct/held_work.rs
@@ -29,7 +29,16 @@
     /// Its first token came.
     pub fn first_token(&self) {
         let now = self.gateway.now();
-        self.gateway.board().first_token(now, self.number);
+        let news = self.gateway.board().first_token(now, self.number);
+        if let Some(times) = news {
+            log::info!(
+                replica = &*self.replica,
+                fixed_ms = times.fixed_ms as u64,
+                thousand_tokens_ms = (times.token_ms * 1000.0) as u64,
+                residual_ms = times.residual_ms as u64;
+                "engines are believed to be faster or slower than before"
+            );
+        }
     }
 }
 
--- a/src/peers/peer_link.rs
+++ b/src/peers/peer_link.rs
@@ -127,6 +127,7 @@
                 view.cache.note(note.part);
             }
         }
+        board.hear_engines(&report.engines);
         drop(board);
         gateway.shares().hear(now, peer, &report.accounts);
     }
@@ -192,13 +193,14 @@
         let mut board = gateway.board();
         let notes = board.take_notes();
         let replicas = board.reports(now);
+        let engines = board.engine_reports();
         drop(board);
         let usage = gateway.shares().own(now).clone();
         let mut told = self.told.lock().expect("told lock");
-        let routers = if told.routers_due(now, settings.peer_age) {
-            gateway.peers.heard(now, settings.peer_forget)
+        let (routers, engines) = if told.routers_due(now, settings.peer_age) {
+            (gateway.peers.heard(now, settings.peer_forget), engines)
         } else {
-            Vec::new()
+            (Vec::new(), Vec::new())
         };
         RouterReport {
             address: settings.peers,
@@ -211,6 +213,7 @@
             replicas: told.replicas(now, refresh, replicas),
             accounts: told.accounts(now, refresh, settings.share_window, &usage),
             notes: told.notes(now, settings.peer_age, notes),
+            engines,
             routers,
         }
     }
--- a/src/peers/router_report.rs
+++ b/src/peers/router_report.rs
@@ -2,7 +2,7 @@
     crate::{
         catalog::CatalogVersion,
         policy::{
-            placement::{CacheNote, ReplicaReport},
+            placement::{CacheNote, EngineReport, ReplicaReport},
             shares::AccountUsage,
         },
     },
@@ -15,6 +15,7 @@
 const REPLICAS: usize = 32;
 const ACCOUNTS: usize = 16;
 const NOTES: usize = 12;
+const ENGINES: usize = 8;
 const ROUTERS: usize = 8;
 
 /// One datagram from one router to another. What it says of a replica or an
@@ -31,6 +32,7 @@
     pub replicas: Vec<ReplicaReport>,
     pub accounts: Vec<(u32, AccountUsage)>,
     pub notes: Vec<CacheNote>,
+    pub engines: Vec<EngineReport>,
     pub routers: Vec<SocketAddr>, // others that it knows
 }
 
@@ -40,14 +42,22 @@
         let replicas: Vec<_> = self.replicas.chunks(REPLICAS).collect();
         let accounts: Vec<_> = self.accounts.chunks(ACCOUNTS).collect();
         let notes: Vec<_> = self.notes.chunks(NOTES).collect();
+        let engines: Vec<_> = self.engines.chunks(ENGINES).collect();
         let routers: Vec<_> = self.routers.chunks(ROUTERS).collect();
-        let most = [replicas.len(), accounts.len(), notes.len(), routers.len()];
+        let most = [
+            replicas.len(),
+            accounts.len(),
+            notes.len(),
+            engines.len(),
+            routers.len(),
+        ];
         let count = most.into_iter().max().unwrap_or(0).max(1);
         (0..count)
             .map(|index| Self {
                 replicas: part(&replicas, index),
                 accounts: part(&accounts, index),
                 notes: part(&notes, index),
+                engines: part(&engines, index),
                 routers: part(&routers, index),
                 ..self
             })
--- a/src/policy/placement/board_choice.rs
+++ b/src/policy/placement/board_choice.rs
@@ -102,6 +102,7 @@
     ) -> Choice {
         let settings = &self.settings;
         let age = self.belief_age();
+        let times = self.engine_times(request.service);
         let most_are_idle = is_far_over(request.standing) && self.most_are_idle(now, usable);
         let admission = Admission::new(settings, request, engine, most_are_idle);
         let ranks = homes(prompt, usable);
@@ -114,7 +115,7 @@
             let load = usable[index].load(now, age);
             let offer = offer(index, engine, usable, &sources);
             let tokens = offer.reading + prompt.output_tokens;
-            let candidate = Candidate::new(offer, prompt, load.reading, rank);
+            let candidate = Candidate::new(offer, prompt, load.reading, times, rank);
             let excess_ms = admission.excess_ms(candidate.front_ms, candidate.own_ms);
             soonest = soonest.min(excess_ms);
             if !admission.admits(usable[index], &load, tokens, excess_ms) {
@@ -209,6 +210,7 @@
                 replica: view.entry.id.clone(),
                 reading: 0,
                 fetch_from: None,
+                front_ms: 0.0,
                 expected: Duration::from_secs_f64(view.service_ms / 1000.0),
             },
             None => self.refuse(request, request.aim.as_secs_f64() * 1000.0),
@@ -250,6 +252,7 @@
         replica: offer.view.entry.id.clone(),
         reading: offer.reading,
         fetch_from: offer.source.map(|view| view.entry.id.clone()),
+        front_ms: candidate.front_ms + offer.fetch_ms,
         expected: Duration::from_secs_f64(candidate.expected_ms() / 1000.0),
     }
 }
--- a/src/policy/placement/candidate.rs
+++ b/src/policy/placement/candidate.rs
@@ -1,13 +1,14 @@
-use super::{PromptShape, offer::Offer, replica_key::scatter};
+use super::{EngineTimes, PromptShape, offer::Offer, replica_key::scatter};
 
 /// A replica that may run a prompt, and what speaks for it.
 pub struct Candidate<'v> {
     pub offer: Offer<'v>,
-    pub front_ms: f64, // of reading, in front of the prompt
-    pub own_ms: f64,   // of its own reading and fetching
-    pub rank: u32,     // among the prompt's homes, 0 is the first
-    pub scatter: f64,  // 0 to 1, as if drawn for this request and replica
-    pub is_home: bool, // it keeps all that the prompt shares with others
+    pub times: EngineTimes, // of its service
+    pub front_ms: f64,      // of reading, in front of the prompt
+    pub own_ms: f64,        // of its own reading and fetching
+    pub rank: u32,          // among the prompt's homes, 0 is the first
+    pub scatter: f64,       // 0 to 1, as if drawn for this request and replica
+    pub is_home: bool,      // it keeps all that the prompt shares with others
 }
 
 impl<'v> Candidate<'v> {
@@ -16,12 +17,13 @@
         offer: Offer<'v>,
         prompt: &PromptShape,
         front: u32,
+        times: EngineTimes,
         rank: u32,
     ) -> Self {
-        let speed = offer.view.speed.tokens_per_ms();
         Self {
-            front_ms: f64::from(front) / speed,
-            own_ms: f64::from(offer.reading) / speed + offer.fetch_ms,
+            front_ms: times.reading_ms(front),
+            own_ms: times.reading_ms(offer.reading) + offer.fetch_ms,
+            times,
             rank,
             scatter: scatter(prompt, offer.view),
             is_home: offer.keeps_shared(prompt),
@@ -31,7 +33,7 @@
 
     /// Milliseconds until the first token, as far as can be told.
     pub fn expected_ms(&self) -> f64 {
-        self.front_ms + self.own_ms
+        self.times.fixed_ms + self.front_ms + self.own_ms
     }
 
     /// How long some of its tokens take to read there, in milliseconds.
@@ -39,6 +41,6 @@
         &self,
         tokens: u32,
     ) -> f64 {
-        f64::from(tokens) / self.offer.view.speed.tokens_per_ms()
+        self.times.reading_ms(tokens)
     }
 }
--- a/src/policy/placement/mod.rs
+++ b/src/policy/placement/mod.rs
@@ -8,6 +8,11 @@
 mod candidate;
 mod cheapest;
 mod choice;
+mod engine_model;
+mod engine_models;
+mod engine_report;
+mod engine_times;
+mod first_token;
 mod kept_part;
 mod load;
 mod offer;
@@ -16,17 +21,22 @@
 mod placement_settings;
 mod prefix_cache;
 mod prompt;
-mod reading_speed;
 mod replica_board;
 mod replica_health;
 mod replica_key;
 mod replica_report;
 mod replica_view;
+mod sent_prompt;
 mod work;
 
 pub use {
     cache_note::CacheNote,
     choice::{Choice, RefusalReason},
+    engine_model::EngineModel,
+    engine_models::EngineModels,
+    engine_report::EngineReport,
+    engine_times::EngineTimes,
+    first_token::FirstToken,
     kept_part::KeptPart,
     load::Load,
     peer_loads::PeerLoads,
@@ -34,11 +44,11 @@
     placement_settings::PlacementSettings,
     prefix_cache::PrefixCache,
     prompt::{PromptPart, PromptShape},
-    reading_speed::ReadingSpeed,
     replica_board::ReplicaBoard,
     replica_health::ReplicaHealth,
     replica_key::replica_key,
     replica_report::ReplicaReport,
     replica_view::ReplicaView,
+    sent_prompt::SentPrompt,
     work::{Work, WorkNumber},
 };
--- a/src/policy/placement/placement_settings.rs
+++ b/src/policy/placement/placement_settings.rs
@@ -3,7 +3,6 @@
 /// The bounds that placement keeps.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PlacementSettings {
-    pub reading_speed: f64,     // prompt tokens a millisecond, until learnt
     pub aim_share: f64,         // part of the shortest aim that reading may take
     pub over_share: f64,        // part of that which accounts over their share may use
     pub behind_share: f64,      // the same for accounts that got too little
@@ -18,7 +17,6 @@
 impl Default for PlacementSettings {
     fn default() -> Self {
         Self {
-            reading_speed: 30.0,
             aim_share: 0.7,
             over_share: 0.3,
             behind_share: 2.0,
--- a/src/policy/placement/replica_board.rs
+++ b/src/policy/placement/replica_board.rs
@@ -1,9 +1,9 @@
 use {
     super::{
-        CacheNote, Load, PlacementSettings, PromptShape, ReplicaReport, ReplicaView, Work,
-        WorkNumber, replica_key,
+        CacheNote, EngineModels, EngineReport, EngineTimes, FirstToken, Load, PlacementSettings,
+        ReplicaReport, ReplicaView, SentPrompt, Work, WorkNumber, replica_key,
     },
-    crate::{catalog::UpstreamEntry, policy::Moment, routing::EngineFacts},
+    crate::{catalog::UpstreamEntry, policy::Moment},
     std::{
         collections::{BTreeMap, HashMap},
         sync::Arc,
@@ -18,6 +18,7 @@
     pub(super) replicas: BTreeMap<Arc<str>, ReplicaView>,
     keys: HashMap<u32, Arc<str>>, // ids by key
     works: HashMap<WorkNumber, Work>,
+    engines: EngineModels,
     next_work: WorkNumber,
     notes: Vec<CacheNote>,            // parts that were sent to replicas anew
     pub(super) report_pace: Duration, // between two reports of a peer
@@ -38,6 +39,7 @@
             replicas: BTreeMap::new(),
             keys: HashMap::new(),
             works: HashMap::new(),
+            engines: EngineModels::default(),
             next_work: 1,
             notes: Vec::new(),
             report_pace: Duration::ZERO,
@@ -84,7 +86,7 @@
             match self.replicas.get_mut(&entry.id) {
                 Some(view) => view.entry = entry.clone(),
                 None => {
-                    let view = ReplicaView::new(entry.clone(), self.settings.reading_speed);
+                    let view = ReplicaView::new(entry.clone());
                     self.replicas.insert(entry.id.clone(), view);
                 }
             }
@@ -160,9 +162,7 @@
         &mut self,
         now: Moment,
         replica: &Arc<str>,
-        reading: u32,
-        prompt: Option<&PromptShape>,
-        engine: Option<EngineFacts>,
+        prompt: Option<SentPrompt>,
     ) -> Option<WorkNumber> {
         let age = self.belief_age();
         let view = self.replicas.get_mut(replica)?;
@@ -171,15 +171,15 @@
             running: 1,
             ..Load::default()
         };
-        if let (Some(prompt), Some(engine)) = (prompt, engine) {
-            load.reading = reading;
-            load.memory = load.reading + prompt.output_tokens;
+        if let Some(prompt) = prompt {
+            load.reading = prompt.reading;
+            load.memory = prompt.reading + prompt.shape.output_tokens;
+            let room = prompt.engine.memory_tokens;
             let memory = there.memory + load.memory;
-            view.cache
-                .set_room(engine.memory_tokens.saturating_sub(u64::from(memory)));
+            view.cache.set_room(room.saturating_sub(u64::from(memory)));
             view.placed += u64::from(load.memory);
             view.cache.place(u64::from(load.memory));
-            for part in &prompt.parts {
+            for part in &prompt.shape.parts {
                 view.cache.note(part.id);
                 if self.notes.len() < MAX_NOTES {
                     self.notes.push(CacheNote {
@@ -194,7 +194,8 @@
             replica: replica.clone(),
             sent: now,
             load,
-            in_front: there.reading + load.reading,
+            reading: load.reading,
+            front_ms: prompt.map_or(0.0, |prompt| prompt.front_ms),
         };
         let number = self.next_work;
         self.next_work += 1;
@@ -207,20 +208,51 @@
         std::mem::take(&mut self.notes)
     }
 
-    /// The first token of a request came.
+    /// The first token of a prompt came. Gives what is believed of the service's
+    /// engines if that is news.
     pub fn first_token(
         &mut self,
         now: Moment,
         number: WorkNumber,
-    ) {
-        let Some(work) = self.works.get_mut(&number) else {
-            return;
+    ) -> Option<EngineTimes> {
+        let work = self.works.get_mut(&number)?;
+        let unread = std::mem::take(&mut work.load.reading);
+        let view = self.replicas.get_mut(&work.replica)?;
+        view.own.reading = view.own.reading.saturating_sub(unread);
+        let seen = FirstToken {
+            tokens: work.reading,
+            front_ms: work.front_ms,
+            took: now.saturating_sub(work.sent),
         };
-        let reading = std::mem::take(&mut work.load.reading);
-        if let Some(view) = self.replicas.get_mut(&work.replica) {
-            view.own.reading = view.own.reading.saturating_sub(reading);
-            view.speed
-                .learn(work.in_front, now.saturating_sub(work.sent));
+        self.engines.learn(&view.entry.service, seen)
+    }
+
+    /// What is believed of the engines of a service.
+    pub fn engine_times(
+        &self,
+        service: &str,
+    ) -> EngineTimes {
+        self.engines.times(service)
+    }
+
+    /// What this router has learnt of engines, for its peers.
+    pub fn engine_reports(&self) -> Vec<EngineReport> {
+        self.engines.reports()
+    }
+
+    /// A peer told what it has learnt of engines.
+    pub fn hear_engines(
+        &mut self,
+        told: &[EngineReport],
+    ) {
+        for report in told {
+            let services = self.replicas.values().map(|view| &view.entry.service);
+            let named = services
+                .clone()
+                .find(|name| replica_key(name) == report.service);
+            if let Some(service) = named {
+                self.engines.hear(service, report);
+            }
         }
     }
 
--- a/src/policy/placement/replica_view.rs
+++ b/src/policy/placement/replica_view.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Load, PeerLoads, PrefixCache, ReadingSpeed, ReplicaHealth, ReplicaReport},
+    super::{Load, PeerLoads, PrefixCache, ReplicaHealth, ReplicaReport},
     crate::{catalog::UpstreamEntry, policy::Moment},
     std::{sync::Arc, time::Duration},
 };
@@ -14,7 +14,6 @@
     pub own: Load, // what this router has there
     pub health: ReplicaHealth,
     pub cache: PrefixCache,
-    pub speed: ReadingSpeed,
     pub placed: u64,     // tokens that this router sent there so far
     pub heard: Moment,   // when it last answered anything
     pub service_ms: f64, // moving time of a plain request
@@ -23,16 +22,12 @@
 
 impl ReplicaView {
     /// A replica that nothing is known of but its entry.
-    pub fn new(
-        entry: Arc<UpstreamEntry>,
-        speed: f64,
-    ) -> Self {
+    pub fn new(entry: Arc<UpstreamEntry>) -> Self {
         Self {
             entry,
             own: Load::default(),
             health: ReplicaHealth::default(),
             cache: PrefixCache::default(),
-            speed: ReadingSpeed::new(speed),
             placed: 0,
             heard: Moment::ZERO,
             service_ms: 10.0,
--- a/src/policy/placement/work.rs
+++ b/src/policy/placement/work.rs
@@ -9,5 +9,6 @@
     pub replica: Arc<str>,
     pub sent: Moment,
     pub load: Load,    // what it counts for now
-    pub in_front: u32, // tokens to read there when it was sent, its own too
+    pub reading: u32,  // prompt tokens that it has to read in all
+    pub front_ms: f64, // of reading believed to be in front, and of fetching
 }
--- a/tests/peer_reports.rs
+++ b/tests/peer_reports.rs
@@ -107,6 +107,7 @@
         version: CatalogVersion::default(),
         replicas: Vec::new(),
         accounts: Vec::new(),
+        engines: Vec::new(),
         notes: Vec::new(),
         routers: Vec::new(),
     };
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -5,7 +5,7 @@
         catalog::{UpstreamEntry, UpstreamState},
         policy::placement::{
             Choice, KeptPart, Load, PeerLoads, PlacementRequest, PlacementSettings, PromptPart,
-            PromptShape, RefusalReason, ReplicaBoard, ReplicaReport, replica_key,
+            PromptShape, RefusalReason, ReplicaBoard, ReplicaReport, SentPrompt, replica_key,
         },
         policy::{LagGauge, shares::Standing},
         routing::EngineFacts,
@@ -123,12 +123,24 @@
     }
 }
 
+fn sent_prompt(
+    shape: &PromptShape,
+    reading: u32,
+) -> SentPrompt<'_> {
+    SentPrompt {
+        shape,
+        engine: ENGINE,
+        reading,
+        front_ms: 0.0,
+    }
+}
+
 fn place(
     board: &mut ReplicaBoard,
     prompt: &PromptShape,
 ) -> Arc<str> {
     let (replica, reading) = sent(board.choose(NOW, &request(prompt)));
-    board.start(NOW, &replica, reading, Some(prompt), Some(ENGINE));
+    board.start(NOW, &replica, Some(sent_prompt(prompt, reading)));
     replica
 }
 
@@ -206,7 +218,7 @@
         replica, reading, ..
     } = board.choose(NOW, &request(prompt))
     {
-        board.start(NOW, &replica, reading, Some(prompt), Some(ENGINE));
+        board.start(NOW, &replica, Some(sent_prompt(prompt, reading)));
     }
 }
 
@@ -393,7 +405,7 @@
     let mut board = board(&["a"]);
     let prompt = prompt(1, 2);
     let number = board
-        .start(NOW, &"a".into(), 5000, Some(&prompt), Some(ENGINE))
+        .start(NOW, &"a".into(), Some(sent_prompt(&prompt, 5000)))
         .expect("listed");
     let own = |board: &ReplicaBoard| board.replica("a").expect("listed").own;
     assert_eq!(own(&board).reading, 5000);
@@ -405,21 +417,23 @@
 }
 
 #[test]
-fn reading_speed_is_learnt() {
+fn how_long_engines_read_is_learnt_from_first_tokens() {
     let mut board = board(&["a"]);
-    let guess = board.replica("a").expect("listed").speed.tokens_per_ms();
+    let guess = board.engine_times("model").token_ms;
     let mut now = NOW;
     for own in 0..200 {
         let prompt = prompt(own, own + 1000);
+        let reading = if own % 2 == 0 { 5000 } else { 1000 };
         let number = board
-            .start(now, &"a".into(), 5000, Some(&prompt), Some(ENGINE))
+            .start(now, &"a".into(), Some(sent_prompt(&prompt, reading)))
             .expect("listed");
-        now += Duration::from_secs(1);
+        now += Duration::from_millis(u64::from(reading) / 5);
         board.first_token(now, number);
         board.finish(number);
     }
-    let learnt = board.replica("a").expect("listed").speed.tokens_per_ms();
-    assert!(learnt < guess / 4.0 && learnt > 4.0, "{learnt}");
+    let learnt = board.engine_times("model").token_ms;
+    assert!(learnt > guess * 4.0, "{learnt}");
+    assert!((learnt - 0.2).abs() < 0.04, "{learnt}");
 }
 
 #[test]
@@ -460,7 +474,11 @@
     let ids = ["a", "b", "c", "d", "e", "f"];
     let mut board = board(&ids);
     for keeper in &ids[..3] {
-        board.start(NOW, &(*keeper).into(), 0, Some(&prompt(1, 100)), Some(ABLE));
+        board.start(
+            NOW,
+            &(*keeper).into(),
+            Some(sent_prompt(&prompt(1, 100), 0)),
+        );
     }
     let full: Vec<Arc<str>> = ids[..3].iter().map(|id| (*id).into()).collect();
     for id in &full {
@@ -526,7 +544,7 @@
     let first = prompt(1, 100);
     let (home, reading) = sent(board.choose(NOW, &able(&first)));
     let work = board
-        .start(NOW, &home, reading, Some(&first), Some(ABLE))
+        .start(NOW, &home, Some(sent_prompt(&first, reading)))
         .expect("started");
     board.finish(work);
     let prompts = (0..100).map(|own| prompt(1, 1000 + own));
@@ -541,7 +559,7 @@
         let first = prompt(1, 100);
         let (home, reading) = sent(board.choose(NOW, &able(&first)));
         let work = board
-            .start(NOW, &home, reading, Some(&first), Some(ABLE))
+            .start(NOW, &home, Some(sent_prompt(&first, reading)))
             .expect("started");
         board.finish(work);
         let busy = ReplicaReport {
@@ -635,7 +653,7 @@
     loop {
         match board.choose(NOW, &plain) {
             Choice::Send { replica, .. } => {
-                board.start(NOW, &replica, 0, None, None);
+                board.start(NOW, &replica, None);
                 *counts.entry(replica).or_insert(0) += 1;
             }
             Choice::Refuse { reason, .. } => {
