Accounts over their share leave idle replicas to others, however little over

Change: the factor of 1.5 is gone; an account over its share uses a replica with nothing in front only where most have nothing in front.

--- a/src/policy/placement/admission.rs
+++ b/src/policy/placement/admission.rs
@@ -3,9 +3,6 @@
     crate::{policy::shares::Standing, routing::EngineFacts},
 };
 
-/// An account that had this many times its share is far over it.
-const FAR_OVER: f32 = 1.5;
-
 /// What a replica may have in front for one request to be sent there.
 #[derive(Debug, Clone, Copy)]
 pub struct Admission {
@@ -33,7 +30,7 @@
             bound_ms: aim_ms * settings.aim_share * share,
             most_memory: engine.memory_tokens as f64 * settings.memory_share,
             own_weight: settings.own_weight,
-            may_use_idle: most_are_idle || !is_far_over(request.standing),
+            may_use_idle: most_are_idle || !is_over(request.standing),
         }
     }
 
@@ -61,8 +58,8 @@
     }
 }
 
-/// Accounts far over their share leave idle replicas to others, unless most
-/// are idle: who asks most often would get most of them.
-pub fn is_far_over(standing: Standing) -> bool {
-    matches!(standing, Standing::Over { factor, .. } if factor > FAR_OVER)
+/// Accounts over their share leave idle replicas to others, unless most are idle:
+/// the account that asks most often would otherwise get most of them.
+pub fn is_over(standing: Standing) -> bool {
+    matches!(standing, Standing::Over { .. })
 }
--- a/src/policy/placement/board_choice.rs
+++ b/src/policy/placement/board_choice.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         Choice, PlacementRequest, PromptShape, RefusalReason, ReplicaBoard, ReplicaView,
-        admission::{Admission, is_far_over},
+        admission::{Admission, is_over},
         candidate::Candidate,
         cheapest::Cheapest,
         offer::{Sources, offer},
@@ -103,7 +103,7 @@
         let settings = &self.settings;
         let age = self.belief_age();
         let times = self.engine_times(request.service);
-        let most_are_idle = is_far_over(request.standing) && self.most_are_idle(now, usable);
+        let most_are_idle = is_over(request.standing) && self.most_are_idle(now, usable);
         let admission = Admission::new(settings, request, engine, most_are_idle);
         let ranks = homes(prompt, usable);
         let sources = Sources::new(prompt, usable);
