--- a/src/direct/gateway.rs
+++ b/src/direct/gateway.rs
@@ -244,6 +244,9 @@
                 let detail = format!("configuration {known} in force");
                 self.audit.record("config_accepted", revision, None, detail);
             }
+            if let Some(table) = self.catalog.config() {
+                self.shares().set_capacity(table.limits.tokens_per_s);
+            }
             let entries = self.catalog.upstreams();
             self.board().set_entries(entries.clone());
             self.pool
--- a/src/policy/shares/share_book.rs
+++ b/src/policy/shares/share_book.rs
@@ -36,6 +36,7 @@
 pub struct ShareBook {
     window: Duration,
     peer_age: Duration, // older reports of peers are ignored
+    capacity: f32,      // tokens a second that the operator says all replicas make; 0 if untold
     own: HashMap<u32, AccountUsage>,
     peers: HashMap<u32, HashMap<u32, (Moment, AccountUsage)>>, // by peer and account
     faded: Moment,
@@ -58,6 +59,7 @@
         Self {
             window,
             peer_age,
+            capacity: 0.0,
             own: HashMap::new(),
             peers: HashMap::new(),
             faded: Moment::ZERO,
@@ -75,6 +77,14 @@
         self.peer_age = peer_age;
     }
 
+    /// What the operator says that all replicas make, in tokens a second.
+    pub fn set_capacity(
+        &mut self,
+        tokens_per_second: Option<f64>,
+    ) {
+        self.capacity = tokens_per_second.map_or(0.0, |tokens| tokens as f32);
+    }
+
     /// How long what peers told is believed.
     pub fn set_peer_age(
         &mut self,
@@ -168,7 +178,7 @@
             .values()
             .map(|usage| usage.asked.max(usage.got))
             .collect();
-        let level = fair_level(asked, given);
+        let level = fair_level(asked, self.divided(given));
         let bound = level * SLACK;
         if mine.got > bound {
             let factor = mine.got / bound.max(1.0);
@@ -184,6 +194,16 @@
         }
     }
 
+    /// What is divided among accounts: what the replicas make in a window, or what
+    /// was given in it if that is more. What was refused in a window in which
+    /// little was given makes nobody go over a share that there is.
+    fn divided(
+        &self,
+        given: f32,
+    ) -> f32 {
+        given.max(self.capacity * self.window.as_secs_f32())
+    }
+
     /// What each account asked for and got over the fleet.
     pub fn fleet_usage(
         &mut self,
--- a/tests/engine_model.rs
+++ b/tests/engine_model.rs
@@ -161,7 +161,10 @@
         tokens_per_ms: 50.0,
     };
     for sample in 0..400 {
-        fresh.learn(&service, engine.first_token(200 + (sample * 2953) % 9000, 0.0));
+        fresh.learn(
+            &service,
+            engine.first_token(200 + (sample * 2953) % 9000, 0.0),
+        );
     }
     assert!(is_near(1.0 / fresh.times("model").token_ms, 50.0));
     // A router that knows the engines itself keeps to what it knows.
--- a/tests/fair_shares.rs
+++ b/tests/fair_shares.rs
@@ -19,6 +19,27 @@
     assert!(fair_level(Vec::new(), 0.0).is_infinite());
 }
 
+#[test]
+fn an_account_is_not_over_while_all_ask_for_less_than_is_made() {
+    let (big, small) = (account_key("big"), account_key("small"));
+    let mut book = ShareBook::new(WINDOW, AGE);
+    let now = Duration::from_secs(10);
+    // A moment of refusals: a little was given, more was asked for.
+    book.ask(now, big, 3000.0);
+    book.ask(now, small, 1000.0);
+    book.give(now, big, 1000.0);
+    assert!(over_for(&mut book, now, big).is_some());
+    // All engines together make 2,000 tokens a second, 8,000 in a window.
+    book.set_capacity(Some(2000.0));
+    assert_eq!(over_for(&mut book, now, big), None);
+    book.ask(now, big, 20_000.0);
+    book.give(now, big, 9000.0);
+    assert!(over_for(&mut book, now, big).is_some());
+    assert_eq!(over_for(&mut book, now, small), None);
+    book.set_capacity(None);
+    assert!(over_for(&mut book, now, big).is_some());
+}
+
 proptest! {
     #[test]
     fn nobody_gets_more_than_asked_and_all_is_given(
