The bound on reading in front follows from aims and from what engines take

Cause: half of the service's shortest aim was right for one deployment at a guessed speed of 30; no constant served two.

Change: what a usual request of each aim asked for lately is left by its own reading, the least of them, less the engines' fixed time and the usual error of the belief, is how much reading may be in front (times the account's standing).

Conclusion: kept, since it needs no constant of a deployment.

--- a/src/direct/exchange_choice.rs
+++ b/src/direct/exchange_choice.rs
@@ -57,6 +57,7 @@
                 let sent = sent.map(|(shape, engine)| SentPrompt {
                     shape,
                     engine,
+                    aim: call.route.aim,
                     reading,
                     front_ms,
                 });
--- a/src/policy/placement/admission.rs
+++ b/src/policy/placement/admission.rs
@@ -14,20 +14,21 @@
 
 impl Admission {
     /// The bounds for a request, by how its account stands to its share.
+    /// `spare_ms` of reading in front leave every usual request its time.
     pub fn new(
         settings: &PlacementSettings,
         request: &PlacementRequest,
         engine: EngineFacts,
         most_are_idle: bool,
+        spare_ms: f64,
     ) -> Self {
         let share = match request.standing {
             Standing::Over { factor, .. } => settings.over_share / f64::from(factor * factor),
             Standing::Within => 1.0,
             Standing::Behind => settings.behind_share,
         };
-        let aim_ms = request.aim.as_secs_f64() * 1000.0;
         Self {
-            bound_ms: aim_ms * settings.aim_share * share,
+            bound_ms: spare_ms * settings.aim_share * share,
             most_memory: engine.memory_tokens as f64 * settings.memory_share,
             own_weight: settings.own_weight,
             may_use_idle: most_are_idle || !is_over(request.standing),
--- a/src/policy/placement/board_choice.rs
+++ b/src/policy/placement/board_choice.rs
@@ -2,7 +2,8 @@
 
 use {
     super::{
-        Choice, PlacementRequest, PromptShape, RefusalReason, ReplicaBoard, ReplicaView,
+        Choice, EngineTimes, PlacementRequest, PromptShape, RefusalReason, ReplicaBoard,
+        ReplicaView,
         admission::{Admission, is_over},
         candidate::Candidate,
         cheapest::Cheapest,
@@ -104,7 +105,13 @@
         let age = self.belief_age();
         let times = self.engine_times(request.service);
         let most_are_idle = is_over(request.standing) && self.most_are_idle(now, usable);
-        let admission = Admission::new(settings, request, engine, most_are_idle);
+        let admission = Admission::new(
+            settings,
+            request,
+            engine,
+            most_are_idle,
+            self.spare_ms(now, request, times),
+        );
         let ranks = homes(prompt, usable);
         let sources = Sources::new(prompt, usable);
         let near = self.considered(usable.len());
@@ -134,6 +141,21 @@
         }
     }
 
+    /// How much reading may be in front of a request so that it, and any other that
+    /// is usual at its service, still meets its aim: what the aim leaves beyond the
+    /// engines' fixed time, its own reading, and what the belief is usually off.
+    fn spare_ms(
+        &self,
+        now: Moment,
+        request: &PlacementRequest,
+        times: EngineTimes,
+    ) -> f64 {
+        let aim_ms = request.aim.as_secs_f64() * 1000.0;
+        let left = self.usual.least_left_ms(now, request.service, times);
+        let left_ms = left.map_or(aim_ms, |left| left.min(aim_ms));
+        (left_ms - times.fixed_ms - times.residual_ms).max(0.0)
+    }
+
     /// What a candidate costs: the time until its first token, and what it costs
     /// others, in milliseconds.
     fn cost_ms(
--- a/src/policy/placement/mod.rs
+++ b/src/policy/placement/mod.rs
@@ -27,6 +27,7 @@
 mod replica_report;
 mod replica_view;
 mod sent_prompt;
+mod usual_readings;
 mod work;
 
 pub use {
@@ -50,5 +51,6 @@
     replica_report::ReplicaReport,
     replica_view::ReplicaView,
     sent_prompt::SentPrompt,
+    usual_readings::UsualReadings,
     work::{Work, WorkNumber},
 };
--- a/src/policy/placement/replica_board.rs
+++ b/src/policy/placement/replica_board.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         CacheNote, EngineModels, EngineReport, EngineTimes, FirstToken, Load, PlacementSettings,
-        ReplicaReport, ReplicaView, SentPrompt, Work, WorkNumber, replica_key,
+        ReplicaReport, ReplicaView, SentPrompt, UsualReadings, Work, WorkNumber, replica_key,
     },
     crate::{catalog::UpstreamEntry, policy::Moment},
     std::{
@@ -18,7 +18,8 @@
     pub(super) replicas: BTreeMap<Arc<str>, ReplicaView>,
     keys: HashMap<u32, Arc<str>>, // ids by key
     works: HashMap<WorkNumber, Work>,
-    engines: EngineModels,
+    pub(super) engines: EngineModels,
+    pub(super) usual: UsualReadings,
     next_work: WorkNumber,
     notes: Vec<CacheNote>,            // parts that were sent to replicas anew
     pub(super) report_pace: Duration, // between two reports of a peer
@@ -40,6 +41,7 @@
             keys: HashMap::new(),
             works: HashMap::new(),
             engines: EngineModels::default(),
+            usual: UsualReadings::default(),
             next_work: 1,
             notes: Vec::new(),
             report_pace: Duration::ZERO,
@@ -172,6 +174,8 @@
             ..Load::default()
         };
         if let Some(prompt) = prompt {
+            let service = &view.entry.service;
+            self.usual.note(now, service, prompt.aim, prompt.reading);
             load.reading = prompt.reading;
             load.memory = prompt.reading + prompt.shape.output_tokens;
             let room = prompt.engine.memory_tokens;
--- a/src/policy/placement/sent_prompt.rs
+++ b/src/policy/placement/sent_prompt.rs
@@ -1,10 +1,11 @@
-use {super::PromptShape, crate::routing::EngineFacts};
+use {super::PromptShape, crate::routing::EngineFacts, std::time::Duration};
 
 /// A prompt on its way to a replica.
 #[derive(Debug, Clone, Copy)]
 pub struct SentPrompt<'p> {
     pub shape: &'p PromptShape,
     pub engine: EngineFacts,
+    pub aim: Duration, // of its route
     pub reading: u32,  // tokens that the replica has to read
     pub front_ms: f64, // of reading believed to be in front, and of fetching
 }
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -130,6 +130,7 @@
     SentPrompt {
         shape,
         engine: ENGINE,
+        aim: AIM,
         reading,
         front_ms: 0.0,
     }
