One late timer is no shortage of processor

Change: lag counts from the second late timer in a row; one that is a second late (a process that stood still, whose list is as old) counts at once.

--- a/src/policy/lag_gauge.rs
+++ b/src/policy/lag_gauge.rs
@@ -3,11 +3,18 @@
 /// Weight of a new sample that is shorter than what is believed.
 const FALL: f64 = 0.3;
 
+/// A timer this late means that the process stood still, and that what it knows
+/// is as old: it counts at once.
+const STOOD_STILL: Duration = Duration::from_secs(1);
+
 /// How far a process is behind its own timers: how long what arrives waits for
-/// the processor. Rises at once, falls slowly.
+/// the processor. Rises with the second late timer in a row, since one alone is
+/// one long piece of work (some 190 ms at the start of a host with 0.19 of a
+/// core), not a shortage; falls slowly.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct LagGauge {
     lag: Duration,
+    last: Duration, // how late the last timer was
 }
 
 impl LagGauge {
@@ -16,10 +23,16 @@
         &mut self,
         late: Duration,
     ) {
-        self.lag = if late > self.lag {
+        let lasting = if late >= STOOD_STILL {
             late
         } else {
-            self.lag - (self.lag - late).mul_f64(FALL)
+            late.min(self.last)
+        };
+        self.last = late;
+        self.lag = if lasting > self.lag {
+            lasting
+        } else {
+            self.lag - (self.lag - lasting).mul_f64(FALL)
         };
     }
 
