A router short of processor refuses earlier, and tells callers to come back later

Change: requests are refused when the process is 60 ms behind its timers (150 before); while it is, or has work for more than most_busy of its time, refusals name 1.5 s at least.

--- a/src/direct/exchange_choice.rs
+++ b/src/direct/exchange_choice.rs
@@ -44,6 +44,7 @@
                 retry_after,
             } => {
                 drop(board);
+                let retry_after = retry_after.max(self.gateway.least_retry());
                 Err(self.refusal(reason, retry_after))
             }
             Choice::Send {
--- a/src/direct/gateway.rs
+++ b/src/direct/gateway.rs
@@ -23,8 +23,14 @@
 };
 
 /// A process that is this far behind its timers refuses requests: what it read
-/// now would be sent on too late, by knowledge that is old.
-const MOST_LAG: Duration = Duration::from_millis(150);
+/// now would be sent on too late, by knowledge that is old. A fifth of the shortest
+/// aims that are usual (300 ms): nobody waits longer than that for a refusal.
+const MOST_LAG: Duration = Duration::from_millis(60);
+
+/// When callers come back to a router that has more of them than its processor
+/// serves. The balancer asks once a second and takes a router out that was twice
+/// not ready: earlier they meet the same router, and cost it as much again.
+const BUSY_RETRY: Duration = Duration::from_millis(1500);
 
 /// The shared tables of a router that carries requests itself.
 ///
@@ -165,6 +171,17 @@
         self.lag_ms.load(Ordering::Relaxed) > MOST_LAG.as_millis() as u64
     }
 
+    /// The least time after which callers that are refused should come back: some
+    /// while where this router has more of them than its processor serves.
+    pub fn least_retry(&self) -> Duration {
+        let most_busy = self.settings().most_busy * 100.0;
+        if self.is_choked() || f64::from(self.busy_percent()) > most_busy {
+            BUSY_RETRY
+        } else {
+            Duration::ZERO
+        }
+    }
+
     /// Notes how far the process is behind its timers. Whether it is choked, if
     /// that changed.
     pub fn set_lag(
--- a/src/direct/request_reader.rs
+++ b/src/direct/request_reader.rs
@@ -22,9 +22,6 @@
 /// When to come back, to another router, after this one stops.
 const STOPPING_RETRY: Duration = Duration::from_millis(50);
 
-/// When to come back to a router whose processor is short.
-const CHOKED_RETRY: Duration = Duration::from_millis(400);
-
 /// How long a body may take.
 const BODY_TIME: Duration = Duration::from_secs(10);
 
@@ -47,7 +44,7 @@
         return Err(ErrorAnswer::new(ResultCode::Stopping).retry_after(STOPPING_RETRY));
     }
     if gateway.is_choked() {
-        return Err(ErrorAnswer::new(ResultCode::RouterBusy).retry_after(CHOKED_RETRY));
+        return Err(ErrorAnswer::new(ResultCode::RouterBusy).retry_after(gateway.least_retry()));
     }
     let table = gateway.catalog.config().ok_or_else(|| {
         ErrorAnswer::new(ResultCode::NoConfiguration).retry_after(NO_CONFIG_RETRY)
--- /dev/null
+++ b/tests/busy_router.rs
@@ -0,0 +1,60 @@
+//! What a router does with callers while its processor is short.
+
+use {
+    archmast::{
+        catalog::Catalog,
+        conf::{DirectSettings, IniDocument},
+        direct::Gateway,
+        platform::{dialect, parse_config, parse_replica},
+    },
+    std::{sync::Arc, time::Duration},
+};
+
+const SETTINGS: &str = "\
+[process]
+host = r1
+zone = z
+[callers]
+listen = 127.0.0.1:1
+[ready]
+listen = 127.0.0.1:2
+[operator]
+listen = 127.0.0.1:3
+[peers]
+listen = 127.0.0.1:4
+news = 127.0.0.1:5
+[catalog]
+address = 127.0.0.1:6
+";
+
+fn gateway() -> Gateway {
+    let document = IniDocument::parse("direct.ini", SETTINGS).expect("settings");
+    let settings = DirectSettings::from_document(document).expect("settings");
+    let catalog = Arc::new(Catalog::new(parse_config, parse_replica));
+    Gateway::new(settings, dialect(), catalog)
+}
+
+#[test]
+fn callers_come_back_later_to_a_router_that_is_short_of_processor() {
+    let gateway = gateway();
+    assert_eq!(gateway.least_retry(), Duration::ZERO);
+    // The balancer asks once a second, and takes a router out after two misses.
+    let out = Duration::from_secs(1);
+    gateway.set_busy(0.9);
+    assert!(gateway.least_retry() > out);
+    gateway.set_busy(0.3);
+    assert_eq!(gateway.least_retry(), Duration::ZERO);
+    gateway.set_lag(Duration::from_millis(100));
+    assert!(gateway.is_choked());
+    assert!(gateway.least_retry() > out);
+}
+
+#[test]
+fn nobody_waits_a_quarter_of_a_usual_aim_to_be_refused_for_the_processor() {
+    let gateway = gateway();
+    let quarter = Duration::from_millis(300) / 4;
+    gateway.set_lag(quarter);
+    assert!(gateway.is_choked());
+    gateway.set_lag(Duration::from_millis(20));
+    assert!(!gateway.is_choked());
+}
