Tests of placement state the engines' times instead of the first guess

They now begin from what a peer has learnt (33 tokens a ms, as the guess was); what they assert is unchanged. The test that the times are learnt begins without a peer's word.

--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -4,8 +4,9 @@
     archmast::{
         catalog::{UpstreamEntry, UpstreamState},
         policy::placement::{
-            Choice, KeptPart, Load, PeerLoads, PlacementRequest, PlacementSettings, PromptPart,
-            PromptShape, RefusalReason, ReplicaBoard, ReplicaReport, SentPrompt, replica_key,
+            Choice, EngineReport, EngineTimes, KeptPart, Load, PeerLoads, PlacementRequest,
+            PlacementSettings, PromptPart, PromptShape, RefusalReason, ReplicaBoard, ReplicaReport,
+            SentPrompt, replica_key,
         },
         policy::{LagGauge, shares::Standing},
         routing::EngineFacts,
@@ -30,6 +31,17 @@
     ..ENGINE
 };
 
+/// What a peer has learnt of the engines: 33 tokens a millisecond.
+const KNOWN: EngineReport = EngineReport {
+    service: 0,
+    times: EngineTimes {
+        fixed_ms: 40.0,
+        token_ms: 0.03,
+        residual_ms: 40.0,
+    },
+    samples: 5000,
+};
+
 fn entry(
     id: &str,
     zone: &str,
@@ -45,13 +57,23 @@
     })
 }
 
-fn board(ids: &[&str]) -> ReplicaBoard {
+/// A board that has learnt nothing of the engines.
+fn fresh_board(ids: &[&str]) -> ReplicaBoard {
     let mut board = ReplicaBoard::new(PlacementSettings::default());
     let entries = ids.iter().map(|id| entry(id, "z", UpstreamState::Ready));
     board.set_entries(entries.collect());
     board
 }
 
+fn board(ids: &[&str]) -> ReplicaBoard {
+    let mut board = fresh_board(ids);
+    board.hear_engines(&[EngineReport {
+        service: replica_key("model"),
+        ..KNOWN
+    }]);
+    board
+}
+
 fn prompt(
     shared: u64,
     own: u64,
@@ -420,7 +442,7 @@
 
 #[test]
 fn how_long_engines_read_is_learnt_from_first_tokens() {
-    let mut board = board(&["a"]);
+    let mut board = fresh_board(&["a"]);
     let guess = board.engine_times("model").token_ms;
     let mut now = NOW;
     for own in 0..200 {
