--- a/tests/overload_pause.rs
+++ b/tests/overload_pause.rs
@@ -1,7 +1,7 @@
 //! When a router whose processor is short lets callers go elsewhere.
 
 use {
-    archmast::policy::{BusyGauge, OverloadPause},
+    archmast::policy::{BusyGauge, LagGauge, OverloadPause},
     std::time::Duration,
 };
 
@@ -87,3 +87,25 @@
     gauge.sample(ms(0), ms(4));
     assert!(gauge.share() < 0.01);
 }
+
+#[test]
+fn lag_rises_with_the_second_late_timer_and_falls_slowly() {
+    let mut gauge = LagGauge::default();
+    gauge.sample(Duration::from_millis(400));
+    assert_eq!(gauge.lag(), Duration::ZERO, "one long piece of work");
+    gauge.sample(Duration::from_millis(500));
+    assert_eq!(gauge.lag(), Duration::from_millis(400));
+    gauge.sample(Duration::ZERO);
+    assert!(gauge.lag() > Duration::from_millis(200));
+    for _ in 0..20 {
+        gauge.sample(Duration::ZERO);
+    }
+    assert!(gauge.lag() < Duration::from_millis(5));
+}
+
+#[test]
+fn a_process_that_stood_still_lags_at_once() {
+    let mut gauge = LagGauge::default();
+    gauge.sample(Duration::from_secs(4));
+    assert_eq!(gauge.lag(), Duration::from_secs(4));
+}
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -8,7 +8,7 @@
             PlacementSettings, PromptPart, PromptShape, RefusalReason, ReplicaBoard, ReplicaReport,
             SentPrompt, replica_key,
         },
-        policy::{LagGauge, shares::Standing},
+        policy::shares::Standing,
         routing::EngineFacts,
     },
     std::{collections::HashMap, sync::Arc, time::Duration},
@@ -648,28 +648,6 @@
     assert_eq!(uncached(&board), 5000);
 }
 
-#[test]
-fn lag_rises_with_the_second_late_timer_and_falls_slowly() {
-    let mut gauge = LagGauge::default();
-    gauge.sample(Duration::from_millis(400));
-    assert_eq!(gauge.lag(), Duration::ZERO, "one long piece of work");
-    gauge.sample(Duration::from_millis(500));
-    assert_eq!(gauge.lag(), Duration::from_millis(400));
-    gauge.sample(Duration::ZERO);
-    assert!(gauge.lag() > Duration::from_millis(200));
-    for _ in 0..20 {
-        gauge.sample(Duration::ZERO);
-    }
-    assert!(gauge.lag() < Duration::from_millis(5));
-}
-
-#[test]
-fn a_process_that_stood_still_lags_at_once() {
-    let mut gauge = LagGauge::default();
-    gauge.sample(Duration::from_secs(4));
-    assert_eq!(gauge.lag(), Duration::from_secs(4));
-}
-
 #[test]
 fn plain_requests_go_to_the_least_busy_and_are_bounded() {
     let mut board = board(&["a", "b"]);
