--- a/src/policy/placement/replica_board.rs
+++ b/src/policy/placement/replica_board.rs
@@ -18,7 +18,7 @@
     pub(super) replicas: BTreeMap<Arc<str>, ReplicaView>,
     keys: HashMap<u32, Arc<str>>, // ids by key
     works: HashMap<WorkNumber, Work>,
-    pub(super) engines: EngineModels,
+    engines: EngineModels,
     pub(super) usual: UsualReadings,
     next_work: WorkNumber,
     notes: Vec<CacheNote>,            // parts that were sent to replicas anew
@@ -250,10 +250,8 @@
         told: &[EngineReport],
     ) {
         for report in told {
-            let services = self.replicas.values().map(|view| &view.entry.service);
-            let named = services
-                .clone()
-                .find(|name| replica_key(name) == report.service);
+            let mut services = self.replicas.values().map(|view| &view.entry.service);
+            let named = services.find(|name| replica_key(name) == report.service);
             if let Some(service) = named {
                 self.engines.hear(service, report);
             }
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -167,6 +167,19 @@
     replica
 }
 
+/// A prompt is run to its end where the board sends it.
+fn run_whole(
+    board: &mut ReplicaBoard,
+    prompt: &PromptShape,
+) -> Arc<str> {
+    let (replica, reading) = sent(board.choose(NOW, &able(prompt)));
+    let work = board
+        .start(NOW, &replica, Some(sent_prompt(prompt, reading)))
+        .expect("started");
+    board.finish(work);
+    replica
+}
+
 #[test]
 fn a_prompt_goes_where_its_shared_part_is_kept() {
     let mut board = board(&["a", "b", "c", "d"]);
@@ -566,11 +579,7 @@
     let mut board = board(&names);
     board.set_reports(Duration::from_millis(100), 20);
     let first = prompt(1, 100);
-    let (home, reading) = sent(board.choose(NOW, &able(&first)));
-    let work = board
-        .start(NOW, &home, Some(sent_prompt(&first, reading)))
-        .expect("started");
-    board.finish(work);
+    let home = run_whole(&mut board, &first);
     let prompts = (0..100).map(|own| prompt(1, 1000 + own));
     let at_home = prompts.filter(|prompt| sent(board.choose(NOW, &able(prompt))).0 == home);
     assert_eq!(at_home.count(), 100);
@@ -581,11 +590,7 @@
     let stays_at_home = |in_front: u32| {
         let mut board = board(&["a", "b"]);
         let first = prompt(1, 100);
-        let (home, reading) = sent(board.choose(NOW, &able(&first)));
-        let work = board
-            .start(NOW, &home, Some(sent_prompt(&first, reading)))
-            .expect("started");
-        board.finish(work);
+        let home = run_whole(&mut board, &first);
         let busy = ReplicaReport {
             replica: replica_key(&home),
             load: Load {
