--- a/src/direct/exchange_choice.rs
+++ b/src/direct/exchange_choice.rs
@@ -11,7 +11,8 @@
         ops::PROMPT_TOKENS,
         policy::{
             placement::{Choice, PlacementRequest, PromptShape, RefusalReason, SentPrompt},
-            shares::{Standing, account_key},
+            shares::Standing,
+            short_name,
         },
     },
     std::{net::SocketAddr, time::Duration},
@@ -143,7 +144,7 @@
     }
 
     pub(super) fn account(&self) -> Option<u32> {
-        self.call.account.as_deref().map(account_key)
+        self.call.account.as_deref().map(short_name)
     }
 
     pub(super) fn ask(&self) {
--- a/src/direct/gateway.rs
+++ b/src/direct/gateway.rs
@@ -5,11 +5,12 @@
         conf::DirectSettings,
         fleet::Revision,
         ops::{AuditTrail, Uptime},
-        peers::PeerTable,
+        peers::{NamedRouter, PeerTable, ZoneTable},
         policy::{
             Incarnation, Moment,
             placement::ReplicaBoard,
             shares::{RetryWindow, ShareBook},
+            short_name,
         },
     },
     std::{
@@ -44,7 +45,8 @@
     pub audit: AuditTrail,
     pub catalog: Arc<Catalog>,
     pub pool: UpstreamPool,
-    pub peers: PeerTable,
+    pub peers: PeerTable,      // the routers of the own zone, and some others
+    pub zones: ZoneTable,      // the other zones
     pub report_wanted: Notify, // peers should be told before the regular time
     board: Mutex<ReplicaBoard>,
     shares: Mutex<ShareBook>,
@@ -69,6 +71,10 @@
             settings.retry_ratio,
             settings.retry_extra,
         );
+        let own = NamedRouter {
+            address: settings.peers,
+            zone: short_name(&settings.process.zone),
+        };
         Self {
             dialect,
             incarnation: Uptime::new_incarnation(),
@@ -76,7 +82,8 @@
             audit: AuditTrail::new(&settings.process.host, settings.operator.audit_entries),
             catalog,
             pool: UpstreamPool::default(),
-            peers: PeerTable::new(settings.peers, &settings.seeds),
+            peers: PeerTable::new(own, &settings.seeds),
+            zones: ZoneTable::default(),
             report_wanted: Notify::new(),
             board: Mutex::new(ReplicaBoard::new(settings.placement)),
             shares: Mutex::new(ShareBook::new(settings.share_window, settings.peer_age)),
@@ -152,8 +159,10 @@
     /// there are seeds.
     pub fn router_count(&self) -> usize {
         let settings = self.settings();
-        let alive = self.peers.alive(self.now(), settings.peer_forget);
-        (alive + 1).max(settings.seeds.len())
+        let now = self.now();
+        let near = self.peers.alive(now, settings.peer_forget) + 1;
+        let far = self.zones.routers(now, settings.peer_forget);
+        (near + far).max(settings.seeds.len())
     }
 
     /// Whether the process has begun to stop.
--- /dev/null
+++ b/src/peers/catch_up.rs
@@ -0,0 +1,71 @@
+//! Learning what the catalogs of others have in advance.
+
+use {
+    super::{PeerLink, ask_news::ask_news},
+    crate::{catalog::CatalogVersion, codes::Fault, policy::Moment},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+};
+
+/// How long this router may be behind others before it asks one for its news: the
+/// store tells most changes by then.
+const PATIENCE: Duration = Duration::from_millis(500);
+
+/// How often it looks whether it is behind.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+
+impl PeerLink {
+    /// Asks a router that is ahead for its news, once the store had its time to
+    /// tell them.
+    pub(super) async fn catch_up(self: Arc<Self>) {
+        let mut behind_since: Option<Moment> = None;
+        loop {
+            tokio::time::sleep(LOOK_EVERY).await;
+            let now = self.gateway.now();
+            let ours = self.gateway.catalog.version();
+            let Some(ahead) = self.ahead_of(ours) else {
+                behind_since = None;
+                continue;
+            };
+            let since = *behind_since.get_or_insert(now);
+            let waits = ours.config > 0 && ours.upstreams > 0;
+            if waits && now.saturating_sub(since) < PATIENCE {
+                continue;
+            }
+            behind_since = None;
+            if let Err(error) = self.fetch(ahead).await {
+                log::debug!(code = error.code.number(); "no news from {ahead}: {error}");
+            }
+        }
+    }
+
+    /// A router that is ahead of this version, drawn from those that are; one of the
+    /// own zone if there is one.
+    fn ahead_of(
+        &self,
+        ours: CatalogVersion,
+    ) -> Option<SocketAddr> {
+        let is_ahead = |(_, version): &(SocketAddr, CatalogVersion)| {
+            version.config > ours.config || version.upstreams > ours.upstreams
+        };
+        let draw = |known: Vec<(SocketAddr, CatalogVersion)>| {
+            let ahead: Vec<_> = known.into_iter().filter(is_ahead).collect();
+            let drawn = rand::random_range(0..ahead.len().max(1));
+            ahead.get(drawn).map(|(address, _)| *address)
+        };
+        draw(self.gateway.peers.news()).or_else(|| draw(self.zones().news()))
+    }
+
+    async fn fetch(
+        &self,
+        address: SocketAddr,
+    ) -> Result<(), Fault> {
+        let catalog = &self.gateway.catalog;
+        let news = ask_news(&self.endpoint, address, catalog.version()).await?;
+        let from = address.to_string();
+        if let Some(text) = &news.config {
+            catalog.offer_config(text, &from)?;
+        }
+        catalog.offer_records(news.records, news.upstreams_at, &from);
+        Ok(())
+    }
+}
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -1,24 +1,40 @@
 //! What routers tell each other: what each has at which replica, what accounts
 //! got, which configuration is in force, and who else there is.
 //!
-//! Reports go by datagrams to every router known, news of the catalog over QUIC
-//! when a router is behind. QUIC for the reports too cost 0.033 of a core at 20
-//! routers, where hosts have 0.09; a report may be lost, since the next one
-//! says the same. News are encrypted with certificates that each process makes
-//! for itself at its start; reports are not. Since hosts are given no keys, a
-//! peer is known by its address alone: a stranger who can send from inside the
-//! network from such an address is not kept out.
+//! Availability zones are cells. Every router reports to those of its own zone.
+//! Between two zones one router of each, drawn by hash among those that its zone
+//! hears of, tells the other zone's the sum of its own; the router that gets a sum
+//! hands it to its fellows. So what a router sends and hears grows with its zone,
+//! and what passes between zones with the square of their number.
+//!
+//! Reports and sums go by datagrams, news of the catalog over QUIC when a router
+//! is behind. QUIC for the reports too cost 0.033 of a core at 20 routers, where
+//! hosts have 0.09; a report may be lost, since the next one says the same. News
+//! are encrypted with certificates that each process makes for itself at its
+//! start; reports are not. Since hosts are given no keys, a peer is known by its
+//! address alone: a stranger who can send from inside the network from such an
+//! address is not kept out.
 
+mod ask_names;
 mod ask_news;
 mod catalog_news;
+mod catch_up;
+mod figures;
+mod listen;
+mod named_router;
 mod news_port;
 mod own_certificate;
 mod peer_link;
+mod peer_message;
 mod peer_table;
 mod router_report;
+mod tell;
 mod told_reports;
+mod zone_sum;
+mod zone_table;
 
 pub use {
-    catalog_news::CatalogNews, peer_link::PeerLink, peer_table::PeerTable,
-    router_report::RouterReport, told_reports::ToldReports,
+    catalog_news::CatalogNews, figures::Figures, named_router::NamedRouter, peer_link::PeerLink,
+    peer_message::PeerMessage, peer_table::PeerTable, router_report::RouterReport,
+    told_reports::ToldReports, zone_sum::ZoneSum, zone_table::ZoneTable,
 };
--- /dev/null
+++ b/src/peers/peer_message.rs
@@ -0,0 +1,30 @@
+use {
+    super::{NamedRouter, RouterReport, ZoneSum},
+    serde::{Deserialize, Serialize},
+};
+
+/// One datagram between routers.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// To the routers of the own zone.
+    Report(RouterReport),
+    /// To another zone, and there from the router that got it to its fellows.
+    Sum(ZoneSum),
+    /// A router names itself, and asks for the others of its zone.
+    Ask(NamedRouter),
+    /// Routers that were heard of lately: those of the asker's zone, and some of
+    /// each other zone.
+    Names(Vec<NamedRouter>),
+}
+
+impl PeerMessage {
+    /// Its kind, for metrics and logs.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Report(_) => "report",
+            Self::Sum(_) => "sum",
+            Self::Ask(_) => "ask",
+            Self::Names(_) => "names",
+        }
+    }
+}
--- a/src/peers/peer_table.rs
+++ b/src/peers/peer_table.rs
@@ -1,17 +1,21 @@
 use {
-    super::RouterReport,
-    crate::{catalog::CatalogVersion, policy::Moment},
+    super::{NamedRouter, RouterReport},
+    crate::{
+        catalog::CatalogVersion,
+        policy::{Moment, mix, stable_hash},
+    },
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
         sync::{Mutex, MutexGuard},
         time::Duration,
     },
 };
 
-/// The routers that this one knows of, by address.
+/// The routers that this one knows of, by address: those of its own availability
+/// zone by their reports, some of other zones by name.
 pub struct PeerTable {
-    own: SocketAddr,
+    own: NamedRouter,
     peers: Mutex<BTreeMap<SocketAddr, PeerEntry>>, // a leaf lock
 }
 
@@ -19,7 +23,9 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct PeerEntry {
     is_seed: bool,
+    zone: Option<u32>,
     told: Moment,             // when it was first named
+    met: Option<Moment>,      // when it, or one of its zone that hears it, last spoke
     heard: Option<Moment>,    // its own last report
     news: Option<SocketAddr>, // where it can be asked for its catalog
     incarnation: u64,
@@ -39,23 +45,42 @@
         let heard = self.heard.is_some_and(|at| now.saturating_sub(at) <= age);
         heard && !self.leaving
     }
+
+    /// Whether a report is older than what is known. A process that was silent for
+    /// longer than reports are believed may have started anew with a lower number,
+    /// where the time of day stepped back.
+    fn is_older(
+        &self,
+        now: Moment,
+        report: &RouterReport,
+        believed: Duration,
+    ) -> bool {
+        let known = (self.incarnation, self.sequence);
+        let is_lower = known > (report.incarnation, report.sequence);
+        let is_silent = self
+            .heard
+            .is_none_or(|at| now.saturating_sub(at) > believed);
+        is_lower && !(is_silent && report.incarnation != self.incarnation)
+    }
 }
 
 impl PeerTable {
     /// A table of the seeds, which may be stale; this router itself is left out.
     pub fn new(
-        own: SocketAddr,
+        own: NamedRouter,
         seeds: &[SocketAddr],
     ) -> Self {
-        let seeds = seeds.iter().filter(|seed| **seed != own);
-        let seed = PeerEntry {
-            is_seed: true,
-            ..PeerEntry::default()
-        };
-        Self {
+        let table = Self {
             own,
-            peers: Mutex::new(seeds.map(|address| (*address, seed)).collect()),
-        }
+            peers: Mutex::default(),
+        };
+        table.add_seeds(seeds);
+        table
+    }
+
+    /// This router, as others name it.
+    pub fn own(&self) -> NamedRouter {
+        self.own
     }
 
     /// Takes in seeds that changed.
@@ -64,23 +89,25 @@
         seeds: &[SocketAddr],
     ) {
         let mut peers = self.peers();
-        for address in seeds.iter().filter(|seed| **seed != self.own) {
+        for address in seeds.iter().filter(|seed| **seed != self.own.address) {
             peers.entry(*address).or_default().is_seed = true;
         }
     }
 
-    /// Takes in a router's own report. False if a later one was heard before.
+    /// Takes in the report of a router of the own zone. False if a later one was
+    /// heard before; `believed` is how long reports count.
     pub fn hear(
         &self,
         now: Moment,
         report: &RouterReport,
+        believed: Duration,
     ) -> bool {
-        if report.address == self.own {
+        if report.address == self.own.address {
             return false;
         }
         let mut peers = self.peers();
         let entry = peers.entry(report.address).or_default();
-        if (entry.incarnation, entry.sequence) > (report.incarnation, report.sequence) {
+        if entry.is_older(now, report, believed) {
             return false;
         }
         if entry.incarnation != report.incarnation {
@@ -90,7 +117,9 @@
             );
         }
         *entry = PeerEntry {
+            zone: Some(report.zone),
             news: Some(report.news),
+            met: Some(now),
             heard: Some(now),
             incarnation: report.incarnation,
             sequence: report.sequence,
@@ -102,57 +131,137 @@
         true
     }
 
-    /// Where a router can be asked that is ahead of this version.
-    pub fn ahead_of(
+    /// A router of any zone spoke, or one of its zone that hears it.
+    pub fn meet(
         &self,
-        ours: CatalogVersion,
-    ) -> Option<SocketAddr> {
-        let peers = self.peers();
-        let ahead = |version: &CatalogVersion| {
-            version.config > ours.config || version.upstreams > ours.upstreams
-        };
-        peers
-            .values()
-            .filter(|entry| ahead(&entry.version))
-            .max_by_key(|entry| (entry.heard, entry.version.config, entry.version.upstreams))
-            .and_then(|entry| entry.news)
+        now: Moment,
+        router: NamedRouter,
+    ) {
+        if router.address != self.own.address {
+            let mut peers = self.peers();
+            let entry = peers.entry(router.address).or_default();
+            entry.zone = Some(router.zone);
+            entry.met = Some(now);
+        }
     }
 
-    /// A peer named these routers.
+    /// Others named these routers.
     pub fn learn(
         &self,
         now: Moment,
-        routers: &[SocketAddr],
+        routers: &[NamedRouter],
     ) {
         let mut peers = self.peers();
-        for address in routers {
-            if *address != self.own {
+        for router in routers {
+            if router.address != self.own.address {
                 let new = PeerEntry {
                     told: now,
                     ..PeerEntry::default()
                 };
-                peers.entry(*address).or_insert(new);
+                let entry = peers.entry(router.address).or_insert(new);
+                entry.zone = Some(router.zone);
             }
         }
     }
 
-    /// Forgets routers that were silent too long, but for the seeds.
+    /// Forgets routers that were silent too long, but for the seeds. Gives those
+    /// forgotten.
     pub fn forget_silent(
         &self,
         now: Moment,
         age: Duration,
-    ) {
-        let last = |entry: &PeerEntry| entry.heard.unwrap_or(entry.told);
-        let mut peers = self.peers();
-        peers.retain(|_, entry| entry.is_seed || now.saturating_sub(last(entry)) <= age);
+    ) -> Vec<SocketAddr> {
+        let last = |entry: &PeerEntry| entry.met.unwrap_or(entry.told);
+        let mut forgotten = Vec::new();
+        self.peers().retain(|address, entry| {
+            let stays = entry.is_seed || now.saturating_sub(last(entry)) <= age;
+            if !stays {
+                forgotten.push(*address);
+            }
+            stays
+        });
+        forgotten
+    }
+
+    /// Addresses to send reports to: the routers of the own zone.
+    pub fn in_zone(&self) -> Vec<SocketAddr> {
+        self.in_any_zone(self.own.zone)
+    }
+
+    /// The addresses known of a zone.
+    pub fn in_any_zone(
+        &self,
+        zone: u32,
+    ) -> Vec<SocketAddr> {
+        let peers = self.peers();
+        let named = peers.iter().filter(|(_, entry)| entry.zone == Some(zone));
+        named.map(|(address, _)| *address).collect()
+    }
+
+    /// Seeds, and the routers of the own zone: who can name others.
+    pub fn to_ask(&self) -> Vec<SocketAddr> {
+        let peers = self.peers();
+        let asked = peers
+            .iter()
+            .filter(|(_, entry)| entry.is_seed || entry.zone == Some(self.own.zone));
+        asked.map(|(address, _)| *address).collect()
+    }
+
+    /// The other zones of which a router is known.
+    pub fn other_zones(&self) -> Vec<u32> {
+        let peers = self.peers();
+        let zones: BTreeSet<u32> = peers.values().filter_map(|entry| entry.zone).collect();
+        zones
+            .into_iter()
+            .filter(|zone| *zone != self.own.zone)
+            .collect()
+    }
+
+    /// Names to give to a router of `zone`: those of its zone that spoke within
+    /// `age`, and up to `each` of every other zone.
+    pub fn names(
+        &self,
+        now: Moment,
+        age: Duration,
+        zone: u32,
+        each: usize,
+    ) -> Vec<NamedRouter> {
+        let mut taken: BTreeMap<u32, usize> = BTreeMap::new();
+        let mut names = vec![self.own];
+        for (address, entry) in self.peers().iter() {
+            let is_met = entry.met.is_some_and(|at| now.saturating_sub(at) <= age);
+            let Some(of) = entry.zone.filter(|_| is_met && !entry.leaving) else {
+                continue;
+            };
+            let count = taken.entry(of).or_default();
+            if of == zone || *count < each {
+                *count += 1;
+                names.push(NamedRouter {
+                    address: *address,
+                    zone: of,
+                });
+            }
+        }
+        names
     }
 
-    /// Addresses to send reports to.
-    pub fn addresses(&self) -> Vec<SocketAddr> {
-        self.peers().keys().copied().collect()
+    /// Whether this router speaks for its zone to another one: of those of the zone
+    /// that were heard of within `age`, one is drawn by hash, so that all agree
+    /// without asking each other.
+    pub fn speaks_to(
+        &self,
+        now: Moment,
+        age: Duration,
+        zone: u32,
+    ) -> bool {
+        let weight = |address: &SocketAddr| mix(stable_hash(address), u64::from(zone));
+        let own = weight(&self.own.address);
+        let peers = self.peers();
+        let mut there = peers.iter().filter(|(_, entry)| entry.is_there(now, age));
+        !there.any(|(address, _)| weight(address) > own)
     }
 
-    /// Routers that were heard of within `age` and do not leave.
+    /// Routers of the own zone that were heard of within `age` and do not leave.
     pub fn alive(
         &self,
         now: Moment,
@@ -172,8 +281,8 @@
         fresh.map(|(address, _)| *address).collect()
     }
 
-    /// How busy the routers are that were heard of within `age`, on average and in
-    /// percent; none if there are none.
+    /// How busy the routers of the own zone are that were heard of within `age`, on
+    /// average and in percent; none if there are none.
     pub fn mean_busy(
         &self,
         now: Moment,
@@ -197,6 +306,16 @@
             .unwrap_or_default()
     }
 
+    /// Where the routers of the own zone can be asked for their catalogs, and how
+    /// far those had come.
+    pub fn news(&self) -> Vec<(SocketAddr, CatalogVersion)> {
+        let peers = self.peers();
+        let told = peers
+            .values()
+            .filter_map(|entry| Some((entry.news?, entry.version)));
+        told.collect()
+    }
+
     fn peers(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, PeerEntry>> {
         self.peers.lock().expect("peer table lock")
     }
--- /dev/null
+++ b/src/peers/tell.rs
@@ -0,0 +1,248 @@
+//! Telling other routers what is here.
+
+use {
+    super::{
+        Figures, PeerLink, PeerMessage, RouterReport, ToldReports, ZoneSum,
+        peer_link::{SILENCE, router_name},
+    },
+    crate::{
+        ops::PEERS,
+        policy::{
+            Moment,
+            placement::{CacheNote, FleetSize},
+        },
+    },
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+};
+
+/// The shortest time between two reports.
+const LEAST_PAUSE: Duration = Duration::from_millis(10);
+
+/// Datagrams a second that one router sends at most for its regular reports:
+/// where its zone has many routers, each is told less often.
+const DATAGRAMS_PER_SECOND: f64 = 200.0;
+
+/// Datagrams a second that it sends at most while its reports are urgent.
+const URGENT_DATAGRAMS_PER_SECOND: f64 = 400.0;
+
+/// What did not change is told again after this part of the age at which others
+/// stop believing it.
+const REFRESH_SHARE: f32 = 0.5;
+
+/// Routers of its zone that a sum names, in turn.
+const MEMBERS: usize = 4;
+
+/// Routers of another zone that a sum is sent to while none of them speaks.
+const CONTACTS: usize = 3;
+
+impl PeerLink {
+    /// Sends reports at their pace, and soon after the catalog changes.
+    pub(super) async fn tell(self: Arc<Self>) {
+        let mut changes = self.gateway.catalog.subscribe();
+        loop {
+            let now = self.gateway.now();
+            let settings = self.gateway.settings();
+            let peers = &self.gateway.peers;
+            for address in peers.forget_silent(now, settings.peer_forget) {
+                log::info!(peer = address.to_string().as_str(); "router forgotten");
+                self.gateway.shares().forget(router_name(&address));
+            }
+            metrics::gauge!(PEERS).set(peers.alive(now, settings.peer_forget) as f64);
+            let addresses = peers.in_zone();
+            self.send_reports(now, &addresses).await;
+            let sums = self.send_sums(now).await;
+            let datagrams = (addresses.len() + sums) as f64;
+            let least = Duration::from_secs_f64(datagrams / URGENT_DATAGRAMS_PER_SECOND);
+            tokio::time::sleep(LEAST_PAUSE.max(least)).await;
+            let paced = Duration::from_secs_f64(addresses.len() as f64 / DATAGRAMS_PER_SECOND);
+            let pace = settings.peer_interval.max(paced);
+            self.set_pace(pace);
+            tokio::select! {
+                () = tokio::time::sleep(pace) => {}
+                () = self.gateway.report_wanted.notified() => {}
+                _ = changes.changed() => {}
+            }
+        }
+    }
+
+    /// Notes how far apart reports are, and how many routers choose by them.
+    fn set_pace(
+        &self,
+        pace: Duration,
+    ) {
+        let now = self.gateway.now();
+        let forget = self.gateway.settings().peer_forget;
+        let fleet = FleetSize {
+            in_zone: self.gateway.peers.alive(now, forget) + 1,
+            in_all: self.gateway.router_count(),
+        };
+        let mut board = self.gateway.board();
+        board.set_reports(pace, fleet);
+        let belief_age = board.belief_age();
+        drop(board);
+        self.gateway.shares().set_peer_age(belief_age);
+    }
+
+    async fn send_reports(
+        &self,
+        now: Moment,
+        addresses: &[SocketAddr],
+    ) {
+        let gateway = &self.gateway;
+        for figures in self.own_figures(now).cut() {
+            let report = RouterReport {
+                address: gateway.peers.own().address,
+                news: self.news,
+                zone: gateway.peers.own().zone,
+                incarnation: self.incarnation,
+                sequence: self.next_sequence(),
+                leaving: gateway.is_stopping(),
+                busy: gateway.busy_percent(),
+                version: gateway.catalog.version(),
+                figures,
+            };
+            self.send(&PeerMessage::Report(report), addresses).await;
+        }
+    }
+
+    /// Sends the zone's sum to each zone to which this router speaks. Gives the
+    /// number of these.
+    async fn send_sums(
+        &self,
+        now: Moment,
+    ) -> usize {
+        let gateway = &self.gateway;
+        let notes = gateway.board().take_zone_notes();
+        let zones = gateway.peers.other_zones();
+        let leaves = gateway.is_stopping() && gateway.peers.alive(now, SILENCE) > 0;
+        let spoken: Vec<u32> = zones
+            .into_iter()
+            .filter(|zone| !leaves && gateway.peers.speaks_to(now, SILENCE, *zone))
+            .collect();
+        let mut told = std::mem::take(&mut self.told.lock().expect("told lock").sums);
+        told.retain(|zone, _| spoken.contains(zone));
+        for zone in &spoken {
+            let told = told.entry(*zone).or_default();
+            let figures = self.zone_figures(now, told, notes.clone());
+            self.send_sum(now, *zone, figures).await;
+        }
+        self.told.lock().expect("told lock").sums = told;
+        spoken.len()
+    }
+
+    async fn send_sum(
+        &self,
+        now: Moment,
+        zone: u32,
+        figures: Figures,
+    ) {
+        let gateway = &self.gateway;
+        let own = gateway.peers.own();
+        let contacts = self.contacts(now, zone);
+        let fellows = gateway.peers.heard(now, SILENCE);
+        for figures in figures.cut() {
+            let sequence = self.next_sequence();
+            let turn = sequence as usize % fellows.len().max(1);
+            let sum = ZoneSum {
+                zone: own.zone,
+                carrier: own.address,
+                news: self.news,
+                incarnation: self.incarnation,
+                sequence,
+                routers: fellows.len() as u32 + 1,
+                version: gateway.catalog.version(),
+                figures,
+                members: fellows
+                    .iter()
+                    .cycle()
+                    .skip(turn)
+                    .take(MEMBERS.min(fellows.len()))
+                    .copied()
+                    .collect(),
+            };
+            self.send(&PeerMessage::Sum(sum), &contacts).await;
+        }
+    }
+
+    /// Where a sum goes: to the router that speaks for the zone, or to some that
+    /// are known while none does.
+    fn contacts(
+        &self,
+        now: Moment,
+        zone: u32,
+    ) -> Vec<SocketAddr> {
+        if let Some(carrier) = self.zones().carrier(now, zone, SILENCE) {
+            return vec![carrier];
+        }
+        let known = self.gateway.peers.in_any_zone(zone);
+        let turn = rand::random_range(0..known.len().max(1));
+        let drawn = known.iter().cycle().skip(turn);
+        drawn.take(CONTACTS.min(known.len())).copied().collect()
+    }
+
+    /// What this router has to tell to those of its zone.
+    fn own_figures(
+        &self,
+        now: Moment,
+    ) -> Figures {
+        let gateway = &self.gateway;
+        let mut board = gateway.board();
+        let notes = board.take_notes();
+        let replicas = board.reports(now);
+        let engines = board.engine_reports();
+        drop(board);
+        let usage = gateway.shares().own(now).clone();
+        let mut told = self.told.lock().expect("told lock");
+        let all = Figures {
+            replicas,
+            accounts: usage.into_iter().collect(),
+            notes,
+            engines,
+        };
+        self.due(now, &mut told.zone, all)
+    }
+
+    /// What the zone has to tell to another one.
+    fn zone_figures(
+        &self,
+        now: Moment,
+        told: &mut ToldReports,
+        notes: Vec<CacheNote>,
+    ) -> Figures {
+        let gateway = &self.gateway;
+        let board = gateway.board();
+        let replicas = board.zone_reports(now);
+        let engines = board.engine_reports();
+        drop(board);
+        let usage = gateway.shares().zone_usage(now);
+        let all = Figures {
+            replicas,
+            accounts: usage.into_iter().collect(),
+            notes,
+            engines,
+        };
+        self.due(now, told, all)
+    }
+
+    /// The part of some figures that is to be told now.
+    fn due(
+        &self,
+        now: Moment,
+        told: &mut ToldReports,
+        all: Figures,
+    ) -> Figures {
+        let settings = self.gateway.settings();
+        let refresh = settings.peer_age.mul_f32(REFRESH_SHARE);
+        let engines = if told.engines_due(now, settings.peer_age) {
+            all.engines
+        } else {
+            Vec::new()
+        };
+        Figures {
+            replicas: told.replicas(now, refresh, all.replicas),
+            accounts: told.accounts(now, refresh, settings.share_window, &all.accounts),
+            notes: told.notes(now, settings.peer_age, all.notes),
+            engines,
+        }
+    }
+}
--- a/src/peers/told_reports.rs
+++ b/src/peers/told_reports.rs
@@ -5,7 +5,7 @@
         shares::AccountUsage,
     },
     std::{
-        collections::{HashMap, hash_map::Entry},
+        collections::{HashMap, HashSet, hash_map::Entry},
         time::Duration,
     },
 };
@@ -24,7 +24,7 @@
     replicas: HashMap<u32, (Moment, ReplicaReport)>, // when and what, by replica
     accounts: HashMap<u32, (Moment, AccountUsage)>,  // when and what, by account
     notes: HashMap<CacheNote, Moment>,
-    routers: Option<Moment>,
+    engines: Option<Moment>,
 }
 
 impl ToldReports {
@@ -59,10 +59,10 @@
         now: Moment,
         refresh: Duration,
         window: Duration,
-        usage: &HashMap<u32, AccountUsage>,
+        usage: &[(u32, AccountUsage)],
     ) -> Vec<(u32, AccountUsage)> {
-        self.accounts
-            .retain(|account, _| usage.contains_key(account));
+        let named: HashSet<u32> = usage.iter().map(|(account, _)| *account).collect();
+        self.accounts.retain(|account, _| named.contains(account));
         let mut due = Vec::new();
         for (account, usage) in usage {
             let believed = self.accounts.get(account).map(|(at, told)| {
@@ -100,15 +100,15 @@
         due
     }
 
-    /// Whether it is time to name the other routers again.
-    pub fn routers_due(
+    /// Whether it is time to tell of the engines again.
+    pub fn engines_due(
         &mut self,
         now: Moment,
         refresh: Duration,
     ) -> bool {
-        let due = self.routers.is_none_or(|at| is_old(now, at, refresh));
+        let due = self.engines.is_none_or(|at| is_old(now, at, refresh));
         if due {
-            self.routers = Some(now);
+            self.engines = Some(now);
         }
         due
     }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -43,9 +43,11 @@
 mod retry_budget;
 mod router_exchange;
 pub mod shares;
+mod short_name;
 mod sidecar_exchange;
 mod slot_clock;
 mod slot_hold;
+mod teller;
 mod totals_mode;
 mod waiting_request;
 mod waiting_room;
@@ -87,9 +89,11 @@
     report::{ReportEntry, TotalEntry},
     retry_budget::RetryBudget,
     router_exchange::{AnswerEvent, RouterExchange},
+    short_name::{mix, short_name, stable_hash},
     sidecar_exchange::SidecarExchange,
     slot_clock::SlotClock,
     slot_hold::SlotHold,
+    teller::{Teller, TellerScope},
     totals_mode::TotalsMode,
     waiting_request::WaitingRequest,
     waiting_room::{Shed, WaitingBounds, WaitingRoom},
--- a/src/policy/placement/board_choice.rs
+++ b/src/policy/placement/board_choice.rs
@@ -7,8 +7,9 @@
         admission::{Admission, is_over},
         candidate::Candidate,
         cheapest::Cheapest,
+        considered::{Considered, Tier},
+        homes::homes,
         offer::{Sources, offer},
-        replica_key::homes,
     },
     crate::{
         catalog::UpstreamState,
@@ -112,30 +113,27 @@
             most_are_idle,
             self.spare_ms(now, request, times),
         );
-        let ranks = homes(prompt, usable);
+        let homes = homes(prompt, usable);
         let sources = Sources::new(prompt, usable);
-        let near = self.considered(usable.len());
-        let mut best = Cheapest::default();
-        let mut best_considered = Cheapest::default();
+        let considered = self.considered(request, usable);
+        let mut best: [Cheapest; Tier::COUNT] = Default::default();
         let mut soonest = f64::MAX;
-        for (index, rank) in ranks.into_iter().enumerate() {
-            let load = usable[index].load(now, age);
+        for (index, view) in usable.iter().enumerate() {
+            let load = view.load(now, age);
             let offer = offer(index, engine, usable, &sources);
             let tokens = offer.reading + prompt.output_tokens;
+            let rank = homes.iter().position(|home| *home == index);
             let candidate = Candidate::new(offer, prompt, load.reading, times, rank);
             let excess_ms = admission.excess_ms(candidate.front_ms, candidate.own_ms);
             soonest = soonest.min(excess_ms);
-            if !admission.admits(usable[index], &load, tokens, excess_ms) {
+            if !admission.admits(view, &load, tokens, excess_ms) {
                 continue;
             }
             let cost_ms = self.cost_ms(now, request, &candidate);
-            if candidate.is_home || candidate.scatter < near {
-                best_considered.show(cost_ms, candidate);
-            } else {
-                best.show(cost_ms, candidate);
-            }
+            let tier = considered.tier(&candidate, is_near(request, view));
+            best[tier as usize].show(cost_ms, candidate);
         }
-        match best_considered.take().or(best.take()) {
+        match best.into_iter().find_map(Cheapest::take) {
             Some(candidate) => send_to(&candidate),
             None => self.refuse(request, soonest),
         }
@@ -170,7 +168,9 @@
         cost += candidate.reading_ms(offer.again) * settings.reread_weight;
         cost += candidate.reading_ms(offer.fetched) * settings.fetch_weight;
         cost += self.zone_ms(request, offer.view);
-        cost -= HOME_LEAD / f64::from(candidate.rank + 1);
+        if let Some(rank) = candidate.rank {
+            cost -= HOME_LEAD / (rank + 1) as f64;
+        }
         if offer.view.is_avoided(now, self.belief_age()) {
             cost += AVOIDED_PENALTY;
         }
@@ -193,18 +193,22 @@
         idle.count() * 2 > usable.len()
     }
 
-    /// The part of the replicas that one request considers first, beside those
-    /// that keep its shared parts. All routers choose by the same reports, and
-    /// what is least in them would get what all of them send until the next ones.
+    /// Which part of the replicas a request considers first. All routers choose by
+    /// the same reports, and what is least in them would get what all of them send
+    /// until the next ones.
     fn considered(
         &self,
-        replicas: usize,
-    ) -> f64 {
-        if self.routers <= FEW_ROUTERS {
-            return 1.0;
+        request: &PlacementRequest,
+        usable: &[&ReplicaView],
+    ) -> Considered {
+        if self.fleet.in_all <= FEW_ROUTERS {
+            return Considered::All;
+        }
+        let near = usable.iter().filter(|view| is_near(request, view)).count();
+        Considered::Parts {
+            near: part_of(self.fleet.in_zone, near),
+            far: part_of(self.fleet.in_all, usable.len() - near),
         }
-        let replicas = replicas.max(1) as f64;
-        (1.0 / self.routers as f64) + LEAST_CONSIDERED / replicas
     }
 
     fn choose_plain(
@@ -244,7 +248,7 @@
         request: &PlacementRequest,
         view: &ReplicaView,
     ) -> f64 {
-        if &*view.entry.zone == request.zone {
+        if is_near(request, view) {
             0.0
         } else {
             self.settings.zone_penalty.as_secs_f64() * 1000.0
@@ -268,6 +272,23 @@
     }
 }
 
+/// Whether a replica is in the router's own availability zone.
+fn is_near(
+    request: &PlacementRequest,
+    view: &ReplicaView,
+) -> bool {
+    &*view.entry.zone == request.zone
+}
+
+/// The part of some replicas that a request considers first, where so many
+/// routers choose.
+fn part_of(
+    routers: usize,
+    replicas: usize,
+) -> f64 {
+    1.0 / routers.max(1) as f64 + LEAST_CONSIDERED / replicas.max(1) as f64
+}
+
 fn send_to(candidate: &Candidate) -> Choice {
     let offer = &candidate.offer;
     Choice::Send {
--- a/src/policy/placement/cache_note.rs
+++ b/src/policy/placement/cache_note.rs
@@ -5,4 +5,5 @@
 pub struct CacheNote {
     pub replica: u32, // short name
     pub part: u64,
+    pub shared: bool, // between prompts; the last part of each is its own
 }
--- a/src/policy/placement/candidate.rs
+++ b/src/policy/placement/candidate.rs
@@ -1,14 +1,14 @@
-use super::{EngineTimes, PromptShape, offer::Offer, replica_key::scatter};
+use super::{EngineTimes, PromptShape, homes::scatter, offer::Offer};
 
 /// A replica that may run a prompt, and what speaks for it.
 pub struct Candidate<'v> {
     pub offer: Offer<'v>,
-    pub times: EngineTimes, // of its service
-    pub front_ms: f64,      // of reading, in front of the prompt
-    pub own_ms: f64,        // of its own reading and fetching
-    pub rank: u32,          // among the prompt's homes, 0 is the first
-    pub scatter: f64,       // 0 to 1, as if drawn for this request and replica
-    pub is_home: bool,      // it keeps all that the prompt shares with others
+    pub times: EngineTimes,  // of its service
+    pub front_ms: f64,       // of reading, in front of the prompt
+    pub own_ms: f64,         // of its own reading and fetching
+    pub rank: Option<usize>, // among the prompt's homes, 0 is the first
+    pub scatter: f64,        // 0 to 1, as if drawn for this request and replica
+    pub is_home: bool,       // it keeps all that the prompt shares with others
 }
 
 impl<'v> Candidate<'v> {
@@ -18,7 +18,7 @@
         prompt: &PromptShape,
         front: u32,
         times: EngineTimes,
-        rank: u32,
+        rank: Option<usize>,
     ) -> Self {
         Self {
             front_ms: times.reading_ms(front),
--- a/src/policy/placement/engine_models.rs
+++ b/src/policy/placement/engine_models.rs
@@ -1,5 +1,6 @@
 use {
-    super::{EngineModel, EngineReport, EngineTimes, FirstToken, replica_key},
+    super::{EngineModel, EngineReport, EngineTimes, FirstToken},
+    crate::policy::short_name,
     std::{collections::HashMap, sync::Arc},
 };
 
@@ -51,7 +52,7 @@
         let told = self.by_service.iter();
         told.filter(|(_, learnt)| learnt.model.samples() >= ENOUGH_SAMPLES)
             .map(|(service, learnt)| EngineReport {
-                service: replica_key(service),
+                service: short_name(service),
                 times: learnt.model.times(),
                 samples: learnt.model.samples(),
             })
--- a/src/policy/placement/mod.rs
+++ b/src/policy/placement/mod.rs
@@ -8,11 +8,14 @@
 mod candidate;
 mod cheapest;
 mod choice;
+mod considered;
 mod engine_model;
 mod engine_models;
 mod engine_report;
 mod engine_times;
 mod first_token;
+mod fleet_size;
+mod homes;
 mod kept_part;
 mod load;
 mod offer;
@@ -23,7 +26,6 @@
 mod prompt;
 mod replica_board;
 mod replica_health;
-mod replica_key;
 mod replica_report;
 mod replica_view;
 mod sent_prompt;
@@ -38,6 +40,7 @@
     engine_report::EngineReport,
     engine_times::EngineTimes,
     first_token::FirstToken,
+    fleet_size::FleetSize,
     kept_part::KeptPart,
     load::Load,
     peer_loads::PeerLoads,
@@ -47,7 +50,6 @@
     prompt::{PromptPart, PromptShape},
     replica_board::ReplicaBoard,
     replica_health::ReplicaHealth,
-    replica_key::replica_key,
     replica_report::ReplicaReport,
     replica_view::ReplicaView,
     sent_prompt::SentPrompt,
--- a/src/policy/placement/offer.rs
+++ b/src/policy/placement/offer.rs
@@ -1,6 +1,6 @@
 use {
-    super::{PromptShape, ReplicaView, replica_key::hash_of},
-    crate::routing::EngineFacts,
+    super::{PromptShape, ReplicaView},
+    crate::{policy::mix, routing::EngineFacts},
     std::collections::HashMap,
 };
 
@@ -62,7 +62,7 @@
             least,
             best,
             by_zone,
-            draw: hash_of(&own),
+            draw: mix(own, 0),
         }
     }
 
--- a/src/policy/placement/peer_loads.rs
+++ b/src/policy/placement/peer_loads.rs
@@ -4,11 +4,11 @@
     std::{collections::HashMap, time::Duration},
 };
 
-/// What the other routers have at one replica, with its sum kept: it is asked
-/// for with every request, and there may be hundreds of routers.
+/// What others have at one replica, with its sum kept: it is asked for with
+/// every request.
 #[derive(Debug, Default)]
 pub struct PeerLoads {
-    reports: HashMap<u32, PeerReport>, // by peer
+    reports: HashMap<u32, PeerReport>, // by who told
     counted: Load,                     // the sum of those that count
     avoiding: u32,                     // of these, how many let the replica rest
     oldest: Moment,                    // none that counts was heard of before
@@ -18,6 +18,7 @@
 struct PeerReport {
     load: Load,
     placed: u64,
+    source: u64,  // the process that counted what was placed
     avoids: bool, // it lets the replica rest
     heard: Moment,
     counts: bool, // until it is old
@@ -49,13 +50,15 @@
         self.avoiding > 0 && self.fresh(now, age).any(|report| report.avoids)
     }
 
-    /// Takes a report in. Gives the tokens that the peer sent there since its
-    /// last one.
+    /// Takes a report in, counted by the process `source`. Gives the tokens that
+    /// were sent there since its last one: none at its first one, since when they
+    /// were sent is unknown.
     pub fn hear(
         &mut self,
         now: Moment,
         age: Duration,
-        peer: u32,
+        name: u32,
+        source: u64,
         report: &ReplicaReport,
     ) -> u64 {
         if now.saturating_sub(self.oldest) > age {
@@ -64,20 +67,20 @@
         let told = PeerReport {
             load: report.load,
             placed: report.placed,
+            source,
             avoids: report.rests,
             heard: now,
             counts: true,
         };
         self.counted += told.load;
         self.avoiding += u32::from(told.avoids);
-        let before = self.reports.insert(peer, told);
+        let before = self.reports.insert(name, told);
         if let Some(before) = before.filter(|before| before.counts) {
             self.counted -= before.load;
             self.avoiding -= u32::from(before.avoids);
         }
-        // A router that started anew counts from zero.
-        let known = before.map_or(0, |before| before.placed);
-        report.placed.checked_sub(known).unwrap_or(report.placed)
+        let known = before.filter(|before| before.source == source);
+        known.map_or(0, |before| report.placed.saturating_sub(before.placed))
     }
 
     fn fresh(
@@ -89,7 +92,7 @@
         reports.filter(move |report| now.saturating_sub(report.heard) <= age)
     }
 
-    /// Counts anew. Old reports stay known, for how much their peers had placed.
+    /// Counts anew. Old reports stay known, for how much had been placed.
     fn leave_out_old(
         &mut self,
         now: Moment,
--- a/src/policy/placement/replica_board.rs
+++ b/src/policy/placement/replica_board.rs
@@ -1,9 +1,12 @@
 use {
     super::{
-        CacheNote, EngineModels, EngineReport, EngineTimes, FirstToken, Load, PlacementSettings,
-        ReplicaReport, ReplicaView, SentPrompt, UsualReadings, Work, WorkNumber, replica_key,
+        CacheNote, EngineModels, EngineReport, EngineTimes, FirstToken, FleetSize, Load,
+        PlacementSettings, ReplicaReport, ReplicaView, SentPrompt, UsualReadings, Work, WorkNumber,
+    },
+    crate::{
+        catalog::UpstreamEntry,
+        policy::{Moment, Teller, TellerScope, short_name},
     },
-    crate::{catalog::UpstreamEntry, policy::Moment},
     std::{
         collections::{BTreeMap, HashMap},
         sync::Arc,
@@ -22,8 +25,9 @@
     pub(super) usual: UsualReadings,
     next_work: WorkNumber,
     notes: Vec<CacheNote>,            // parts that were sent to replicas anew
+    zone_notes: Vec<CacheNote>,       // the same by the routers of the zone, shared parts only
     pub(super) report_pace: Duration, // between two reports of a peer
-    pub(super) routers: usize,        // that choose from the same reports
+    pub(super) fleet: FleetSize,      // that chooses by the same reports
 }
 
 /// Reports of a peer that may be lost before the last one is no longer believed.
@@ -44,8 +48,9 @@
             usual: UsualReadings::default(),
             next_work: 1,
             notes: Vec::new(),
+            zone_notes: Vec::new(),
             report_pace: Duration::ZERO,
-            routers: 1,
+            fleet: FleetSize::default(),
         }
     }
 
@@ -57,15 +62,15 @@
         self.settings = settings;
     }
 
-    /// How far apart the reports of each peer are, and how many routers choose
+    /// How far apart the reports of each router are, and how many routers choose
     /// by them.
     pub fn set_reports(
         &mut self,
         pace: Duration,
-        routers: usize,
+        fleet: FleetSize,
     ) {
         self.report_pace = pace;
-        self.routers = routers.max(1);
+        self.fleet = fleet;
     }
 
     /// How long a peer's report is believed: where there are so many routers that
@@ -94,7 +99,7 @@
             }
         }
         let keys = self.replicas.keys();
-        self.keys = keys.map(|id| (replica_key(id), id.clone())).collect();
+        self.keys = keys.map(|id| (short_name(id), id.clone())).collect();
     }
 
     /// A replica by its id.
@@ -127,18 +132,18 @@
         self.replicas.values()
     }
 
-    /// What a peer has at some replicas; what it said of others stays until it
-    /// is old.
+    /// What others have at some replicas; what they said of the rest stays until
+    /// it is old.
     pub fn hear(
         &mut self,
         now: Moment,
-        peer: u32,
+        teller: Teller,
         told: &[ReplicaReport],
     ) {
         let age = self.belief_age();
         for report in told {
             if let Some(view) = self.by_key(report.replica) {
-                view.hear(now, age, peer, report);
+                view.hear(now, age, teller, report);
             }
         }
     }
@@ -149,14 +154,27 @@
         now: Moment,
     ) -> Vec<ReplicaReport> {
         let views = self.replicas.iter().map(|(id, view)| ReplicaReport {
-            replica: replica_key(id),
+            replica: short_name(id),
             load: view.own,
             placed: view.placed,
             rests: view.health.rests(now),
         });
-        views
-            .filter(|report| report.rests || report.placed > 0 || report.load != Load::default())
-            .collect()
+        views.filter(ReplicaReport::says_something).collect()
+    }
+
+    /// What all routers of this zone have at each replica, for other zones.
+    pub fn zone_reports(
+        &self,
+        now: Moment,
+    ) -> Vec<ReplicaReport> {
+        let age = self.belief_age();
+        let views = self.replicas.iter().map(|(id, view)| ReplicaReport {
+            replica: short_name(id),
+            load: view.zone_load(now, age),
+            placed: view.placed_by_zone,
+            rests: view.health.rests(now) || view.is_avoided_in_zone(now, age),
+        });
+        views.filter(ReplicaReport::says_something).collect()
     }
 
     /// A request goes to a replica.
@@ -182,14 +200,19 @@
             let memory = there.memory + load.memory;
             view.cache.set_room(room.saturating_sub(u64::from(memory)));
             view.placed += u64::from(load.memory);
+            view.placed_by_zone += u64::from(load.memory);
             view.cache.place(u64::from(load.memory));
-            for part in &prompt.shape.parts {
+            let parts = &prompt.shape.parts;
+            for (index, part) in parts.iter().enumerate() {
                 view.cache.note(part.id);
-                if self.notes.len() < MAX_NOTES {
-                    self.notes.push(CacheNote {
-                        replica: replica_key(replica),
-                        part: part.id,
-                    });
+                let note = CacheNote {
+                    replica: short_name(replica),
+                    part: part.id,
+                    shared: index + 1 < parts.len(),
+                };
+                keep_note(&mut self.notes, note);
+                if note.shared {
+                    keep_note(&mut self.zone_notes, note);
                 }
             }
         }
@@ -212,6 +235,28 @@
         std::mem::take(&mut self.notes)
     }
 
+    /// Shared parts that the routers of this zone sent to replicas since this was
+    /// last asked.
+    pub fn take_zone_notes(&mut self) -> Vec<CacheNote> {
+        std::mem::take(&mut self.zone_notes)
+    }
+
+    /// Others sent these parts to replicas.
+    pub fn hear_notes(
+        &mut self,
+        scope: TellerScope,
+        notes: &[CacheNote],
+    ) {
+        for note in notes {
+            if let Some(view) = self.by_key(note.replica) {
+                view.cache.note(note.part);
+            }
+            if note.shared && scope == TellerScope::Router {
+                keep_note(&mut self.zone_notes, *note);
+            }
+        }
+    }
+
     /// The first token of a prompt came. Gives what is believed of the service's
     /// engines if that is news.
     pub fn first_token(
@@ -251,7 +296,7 @@
     ) {
         for report in told {
             let mut services = self.replicas.values().map(|view| &view.entry.service);
-            let named = services.find(|name| replica_key(name) == report.service);
+            let named = services.find(|name| short_name(name) == report.service);
             if let Some(service) = named {
                 self.engines.hear(service, report);
             }
@@ -272,3 +317,12 @@
         Some(work)
     }
 }
+
+fn keep_note(
+    notes: &mut Vec<CacheNote>,
+    note: CacheNote,
+) {
+    if notes.len() < MAX_NOTES {
+        notes.push(note);
+    }
+}
--- a/src/policy/placement/replica_report.rs
+++ b/src/policy/placement/replica_report.rs
@@ -11,3 +11,10 @@
     pub placed: u64, // tokens sent there so far that it had to take in
     pub rests: bool,
 }
+
+impl ReplicaReport {
+    /// Whether there is anything to tell of the replica.
+    pub fn says_something(&self) -> bool {
+        self.rests || self.placed > 0 || self.load != Load::default()
+    }
+}
--- a/src/policy/placement/replica_view.rs
+++ b/src/policy/placement/replica_view.rs
@@ -1,6 +1,9 @@
 use {
     super::{Load, PeerLoads, PrefixCache, ReplicaHealth, ReplicaReport},
-    crate::{catalog::UpstreamEntry, policy::Moment},
+    crate::{
+        catalog::UpstreamEntry,
+        policy::{Moment, Teller, TellerScope, stable_hash},
+    },
     std::{sync::Arc, time::Duration},
 };
 
@@ -11,27 +14,33 @@
 #[derive(Debug)]
 pub struct ReplicaView {
     pub entry: Arc<UpstreamEntry>,
+    pub hash: u64, // of its id, the same at every router
     pub own: Load, // what this router has there
     pub health: ReplicaHealth,
     pub cache: PrefixCache,
-    pub placed: u64,     // tokens that this router sent there so far
-    pub heard: Moment,   // when it last answered anything
-    pub service_ms: f64, // moving time of a plain request
-    peers: PeerLoads,
+    pub placed: u64,         // tokens that this router sent there so far
+    pub placed_by_zone: u64, // the same, with the other routers of its zone
+    pub heard: Moment,       // when it last answered anything
+    pub service_ms: f64,     // moving time of a plain request
+    routers: PeerLoads,      // of the own zone
+    zones: PeerLoads,        // the other zones, each as a whole
 }
 
 impl ReplicaView {
     /// A replica that nothing is known of but its entry.
     pub fn new(entry: Arc<UpstreamEntry>) -> Self {
         Self {
+            hash: stable_hash(&&*entry.id),
             entry,
             own: Load::default(),
             health: ReplicaHealth::default(),
             cache: PrefixCache::default(),
             placed: 0,
+            placed_by_zone: 0,
             heard: Moment::ZERO,
             service_ms: 10.0,
-            peers: PeerLoads::default(),
+            routers: PeerLoads::default(),
+            zones: PeerLoads::default(),
         }
     }
 
@@ -40,30 +49,57 @@
         &self,
         now: Moment,
         age: Duration,
+    ) -> Load {
+        let mut sum = self.zone_load(now, age);
+        sum += self.zones.load(now, age);
+        sum
+    }
+
+    /// What the routers of the own zone have there.
+    pub fn zone_load(
+        &self,
+        now: Moment,
+        age: Duration,
     ) -> Load {
         let mut sum = self.own;
-        sum += self.peers.load(now, age);
+        sum += self.routers.load(now, age);
         sum
     }
 
-    /// Whether a peer lets it rest.
+    /// Whether others let it rest.
     pub fn is_avoided(
         &self,
         now: Moment,
         age: Duration,
     ) -> bool {
-        self.peers.is_avoided(now, age)
+        self.is_avoided_in_zone(now, age) || self.zones.is_avoided(now, age)
     }
 
-    /// A peer told what it has there; reports older than `age` count no more.
+    /// Whether another router of the own zone lets it rest.
+    pub fn is_avoided_in_zone(
+        &self,
+        now: Moment,
+        age: Duration,
+    ) -> bool {
+        self.routers.is_avoided(now, age)
+    }
+
+    /// Others told what they have there; reports older than `age` count no more.
     pub fn hear(
         &mut self,
         now: Moment,
         age: Duration,
-        peer: u32,
+        teller: Teller,
         report: &ReplicaReport,
     ) {
-        let placed = self.peers.hear(now, age, peer, report);
+        let loads = match teller.scope {
+            TellerScope::Router => &mut self.routers,
+            TellerScope::Zone => &mut self.zones,
+        };
+        let placed = loads.hear(now, age, teller.name, teller.source, report);
+        if teller.scope == TellerScope::Router {
+            self.placed_by_zone += placed;
+        }
         self.cache.place(placed);
     }
 
--- a/src/policy/shares/mod.rs
+++ b/src/policy/shares/mod.rs
@@ -8,9 +8,6 @@
 mod standing;
 
 pub use {
-    account_usage::AccountUsage,
-    fair_level::fair_level,
-    retry_window::RetryWindow,
-    share_book::{ShareBook, account_key},
-    standing::Standing,
+    account_usage::AccountUsage, fair_level::fair_level, retry_window::RetryWindow,
+    share_book::ShareBook, standing::Standing,
 };
--- a/src/policy/shares/share_book.rs
+++ b/src/policy/shares/share_book.rs
@@ -1,11 +1,7 @@
 use {
     super::{AccountUsage, Standing, fair_level},
-    crate::policy::Moment,
-    std::{
-        collections::HashMap,
-        hash::{DefaultHasher, Hash, Hasher},
-        time::Duration,
-    },
+    crate::policy::{Moment, Teller, TellerScope},
+    std::{collections::HashMap, time::Duration},
 };
 
 /// Usage fades by this factor at each step, so that a window's worth remains.
@@ -14,7 +10,7 @@
 /// Accounts with less than this are not kept, in tokens.
 const NEGLIGIBLE: f32 = 1.0;
 
-/// What peers told is summed up anew after this long.
+/// What others told is summed up anew after this long.
 const SUM_AGE: Duration = Duration::from_millis(20);
 
 /// An account that got less than this part of what it asked, and of the level,
@@ -24,13 +20,6 @@
 /// How far above the level an account may be and still count as within.
 const SLACK: f32 = 1.05;
 
-/// A short name of an account for messages between routers.
-pub fn account_key(name: &str) -> u32 {
-    let mut hasher = DefaultHasher::new();
-    name.hash(&mut hasher);
-    hasher.finish() as u32
-}
-
 /// What accounts asked for and got, here and at the peers.
 #[derive(Debug)]
 pub struct ShareBook {
@@ -38,14 +27,21 @@
     peer_age: Duration, // older reports of peers are ignored
     capacity: f32,      // tokens a second that the operator says all replicas make; 0 if untold
     own: HashMap<u32, AccountUsage>,
-    peers: HashMap<u32, HashMap<u32, (Moment, AccountUsage)>>, // by peer and account
+    told: HashMap<u32, Told>, // by who told
     faded: Moment,
-    peer_sum: Option<PeerSum>,
+    told_sum: Option<ToldSum>,
+}
+
+/// What one router of the own zone told, or another zone as a whole.
+#[derive(Debug)]
+struct Told {
+    scope: TellerScope,
+    usage: HashMap<u32, (Moment, AccountUsage)>, // by account
 }
 
-/// What all peers told, summed, as of a moment.
+/// What all of them told, summed, as of a moment.
 #[derive(Debug)]
-struct PeerSum {
+struct ToldSum {
     made: Moment,
     usage: HashMap<u32, AccountUsage>,
 }
@@ -61,9 +57,9 @@
             peer_age,
             capacity: 0.0,
             own: HashMap::new(),
-            peers: HashMap::new(),
+            told: HashMap::new(),
             faded: Moment::ZERO,
-            peer_sum: None,
+            told_sum: None,
         }
     }
 
@@ -126,30 +122,34 @@
         }
     }
 
-    /// A peer's own usage of some accounts.
+    /// What others asked for and gave, of some accounts.
     pub fn hear(
         &mut self,
         now: Moment,
-        peer: u32,
+        teller: Teller,
         usage: &[(u32, AccountUsage)],
     ) {
-        let told = self.peers.entry(peer).or_default();
-        told.extend(
+        let told = self.told.entry(teller.name).or_insert_with(|| Told {
+            scope: teller.scope,
+            usage: HashMap::new(),
+        });
+        told.usage.extend(
             usage
                 .iter()
                 .map(|(account, usage)| (*account, (now, *usage))),
         );
         let age = self.peer_age;
-        told.retain(|_, (heard, _)| now.saturating_sub(*heard) <= age);
+        told.usage
+            .retain(|_, (heard, _)| now.saturating_sub(*heard) <= age);
     }
 
-    /// A peer is gone.
-    pub fn forget_peer(
+    /// Who told this is gone.
+    pub fn forget(
         &mut self,
-        peer: u32,
+        name: u32,
     ) {
-        self.peers.remove(&peer);
-        self.peer_sum = None;
+        self.told.remove(&name);
+        self.told_sum = None;
     }
 
     /// This router's own usage, to be told to peers.
@@ -209,33 +209,44 @@
         &mut self,
         now: Moment,
     ) -> HashMap<u32, AccountUsage> {
-        let mut sum = self.recent_peer_usage(now).clone();
-        for (account, usage) in &self.own {
-            *sum.entry(*account).or_default() += *usage;
-        }
+        let mut sum = self.recent_told(now).clone();
+        add_usage(&mut sum, &self.own);
         sum
     }
 
-    /// The peers' usage, summed not longer ago than [`SUM_AGE`].
-    fn recent_peer_usage(
+    /// What each account asked for and got in this zone.
+    pub fn zone_usage(
+        &mut self,
+        now: Moment,
+    ) -> HashMap<u32, AccountUsage> {
+        self.fade(now);
+        let mut sum = self.told_usage(now, |scope| scope == TellerScope::Router);
+        add_usage(&mut sum, &self.own);
+        sum
+    }
+
+    /// The usage that all others told, summed not longer ago than [`SUM_AGE`].
+    fn recent_told(
         &mut self,
         now: Moment,
     ) -> &HashMap<u32, AccountUsage> {
-        let is_fresh = |sum: &PeerSum| sum.made <= now && now - sum.made < SUM_AGE;
-        let known = self.peer_sum.take().filter(is_fresh);
-        let sum = known.unwrap_or_else(|| PeerSum {
+        let is_fresh = |sum: &ToldSum| sum.made <= now && now - sum.made < SUM_AGE;
+        let known = self.told_sum.take().filter(is_fresh);
+        let sum = known.unwrap_or_else(|| ToldSum {
             made: now,
-            usage: self.peer_usage(now),
+            usage: self.told_usage(now, |_| true),
         });
-        &self.peer_sum.insert(sum).usage
+        &self.told_sum.insert(sum).usage
     }
 
-    fn peer_usage(
+    fn told_usage(
         &self,
         now: Moment,
+        counts: impl Fn(TellerScope) -> bool,
     ) -> HashMap<u32, AccountUsage> {
         let mut sum: HashMap<u32, AccountUsage> = HashMap::new();
-        for (account, (heard, usage)) in self.peers.values().flatten() {
+        let tellers = self.told.values().filter(|told| counts(told.scope));
+        for (account, (heard, usage)) in tellers.flat_map(|told| &told.usage) {
             let age = now.saturating_sub(*heard);
             if age <= self.peer_age {
                 *sum.entry(*account).or_default() += usage.faded(age, self.window);
@@ -261,3 +272,12 @@
         });
     }
 }
+
+fn add_usage(
+    sum: &mut HashMap<u32, AccountUsage>,
+    more: &HashMap<u32, AccountUsage>,
+) {
+    for (account, usage) in more {
+        *sum.entry(*account).or_default() += *usage;
+    }
+}
--- a/src/wire/codec.rs
+++ b/src/wire/codec.rs
@@ -5,7 +5,7 @@
 };
 
 /// The version of the messages between processes.
-pub const VERSION: u8 = 1;
+pub const VERSION: u8 = 2;
 
 /// The largest frame, in bytes. Bodies are sent in chunks below it.
 pub const MAX_FRAME: usize = 8 << 20;
--- a/testbed/src/command/main.rs
+++ b/testbed/src/command/main.rs
@@ -2,7 +2,7 @@
     super::{
         demo::{demo, traces},
         fairness::fairness,
-        measures::{ahead, control, latency, prefix, revision, zone_loss},
+        measures::{ahead, control, costs, latency, prefix, revision, zone_loss},
         slopes::{capacity, slopes},
         soak::soak_seeds,
     },
@@ -24,6 +24,7 @@
   revision   time until a change of configuration is in force everywhere
   slopes     what the processes cost at several sizes; writes docs/capacity and the page
   capacity   writes docs/CAPACITY.md anew from the committed slopes
+  costs      microseconds of a choice, a standing and a report, by the fleet's size
   soak       faults at random times; what breaks a promise (--seed, --seeds, --minutes)
   zone-loss  what the death of an availability zone does to requests";
 
@@ -66,6 +67,7 @@
         Some("revision") => revision().await,
         Some("slopes") => slopes(matches).await,
         Some("capacity") => capacity(),
+        Some("costs") => costs(),
         Some("soak") => return soak_seeds(matches).await,
         Some("zone-loss") => zone_loss(matches).await,
         Some(other) => return usage(options, &format!("no command {other}")),
--- a/testbed/src/command/measures.rs
+++ b/testbed/src/command/measures.rs
@@ -4,8 +4,8 @@
         fleet::{Fleet, association, parking},
         load::Backlog,
         measure::{
-            control_since, control_snapshot, measure_ahead, measure_latency, measure_prefix,
-            measure_revision, measure_zone_loss,
+            FleetScale, control_since, control_snapshot, measure_ahead, measure_latency,
+            measure_prefix, measure_revision, measure_zone_loss, step_costs,
         },
     },
     getopts::Matches,
@@ -18,6 +18,46 @@
     print(&measure_latency().await);
 }
 
+/// Fleets whose steps are measured: a small one, a large one, three times that, and
+/// the size that the product is designed for.
+const FLEETS: [FleetScale; 4] = [
+    fleet_scale(20, 32, 60),
+    fleet_scale(100, 160, 60),
+    fleet_scale(300, 480, 60),
+    fleet_scale(360, 600, 4000),
+];
+
+const fn fleet_scale(
+    routers: usize,
+    replicas: usize,
+    accounts: u32,
+) -> FleetScale {
+    FleetScale {
+        routers,
+        replicas,
+        accounts,
+    }
+}
+
+/// What single steps of a router cost, by the size of the fleet.
+pub fn costs() {
+    println!("routers replicas accounts | us: choice standing report made, read | bytes");
+    for scale in FLEETS {
+        let costs = step_costs(scale);
+        println!(
+            "{:7} {:8} {:8} | {:10.1} {:8.1} {:11.1} {:5.1} | {:5}",
+            scale.routers,
+            scale.replicas,
+            scale.accounts,
+            costs.choice,
+            costs.standing,
+            costs.report_made,
+            costs.report_read,
+            costs.report_bytes,
+        );
+    }
+}
+
 /// Utilisation with and without requests granted ahead.
 pub async fn ahead(matches: &Matches) {
     for bound in [0, 1, 8] {
--- a/testbed/src/measure/mod.rs
+++ b/testbed/src/measure/mod.rs
@@ -2,6 +2,7 @@
 
 mod ahead;
 mod control;
+mod costs;
 mod latency;
 mod prefix;
 mod revision_time;
@@ -11,6 +12,7 @@
 pub use {
     ahead::{AheadResult, measure_ahead},
     control::{ControlResult, control_since, control_snapshot},
+    costs::{FleetScale, StepCosts, step_costs},
     latency::{LatencyResult, measure_latency},
     prefix::{PrefixResult, measure_prefix},
     revision_time::{RevisionResult, measure_revision},
