--- a/testbed/src/command/main.rs
+++ b/testbed/src/command/main.rs
@@ -24,7 +24,7 @@
   revision   time until a change of configuration is in force everywhere
   slopes     what the processes cost at several sizes; writes docs/capacity and the page
   capacity   writes docs/CAPACITY.md anew from the committed slopes
-  costs      microseconds of a choice, a standing and a report, by the fleet's size
+  costs      microseconds of a choice, a standing, a report and a request (--requests)
   soak       faults at random times; what breaks a promise (--seed, --seeds, --minutes)
   zone-loss  what the death of an availability zone does to requests";
 
@@ -67,7 +67,7 @@
         Some("revision") => revision().await,
         Some("slopes") => slopes(matches).await,
         Some("capacity") => capacity(),
-        Some("costs") => costs(),
+        Some("costs") => costs(matches).await,
         Some("soak") => return soak_seeds(matches).await,
         Some("zone-loss") => zone_loss(matches).await,
         Some(other) => return usage(options, &format!("no command {other}")),
@@ -103,6 +103,7 @@
         .optopt("", "minutes", "of all seeds together (soak)", "NUMBER")
         .optopt("", "deployment", "parking or association", "NAME")
         .optopt("", "html", "a page with plots (demo)", "FILE")
+        .optopt("", "requests", "of each kind (costs)", "NUMBER")
         .optopt("", "only", "accounts: only that part (slopes)", "PART")
         .optopt(
             "",
--- a/testbed/src/command/measures.rs
+++ b/testbed/src/command/measures.rs
@@ -5,7 +5,7 @@
         load::Backlog,
         measure::{
             FleetScale, control_since, control_snapshot, measure_ahead, measure_latency,
-            measure_prefix, measure_revision, measure_zone_loss, step_costs,
+            measure_prefix, measure_revision, measure_zone_loss, request_costs, step_costs,
         },
     },
     getopts::Matches,
@@ -40,7 +40,7 @@
 }
 
 /// What single steps of a router cost, by the size of the fleet.
-pub fn costs() {
+pub async fn costs(matches: &Matches) {
     println!("routers replicas accounts | us: choice standing report made, read | bytes");
     for scale in FLEETS {
         let costs = step_costs(scale);
@@ -56,6 +56,13 @@
             costs.report_bytes,
         );
     }
+    let requests = number(matches, "requests", 4000) as usize;
+    let costs = request_costs(requests).await;
+    println!("us a request at a router, kernel's part too:");
+    println!(
+        "streamed {:.0}, plain {:.0}, refused {:.0}",
+        costs.streamed, costs.plain, costs.refused
+    );
 }
 
 /// Utilisation with and without requests granted ahead.
--- a/testbed/src/direct/replica.rs
+++ b/testbed/src/direct/replica.rs
@@ -66,6 +66,9 @@
         let serving = state.clone();
         let task = tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
+                if let Err(error) = stream.set_nodelay(true) {
+                    log::debug!("connection delays small pieces: {error}");
+                }
                 tokio::spawn(serve(serving.clone(), stream));
             }
         });
--- a/testbed/src/measure/mod.rs
+++ b/testbed/src/measure/mod.rs
@@ -5,6 +5,8 @@
 mod costs;
 mod latency;
 mod prefix;
+mod process_usage;
+mod request_costs;
 mod revision_time;
 mod stats;
 mod zone_loss;
@@ -15,6 +17,8 @@
     costs::{FleetScale, StepCosts, step_costs},
     latency::{LatencyResult, measure_latency},
     prefix::{PrefixResult, measure_prefix},
+    process_usage::ProcessUsage,
+    request_costs::{RequestCosts, request_costs},
     revision_time::{RevisionResult, measure_revision},
     stats::{median, percentile},
     zone_loss::{ZoneLossResult, measure_zone_loss},
--- a/testbed/src/slopes/accounts.rs
+++ b/testbed/src/slopes/accounts.rs
@@ -1,7 +1,8 @@
 use {
-    super::{ProcessUsage, Series},
+    super::Series,
     crate::{
         fleet::{Fleet, FleetPlan, FleetText},
+        measure::ProcessUsage,
         standin::EngineSettings,
     },
     archmast::{
--- a/testbed/src/slopes/load.rs
+++ b/testbed/src/slopes/load.rs
@@ -1,9 +1,9 @@
 use {
-    super::{ProcessUsage, Series},
+    super::Series,
     crate::{
         fleet::{Fleet, FleetPlan, FleetText, nonce},
         load::Backlog,
-        measure::{ControlResult, control_since, control_snapshot},
+        measure::{ControlResult, ProcessUsage, control_since, control_snapshot},
         standin::{ChatBody, EngineSettings},
     },
     reqwest::Method,
--- a/testbed/src/slopes/mod.rs
+++ b/testbed/src/slopes/mod.rs
@@ -7,14 +7,12 @@
 mod load;
 mod page;
 mod peers;
-mod process_usage;
 mod series;
 mod size;
 mod slopes;
 
 pub use {
     page::capacity_page,
-    process_usage::ProcessUsage,
     series::Series,
     slopes::{Slopes, measure_accounts, measure_slopes},
 };
--- a/testbed/src/slopes/peers.rs
+++ b/testbed/src/slopes/peers.rs
@@ -1,7 +1,8 @@
 use {
-    super::{ProcessUsage, Series},
+    super::Series,
     crate::{
         fleet::{Fleet, FleetPlan, FleetText, until_async},
+        measure::ProcessUsage,
         standin::EngineSettings,
     },
     std::time::Duration,
