Connections of callers are handed on to neighbours with processor to spare

Cause: the balancer spreads callers by a hash, and one large caller asks for some 200 requests a second of one host with 0.09 of a core, which bears 80. Refusals alone kept it choked; a pause moved the lump to the next small host.

Bytes are passed on as they are; a neighbour knows by the address that they were handed on and serves them. A stop lets what was handed on come to its end.

--- a/src/conf/direct_settings.rs
+++ b/src/conf/direct_settings.rs
@@ -13,6 +13,7 @@
     pub callers: SocketAddr,      // HTTP address for callers
     pub max_connections: usize,   // of callers; beyond it those at rest are closed
     pub most_busy: f64,           // part of the time; busier, callers are sent elsewhere
+    pub hand_on: f64,             // part of the time; busier, connections are handed on
     pub ready: SocketAddr,        // HTTP address for the balancer
     pub ready_path: String,       // what the balancer asks for
     pub peers: SocketAddr,        // UDP address for reports of other routers
@@ -66,6 +67,7 @@
             callers: callers.parsed("listen", "an IP:port")?,
             max_connections: callers.number("max_connections", 1..=1_000_000)?,
             most_busy: callers.number("most_busy", 0.01..=1.0)?,
+            hand_on: callers.number("hand_on", 0.0..=1.0)?,
             ready: ready.parsed("listen", "an IP:port")?,
             ready_path: ready.text("path")?.to_owned(),
             peers: peers.parsed("listen", "an IP:port")?,
--- a/src/conf/process_settings.rs
+++ b/src/conf/process_settings.rs
@@ -9,6 +9,7 @@
     pub host: String,          // name in the platform's host list
     pub zone: String,          // availability zone
     pub workers: usize,        // threads of the pool
+    pub cores: f64,            // processor cores that it may use, parts too
     pub pause_limit: Duration, // longer gaps count as a pause
 }
 
@@ -20,6 +21,7 @@
             host: section.text("host")?.to_owned(),
             zone: section.text("zone")?.to_owned(),
             workers: section.number("workers", 1..=64)?,
+            cores: section.number("cores", 0.01..=64.0)?,
             pause_limit: section.duration(
                 "pause_limit",
                 Duration::from_millis(200)..=Duration::from_secs(60),
--- a/src/direct/caller_connections.rs
+++ b/src/direct/caller_connections.rs
@@ -1,5 +1,11 @@
 use {
-    super::{caller_port::answer_caller, gateway::Gateway, sockets::watch_over},
+    super::{
+        caller_port::answer_caller,
+        gateway::Gateway,
+        hand_on::{connect_to_neighbour, pass_on},
+        sockets::watch_over,
+    },
+    crate::ops::HANDED_ON,
     hyper::{server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     std::{
@@ -61,8 +67,8 @@
     ) {
         loop {
             match listener.accept().await {
-                Ok((stream, _)) => {
-                    tokio::spawn(self.clone().serve(stream));
+                Ok((stream, from)) => {
+                    tokio::spawn(self.clone().serve_or_hand_on(stream, from));
                 }
                 Err(error) => {
                     log::warn!("accepting failed: {error}");
@@ -90,14 +96,47 @@
         *self.open.borrow() > self.gateway.settings().max_connections
     }
 
-    async fn serve(
+    async fn serve_or_hand_on(
         self: Arc<Self>,
         stream: TcpStream,
+        from: SocketAddr,
     ) {
         watch_over(&stream);
         self.open.send_modify(|count| *count += 1);
         self.gateway.crowded(self.is_crowded());
         let _counted = CountedConnection(self.clone());
+        let neighbour = self.gateway.neighbour(rand::random());
+        let handed_on = neighbour.filter(|_| !self.gateway.peers.is_neighbour(from.ip()));
+        if let Some(neighbour) = handed_on {
+            let own = self.gateway.settings().callers;
+            match connect_to_neighbour(own, neighbour).await {
+                Ok(connection) => {
+                    metrics::counter!(HANDED_ON).increment(1);
+                    log::info!(
+                        caller = from.to_string().as_str(), neighbour = neighbour.to_string().as_str();
+                        "connection handed on"
+                    );
+                    let passing = pass_on(stream, connection, self.closing.subscribe());
+                    if let Err(error) = Box::pin(passing).await {
+                        log::debug!("connection that was handed on: {error}");
+                    }
+                    return;
+                }
+                Err(error) => {
+                    log::info!(
+                        neighbour = neighbour.to_string().as_str();
+                        "connection not handed on: {error}"
+                    );
+                }
+            }
+        }
+        self.serve(stream).await;
+    }
+
+    async fn serve(
+        self: &Arc<Self>,
+        stream: TcpStream,
+    ) {
         let activity = Arc::new(Activity::new(&self.gateway));
         let gateway = self.gateway.clone();
         let noted = activity.clone();
--- a/src/direct/gateway.rs
+++ b/src/direct/gateway.rs
@@ -7,13 +7,14 @@
         ops::{AuditTrail, Uptime},
         peers::{NamedRouter, PeerTable, ZoneTable},
         policy::{
-            Incarnation, Moment,
+            Incarnation, Moment, Neighbour, neighbour_for,
             placement::ReplicaBoard,
             shares::{RetryWindow, ShareBook},
             short_name,
         },
     },
     std::{
+        net::SocketAddr,
         sync::{
             Arc, Mutex, MutexGuard, RwLock,
             atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering},
@@ -52,11 +53,12 @@
     shares: Mutex<ShareBook>,
     retries: Mutex<RetryWindow>,
     stopping: AtomicBool,
-    refusing: AtomicBool, // stops, and takes no more requests
-    lag_ms: AtomicU64,    // of the process behind its timers
-    busy: AtomicU8,       // part of the time with work for its processor, in percent
-    paused: AtomicBool,   // lets callers go elsewhere, being short of processor
-    crowded: AtomicBool,  // more connections of callers than are kept
+    refusing: AtomicBool,               // stops, and takes no more requests
+    lag_ms: AtomicU64,                  // of the process behind its timers
+    busy: AtomicU8,                     // part of the time with work for its processor, in percent
+    paused: AtomicBool,                 // lets callers go elsewhere, being short of processor
+    crowded: AtomicBool,                // more connections of callers than are kept
+    neighbours: RwLock<Vec<Neighbour>>, // that take callers over; a leaf lock
 }
 
 impl Gateway {
@@ -94,6 +96,7 @@
             busy: AtomicU8::new(0),
             paused: AtomicBool::new(false),
             crowded: AtomicBool::new(false),
+            neighbours: RwLock::default(),
             settings: RwLock::new(Arc::new(settings)),
         }
     }
@@ -242,9 +245,37 @@
         self.crowded.store(crowded, Ordering::Relaxed);
     }
 
+    /// Notes who takes callers over; empty where none is to. Whether it is new that
+    /// someone does, or that nobody does.
+    pub fn set_neighbours(
+        &self,
+        neighbours: Vec<Neighbour>,
+    ) -> bool {
+        let mut known = self.neighbours.write().expect("neighbours lock");
+        let changed = known.is_empty() != neighbours.is_empty();
+        *known = neighbours;
+        changed
+    }
+
+    /// Who takes the next connection of a caller over, if anyone should. `draw` is
+    /// from 0 to 1.
+    pub fn neighbour(
+        &self,
+        draw: f64,
+    ) -> Option<SocketAddr> {
+        let known = self.neighbours.read().expect("neighbours lock");
+        neighbour_for(&known, draw)
+    }
+
+    /// Whether callers' connections are handed on.
+    pub fn hands_on(&self) -> bool {
+        !self.neighbours.read().expect("neighbours lock").is_empty()
+    }
+
     /// Whether answers should end their connections.
     pub fn closes_connections(&self) -> bool {
-        self.is_stopping() || self.is_paused() || self.crowded.load(Ordering::Relaxed)
+        let sheds = self.is_paused() || self.hands_on();
+        self.is_stopping() || sheds || self.crowded.load(Ordering::Relaxed)
     }
 
     /// Whether callers are let go elsewhere, since the processor is short.
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -14,6 +14,7 @@
 mod exchange;
 mod exchange_choice;
 mod gateway;
+mod hand_on;
 mod held_work;
 mod late_wait;
 mod live_answer;
--- a/src/direct/processor_watch.rs
+++ b/src/direct/processor_watch.rs
@@ -8,6 +8,11 @@
 /// How often the processor is looked at.
 const TICK: Duration = Duration::from_millis(20);
 
+/// Over what time it is judged how busy the router is: whether callers should go
+/// elsewhere, and whether their connections are handed on meanwhile.
+const BUSY_WINDOW: Duration = Duration::from_millis(500);
+const QUICK_WINDOW: Duration = Duration::from_millis(100);
+
 /// A router this many times as busy as the others on average lets callers go.
 const BUSIER: f64 = 1.5;
 
@@ -18,6 +23,7 @@
     runtime: RuntimeMetrics,
     lag: LagGauge,
     busy: BusyGauge,
+    quick: BusyGauge,
     pause: OverloadPause,
 }
 
@@ -28,7 +34,8 @@
             gateway,
             runtime: Handle::current().metrics(),
             lag: LagGauge::default(),
-            busy: BusyGauge::default(),
+            busy: BusyGauge::new(BUSY_WINDOW),
+            quick: BusyGauge::new(QUICK_WINDOW),
             pause: OverloadPause::default(),
         }
     }
@@ -49,7 +56,10 @@
         step: Duration,
     ) {
         self.lag.sample(step.saturating_sub(TICK));
-        self.busy.sample(step, self.worked());
+        let worked = self.worked();
+        self.busy.sample(step, worked);
+        self.quick.sample(step, worked);
+        self.hand_on(now);
         self.gateway.set_busy(self.busy.share());
         let lag_ms = self.lag.lag().as_millis() as u64;
         let busy = format!("{:.2}", self.busy.share());
@@ -69,6 +79,27 @@
         }
     }
 
+    /// Hands connections on from now on, or not any more.
+    fn hand_on(
+        &self,
+        now: Moment,
+    ) {
+        let settings = self.gateway.settings();
+        let is_busy = settings.hand_on < 1.0 && self.quick.share() >= settings.hand_on;
+        let neighbours = if is_busy {
+            self.gateway.peers.neighbours(now, settings.peer_age)
+        } else {
+            Vec::new()
+        };
+        let count = neighbours.len();
+        if self.gateway.set_neighbours(neighbours) {
+            log::info!(
+                busy = format!("{:.2}", self.quick.share()).as_str(), neighbours = count;
+                "connections are handed on, or not any more"
+            );
+        }
+    }
+
     /// Whether this router is busy while others have time to spare: callers that
     /// are sent elsewhere are served better only then.
     fn is_busier_than_others(
--- a/src/ops/metric_names.rs
+++ b/src/ops/metric_names.rs
@@ -10,6 +10,8 @@
 pub const GRANTS: &str = "archmast_grants_total";
 /// Control messages sent, in bytes, by `kind`.
 pub const CONTROL_BYTES: &str = "archmast_control_bytes_total";
+/// Connections of callers that were handed on to another router.
+pub const HANDED_ON: &str = "archmast_connections_handed_on_total";
 /// Retries made, by `why`.
 pub const RETRIES: &str = "archmast_retries_total";
 /// Revision of the configuration in force.
--- a/src/peers/peer_table.rs
+++ b/src/peers/peer_table.rs
@@ -2,11 +2,11 @@
     super::{NamedRouter, RouterReport},
     crate::{
         catalog::CatalogVersion,
-        policy::{Moment, mix, stable_hash},
+        policy::{Moment, Neighbour, mix, stable_hash},
     },
     std::{
         collections::{BTreeMap, BTreeSet},
-        net::SocketAddr,
+        net::{IpAddr, SocketAddr},
         sync::{Mutex, MutexGuard},
         time::Duration,
     },
@@ -32,6 +32,8 @@
     sequence: u64,
     leaving: bool,
     busy: u8, // percent
+    millicores: u16,
+    callers: Option<SocketAddr>, // where it takes callers
     version: CatalogVersion,
 }
 
@@ -125,6 +127,8 @@
             sequence: report.sequence,
             leaving: report.leaving,
             busy: report.busy,
+            millicores: report.millicores,
+            callers: Some(report.callers),
             version: report.version,
             ..*entry
         };
@@ -294,6 +298,36 @@
         (!busy.is_empty()).then(|| busy.iter().sum::<f64>() / busy.len() as f64)
     }
 
+    /// The routers of the own zone that were heard of within `age`, and what they
+    /// have to spare.
+    pub fn neighbours(
+        &self,
+        now: Moment,
+        age: Duration,
+    ) -> Vec<Neighbour> {
+        let peers = self.peers();
+        let there = peers.values().filter(|entry| entry.is_there(now, age));
+        let told = there.filter_map(|entry| {
+            let idle = 1.0 - f64::from(entry.busy) / 100.0;
+            Some(Neighbour {
+                callers: entry.callers?,
+                spare: f64::from(entry.millicores) / 1000.0 * idle.max(0.0),
+            })
+        });
+        told.collect()
+    }
+
+    /// Whether an address is that of a router of the own zone.
+    pub fn is_neighbour(
+        &self,
+        address: IpAddr,
+    ) -> bool {
+        let peers = self.peers();
+        peers
+            .iter()
+            .any(|(peer, entry)| peer.ip() == address && entry.zone == Some(self.own.zone))
+    }
+
     /// How far a peer's catalog had come by its last report.
     pub fn version(
         &self,
--- a/src/peers/tell.rs
+++ b/src/peers/tell.rs
@@ -89,15 +89,18 @@
         addresses: &[SocketAddr],
     ) {
         let gateway = &self.gateway;
+        let settings = gateway.settings();
         for figures in self.own_figures(now).cut() {
             let report = RouterReport {
                 address: gateway.peers.own().address,
                 news: self.news,
+                callers: settings.callers,
                 zone: gateway.peers.own().zone,
                 incarnation: self.incarnation,
                 sequence: self.next_sequence(),
                 leaving: gateway.is_stopping(),
                 busy: gateway.busy_percent(),
+                millicores: (settings.process.cores * 1000.0) as u16,
                 version: gateway.catalog.version(),
                 figures,
             };
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -22,6 +22,7 @@
 mod finished;
 mod grant;
 mod grant_table;
+mod hand_on;
 mod host_set;
 mod incarnation;
 mod keeper;
@@ -70,6 +71,7 @@
     finished::Finished,
     grant::{Grant, GrantNumber, IssuedGrant},
     grant_table::GrantTable,
+    hand_on::{Neighbour, neighbour_for},
     host_set::HostSet,
     incarnation::Incarnation,
     keeper::Keeper,
--- a/testbed/src/measure/costs.rs
+++ b/testbed/src/measure/costs.rs
@@ -234,11 +234,13 @@
         PeerMessage::Report(RouterReport {
             address,
             news: address,
+            callers: address,
             zone: 7,
             incarnation: 1,
             sequence: 1,
             leaving: false,
             busy: 10,
+            millicores: 90,
             version: CatalogVersion::default(),
             figures,
         })
--- /dev/null
+++ b/tests/hand_on.rs
@@ -0,0 +1,43 @@
+//! Which neighbour takes a caller's connection over.
+
+use {
+    archmast::policy::{Neighbour, neighbour_for},
+    std::net::SocketAddr,
+};
+
+fn neighbour(
+    port: u16,
+    spare: f64,
+) -> Neighbour {
+    Neighbour {
+        callers: SocketAddr::from(([127, 0, 0, 1], port)),
+        spare,
+    }
+}
+
+/// How many of 1,000 evenly spread draws fall on the neighbour with this port.
+fn taken(
+    neighbours: &[Neighbour],
+    port: u16,
+) -> usize {
+    let draws = (0..1000).map(|draw| f64::from(draw) / 1000.0);
+    let chosen = draws.filter_map(|draw| neighbour_for(neighbours, draw));
+    chosen.filter(|address| address.port() == port).count()
+}
+
+#[test]
+fn connections_are_spread_by_what_neighbours_have_to_spare() {
+    let fleet = [neighbour(1, 0.04), neighbour(2, 0.4), neighbour(3, 0.36)];
+    assert_eq!(taken(&fleet, 1) + taken(&fleet, 2) + taken(&fleet, 3), 1000);
+    assert!(taken(&fleet, 1).abs_diff(50) <= 1);
+    assert!(taken(&fleet, 2).abs_diff(500) <= 1);
+}
+
+#[test]
+fn a_neighbour_that_is_short_itself_gets_none() {
+    let fleet = [neighbour(1, 0.001), neighbour(2, 0.1)];
+    assert_eq!(taken(&fleet, 2), 1000);
+    assert_eq!(neighbour_for(&fleet[..1], 0.5), None);
+    assert_eq!(neighbour_for(&[], 0.5), None);
+    assert_eq!(neighbour_for(&fleet, 1.0), Some(fleet[1].callers));
+}
--- a/tests/overload_pause.rs
+++ b/tests/overload_pause.rs
@@ -64,7 +64,7 @@
 
 #[test]
 fn the_busy_share_follows_the_work_within_a_second_and_forgets_it() {
-    let mut gauge = BusyGauge::default();
+    let mut gauge = BusyGauge::new(ms(500));
     let mut worked = ms(0);
     let mut steps = |count: u32, work: Duration| {
         for _ in 0..count {
@@ -80,7 +80,7 @@
 
 #[test]
 fn a_process_that_is_stopped_for_long_is_not_taken_as_busy() {
-    let mut gauge = BusyGauge::default();
+    let mut gauge = BusyGauge::new(ms(500));
     gauge.sample(STEP, ms(2));
     gauge.sample(ms(3000), ms(4));
     assert!(gauge.share() < 0.01, "{}", gauge.share());
--- a/tests/peer_reports.rs
+++ b/tests/peer_reports.rs
@@ -110,11 +110,13 @@
     RouterReport {
         address: address(port),
         news: address(port),
+        callers: address(port + 1000),
         zone: 1,
         incarnation: 1,
         sequence: 1,
         leaving: false,
         busy: 0,
+        millicores: 500,
         version: CatalogVersion::default(),
         figures: Figures::default(),
     }
