Two routers of a zone read the store and tell the others; slopes and capacity are gone

Change: the first two routers of a zone by hash, of those that are heard of, read the store; the others ask one of their zone that is ahead, at once, on a connection that is kept, and go on from what they were told when reading becomes theirs. A router that cannot read says so in its reports, and another takes its place; it goes on trying. A router that knows nothing reads for itself.

Tests: two of five processes read, others do when these cannot; the draw; going on from a told revision (failed first: it listed the store anew).

--- a/src/catalog/follow.rs
+++ b/src/catalog/follow.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Catalog, CatalogSource},
+    super::{Catalog, CatalogSource, ReadDuty},
     crate::codes::Fault,
     std::{
         sync::{Arc, Weak},
@@ -10,6 +10,9 @@
 /// How often lapsed upstreams are looked at.
 const LAPSE_LOOK: Duration = Duration::from_millis(100);
 
+/// How often a process that leaves reading to others looks whether it still does.
+const DUTY_LOOK: Duration = Duration::from_millis(100);
+
 /// How often the store is asked.
 #[derive(Debug, Clone, Copy)]
 pub struct FollowPace {
@@ -19,22 +22,35 @@
 }
 
 /// Follows the store for as long as the process lives: a whole reading first,
-/// then watches, and a whole reading again when history is gone.
-pub async fn follow_source<S: CatalogSource>(
+/// then watches, and a whole reading again when history is gone. While reading is
+/// not this process's duty, others tell it, and it goes on from what they told.
+pub async fn follow_source<S: CatalogSource, D: ReadDuty>(
     catalog: Arc<Catalog>,
     source: Arc<S>,
+    duty: Arc<D>,
     pace: FollowPace,
 ) {
     tokio::spawn(drop_lapsed(Arc::downgrade(&catalog)));
     let mut reached = None;
     let mut failures = 0u32;
+    let mut left_to_others = true;
     loop {
+        if !duty.is_mine() {
+            left_to_others = true;
+            tokio::time::sleep(DUTY_LOOK).await;
+            continue;
+        }
+        if std::mem::take(&mut left_to_others) {
+            reached = told_so_far(&catalog);
+            failures = 0;
+        }
         match step(&catalog, &*source, &pace, reached).await {
             Ok(at) => {
                 if failures > 0 {
                     log::info!(failures = failures; "store answers again");
                 }
                 failures = 0;
+                duty.went(true);
                 reached = at;
                 tokio::time::sleep(pace.pause).await;
             }
@@ -43,6 +59,7 @@
                     log::warn!(code = error.code.number(); "store does not answer: {error}");
                 }
                 failures += 1;
+                duty.went(false);
                 let factor = 0.5 + 0.5 * rand::random::<f64>();
                 tokio::time::sleep(pace.retry_pause.mul_f64(factor)).await;
             }
@@ -50,6 +67,13 @@
     }
 }
 
+/// The revision up to which others told what the store holds; none if they did not
+/// tell of both the configuration and the upstreams.
+fn told_so_far(catalog: &Catalog) -> Option<u64> {
+    let version = catalog.version();
+    (version.config > 0 && version.upstreams > 0).then_some(version.upstreams)
+}
+
 /// Takes lapsed upstreams as gone in time, for as long as the catalog lives.
 async fn drop_lapsed(catalog: Weak<Catalog>) {
     while let Some(catalog) = catalog.upgrade() {
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -8,6 +8,7 @@
 mod catalog_source;
 mod follow;
 mod lapse_grace;
+mod read_duty;
 mod upstream_entry;
 mod upstream_record;
 mod upstream_state;
@@ -18,6 +19,7 @@
     catalog_change::{CatalogChange, Item},
     catalog_source::{CatalogSource, Listing},
     follow::{FollowPace, follow_source},
+    read_duty::{AlwaysReads, ReadDuty},
     upstream_entry::UpstreamEntry,
     upstream_record::UpstreamRecord,
     upstream_state::UpstreamState,
--- a/src/direct/gateway.rs
+++ b/src/direct/gateway.rs
@@ -34,6 +34,10 @@
 /// not ready: earlier they meet the same router, and cost it as much again.
 const BUSY_RETRY: Duration = Duration::from_millis(1500);
 
+/// A router that could not read the store leaves that to others of its zone for this
+/// long.
+const STORE_LOST: Duration = Duration::from_secs(10);
+
 /// The shared tables of a router that carries requests itself.
 ///
 /// Lock order: `board`, `shares`, `retries`, then leaf locks (catalog, pool,
@@ -58,6 +62,8 @@
     busy: AtomicU8,                     // part of the time with work for its processor, in percent
     paused: AtomicBool,                 // lets callers go elsewhere, being short of processor
     crowded: AtomicBool,                // more connections of callers than are kept
+    reading: AtomicBool,                // reads the store for its zone
+    store_lost_ms: AtomicU64, // when it last could not, since the start; 0 if it could since
     neighbours: RwLock<Vec<Neighbour>>, // that take callers over; a leaf lock
 }
 
@@ -96,6 +102,8 @@
             busy: AtomicU8::new(0),
             paused: AtomicBool::new(false),
             crowded: AtomicBool::new(false),
+            reading: AtomicBool::new(true),
+            store_lost_ms: AtomicU64::new(0),
             neighbours: RwLock::default(),
             settings: RwLock::new(Arc::new(settings)),
         }
@@ -245,6 +253,36 @@
         self.crowded.store(crowded, Ordering::Relaxed);
     }
 
+    /// Whether this router reads the store for its zone.
+    pub fn reads_store(&self) -> bool {
+        self.reading.load(Ordering::Relaxed)
+    }
+
+    /// Notes whether it does. Whether that is new.
+    pub fn set_reading(
+        &self,
+        reading: bool,
+    ) -> bool {
+        self.reading.swap(reading, Ordering::Relaxed) != reading
+    }
+
+    /// Notes whether the store could not be read.
+    pub fn set_store_lost(
+        &self,
+        lost: bool,
+    ) {
+        let now = self.now().as_millis() as u64;
+        let at = if lost { now.max(1) } else { 0 };
+        self.store_lost_ms.store(at, Ordering::Relaxed);
+    }
+
+    /// Whether the store could not be read here of late: others should read it.
+    pub fn has_lost_store(&self) -> bool {
+        let at = self.store_lost_ms.load(Ordering::Relaxed);
+        let now = self.now().as_millis() as u64;
+        at > 0 && now.saturating_sub(at) <= STORE_LOST.as_millis() as u64
+    }
+
     /// Notes who takes callers over; empty where none is to. Whether it is new that
     /// someone does, or that nobody does.
     pub fn set_neighbours(
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -27,6 +27,7 @@
 mod settings_watch;
 mod sockets;
 mod status;
+mod store_duty;
 mod upstream_connection;
 mod upstream_pool;
 
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -2,6 +2,7 @@
     super::{
         cache_survey::survey_caches, caller_connections::CallerConnections, gateway::Gateway,
         processor_watch::ProcessorWatch, ready_port::ready_server, settings_watch::watch_settings,
+        store_duty::StoreDuty,
     },
     crate::{
         catalog::{Catalog, follow_source},
@@ -57,7 +58,8 @@
         .await
         .change_context_lazy(failed)?;
     let connections = CallerConnections::new(gateway.clone());
-    tokio::spawn(follow_source(catalog, store, settings.catalog_pace));
+    let duty = Arc::new(StoreDuty::new(gateway.clone()));
+    tokio::spawn(follow_source(catalog, store, duty, settings.catalog_pace));
     tokio::spawn(gateway.clone().follow_catalog());
     tokio::spawn(gateway.clone().tidy_pool());
     tokio::spawn(survey_caches(gateway.clone()));
--- a/src/peers/ask_news.rs
+++ b/src/peers/ask_news.rs
@@ -15,22 +15,32 @@
 /// How long connecting and the answer may take, each.
 const ASK_TIME: Duration = Duration::from_millis(1500);
 
-/// Asks a router for its news: codes 70 to 74.
-pub async fn ask_news(
+/// Connects to a router that can be asked: code 74.
+pub async fn connect(
     endpoint: &Endpoint,
     address: SocketAddr,
-    ours: CatalogVersion,
-) -> Result<CatalogNews, Fault> {
+) -> Result<Connection, Fault> {
     let connecting = endpoint
         .connect(address, SERVER_NAME)
         .map_err(Fault::unreachable)?;
-    let connection = timeout(ASK_TIME, connecting)
+    timeout(ASK_TIME, connecting)
         .await
         .map_err(Fault::unreachable)?
-        .map_err(Fault::unreachable)?;
-    let answer = timeout(ASK_TIME, ask(&connection, ours)).await;
-    connection.close(0u32.into(), b"done");
-    answer.map_err(Fault::unreachable)?
+        .map_err(Fault::unreachable)
+}
+
+/// Asks a router for its news: codes 70 to 74. After a failure the connection is
+/// closed.
+pub async fn ask_news(
+    connection: &Connection,
+    ours: CatalogVersion,
+) -> Result<CatalogNews, Fault> {
+    let asked = timeout(ASK_TIME, ask(connection, ours)).await;
+    let answer = asked.map_err(Fault::unreachable).flatten();
+    if answer.is_err() {
+        connection.close(0u32.into(), b"failed");
+    }
+    answer
 }
 
 async fn ask(
--- a/src/peers/catch_up.rs
+++ b/src/peers/catch_up.rs
@@ -6,10 +6,13 @@
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
-/// How long this router may be behind others before it asks one for its news: the
-/// store tells most changes by then.
+/// How long a router that reads the store may be behind others before it asks one
+/// for its news: the store tells most changes by then.
 const PATIENCE: Duration = Duration::from_millis(500);
 
+/// The pause after a question, so that changes come together.
+const ASK_PAUSE: Duration = Duration::from_millis(200);
+
 /// How often it looks whether it is behind.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 
@@ -27,19 +30,20 @@
                 continue;
             };
             let since = *behind_since.get_or_insert(now);
-            let waits = ours.config > 0 && ours.upstreams > 0;
+            let waits = self.gateway.reads_store();
             if waits && now.saturating_sub(since) < PATIENCE {
                 continue;
             }
             behind_since = None;
             if let Err(error) = self.fetch(ahead).await {
-                log::debug!(code = error.code.number(); "no news from {ahead}: {error}");
+                log::info!(code = error.code.number(); "no news from {ahead}: {error}");
             }
+            tokio::time::sleep(ASK_PAUSE).await;
         }
     }
 
-    /// A router that is ahead of this version, drawn from those that are; one of the
-    /// own zone if there is one.
+    /// A router that is ahead of this version, one of the own zone if there is one: the
+    /// last that was asked, or else drawn.
     fn ahead_of(
         &self,
         ours: CatalogVersion,
@@ -47,10 +51,12 @@
         let is_ahead = |(_, version): &(SocketAddr, CatalogVersion)| {
             version.config > ours.config || version.upstreams > ours.upstreams
         };
+        let last = self.last_asked();
         let draw = |known: Vec<(SocketAddr, CatalogVersion)>| {
             let ahead: Vec<_> = known.into_iter().filter(is_ahead).collect();
             let drawn = rand::random_range(0..ahead.len().max(1));
-            ahead.get(drawn).map(|(address, _)| *address)
+            let again = ahead.iter().find(|(address, _)| Some(*address) == last);
+            again.or(ahead.get(drawn)).map(|(address, _)| *address)
         };
         draw(self.gateway.peers.news()).or_else(|| draw(self.zones().news()))
     }
@@ -60,7 +66,8 @@
         address: SocketAddr,
     ) -> Result<(), Fault> {
         let catalog = &self.gateway.catalog;
-        let news = ask_news(&self.endpoint, address, catalog.version()).await?;
+        let connection = self.connection_to(address).await?;
+        let news = ask_news(&connection, catalog.version()).await?;
         let from = address.to_string();
         if let Some(text) = &news.config {
             catalog.offer_config(text, &from)?;
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -34,7 +34,14 @@
 mod zone_table;
 
 pub use {
-    catalog_news::CatalogNews, figures::Figures, named_router::NamedRouter, peer_link::PeerLink,
-    peer_message::PeerMessage, peer_table::PeerTable, router_report::RouterReport,
-    told_reports::ToldReports, zone_sum::ZoneSum, zone_table::ZoneTable,
+    catalog_news::CatalogNews,
+    figures::Figures,
+    named_router::NamedRouter,
+    peer_link::{PeerLink, SILENCE},
+    peer_message::PeerMessage,
+    peer_table::PeerTable,
+    router_report::RouterReport,
+    told_reports::ToldReports,
+    zone_sum::ZoneSum,
+    zone_table::ZoneTable,
 };
--- a/src/peers/peer_link.rs
+++ b/src/peers/peer_link.rs
@@ -1,6 +1,7 @@
 use {
     super::{
-        PeerMessage, ToldReports, ZoneTable, news_port::serve_news, own_certificate::quic_configs,
+        PeerMessage, ToldReports, ZoneTable, ask_news::connect, news_port::serve_news,
+        own_certificate::quic_configs,
     },
     crate::{
         codes::{Fault, ResultCode},
@@ -9,7 +10,7 @@
         policy::stable_hash,
         wire::encode_payload,
     },
-    quinn::Endpoint,
+    quinn::{Connection, Endpoint},
     std::{
         collections::HashMap,
         net::SocketAddr,
@@ -24,7 +25,7 @@
 
 /// A zone or router that said nothing for this long no longer speaks for its
 /// zone: some ten reports, so that lost datagrams change nothing.
-pub(super) const SILENCE: Duration = Duration::from_millis(800);
+pub const SILENCE: Duration = Duration::from_millis(800);
 
 /// This router's end of what routers tell each other: reports and sums by
 /// datagrams, and news of the catalog over QUIC when one is behind.
@@ -36,6 +37,7 @@
     pub(super) incarnation: u64,
     pub(super) told: Mutex<TellState>, // a leaf lock
     sequence: AtomicU64,
+    asked: Mutex<Option<(SocketAddr, Connection)>>, // for news, the last time; a leaf lock
 }
 
 /// What was told before, so that only what changed is told.
@@ -61,6 +63,7 @@
             incarnation: Uptime::unix_millis(),
             sequence: AtomicU64::new(0),
             told: Mutex::default(),
+            asked: Mutex::default(),
             gateway,
         }))
     }
@@ -77,6 +80,31 @@
         tokio::spawn(self.tell());
     }
 
+    /// The router that was last asked for its news.
+    pub(super) fn last_asked(&self) -> Option<SocketAddr> {
+        let asked = self.asked.lock().expect("asked lock");
+        asked.as_ref().map(|(address, _)| *address)
+    }
+
+    /// A connection to a router that is asked for its news; the last one as long as
+    /// it lasts: in a release there are two questions a second, and a handshake
+    /// costs some milliseconds of a small host.
+    pub(super) async fn connection_to(
+        &self,
+        address: SocketAddr,
+    ) -> Result<Connection, Fault> {
+        let known = self.asked.lock().expect("asked lock").clone();
+        let usable = known
+            .filter(|(asked, connection)| *asked == address && connection.close_reason().is_none());
+        if let Some((_, connection)) = usable {
+            return Ok(connection);
+        }
+        let connection = connect(&self.endpoint, address).await?;
+        let made = Some((address, connection.clone()));
+        *self.asked.lock().expect("asked lock") = made;
+        Ok(connection)
+    }
+
     /// The other zones.
     pub(super) fn zones(&self) -> &ZoneTable {
         &self.gateway.zones
--- a/src/peers/peer_table.rs
+++ b/src/peers/peer_table.rs
@@ -12,6 +12,10 @@
     },
 };
 
+/// Routers of a zone that read the store: one may be cut off from it, and takes some
+/// seconds to find that out.
+const READERS: usize = 2;
+
 /// The routers that this one knows of, by address: those of its own availability
 /// zone by their reports, some of other zones by name.
 pub struct PeerTable {
@@ -33,6 +37,7 @@
     leaving: bool,
     busy: u8, // percent
     millicores: u16,
+    store_lost: bool,            // it could not read the store of late
     callers: Option<SocketAddr>, // where it takes callers
     version: CatalogVersion,
 }
@@ -128,6 +133,7 @@
             leaving: report.leaving,
             busy: report.busy,
             millicores: report.millicores,
+            store_lost: report.store_lost,
             callers: Some(report.callers),
             version: report.version,
             ..*entry
@@ -265,6 +271,25 @@
         !there.any(|(address, _)| weight(address) > own)
     }
 
+    /// Whether this router reads the store for its zone: the first [`READERS`] by hash
+    /// do of those that were heard of within `age` and did not lose the store. One
+    /// that lost it, as `own_lost` says, goes on trying if it were among the first
+    /// otherwise.
+    pub fn reads_store(
+        &self,
+        now: Moment,
+        age: Duration,
+        own_lost: bool,
+    ) -> bool {
+        let weight = |address: &SocketAddr| mix(stable_hash(address), READERS as u64);
+        let own = weight(&self.own.address);
+        let peers = self.peers();
+        let there = peers.iter().filter(|(_, entry)| entry.is_there(now, age));
+        let able = there.filter(|(_, entry)| own_lost || !entry.store_lost);
+        let before = able.filter(|(address, _)| weight(address) > own);
+        before.count() < READERS
+    }
+
     /// Routers of the own zone that were heard of within `age` and do not leave.
     pub fn alive(
         &self,
--- a/src/peers/router_report.rs
+++ b/src/peers/router_report.rs
@@ -15,8 +15,9 @@
     pub incarnation: u64,    // of its process; higher is later
     pub sequence: u64,
     pub leaving: bool,
-    pub busy: u8,        // part of the time with work for its processor, in percent
-    pub millicores: u16, // thousandths of a core that it has
+    pub busy: u8,         // part of the time with work for its processor, in percent
+    pub millicores: u16,  // thousandths of a core that it has
+    pub store_lost: bool, // it could not read the store of late
     pub version: CatalogVersion,
     pub figures: Figures,
 }
--- a/src/peers/tell.rs
+++ b/src/peers/tell.rs
@@ -101,6 +101,7 @@
                 leaving: gateway.is_stopping(),
                 busy: gateway.busy_percent(),
                 millicores: (settings.process.cores * 1000.0) as u16,
+                store_lost: gateway.has_lost_store(),
                 version: gateway.catalog.version(),
                 figures,
             };
--- a/testbed/src/command/main.rs
+++ b/testbed/src/command/main.rs
@@ -3,7 +3,6 @@
         demo::{demo, traces},
         fairness::fairness,
         measures::{ahead, control, costs, latency, prefix, revision, zone_loss},
-        slopes::{capacity, slopes},
         soak::soak_seeds,
     },
     getopts::{Matches, Options},
@@ -22,8 +21,6 @@
   prefix     prefix cache hits, with and without affinity
   control    control bytes by kind, idle and backlogged
   revision   time until a change of configuration is in force everywhere
-  slopes     what the processes cost at several sizes; writes docs/capacity and the page
-  capacity   writes docs/CAPACITY.md anew from the committed slopes
   costs      microseconds of a choice, a standing, a report and a request (--requests)
   soak       faults at random times; what breaks a promise (--seed, --seeds, --minutes)
   zone-loss  what the death of an availability zone does to requests";
@@ -65,8 +62,6 @@
         Some("prefix") => prefix(matches).await,
         Some("control") => control(matches).await,
         Some("revision") => revision().await,
-        Some("slopes") => slopes(matches).await,
-        Some("capacity") => capacity(),
         Some("costs") => costs(matches).await,
         Some("soak") => return soak_seeds(matches).await,
         Some("zone-loss") => zone_loss(matches).await,
@@ -104,11 +99,10 @@
         .optopt("", "deployment", "parking or association", "NAME")
         .optopt("", "html", "a page with plots (demo)", "FILE")
         .optopt("", "requests", "of each kind (costs)", "NUMBER")
-        .optopt("", "only", "accounts: only that part (slopes)", "PART")
         .optopt(
             "",
             "out",
-            "where slopes are written, or logs of broken runs (soak)",
+            "where logs of broken runs are written (soak)",
             "FILE",
         )
         .optflag("j", "json", "print JSON")
--- a/testbed/src/command/mod.rs
+++ b/testbed/src/command/mod.rs
@@ -4,7 +4,6 @@
 mod fairness;
 mod main;
 mod measures;
-mod slopes;
 mod soak;
 
 pub use main::main;
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -8,6 +8,5 @@
 pub mod measure;
 pub mod proxy;
 pub mod report;
-pub mod slopes;
 pub mod soak;
 pub mod standin;
--- a/testbed/tests/direct_fleet.rs
+++ b/testbed/tests/direct_fleet.rs
@@ -244,3 +244,34 @@
         .await;
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn two_of_five_routers_read_the_store_and_others_when_these_cannot() {
+    let fleet = DirectFleet::start(5, "").await;
+    let replica = fleet.replica("i-a", "s", ReplicaAnswer::ok("a")).await;
+    fleet
+        .store
+        .publish(1, &[RouteText::new("/one/", "s", "idempotent")]);
+    fleet.all_ready().await;
+    let reads = |router: usize| {
+        let log = fleet.routers[router].log_text();
+        let turns = log
+            .lines()
+            .filter(|line| line.contains("the store is read here"));
+        let last = turns.last().map(|line| line.contains(r#""reads":"false""#));
+        last != Some(true)
+    };
+    let readers = || (0..5).filter(|router| reads(*router)).collect::<Vec<_>>();
+    until("two of them read", || readers().len() == 2).await;
+    let first = readers();
+    for reader in &first {
+        fleet.ports[*reader].set(StoreMode::Silent);
+    }
+    let routes = ["/one/", "/two/"].map(|path| RouteText::new(path, "s", "idempotent"));
+    fleet.store.publish(2, &routes);
+    for router in 0..5 {
+        fleet.serves(router, "/two/", 200).await;
+    }
+    assert!(readers().iter().any(|reader| !first.contains(reader)));
+    drop(replica);
+}
--- a/tests/catalog.rs
+++ b/tests/catalog.rs
@@ -4,8 +4,8 @@
 use {
     archmast::{
         catalog::{
-            Catalog, CatalogChange, CatalogSource, FollowPace, Item, Listing, UpstreamRecord,
-            UpstreamState, follow_source,
+            AlwaysReads, Catalog, CatalogChange, CatalogSource, FollowPace, Item, Listing,
+            ReadDuty, UpstreamRecord, UpstreamState, follow_source,
         },
         codes::{Fault, ResultCode},
         platform::{parse_config, parse_replica},
@@ -13,7 +13,10 @@
     proptest::prelude::*,
     std::{
         collections::VecDeque,
-        sync::{Arc, Mutex},
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicBool, Ordering},
+        },
         time::Duration,
     },
 };
@@ -240,7 +243,12 @@
         pause: Duration::ZERO,
         retry_pause: Duration::from_millis(1),
     };
-    let following = tokio::spawn(follow_source(catalog.clone(), store.clone(), pace));
+    let following = tokio::spawn(follow_source(
+        catalog.clone(),
+        store.clone(),
+        Arc::new(AlwaysReads),
+        pace,
+    ));
     let reached = changes.wait_for(|version| version.config == 5).await;
     assert!(reached.is_ok());
     let asked = || store.asked.lock().expect("lock").clone();
@@ -253,3 +261,47 @@
     ];
     assert_eq!(asked(), expected);
 }
+
+/// A duty that is taken over when the test says so.
+#[derive(Default)]
+struct Switch(AtomicBool);
+
+impl ReadDuty for Switch {
+    fn is_mine(&self) -> bool {
+        self.0.load(Ordering::SeqCst)
+    }
+
+    fn went(
+        &self,
+        _answered: bool,
+    ) {
+    }
+}
+
+#[tokio::test]
+async fn a_process_that_takes_reading_over_goes_on_from_what_it_was_told() {
+    let store = Arc::new(ScriptedStore {
+        lists: Mutex::default(),
+        watches: Mutex::default(),
+        asked: Mutex::default(),
+    });
+    let catalog = catalog();
+    let duty = Arc::new(Switch::default());
+    let pace = FollowPace {
+        watch_wait: Duration::from_millis(10),
+        pause: Duration::ZERO,
+        retry_pause: Duration::from_millis(1),
+    };
+    let source = store.clone();
+    let following = tokio::spawn(follow_source(catalog.clone(), source, duty.clone(), pace));
+    assert_eq!(catalog.offer_config(&config(7), "peer"), Ok(true));
+    catalog.offer_records(Vec::new(), 40, "peer");
+    let asked = || store.asked.lock().expect("lock").clone();
+    assert!(asked().is_empty());
+    duty.0.store(true, Ordering::SeqCst);
+    while asked().is_empty() {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    following.abort();
+    assert_eq!(asked(), ["watch 40"]);
+}
--- a/tests/peer_reports.rs
+++ b/tests/peer_reports.rs
@@ -117,6 +117,7 @@
         leaving: false,
         busy: 0,
         millicores: 500,
+        store_lost: false,
         version: CatalogVersion::default(),
         figures: Figures::default(),
     }
@@ -221,6 +222,49 @@
     assert_eq!(next.len(), 1);
 }
 
+#[test]
+fn two_routers_of_a_zone_read_the_store_and_others_where_these_lost_it() {
+    let ports: Vec<u16> = (1..=12).collect();
+    let tables: Vec<PeerTable> = ports
+        .iter()
+        .map(|own| PeerTable::new(router(*own, 1), &[]))
+        .collect();
+    let readers = |sequence: u64, lost: &[SocketAddr]| {
+        let now = ms(1000 * sequence);
+        for table in &tables {
+            for port in &ports {
+                let report = RouterReport {
+                    sequence,
+                    store_lost: lost.contains(&address(*port)),
+                    ..report(*port)
+                };
+                table.hear(now, &report, BELIEVED);
+            }
+        }
+        let own = |table: &PeerTable| table.own().address;
+        let reading = tables
+            .iter()
+            .filter(|table| table.reads_store(now, ms(500), lost.contains(&own(table))));
+        reading.map(own).collect::<Vec<_>>()
+    };
+    let first = readers(1, &[]);
+    assert_eq!(first.len(), 2);
+    // One lost it: another reads, and it goes on trying.
+    let second = readers(2, &first[..1]);
+    assert_eq!(second.len(), 3);
+    assert!(second.contains(&first[0]) && second.contains(&first[1]));
+    // All lost it: the first two go on trying, the rest spares the store.
+    let all: Vec<SocketAddr> = ports.iter().map(|port| address(*port)).collect();
+    assert_eq!(readers(3, &all), first);
+    assert_eq!(readers(4, &[]), first);
+    // A router that hears of nobody reads for itself.
+    assert!(
+        tables
+            .iter()
+            .all(|table| table.reads_store(ms(9000), ms(500), false))
+    );
+}
+
 #[test]
 fn routers_that_were_only_named_are_not_named_on() {
     let table = PeerTable::new(router(1, 1), &[address(9)]);
