Handed-on connections end with their answer; a stop hands nothing on that it would refuse

A stopping router passed new connections on after the moment from which it refuses, and kept connections that it had handed on took requests until its end, since the neighbour knows nothing of that stop.

Change: the neighbour ends connections that were handed on to it with their answer; a router that refuses because it stops hands nothing on.

Ruled out: the neighbour's own stop (its answers carry the end already).

Tests, both failed first: connections_that_were_handed_on_end_with_their_answer, a_router_that_stops_hands_nothing_on_that_it_would_refuse.

--- a/src/direct/caller_connections.rs
+++ b/src/direct/caller_connections.rs
@@ -96,14 +96,11 @@
         *self.open.borrow() > self.gateway.settings().max_connections
     }
 
-    /// Who takes a new connection over, if anyone should: not one that was handed on
-    /// already, and none that waited here for the processor.
-    fn neighbour_for(
-        &self,
-        from: SocketAddr,
-    ) -> Option<SocketAddr> {
+    /// Who takes a new connection over, if anyone should: none that waited here for the
+    /// processor, or comes so late in a stop that it is refused.
+    fn neighbour_for_new(&self) -> Option<SocketAddr> {
         let gateway = &self.gateway;
-        let stays = gateway.is_choked() || gateway.peers.is_neighbour(from.ip());
+        let stays = gateway.is_choked() || gateway.is_refusing();
         gateway.neighbour(rand::random()).filter(|_| !stays)
     }
 
@@ -116,7 +113,8 @@
         self.open.send_modify(|count| *count += 1);
         self.gateway.crowded(self.is_crowded());
         let _counted = CountedConnection(self.clone());
-        if let Some(neighbour) = self.neighbour_for(from) {
+        let was_handed_on = self.gateway.peers.is_neighbour(from.ip());
+        if let Some(neighbour) = self.neighbour_for_new().filter(|_| !was_handed_on) {
             let own = self.gateway.settings().callers;
             let started = self.gateway.now();
             match connect_to_neighbour(own, neighbour).await {
@@ -142,12 +140,15 @@
                 }
             }
         }
-        self.serve(stream).await;
+        self.serve(stream, was_handed_on).await;
     }
 
+    /// Serves a connection; one that was handed on ends with its answer, so that the
+    /// router in between may stop without cutting a later one.
     async fn serve(
         self: &Arc<Self>,
         stream: TcpStream,
+        ends_with_answer: bool,
     ) {
         let activity = Arc::new(Activity::new(&self.gateway));
         let gateway = self.gateway.clone();
@@ -157,7 +158,7 @@
             let gateway = gateway.clone();
             // Boxed, so that a connection at rest holds no room for it.
             Box::pin(async move {
-                let answer = answer_caller(gateway, request).await;
+                let answer = answer_caller(gateway, request, ends_with_answer).await;
                 drop(busy);
                 answer
             })
--- a/src/direct/caller_port.rs
+++ b/src/direct/caller_port.rs
@@ -19,10 +19,11 @@
     std::{convert::Infallible, sync::Arc},
 };
 
-/// Answers one request of a caller.
+/// Answers one request of a caller; its connection may have to end with the answer.
 pub async fn answer_caller(
     gateway: Arc<Gateway>,
     request: Request<Incoming>,
+    ends_connection: bool,
 ) -> Result<Response<ReplyBody>, Infallible> {
     let arrived = gateway.now();
     let request_id = header_text(request.headers(), &gateway.dialect.names.request_id).to_owned();
@@ -33,7 +34,7 @@
         }
         Ok(call) => answer_call(&gateway, Arc::new(call)).await,
     };
-    if gateway.closes_connections() {
+    if ends_connection || gateway.closes_connections() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
--- a/testbed/tests/handing_on.rs
+++ b/testbed/tests/handing_on.rs
@@ -3,7 +3,7 @@
 use {
     archmast_testbed::{
         direct::{Client, ClientRequest, DirectFleet, Replica, ReplicaAnswer, RouteText},
-        fleet::until,
+        fleet::{until, until_async},
     },
     std::time::Duration,
 };
@@ -102,3 +102,77 @@
     drop(client);
     until("its connection to the replica ends", || replica.open() == 0).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_whose_caller_left_while_it_waited_is_not_handed_on() {
+    let (fleet, replica) = fleet_that_hands_on().await;
+    for round in 0..20 {
+        let (left, stays) = (format!("left-{round}"), format!("stays-{round}"));
+        fleet.routers[0].freeze();
+        let mut client = Client::connect(fleet.callers[0]).await.expect("connected");
+        let request = ClientRequest::get("/plain/", &left);
+        client.send(&request.bytes()).await.expect("sent");
+        drop(client);
+        fleet.routers[0].thaw();
+        // Connections are taken in their order: what follows is served after it.
+        until_async("a caller that stays is served", async || {
+            let request = ClientRequest::get("/plain/", &stays);
+            Client::ask(fleet.callers[0], &request).await.status == 200
+        })
+        .await;
+        let seen = replica.seen();
+        assert!(seen.iter().all(|request| request.id() != left), "{left}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_that_were_handed_on_end_with_their_answer() {
+    let (fleet, _replica) = fleet_that_hands_on().await;
+    // The neighbour itself hands nothing on, and keeps its callers' connections.
+    let settings = std::fs::read_to_string(&fleet.settings[1]).expect("settings");
+    let settings = settings.replace("hand_on = 0.0", "hand_on = 1.0");
+    std::fs::write(&fleet.settings[1], settings).expect("written");
+    fleet.routers[1].hang_up();
+    until_async("the neighbour keeps connections", async || {
+        let request = ClientRequest::get("/plain/", "own-1");
+        let answer = Client::ask(fleet.callers[1], &request).await;
+        answer.status == 200 && answer.header("connection") != "close"
+    })
+    .await;
+    let mut client = Client::connect(fleet.callers[0]).await.expect("connected");
+    let answer = client.call(&ClientRequest::get("/plain/", "once-1")).await;
+    assert_eq!((answer.status, answer.header("connection")), (200, "close"));
+    assert!(client.is_closed_by_router().await);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_that_stops_hands_nothing_on_that_it_would_refuse() {
+    let (mut fleet, replica) = fleet_that_hands_on().await;
+    replica.usually(ReplicaAnswer::Silent);
+    let mut busy = Client::connect(fleet.callers[0]).await.expect("connected");
+    let held = ClientRequest::get("/plain/", "held-1");
+    busy.send(&held.bytes()).await.expect("sent");
+    until("the replica has it", || !replica.seen().is_empty()).await;
+    fleet.routers[0].terminate();
+    let mut refused = 0;
+    until_async(
+        "late requests are refused, or no longer taken",
+        async || {
+            let late = ClientRequest::get("/plain/", &format!("late-{refused}"));
+            let mut client = match Client::connect(fleet.callers[0]).await {
+                Ok(client) => client,
+                Err(_) => return refused > 0,
+            };
+            if client.send(&late.bytes()).await.is_err() {
+                return refused > 0;
+            }
+            let answer = tokio::time::timeout(Duration::from_millis(50), client.answer()).await;
+            refused += usize::from(answer.is_ok_and(|answer| answer.code() == Some(39)));
+            refused >= 3
+        },
+    )
+    .await;
+    assert!(refused > 0, "what came late was handed on, or lost");
+    drop(busy);
+    until("it stops by itself", || fleet.routers[0].ended().is_some()).await;
+}
