Handed-on connections are kept, and end when the router in between stops; parts by job

Change: the neighbour keeps connections that were handed on to it, and ends them (after the answer under way) once the router in between says in its reports that it leaves.

Beside it, moves without a change of behaviour: the gateway's processor state and store reading, a peer's entry, the duties drawn by hash and the board's reports stand in files of their own.

--- a/src/direct/caller_connections.rs
+++ b/src/direct/caller_connections.rs
@@ -10,7 +10,7 @@
     hyper_util::rt::{TokioIo, TokioTimer},
     std::{
         io,
-        net::SocketAddr,
+        net::{IpAddr, SocketAddr},
         sync::{
             Arc,
             atomic::{AtomicUsize, Ordering},
@@ -100,8 +100,11 @@
     /// processor, or comes so late in a stop that it is refused.
     fn neighbour_for_new(&self) -> Option<SocketAddr> {
         let gateway = &self.gateway;
-        let stays = gateway.is_choked() || gateway.is_refusing();
-        gateway.neighbour(rand::random()).filter(|_| !stays)
+        let stays = gateway.processor.is_choked() || gateway.is_refusing();
+        gateway
+            .processor
+            .neighbour(rand::random())
+            .filter(|_| !stays)
     }
 
     async fn serve_or_hand_on(
@@ -140,15 +143,15 @@
                 }
             }
         }
-        self.serve(stream, was_handed_on).await;
+        self.serve(stream, was_handed_on.then(|| from.ip())).await;
     }
 
-    /// Serves a connection; one that was handed on ends with its answer, so that the
-    /// router in between may stop without cutting a later one.
+    /// Serves a connection. One that a router in between handed on ends with its answer
+    /// once that router stops, which would cut a later one.
     async fn serve(
         self: &Arc<Self>,
         stream: TcpStream,
-        ends_with_answer: bool,
+        in_between: Option<IpAddr>,
     ) {
         let activity = Arc::new(Activity::new(&self.gateway));
         let gateway = self.gateway.clone();
@@ -156,6 +159,7 @@
         let service = service_fn(move |request| {
             let busy = noted.begin();
             let gateway = gateway.clone();
+            let ends_with_answer = stops(&gateway, in_between);
             // Boxed, so that a connection at rest holds no room for it.
             Box::pin(async move {
                 let answer = answer_caller(gateway, request, ends_with_answer).await;
@@ -187,7 +191,8 @@
                     break;
                 }
                 () = tokio::time::sleep(REST_CHECK) => {
-                    if activity.rested(&self.gateway, self.is_crowded()) {
+                    let rested = activity.rested(&self.gateway, self.is_crowded());
+                    if rested || stops(&self.gateway, in_between) {
                         break;
                     }
                 }
@@ -200,6 +205,14 @@
     }
 }
 
+/// Whether the router that handed a connection on stops.
+fn stops(
+    gateway: &Gateway,
+    in_between: Option<IpAddr>,
+) -> bool {
+    in_between.is_some_and(|address| gateway.peers.is_leaving(address))
+}
+
 struct CountedConnection(Arc<CallerConnections>);
 
 impl Drop for CountedConnection {
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -19,6 +19,7 @@
 mod late_wait;
 mod live_answer;
 mod plain_relay;
+mod processor_state;
 mod processor_watch;
 mod ready_port;
 mod reply;
@@ -28,6 +29,7 @@
 mod sockets;
 mod status;
 mod store_duty;
+mod store_reading;
 mod upstream_connection;
 mod upstream_pool;
 
--- a/src/direct/processor_watch.rs
+++ b/src/direct/processor_watch.rs
@@ -74,18 +74,18 @@
         self.busy.sample(step, worked);
         self.quick.sample(step, worked);
         self.hand_on(now);
-        self.gateway.set_busy(self.busy.share());
+        self.gateway.processor.set_busy(self.busy.share());
         let lag_ms = self.lag.lag().as_millis() as u64;
         let busy = format!("{:.2}", self.busy.share());
-        if let Some(choked) = self.gateway.set_lag(self.lag.lag()) {
+        if let Some(choked) = self.gateway.processor.set_lag(self.lag.lag()) {
             log::warn!(
                 lag_ms = lag_ms, busy = busy.as_str(), choked = choked;
                 "processor is short, or not any more"
             );
         }
-        let is_short = self.gateway.is_choked() || self.is_busier_than_others(now);
+        let is_short = self.gateway.processor.is_choked() || self.is_busier_than_others(now);
         let paused = self.pause.observe(now, step, is_short);
-        if self.gateway.set_paused(paused) {
+        if self.gateway.processor.set_paused(paused) {
             log::warn!(
                 lag_ms = lag_ms, busy = busy.as_str(), paused = paused;
                 "callers are sent elsewhere, or here again"
@@ -110,7 +110,7 @@
             Vec::new()
         };
         let count = neighbours.len();
-        if self.gateway.set_neighbours(neighbours) {
+        if self.gateway.processor.set_neighbours(neighbours) {
             log::info!(
                 busy = format!("{:.2}", self.quick.share()).as_str(), neighbours = count;
                 "connections are handed on, or not any more"
--- a/src/direct/request_reader.rs
+++ b/src/direct/request_reader.rs
@@ -43,7 +43,7 @@
     if gateway.is_refusing() {
         return Err(ErrorAnswer::new(ResultCode::Stopping).retry_after(STOPPING_RETRY));
     }
-    if gateway.is_choked() {
+    if gateway.processor.is_choked() {
         return Err(ErrorAnswer::new(ResultCode::RouterBusy).retry_after(gateway.least_retry()));
     }
     let table = gateway.catalog.config().ok_or_else(|| {
--- a/src/direct/store_duty.rs
+++ b/src/direct/store_duty.rs
@@ -22,9 +22,10 @@
         let gateway = &self.gateway;
         let version = gateway.catalog.version();
         let knows_nothing = version.config == 0 || version.upstreams == 0;
-        let lost = gateway.has_lost_store();
-        let mine = knows_nothing || gateway.peers.reads_store(gateway.now(), SILENCE, lost);
-        if gateway.set_reading(mine) {
+        let now = gateway.now();
+        let lost = gateway.reading.is_lost(now);
+        let mine = knows_nothing || gateway.peers.reads_store(now, SILENCE, lost);
+        if gateway.reading.set_own(mine) {
             log::info!(
                 reads = mine, lost = lost, upstreams_at = version.upstreams;
                 "the store is read here, or by others of the zone"
@@ -37,6 +38,7 @@
         &self,
         answered: bool,
     ) {
-        self.gateway.set_store_lost(!answered);
+        let now = self.gateway.now();
+        self.gateway.reading.set_lost(now, !answered);
     }
 }
--- a/src/peers/catch_up.rs
+++ b/src/peers/catch_up.rs
@@ -30,7 +30,7 @@
                 continue;
             };
             let since = *behind_since.get_or_insert(now);
-            let waits = self.gateway.reads_store();
+            let waits = self.gateway.reading.is_own();
             if waits && now.saturating_sub(since) < PATIENCE {
                 continue;
             }
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -24,12 +24,14 @@
 mod named_router;
 mod news_port;
 mod own_certificate;
+mod peer_entry;
 mod peer_link;
 mod peer_message;
 mod peer_table;
 mod router_report;
 mod tell;
 mod told_reports;
+mod zone_duties;
 mod zone_sum;
 mod zone_table;
 
--- a/src/peers/peer_table.rs
+++ b/src/peers/peer_table.rs
@@ -1,8 +1,8 @@
 use {
-    super::{NamedRouter, RouterReport},
+    super::{NamedRouter, RouterReport, peer_entry::PeerEntry},
     crate::{
         catalog::CatalogVersion,
-        policy::{Moment, Neighbour, mix, stable_hash},
+        policy::{Moment, Neighbour},
     },
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -12,10 +12,6 @@
     },
 };
 
-/// Routers of a zone that read the store: one may be cut off from it, and takes some
-/// seconds to find that out.
-const READERS: usize = 2;
-
 /// The routers that this one knows of, by address: those of its own availability
 /// zone by their reports, some of other zones by name.
 pub struct PeerTable {
@@ -23,54 +19,6 @@
     peers: Mutex<BTreeMap<SocketAddr, PeerEntry>>, // a leaf lock
 }
 
-/// What is known of one router.
-#[derive(Debug, Clone, Copy, Default)]
-struct PeerEntry {
-    is_seed: bool,
-    zone: Option<u32>,
-    told: Moment,             // when it was first named
-    met: Option<Moment>,      // when it, or one of its zone that hears it, last spoke
-    heard: Option<Moment>,    // its own last report
-    news: Option<SocketAddr>, // where it can be asked for its catalog
-    incarnation: u64,
-    sequence: u64,
-    leaving: bool,
-    busy: u8, // percent
-    millicores: u16,
-    store_lost: bool,            // it could not read the store of late
-    callers: Option<SocketAddr>, // where it takes callers
-    version: CatalogVersion,
-}
-
-impl PeerEntry {
-    /// Whether it was heard of within `age`, and stays.
-    fn is_there(
-        &self,
-        now: Moment,
-        age: Duration,
-    ) -> bool {
-        let heard = self.heard.is_some_and(|at| now.saturating_sub(at) <= age);
-        heard && !self.leaving
-    }
-
-    /// Whether a report is older than what is known. A process that was silent for
-    /// longer than reports are believed may have started anew with a lower number,
-    /// where the time of day stepped back.
-    fn is_older(
-        &self,
-        now: Moment,
-        report: &RouterReport,
-        believed: Duration,
-    ) -> bool {
-        let known = (self.incarnation, self.sequence);
-        let is_lower = known > (report.incarnation, report.sequence);
-        let is_silent = self
-            .heard
-            .is_none_or(|at| now.saturating_sub(at) > believed);
-        is_lower && !(is_silent && report.incarnation != self.incarnation)
-    }
-}
-
 impl PeerTable {
     /// A table of the seeds, which may be stale; this router itself is left out.
     pub fn new(
@@ -123,21 +71,7 @@
                 "router heard of"
             );
         }
-        *entry = PeerEntry {
-            zone: Some(report.zone),
-            news: Some(report.news),
-            met: Some(now),
-            heard: Some(now),
-            incarnation: report.incarnation,
-            sequence: report.sequence,
-            leaving: report.leaving,
-            busy: report.busy,
-            millicores: report.millicores,
-            store_lost: report.store_lost,
-            callers: Some(report.callers),
-            version: report.version,
-            ..*entry
-        };
+        entry.take(now, report);
         true
     }
 
@@ -255,41 +189,6 @@
         names
     }
 
-    /// Whether this router speaks for its zone to another one: of those of the zone
-    /// that were heard of within `age`, one is drawn by hash, so that all agree
-    /// without asking each other.
-    pub fn speaks_to(
-        &self,
-        now: Moment,
-        age: Duration,
-        zone: u32,
-    ) -> bool {
-        let weight = |address: &SocketAddr| mix(stable_hash(address), u64::from(zone));
-        let own = weight(&self.own.address);
-        let peers = self.peers();
-        let mut there = peers.iter().filter(|(_, entry)| entry.is_there(now, age));
-        !there.any(|(address, _)| weight(address) > own)
-    }
-
-    /// Whether this router reads the store for its zone: the first [`READERS`] by hash
-    /// do of those that were heard of within `age` and did not lose the store. One
-    /// that lost it, as `own_lost` says, goes on trying if it were among the first
-    /// otherwise.
-    pub fn reads_store(
-        &self,
-        now: Moment,
-        age: Duration,
-        own_lost: bool,
-    ) -> bool {
-        let weight = |address: &SocketAddr| mix(stable_hash(address), READERS as u64);
-        let own = weight(&self.own.address);
-        let peers = self.peers();
-        let there = peers.iter().filter(|(_, entry)| entry.is_there(now, age));
-        let able = there.filter(|(_, entry)| own_lost || !entry.store_lost);
-        let before = able.filter(|(address, _)| weight(address) > own);
-        before.count() < READERS
-    }
-
     /// Routers of the own zone that were heard of within `age` and do not leave.
     pub fn alive(
         &self,
@@ -355,6 +254,16 @@
             .any(|(peer, entry)| peer.ip() == address && entry.zone == Some(self.own.zone))
     }
 
+    /// Whether the router of the own zone with this address said that it leaves.
+    pub fn is_leaving(
+        &self,
+        address: IpAddr,
+    ) -> bool {
+        let peers = self.peers();
+        let mut there = peers.iter().filter(|(peer, _)| peer.ip() == address);
+        there.any(|(_, entry)| entry.leaving)
+    }
+
     /// How far a peer's catalog had come by its last report.
     pub fn version(
         &self,
@@ -377,7 +286,7 @@
         told.collect()
     }
 
-    fn peers(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, PeerEntry>> {
+    pub(super) fn peers(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, PeerEntry>> {
         self.peers.lock().expect("peer table lock")
     }
 }
--- a/src/peers/tell.rs
+++ b/src/peers/tell.rs
@@ -99,9 +99,9 @@
                 incarnation: self.incarnation,
                 sequence: self.next_sequence(),
                 leaving: gateway.is_stopping(),
-                busy: gateway.busy_percent(),
+                busy: gateway.processor.busy_percent(),
                 millicores: (settings.process.cores * 1000.0) as u16,
-                store_lost: gateway.has_lost_store(),
+                store_lost: gateway.reading.is_lost(now),
                 version: gateway.catalog.version(),
                 figures,
             };
--- a/src/policy/hand_on.rs
+++ b/src/policy/hand_on.rs
@@ -27,5 +27,5 @@
             return Some(other.callers);
         }
     }
-    able().last().map(|other| other.callers)
+    able().next_back().map(|other| other.callers)
 }
--- /dev/null
+++ b/src/policy/placement/board_reports.rs
@@ -0,0 +1,112 @@
+//! What routers tell each other of replicas: loads, parts placed, engines' times.
+
+use {
+    super::{CacheNote, EngineReport, ReplicaBoard, ReplicaReport},
+    crate::policy::{Moment, Teller, TellerScope, short_name},
+};
+
+/// Notes that are kept for peers at most.
+const MAX_NOTES: usize = 400;
+
+impl ReplicaBoard {
+    /// What others have at some replicas; what they said of the rest stays until
+    /// it is old.
+    pub fn hear(
+        &mut self,
+        now: Moment,
+        teller: Teller,
+        told: &[ReplicaReport],
+    ) {
+        let age = self.belief_age();
+        for report in told {
+            if let Some(view) = self.by_key(report.replica) {
+                view.hear(now, age, teller, report);
+            }
+        }
+    }
+
+    /// What this router has at each replica, for its peers.
+    pub fn reports(
+        &self,
+        now: Moment,
+    ) -> Vec<ReplicaReport> {
+        let views = self.replicas.iter().map(|(id, view)| ReplicaReport {
+            replica: short_name(id),
+            load: view.own,
+            placed: view.placed,
+            rests: view.health.rests(now),
+        });
+        views.filter(ReplicaReport::says_something).collect()
+    }
+
+    /// What all routers of this zone have at each replica, for other zones.
+    pub fn zone_reports(
+        &self,
+        now: Moment,
+    ) -> Vec<ReplicaReport> {
+        let age = self.belief_age();
+        let views = self.replicas.iter().map(|(id, view)| ReplicaReport {
+            replica: short_name(id),
+            load: view.zone_load(now, age),
+            placed: view.placed_by_zone,
+            rests: view.health.rests(now) || view.is_avoided_in_zone(now, age),
+        });
+        views.filter(ReplicaReport::says_something).collect()
+    }
+
+    /// Parts that were sent to replicas since this was last asked.
+    pub fn take_notes(&mut self) -> Vec<CacheNote> {
+        std::mem::take(&mut self.notes)
+    }
+
+    /// Shared parts that the routers of this zone sent to replicas since this was
+    /// last asked.
+    pub fn take_zone_notes(&mut self) -> Vec<CacheNote> {
+        std::mem::take(&mut self.zone_notes)
+    }
+
+    /// Others sent these parts to replicas.
+    pub fn hear_notes(
+        &mut self,
+        scope: TellerScope,
+        notes: &[CacheNote],
+    ) {
+        for note in notes {
+            if let Some(view) = self.by_key(note.replica) {
+                view.cache.note(note.part);
+            }
+            if note.shared && scope == TellerScope::Router {
+                keep_note(&mut self.zone_notes, *note);
+            }
+        }
+    }
+
+    /// What this router has learnt of engines, for its peers.
+    pub fn engine_reports(&self) -> Vec<EngineReport> {
+        self.engines.reports()
+    }
+
+    /// A peer told what it has learnt of engines.
+    pub fn hear_engines(
+        &mut self,
+        told: &[EngineReport],
+    ) {
+        for report in told {
+            let mut services = self.replicas.values().map(|view| &view.entry.service);
+            let named = services.find(|name| short_name(name) == report.service);
+            if let Some(service) = named {
+                self.engines.hear(service, report);
+            }
+        }
+    }
+}
+
+/// Keeps a note for others if there is room for it.
+pub(super) fn keep_note(
+    notes: &mut Vec<CacheNote>,
+    note: CacheNote,
+) {
+    if notes.len() < MAX_NOTES {
+        notes.push(note);
+    }
+}
--- a/src/policy/placement/mod.rs
+++ b/src/policy/placement/mod.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod board_choice;
 mod board_evidence;
+mod board_reports;
 mod cache_note;
 mod candidate;
 mod cheapest;
--- a/src/policy/placement/replica_board.rs
+++ b/src/policy/placement/replica_board.rs
@@ -1,11 +1,11 @@
 use {
     super::{
-        CacheNote, EngineModels, EngineReport, EngineTimes, FirstToken, FleetSize, Load,
-        PlacementSettings, ReplicaReport, ReplicaView, SentPrompt, UsualReadings, Work, WorkNumber,
+        CacheNote, EngineModels, EngineTimes, FirstToken, FleetSize, Load, PlacementSettings,
+        ReplicaView, SentPrompt, UsualReadings, Work, WorkNumber, board_reports::keep_note,
     },
     crate::{
         catalog::UpstreamEntry,
-        policy::{Moment, Teller, TellerScope, short_name},
+        policy::{Moment, short_name},
     },
     std::{
         collections::{BTreeMap, HashMap},
@@ -21,11 +21,11 @@
     pub(super) replicas: BTreeMap<Arc<str>, ReplicaView>,
     keys: HashMap<u32, Arc<str>>, // ids by key
     works: HashMap<WorkNumber, Work>,
-    engines: EngineModels,
+    pub(super) engines: EngineModels,
     pub(super) usual: UsualReadings,
     next_work: WorkNumber,
-    notes: Vec<CacheNote>,            // parts that were sent to replicas anew
-    zone_notes: Vec<CacheNote>,       // the same by the routers of the zone, shared parts only
+    pub(super) notes: Vec<CacheNote>, // parts that were sent to replicas anew
+    pub(super) zone_notes: Vec<CacheNote>, // the same by the routers of the zone, shared parts only
     pub(super) report_pace: Duration, // between two reports of a peer
     pub(super) fleet: FleetSize,      // that chooses by the same reports
 }
@@ -33,9 +33,6 @@
 /// Reports of a peer that may be lost before the last one is no longer believed.
 const MISSED_REPORTS: u32 = 3;
 
-/// Notes that are kept for peers at most.
-const MAX_NOTES: usize = 400;
-
 impl ReplicaBoard {
     /// A board without replicas.
     pub fn new(settings: PlacementSettings) -> Self {
@@ -132,51 +129,6 @@
         self.replicas.values()
     }
 
-    /// What others have at some replicas; what they said of the rest stays until
-    /// it is old.
-    pub fn hear(
-        &mut self,
-        now: Moment,
-        teller: Teller,
-        told: &[ReplicaReport],
-    ) {
-        let age = self.belief_age();
-        for report in told {
-            if let Some(view) = self.by_key(report.replica) {
-                view.hear(now, age, teller, report);
-            }
-        }
-    }
-
-    /// What this router has at each replica, for its peers.
-    pub fn reports(
-        &self,
-        now: Moment,
-    ) -> Vec<ReplicaReport> {
-        let views = self.replicas.iter().map(|(id, view)| ReplicaReport {
-            replica: short_name(id),
-            load: view.own,
-            placed: view.placed,
-            rests: view.health.rests(now),
-        });
-        views.filter(ReplicaReport::says_something).collect()
-    }
-
-    /// What all routers of this zone have at each replica, for other zones.
-    pub fn zone_reports(
-        &self,
-        now: Moment,
-    ) -> Vec<ReplicaReport> {
-        let age = self.belief_age();
-        let views = self.replicas.iter().map(|(id, view)| ReplicaReport {
-            replica: short_name(id),
-            load: view.zone_load(now, age),
-            placed: view.placed_by_zone,
-            rests: view.health.rests(now) || view.is_avoided_in_zone(now, age),
-        });
-        views.filter(ReplicaReport::says_something).collect()
-    }
-
     /// A request goes to a replica.
     pub fn start(
         &mut self,
@@ -230,33 +182,6 @@
         Some(number)
     }
 
-    /// Parts that were sent to replicas since this was last asked.
-    pub fn take_notes(&mut self) -> Vec<CacheNote> {
-        std::mem::take(&mut self.notes)
-    }
-
-    /// Shared parts that the routers of this zone sent to replicas since this was
-    /// last asked.
-    pub fn take_zone_notes(&mut self) -> Vec<CacheNote> {
-        std::mem::take(&mut self.zone_notes)
-    }
-
-    /// Others sent these parts to replicas.
-    pub fn hear_notes(
-        &mut self,
-        scope: TellerScope,
-        notes: &[CacheNote],
-    ) {
-        for note in notes {
-            if let Some(view) = self.by_key(note.replica) {
-                view.cache.note(note.part);
-            }
-            if note.shared && scope == TellerScope::Router {
-                keep_note(&mut self.zone_notes, *note);
-            }
-        }
-    }
-
     /// The first token of a prompt came. Gives what is believed of the service's
     /// engines if that is news.
     pub fn first_token(
@@ -284,25 +209,6 @@
         self.engines.times(service)
     }
 
-    /// What this router has learnt of engines, for its peers.
-    pub fn engine_reports(&self) -> Vec<EngineReport> {
-        self.engines.reports()
-    }
-
-    /// A peer told what it has learnt of engines.
-    pub fn hear_engines(
-        &mut self,
-        told: &[EngineReport],
-    ) {
-        for report in told {
-            let mut services = self.replicas.values().map(|view| &view.entry.service);
-            let named = services.find(|name| short_name(name) == report.service);
-            if let Some(service) = named {
-                self.engines.hear(service, report);
-            }
-        }
-    }
-
     /// A request is over at its replica, however it ended.
     pub fn finish(
         &mut self,
@@ -317,12 +223,3 @@
         Some(work)
     }
 }
-
-fn keep_note(
-    notes: &mut Vec<CacheNote>,
-    note: CacheNote,
-) {
-    if notes.len() < MAX_NOTES {
-        notes.push(note);
-    }
-}
