--- a/src/peers/catch_up.rs
+++ b/src/peers/catch_up.rs
@@ -6,8 +6,8 @@
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
-/// How long a router that reads the store may be behind others before it asks one
-/// for its news: the store tells most changes by then.
+/// How long a router that reads the store, and knows something, may be behind others
+/// before it asks one for its news: the store tells most changes by then.
 const PATIENCE: Duration = Duration::from_millis(500);
 
 /// The pause after a question, so that changes come together.
@@ -30,7 +30,8 @@
                 continue;
             };
             let since = *behind_since.get_or_insert(now);
-            let waits = self.gateway.reading.is_own();
+            let knows_both = ours.config > 0 && ours.upstreams > 0;
+            let waits = knows_both && self.gateway.reading.is_own();
             if waits && now.saturating_sub(since) < PATIENCE {
                 continue;
             }
--- a/tests/direct_settings.rs
+++ b/tests/direct_settings.rs
@@ -15,6 +15,7 @@
     let values = [
         ("{{node_name}}", "edge-1"),
         ("{{zone}}", "z"),
+        ("{{limits.cpu_share}}", "0.09"),
         ("{{ip}}", "10.0.0.1"),
         ("{{listeners_addr.frontend}}", "10.0.0.1:80"),
         ("{{listeners_addr.ready}}", "10.0.0.1:81"),
@@ -44,6 +45,7 @@
 fn the_file_that_the_platform_fills_in_is_accepted() {
     let settings = read(&filled()).expect("a valid file");
     assert_eq!(settings.seeds.len(), 2);
+    assert_eq!(settings.process.cores, 0.09);
     assert_eq!(settings.grace, Duration::from_secs(8));
     assert_eq!(settings.ready_path, "/v1/ready");
     assert!(settings.balancer_lag < settings.grace);
@@ -60,6 +62,8 @@
     assert_eq!(with("[placement]\naim_share = 99"), ResultCode::OutOfRange);
     let busy = filled().replace("[callers]", "[callers]\nmost_busy = 60");
     assert_eq!(read(&busy).expect_err("refused"), ResultCode::OutOfRange);
+    let hasty = filled().replace("[callers]", "[callers]\nhand_on = 1.5");
+    assert_eq!(read(&hasty).expect_err("refused"), ResultCode::OutOfRange);
     let lacking = filled().replace("host = edge-1", "host =");
     assert_eq!(read(&lacking).expect_err("refused"), ResultCode::MissingKey);
     let seeds = filled().replace("10.0.0.2:82", "here");
