Sight: why a call to the store failed and how long it took; age and teller of the configuration that refuses

Cause: the routers' own output could not tell a call that was refused from one that was reset or never answered, nor when it began; the incident's hypotheses could be told apart only by the store's count of calls. Change: each failure of a call names the error's causes, the call's length and how long the store has been silent here; refusals by configuration (62, 30) log the configuration's age, who told it, and the age of the store's last answer; a gauge has that age. No change of logic.

--- a/src/catalog/accepted_config.rs
+++ b/src/catalog/accepted_config.rs
@@ -1,4 +1,4 @@
-use {crate::routing::RoutingTable, std::sync::Arc};
+use {crate::routing::RoutingTable, std::sync::Arc, tokio::time::Instant};
 
 /// A configuration in force, with the text it was read from, so that peers can
 /// be given it as it was published.
@@ -6,4 +6,6 @@
 pub struct AcceptedConfig {
     pub text: Arc<str>,
     pub table: Arc<RoutingTable>,
+    pub from: Arc<str>,    // who told it: the store, or a router's address
+    pub accepted: Instant, // when
 }
--- a/src/catalog/catalog.rs
+++ b/src/catalog/catalog.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        AcceptedConfig, Item, Listing, UpstreamEntry, UpstreamRecord, UpstreamState,
+        AcceptedConfig, ConfigOrigin, Item, Listing, UpstreamEntry, UpstreamRecord, UpstreamState,
         lapse_grace::{LapseGrace, vanish_together},
     },
     crate::{codes::Fault, routing::RoutingTable},
@@ -85,6 +85,16 @@
         state.config.as_ref().map(|config| config.text.clone())
     }
 
+    /// Who told the configuration in force, and how long ago.
+    pub fn config_origin(&self) -> Option<ConfigOrigin> {
+        let state = self.state.lock().expect("catalog lock");
+        state.config.as_ref().map(|config| ConfigOrigin {
+            version: config.table.version,
+            from: config.from.clone(),
+            age: config.accepted.elapsed(),
+        })
+    }
+
     /// What changed in the list of upstreams after a revision.
     pub fn records_after(
         &self,
@@ -118,6 +128,8 @@
                 state.config = Some(AcceptedConfig {
                     text: text.into(),
                     table: Arc::new(table),
+                    from: from.into(),
+                    accepted: Instant::now(),
                 });
             }
             known
--- a/src/catalog/follow.rs
+++ b/src/catalog/follow.rs
@@ -5,6 +5,7 @@
         sync::{Arc, Weak},
         time::Duration,
     },
+    tokio::time::Instant,
 };
 
 /// How often lapsed upstreams are looked at.
@@ -33,6 +34,7 @@
     tokio::spawn(drop_lapsed(Arc::downgrade(&catalog)));
     let mut reached = None;
     let mut failures = 0u32;
+    let mut answered = Instant::now();
     let mut left_to_others = true;
     loop {
         if !duty.is_mine() {
@@ -43,22 +45,27 @@
         if std::mem::take(&mut left_to_others) {
             reached = told_so_far(&catalog);
             failures = 0;
+            answered = Instant::now();
         }
+        let begun = Instant::now();
         match step(&catalog, &*source, &pace, reached).await {
             Ok(at) => {
                 if failures > 0 {
-                    log::info!(failures = failures; "store answers again");
+                    log::info!(failures = failures, silent_ms = millis(answered); "store answers again");
                 }
                 failures = 0;
+                answered = Instant::now();
                 duty.went(true);
                 reached = at;
                 tokio::time::sleep(pace.pause).await;
             }
             Err(error) => {
-                if failures == 0 {
-                    log::warn!(code = error.code.number(); "store does not answer: {error}");
-                }
                 failures += 1;
+                log::warn!(
+                    code = error.code.number(), failures = failures, after = reached.unwrap_or(0),
+                    call_ms = millis(begun), silent_ms = millis(answered);
+                    "store does not answer: {error}"
+                );
                 duty.went(false);
                 let factor = 0.5 + 0.5 * rand::random::<f64>();
                 tokio::time::sleep(pace.retry_pause.mul_f64(factor)).await;
@@ -74,6 +81,11 @@
     (version.config > 0 && version.upstreams > 0).then_some(version.upstreams)
 }
 
+/// Milliseconds since a moment.
+fn millis(since: Instant) -> u64 {
+    since.elapsed().as_millis() as u64
+}
+
 /// Takes lapsed upstreams as gone in time, for as long as the catalog lives.
 async fn drop_lapsed(catalog: Weak<Catalog>) {
     while let Some(catalog) = catalog.upgrade() {
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -6,6 +6,7 @@
 mod catalog;
 mod catalog_change;
 mod catalog_source;
+mod config_origin;
 mod follow;
 mod lapse_grace;
 mod read_duty;
@@ -18,6 +19,7 @@
     catalog::{Catalog, CatalogVersion},
     catalog_change::{CatalogChange, Item},
     catalog_source::{CatalogSource, Listing},
+    config_origin::ConfigOrigin,
     follow::{FollowPace, follow_source},
     read_duty::{AlwaysReads, ReadDuty},
     upstream_entry::UpstreamEntry,
--- a/src/codes/fault.rs
+++ b/src/codes/fault.rs
@@ -1,4 +1,7 @@
-use {super::ResultCode, std::fmt};
+use {
+    super::ResultCode,
+    std::{error::Error, fmt, iter::successors},
+};
 
 /// A numbered error with what was found. Links, messages and the platform's
 /// service all fail with one.
@@ -20,6 +23,18 @@
         }
     }
 
+    /// A fault with this code, of an error and of all that caused it: a library's
+    /// error says by itself only that a call failed, and its causes whether it was
+    /// refused, cut or not answered in time.
+    pub fn caused(
+        code: ResultCode,
+        error: &(dyn Error + 'static),
+    ) -> Self {
+        let causes = successors(Some(error), |error| (*error).source());
+        let texts: Vec<String> = causes.map(ToString::to_string).collect();
+        Self::new(code, texts.join(": "))
+    }
+
     /// No connection to a peer, or it ended: code 74.
     pub fn unreachable(detail: impl fmt::Display) -> Self {
         Self::new(ResultCode::PeerUnreachable, detail)
@@ -35,4 +50,4 @@
     }
 }
 
-impl std::error::Error for Fault {}
+impl Error for Fault {}
--- a/src/direct/caller_port.rs
+++ b/src/direct/caller_port.rs
@@ -7,7 +7,7 @@
         request_reader::{header_text, read_call},
     },
     crate::{
-        codes::ErrorAnswer,
+        codes::{ErrorAnswer, ResultCode},
         ops::{ANSWER_SECONDS, REQUESTS},
         policy::Moment,
     },
@@ -88,6 +88,12 @@
     let code = error.code.number();
     let ran = error.ran.to_string();
     metrics::counter!(REQUESTS, "code" => code.to_string(), "ran" => ran.clone()).increment(1);
+    if matches!(
+        error.code,
+        ResultCode::NoRoute | ResultCode::UnknownCallerKey
+    ) {
+        log_configuration(gateway, request_id);
+    }
     log::info!(
         request_id = request_id,
         route = call.map_or("", |call| call.route.name.as_str()),
@@ -100,3 +106,22 @@
         "not answered: {}", error.code.meaning()
     );
 }
+
+/// Logs how old the configuration is by which a request is refused, and how old the
+/// store's last answer here.
+fn log_configuration(
+    gateway: &Gateway,
+    request_id: &str,
+) {
+    let origin = gateway.catalog.config_origin();
+    let answered = gateway.reading.answer_age(gateway.now());
+    log::info!(
+        request_id = request_id,
+        config = origin.as_ref().map_or(0, |origin| origin.version),
+        from = origin.as_ref().map_or("nobody", |origin| &*origin.from),
+        config_age_ms = origin.as_ref().map(|origin| origin.age.as_millis() as u64),
+        store_age_ms = answered.map(|age| age.as_millis() as u64),
+        reads_store = gateway.reading.is_own();
+        "refused by this configuration"
+    );
+}
--- a/src/direct/status.rs
+++ b/src/direct/status.rs
@@ -4,7 +4,10 @@
     super::gateway::Gateway,
     crate::{
         fleet::{HostRole, Revision},
-        ops::{AuditTrail, PeerStatus, ProcessStatus, RESTING, REVISION, RUNNING, StatusSource},
+        ops::{
+            AuditTrail, PeerStatus, ProcessStatus, RESTING, REVISION, RUNNING, STORE_AGE,
+            StatusSource,
+        },
         policy::Incarnation,
     },
     std::collections::BTreeMap,
@@ -24,6 +27,8 @@
             .count();
         metrics::gauge!(RESTING).set(resting as f64);
         metrics::gauge!(REVISION).set(version.config as f64);
+        let store_age = self.reading.answer_age(now);
+        metrics::gauge!(STORE_AGE).set(store_age.map_or(-1.0, |age| age.as_secs_f64()));
         let peers = self.peers.heard(self.now(), settings.peer_age);
         ProcessStatus {
             host: settings.process.host.clone(),
--- a/src/direct/store_duty.rs
+++ b/src/direct/store_duty.rs
@@ -39,6 +39,6 @@
         answered: bool,
     ) {
         let now = self.gateway.now();
-        self.gateway.reading.set_lost(now, !answered);
+        self.gateway.reading.went(now, answered);
     }
 }
--- a/src/direct/store_reading.rs
+++ b/src/direct/store_reading.rs
@@ -14,6 +14,7 @@
 pub struct StoreReading {
     reading: AtomicBool,
     lost_ms: AtomicU64, // when it last could not, since the start; 0 if it could since
+    answered_ms: AtomicU64, // when the store last answered, since the start; 0 if never
 }
 
 impl Default for StoreReading {
@@ -21,6 +22,7 @@
         Self {
             reading: AtomicBool::new(true),
             lost_ms: AtomicU64::new(0),
+            answered_ms: AtomicU64::new(0),
         }
     }
 }
@@ -39,18 +41,27 @@
         self.reading.swap(reading, Ordering::Relaxed) != reading
     }
 
-    /// Notes whether the store could not be read.
-    pub fn set_lost(
+    /// Notes whether the store answered a call.
+    pub fn went(
         &self,
         now: Moment,
-        lost: bool,
+        answered: bool,
     ) {
-        let at = if lost {
-            (now.as_millis() as u64).max(1)
-        } else {
-            0
-        };
-        self.lost_ms.store(at, Ordering::Relaxed);
+        let at = (now.as_millis() as u64).max(1);
+        if answered {
+            self.answered_ms.store(at, Ordering::Relaxed);
+        }
+        let lost = if answered { 0 } else { at };
+        self.lost_ms.store(lost, Ordering::Relaxed);
+    }
+
+    /// How long ago the store last answered here; none if it never did.
+    pub fn answer_age(
+        &self,
+        now: Moment,
+    ) -> Option<Duration> {
+        let at = self.answered_ms.load(Ordering::Relaxed);
+        (at > 0).then(|| now.saturating_sub(Duration::from_millis(at)))
     }
 
     /// Whether the store could not be read here of late: others should read it.
--- a/src/ops/metric_names.rs
+++ b/src/ops/metric_names.rs
@@ -18,6 +18,9 @@
 pub const REVISION: &str = "archmast_revision";
 /// Calls to the platform's service, by `outcome`.
 pub const PLATFORM_CALLS: &str = "archmast_platform_calls_total";
+/// Time since the platform's store last answered this process, in seconds; -1 if it
+/// never did.
+pub const STORE_AGE: &str = "archmast_store_answer_age_seconds";
 /// Pauses of the process that made it drop its views.
 pub const PAUSES: &str = "archmast_pauses_total";
 /// Time to an answer's head or first event, in seconds, by `route`.
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -42,7 +42,7 @@
         path: &str,
         time: Duration,
     ) -> Result<Option<T>, Fault> {
-        let down = |error: reqwest::Error| Fault::new(ResultCode::PlatformDown, error);
+        let down = |error: reqwest::Error| Fault::caused(ResultCode::PlatformDown, &error);
         let url = format!("{}/{path}", self.base);
         let sent = self.http.get(url).timeout(time).send().await;
         let label = match &sent {
