A call to the store ends within the time that a confirmed configuration has

Cause: a watch that got lost looks like one that waits for a change; its limit (4 s of waiting and 1.5 s) was chosen without regard to the time in which a confirmed configuration is in force, and the call after a failure waited as long again, sent into the same silence. Kept connections may have fallen silent as well. Change: [catalog] apply states that time; how long a watch waits, how late an answer may be and how long a call takes after a failure follow from it; settings that leave no time are refused (19). After a failure the router asks for what is there instead of waiting. Each call has a connection of its own. Ruled out: TCP keep-alive alone, which a store that accepts and never answers passes; another call beside the one that waits, which leaves the silent one open. Conclusion: mended for routers that read; routers that are told by others follow.

--- a/src/catalog/follow.rs
+++ b/src/catalog/follow.rs
@@ -1,11 +1,11 @@
 use {
-    super::{Catalog, CatalogSource, ReadDuty},
-    crate::codes::Fault,
+    super::{Catalog, CatalogSource, FollowPace, ReadDuty},
+    crate::codes::{Fault, ResultCode},
     std::{
         sync::{Arc, Weak},
         time::Duration,
     },
-    tokio::time::Instant,
+    tokio::time::{Instant, sleep, timeout},
 };
 
 /// How often lapsed upstreams are looked at.
@@ -14,14 +14,6 @@
 /// How often a process that leaves reading to others looks whether it still does.
 const DUTY_LOOK: Duration = Duration::from_millis(100);
 
-/// How often the store is asked.
-#[derive(Debug, Clone, Copy)]
-pub struct FollowPace {
-    pub watch_wait: Duration,  // the longest that a watch waits
-    pub pause: Duration,       // between two watches, so that changes come together
-    pub retry_pause: Duration, // after a failure, at most; drawn at random below it
-}
-
 /// Follows the store for as long as the process lives: a whole reading first,
 /// then watches, and a whole reading again when history is gone. While reading is
 /// not this process's duty, others tell it, and it goes on from what they told.
@@ -39,7 +31,7 @@
     loop {
         if !duty.is_mine() {
             left_to_others = true;
-            tokio::time::sleep(DUTY_LOOK).await;
+            sleep(DUTY_LOOK).await;
             continue;
         }
         if std::mem::take(&mut left_to_others) {
@@ -48,7 +40,7 @@
             answered = Instant::now();
         }
         let begun = Instant::now();
-        match step(&catalog, &*source, &pace, reached).await {
+        match step(&catalog, &*source, &pace, reached, failures > 0).await {
             Ok(at) => {
                 if failures > 0 {
                     log::info!(failures = failures, silent_ms = millis(answered); "store answers again");
@@ -57,7 +49,7 @@
                 answered = Instant::now();
                 duty.went(true);
                 reached = at;
-                tokio::time::sleep(pace.pause).await;
+                sleep(pace.pause).await;
             }
             Err(error) => {
                 failures += 1;
@@ -68,7 +60,8 @@
                 );
                 duty.went(false);
                 let factor = 0.5 + 0.5 * rand::random::<f64>();
-                tokio::time::sleep(pace.retry_pause.mul_f64(factor)).await;
+                let pause = pace.retry_pause.mul_f64(factor);
+                sleep(pause.saturating_sub(begun.elapsed())).await;
             }
         }
     }
@@ -91,16 +84,20 @@
     while let Some(catalog) = catalog.upgrade() {
         catalog.drop_lapsed();
         drop(catalog);
-        tokio::time::sleep(LAPSE_LOOK).await;
+        sleep(LAPSE_LOOK).await;
     }
 }
 
-/// One call. Gives the revision to go on from, or none for a whole reading.
+/// One call. Gives the revision to go on from, or none for a whole reading. After a
+/// failure it asks for what is there instead of waiting for a change: a watch that is
+/// sent while the store is silent would be missed for its whole wait after the return
+/// (5.5 s of old configuration at five routers, from their logs).
 async fn step<S: CatalogSource>(
     catalog: &Catalog,
     source: &S,
     pace: &FollowPace,
     reached: Option<u64>,
+    failed_before: bool,
 ) -> Result<Option<u64>, Fault> {
     let Some(after) = reached else {
         let listing = source.list().await?;
@@ -108,7 +105,11 @@
         catalog.offer_listing(listing, "store");
         return Ok(Some(at));
     };
-    let Some(change) = source.watch(after, pace.watch_wait).await? else {
+    let wait = pace.watch_wait().filter(|_| !failed_before);
+    let limit = wait.map_or(pace.read_time(), |wait| wait + pace.slack());
+    let asked = timeout(limit, source.watch(after, wait.unwrap_or_default())).await;
+    let lost = |_| Fault::new(ResultCode::PlatformDown, "no answer in time");
+    let Some(change) = asked.map_err(lost)?? else {
         log::info!(after = after; "store forgot its history: reading it whole");
         return Ok(None);
     };
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -8,6 +8,7 @@
 mod catalog_source;
 mod config_origin;
 mod follow;
+mod follow_pace;
 mod lapse_grace;
 mod read_duty;
 mod upstream_entry;
@@ -20,7 +21,8 @@
     catalog_change::{CatalogChange, Item},
     catalog_source::{CatalogSource, Listing},
     config_origin::ConfigOrigin,
-    follow::{FollowPace, follow_source},
+    follow::follow_source,
+    follow_pace::FollowPace,
     read_duty::{AlwaysReads, ReadDuty},
     upstream_entry::UpstreamEntry,
     upstream_record::UpstreamRecord,
--- a/src/codes/result_code.rs
+++ b/src/codes/result_code.rs
@@ -63,6 +63,7 @@
     WrongUnit = 16, No, 0, "a duration or size without a unit, or with one the key does not take";
     OutOfRange = 17, No, 0, "a number outside the stated range";
     DuplicateKey = 18, No, 0, "a section or key stands twice";
+    SettingsContradict = 19, No, 0, "two settings that cannot both be kept";
     BadSelector = 20, No, 0, "a selector cannot be parsed";
     UnknownReference = 21, No, 0, "a configuration names a class or group that it does not define";
     PartMissing = 22, No, 0, "a part that the manifest names cannot be had";
--- a/src/conf/direct_settings.rs
+++ b/src/conf/direct_settings.rs
@@ -86,11 +86,7 @@
             peer_age,
             peer_forget: peers.duration("forget", second..=3600 * second)?,
             catalog: catalog.parsed("address", "an IP:port")?,
-            catalog_pace: FollowPace {
-                watch_wait: catalog.duration("watch_wait", 100 * ms..=30 * second)?,
-                pause: catalog.duration("pause", Duration::ZERO..=10 * second)?,
-                retry_pause: catalog.duration("retry_pause", 10 * ms..=60 * second)?,
-            },
+            catalog_pace: catalog_pace(file)?,
             placement: placement(file, peer_age)?,
             share_window: file
                 .section("shares")?
@@ -104,6 +100,21 @@
     }
 }
 
+fn catalog_pace(file: &SettingsFile) -> Result<FollowPace, ConfError> {
+    let section = file.section("catalog")?;
+    let (ms, second) = (Duration::from_millis(1), Duration::from_secs(1));
+    let pace = FollowPace {
+        apply: section.duration("apply", 500 * ms..=60 * second)?,
+        pause: section.duration("pause", Duration::ZERO..=10 * second)?,
+        retry_pause: section.duration("retry_pause", 10 * ms..=60 * second)?,
+    };
+    if pace.watch_wait().is_some() && pace.retry_pause < pace.apply {
+        return Ok(pace);
+    }
+    let detail = "apply leaves no time to wait for changes beside pause, or none after retry_pause";
+    Err(section.fault(ResultCode::SettingsContradict, "apply", detail))
+}
+
 fn placement(
     file: &SettingsFile,
     peer_age: Duration,
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -48,7 +48,9 @@
 async fn run(settings: DirectSettings) -> Result<(), Report<StartError>> {
     let failed = || StartError(ResultCode::StartFailed);
     let catalog = Arc::new(Catalog::new(parse_config, parse_replica));
-    let store = Arc::new(StoreClient::new(settings.catalog).change_context_lazy(failed)?);
+    let pace = settings.catalog_pace;
+    let store = StoreClient::new(settings.catalog, pace.read_time());
+    let store = Arc::new(store.change_context_lazy(failed)?);
     let gateway = Arc::new(Gateway::new(settings.clone(), dialect(), catalog.clone()));
     let link = PeerLink::bind(gateway.clone())
         .await
@@ -59,7 +61,7 @@
         .change_context_lazy(failed)?;
     let connections = CallerConnections::new(gateway.clone());
     let duty = Arc::new(StoreDuty::new(gateway.clone()));
-    tokio::spawn(follow_source(catalog, store, duty, settings.catalog_pace));
+    tokio::spawn(follow_source(catalog, store, duty, pace));
     tokio::spawn(gateway.clone().follow_catalog());
     tokio::spawn(gateway.clone().tidy_pool());
     tokio::spawn(survey_caches(gateway.clone()));
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -10,29 +10,32 @@
     std::{net::SocketAddr, time::Duration},
 };
 
-/// How long a call may take beyond what it waits by itself.
-const CALL_TIME: Duration = Duration::from_millis(1500);
-
-/// Calls to the platform's store.
+/// Calls to the platform's store, each on a connection of its own: one that was kept
+/// from before may have fallen silent, which costs the time of a call to find out.
 pub struct StoreClient {
     http: Client,
     base: String,
+    call_time: Duration, // that a call may take beyond what it waits
 }
 
 impl StoreClient {
     /// A client of the store at this address: code 93.
-    pub fn new(address: SocketAddr) -> Result<Self, Fault> {
+    pub fn new(
+        address: SocketAddr,
+        call_time: Duration,
+    ) -> Result<Self, Fault> {
         let http = Client::builder()
             .retry(retry::never())
             .no_proxy()
-            .connect_timeout(CALL_TIME)
+            .connect_timeout(call_time)
             .tcp_nodelay(true)
-            .pool_max_idle_per_host(2)
+            .pool_max_idle_per_host(0)
             .build()
             .map_err(|error| Fault::new(ResultCode::StartFailed, error))?;
         Ok(Self {
             http,
             base: format!("http://{address}/v1"),
+            call_time,
         })
     }
 
@@ -73,7 +76,7 @@
         let mut after = String::new();
         loop {
             let path = format!("kv-range?path_prefix={REPLICA_PREFIX}{after}");
-            let page: Option<RangeJson> = self.get(&path, CALL_TIME).await?;
+            let page: Option<RangeJson> = self.get(&path, self.call_time).await?;
             let page =
                 page.ok_or_else(|| Fault::new(ResultCode::PlatformReply, "no such range"))?;
             at.get_or_insert(page.at);
@@ -86,7 +89,7 @@
         }
         // Last, so that no change falls between it and the watch that goes on.
         let path = format!("kv-key?private_key={CONFIG_KEY}");
-        let config: Option<KeyJson> = self.get(&path, CALL_TIME).await?;
+        let config: Option<KeyJson> = self.get(&path, self.call_time).await?;
         items.extend(
             config
                 .map(|key| key.item.translate())
@@ -112,7 +115,7 @@
             "kv-watch?path_prefix=&after_revision={after}&wait_ms={}",
             wait.as_millis()
         );
-        let reply: Option<WatchJson> = self.get(&path, wait + CALL_TIME).await?;
+        let reply: Option<WatchJson> = self.get(&path, wait + self.call_time).await?;
         reply
             .map(|reply| {
                 Ok(CatalogChange {
--- a/tests/catalog.rs
+++ b/tests/catalog.rs
@@ -239,7 +239,7 @@
     let catalog = catalog();
     let mut changes = catalog.subscribe();
     let pace = FollowPace {
-        watch_wait: Duration::from_millis(10),
+        apply: Duration::from_secs(60),
         pause: Duration::ZERO,
         retry_pause: Duration::from_millis(1),
     };
@@ -288,7 +288,7 @@
     let catalog = catalog();
     let duty = Arc::new(Switch::default());
     let pace = FollowPace {
-        watch_wait: Duration::from_millis(10),
+        apply: Duration::from_secs(60),
         pause: Duration::ZERO,
         retry_pause: Duration::from_millis(1),
     };
--- a/tests/direct_settings.rs
+++ b/tests/direct_settings.rs
@@ -24,6 +24,7 @@
         ("{{internal_port_range.1}}", "7401"),
         ("{{seeds}}", "10.0.0.1:82,10.0.0.2:82"),
         ("{{platform.address}}", "10.0.0.9:83"),
+        ("{{bounds.config_apply_ms}}", "3000"),
         ("{{bounds.budget_window_s}}", "10"),
         ("{{bounds.grace_s}}", "8"),
     ];
@@ -46,6 +47,7 @@
     let settings = read(&filled()).expect("a valid file");
     assert_eq!(settings.seeds.len(), 2);
     assert_eq!(settings.process.cores, 0.09);
+    assert_eq!(settings.catalog_pace.apply, Duration::from_secs(3));
     assert_eq!(settings.grace, Duration::from_secs(8));
     assert_eq!(settings.ready_path, "/v1/ready");
     assert!(settings.balancer_lag < settings.grace);
@@ -60,6 +62,16 @@
     assert_eq!(with("balancer_lag = soon"), ResultCode::BadValue);
     assert_eq!(with("balancer_lag = 2 h"), ResultCode::OutOfRange);
     assert_eq!(with("[placement]\naim_share = 99"), ResultCode::OutOfRange);
+    let waits = filled().replace("[catalog]", "[catalog]\npause = 2300 ms");
+    assert_eq!(
+        read(&waits).expect_err("refused"),
+        ResultCode::SettingsContradict
+    );
+    let rests = filled().replace("[catalog]", "[catalog]\nretry_pause = 3 s");
+    assert_eq!(
+        read(&rests).expect_err("refused"),
+        ResultCode::SettingsContradict
+    );
     let busy = filled().replace("[callers]", "[callers]\nmost_busy = 60");
     assert_eq!(read(&busy).expect_err("refused"), ResultCode::OutOfRange);
     let hasty = filled().replace("[callers]", "[callers]\nhand_on = 1.5");
