The product's own form: a watch of the platform's service ends within a configuration's time too

Change: [platform] apply (18 s) takes the place of watch_wait; wait, limit and the call after a failure come from the same FollowPace as in the direct form; each call has a connection of its own; archmastctl reads values without waiting by one method. Ruled out: links between processes, which end after 4 s of silence by their own keep-alive. Conclusion: mended; not measured, since this form is not started on the users' machines.

--- a/src/catalog/follow.rs
+++ b/src/catalog/follow.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Catalog, CatalogSource, FollowPace, ReadDuty},
+    super::{Catalog, CatalogSource, FollowPace, ReadDuty, WatchTime},
     crate::codes::{Fault, ResultCode},
     std::{
         sync::{Arc, Weak},
@@ -40,7 +40,7 @@
             answered = Instant::now();
         }
         let begun = Instant::now();
-        match step(&catalog, &*source, &pace, reached, failures > 0).await {
+        match step(&catalog, &*source, pace.next_watch(failures > 0), reached).await {
             Ok(at) => {
                 if failures > 0 {
                     log::info!(failures = failures, silent_ms = millis(answered); "store answers again");
@@ -59,9 +59,7 @@
                     "store does not answer: {error}"
                 );
                 duty.went(false);
-                let factor = 0.5 + 0.5 * rand::random::<f64>();
-                let pause = pace.retry_pause.mul_f64(factor);
-                sleep(pause.saturating_sub(begun.elapsed())).await;
+                sleep(pace.pause_after_failure(begun.elapsed(), rand::random())).await;
             }
         }
     }
@@ -88,16 +86,12 @@
     }
 }
 
-/// One call. Gives the revision to go on from, or none for a whole reading. After a
-/// failure it asks for what is there instead of waiting for a change: a watch that is
-/// sent while the store is silent would be missed for its whole wait after the return
-/// (5.5 s of old configuration at five routers, from their logs).
+/// One call. Gives the revision to go on from, or none for a whole reading.
 async fn step<S: CatalogSource>(
     catalog: &Catalog,
     source: &S,
-    pace: &FollowPace,
+    time: WatchTime,
     reached: Option<u64>,
-    failed_before: bool,
 ) -> Result<Option<u64>, Fault> {
     let Some(after) = reached else {
         let listing = source.list().await?;
@@ -105,9 +99,7 @@
         catalog.offer_listing(listing, "store");
         return Ok(Some(at));
     };
-    let wait = pace.watch_wait().filter(|_| !failed_before);
-    let limit = wait.map_or(pace.read_time(), |wait| wait + pace.slack());
-    let asked = timeout(limit, source.watch(after, wait.unwrap_or_default())).await;
+    let asked = timeout(time.limit, source.watch(after, time.wait)).await;
     let lost = |_| Fault::new(ResultCode::PlatformDown, "no answer in time");
     let Some(change) = asked.map_err(lost)?? else {
         log::info!(after = after; "store forgot its history: reading it whole");
--- a/src/catalog/follow_pace.rs
+++ b/src/catalog/follow_pace.rs
@@ -21,23 +21,60 @@
     pub retry_pause: Duration, // between the starts of two calls of which the first failed, at most; drawn at random below it
 }
 
+/// How long one watch waits, and when it counts as lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WatchTime {
+    pub wait: Duration,
+    pub limit: Duration, // the wait included
+}
+
 impl FollowPace {
+    /// How the next watch is asked. After a failure it asks for what is there instead of
+    /// waiting for a change: a watch that is sent while the store is silent is missed
+    /// for its whole wait after the return (5.5 s of old configuration at five routers,
+    /// from their logs).
+    pub fn next_watch(
+        &self,
+        failed_before: bool,
+    ) -> WatchTime {
+        let wait = self.watch_wait().filter(|_| !failed_before);
+        WatchTime {
+            wait: wait.unwrap_or_default(),
+            limit: wait.map_or(self.read_time(), |wait| wait + self.slack()),
+        }
+    }
+
+    /// How long a call may take that waits for nothing.
+    pub fn read_time(&self) -> Duration {
+        self.apply.mul_f64(READ_SHARE)
+    }
+
+    /// The pause after a call that failed. `drawn` is from 0 to 1, so that a store that
+    /// comes back is not met by all at once; what the call took counts.
+    pub fn pause_after_failure(
+        &self,
+        call_took: Duration,
+        drawn: f64,
+    ) -> Duration {
+        let pause = self.retry_pause.mul_f64(0.5 + 0.5 * drawn);
+        pause.saturating_sub(call_took)
+    }
+
+    /// Whether a change comes into force in time where calls get lost.
+    pub fn keeps_apply(&self) -> bool {
+        self.watch_wait().is_some() && self.retry_pause < self.apply
+    }
+
     /// The longest that a watch waits; none if no time is left for waiting.
-    pub fn watch_wait(&self) -> Option<Duration> {
+    fn watch_wait(&self) -> Option<Duration> {
         let spare = self.apply.mul_f64(SPARE_SHARE);
         let taken = self.pause + self.slack() + spare;
-        self.apply
-            .checked_sub(taken)
-            .filter(|wait| wait.as_millis() > 0)
+        let wait = self.apply.checked_sub(taken);
+        wait.filter(|wait| wait.as_millis() > 0)
     }
 
     /// How much longer than it waits a watch may take.
-    pub fn slack(&self) -> Duration {
+    fn slack(&self) -> Duration {
         self.apply.mul_f64(SLACK_SHARE)
     }
-
-    /// How long a call may take that waits for nothing.
-    pub fn read_time(&self) -> Duration {
-        self.apply.mul_f64(READ_SHARE)
-    }
 }
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -22,7 +22,7 @@
     catalog_source::{CatalogSource, Listing},
     config_origin::ConfigOrigin,
     follow::follow_source,
-    follow_pace::FollowPace,
+    follow_pace::{FollowPace, WatchTime},
     read_duty::{AlwaysReads, ReadDuty},
     upstream_entry::UpstreamEntry,
     upstream_record::UpstreamRecord,
--- a/src/conf/direct_settings.rs
+++ b/src/conf/direct_settings.rs
@@ -108,7 +108,7 @@
         pause: section.duration("pause", Duration::ZERO..=10 * second)?,
         retry_pause: section.duration("retry_pause", 10 * ms..=60 * second)?,
     };
-    if pace.watch_wait().is_some() && pace.retry_pause < pace.apply {
+    if pace.keeps_apply() {
         return Ok(pace);
     }
     let detail = "apply leaves no time to wait for changes beside pause, or none after retry_pause";
--- a/src/conf/platform_settings.rs
+++ b/src/conf/platform_settings.rs
@@ -1,6 +1,6 @@
 use {
     super::{ConfError, SettingsFile},
-    crate::{codes::ResultCode, link::DialTarget},
+    crate::{catalog::FollowPace, codes::ResultCode, link::DialTarget},
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -8,8 +8,7 @@
 #[derive(Debug, Clone)]
 pub struct PlatformSettings {
     pub address: SocketAddr,
-    pub watch_wait: Duration,     // how long a watch may stay open
-    pub retry_pause: Duration,    // upper bound of the random pause
+    pub pace: FollowPace,         // how often it is asked
     pub bootstrap_wait: Duration, // how long peers are asked at start
     pub seeds: Vec<DialTarget>,   // peers known without the platform
 }
@@ -27,10 +26,18 @@
             })?;
             seeds.push(seed);
         }
+        let pace = FollowPace {
+            apply: section.duration("apply", second..=60 * second)?,
+            pause: Duration::ZERO,
+            retry_pause: section.duration("retry_pause", second / 100..=60 * second)?,
+        };
+        if !pace.keeps_apply() {
+            let detail = "apply leaves no time after retry_pause";
+            return Err(section.fault(ResultCode::SettingsContradict, "apply", detail));
+        }
         Ok(Self {
             address: section.parsed("address", "an IP:port")?,
-            watch_wait: section.duration("watch_wait", second / 10..=60 * second)?,
-            retry_pause: section.duration("retry_pause", second / 100..=60 * second)?,
+            pace,
             bootstrap_wait: section.duration("bootstrap_wait", Duration::ZERO..=60 * second)?,
             seeds,
         })
--- a/src/ctl/explain.rs
+++ b/src/ctl/explain.rs
@@ -9,13 +9,13 @@
         codes::ResultCode,
         directory::{FLEET_KEY, PlatformClient},
         fleet::{
-            Account, FleetConfig, Group, HostRole, Labels, Placement, RequestLabels, Revision,
+            Account, FleetConfig, Group, HostRole, Labels, Placement, RequestLabels,
             VersionedConfig,
         },
     },
     getopts::Matches,
     serde::Serialize,
-    std::{collections::BTreeMap, time::Duration},
+    std::collections::BTreeMap,
 };
 
 #[derive(Serialize)]
@@ -122,7 +122,7 @@
         .map_err(|_| CtlError::usage("--platform takes IP:PORT"))?;
     let client = PlatformClient::new(address)?;
     let watched = client
-        .watch(FLEET_KEY, Revision(0), Duration::ZERO)
+        .read(FLEET_KEY)
         .await?
         .ok_or_else(|| CtlError::new(ResultCode::NothingFound, "nothing is published"))?;
     let mut parts = BTreeMap::new();
--- a/src/ctl/fleet_reader.rs
+++ b/src/ctl/fleet_reader.rs
@@ -3,7 +3,7 @@
     crate::{
         codes::ResultCode,
         directory::{HOSTS_KEY, PlatformClient},
-        fleet::{HostEntry, HostList, Revision},
+        fleet::{HostEntry, HostList},
         ops::{AuditEntry, ProcessStatus},
     },
     futures::future::join_all,
@@ -99,7 +99,7 @@
         .parse()
         .map_err(|_| CtlError::usage("--platform takes IP:PORT"))?;
     let watched = PlatformClient::new(address)?
-        .watch(HOSTS_KEY, Revision(0), Duration::ZERO)
+        .read(HOSTS_KEY)
         .await?
         .ok_or_else(|| CtlError::new(ResultCode::NothingFound, "no host list is published"))?;
     Ok(watched.text)
--- a/src/directory/platform_client.rs
+++ b/src/directory/platform_client.rs
@@ -1,6 +1,7 @@
 use {
     super::{REVISION_HEADER, Watched},
     crate::{
+        catalog::WatchTime,
         codes::{Fault, ResultCode},
         fleet::Revision,
         ops::PLATFORM_CALLS,
@@ -9,10 +10,11 @@
     std::{net::SocketAddr, time::Duration},
 };
 
-/// Added to a watch's own wait before it counts as lost.
-const GRACE: Duration = Duration::from_secs(5);
+/// How long a part of the configuration, or a connection, may take.
+const CALL_TIME: Duration = Duration::from_secs(5);
 
-/// Reads and watches values of the platform's service.
+/// Reads and watches values of the platform's service, each call on a connection of
+/// its own: a kept one may have fallen silent.
 #[derive(Clone)]
 pub struct PlatformClient {
     http: Client,
@@ -25,7 +27,8 @@
         let http = Client::builder()
             .retry(retry::never())
             .no_proxy()
-            .connect_timeout(GRACE)
+            .connect_timeout(CALL_TIME)
+            .pool_max_idle_per_host(0)
             .build()
             .map_err(|error| Fault::new(ResultCode::StartFailed, error))?;
         Ok(Self {
@@ -34,20 +37,20 @@
         })
     }
 
-    /// Waits until a value is newer than `after`: none when `wait` passes
+    /// Waits until a value is newer than `after`: none when the wait passes
     /// first or the key has no value. Codes 80 to 82.
     pub async fn watch(
         &self,
         key: &str,
         after: Revision,
-        wait: Duration,
+        time: WatchTime,
     ) -> Result<Option<Watched>, Fault> {
         let url = format!(
             "{}/watch/{key}?after={after}&wait_ms={}",
             self.base,
-            wait.as_millis()
+            time.wait.as_millis()
         );
-        let Some(response) = self.get(&url, wait + GRACE).await? else {
+        let Some(response) = self.get(&url, time.limit).await? else {
             return Ok(None);
         };
         let revision = response
@@ -60,13 +63,25 @@
         Ok(Some(Watched { revision, text }))
     }
 
+    /// Reads a value; none when the key has none. Codes 80 to 82.
+    pub async fn read(
+        &self,
+        key: &str,
+    ) -> Result<Option<Watched>, Fault> {
+        let at_once = WatchTime {
+            wait: Duration::ZERO,
+            limit: CALL_TIME,
+        };
+        self.watch(key, Revision(0), at_once).await
+    }
+
     /// Reads a part of the configuration by its digest: codes 80 to 82.
     pub async fn part(
         &self,
         digest: &str,
     ) -> Result<Option<String>, Fault> {
         let url = format!("{}/parts/{digest}", self.base);
-        match self.get(&url, GRACE).await? {
+        match self.get(&url, CALL_TIME).await? {
             Some(response) => text(response).await.map(Some),
             None => Ok(None),
         }
@@ -79,7 +94,7 @@
     ) -> Result<Option<Response>, Fault> {
         let sent = self.http.get(url).timeout(timeout).send().await;
         let outcome = match sent {
-            Err(error) => Err(Fault::new(ResultCode::PlatformDown, error)),
+            Err(error) => Err(Fault::caused(ResultCode::PlatformDown, &error)),
             Ok(response) => match response.status() {
                 StatusCode::OK => Ok(Some(response)),
                 StatusCode::NOT_MODIFIED | StatusCode::NOT_FOUND => Ok(None),
@@ -100,5 +115,5 @@
     response
         .text()
         .await
-        .map_err(|error| Fault::new(ResultCode::PlatformDown, error))
+        .map_err(|error| Fault::caused(ResultCode::PlatformDown, &error))
 }
--- a/src/node/watches.rs
+++ b/src/node/watches.rs
@@ -1,13 +1,15 @@
 use {
     super::Node,
     crate::{
+        catalog::FollowPace,
         codes::{Fault, ResultCode},
         conf::PlatformSettings,
         directory::{FLEET_KEY, HOSTS_KEY, PlatformClient, Watched},
         fleet::{HostList, Revision, VersionedConfig, sha256_hex},
         policy::Verdict,
     },
-    std::{collections::BTreeMap, sync::Arc, time::Duration},
+    std::{collections::BTreeMap, sync::Arc},
+    tokio::time::{Instant, sleep},
 };
 
 /// Follows the platform's configuration for as long as the process lives.
@@ -17,8 +19,11 @@
     settings: PlatformSettings,
 ) {
     let mut seen = Revision(0);
+    let mut failed = false;
     loop {
-        let outcome = match client.watch(FLEET_KEY, seen, settings.watch_wait).await {
+        let begun = Instant::now();
+        let time = settings.pace.next_watch(failed);
+        let outcome = match client.watch(FLEET_KEY, seen, time).await {
             Ok(Some(watched)) => {
                 let outcome = take_config(&node, &client, &watched).await;
                 if outcome.is_ok() {
@@ -29,7 +34,7 @@
             Ok(None) => Ok(()),
             Err(error) => Err(error),
         };
-        pause(outcome.err(), FLEET_KEY, settings.retry_pause).await;
+        failed = pause(outcome, FLEET_KEY, &settings.pace, begun).await;
     }
 }
 
@@ -40,8 +45,11 @@
     settings: PlatformSettings,
 ) {
     let mut seen = Revision(0);
+    let mut failed = false;
     loop {
-        let outcome = match client.watch(HOSTS_KEY, seen, settings.watch_wait).await {
+        let begun = Instant::now();
+        let time = settings.pace.next_watch(failed);
+        let outcome = match client.watch(HOSTS_KEY, seen, time).await {
             Ok(Some(watched)) => {
                 seen = watched.revision;
                 take_hosts(&node, &watched)
@@ -49,7 +57,7 @@
             Ok(None) => Ok(()),
             Err(error) => Err(error),
         };
-        pause(outcome.err(), HOSTS_KEY, settings.retry_pause).await;
+        failed = pause(outcome, HOSTS_KEY, &settings.pace, begun).await;
     }
 }
 
@@ -103,15 +111,21 @@
     Ok(())
 }
 
-/// After a failure, pauses at random up to `longest`, so that a service that
-/// comes back is not met by all at once.
+/// Pauses after a call that failed. Whether it did.
 async fn pause(
-    failed: Option<Fault>,
+    outcome: Result<(), Fault>,
     key: &str,
-    longest: Duration,
-) {
-    if let Some(error) = failed {
-        log::warn!(code = error.code.number(), key = key; "watch failed: {error}");
-        tokio::time::sleep(longest.mul_f64(rand::random::<f64>())).await;
-    }
+    pace: &FollowPace,
+    begun: Instant,
+) -> bool {
+    let Err(error) = outcome else {
+        return false;
+    };
+    let took = begun.elapsed();
+    log::warn!(
+        code = error.code.number(), key = key, call_ms = took.as_millis() as u64;
+        "watch failed: {error}"
+    );
+    sleep(pace.pause_after_failure(took, rand::random())).await;
+    true
 }
--- a/src/router/serve.rs
+++ b/src/router/serve.rs
@@ -56,7 +56,10 @@
     let router = Arc::new(Router::new(node.clone(), settings.clone()));
     let link = Link::bind(&settings.link, &identity, router.clone()).change_context_lazy(failed)?;
     router.set_link(link.clone());
-    let dials = Arc::new(DialSet::new(link.clone(), settings.platform.retry_pause));
+    let dials = Arc::new(DialSet::new(
+        link.clone(),
+        settings.platform.pace.retry_pause,
+    ));
     start_watches(&node, &settings.platform, &dials).change_context_lazy(failed)?;
     tokio::spawn(link.clone().accept());
     tokio::spawn(announce_demand(router.clone()));
--- a/src/sidecar/serve.rs
+++ b/src/sidecar/serve.rs
@@ -58,7 +58,10 @@
     let link =
         Link::bind(&settings.link, &identity, sidecar.clone()).change_context_lazy(failed)?;
     sidecar.set_link(link.clone());
-    let dials = Arc::new(DialSet::new(link.clone(), settings.platform.retry_pause));
+    let dials = Arc::new(DialSet::new(
+        link.clone(),
+        settings.platform.pace.retry_pause,
+    ));
     start_watches(&node, &settings.platform, &dials).change_context_lazy(failed)?;
     tokio::spawn(link.clone().accept());
     tokio::spawn(follow_hosts(sidecar.clone(), dials.clone()));
--- a/testbed/tests/configuration.rs
+++ b/testbed/tests/configuration.rs
@@ -20,7 +20,7 @@
     FleetPlan::new(text(1.0))
         .routers(2)
         .engines(2, EngineSettings::default())
-        .set_both("platform.watch_wait", "2 s")
+        .set_both("platform.apply", "3 s")
 }
 
 /// A configuration of this fleet in which the account has this share.
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -7,6 +7,7 @@
     },
     expect_test::{Expect, expect},
     proptest::prelude::*,
+    std::time::Duration,
 };
 
 const SIDECAR: &str = "\
@@ -58,6 +59,24 @@
     expect!["error 14: router.ini:7 [process] host: is required"].assert_eq(&error.to_string());
 }
 
+/// A published configuration was not in force in 18 s where a watch got lost: a watch
+/// of 15 s counted as lost 5 s later (20 s by the shipped settings).
+#[test]
+fn a_watch_that_gets_lost_costs_less_than_a_configuration_may_take() {
+    let pace = sidecar(SIDECAR).expect("good settings").platform.pace;
+    assert_eq!(pace.apply, Duration::from_secs(18));
+    let waiting = pace.next_watch(false);
+    assert!(waiting.wait < waiting.limit);
+    assert!(pace.pause + waiting.limit < pace.apply);
+    let after_a_failure = pace.next_watch(true);
+    assert_eq!(after_a_failure.wait, Duration::ZERO);
+    assert!(after_a_failure.limit + pace.retry_pause < pace.apply);
+    let error =
+        sidecar(&SIDECAR.replace("[platform]", "[platform]\napply = 2 s\nretry_pause = 2 s"));
+    expect!["error 19: sidecar.ini:10 [platform] apply: apply leaves no time after retry_pause"]
+        .assert_eq(&error.expect_err("a fault").to_string());
+}
+
 #[test]
 fn every_fault_names_file_line_section_and_key() {
     check_sidecar(
