Soak: connections fall silent for good while new ones work; changes that come late are found

Open connections to the store (one router's, all), to a replica, or of a router's callers stay open and pass nothing any more; drawn beside the other faults, so that what a seed drew before it still draws. Each change that the store confirmed is looked for at each router: in force within 4 s of its confirmation, or of the end of what hid the store.

--- a/testbed/src/direct/store_port.rs
+++ b/testbed/src/direct/store_port.rs
@@ -1,6 +1,9 @@
 use {
     super::{Store, StoreMode},
-    crate::standin::{BoundServer, bind_server},
+    crate::{
+        proxy::TcpProxy,
+        standin::{BoundServer, bind_server},
+    },
     rocket::{Build, Rocket, State, get, http::Status, response::status::Custom, routes},
     serde_json::json,
     std::{
@@ -13,7 +16,8 @@
 
 /// One address of the stand-in store, with troubles of its own.
 pub struct StorePort {
-    pub address: SocketAddr,
+    pub address: SocketAddr, // of the proxy in front
+    pub proxy: TcpProxy,
     mode: Arc<Mutex<StoreMode>>,
     _server: BoundServer,
 }
@@ -36,8 +40,12 @@
                 .mount("/v1", routes![key, range, watch])
         };
         let server = bind_server(ip, build).await;
+        let proxy = TcpProxy::start(ip, server.address)
+            .await
+            .expect("a free port");
         Self {
-            address: server.address,
+            address: proxy.address,
+            proxy,
             mode,
             _server: server,
         }
--- a/testbed/src/proxy/tcp_proxy.rs
+++ b/testbed/src/proxy/tcp_proxy.rs
@@ -23,7 +23,8 @@
 pub struct TcpProxy {
     pub address: SocketAddr,
     faults: Arc<Mutex<Faults>>,
-    cuts: watch::Sender<u64>, // counts cuts; each ends all connections
+    cuts: watch::Sender<u64>,     // counts cuts; each ends all connections
+    silences: watch::Sender<u64>, // counts silences; each silences all connections
     task: JoinHandle<()>,
 }
 
@@ -44,11 +45,19 @@
         let address = listener.local_addr()?;
         let faults = Arc::new(Mutex::new(Faults::default()));
         let cuts = watch::Sender::new(0);
-        let task = tokio::spawn(accept(listener, target, faults.clone(), cuts.clone()));
+        let silences = watch::Sender::new(0);
+        let connections = Connections {
+            target,
+            faults: faults.clone(),
+            cuts: cuts.clone(),
+            silences: silences.clone(),
+        };
+        let task = tokio::spawn(connections.accept(listener));
         Ok(Self {
             address,
             faults,
             cuts,
+            silences,
             task,
         })
     }
@@ -61,39 +70,61 @@
         change(&mut self.faults.lock().expect("fault lock"));
     }
 
+    /// Nothing passes any more on the connections that are open now, which stay open;
+    /// new ones work.
+    pub fn silence_connections(&self) {
+        self.silences.send_modify(|count| *count += 1);
+    }
+
     /// Ends every connection now.
     pub fn cut_connections(&self) {
         self.cuts.send_modify(|count| *count += 1);
     }
 }
 
-async fn accept(
-    listener: TcpListener,
+/// What every connection of a proxy shares.
+struct Connections {
     target: SocketAddr,
     faults: Arc<Mutex<Faults>>,
     cuts: watch::Sender<u64>,
-) {
-    while let Ok((client, _)) = listener.accept().await {
-        if faults.lock().expect("fault lock").cut {
-            continue; // dropped: the client sees its connection close
-        }
-        let (faults, mut cut) = (faults.clone(), cuts.subscribe());
-        tokio::spawn(async move {
-            let Ok(server) = TcpStream::connect(target).await else {
-                return;
-            };
-            let (client_read, client_write) = client.into_split();
-            let (server_read, server_write) = server.into_split();
-            tokio::select! {
-                _ = cut.changed() => {}
-                () = async {
+    silences: watch::Sender<u64>,
+}
+
+impl Connections {
+    async fn accept(
+        self,
+        listener: TcpListener,
+    ) {
+        while let Ok((client, _)) = listener.accept().await {
+            if self.faults.lock().expect("fault lock").cut {
+                continue; // dropped: the client sees its connection close
+            }
+            let (faults, target) = (self.faults.clone(), self.target);
+            let (mut cut, mut silenced) = (self.cuts.subscribe(), self.silences.subscribe());
+            tokio::spawn(async move {
+                let Ok(server) = TcpStream::connect(target).await else {
+                    return;
+                };
+                let (client_read, client_write) = client.into_split();
+                let (server_read, server_write) = server.into_split();
+                let passing = async {
                     tokio::join!(
                         copy(client_read, server_write, &faults),
                         copy(server_read, client_write, &faults),
                     );
-                } => {}
-            }
-        });
+                };
+                tokio::pin!(passing);
+                tokio::select! {
+                    _ = cut.changed() => return,
+                    () = &mut passing => return,
+                    _ = silenced.changed() => {}
+                }
+                // Both ends stay open, and hear nothing of each other.
+                if cut.changed().await.is_err() {
+                    log::debug!("the proxy is gone");
+                }
+            });
+        }
     }
 }
 
--- a/testbed/src/soak/checks.rs
+++ b/testbed/src/soak/checks.rs
@@ -3,13 +3,22 @@
 use {
     super::{
         attempt::{Attempt, Kind},
+        fault_span::FaultSpan,
         record::Record,
         replica_slot::{EVENTS, PLAIN_BODY},
     },
     crate::direct::event,
-    std::collections::HashSet,
+    std::{
+        collections::HashSet,
+        time::{Duration, Instant},
+    },
 };
 
+/// Within this time of its confirmation, or of the end of what hid the store, a
+/// configuration is in force: twice the routers' [catalog] apply, since the machine's
+/// other work takes its time too.
+const IN_FORCE: Duration = Duration::from_secs(4);
+
 /// Statuses that say that a request did not run and never will.
 const NOT_RUN: &[u16] = &[408, 421, 429, 503];
 
@@ -21,6 +30,7 @@
         .collect();
     broken.extend(unasked(record));
     broken.extend(drained(record));
+    broken.extend(outdated(record));
     broken.extend(
         record
             .unserved
@@ -89,8 +99,7 @@
     attempt: &Attempt,
     ran: bool,
 ) -> Option<String> {
-    let touching =
-        |span: &&_| super::fault_span::FaultSpan::touches(span, attempt.sent, attempt.ended);
+    let touching = |span: &&FaultSpan| span.touches(attempt.sent, attempt.ended);
     let mut around = record.spans.iter().filter(touching);
     if around.any(|span| !span.fault.is_planned()) {
         return None;
@@ -119,6 +128,28 @@
         .collect()
 }
 
+/// A confirmed configuration is in force in time, counted from the end of what kept a
+/// router from hearing of it.
+fn outdated(record: &Record) -> Vec<String> {
+    let mut outdated = Vec::new();
+    for change in &record.changes {
+        let until = change.served;
+        let hides = |span: &&FaultSpan| {
+            span.fault.hides_the_store() && until.is_none_or(|until| span.began <= until)
+        };
+        let ends = record.spans.iter().filter(hides).map(|span| span.ended);
+        let due = ends.fold(change.confirmed, Instant::max) + IN_FORCE;
+        if until.is_none_or(|until| until > due) {
+            let took = until.map(|until| until - change.confirmed);
+            outdated.push(format!(
+                "config: version {} was in force at router {} after {took:?}",
+                change.version, change.router
+            ));
+        }
+    }
+    outdated
+}
+
 fn drained(record: &Record) -> Vec<String> {
     let due = record.drains.iter().filter(|drain| {
         let mut spans = record.spans.iter();
--- a/testbed/src/soak/fault.rs
+++ b/testbed/src/soak/fault.rs
@@ -33,6 +33,14 @@
     CutLink(usize),
     /// All connections to a replica are reset.
     ResetLink(usize),
+    /// The open connections of a router to the store fall silent for good.
+    SilenceStore(usize),
+    /// Those of all routers.
+    SilenceAllStores,
+    /// The open connections to a replica fall silent for good.
+    SilenceReplica(usize),
+    /// The open connections of a router's callers fall silent for good.
+    SilenceCallers(usize),
 }
 
 impl Fault {
@@ -55,6 +63,8 @@
                 | Self::SlowLink(_)
                 | Self::CutLink(_)
                 | Self::ResetLink(_)
+                | Self::SilenceReplica(_)
+                | Self::SilenceCallers(_)
         )
     }
 }
--- /dev/null
+++ b/testbed/src/soak/inflict.rs
@@ -0,0 +1,242 @@
+//! Doing the faults to the fleet, and undoing them.
+
+use {
+    super::{
+        fault::Fault,
+        fault_span::FaultSpan,
+        record::DrainSeen,
+        schedule::PlannedFault,
+        world::{LOOK, World},
+    },
+    crate::direct::StoreMode,
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::time::sleep,
+};
+
+/// After this long a leaving replica must get nothing new, and it serves on for
+/// a while.
+const DRAIN_TIME: Duration = Duration::from_secs(3);
+const SERVES_ON: Duration = Duration::from_millis(1500);
+
+/// What a slow link adds, one way.
+const SLOW: Duration = Duration::from_millis(40);
+
+impl World {
+    /// Does one fault and undoes it.
+    pub async fn inflict(
+        self: Arc<Self>,
+        planned: PlannedFault,
+    ) {
+        let fault = planned.fault;
+        let lasts = planned.lasts;
+        let mut published = None;
+        let began = match fault {
+            Fault::KillRouter(router) => self.kill(&[router], lasts).await,
+            Fault::KillAllRouters => self.kill(&[0, 1, 2], lasts).await,
+            Fault::StopRouter(router) => self.stop(router).await,
+            Fault::FreezeRouter(router) => self.freeze(router, lasts).await,
+            Fault::HangUpRouter(router) => {
+                let process = self.routers[router].lock().await;
+                process.hang_up();
+                Instant::now()
+            }
+            Fault::StoreTrouble(router, mode) => self.trouble(&[router], mode, lasts).await,
+            Fault::StoreDown(mode) => self.trouble(&[0, 1, 2], mode, lasts).await,
+            Fault::ForgetHistory => {
+                self.store.forget_history();
+                Instant::now()
+            }
+            Fault::Publish => {
+                published = Some(self.publish());
+                Instant::now()
+            }
+            Fault::DrainReplica(slot) => self.drain(slot).await,
+            Fault::CrashReplica(slot) => self.crash(slot, lasts).await,
+            Fault::SpoilAnswers(slot) => self.spoil(slot, lasts).await,
+            Fault::SlowLink(slot) => self.slow(slot, lasts).await,
+            Fault::CutLink(slot) => self.cut(slot, lasts).await,
+            Fault::ResetLink(slot) => {
+                let slot = self.slots[slot].lock().await;
+                slot.proxy.cut_connections();
+                Instant::now()
+            }
+            Fault::SilenceStore(router) => self.silence_stores(&[router]),
+            Fault::SilenceAllStores => self.silence_stores(&[0, 1, 2]),
+            Fault::SilenceReplica(slot) => {
+                let slot = self.slots[slot].lock().await;
+                slot.proxy.silence_connections();
+                Instant::now()
+            }
+            Fault::SilenceCallers(router) => {
+                self.silence_callers(router);
+                Instant::now()
+            }
+        };
+        let span = FaultSpan {
+            fault,
+            began,
+            ended: Instant::now(),
+        };
+        self.record.lock().expect("record lock").spans.push(span);
+        if let Some(version) = published {
+            self.follow_change(version).await;
+        }
+    }
+
+    fn silence_stores(
+        &self,
+        routers: &[usize],
+    ) -> Instant {
+        for router in routers {
+            self.ports[*router].proxy.silence_connections();
+        }
+        Instant::now()
+    }
+
+    async fn kill(
+        &self,
+        routers: &[usize],
+        lasts: Duration,
+    ) -> Instant {
+        let mut held = Vec::new();
+        for router in routers {
+            held.push(self.routers[*router].lock().await);
+        }
+        let began = Instant::now();
+        for process in &mut held {
+            process.kill();
+        }
+        sleep(lasts).await;
+        for process in &mut held {
+            process.restart().expect("the router starts again");
+        }
+        began
+    }
+
+    async fn stop(
+        &self,
+        router: usize,
+    ) -> Instant {
+        let mut process = self.routers[router].lock().await;
+        let began = Instant::now();
+        process.terminate();
+        while process.ended().is_none() {
+            sleep(LOOK).await;
+        }
+        process.restart().expect("the router starts again");
+        began
+    }
+
+    async fn freeze(
+        &self,
+        router: usize,
+        lasts: Duration,
+    ) -> Instant {
+        let process = self.routers[router].lock().await;
+        let began = Instant::now();
+        process.freeze();
+        sleep(lasts).await;
+        process.thaw();
+        began
+    }
+
+    async fn trouble(
+        &self,
+        routers: &[usize],
+        mode: StoreMode,
+        lasts: Duration,
+    ) -> Instant {
+        let began = Instant::now();
+        for router in routers {
+            self.ports[*router].set(mode);
+        }
+        sleep(lasts).await;
+        for router in routers {
+            self.ports[*router].set(StoreMode::Well);
+        }
+        began
+    }
+
+    async fn drain(
+        &self,
+        slot: usize,
+    ) -> Instant {
+        let mut slot = self.slots[slot].lock().await;
+        let began = Instant::now();
+        slot.drain(&self.store);
+        sleep(DRAIN_TIME).await;
+        let when_due = slot.replica.seen().len();
+        sleep(SERVES_ON).await;
+        let drain = DrainSeen {
+            replica: slot.replica.id.clone(),
+            span: FaultSpan {
+                fault: Fault::Publish,
+                began,
+                ended: Instant::now(),
+            },
+            when_due,
+            at_the_end: slot.replica.seen().len(),
+        };
+        self.record.lock().expect("record lock").drains.push(drain);
+        slot.unlist(&self.store);
+        self.replace(&mut slot).await;
+        began
+    }
+
+    async fn crash(
+        &self,
+        slot: usize,
+        lasts: Duration,
+    ) -> Instant {
+        let mut slot = self.slots[slot].lock().await;
+        let began = Instant::now();
+        slot.proxy.set(|faults| faults.cut = true);
+        slot.proxy.cut_connections();
+        sleep(lasts).await;
+        slot.unlist(&self.store);
+        self.replace(&mut slot).await;
+        began
+    }
+
+    async fn spoil(
+        &self,
+        slot: usize,
+        lasts: Duration,
+    ) -> Instant {
+        let slot = self.slots[slot].lock().await;
+        let began = Instant::now();
+        slot.spoil_answers();
+        sleep(lasts).await;
+        slot.replica.forget_script();
+        began
+    }
+
+    async fn slow(
+        &self,
+        slot: usize,
+        lasts: Duration,
+    ) -> Instant {
+        let slot = self.slots[slot].lock().await;
+        let began = Instant::now();
+        slot.proxy.set(|faults| faults.delay = SLOW);
+        sleep(lasts).await;
+        slot.proxy.set(|faults| faults.delay = Duration::ZERO);
+        began
+    }
+
+    async fn cut(
+        &self,
+        slot: usize,
+        lasts: Duration,
+    ) -> Instant {
+        let slot = self.slots[slot].lock().await;
+        let began = Instant::now();
+        slot.proxy.set(|faults| faults.cut = true);
+        sleep(lasts).await;
+        slot.proxy.set(|faults| faults.cut = false);
+        began
+    }
+}
--- a/testbed/src/soak/mod.rs
+++ b/testbed/src/soak/mod.rs
@@ -7,20 +7,22 @@
 mod checks;
 mod fault;
 mod fault_span;
+mod inflict;
 mod record;
 mod replica_slot;
 mod schedule;
 mod soak;
 mod soak_result;
+mod world;
 
 pub use {
     attempt::{Attempt, Kind},
     checks::broken,
     fault::Fault,
     fault_span::FaultSpan,
-    record::{DrainSeen, Record},
+    record::{ChangeSeen, DrainSeen, Record},
     replica_slot::{EVENTS, PLAIN_BODY},
-    schedule::{PlannedFault, schedule},
+    schedule::{PlannedFault, schedule, silences},
     soak::soak,
     soak_result::SoakResult,
 };
--- a/testbed/src/soak/schedule.rs
+++ b/testbed/src/soak/schedule.rs
@@ -11,6 +11,12 @@
 /// How long a fault lasts, in milliseconds.
 const LENGTH_MS: std::ops::Range<u64> = 100..2500;
 
+/// Between two silences, in milliseconds.
+const SILENCE_GAP_MS: std::ops::Range<u64> = 500..6000;
+
+/// Sets the draw of silences apart from that of the other faults.
+const SILENCES: u64 = 0x51_1e_ce;
+
 /// A fault that is to come.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PlannedFault {
@@ -43,6 +49,38 @@
     }
 }
 
+/// Silences that come beside the other faults, the same for the same seed. They are
+/// drawn apart, so that a seed's other faults stay what they were.
+pub fn silences(
+    seed: u64,
+    length: Duration,
+    routers: usize,
+    replicas: usize,
+) -> Vec<PlannedFault> {
+    let mut random = StdRng::seed_from_u64(seed ^ SILENCES);
+    let mut faults = Vec::new();
+    let mut at = Duration::ZERO;
+    loop {
+        let after = Duration::from_millis(random.random_range(SILENCE_GAP_MS));
+        at += after;
+        if at >= length {
+            return faults;
+        }
+        let router = random.random_range(0..routers);
+        let fault = match random.random_range(0..5) {
+            0 => Fault::SilenceStore(router),
+            1 | 2 => Fault::SilenceAllStores,
+            3 => Fault::SilenceReplica(random.random_range(0..replicas)),
+            _ => Fault::SilenceCallers(router),
+        };
+        faults.push(PlannedFault {
+            after,
+            lasts: Duration::ZERO,
+            fault,
+        });
+    }
+}
+
 fn draw(
     random: &mut StdRng,
     routers: usize,
--- a/testbed/tests/soak.rs
+++ b/testbed/tests/soak.rs
@@ -4,8 +4,8 @@
     archmast_testbed::{
         direct::{ClientAnswer, event},
         soak::{
-            Attempt, DrainSeen, EVENTS, Fault, FaultSpan, Kind, PLAIN_BODY, Record, broken,
-            schedule, soak,
+            Attempt, ChangeSeen, DrainSeen, EVENTS, Fault, FaultSpan, Kind, PLAIN_BODY, Record,
+            broken, schedule, silences, soak,
         },
     },
     std::{
@@ -153,6 +153,44 @@
     assert_eq!(broken(&hidden), Vec::<String>::new());
 }
 
+#[test]
+fn a_configuration_that_comes_late_is_found_unless_something_hid_the_store() {
+    let now = Instant::now();
+    let change = |served_after: Option<u64>| Record {
+        changes: vec![ChangeSeen {
+            router: 1,
+            version: 7,
+            confirmed: now,
+            served: served_after.map(|ms| now + Duration::from_millis(ms)),
+        }],
+        ..Record::default()
+    };
+    assert_eq!(broken(&change(Some(3900))), Vec::<String>::new());
+    assert_broken(&change(Some(4100)), "config");
+    assert_broken(&change(None), "config");
+    // Until a second from now the store was hidden: it counts from there.
+    let hidden = during(change(Some(4900)), Fault::SilenceAllStores);
+    assert_eq!(broken(&hidden), Vec::<String>::new());
+    assert_broken(
+        &during(change(Some(5500)), Fault::SilenceAllStores),
+        "config",
+    );
+    // A fault that does not hide the store excuses nothing.
+    assert_broken(
+        &during(change(Some(4900)), Fault::SilenceReplica(0)),
+        "config",
+    );
+}
+
+#[test]
+fn silences_are_drawn_beside_the_other_faults() {
+    let length = Duration::from_secs(60);
+    let drawn = silences(7, length, 3, 5);
+    assert_eq!(drawn, silences(7, length, 3, 5));
+    assert_ne!(drawn, silences(8, length, 3, 5));
+    assert!(drawn.len() > 10, "{}", drawn.len());
+}
+
 #[test]
 fn a_seed_draws_the_same_faults_each_time() {
     let length = Duration::from_secs(60);
