After a request without an answer, connections at rest to that replica are not used

Cause: connections that fall silent together are found one by one, each by a request that gets no answer. Change: a request that ends without an answer in time drops the connections at rest to its replica; what comes next opens a new one. Ruled out: dropping only those older than the request, which needs each one's moment and spares some openings only.

--- a/src/direct/exchange.rs
+++ b/src/direct/exchange.rs
@@ -271,5 +271,9 @@
             AttemptEnd::Refused { .. } => board.full(now, replica),
             AttemptEnd::Failed { .. } | AttemptEnd::Unknown { .. } => board.failed(now, replica),
         }
+        drop(board);
+        if end.code() == ResultCode::UpstreamTimeout {
+            self.gateway.pool.forget_resting(replica);
+        }
     }
 }
--- a/src/direct/upstream_pool.rs
+++ b/src/direct/upstream_pool.rs
@@ -63,6 +63,19 @@
         }
     }
 
+    /// Drops the connections at rest to a replica that left a request without an answer:
+    /// what made the one silent may have silenced all. A charge after one that got no
+    /// answer was sent on the next silent connection, of four at rest.
+    pub fn forget_resting(
+        &self,
+        replica: &str,
+    ) {
+        let mut replicas = self.replicas.lock().expect("pool lock");
+        if let Some(connections) = replicas.get_mut(replica) {
+            connections.idle.clear();
+        }
+    }
+
     /// Drops connections of replicas that are not listed any more.
     pub fn keep_only(
         &self,
