--- a/testbed/src/soak/checks.rs
+++ b/testbed/src/soak/checks.rs
@@ -134,10 +134,11 @@
     let mut outdated = Vec::new();
     for change in &record.changes {
         let until = change.served;
-        let hides = |span: &&FaultSpan| {
-            span.fault.hides_the_store() && until.is_none_or(|until| span.began <= until)
+        let hiding = |span: &&FaultSpan| {
+            let hides = span.fault.hides_the_store_from(change.router);
+            hides && until.is_none_or(|until| span.began <= until)
         };
-        let ends = record.spans.iter().filter(hides).map(|span| span.ended);
+        let ends = record.spans.iter().filter(hiding).map(|span| span.ended);
         let due = ends.fold(change.confirmed, Instant::max) + IN_FORCE;
         if until.is_none_or(|until| until > due) {
             let took = until.map(|until| until - change.confirmed);
--- a/testbed/src/soak/fault.rs
+++ b/testbed/src/soak/fault.rs
@@ -52,6 +52,23 @@
         )
     }
 
+    /// Whether this router may learn late what the store says, since the fault is its
+    /// own. What befalls others only must not keep it from the news.
+    pub fn hides_the_store_from(
+        &self,
+        router: usize,
+    ) -> bool {
+        match self {
+            Self::KillRouter(hit)
+            | Self::StopRouter(hit)
+            | Self::FreezeRouter(hit)
+            | Self::StoreTrouble(hit, _)
+            | Self::SilenceStore(hit) => *hit == router,
+            Self::KillAllRouters | Self::StoreDown(_) | Self::SilenceAllStores => true,
+            _ => false,
+        }
+    }
+
     /// Whether routers may learn late what the store says.
     pub fn hides_the_store(&self) -> bool {
         !matches!(
