A zone's sum is made once a round; the end of a connection between processes leaves a line

The open finding of two streams cut at one router could not be traced since a connection that ends without its process left no line: it names the peer, the reason, the round trip and lost packets now.

--- a/src/link/connection.rs
+++ b/src/link/connection.rs
@@ -39,6 +39,13 @@
             self.send(&peer, ControlMessage::NewRevision);
         }
         let outcome = self.serve(&peer, &connection, &mut incoming).await;
+        let reason = connection.close_reason().map(|reason| reason.to_string());
+        log::info!(
+            peer = &*peer.host, round_trip_ms = connection.rtt().as_millis() as u64,
+            lost_packets = connection.stats().path.lost_packets;
+            "connection to a process of the fleet ended: {}",
+            reason.as_deref().unwrap_or("its control stream did")
+        );
         self.unregister(&peer);
         outcome
     }
--- a/src/peers/tell.rs
+++ b/src/peers/tell.rs
@@ -109,8 +109,8 @@
         }
     }
 
-    /// Sends the zone's sum to each zone to which this router speaks. Gives the
-    /// number of these.
+    /// Sends the zone's sum, made once, to each zone to which this router speaks. Gives
+    /// the number of these.
     async fn send_sums(
         &self,
         now: Moment,
@@ -125,10 +125,13 @@
             .collect();
         let mut told = std::mem::take(&mut self.told.lock().expect("told lock").sums);
         told.retain(|zone, _| spoken.contains(zone));
-        for zone in &spoken {
-            let told = told.entry(*zone).or_default();
-            let figures = self.zone_figures(now, told, notes.clone());
-            self.send_sum(now, *zone, figures).await;
+        if !spoken.is_empty() {
+            let all = self.zone_figures(now, notes);
+            for zone in &spoken {
+                let told = told.entry(*zone).or_default();
+                let figures = self.due(now, told, all.clone());
+                self.send_sum(now, *zone, figures).await;
+            }
         }
         self.told.lock().expect("told lock").sums = told;
         spoken.len()
@@ -156,13 +159,7 @@
                 routers: fellows.len() as u32 + 1,
                 version: gateway.catalog.version(),
                 figures,
-                members: fellows
-                    .iter()
-                    .cycle()
-                    .skip(turn)
-                    .take(MEMBERS.min(fellows.len()))
-                    .copied()
-                    .collect(),
+                members: in_turn(&fellows, turn, MEMBERS),
             };
             self.send(&PeerMessage::Sum(sum), &contacts).await;
         }
@@ -180,8 +177,7 @@
         }
         let known = self.gateway.peers.in_any_zone(zone);
         let turn = rand::random_range(0..known.len().max(1));
-        let drawn = known.iter().cycle().skip(turn);
-        drawn.take(CONTACTS.min(known.len())).copied().collect()
+        in_turn(&known, turn, CONTACTS)
     }
 
     /// What this router has to tell to those of its zone.
@@ -206,11 +202,10 @@
         self.due(now, &mut told.zone, all)
     }
 
-    /// What the zone has to tell to another one.
+    /// What the zone has to tell to others.
     fn zone_figures(
         &self,
         now: Moment,
-        told: &mut ToldReports,
         notes: Vec<CacheNote>,
     ) -> Figures {
         let gateway = &self.gateway;
@@ -219,13 +214,12 @@
         let engines = board.engine_reports();
         drop(board);
         let usage = gateway.shares().zone_usage(now);
-        let all = Figures {
+        Figures {
             replicas,
             accounts: usage.into_iter().collect(),
             notes,
             engines,
-        };
-        self.due(now, told, all)
+        }
     }
 
     /// The part of some figures that is to be told now.
@@ -250,3 +244,13 @@
         }
     }
 }
+
+/// Up to `count` routers of a list from the one whose turn it is, round and round.
+fn in_turn(
+    routers: &[SocketAddr],
+    turn: usize,
+    count: usize,
+) -> Vec<SocketAddr> {
+    let round = routers.iter().cycle().skip(turn);
+    round.take(count.min(routers.len())).copied().collect()
+}
