--- a/src/catalog/follow_pace.rs
+++ b/src/catalog/follow_pace.rs
@@ -1,7 +1,7 @@
-use std::time::Duration;
+use {super::WatchTime, std::time::Duration};
 
-/// The part of `apply` by which an answer may be late before its call counts as lost.
-/// An answer takes some milliseconds, on a host of 0.09 of a core up to 150.
+/// The part of `apply` by which an answer may be late before its call counts as lost:
+/// a store answers in milliseconds, the rest is for a host that is short of processor.
 const SLACK_SHARE: f64 = 0.15;
 
 /// The part of `apply` left for the call that replaces a lost one, and for telling
@@ -18,14 +18,7 @@
 pub struct FollowPace {
     pub apply: Duration,       // within which a confirmed configuration is in force
     pub pause: Duration,       // between two watches, so that changes come together
-    pub retry_pause: Duration, // between the starts of two calls of which the first failed, at most; drawn at random below it
-}
-
-/// How long one watch waits, and when it counts as lost.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct WatchTime {
-    pub wait: Duration,
-    pub limit: Duration, // the wait included
+    pub retry_pause: Duration, // after the start of a call that failed, at most; drawn below it
 }
 
 impl FollowPace {
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -14,6 +14,7 @@
 mod upstream_entry;
 mod upstream_record;
 mod upstream_state;
+mod watch_time;
 
 pub use {
     accepted_config::AcceptedConfig,
@@ -22,9 +23,10 @@
     catalog_source::{CatalogSource, Listing},
     config_origin::ConfigOrigin,
     follow::follow_source,
-    follow_pace::{FollowPace, WatchTime},
+    follow_pace::FollowPace,
     read_duty::{AlwaysReads, ReadDuty},
     upstream_entry::UpstreamEntry,
     upstream_record::UpstreamRecord,
     upstream_state::UpstreamState,
+    watch_time::WatchTime,
 };
--- a/src/peers/ask_news.rs
+++ b/src/peers/ask_news.rs
@@ -13,7 +13,8 @@
 };
 
 /// How long connecting and the answer may take, each, before another router is asked:
-/// some ten times what either takes on a host of 0.09 of a core.
+/// one question that gets no answer leaves time for the next within the shortest
+/// [catalog] apply in use (2 s).
 const ASK_TIME: Duration = Duration::from_millis(600);
 
 /// Connects to a router that can be asked: code 74.
