Test: bytes that no port takes may end the connection before the test closes its half

Shown: with 200 ms before the shutdown the test as it was fails each time with the same error, and holds as it is now. Change: NotConnected, and nothing else, is taken at that place; that the fleet serves afterwards is asserted as before. Ruled out: a fault of the product; no process ended.

--- a/testbed/tests/edges.rs
+++ b/testbed/tests/edges.rs
@@ -8,7 +8,7 @@
     reqwest::{Client, Method, Response},
     serde_json::Value,
     std::{
-        io::{Read, Write},
+        io::{ErrorKind, Read, Write},
         net::{TcpStream, UdpSocket},
         time::Duration,
     },
@@ -158,7 +158,10 @@
     for address in [router.callers, router.operator, fleet.sidecars[0].operator] {
         let mut stream = TcpStream::connect(address).expect("connected");
         stream.write_all(&garbage).expect("sent");
-        stream.shutdown(std::net::Shutdown::Write).expect("closed");
+        if let Err(error) = stream.shutdown(std::net::Shutdown::Write) {
+            // It refused the bytes and closed the connection first.
+            assert_eq!(error.kind(), ErrorKind::NotConnected, "{error}");
+        }
         let mut answer = Vec::new();
         let _read = stream.read_to_end(&mut answer);
     }
