--- a/testbed/tests/silent_connections.rs
+++ b/testbed/tests/silent_connections.rs
@@ -1,12 +1,15 @@
 //! Connections that fall silent for good, without a reset, while new ones work: what
 //! replaces one is a new connection, and not another from before the silence.
 
-use archmast_testbed::{
-    direct::{Client, ClientRequest, DirectFleet, Replica, ReplicaAnswer, RouteText},
-    fleet::until,
-    proxy::TcpProxy,
+use {
+    archmast_testbed::{
+        direct::{Client, ClientRequest, DirectFleet, Replica, ReplicaAnswer, RouteText},
+        fleet::until,
+        proxy::TcpProxy,
+    },
+    futures::future::join_all,
+    std::time::Duration,
 };
-use std::time::Duration;
 
 /// Connections that rest at the router when they fall silent.
 const RESTING: usize = 4;
@@ -52,7 +55,7 @@
 async fn after_one_silent_connection_to_a_replica_the_others_are_not_used() {
     let (fleet, _replica, proxy) = fleet_behind_proxy().await;
     let asked = (0..RESTING).map(async |n| ask(&fleet, "/charge/", &format!("first-{n}")).await);
-    let statuses = futures::future::join_all(asked).await;
+    let statuses = join_all(asked).await;
     assert_eq!(statuses, [200; RESTING]);
     proxy.silence_connections();
     assert_ne!(ask(&fleet, "/hasty/", "silent").await, 200);
