Sight: each request's line names what its router knows of the upstream, and from whom

The revision of the newest word on the chosen upstream, who told it and whether its entry has lapsed; and a line for each news taken in from another router, with the revisions and the number of records. With these the three hypotheses of the incident can be told apart: a removal that was never told shows as an upstream whose word is older than the list's revision and no lapse; a lapse shows as such; a late arrival shows a chosen upstream that was known as ready at the time.

--- a/src/catalog/catalog.rs
+++ b/src/catalog/catalog.rs
@@ -1,23 +1,17 @@
 use {
     super::{
-        AcceptedConfig, ConfigOrigin, Item, Listing, UpstreamEntry, UpstreamRecord, UpstreamState,
-        lapse_grace::{LapseGrace, vanish_together},
+        AcceptedConfig, ConfigOrigin, Item, Listing, ParseUpstream, UpstreamEntry, UpstreamOrigin,
+        UpstreamRecord, upstream_list::UpstreamList,
     },
     crate::{codes::Fault, routing::RoutingTable},
     serde::{Deserialize, Serialize},
-    std::{
-        collections::BTreeMap,
-        sync::{Arc, Mutex},
-    },
+    std::sync::{Arc, Mutex},
     tokio::{sync::watch, time::Instant},
 };
 
 /// Reads a configuration's text: code 82.
 pub type ParseConfig = fn(&str) -> Result<RoutingTable, Fault>;
 
-/// Reads an upstream's entry by its id and text: code 82.
-pub type ParseUpstream = fn(&str, &str) -> Result<UpstreamEntry, Fault>;
-
 /// How far a catalog has come. Compared field by field, never as a whole.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CatalogVersion {
@@ -29,18 +23,13 @@
 /// of, from the store or from peers. Higher versions win; nothing reverts.
 pub struct Catalog {
     parse_config: ParseConfig,
-    parse_upstream: ParseUpstream,
     state: Mutex<State>, // a leaf lock
     changed: watch::Sender<CatalogVersion>,
 }
 
-#[derive(Default)]
 struct State {
     config: Option<AcceptedConfig>,
-    records: BTreeMap<String, UpstreamRecord>, // by id, those that are gone too
-    entries: BTreeMap<String, Arc<UpstreamEntry>>,
-    upstreams_at: u64,
-    lapses: LapseGrace,
+    upstreams: UpstreamList,
 }
 
 impl Catalog {
@@ -51,8 +40,10 @@
     ) -> Self {
         Self {
             parse_config,
-            parse_upstream,
-            state: Mutex::default(),
+            state: Mutex::new(State {
+                config: None,
+                upstreams: UpstreamList::new(parse_upstream),
+            }),
             changed: watch::Sender::default(),
         }
     }
@@ -66,7 +57,7 @@
     /// The upstreams that the newest list shows.
     pub fn upstreams(&self) -> Vec<Arc<UpstreamEntry>> {
         let state = self.state.lock().expect("catalog lock");
-        state.entries.values().cloned().collect()
+        state.upstreams.entries()
     }
 
     /// How far the catalog has come.
@@ -95,17 +86,22 @@
         })
     }
 
+    /// Who told what is known of an upstream.
+    pub fn upstream_origin(
+        &self,
+        id: &str,
+    ) -> Option<UpstreamOrigin> {
+        let state = self.state.lock().expect("catalog lock");
+        state.upstreams.origin(id)
+    }
+
     /// What changed in the list of upstreams after a revision.
     pub fn records_after(
         &self,
         revision: u64,
     ) -> Vec<UpstreamRecord> {
         let state = self.state.lock().expect("catalog lock");
-        let records = state.records.values();
-        records
-            .filter(|record| record.revision > revision)
-            .cloned()
-            .collect()
+        state.upstreams.records_after(revision)
     }
 
     /// Takes in a configuration if it is newer than the one in force. Code 82
@@ -150,20 +146,12 @@
         at: u64,
         from: &str,
     ) {
-        let mut state = self.state.lock().expect("catalog lock");
-        if vanish_together(&state.entries, &records) {
-            log::warn!(from = from; "most upstreams vanished at once: their leases ran out");
-            state.lapses.begin(Instant::now());
-        }
-        let changed = records
-            .into_iter()
-            .filter(|record| self.take(&mut state, record, from))
-            .count();
-        let moved = at > state.upstreams_at;
-        state.upstreams_at = state.upstreams_at.max(at);
-        let reached = state.upstreams_at;
-        drop(state);
-        if changed > 0 || moved {
+        let (is_news, reached) = {
+            let mut state = self.state.lock().expect("catalog lock");
+            let is_news = state.upstreams.take(records, at, from);
+            (is_news, state.upstreams.at())
+        };
+        if is_news {
             self.changed
                 .send_modify(|version| version.upstreams = reached);
         }
@@ -196,21 +184,21 @@
         let change = listing.change;
         let mut items = change.items;
         if listing.complete {
-            items.extend(self.missing_from(&items, change.at));
+            let state = self.state.lock().expect("catalog lock");
+            let missing = state.upstreams.missing_from(&items, change.at);
+            drop(state);
+            items.extend(missing.into_iter().map(Item::Upstream));
         }
         self.offer_items(items, change.at, from);
     }
 
     /// Takes the upstreams as gone whose entries did not come back in time.
     pub fn drop_lapsed(&self) {
-        let mut state = self.state.lock().expect("catalog lock");
-        let expired = state.lapses.take_expired(Instant::now());
-        for id in &expired {
-            state.entries.remove(id);
-            log::info!(upstream = id.as_str(); "upstream gone: its entry did not come back");
-        }
-        drop(state);
-        if !expired.is_empty() {
+        let dropped = {
+            let mut state = self.state.lock().expect("catalog lock");
+            state.upstreams.drop_lapsed()
+        };
+        if dropped {
             self.changed.send_modify(|_| {});
         }
     }
@@ -224,80 +212,4 @@
             log::error!(code = error.code.number(), from = from; "configuration refused: {error}");
         }
     }
-
-    fn missing_from(
-        &self,
-        items: &[Item],
-        at: u64,
-    ) -> Vec<Item> {
-        let listed = |id: &str| {
-            items
-                .iter()
-                .any(|item| matches!(item, Item::Upstream(record) if record.id == id))
-        };
-        let state = self.state.lock().expect("catalog lock");
-        state
-            .records
-            .values()
-            .filter(|known| known.text.is_some() && known.revision <= at && !listed(&known.id))
-            .map(|known| {
-                Item::Upstream(UpstreamRecord {
-                    id: known.id.clone(),
-                    revision: at,
-                    text: None,
-                })
-            })
-            .collect()
-    }
-
-    fn take(
-        &self,
-        state: &mut State,
-        record: &UpstreamRecord,
-        from: &str,
-    ) -> bool {
-        let known = state.records.get(&record.id);
-        if known.is_some_and(|known| known.revision >= record.revision) {
-            return false;
-        }
-        let entry = match &record.text {
-            None => None,
-            Some(text) => match (self.parse_upstream)(&record.id, text) {
-                Ok(entry) => Some(Arc::new(entry)),
-                Err(error) => {
-                    log::error!(
-                        code = error.code.number(), upstream = record.id.as_str(), from = from;
-                        "upstream entry refused: {error}"
-                    );
-                    return false;
-                }
-            },
-        };
-        let before = state.entries.get(&record.id);
-        let same = before.map(|entry| &**entry) == entry.as_deref();
-        let was_ready = before.is_some_and(|entry| entry.state == UpstreamState::Ready);
-        let is_kept =
-            entry.is_none() && was_ready && state.lapses.keeps(&record.id, Instant::now());
-        if is_kept {
-            log::info!(
-                upstream = record.id.as_str(), revision = record.revision, from = from;
-                "upstream's entry lapsed: kept for a moment"
-            );
-            state.records.insert(record.id.clone(), record.clone());
-            return false;
-        }
-        state.lapses.forget(&record.id);
-        if !same {
-            log::info!(
-                upstream = record.id.as_str(), revision = record.revision, from = from;
-                "upstream {}", entry.as_ref().map_or("gone".to_owned(), |e| format!("{:?}", e.state))
-            );
-        }
-        match entry {
-            Some(entry) => state.entries.insert(record.id.clone(), entry),
-            None => state.entries.remove(&record.id),
-        };
-        state.records.insert(record.id.clone(), record.clone());
-        !same
-    }
 }
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -12,6 +12,8 @@
 mod lapse_grace;
 mod read_duty;
 mod upstream_entry;
+mod upstream_list;
+mod upstream_origin;
 mod upstream_record;
 mod upstream_state;
 mod watch_time;
@@ -26,6 +28,8 @@
     follow_pace::FollowPace,
     read_duty::{AlwaysReads, ReadDuty},
     upstream_entry::UpstreamEntry,
+    upstream_list::ParseUpstream,
+    upstream_origin::UpstreamOrigin,
     upstream_record::UpstreamRecord,
     upstream_state::UpstreamState,
     watch_time::WatchTime,
--- /dev/null
+++ b/src/catalog/upstream_list.rs
@@ -0,0 +1,179 @@
+use {
+    super::{
+        Item, UpstreamEntry, UpstreamOrigin, UpstreamRecord, UpstreamState,
+        lapse_grace::{LapseGrace, vanish_together},
+    },
+    crate::codes::Fault,
+    std::{collections::BTreeMap, sync::Arc},
+    tokio::time::Instant,
+};
+
+/// Reads an upstream's entry by its id and text: code 82.
+pub type ParseUpstream = fn(&str, &str) -> Result<UpstreamEntry, Fault>;
+
+/// The upstreams, by the newest word on each. Higher revisions win.
+pub struct UpstreamList {
+    parse: ParseUpstream,
+    records: BTreeMap<String, ToldRecord>, // by id, those that are gone too
+    entries: BTreeMap<String, Arc<UpstreamEntry>>,
+    at: u64, // the store's revision that the list reflects, 0 is none
+    lapses: LapseGrace,
+}
+
+/// A record, and who told it.
+struct ToldRecord {
+    record: UpstreamRecord,
+    from: Arc<str>,
+}
+
+impl UpstreamList {
+    /// A list that knows nothing yet.
+    pub fn new(parse: ParseUpstream) -> Self {
+        Self {
+            parse,
+            records: BTreeMap::new(),
+            entries: BTreeMap::new(),
+            at: 0,
+            lapses: LapseGrace::default(),
+        }
+    }
+
+    /// The upstreams that are there, as far as known.
+    pub fn entries(&self) -> Vec<Arc<UpstreamEntry>> {
+        self.entries.values().cloned().collect()
+    }
+
+    /// The store's revision that the list reflects, 0 is none.
+    pub fn at(&self) -> u64 {
+        self.at
+    }
+
+    /// Who told what is known of an upstream; none if it was never heard of.
+    pub fn origin(
+        &self,
+        id: &str,
+    ) -> Option<UpstreamOrigin> {
+        let told = self.records.get(id)?;
+        Some(UpstreamOrigin {
+            revision: told.record.revision,
+            from: told.from.clone(),
+            is_lapsed: told.record.text.is_none() && self.entries.contains_key(id),
+        })
+    }
+
+    /// What changed after a revision.
+    pub fn records_after(
+        &self,
+        revision: u64,
+    ) -> Vec<UpstreamRecord> {
+        let told = self.records.values();
+        let after = told.filter(|told| told.record.revision > revision);
+        after.map(|told| told.record.clone()).collect()
+    }
+
+    /// Takes in changes that reach up to the revision `at`. Whether that is news.
+    pub fn take(
+        &mut self,
+        records: Vec<UpstreamRecord>,
+        at: u64,
+        from: &str,
+    ) -> bool {
+        if vanish_together(&self.entries, &records) {
+            log::warn!(from = from; "most upstreams vanished at once: their leases ran out");
+            self.lapses.begin(Instant::now());
+        }
+        let from: Arc<str> = from.into();
+        let changed = records
+            .into_iter()
+            .filter(|record| self.take_one(record, &from))
+            .count();
+        let moved = at > self.at;
+        self.at = self.at.max(at);
+        changed > 0 || moved
+    }
+
+    /// Records that say that what was known by the revision `at`, and is not among
+    /// these items, is gone.
+    pub fn missing_from(
+        &self,
+        items: &[Item],
+        at: u64,
+    ) -> Vec<UpstreamRecord> {
+        let is_listed = |id: &str| {
+            items
+                .iter()
+                .any(|item| matches!(item, Item::Upstream(record) if record.id == id))
+        };
+        let known = self.records.values().map(|told| &told.record);
+        known
+            .filter(|known| known.text.is_some() && known.revision <= at && !is_listed(&known.id))
+            .map(|known| UpstreamRecord {
+                id: known.id.clone(),
+                revision: at,
+                text: None,
+            })
+            .collect()
+    }
+
+    /// Takes the upstreams as gone whose entries did not come back in time. Whether
+    /// there were any.
+    pub fn drop_lapsed(&mut self) -> bool {
+        let expired = self.lapses.take_expired(Instant::now());
+        for id in &expired {
+            self.entries.remove(id);
+            log::info!(upstream = id.as_str(); "upstream gone: its entry did not come back");
+        }
+        !expired.is_empty()
+    }
+
+    fn take_one(
+        &mut self,
+        record: &UpstreamRecord,
+        from: &Arc<str>,
+    ) -> bool {
+        let known = self.records.get(&record.id);
+        if known.is_some_and(|known| known.record.revision >= record.revision) {
+            return false;
+        }
+        let entry = match &record.text {
+            None => None,
+            Some(text) => match (self.parse)(&record.id, text) {
+                Ok(entry) => Some(Arc::new(entry)),
+                Err(error) => {
+                    log::error!(
+                        code = error.code.number(), upstream = record.id.as_str(), from = &**from;
+                        "upstream entry refused: {error}"
+                    );
+                    return false;
+                }
+            },
+        };
+        let told = ToldRecord {
+            record: record.clone(),
+            from: from.clone(),
+        };
+        self.records.insert(record.id.clone(), told);
+        let before = self.entries.get(&record.id);
+        let same = before.map(|entry| &**entry) == entry.as_deref();
+        let was_ready = before.is_some_and(|entry| entry.state == UpstreamState::Ready);
+        if entry.is_none() && was_ready && self.lapses.keeps(&record.id, Instant::now()) {
+            log::info!(
+                upstream = record.id.as_str(), revision = record.revision, from = &**from;
+                "upstream's entry lapsed: kept for a moment"
+            );
+            return false;
+        }
+        self.lapses.forget(&record.id);
+        if !same {
+            log::info!(
+                upstream = record.id.as_str(), revision = record.revision, from = &**from;
+                "upstream {}", entry.as_ref().map_or("gone".to_owned(), |e| format!("{:?}", e.state))
+            );
+        }
+        match entry {
+            Some(entry) => self.entries.insert(record.id.clone(), entry),
+            None => self.entries.remove(&record.id),
+        };
+        !same
+    }
+}
--- a/src/direct/exchange_choice.rs
+++ b/src/direct/exchange_choice.rs
@@ -109,6 +109,7 @@
         let saved = u64::from(tokens.saturating_sub(reading));
         metrics::counter!(PROMPT_TOKENS, "kind" => other).increment(saved);
         let fetch_from = fetch_from.map_or_else(String::new, |address| address.to_string());
+        let origin = self.gateway.catalog.upstream_origin(replica);
         log::info!(
             request_id = self.call.request_id.as_str(),
             replica = replica,
@@ -121,6 +122,9 @@
             attempt = self.sent + self.unsent + 1,
             config = self.call.config_version,
             upstreams_at = self.gateway.catalog.version().upstreams,
+            upstream_at = origin.as_ref().map_or(0, |origin| origin.revision),
+            upstream_from = origin.as_ref().map_or("", |origin| &*origin.from),
+            upstream_lapsed = origin.as_ref().is_some_and(|origin| origin.is_lapsed),
             left_ms = self.time_left().as_millis() as u64;
             "sent"
         );
--- a/src/peers/catch_up.rs
+++ b/src/peers/catch_up.rs
@@ -75,8 +75,14 @@
     ) -> Result<(), Fault> {
         let catalog = &self.gateway.catalog;
         let connection = self.connection_to(address).await?;
-        let news = ask_news(&connection, catalog.version()).await?;
+        let ours = catalog.version();
+        let news = ask_news(&connection, ours).await?;
         let from = address.to_string();
+        log::info!(
+            from = from.as_str(), after = ours.upstreams, at = news.upstreams_at,
+            records = news.records.len();
+            "news of the upstreams taken in"
+        );
         if let Some(text) = &news.config {
             catalog.offer_config(text, &from)?;
         }
