News of the upstreams are whole for one that may know what has since gone

Cause: a router that started anew, or lost the history, has read what the store lists; it knows of no removal before that. Asked for what changed after an older revision it gave its own revision without the removals, so that the asker kept upstreams that had left for as long as it lived. Class: a delta told from a memory that does not reach back to the asker's revision.

Change: the list of upstreams knows the revision since which it has all removals; whoever asks from before it gets the whole list, and takes as gone what that lacks. It needs no clock, no bound and no new message. A reading of the store is always whole, so Listing becomes CatalogChange.

--- a/src/catalog/catalog.rs
+++ b/src/catalog/catalog.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        AcceptedConfig, ConfigOrigin, Item, Listing, ParseUpstream, UpstreamEntry, UpstreamOrigin,
-        UpstreamRecord, upstream_list::UpstreamList,
+        AcceptedConfig, CatalogChange, ConfigOrigin, Item, ParseUpstream, UpstreamEntry,
+        UpstreamNews, UpstreamOrigin, UpstreamRecord, upstream_list::UpstreamList,
     },
     crate::{codes::Fault, routing::RoutingTable},
     serde::{Deserialize, Serialize},
@@ -95,13 +95,13 @@
         state.upstreams.origin(id)
     }
 
-    /// What changed in the list of upstreams after a revision.
-    pub fn records_after(
+    /// What one that has come to a revision lacks of the list of upstreams.
+    pub fn news_after(
         &self,
         revision: u64,
-    ) -> Vec<UpstreamRecord> {
+    ) -> UpstreamNews {
         let state = self.state.lock().expect("catalog lock");
-        state.upstreams.records_after(revision)
+        state.upstreams.news_after(revision)
     }
 
     /// Takes in a configuration if it is newer than the one in force. Code 82
@@ -139,16 +139,15 @@
         Ok(true)
     }
 
-    /// Takes in changes of the list that reach up to the revision `at`.
-    pub fn offer_records(
+    /// Takes in news of the list of upstreams.
+    pub fn offer_upstreams(
         &self,
-        records: Vec<UpstreamRecord>,
-        at: u64,
+        news: UpstreamNews,
         from: &str,
     ) {
         let (is_news, reached) = {
             let mut state = self.state.lock().expect("catalog lock");
-            let is_news = state.upstreams.take(records, at, from);
+            let is_news = state.upstreams.take(news, from);
             (is_news, state.upstreams.at())
         };
         if is_news {
@@ -157,39 +156,38 @@
         }
     }
 
-    /// Takes in what a read of the store brought.
-    pub fn offer_items(
+    /// Takes in changes of the list that reach up to the revision `at`.
+    pub fn offer_records(
         &self,
-        items: Vec<Item>,
+        records: Vec<UpstreamRecord>,
         at: u64,
         from: &str,
     ) {
-        let mut records = Vec::new();
-        for item in items {
-            match item {
-                Item::Upstream(record) => records.push(record),
-                Item::Config { text } => self.offer_logged(&text, from),
-            }
-        }
-        self.offer_records(records, at, from);
+        let news = UpstreamNews {
+            records,
+            at,
+            is_whole: false,
+        };
+        self.offer_upstreams(news, from);
+    }
+
+    /// Takes in what a watch of the store brought.
+    pub fn offer_change(
+        &self,
+        change: CatalogChange,
+        from: &str,
+    ) {
+        self.offer_items(change, false, from);
     }
 
     /// Takes in a whole reading of the store: upstreams that it lacks, and that
     /// were known before it, are gone.
     pub fn offer_listing(
         &self,
-        listing: Listing,
+        listing: CatalogChange,
         from: &str,
     ) {
-        let change = listing.change;
-        let mut items = change.items;
-        if listing.complete {
-            let state = self.state.lock().expect("catalog lock");
-            let missing = state.upstreams.missing_from(&items, change.at);
-            drop(state);
-            items.extend(missing.into_iter().map(Item::Upstream));
-        }
-        self.offer_items(items, change.at, from);
+        self.offer_items(listing, true, from);
     }
 
     /// Takes the upstreams as gone whose entries did not come back in time.
@@ -203,6 +201,27 @@
         }
     }
 
+    fn offer_items(
+        &self,
+        change: CatalogChange,
+        is_whole: bool,
+        from: &str,
+    ) {
+        let mut records = Vec::new();
+        for item in change.items {
+            match item {
+                Item::Upstream(record) => records.push(record),
+                Item::Config { text } => self.offer_logged(&text, from),
+            }
+        }
+        let news = UpstreamNews {
+            records,
+            at: change.at,
+            is_whole,
+        };
+        self.offer_upstreams(news, from);
+    }
+
     fn offer_logged(
         &self,
         text: &str,
--- a/src/catalog/follow.rs
+++ b/src/catalog/follow.rs
@@ -95,7 +95,7 @@
 ) -> Result<Option<u64>, Fault> {
     let Some(after) = reached else {
         let listing = source.list().await?;
-        let at = listing.change.at;
+        let at = listing.at;
         catalog.offer_listing(listing, "store");
         return Ok(Some(at));
     };
@@ -105,6 +105,7 @@
         log::info!(after = after; "store forgot its history: reading it whole");
         return Ok(None);
     };
-    catalog.offer_items(change.items, change.at, "store");
-    Ok(Some(change.at.max(after)))
+    let at = change.at.max(after);
+    catalog.offer_change(change, "store");
+    Ok(Some(at))
 }
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -13,6 +13,7 @@
 mod read_duty;
 mod upstream_entry;
 mod upstream_list;
+mod upstream_news;
 mod upstream_origin;
 mod upstream_record;
 mod upstream_state;
@@ -22,13 +23,14 @@
     accepted_config::AcceptedConfig,
     catalog::{Catalog, CatalogVersion},
     catalog_change::{CatalogChange, Item},
-    catalog_source::{CatalogSource, Listing},
+    catalog_source::CatalogSource,
     config_origin::ConfigOrigin,
     follow::follow_source,
     follow_pace::FollowPace,
     read_duty::{AlwaysReads, ReadDuty},
     upstream_entry::UpstreamEntry,
     upstream_list::ParseUpstream,
+    upstream_news::UpstreamNews,
     upstream_origin::UpstreamOrigin,
     upstream_record::UpstreamRecord,
     upstream_state::UpstreamState,
--- a/src/catalog/upstream_list.rs
+++ b/src/catalog/upstream_list.rs
@@ -1,10 +1,13 @@
 use {
     super::{
-        Item, UpstreamEntry, UpstreamOrigin, UpstreamRecord, UpstreamState,
+        UpstreamEntry, UpstreamNews, UpstreamOrigin, UpstreamRecord, UpstreamState,
         lapse_grace::{LapseGrace, vanish_together},
     },
     crate::codes::Fault,
-    std::{collections::BTreeMap, sync::Arc},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+    },
     tokio::time::Instant,
 };
 
@@ -16,7 +19,8 @@
     parse: ParseUpstream,
     records: BTreeMap<String, ToldRecord>, // by id, those that are gone too
     entries: BTreeMap<String, Arc<UpstreamEntry>>,
-    at: u64, // the store's revision that the list reflects, 0 is none
+    at: u64,    // the store's revision that the list reflects, 0 is none
+    since: u64, // all removals behind this revision are among the records
     lapses: LapseGrace,
 }
 
@@ -34,6 +38,7 @@
             records: BTreeMap::new(),
             entries: BTreeMap::new(),
             at: 0,
+            since: 0,
             lapses: LapseGrace::default(),
         }
     }
@@ -61,23 +66,42 @@
         })
     }
 
-    /// What changed after a revision.
-    pub fn records_after(
+    /// What changed after a revision; the whole list for one that may know upstreams
+    /// whose removals were never heard of here. Without that it would take the revision
+    /// for its own and keep them: 2001 requests in 27 s went to one that was gone, of
+    /// three processes of which two had started anew.
+    pub fn news_after(
         &self,
         revision: u64,
-    ) -> Vec<UpstreamRecord> {
-        let told = self.records.values();
-        let after = told.filter(|told| told.record.revision > revision);
-        after.map(|told| told.record.clone()).collect()
+    ) -> UpstreamNews {
+        let is_whole = revision < self.since;
+        let told = self.records.values().map(|told| &told.record);
+        let lacking = told.filter(|record| match is_whole {
+            true => record.text.is_some(),
+            false => record.revision > revision,
+        });
+        UpstreamNews {
+            records: lacking.cloned().collect(),
+            at: self.at,
+            is_whole,
+        }
     }
 
-    /// Takes in changes that reach up to the revision `at`. Whether that is news.
+    /// Takes in news. Whether they were any.
     pub fn take(
         &mut self,
-        records: Vec<UpstreamRecord>,
-        at: u64,
+        news: UpstreamNews,
         from: &str,
     ) -> bool {
+        let UpstreamNews {
+            mut records,
+            at,
+            is_whole,
+        } = news;
+        if is_whole {
+            records.extend(self.missing_from(&records, at));
+            self.since = self.since.max(at);
+        }
         if vanish_together(&self.entries, &records) {
             log::warn!(from = from; "most upstreams vanished at once: their leases ran out");
             self.lapses.begin(Instant::now());
@@ -93,20 +117,18 @@
     }
 
     /// Records that say that what was known by the revision `at`, and is not among
-    /// these items, is gone.
-    pub fn missing_from(
+    /// these, is gone.
+    fn missing_from(
         &self,
-        items: &[Item],
+        listed: &[UpstreamRecord],
         at: u64,
     ) -> Vec<UpstreamRecord> {
-        let is_listed = |id: &str| {
-            items
-                .iter()
-                .any(|item| matches!(item, Item::Upstream(record) if record.id == id))
-        };
+        let listed: BTreeSet<&str> = listed.iter().map(|record| &*record.id).collect();
         let known = self.records.values().map(|told| &told.record);
         known
-            .filter(|known| known.text.is_some() && known.revision <= at && !is_listed(&known.id))
+            .filter(|known| {
+                known.text.is_some() && known.revision <= at && !listed.contains(&*known.id)
+            })
             .map(|known| UpstreamRecord {
                 id: known.id.clone(),
                 revision: at,
--- a/src/peers/catalog_news.rs
+++ b/src/peers/catalog_news.rs
@@ -1,5 +1,5 @@
 use {
-    crate::catalog::UpstreamRecord,
+    crate::catalog::UpstreamNews,
     serde::{Deserialize, Serialize},
 };
 
@@ -7,6 +7,5 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CatalogNews {
     pub config: Option<String>, // the whole text, if newer
-    pub records: Vec<UpstreamRecord>,
-    pub upstreams_at: u64, // the store's revision that the records reach up to
+    pub upstreams: UpstreamNews,
 }
--- a/src/peers/catch_up.rs
+++ b/src/peers/catch_up.rs
@@ -79,14 +79,14 @@
         let news = ask_news(&connection, ours).await?;
         let from = address.to_string();
         log::info!(
-            from = from.as_str(), after = ours.upstreams, at = news.upstreams_at,
-            records = news.records.len();
+            from = from.as_str(), after = ours.upstreams, at = news.upstreams.at,
+            records = news.upstreams.records.len(), whole = news.upstreams.is_whole;
             "news of the upstreams taken in"
         );
         if let Some(text) = &news.config {
             catalog.offer_config(text, &from)?;
         }
-        catalog.offer_records(news.records, news.upstreams_at, &from);
+        catalog.offer_upstreams(news.upstreams, &from);
         Ok(())
     }
 }
--- a/src/peers/news_port.rs
+++ b/src/peers/news_port.rs
@@ -51,8 +51,7 @@
         .filter(|_| ours.config > theirs.config);
     let news = CatalogNews {
         config: text.map(|text| text.to_string()),
-        records: catalog.records_after(theirs.upstreams),
-        upstreams_at: ours.upstreams,
+        upstreams: catalog.news_after(theirs.upstreams),
     };
     let Ok(frame) = encode_frame(&news) else {
         return;
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -1,7 +1,7 @@
 use {
     super::store_json::{CONFIG_KEY, ItemJson, KeyJson, REPLICA_PREFIX, RangeJson, WatchJson},
     crate::{
-        catalog::{CatalogChange, CatalogSource, Item, Listing},
+        catalog::{CatalogChange, CatalogSource, Item},
         codes::{Fault, ResultCode},
         ops::PLATFORM_CALLS,
     },
@@ -70,7 +70,7 @@
 }
 
 impl CatalogSource for StoreClient {
-    async fn list(&self) -> Result<Listing, Fault> {
+    async fn list(&self) -> Result<CatalogChange, Fault> {
         let mut items: Vec<Item> = Vec::new();
         let mut at = None;
         let mut after = String::new();
@@ -96,13 +96,9 @@
                 .transpose()?
                 .flatten(),
         );
-        let change = CatalogChange {
+        Ok(CatalogChange {
             items,
             at: at.unwrap_or_default(),
-        };
-        Ok(Listing {
-            change,
-            complete: true,
         })
     }
 
--- a/tests/catalog.rs
+++ b/tests/catalog.rs
@@ -4,8 +4,8 @@
 use {
     archmast::{
         catalog::{
-            AlwaysReads, Catalog, CatalogChange, CatalogSource, FollowPace, Item, Listing,
-            ReadDuty, UpstreamRecord, UpstreamState, follow_source,
+            AlwaysReads, Catalog, CatalogChange, CatalogSource, FollowPace, Item, ReadDuty,
+            UpstreamRecord, UpstreamState, follow_source,
         },
         codes::{Fault, ResultCode},
         platform::{parse_config, parse_replica},
@@ -88,12 +88,9 @@
     let ready = || Some(entry("ready", 1));
     let known = vec![record("a", 3, ready()), record("b", 12, ready())];
     catalog.offer_records(known, 12, "peer");
-    let listing = Listing {
-        change: CatalogChange {
-            items: vec![Item::Upstream(record("c", 9, ready()))],
-            at: 10,
-        },
-        complete: true,
+    let listing = CatalogChange {
+        items: vec![Item::Upstream(record("c", 9, ready()))],
+        at: 10,
     };
     catalog.offer_listing(listing, "store");
     assert_eq!(ids(&catalog), ["b", "c"]);
@@ -139,8 +136,13 @@
         record("c", 7, Some(entry("draining", 2))),
     ];
     catalog.offer_records(known, 7, "store");
-    let told: Vec<_> = catalog.records_after(3);
-    let ids: Vec<_> = told.iter().map(|record| record.id.as_str()).collect();
+    let told = catalog.news_after(3);
+    assert_eq!((told.at, told.is_whole), (7, false));
+    let ids: Vec<_> = told
+        .records
+        .iter()
+        .map(|record| record.id.as_str())
+        .collect();
     assert_eq!(ids, ["b", "c"]);
     let states: Vec<_> = catalog
         .upstreams()
@@ -170,13 +172,13 @@
 
 /// A store that answers from a script, then with nothing new for ever.
 struct ScriptedStore {
-    lists: Mutex<VecDeque<Result<Listing, Fault>>>,
+    lists: Mutex<VecDeque<Result<CatalogChange, Fault>>>,
     watches: Mutex<VecDeque<Result<Option<CatalogChange>, Fault>>>,
     asked: Mutex<Vec<String>>,
 }
 
 impl CatalogSource for ScriptedStore {
-    async fn list(&self) -> Result<Listing, Fault> {
+    async fn list(&self) -> Result<CatalogChange, Fault> {
         self.asked.lock().expect("lock").push("list".to_owned());
         let next = self.lists.lock().expect("lock").pop_front();
         match next {
@@ -205,14 +207,11 @@
 fn listing(
     version: u64,
     at: u64,
-) -> Listing {
+) -> CatalogChange {
     let text = config(version);
-    Listing {
-        change: CatalogChange {
-            items: vec![Item::Config { text }],
-            at,
-        },
-        complete: true,
+    CatalogChange {
+        items: vec![Item::Config { text }],
+        at,
     }
 }
 
--- a/tests/silent_store.rs
+++ b/tests/silent_store.rs
@@ -14,8 +14,7 @@
 use {
     archmast::{
         catalog::{
-            AlwaysReads, Catalog, CatalogChange, CatalogSource, FollowPace, Item, Listing,
-            follow_source,
+            AlwaysReads, Catalog, CatalogChange, CatalogSource, FollowPace, Item, follow_source,
         },
         codes::{Fault, ResultCode},
         conf::{DirectSettings, IniDocument},
@@ -111,13 +110,8 @@
 }
 
 impl CatalogSource for SilencedStore {
-    async fn list(&self) -> Result<Listing, Fault> {
-        let listing = async {
-            Listing {
-                change: self.change(),
-                complete: true,
-            }
-        };
+    async fn list(&self) -> Result<CatalogChange, Fault> {
+        let listing = async { self.change() };
         self.answer(Duration::ZERO, listing).await
     }
 
