What was written before the last whole reading, and is unknown since, has gone

Cause: an answer that another router gave before it heard of a removal may come after a whole reading of the store that no longer lists the upstream. The reading leaves no word of the removal where the upstream was never heard of, so that the answer brought it back.

Change: such a record is older than the reading, which would have listed it: it is ignored.

Ruled out: taking whole answers only (answers of changes cross as well).

--- a/src/catalog/upstream_list.rs
+++ b/src/catalog/upstream_list.rs
@@ -100,7 +100,6 @@
         } = news;
         if is_whole {
             records.extend(self.missing_from(&records, at));
-            self.since = self.since.max(at);
         }
         if vanish_together(&self.entries, &records) {
             log::warn!(from = from; "most upstreams vanished at once: their leases ran out");
@@ -113,6 +112,9 @@
             .count();
         let moved = at > self.at;
         self.at = self.at.max(at);
+        if is_whole {
+            self.since = self.since.max(at);
+        }
         changed > 0 || moved
     }
 
@@ -153,8 +155,12 @@
         record: &UpstreamRecord,
         from: &Arc<str>,
     ) -> bool {
+        // What was never heard of, and was written before the last whole reading, had gone
+        // by then: an answer that was given before it, and came after it, would list it for
+        // as long as the process lives.
         let known = self.records.get(&record.id);
-        if known.is_some_and(|known| known.record.revision >= record.revision) {
+        let reached = known.map_or(self.since, |known| known.record.revision);
+        if record.revision <= reached {
             return false;
         }
         let entry = match &record.text {
