Soak: a fleet from a file, replicas replaced in series, each late request found

Movements: series of replicas that leave, most of them without a word before, while a part of the routers is killed and starts again.

Each request that reaches a leaving replica is held against the store's word on its own; it is excused only by trouble of the router that sent it, or of the store. The check before counted at two moments and left a replica out when anything hid the store from anyone; so the test of it is replaced by a stricter one. Excused requests are counted and printed; a run in which the harness is late by a tenth of the bound is not valid.

--- a/testbed/src/command/main.rs
+++ b/testbed/src/command/main.rs
@@ -22,7 +22,8 @@
   control    control bytes by kind, idle and backlogged
   revision   time until a change of configuration is in force everywhere
   costs      microseconds of a choice, a standing, a report and a request (--requests)
-  soak       faults at random times; what breaks a promise (--seed, --seeds, --minutes)
+  soak       faults at random times; what breaks a promise (--seed, --seeds, --minutes,
+             --fleet)
   zone-loss  what the death of an availability zone does to requests";
 
 /// The exit code for a wrong command line, as the product has it.
@@ -105,6 +106,7 @@
             "where logs of broken runs are written (soak)",
             "FILE",
         )
+        .optopt("", "fleet", "the fleet, as testbed/fleets (soak)", "FILE")
         .optflag("j", "json", "print JSON")
         .optflag("h", "help", "print this text");
     options
--- a/testbed/src/command/soak.rs
+++ b/testbed/src/command/soak.rs
@@ -1,11 +1,11 @@
 use {
     super::main::number,
-    crate::soak::{SoakResult, soak},
+    crate::soak::{SoakFleet, SoakResult, soak},
     getopts::Matches,
     std::{fs, path::Path, process::ExitCode, time::Duration},
 };
 
-/// The exit code when a promise was broken.
+/// The exit code when a promise was broken, or a run proved nothing.
 const BROKEN: u8 = 1;
 
 /// Runs the fault soak for some seeds, one after the other, each for its part of
@@ -15,11 +15,21 @@
     let seeds = number(matches, "seeds", 1).max(1);
     let seconds = number(matches, "minutes", 1) * 60;
     let length = Duration::from_secs(seconds) / seeds as u32;
+    let fleet = match matches.opt_str("fleet") {
+        None => SoakFleet::default(),
+        Some(path) => match SoakFleet::read(&path) {
+            Ok(fleet) => fleet,
+            Err(error) => {
+                eprintln!("{error}");
+                return ExitCode::from(error.code.number() as u8);
+            }
+        },
+    };
     let mut exit = ExitCode::SUCCESS;
     for seed in first..first + seeds {
-        let result = soak(seed, length).await;
+        let result = soak(seed, length, &fleet).await;
         println!("{}", result.summary());
-        if !result.broken.is_empty() {
+        if !result.broken.is_empty() || !result.valid {
             exit = ExitCode::from(BROKEN);
             tell(&result, matches.opt_str("out").as_deref());
         }
--- a/testbed/src/direct/direct_fleet.rs
+++ b/testbed/src/direct/direct_fleet.rs
@@ -19,6 +19,17 @@
     _folder: Folder,
 }
 
+/// Routers that are named as seeds to all.
+const SEEDS: usize = 3;
+
+/// The name of a zone by its number.
+pub fn zone_name(number: usize) -> String {
+    match number {
+        0 => "z".to_owned(),
+        _ => format!("z-{number}"),
+    }
+}
+
 /// A folder of a test's own, removed with it.
 struct Folder(PathBuf);
 
@@ -31,21 +42,36 @@
 }
 
 impl DirectFleet {
-    /// Starts this many routers before a store that is empty yet. `callers` goes
-    /// into that section of their settings.
+    /// Starts this many routers of one zone before a store that is empty yet.
+    /// `callers` goes into that section of their settings.
     pub async fn start(
         count: usize,
         callers_text: &str,
     ) -> Self {
+        Self::start_in_zones(&[count], callers_text).await
+    }
+
+    /// The same with so many routers in each zone.
+    pub async fn start_in_zones(
+        counts: &[usize],
+        callers_text: &str,
+    ) -> Self {
+        let zones: Vec<usize> = counts
+            .iter()
+            .enumerate()
+            .flat_map(|(zone, count)| std::iter::repeat_n(zone, *count))
+            .collect();
         let loopback = Loopback::new();
         let name = format!("archmast-direct-{:016x}", rand::random::<u64>());
         let folder = Folder(std::env::temp_dir().join(name));
         std::fs::create_dir_all(&folder.0).expect("a folder for settings");
         let store = Store::default();
-        let peers: Vec<SocketAddr> = (0..count)
+        let peers: Vec<SocketAddr> = zones
+            .iter()
             .map(|_| loopback.free_udp().expect("a free port"))
             .collect();
-        let seeds: Vec<String> = peers.iter().map(SocketAddr::to_string).collect();
+        let seeds = peers.iter().take(SEEDS).map(SocketAddr::to_string);
+        let seeds: Vec<String> = seeds.collect();
         let mut fleet = Self {
             store: store.clone(),
             ports: Vec::new(),
@@ -62,10 +88,11 @@
             let (callers, ready, operator) = (free(), free(), free());
             let news = fleet.loopback.free_udp().expect("a free port");
             let text = format!(
-                "[process]\nhost = router-{index}\nzone = z\n[callers]\nlisten = {callers}\n{callers_text}\
+                "[process]\nhost = router-{index}\nzone = {}\n[callers]\nlisten = {callers}\n{callers_text}\
                  [ready]\nlisten = {ready}\npath = /v1/ready\n[operator]\nlisten = {operator}\n\
                  [peers]\nlisten = {peer}\nnews = {news}\nseeds = {}\n[catalog]\naddress = {}\npause = 20 ms\n\
                  retry_pause = 50 ms\n[stop]\ngrace = 20 s\nbalancer_lag = 300 ms\n",
+                zone_name(zones[index]),
                 seeds.join(","),
                 port.address
             );
--- a/testbed/src/direct/mod.rs
+++ b/testbed/src/direct/mod.rs
@@ -14,7 +14,7 @@
 pub use {
     client::{Client, ClientRequest},
     client_answer::ClientAnswer,
-    direct_fleet::DirectFleet,
+    direct_fleet::{DirectFleet, zone_name},
     replica::{Replica, event},
     replica_answer::ReplicaAnswer,
     seen_request::SeenRequest,
--- a/testbed/src/direct/replica.rs
+++ b/testbed/src/direct/replica.rs
@@ -9,7 +9,7 @@
             Arc, Mutex,
             atomic::{AtomicUsize, Ordering},
         },
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -354,5 +354,6 @@
         target: target.to_owned(),
         headers,
         body: rest.drain(..length).collect(),
+        arrived: Instant::now(),
     }))
 }
--- a/testbed/src/direct/seen_request.rs
+++ b/testbed/src/direct/seen_request.rs
@@ -1,4 +1,4 @@
-use std::collections::HashMap;
+use std::{collections::HashMap, time::Instant};
 
 /// A request as a replica got it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -7,6 +7,7 @@
     pub target: String,                   // path and query
     pub headers: HashMap<String, String>, // names in lower case
     pub body: Vec<u8>,
+    pub arrived: Instant, // whole
 }
 
 impl SeenRequest {
--- a/testbed/src/direct/store.rs
+++ b/testbed/src/direct/store.rs
@@ -133,16 +133,28 @@
         self.put("op/config", &config);
     }
 
-    /// Lists a replica.
+    /// Lists a replica of the zone `z`.
     pub fn list(
         &self,
         id: &str,
         service: &str,
         address: SocketAddr,
         state: &str,
+    ) {
+        self.list_in("z", id, service, address, state);
+    }
+
+    /// Lists a replica.
+    pub fn list_in(
+        &self,
+        zone: &str,
+        id: &str,
+        service: &str,
+        address: SocketAddr,
+        state: &str,
     ) {
         let entry = json!({
-            "service": service, "address": address, "zone": "z", "version": "v1",
+            "service": service, "address": address, "zone": zone, "version": "v1",
             "slots": 8, "state": state, "cold_remaining_ms": 0, "sequence": 1,
         });
         self.put(&format!("servers/{id}"), &entry);
--- a/testbed/src/soak/callers.rs
+++ b/testbed/src/soak/callers.rs
@@ -10,9 +10,6 @@
     tokio::{sync::watch, task::JoinSet, time::timeout},
 };
 
-/// Callers of each router.
-const PER_ROUTER: usize = 4;
-
 /// How long a caller says that it waits, and how long it does.
 const PATIENCE_MS: &str = "4000";
 const GIVES_UP: Duration = Duration::from_secs(8);
@@ -28,15 +25,16 @@
 }
 
 impl Callers {
-    /// Starts some for each router.
+    /// Starts so many for each router.
     pub fn start(
         seed: u64,
         routers: &[SocketAddr],
+        each: usize,
     ) -> Self {
         let attempts = Arc::new(Mutex::new(Vec::new()));
         let stop = watch::Sender::new(false);
         let mut tasks = JoinSet::new();
-        for number in 0..routers.len() * PER_ROUTER {
+        for number in 0..routers.len() * each {
             let router = number % routers.len();
             let caller = Caller {
                 number,
--- a/testbed/src/soak/checks.rs
+++ b/testbed/src/soak/checks.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         attempt::{Attempt, Kind},
+        drain_check::late_arrivals,
         fault_span::FaultSpan,
         record::Record,
         replica_slot::{EVENTS, PLAIN_BODY},
@@ -29,7 +30,7 @@
         .flat_map(|attempt| broken_by(record, attempt))
         .collect();
     broken.extend(unasked(record));
-    broken.extend(drained(record));
+    broken.extend(late_arrivals(record).late);
     broken.extend(outdated(record));
     broken.extend(
         record
@@ -150,18 +151,3 @@
     }
     outdated
 }
-
-fn drained(record: &Record) -> Vec<String> {
-    let due = record.drains.iter().filter(|drain| {
-        let mut spans = record.spans.iter();
-        !spans.any(|span| {
-            span.fault.hides_the_store() && span.touches(drain.span.began, drain.span.ended)
-        })
-    });
-    due.filter(|drain| drain.at_the_end > drain.when_due)
-        .map(|drain| {
-            let more = drain.at_the_end - drain.when_due;
-            format!("drain: {} got {more} requests late", drain.replica)
-        })
-        .collect()
-}
--- a/testbed/src/soak/fault.rs
+++ b/testbed/src/soak/fault.rs
@@ -7,6 +7,8 @@
     KillRouter(usize),
     /// All of them at the same moment.
     KillAllRouters,
+    /// So many of them at the same moment, from the first on.
+    KillRouters { first: usize, count: usize },
     /// A planned stop, and a new start.
     StopRouter(usize),
     /// A router is paused and wakes.
@@ -23,6 +25,8 @@
     Publish,
     /// A replica says that it leaves, serves on, and is replaced.
     DrainReplica(usize),
+    /// A replica's entry goes without a word before; it serves on, and is replaced.
+    UnlistReplica(usize),
     /// A replica is gone without a word, and another takes its place.
     CrashReplica(usize),
     /// A replica runs its next requests, and loses or spoils their answers.
@@ -48,7 +52,11 @@
     pub fn is_planned(&self) -> bool {
         matches!(
             self,
-            Self::StopRouter(_) | Self::HangUpRouter(_) | Self::Publish | Self::DrainReplica(_)
+            Self::StopRouter(_)
+                | Self::HangUpRouter(_)
+                | Self::Publish
+                | Self::DrainReplica(_)
+                | Self::UnlistReplica(_)
         )
     }
 
@@ -64,24 +72,9 @@
             | Self::FreezeRouter(hit)
             | Self::StoreTrouble(hit, _)
             | Self::SilenceStore(hit) => *hit == router,
+            Self::KillRouters { first, count } => (*first..first + count).contains(&router),
             Self::KillAllRouters | Self::StoreDown(_) | Self::SilenceAllStores => true,
             _ => false,
         }
     }
-
-    /// Whether routers may learn late what the store says.
-    pub fn hides_the_store(&self) -> bool {
-        !matches!(
-            self,
-            Self::HangUpRouter(_)
-                | Self::Publish
-                | Self::DrainReplica(_)
-                | Self::SpoilAnswers(_)
-                | Self::SlowLink(_)
-                | Self::CutLink(_)
-                | Self::ResetLink(_)
-                | Self::SilenceReplica(_)
-                | Self::SilenceCallers(_)
-        )
-    }
 }
--- a/testbed/src/soak/inflict.rs
+++ b/testbed/src/soak/inflict.rs
@@ -5,20 +5,20 @@
         fault::Fault,
         fault_span::FaultSpan,
         record::DrainSeen,
+        replica_slot::ReplicaSlot,
         schedule::PlannedFault,
         world::{LOOK, World},
     },
-    crate::direct::StoreMode,
+    crate::direct::{Store, StoreMode},
     std::{
+        ops::Range,
         sync::Arc,
         time::{Duration, Instant},
     },
     tokio::time::sleep,
 };
 
-/// After this long a leaving replica must get nothing new, and it serves on for
-/// a while.
-const DRAIN_TIME: Duration = Duration::from_secs(3);
+/// So much longer than it must get nothing new a leaving replica serves on.
 const SERVES_ON: Duration = Duration::from_millis(1500);
 
 /// What a slow link adds, one way.
@@ -34,8 +34,9 @@
         let lasts = planned.lasts;
         let mut published = None;
         let began = match fault {
-            Fault::KillRouter(router) => self.kill(&[router], lasts).await,
-            Fault::KillAllRouters => self.kill(&[0, 1, 2], lasts).await,
+            Fault::KillRouter(router) => self.kill(router..router + 1, lasts).await,
+            Fault::KillAllRouters => self.kill(0..self.routers.len(), lasts).await,
+            Fault::KillRouters { first, count } => self.kill(first..first + count, lasts).await,
             Fault::StopRouter(router) => self.stop(router).await,
             Fault::FreezeRouter(router) => self.freeze(router, lasts).await,
             Fault::HangUpRouter(router) => {
@@ -43,8 +44,10 @@
                 process.hang_up();
                 Instant::now()
             }
-            Fault::StoreTrouble(router, mode) => self.trouble(&[router], mode, lasts).await,
-            Fault::StoreDown(mode) => self.trouble(&[0, 1, 2], mode, lasts).await,
+            Fault::StoreTrouble(router, mode) => {
+                self.trouble(router..router + 1, mode, lasts).await
+            }
+            Fault::StoreDown(mode) => self.trouble(0..self.routers.len(), mode, lasts).await,
             Fault::ForgetHistory => {
                 self.store.forget_history();
                 Instant::now()
@@ -53,7 +56,8 @@
                 published = Some(self.publish());
                 Instant::now()
             }
-            Fault::DrainReplica(slot) => self.drain(slot).await,
+            Fault::DrainReplica(slot) => self.leave(slot, ReplicaSlot::drain).await,
+            Fault::UnlistReplica(slot) => self.leave(slot, ReplicaSlot::unlist).await,
             Fault::CrashReplica(slot) => self.crash(slot, lasts).await,
             Fault::SpoilAnswers(slot) => self.spoil(slot, lasts).await,
             Fault::SlowLink(slot) => self.slow(slot, lasts).await,
@@ -63,8 +67,8 @@
                 slot.proxy.cut_connections();
                 Instant::now()
             }
-            Fault::SilenceStore(router) => self.silence_stores(&[router]),
-            Fault::SilenceAllStores => self.silence_stores(&[0, 1, 2]),
+            Fault::SilenceStore(router) => self.silence_stores(router..router + 1),
+            Fault::SilenceAllStores => self.silence_stores(0..self.routers.len()),
             Fault::SilenceReplica(slot) => {
                 let slot = self.slots[slot].lock().await;
                 slot.proxy.silence_connections();
@@ -88,22 +92,22 @@
 
     fn silence_stores(
         &self,
-        routers: &[usize],
+        routers: Range<usize>,
     ) -> Instant {
         for router in routers {
-            self.ports[*router].proxy.silence_connections();
+            self.ports[router].proxy.silence_connections();
         }
         Instant::now()
     }
 
     async fn kill(
         &self,
-        routers: &[usize],
+        routers: Range<usize>,
         lasts: Duration,
     ) -> Instant {
         let mut held = Vec::new();
         for router in routers {
-            held.push(self.routers[*router].lock().await);
+            held.push(self.routers[router].lock().await);
         }
         let began = Instant::now();
         for process in &mut held {
@@ -145,40 +149,36 @@
 
     async fn trouble(
         &self,
-        routers: &[usize],
+        routers: Range<usize>,
         mode: StoreMode,
         lasts: Duration,
     ) -> Instant {
         let began = Instant::now();
-        for router in routers {
-            self.ports[*router].set(mode);
+        for router in routers.clone() {
+            self.ports[router].set(mode);
         }
         sleep(lasts).await;
         for router in routers {
-            self.ports[*router].set(StoreMode::Well);
+            self.ports[router].set(StoreMode::Well);
         }
         began
     }
 
-    async fn drain(
+    /// A replica leaves, with or without a word before, and serves on for a while.
+    async fn leave(
         &self,
         slot: usize,
+        say: fn(&ReplicaSlot, &Store),
     ) -> Instant {
         let mut slot = self.slots[slot].lock().await;
         let began = Instant::now();
-        slot.drain(&self.store);
-        sleep(DRAIN_TIME).await;
-        let when_due = slot.replica.seen().len();
-        sleep(SERVES_ON).await;
+        say(&slot, &self.store);
+        let confirmed = Instant::now();
+        sleep(self.fleet.drain + SERVES_ON).await;
         let drain = DrainSeen {
             replica: slot.replica.id.clone(),
-            span: FaultSpan {
-                fault: Fault::Publish,
-                began,
-                ended: Instant::now(),
-            },
-            when_due,
-            at_the_end: slot.replica.seen().len(),
+            confirmed,
+            arrivals: slot.arrivals_after(confirmed),
         };
         self.record.lock().expect("record lock").drains.push(drain);
         slot.unlist(&self.store);
--- a/testbed/src/soak/mod.rs
+++ b/testbed/src/soak/mod.rs
@@ -5,24 +5,31 @@
 mod attempt;
 mod callers;
 mod checks;
+mod drain_check;
 mod fault;
 mod fault_span;
 mod inflict;
+mod lateness;
+mod movements;
 mod record;
 mod replica_slot;
 mod schedule;
 mod soak;
+mod soak_fleet;
 mod soak_result;
 mod world;
 
 pub use {
     attempt::{Attempt, Kind},
     checks::broken,
+    drain_check::{LateArrivals, late_arrivals},
     fault::Fault,
     fault_span::FaultSpan,
-    record::{ChangeSeen, DrainSeen, Record},
+    movements::movements,
+    record::{Arrival, ChangeSeen, DrainSeen, Record},
     replica_slot::{EVENTS, PLAIN_BODY},
     schedule::{PlannedFault, schedule, silences},
     soak::soak,
+    soak_fleet::SoakFleet,
     soak_result::SoakResult,
 };
--- a/testbed/src/soak/record.rs
+++ b/testbed/src/soak/record.rs
@@ -1,15 +1,24 @@
 use {
-    super::{attempt::Attempt, fault_span::FaultSpan},
-    std::{collections::HashMap, time::Instant},
+    super::{attempt::Attempt, fault_span::FaultSpan, soak_fleet::SoakFleet},
+    std::{
+        collections::HashMap,
+        time::{Duration, Instant},
+    },
 };
 
-/// A replica that was told to leave, and what it got afterwards.
+/// A replica that leaves, and what it got afterwards.
 #[derive(Debug, Clone)]
 pub struct DrainSeen {
     pub replica: String,
-    pub span: FaultSpan,   // from the word to the check
-    pub when_due: usize,   // requests seen when new ones had to end
-    pub at_the_end: usize, // and when it was gone
+    pub confirmed: Instant,     // by the store
+    pub arrivals: Vec<Arrival>, // since then, until it was gone
+}
+
+/// A request that reached a replica.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    pub id: String,
+    pub at: Instant,
 }
 
 /// A configuration that the store confirmed, and when a router served it.
@@ -24,10 +33,12 @@
 /// What callers and replicas saw, and what was done to the fleet.
 #[derive(Debug, Default)]
 pub struct Record {
+    pub fleet: SoakFleet,
     pub attempts: Vec<Attempt>,
     pub spans: Vec<FaultSpan>,
     pub drains: Vec<DrainSeen>,
     pub changes: Vec<ChangeSeen>,
     pub runs: HashMap<String, Vec<&'static str>>, // the services that ran a request, by its id
     pub unserved: Vec<String>,                    // what did not work when all was well again
+    pub lateness: Duration,                       // of the harness itself, at most
 }
--- a/testbed/src/soak/replica_slot.rs
+++ b/testbed/src/soak/replica_slot.rs
@@ -1,9 +1,13 @@
 use {
+    super::record::Arrival,
     crate::{
         direct::{Replica, ReplicaAnswer, Store},
         proxy::TcpProxy,
     },
-    std::{net::IpAddr, time::Duration},
+    std::{
+        net::IpAddr,
+        time::{Duration, Instant},
+    },
 };
 
 /// Events of a whole stream.
@@ -23,6 +27,7 @@
     pub service: &'static str,
     pub replica: Replica,
     pub proxy: TcpProxy,
+    zone: String,
     number: usize,
     lives: usize,
     ip: IpAddr,
@@ -33,19 +38,46 @@
     pub async fn start(
         number: usize,
         service: &'static str,
+        zone: String,
         ip: IpAddr,
         store: &Store,
     ) -> Self {
         let (replica, proxy) = start_replica(number, 0, service, ip).await;
-        store.list(&replica.id, service, proxy.address, "ready");
-        Self {
+        let slot = Self {
             service,
             replica,
             proxy,
+            zone,
             number,
             lives: 1,
             ip,
-        }
+        };
+        slot.list(store, "ready");
+        slot
+    }
+
+    fn list(
+        &self,
+        store: &Store,
+        state: &str,
+    ) {
+        let address = self.proxy.address;
+        store.list_in(&self.zone, &self.replica.id, self.service, address, state);
+    }
+
+    /// What reached the present replica after a moment.
+    pub fn arrivals_after(
+        &self,
+        moment: Instant,
+    ) -> Vec<Arrival> {
+        let seen = self.replica.seen().into_iter();
+        let after = seen.filter(|request| request.arrived > moment);
+        after
+            .map(|request| Arrival {
+                id: request.id().to_owned(),
+                at: request.arrived,
+            })
+            .collect()
     }
 
     /// Lists the present replica as leaving.
@@ -53,12 +85,7 @@
         &self,
         store: &Store,
     ) {
-        store.list(
-            &self.replica.id,
-            self.service,
-            self.proxy.address,
-            "draining",
-        );
+        self.list(store, "draining");
     }
 
     /// Takes the present replica off the list.
@@ -97,9 +124,10 @@
     ) -> Replica {
         let (replica, proxy) = start_replica(self.number, self.lives, self.service, self.ip).await;
         self.lives += 1;
-        store.list(&replica.id, self.service, proxy.address, "ready");
         self.proxy = proxy;
-        std::mem::replace(&mut self.replica, replica)
+        let gone = std::mem::replace(&mut self.replica, replica);
+        self.list(store, "ready");
+        gone
     }
 }
 
--- a/testbed/src/soak/schedule.rs
+++ b/testbed/src/soak/schedule.rs
@@ -2,17 +2,17 @@
     super::fault::Fault,
     crate::direct::StoreMode,
     rand::{Rng, SeedableRng, rngs::StdRng},
-    std::time::Duration,
+    std::{ops::Range, time::Duration},
 };
 
 /// Between the beginnings of two faults, in milliseconds.
-const GAP_MS: std::ops::Range<u64> = 300..2500;
+const GAP_MS: Range<u64> = 300..2500;
 
 /// How long a fault lasts, in milliseconds.
-const LENGTH_MS: std::ops::Range<u64> = 100..2500;
+const LENGTH_MS: Range<u64> = 100..2500;
 
 /// Between two silences, in milliseconds.
-const SILENCE_GAP_MS: std::ops::Range<u64> = 500..6000;
+const SILENCE_GAP_MS: Range<u64> = 500..6000;
 
 /// Sets the draw of silences apart from that of the other faults.
 const SILENCES: u64 = 0x51_1e_ce;
@@ -32,21 +32,11 @@
     routers: usize,
     replicas: usize,
 ) -> Vec<PlannedFault> {
-    let mut random = StdRng::seed_from_u64(seed);
-    let mut faults = Vec::new();
-    let mut at = Duration::ZERO;
-    loop {
-        let after = Duration::from_millis(random.random_range(GAP_MS));
-        at += after;
-        if at >= length {
-            return faults;
-        }
-        faults.push(PlannedFault {
-            after,
-            lasts: Duration::from_millis(random.random_range(LENGTH_MS)),
-            fault: draw(&mut random, routers, replicas),
-        });
-    }
+    let random = StdRng::seed_from_u64(seed);
+    planned(random, GAP_MS, length, |random| {
+        let lasts = Duration::from_millis(random.random_range(LENGTH_MS));
+        (lasts, draw(random, routers, replicas))
+    })
 }
 
 /// Silences that come beside the other faults, the same for the same seed. They are
@@ -57,15 +47,8 @@
     routers: usize,
     replicas: usize,
 ) -> Vec<PlannedFault> {
-    let mut random = StdRng::seed_from_u64(seed ^ SILENCES);
-    let mut faults = Vec::new();
-    let mut at = Duration::ZERO;
-    loop {
-        let after = Duration::from_millis(random.random_range(SILENCE_GAP_MS));
-        at += after;
-        if at >= length {
-            return faults;
-        }
+    let random = StdRng::seed_from_u64(seed ^ SILENCES);
+    planned(random, SILENCE_GAP_MS, length, |random| {
         let router = random.random_range(0..routers);
         let fault = match random.random_range(0..5) {
             0 => Fault::SilenceStore(router),
@@ -73,9 +56,30 @@
             3 => Fault::SilenceReplica(random.random_range(0..replicas)),
             _ => Fault::SilenceCallers(router),
         };
+        (Duration::ZERO, fault)
+    })
+}
+
+/// Draws how long after the one before a fault begins, then the fault and how long it
+/// lasts, until `length` is over.
+fn planned(
+    mut random: StdRng,
+    gap_ms: Range<u64>,
+    length: Duration,
+    mut draw: impl FnMut(&mut StdRng) -> (Duration, Fault),
+) -> Vec<PlannedFault> {
+    let mut faults = Vec::new();
+    let mut at = Duration::ZERO;
+    loop {
+        let after = Duration::from_millis(random.random_range(gap_ms.clone()));
+        at += after;
+        if at >= length {
+            return faults;
+        }
+        let (lasts, fault) = draw(&mut random);
         faults.push(PlannedFault {
             after,
-            lasts: Duration::ZERO,
+            lasts,
             fault,
         });
     }
--- a/testbed/src/soak/soak.rs
+++ b/testbed/src/soak/soak.rs
@@ -2,40 +2,59 @@
     super::{
         attempt::Kind,
         callers::Callers,
+        lateness::Lateness,
+        movements::movements,
         schedule::{PlannedFault, schedule, silences},
+        soak_fleet::SoakFleet,
         soak_result::SoakResult,
-        world::{ROUTERS, SERVICES, World},
+        world::World,
     },
     crate::direct::DirectFleet,
     std::{sync::Arc, time::Duration},
     tokio::{task::JoinSet, time::sleep},
 };
 
-/// Runs the fleet for `length` under the faults that a seed draws.
+/// Runs a fleet for `length` under what a seed draws.
 pub async fn soak(
     seed: u64,
     length: Duration,
+    plan: &SoakFleet,
 ) -> SoakResult {
-    let mut fleet = DirectFleet::start(ROUTERS, "").await;
-    let world = Arc::new(World::start(&mut fleet).await);
+    let (routers, replicas) = (plan.routers(), plan.services().len());
+    let mut fleet = DirectFleet::start_in_zones(&vec![plan.per_zone; plan.zones], "").await;
+    let world = Arc::new(World::start(plan.clone(), &mut fleet).await);
     world.publish();
     fleet.all_ready().await;
-    for router in 0..ROUTERS {
+    for router in 0..routers {
         fleet.serves(router, Kind::Events.path(), 200).await;
     }
-    let callers = Callers::start(seed, &world.caller_addresses());
-    let planned = schedule(seed, length, ROUTERS, SERVICES.len());
-    let silent = silences(seed, length, ROUTERS, SERVICES.len());
-    tokio::join!(play(&world, planned), play(&world, silent));
+    let callers = Callers::start(seed, &world.caller_addresses(), plan.callers);
+    let lateness = Lateness::start();
+    let mut work = JoinSet::new();
+    let mut begin = |planned: Vec<PlannedFault>| work.spawn(play(world.clone(), planned));
+    if plan.faults {
+        begin(schedule(seed, length, routers, replicas));
+    }
+    if plan.silences {
+        begin(silences(seed, length, routers, replicas));
+    }
+    if plan.movements {
+        begin(movements(seed, length, routers, replicas));
+    }
+    work.join_all().await;
     world.recover().await;
     let attempts = callers.end().await;
-    world.record.lock().expect("record lock").attempts = attempts;
+    {
+        let mut record = world.record.lock().expect("record lock");
+        record.attempts = attempts;
+        record.lateness = lateness.end();
+    }
     world.result(seed).await
 }
 
 /// Inflicts faults one after the other; they may overlap. Ends when all have ended.
 async fn play(
-    world: &Arc<World>,
+    world: Arc<World>,
     planned: Vec<PlannedFault>,
 ) {
     let mut tasks = JoinSet::new();
--- /dev/null
+++ b/testbed/src/soak/soak_fleet.rs
@@ -0,0 +1,83 @@
+use {
+    archmast::conf::{ConfError, IniDocument, SettingsFile},
+    std::time::Duration,
+};
+
+/// The fleet that a soak starts, and what happens to it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct SoakFleet {
+    pub zones: usize,
+    pub per_zone: usize,   // routers
+    pub callers: usize,    // of each router
+    pub plain: usize,      // replicas that answer whole
+    pub events: usize,     // replicas that answer with a stream
+    pub drain: Duration,   // from the store's word until nothing reaches a leaving replica
+    pub contact: Duration, // trouble within it excuses a router
+    pub faults: bool,
+    pub silences: bool,
+    pub movements: bool,
+}
+
+/// The most routers that one machine of 8 cores runs beside their stand-ins.
+const MOST_ROUTERS: usize = 120;
+
+/// The most replicas of one service.
+const MOST_REPLICAS: usize = 200;
+
+const TIMES: std::ops::RangeInclusive<Duration> =
+    Duration::from_millis(100)..=Duration::from_secs(60);
+
+impl SoakFleet {
+    /// The default, commented.
+    pub const SHIPPED: &str = include_str!("../../fleets/small.ini");
+
+    /// Reads a file over the default: codes 10 to 18.
+    pub fn read(path: &str) -> Result<Self, ConfError> {
+        Self::from_file(SettingsFile::read(path, Self::SHIPPED)?)
+    }
+
+    /// Reads a text over the default: codes 11 to 18.
+    pub fn parse(text: &str) -> Result<Self, ConfError> {
+        let document = IniDocument::parse("a fleet", text)?;
+        Self::from_file(SettingsFile::new(document, Self::SHIPPED)?)
+    }
+
+    fn from_file(file: SettingsFile) -> Result<Self, ConfError> {
+        let routers = file.section("routers")?;
+        let replicas = file.section("replicas")?;
+        let bounds = file.section("bounds")?;
+        let work = file.section("work")?;
+        let zones = routers.number("zones", 1..=10)?;
+        Ok(Self {
+            zones,
+            per_zone: routers.number("per_zone", 1..=MOST_ROUTERS / zones)?,
+            callers: routers.number("callers", 1..=100)?,
+            plain: replicas.number("plain", 1..=MOST_REPLICAS)?,
+            events: replicas.number("events", 1..=MOST_REPLICAS)?,
+            drain: bounds.duration("drain", TIMES)?,
+            contact: bounds.duration("contact", TIMES)?,
+            faults: work.flag("faults")?,
+            silences: work.flag("silences")?,
+            movements: work.flag("movements")?,
+        })
+    }
+
+    /// Routers in all zones.
+    pub fn routers(&self) -> usize {
+        self.zones * self.per_zone
+    }
+
+    /// The service of each replica.
+    pub fn services(&self) -> Vec<&'static str> {
+        let plain = std::iter::repeat_n("plain", self.plain);
+        plain
+            .chain(std::iter::repeat_n("events", self.events))
+            .collect()
+    }
+}
+
+impl Default for SoakFleet {
+    fn default() -> Self {
+        Self::parse("").expect("the shipped fleet is sound")
+    }
+}
--- a/testbed/src/soak/soak_result.rs
+++ b/testbed/src/soak/soak_result.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 /// What one run showed.
 #[derive(Debug)]
@@ -7,6 +7,11 @@
     pub faults: Vec<String>,            // in words, with their times
     pub statuses: BTreeMap<u16, usize>, // answers by status, 0 for none
     pub broken: Vec<String>,
+    pub leaving: usize,              // replicas that left
+    pub arrivals_in_time: usize,     // requests that reached these since
+    pub arrivals_excused: usize,     // later than allowed, but in trouble
+    pub lateness: Duration,          // of the harness itself, at most
+    pub valid: bool,                 // the harness was not too late to tell
     pub logs: Vec<(String, String)>, // the routers' logs, by file name
 }
 
@@ -19,10 +24,16 @@
             .map(|(status, count)| format!("{status}: {count}"))
             .collect();
         format!(
-            "seed {}: {} faults, answers {}, broken {}",
+            "seed {}: {} faults, answers {}, {} replicas left ({} requests in time, {} excused), \
+             harness late by {} ms{}, broken {}",
             self.seed,
             self.faults.len(),
             statuses.join(", "),
+            self.leaving,
+            self.arrivals_in_time,
+            self.arrivals_excused,
+            self.lateness.as_millis(),
+            if self.valid { "" } else { " (not valid)" },
             self.broken.len()
         )
     }
--- a/testbed/src/soak/world.rs
+++ b/testbed/src/soak/world.rs
@@ -2,12 +2,16 @@
     super::{
         attempt::Kind,
         checks::broken,
+        drain_check::late_arrivals,
         record::{ChangeSeen, Record},
         replica_slot::ReplicaSlot,
+        soak_fleet::SoakFleet,
         soak_result::SoakResult,
     },
     crate::{
-        direct::{Client, ClientRequest, DirectFleet, Replica, RouteText, Store, StorePort},
+        direct::{
+            Client, ClientRequest, DirectFleet, Replica, RouteText, Store, StorePort, zone_name,
+        },
         fleet::Process,
         proxy::TcpProxy,
     },
@@ -21,10 +25,6 @@
     tokio::{sync::Mutex as AsyncMutex, time::sleep},
 };
 
-/// Routers, and the service of each replica.
-pub const ROUTERS: usize = 3;
-pub const SERVICES: &[&str] = &["plain", "plain", "plain", "events", "events"];
-
 /// When all is well again, everything must work within this time.
 const RECOVERY: Duration = Duration::from_secs(10);
 
@@ -35,6 +35,10 @@
 /// faults that may overlap.
 const FOLLOWED: Duration = Duration::from_secs(20);
 
+/// The part of the time for leaving by which the harness may be late itself; a run in
+/// which it is later proves nothing.
+const LATENESS_PART: f64 = 0.1;
+
 /// Between two looks at something that is waited for.
 pub const LOOK: Duration = Duration::from_millis(20);
 
@@ -43,6 +47,7 @@
 
 /// The fleet under test. Each router and each replica has one fault at a time.
 pub struct World {
+    pub(super) fleet: SoakFleet,
     pub(super) store: Store,
     pub(super) ports: Vec<StorePort>,
     pub(super) routers: Vec<AsyncMutex<Process>>,
@@ -56,11 +61,15 @@
 
 impl World {
     /// Starts the replicas, and takes the fleet's routers and stores over.
-    pub async fn start(fleet: &mut DirectFleet) -> Self {
+    pub async fn start(
+        plan: SoakFleet,
+        fleet: &mut DirectFleet,
+    ) -> Self {
         let ip = fleet.standins();
         let mut slots = Vec::new();
-        for (number, service) in SERVICES.iter().enumerate() {
-            let slot = ReplicaSlot::start(number, service, ip, &fleet.store).await;
+        for (number, service) in plan.services().into_iter().enumerate() {
+            let zone = zone_name(number % plan.zones);
+            let slot = ReplicaSlot::start(number, service, zone, ip, &fleet.store).await;
             slots.push(AsyncMutex::new(slot));
         }
         let routers = std::mem::take(&mut fleet.routers);
@@ -76,7 +85,11 @@
             slots,
             proxies,
             newest: Mutex::default(),
-            record: Mutex::default(),
+            record: Mutex::new(Record {
+                fleet: plan.clone(),
+                ..Record::default()
+            }),
+            fleet: plan,
             retired: Mutex::default(),
         }
     }
@@ -216,11 +229,17 @@
             let text = process.lock().await.log_text();
             logs.push((format!("router-{router}.log"), text));
         }
+        let arrivals = late_arrivals(&record);
         SoakResult {
             seed,
             faults: faults.collect(),
             statuses,
             broken: broken(&record),
+            leaving: record.drains.len(),
+            arrivals_in_time: arrivals.in_time,
+            arrivals_excused: arrivals.excused,
+            lateness: record.lateness,
+            valid: record.lateness <= record.fleet.drain.mul_f64(LATENESS_PART),
             logs,
         }
     }
--- a/testbed/tests/soak.rs
+++ b/testbed/tests/soak.rs
@@ -1,11 +1,13 @@
 //! The fault soak: what it takes as broken, and a short run of it.
 
 use {
+    archmast::codes::ResultCode,
     archmast_testbed::{
         direct::{ClientAnswer, event},
         soak::{
-            Attempt, ChangeSeen, DrainSeen, EVENTS, Fault, FaultSpan, Kind, PLAIN_BODY, Record,
-            broken, schedule, silences, soak,
+            Arrival, Attempt, ChangeSeen, DrainSeen, EVENTS, Fault, FaultSpan, Kind, PLAIN_BODY,
+            PlannedFault, Record, SoakFleet, broken, late_arrivals, movements, schedule, silences,
+            soak,
         },
     },
     std::{
@@ -131,26 +133,94 @@
     assert_broken(&refused_in_calm, "lost");
 }
 
-#[test]
-fn requests_to_a_replica_that_left_are_found_unless_the_store_was_hidden() {
-    let now = Instant::now();
+/// A request that reached a replica so long after the store's word, sent by the router
+/// of the record's attempt.
+fn arrival(after_ms: u64) -> Record {
+    let confirmed = Instant::now();
     let drain = DrainSeen {
         replica: "i-0-0".to_owned(),
-        span: FaultSpan {
-            fault: Fault::DrainReplica(0),
-            began: now,
-            ended: now + Duration::from_secs(1),
-        },
-        when_due: 10,
-        at_the_end: 12,
+        confirmed,
+        arrivals: vec![Arrival {
+            id: "a".to_owned(),
+            at: confirmed + Duration::from_millis(after_ms),
+        }],
     };
-    let record = Record {
+    Record {
         drains: vec![drain],
-        ..Record::default()
-    };
+        ..record(Kind::Read, answer(200, "a", PLAIN_BODY), &["plain"])
+    }
+}
+
+#[test]
+fn requests_to_a_replica_that_left_are_found_unless_their_router_was_in_trouble() {
+    assert_eq!(broken(&arrival(2900)), Vec::<String>::new());
+    assert_broken(&arrival(3100), "drain");
+    // Until a second from the word: a router in trouble of its own, or without a store.
+    for fault in [
+        Fault::FreezeRouter(0),
+        Fault::KillRouters { first: 0, count: 1 },
+        Fault::SilenceAllStores,
+    ] {
+        let hidden = during(arrival(3100), fault);
+        assert_eq!(broken(&hidden), Vec::<String>::new(), "{fault:?}");
+        assert_eq!(late_arrivals(&hidden).excused, 1);
+        // Longer ago than it takes to be in touch again.
+        assert_broken(&during(arrival(4100), fault), "drain");
+    }
+    // What befalls others only excuses nothing.
+    for fault in [
+        Fault::FreezeRouter(1),
+        Fault::KillRouters { first: 1, count: 2 },
+        Fault::ForgetHistory,
+    ] {
+        assert_broken(&during(arrival(3100), fault), "drain");
+    }
+}
+
+#[test]
+fn a_request_that_nobody_is_known_to_have_sent_is_not_excused() {
+    let mut record = during(arrival(3100), Fault::KillAllRouters);
+    record.drains[0].arrivals[0].id = "probe".to_owned();
     assert_broken(&record, "drain");
-    let hidden = during(record, Fault::FreezeRouter(1));
-    assert_eq!(broken(&hidden), Vec::<String>::new());
+}
+
+#[test]
+fn movements_are_drawn_in_series_and_kill_a_part_of_the_routers() {
+    let length = Duration::from_secs(60);
+    let drawn = movements(7, length, 30, 54);
+    assert_eq!(drawn, movements(7, length, 30, 54));
+    assert_ne!(drawn, movements(8, length, 30, 54));
+    let unlisted = |planned: &&PlannedFault| matches!(planned.fault, Fault::UnlistReplica(_));
+    assert!(drawn.iter().filter(unlisted).count() > 20, "{drawn:?}");
+    for planned in &drawn {
+        if let Fault::KillRouters { first, count } = planned.fault {
+            assert!(count >= 1 && first + count <= 30, "{planned:?}");
+        }
+    }
+}
+
+#[test]
+fn a_fleet_is_read_over_the_default_and_a_wrong_one_refused() {
+    let fleet = SoakFleet::default();
+    assert_eq!((fleet.routers(), fleet.services().len()), (3, 5));
+    let larger = SoakFleet::parse("[routers]\nzones = 3\nper_zone = 10\n");
+    assert_eq!(larger.expect("a fleet").routers(), 30);
+    for (text, code) in [
+        ("[routers]\nzones = 0\n", ResultCode::OutOfRange),
+        (
+            "[routers]\nzones = 3\nper_zone = 41\n",
+            ResultCode::OutOfRange,
+        ),
+        ("[bounds]\ndrain = 3\n", ResultCode::WrongUnit),
+        ("[work]\nfaults = perhaps\n", ResultCode::BadValue),
+        ("[routers]\nhosts = 3\n", ResultCode::UnknownKey),
+        ("[machines]\n", ResultCode::UnknownSection),
+    ] {
+        let refused = SoakFleet::parse(text).expect_err(text);
+        assert_eq!(refused.code, code, "{text}");
+    }
+    let shipped = include_str!("../fleets/three-zones.ini");
+    assert!(SoakFleet::parse(shipped).is_ok_and(|fleet| fleet.movements));
 }
 
 #[test]
@@ -202,7 +272,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_short_run_breaks_nothing() {
-    let result = soak(1, Duration::from_secs(6)).await;
+    let result = soak(1, Duration::from_secs(6), &SoakFleet::default()).await;
     assert_eq!(result.broken, Vec::<String>::new(), "{}", result.summary());
     assert!(result.statuses.contains_key(&200), "{}", result.summary());
 }
