--- a/tests/silent_store.rs
+++ b/tests/silent_store.rs
@@ -1,5 +1,6 @@
 //! A configuration that the store confirmed is in force within 2 s, also where the
-//! store, or the connections to it, had fallen silent.
+//! store, or the connections to it, had fallen silent. So is that an upstream leaves, and
+//! that a key is taken away: each version here does both.
 //!
 //! Symptom: routers answered 404 for a route of a version that had been confirmed
 //! 2,685 ms before, with nothing wrong for 2.7 s. Sequence: the store falls silent for
@@ -14,7 +15,8 @@
 use {
     archmast::{
         catalog::{
-            AlwaysReads, Catalog, CatalogChange, CatalogSource, FollowPace, Item, follow_source,
+            AlwaysReads, Catalog, CatalogChange, CatalogSource, FollowPace, Item, UpstreamRecord,
+            follow_source,
         },
         codes::{Fault, ResultCode},
         conf::{DirectSettings, IniDocument},
@@ -39,6 +41,40 @@
 /// How long an answer takes.
 const ANSWER: Duration = Duration::from_millis(4);
 
+/// Upstreams that never leave.
+const STAYING: usize = 5;
+
+/// The upstream that comes with a version and is gone with the next.
+fn moving(version: u64) -> String {
+    format!("of-{version}")
+}
+
+/// The key that comes with a version and is taken away with the next.
+fn key(version: u64) -> String {
+    format!("key-{version}")
+}
+
+fn config(version: u64) -> Item {
+    let key = key(version);
+    let text = format!(
+        r#"{{"version":{version},"routes":[],"services":[],"tenants":[{{"name":"lot","api_keys":["{key}"]}}]}}"#
+    );
+    Item::Config { text }
+}
+
+fn upstream(
+    id: &str,
+    revision: u64,
+    is_there: bool,
+) -> UpstreamRecord {
+    let text = r#"{"service":"s","address":"127.0.0.1:1","zone":"z","slots":4,"state":"ready","sequence":1}"#;
+    UpstreamRecord {
+        id: id.to_owned(),
+        revision,
+        text: is_there.then(|| text.to_owned()),
+    }
+}
+
 /// A store whose calls get lost: those that are open when it, or the connections to
 /// it, fall silent, and those that are sent while it is silent.
 struct SilencedStore {
@@ -99,11 +135,32 @@
         Ok(answer)
     }
 
-    fn change(&self) -> CatalogChange {
+    /// All that it holds: the newest configuration, and the upstream of its version
+    /// beside those that stay.
+    fn listing(&self) -> CatalogChange {
+        let version = *self.version.borrow();
+        let stay = (0..STAYING).map(|number| upstream(&format!("stays-{number}"), 1, true));
+        let moves = upstream(&moving(version), version, true);
+        let upstreams = stay.chain([moves]).map(Item::Upstream);
+        CatalogChange {
+            items: upstreams.chain([config(version)]).collect(),
+            at: version,
+        }
+    }
+
+    /// What changed since: with each version one upstream comes and one is gone.
+    fn changes_after(
+        &self,
+        after: u64,
+    ) -> CatalogChange {
         let version = *self.version.borrow();
-        let text = format!(r#"{{"version":{version},"routes":[],"services":[]}}"#);
+        let moved = (after + 1..=version).flat_map(|version| {
+            let comes = upstream(&moving(version), version, true);
+            let gone = upstream(&moving(version - 1), version, false);
+            [Item::Upstream(comes), Item::Upstream(gone)]
+        });
         CatalogChange {
-            items: vec![Item::Config { text }],
+            items: moved.chain([config(version)]).collect(),
             at: version,
         }
     }
@@ -111,7 +168,7 @@
 
 impl CatalogSource for SilencedStore {
     async fn list(&self) -> Result<CatalogChange, Fault> {
-        let listing = async { self.change() };
+        let listing = async { self.listing() };
         self.answer(Duration::ZERO, listing).await
     }
 
@@ -123,7 +180,7 @@
         let mut version = self.version.subscribe();
         let change = async {
             match timeout(wait, version.wait_for(|version| *version > after)).await {
-                Ok(_) => self.change(),
+                Ok(_) => self.changes_after(after),
                 Err(_) => CatalogChange {
                     items: Vec::new(),
                     at: after,
@@ -157,6 +214,24 @@
     catalog
 }
 
+/// Whether a version is in force: its configuration, without the key of the one before,
+/// and its upstreams, without the one that left.
+fn is_in_force(
+    catalog: &Catalog,
+    version: u64,
+) -> bool {
+    let Some(config) = catalog.config() else {
+        return false;
+    };
+    let upstreams = catalog.upstreams();
+    let lists = |id: String| upstreams.iter().any(|upstream| *upstream.id == *id);
+    config.version >= version
+        && config.account(&key(version)).is_some()
+        && config.account(&key(version - 1)).is_none()
+        && lists(moving(version))
+        && !lists(moving(version - 1))
+}
+
 /// Confirms a version; whether it is in force in time.
 async fn confirmed_in_time(
     store: &SilencedStore,
@@ -164,7 +239,7 @@
 ) -> bool {
     let version = store.confirm();
     let mut changes = catalog.subscribe();
-    let in_force = changes.wait_for(|known| known.config >= version);
+    let in_force = changes.wait_for(|_| is_in_force(catalog, version));
     timeout(APPLY, in_force).await.is_ok()
 }
 
