--- a/testbed/tests/silent_connections.rs
+++ b/testbed/tests/silent_connections.rs
@@ -1,9 +1,10 @@
 //! Connections that fall silent for good, without a reset, while new ones work: what
-//! replaces one is a new connection, and not another from before the silence.
+//! replaces one is a new connection, and not another from before the silence; what may be
+//! repeated is answered all the same, and streams go on.
 
 use {
     archmast_testbed::{
-        direct::{Client, ClientRequest, DirectFleet, Replica, ReplicaAnswer, RouteText},
+        direct::{Client, ClientRequest, DirectFleet, Replica, ReplicaAnswer, RouteText, event},
         fleet::until,
         proxy::TcpProxy,
     },
@@ -61,3 +62,144 @@
     assert_ne!(ask(&fleet, "/hasty/", "silent").await, 200);
     assert_eq!(ask(&fleet, "/charge/", "after").await, 200);
 }
+
+/// A router before two replicas, which it reaches through proxies. Requests that come one
+/// after the other go to the first.
+async fn fleet_of_two(usual: ReplicaAnswer) -> (DirectFleet, [Replica; 2], [TcpProxy; 2]) {
+    let fleet = DirectFleet::start(1, "").await;
+    let behind_proxy = async |id: &str| {
+        let replica = Replica::start(fleet.standins(), id, usual.clone()).await;
+        let proxy = TcpProxy::start(fleet.standins(), replica.address)
+            .await
+            .expect("a free port");
+        fleet.store.list(id, "s", proxy.address, "ready");
+        (replica, proxy)
+    };
+    let (first, first_proxy) = behind_proxy("i-a").await;
+    let (other, other_proxy) = behind_proxy("i-b").await;
+    let read = RouteText::new("/read/", "s", "idempotent");
+    let events = RouteText::new("/events/", "s", "streaming");
+    fleet.store.publish(1, &[read, events]);
+    fleet.all_ready().await;
+    until("both replicas are known", || {
+        let log = fleet.routers[0].log_text();
+        log.matches("upstream Ready").count() >= 2
+    })
+    .await;
+    (fleet, [first, other], [first_proxy, other_proxy])
+}
+
+/// The caller's connection stays, and the next request is answered on it too.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_read_on_a_silent_connection_is_answered_by_another_replica() {
+    let (fleet, [first, other], [proxy, _other_proxy]) =
+        fleet_of_two(ReplicaAnswer::ok("whole")).await;
+    let mut client = Client::connect(fleet.callers[0])
+        .await
+        .expect("a connection");
+    let warm = client
+        .call(&ClientRequest::post("/read/", "warm", "{}"))
+        .await;
+    assert_eq!((warm.status, first.seen().len()), (200, 1));
+    proxy.silence_connections();
+    for id in ["on the silent one", "after it"] {
+        let answer = client.call(&ClientRequest::post("/read/", id, "{}")).await;
+        assert_eq!((answer.status, answer.text().as_str()), (200, "whole"));
+    }
+    assert!(
+        other
+            .seen()
+            .iter()
+            .any(|seen| seen.id() == "on the silent one")
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_whose_connection_falls_silent_goes_on_at_another_replica() {
+    const LAST: u32 = 12;
+    let slow = ReplicaAnswer::Events {
+        last: LAST,
+        pause: Duration::from_millis(50),
+    };
+    let (fleet, [_first, other], [proxy, _other_proxy]) = fleet_of_two(slow).await;
+    let mut client = Client::connect(fleet.callers[0])
+        .await
+        .expect("a connection");
+    let request = ClientRequest::post("/events/", "stream", "{}");
+    client.send(&request.bytes()).await.expect("sent");
+    assert!(client.wait_for("piece 3").await);
+    proxy.silence_connections();
+    let answer = client.answer().await;
+    assert!(answer.status == 200 && answer.whole);
+    let whole: String = (1..=LAST).map(event).collect();
+    assert_eq!(answer.text(), whole);
+    assert_eq!(other.seen().len(), 1);
+}
+
+/// More callers than the router has workers hold connections that fell silent; they are
+/// served at once on new ones.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_whose_connections_fell_silent_are_served_on_new_ones() {
+    const CALLERS: usize = 50;
+    let (fleet, _replicas, _proxies) = fleet_of_two(ReplicaAnswer::ok("whole")).await;
+    let callers = TcpProxy::start(fleet.standins(), fleet.callers[0])
+        .await
+        .expect("a free port");
+    let request = |n: usize| ClientRequest::post("/read/", &format!("r-{n}"), "{}");
+    let mut held = Vec::new();
+    for n in 0..CALLERS {
+        let mut client = Client::connect(callers.address)
+            .await
+            .expect("a connection");
+        assert_eq!(client.call(&request(n)).await.status, 200);
+        held.push(client);
+    }
+    callers.silence_connections();
+    for n in 0..CALLERS {
+        let answer = Client::ask(callers.address, &request(CALLERS + n)).await;
+        assert_eq!(answer.status, 200);
+    }
+    drop(held);
+}
+
+/// Two reads wait on silent connections, one at each replica. The first one's caller
+/// leaves; the second is repeated, and the first, which would have been before, is not.
+#[tokio::test(flavor = "multi_thread")]
+async fn nothing_is_repeated_for_a_caller_that_left_a_silent_connection() {
+    let slow = ReplicaAnswer::Slow {
+        body: "whole".to_owned(),
+        after: Duration::from_millis(200),
+    };
+    let (fleet, replicas, proxies) = fleet_of_two(slow).await;
+    let read = |id: &str| ClientRequest::post("/read/", id, "{}");
+    let warm = ["warm-1", "warm-2"].map(async |id| {
+        let answer = Client::ask(fleet.callers[0], &read(id)).await;
+        answer.status
+    });
+    assert_eq!(join_all(warm).await, [200, 200]);
+    for (replica, proxy) in replicas.iter().zip(&proxies) {
+        assert_eq!(replica.seen().len(), 1);
+        proxy.silence_connections();
+    }
+    let mut leaves = Client::connect(fleet.callers[0])
+        .await
+        .expect("a connection");
+    leaves.send(&read("left").bytes()).await.expect("sent");
+    until("the first waits at a replica", || {
+        fleet.routers[0].log_text().contains("\"left\"")
+    })
+    .await;
+    let mut stays = Client::connect(fleet.callers[0])
+        .await
+        .expect("a connection");
+    stays.send(&read("stays").bytes()).await.expect("sent");
+    until("the second waits at a replica", || {
+        fleet.routers[0].log_text().contains("\"stays\"")
+    })
+    .await;
+    drop(leaves);
+    assert_eq!(stays.answer().await.status, 200);
+    let seen = replicas.iter().flat_map(Replica::seen);
+    assert!(seen.clone().any(|seen| seen.id() == "stays"));
+    assert_eq!(seen.filter(|seen| seen.id() == "left").count(), 0);
+}
