--- a/src/link/connection.rs
+++ b/src/link/connection.rs
@@ -40,9 +40,11 @@
         }
         let outcome = self.serve(&peer, &connection, &mut incoming).await;
         let reason = connection.close_reason().map(|reason| reason.to_string());
+        let cause = outcome.as_ref().err().map(|error| error.to_string());
         log::info!(
             peer = &*peer.host, round_trip_ms = connection.rtt().as_millis() as u64,
-            lost_packets = connection.stats().path.lost_packets;
+            lost_packets = connection.stats().path.lost_packets,
+            cause = cause.as_deref().unwrap_or("");
             "connection to a process of the fleet ended: {}",
             reason.as_deref().unwrap_or("its control stream did")
         );
--- a/src/router/answer_reader.rs
+++ b/src/router/answer_reader.rs
@@ -105,7 +105,10 @@
         match read_frame(&mut self.recv).await {
             Ok(frame) => frame,
             Err(error) => {
-                log::debug!(code = error.code.number(); "answer: {error}");
+                log::info!(
+                    code = error.code.number(), request_id = self.request_id.as_str();
+                    "answer not read to its end: {error}"
+                );
                 None
             }
         }
@@ -129,6 +132,7 @@
             Some(AnswerFrame::Failed(code)) => AnswerEvent::Failed(code),
             Some(_) => AnswerEvent::Mismatch,
         };
+        log::info!(request_id = self.request_id.as_str(); "no whole answer: {event:?}");
         self.state = self.state.after(event);
         self.state
     }
--- a/src/sidecar/exchange.rs
+++ b/src/sidecar/exchange.rs
@@ -45,7 +45,7 @@
 pub(super) struct Exchange<'x> {
     pub(super) id: ExchangeId,
     pub(super) sidecar: &'x Arc<Sidecar>,
-    peer: &'x Peer,
+    pub(super) peer: &'x Peer,
     pub(super) head: &'x RequestHead,
     pub(super) state: SidecarExchange,
 }
--- a/src/sidecar/relay.rs
+++ b/src/sidecar/relay.rs
@@ -75,6 +75,11 @@
         self.remember_key();
         self.finish_with_cost(meter, started);
         if let Err(code) = outcome {
+            log::info!(
+                code = code.number(), request_id = self.head.request_id.as_str(),
+                router = &*self.peer.host;
+                "no whole answer of the upstream"
+            );
             answer(send, &AnswerFrame::Failed(code)).await;
         }
     }
