--- a/src/router/answer_reader.rs
+++ b/src/router/answer_reader.rs
@@ -132,7 +132,9 @@
             Some(AnswerFrame::Failed(code)) => AnswerEvent::Failed(code),
             Some(_) => AnswerEvent::Mismatch,
         };
-        log::info!(request_id = self.request_id.as_str(); "no whole answer: {event:?}");
+        if !matches!(event, AnswerEvent::NotRun(_)) {
+            log::info!(request_id = self.request_id.as_str(); "no whole answer: {event:?}");
+        }
         self.state = self.state.after(event);
         self.state
     }
