--- a/testbed/src/command/soak.rs
+++ b/testbed/src/command/soak.rs
@@ -21,7 +21,7 @@
             Ok(fleet) => fleet,
             Err(error) => {
                 eprintln!("{error}");
-                return ExitCode::from(error.code.number() as u8);
+                return ExitCode::from(error.code.number());
             }
         },
     };
