--- a/src/catalog/catalog.rs
+++ b/src/catalog/catalog.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         AcceptedConfig, CatalogChange, ConfigOrigin, Item, ParseUpstream, UpstreamEntry,
-        UpstreamNews, UpstreamOrigin, UpstreamRecord, upstream_list::UpstreamList,
+        UpstreamNews, UpstreamOrigin, upstream_list::UpstreamList,
     },
     crate::{codes::Fault, routing::RoutingTable},
     serde::{Deserialize, Serialize},
@@ -156,21 +156,6 @@
         }
     }
 
-    /// Takes in changes of the list that reach up to the revision `at`.
-    pub fn offer_records(
-        &self,
-        records: Vec<UpstreamRecord>,
-        at: u64,
-        from: &str,
-    ) {
-        let news = UpstreamNews {
-            records,
-            at,
-            is_whole: false,
-        };
-        self.offer_upstreams(news, from);
-    }
-
     /// Takes in what a watch of the store brought.
     pub fn offer_change(
         &self,
--- a/tests/catalog.rs
+++ b/tests/catalog.rs
@@ -5,7 +5,7 @@
     archmast::{
         catalog::{
             AlwaysReads, Catalog, CatalogChange, CatalogSource, FollowPace, Item, ReadDuty,
-            UpstreamRecord, UpstreamState, follow_source,
+            UpstreamNews, UpstreamRecord, UpstreamState, follow_source,
         },
         codes::{Fault, ResultCode},
         platform::{parse_config, parse_replica},
@@ -50,6 +50,21 @@
     Arc::new(Catalog::new(parse_config, parse_replica))
 }
 
+/// Offers changes of the list that reach up to the revision `at`.
+fn offer(
+    catalog: &Catalog,
+    records: Vec<UpstreamRecord>,
+    at: u64,
+    from: &str,
+) {
+    let news = UpstreamNews {
+        records,
+        at,
+        is_whole: false,
+    };
+    catalog.offer_upstreams(news, from);
+}
+
 fn ids(catalog: &Catalog) -> Vec<String> {
     let entries = catalog.upstreams();
     entries.iter().map(|entry| entry.id.to_string()).collect()
@@ -73,12 +88,12 @@
 fn an_upstream_that_is_gone_does_not_come_back_from_a_peer_that_is_behind() {
     let catalog = catalog();
     let ready = Some(entry("ready", 1));
-    catalog.offer_records(vec![record("a", 5, ready.clone())], 5, "store");
-    catalog.offer_records(vec![record("a", 8, None)], 8, "store");
-    catalog.offer_records(vec![record("a", 5, ready.clone())], 6, "peer");
+    offer(&catalog, vec![record("a", 5, ready.clone())], 5, "store");
+    offer(&catalog, vec![record("a", 8, None)], 8, "store");
+    offer(&catalog, vec![record("a", 5, ready.clone())], 6, "peer");
     assert_eq!(ids(&catalog), Vec::<String>::new());
     assert_eq!(catalog.version().upstreams, 8);
-    catalog.offer_records(vec![record("a", 9, ready)], 9, "peer");
+    offer(&catalog, vec![record("a", 9, ready)], 9, "peer");
     assert_eq!(ids(&catalog), ["a"]);
 }
 
@@ -87,7 +102,7 @@
     let catalog = catalog();
     let ready = || Some(entry("ready", 1));
     let known = vec![record("a", 3, ready()), record("b", 12, ready())];
-    catalog.offer_records(known, 12, "peer");
+    offer(&catalog, known, 12, "peer");
     let listing = CatalogChange {
         items: vec![Item::Upstream(record("c", 9, ready()))],
         at: 10,
@@ -106,11 +121,11 @@
         record("b", 4, ready(2)),
         record("c", 5, Some(entry("draining", 3))),
     ];
-    catalog.offer_records(known, 5, "store");
+    offer(&catalog, known, 5, "store");
     let lapsed = ["a", "b", "c"].map(|id| record(id, 9, None));
-    catalog.offer_records(lapsed.to_vec(), 9, "store");
+    offer(&catalog, lapsed.to_vec(), 9, "store");
     assert_eq!(ids(&catalog), ["a", "b"], "one that was leaving is gone");
-    catalog.offer_records(vec![record("a", 10, ready(1))], 10, "store");
+    offer(&catalog, vec![record("a", 10, ready(1))], 10, "store");
     tokio::time::advance(Duration::from_secs(2)).await;
     catalog.drop_lapsed();
     assert_eq!(ids(&catalog), ["a"], "one that did not come back is gone");
@@ -122,8 +137,8 @@
 async fn an_upstream_that_vanishes_alone_is_gone_at_once() {
     let catalog = catalog();
     let known = (0..4).map(|n| record(&format!("u{n}"), 3, Some(entry("ready", n))));
-    catalog.offer_records(known.collect(), 3, "store");
-    catalog.offer_records(vec![record("u2", 4, None)], 4, "store");
+    offer(&catalog, known.collect(), 3, "store");
+    offer(&catalog, vec![record("u2", 4, None)], 4, "store");
     assert_eq!(ids(&catalog), ["u0", "u1", "u3"]);
 }
 
@@ -135,7 +150,7 @@
         record("b", 5, None),
         record("c", 7, Some(entry("draining", 2))),
     ];
-    catalog.offer_records(known, 7, "store");
+    offer(&catalog, known, 7, "store");
     let told = catalog.news_after(3);
     assert_eq!((told.at, told.is_whole), (7, false));
     let ids: Vec<_> = told
@@ -161,7 +176,7 @@
         for revision in order {
             let text = (revision % 4 != 0).then(|| entry("ready", revision as u16));
             let id = ["a", "b", "c"][revision as usize % 3];
-            catalog.offer_records(vec![record(id, revision, text)], revision, "peer");
+            offer(&catalog, vec![record(id, revision, text)], revision, "peer");
         }
         // The newest of "a" is 12, which says that it is gone.
         prop_assert_eq!(ids(&catalog), ["b", "c"]);
@@ -294,7 +309,7 @@
     let source = store.clone();
     let following = tokio::spawn(follow_source(catalog.clone(), source, duty.clone(), pace));
     assert_eq!(catalog.offer_config(&config(7), "peer"), Ok(true));
-    catalog.offer_records(Vec::new(), 40, "peer");
+    offer(&catalog, Vec::new(), 40, "peer");
     let asked = || store.asked.lock().expect("lock").clone();
     assert!(asked().is_empty());
     duty.0.store(true, Ordering::SeqCst);
