--- a/testbed/tests/leaving.rs
+++ b/testbed/tests/leaving.rs
@@ -159,6 +159,36 @@
     assert_eq!(starts_after(&fleet, 0, moment), 0);
 }
 
+/// Requests that ran were cut as soon as their sidecar told anything after the host list
+/// said that its host leaves. The routers had stopped to read what it tells: they ended the
+/// task that keeps them connected, and the reading was part of it. The sidecar then took
+/// them for routers that do not keep up. Their logs, within 2 ms of the word:
+///
+/// ```text
+/// m1 "connection to a process of the fleet ended", cause "closed", peer r1
+/// r1 "answer not read to its end: connection lost", for each of eight requests
+/// ```
+#[tokio::test(flavor = "multi_thread")]
+async fn what_runs_outlives_the_word_that_its_host_leaves() {
+    let mut fleet = Fleet::start(plan()).await;
+    let mut requests = JoinSet::new();
+    for index in 0..8 {
+        let caller = fleet.caller(index % 2, "lot-a");
+        requests.spawn(async move {
+            let body = ChatBody::new("drafter", "prefix", &nonce(), 600, true);
+            caller.chat(&body).await
+        });
+    }
+    until("some run at the host", || {
+        fleet.sidecars[0].upstream.log().open() >= 1
+    })
+    .await;
+    fleet.publish_state("m1", HostState::Leaving);
+    says_leaving(&fleet, 0).await;
+    let outcomes = requests.join_all().await;
+    assert!(outcomes.iter().all(Outcome::is_whole), "{outcomes:?}");
+}
+
 async fn says_leaving_or_gone(fleet: &mut Fleet) {
     let operator = fleet.sidecars[0].operator;
     loop {
