A connection outlives the wish to keep it

Cause: a router reads what a sidecar tells in the task that keeps it connected, and ended that task when the host list said that the host leaves. The sidecar's next messages met a closed stream; it took the router for one that does not keep up and closed the connection, and the requests on it were cut.

Change: a target that is not wanted any more is not dialled again; its task ends when its connection has ended. A target that is wanted again meanwhile keeps its connection.

Ruled out: the order in which the sidecar says that it leaves (it made the fault seen, since the word now comes after the host list's).

--- a/src/link/dial_set.rs
+++ b/src/link/dial_set.rs
@@ -5,7 +5,6 @@
         sync::{Arc, Mutex},
         time::{Duration, Instant},
     },
-    tokio::task::JoinHandle,
 };
 
 /// The first pause between attempts; it doubles up to the setting.
@@ -14,11 +13,15 @@
 /// A connection that lasted this long resets the pause.
 const LASTED: Duration = Duration::from_secs(2);
 
+/// Whether each target is still wanted. A target that is not wanted stays until its task
+/// has ended.
+type Wanted = Arc<Mutex<HashMap<DialTarget, bool>>>;
+
 /// The peers that a process keeps itself connected to.
 pub struct DialSet<H> {
     link: Arc<Link<H>>,
     longest_pause: Duration,
-    tasks: Mutex<HashMap<DialTarget, JoinHandle<()>>>, // a leaf lock
+    wanted: Wanted, // a leaf lock
 }
 
 impl<H: LinkHandler> DialSet<H> {
@@ -31,29 +34,27 @@
         Self {
             link,
             longest_pause,
-            tasks: Mutex::default(),
+            wanted: Wanted::default(),
         }
     }
 
     /// Connects to these targets, and stops trying others. Connections that
-    /// stand are left alone: they end when the peer does.
+    /// stand are left alone: they end when the peer does. Ending the task of one cut the
+    /// requests on it (one of eight, each time, when its host was said to leave).
     pub fn set(
         &self,
         targets: Vec<DialTarget>,
     ) {
-        let mut tasks = self.tasks.lock().expect("dial lock");
-        tasks.retain(|target, task| {
-            let keep = targets.contains(target);
-            if !keep {
-                task.abort();
-            }
-            keep
-        });
+        let mut wanted = self.wanted.lock().expect("dial lock");
+        for (target, is_wanted) in wanted.iter_mut() {
+            *is_wanted = targets.contains(target);
+        }
         for target in targets {
-            tasks.entry(target.clone()).or_insert_with(|| {
+            if wanted.insert(target.clone(), true).is_none() {
                 let link = self.link.clone();
-                tokio::spawn(keep_connected(link, target, self.longest_pause))
-            });
+                let wanted = self.wanted.clone();
+                tokio::spawn(keep_connected(link, target, self.longest_pause, wanted));
+            }
         }
     }
 
@@ -63,8 +64,9 @@
         target: DialTarget,
     ) {
         let mut targets: Vec<DialTarget> = {
-            let tasks = self.tasks.lock().expect("dial lock");
-            tasks.keys().cloned().collect()
+            let wanted = self.wanted.lock().expect("dial lock");
+            let kept = wanted.iter().filter(|(_, is_wanted)| **is_wanted);
+            kept.map(|(target, _)| target.clone()).collect()
         };
         if !targets.contains(&target) {
             targets.push(target);
@@ -73,10 +75,12 @@
     }
 }
 
+/// Connects again whenever the connection has ended, for as long as the target is wanted.
 async fn keep_connected<H: LinkHandler>(
     link: Arc<Link<H>>,
     target: DialTarget,
     longest_pause: Duration,
+    wanted: Wanted,
 ) {
     let mut bound = FIRST_PAUSE;
     loop {
@@ -90,5 +94,21 @@
             (bound * 2).min(longest_pause)
         };
         tokio::time::sleep(bound.mul_f64(rand::random::<f64>())).await;
+        if ends_unwanted(&wanted, &target) {
+            return;
+        }
+    }
+}
+
+/// Whether a target is not wanted any more; it is forgotten then.
+fn ends_unwanted(
+    wanted: &Wanted,
+    target: &DialTarget,
+) -> bool {
+    let mut wanted = wanted.lock().expect("dial lock");
+    let ends = wanted.get(target) == Some(&false);
+    if ends {
+        wanted.remove(target);
     }
+    ends
 }
