--- a/src/catalog/upstream_list.rs
+++ b/src/catalog/upstream_list.rs
@@ -155,12 +155,12 @@
         record: &UpstreamRecord,
         from: &Arc<str>,
     ) -> bool {
-        // What was never heard of, and was written before the last whole reading, had gone
-        // by then: an answer that was given before it, and came after it, would list it for
-        // as long as the process lives.
+        // A whole reading had all that was written before it: an answer that was given
+        // before, and comes after it, would list an upstream that has gone since for as long
+        // as the process lives.
         let known = self.records.get(&record.id);
-        let reached = known.map_or(self.since, |known| known.record.revision);
-        if record.revision <= reached {
+        let reached = known.map_or(0, |known| known.record.revision);
+        if record.revision <= reached.max(self.since) {
             return false;
         }
         let entry = match &record.text {
