--- a/testbed/src/soak/world.rs
+++ b/testbed/src/soak/world.rs
@@ -173,8 +173,9 @@
     /// in force, and serves whatever comes.
     pub async fn recover(&self) {
         let newest = newest_path(*self.newest.lock().expect("version lock"));
-        let routers = self.callers.iter().enumerate();
-        join_all(routers.map(|(router, address)| self.recovered(router, *address, &newest))).await;
+        for (router, address) in self.callers.iter().enumerate() {
+            self.recovered(router, *address, &newest).await;
+        }
     }
 
     async fn recovered(
