--- a/testbed/src/soak/soak_fleet.rs
+++ b/testbed/src/soak/soak_fleet.rs
@@ -18,12 +18,14 @@
     pub movements: bool,
 }
 
-/// The most routers that one machine of 8 cores runs beside their stand-ins.
+/// The most routers that a file may ask for, against slips of the pen: a few hundred
+/// processes are the bound of this machine, and 30 are the most that were run.
 const MOST_ROUTERS: usize = 120;
 
-/// The most replicas of one service.
+/// The most replicas of one service that a file may ask for; 54 in all were run.
 const MOST_REPLICAS: usize = 200;
 
+/// Times that a bound may have.
 const TIMES: std::ops::RangeInclusive<Duration> =
     Duration::from_millis(100)..=Duration::from_secs(60);
 
