Sight: which request an attempt was, and whether its replica ended or a connection

Logs could not tell two tries of one request from two requests, nor the end of a replica from the end of a connection. No decision uses it yet. Ruled out as sight: a line for each request with its digest, which costs a hash of each body.

--- a/src/direct/attempt_end.rs
+++ b/src/direct/attempt_end.rs
@@ -27,6 +27,17 @@
         }
     }
 
+    /// Whether the connection ended while the request was under way.
+    pub fn is_cut(&self) -> bool {
+        matches!(
+            self,
+            Self::Unknown {
+                code: ResultCode::OutcomeUnknown | ResultCode::AnswerCut,
+                ..
+            }
+        )
+    }
+
     /// Whether it is proved that the request did not run.
     pub fn did_not_run(&self) -> bool {
         !matches!(self, Self::Unknown { .. } | Self::Failed { .. })
--- a/src/direct/call.rs
+++ b/src/direct/call.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        policy::{Moment, placement::PromptShape},
+        policy::{Moment, placement::PromptShape, suspects::RequestDigest},
         routing::{EngineFacts, Route},
     },
     bytes::Bytes,
@@ -37,6 +37,13 @@
         self.until.saturating_sub(now)
     }
 
+    /// What it is, whatever its id.
+    pub fn digest(&self) -> RequestDigest {
+        let account = self.account.as_deref().unwrap_or("");
+        let target = self.target.to_string();
+        RequestDigest::new(self.method.as_str(), &target, account, &self.body)
+    }
+
     /// What it asks for, in tokens.
     pub fn tokens(&self) -> f32 {
         let prompt = self.prompt.as_ref();
--- a/src/direct/events_relay.rs
+++ b/src/direct/events_relay.rs
@@ -139,6 +139,7 @@
             match self.answer.chunk().await? {
                 Some(chunk) => {
                     if let Some(events) = self.splitter.push(&chunk) {
+                        self.exchange_mut().note_event();
                         return Ok(Some(events));
                     }
                 }
@@ -181,7 +182,7 @@
         end: &AttemptEnd,
     ) -> Result<(), io::Error> {
         let resumable = self.may_resume();
-        let ended = self.exchange_mut().end_attempt(end);
+        let ended = self.exchange_mut().end_attempt(end).await;
         if let Err(error) = ended {
             return Err(cut(error.code));
         }
--- a/src/direct/exchange.rs
+++ b/src/direct/exchange.rs
@@ -2,11 +2,12 @@
     super::{
         attempt::send_call, attempt_end::AttemptEnd, call::Call, events_relay::EventsRelay,
         gateway::Gateway, late_wait::wait_while_alive, live_answer::LiveAnswer,
-        plain_relay::plain_reply, reply::ReplyBody,
+        plain_relay::plain_reply, reply::ReplyBody, sent_run::SentRun,
     },
     crate::{
         codes::{ErrorAnswer, Ran, ResultCode},
         ops::RETRIES,
+        policy::Moment,
     },
     hyper::Response,
     std::{sync::Arc, time::Duration},
@@ -36,6 +37,7 @@
     pub(super) unsent: u32,               // attempts that ended before
     pub(super) may_have_run: bool,        // some attempt's outcome is unknown
     pub(super) granted: f32,              // tokens that its account was charged
+    run: Option<SentRun>,                 // the last attempt
     failure: Option<Response<ReplyBody>>, // a replica's own, if nothing better comes
 }
 
@@ -59,6 +61,7 @@
             unsent: 0,
             may_have_run: false,
             granted: 0.0,
+            run: None,
             failure: None,
         }
     }
@@ -88,7 +91,7 @@
                     Err(end) => end,
                 }
             };
-            if let Err(error) = self.end_attempt(&outcome) {
+            if let Err(error) = self.end_attempt(&outcome).await {
                 return self.failure.ok_or(error);
             }
         }
@@ -112,6 +115,7 @@
             let replica = target.entry.id.clone();
             let limit = self.limit(expected);
             let started = self.gateway.now();
+            self.run = Some(SentRun::new(target.entry.clone(), started));
             let sending = send_call(&self.gateway, &self.call, target, last_event);
             let waited =
                 wait_while_alive(&self.gateway, &replica, limit, self.time_left(), sending);
@@ -128,7 +132,7 @@
                     let limit = limit.saturating_sub(spent);
                     return Ok(Begun { answer, limit });
                 }
-                Err(end) => self.end_attempt(&end)?,
+                Err(end) => self.end_attempt(&end).await?,
             }
         }
     }
@@ -146,28 +150,66 @@
         left.saturating_sub(ANSWER_MARGIN)
     }
 
+    /// An event of the last attempt came whole.
+    pub fn note_event(&mut self) {
+        let now = self.gateway.now();
+        if let Some(run) = &mut self.run {
+            run.first_event.get_or_insert(now);
+        }
+    }
+
     /// Takes in how an attempt ended: the error for the caller unless another
     /// attempt may follow.
-    pub fn end_attempt(
+    pub async fn end_attempt(
         &mut self,
         end: &AttemptEnd,
     ) -> Result<(), ErrorAnswer> {
         self.note_evidence(end);
         self.may_have_run |= !end.did_not_run();
+        let replica_ended = end.is_cut() && self.has_replica_ended().await;
         let goes_on = self.goes_on(end);
+        self.log_end(end, replica_ended, goes_on);
+        if goes_on {
+            return Ok(());
+        }
+        self.take_back();
+        Err(self.error(end))
+    }
+
+    /// Whether the replica of the last attempt has ended.
+    async fn has_replica_ended(&mut self) -> bool {
+        let Some(run) = &self.run else {
+            return false;
+        };
+        let gateway = &self.gateway;
+        gateway
+            .end_checks
+            .has_ended(&gateway.pool, &run.entry)
+            .await
+    }
+
+    /// One line for an attempt that brought no answer.
+    fn log_end(
+        &self,
+        end: &AttemptEnd,
+        replica_ended: bool,
+        goes_on: bool,
+    ) {
+        let now = self.gateway.now();
+        let age = |since: Moment| now.saturating_sub(since).as_millis() as u64;
+        let run = self.run.as_ref();
         log::info!(
             request_id = self.call.request_id.as_str(),
+            request = self.call.digest().to_string().as_str(),
             code = end.code().number(),
             replica = self.tried.last().map_or("", |id| id),
+            replica_ended = replica_ended,
+            sent_ms = run.map(|run| age(run.sent)),
+            first_event_ms = run.and_then(|run| run.first_event).map(age),
             sent = self.sent,
             again = goes_on;
             "attempt ended: {end:?}"
         );
-        if goes_on {
-            return Ok(());
-        }
-        self.take_back();
-        Err(self.error(end))
     }
 
     fn goes_on(
--- a/src/direct/gateway.rs
+++ b/src/direct/gateway.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        dialect::Dialect, processor_state::ProcessorState, store_reading::StoreReading,
-        upstream_pool::UpstreamPool,
+        dialect::Dialect, end_checks::EndChecks, processor_state::ProcessorState,
+        store_reading::StoreReading, upstream_pool::UpstreamPool,
     },
     crate::{
         catalog::Catalog,
@@ -38,6 +38,7 @@
     pub audit: AuditTrail,
     pub catalog: Arc<Catalog>,
     pub pool: UpstreamPool,
+    pub end_checks: EndChecks,
     pub peers: PeerTable, // the routers of the own zone, and some others
     pub zones: ZoneTable, // the other zones
     pub processor: ProcessorState,
@@ -74,6 +75,7 @@
             audit: AuditTrail::new(&settings.process.host, settings.operator.audit_entries),
             catalog,
             pool: UpstreamPool::default(),
+            end_checks: EndChecks::default(),
             peers: PeerTable::new(own, &settings.seeds),
             zones: ZoneTable::default(),
             processor: ProcessorState::default(),
--- a/src/direct/upstream_connection.rs
+++ b/src/direct/upstream_connection.rs
@@ -11,6 +11,7 @@
     },
     hyper_util::rt::TokioIo,
     std::{
+        io,
         net::SocketAddr,
         sync::{
             Arc,
@@ -52,18 +53,14 @@
     pub async fn open(
         address: SocketAddr,
         open: Arc<AtomicUsize>,
-    ) -> Result<Self, AttemptEnd> {
-        let not_sent = |detail: String| AttemptEnd::NotSent { detail };
+    ) -> io::Result<Self> {
         open.fetch_add(1, Ordering::Relaxed);
         let counted = CountedOpening(Some(open));
-        let stream = timeout(CONNECT_TIME, TcpStream::connect(address))
-            .await
-            .map_err(|_| not_sent("connecting took too long".to_owned()))?
-            .map_err(|error| not_sent(error.to_string()))?;
+        let stream = timeout(CONNECT_TIME, TcpStream::connect(address)).await??;
         watch_over(&stream);
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
-            .map_err(|error| not_sent(error.to_string()))?;
+            .map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
             if let Err(error) = connection.await {
                 log::debug!("connection to a replica: {error}");
--- a/src/direct/upstream_pool.rs
+++ b/src/direct/upstream_pool.rs
@@ -3,6 +3,7 @@
     crate::catalog::UpstreamEntry,
     std::{
         collections::HashMap,
+        io::ErrorKind,
         sync::{
             Arc, Mutex,
             atomic::{AtomicUsize, Ordering},
@@ -44,7 +45,29 @@
             let detail = format!("{most} connections are open");
             return Err(AttemptEnd::NotSent { detail });
         }
-        UpstreamConnection::open(entry.address, open).await
+        let opened = UpstreamConnection::open(entry.address, open).await;
+        opened.map_err(|error| AttemptEnd::NotSent {
+            detail: error.to_string(),
+        })
+    }
+
+    /// Whether a new connection to a replica is refused: nothing listens there. One that
+    /// comes to be is kept.
+    pub async fn is_refused(
+        &self,
+        entry: &UpstreamEntry,
+    ) -> bool {
+        let open = {
+            let mut replicas = self.replicas.lock().expect("pool lock");
+            replicas.entry(entry.id.clone()).or_default().open.clone()
+        };
+        match UpstreamConnection::open(entry.address, open).await {
+            Ok(connection) => {
+                self.give_back(&entry.id, connection);
+                false
+            }
+            Err(error) => error.kind() == ErrorKind::ConnectionRefused,
+        }
     }
 
     /// Keeps a connection whose last answer was read whole.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -48,6 +48,7 @@
 mod sidecar_exchange;
 mod slot_clock;
 mod slot_hold;
+pub mod suspects;
 mod teller;
 mod totals_mode;
 mod waiting_request;
