--- a/testbed/src/direct/replica.rs
+++ b/testbed/src/direct/replica.rs
@@ -14,6 +14,7 @@
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
+        sync::watch,
         task::JoinHandle,
     },
 };
@@ -32,10 +33,12 @@
     script: Mutex<VecDeque<ReplicaAnswer>>,
     usual: Mutex<ReplicaAnswer>,
     seen: Mutex<Vec<SeenRequest>>,
-    kept: Mutex<Vec<Value>>,     // parts of prompts, as it lists them
-    list_after: Mutex<Duration>, // what listing takes
-    open: AtomicUsize,           // connections
-    opened: AtomicUsize,         // connections so far
+    kept: Mutex<Vec<Value>>,      // parts of prompts, as it lists them
+    list_after: Mutex<Duration>,  // what listing takes
+    open: AtomicUsize,            // connections
+    opened: AtomicUsize,          // connections so far
+    fatal: Mutex<Option<String>>, // a body with this text ends it
+    ended: watch::Sender<bool>,
 }
 
 impl Drop for Replica {
@@ -62,16 +65,10 @@
             list_after: Mutex::default(),
             open: AtomicUsize::new(0),
             opened: AtomicUsize::new(0),
+            fatal: Mutex::default(),
+            ended: watch::Sender::new(false),
         });
-        let serving = state.clone();
-        let task = tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                if let Err(error) = stream.set_nodelay(true) {
-                    log::debug!("connection delays small pieces: {error}");
-                }
-                tokio::spawn(serve(serving.clone(), stream));
-            }
-        });
+        let task = tokio::spawn(accept(state.clone(), listener));
         Self {
             id: id.to_owned(),
             address,
@@ -120,6 +117,20 @@
         *self.state.list_after.lock().expect("lock") = time;
     }
 
+    /// From now on it ends when it begins to run a request whose body has this text:
+    /// its connections break off and new ones are refused.
+    pub fn ends_under(
+        &self,
+        text: &str,
+    ) {
+        *self.state.fatal.lock().expect("lock") = Some(text.to_owned());
+    }
+
+    /// Whether it has ended.
+    pub fn has_ended(&self) -> bool {
+        *self.state.ended.borrow()
+    }
+
     /// From now on another replica runs at its address.
     pub fn become_another(
         &self,
@@ -144,13 +155,38 @@
     }
 }
 
+/// Takes connections until it ends.
+async fn accept(
+    state: Arc<State>,
+    listener: TcpListener,
+) {
+    let mut ended = state.ended.subscribe();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = ended.wait_for(|ended| *ended) => return,
+        };
+        let Ok((stream, _)) = accepted else {
+            return;
+        };
+        if let Err(error) = stream.set_nodelay(true) {
+            log::debug!("connection delays small pieces: {error}");
+        }
+        tokio::spawn(serve(state.clone(), stream));
+    }
+}
+
 async fn serve(
     state: Arc<State>,
     mut stream: TcpStream,
 ) {
     state.open.fetch_add(1, Ordering::SeqCst);
     state.opened.fetch_add(1, Ordering::SeqCst);
-    let outcome = serve_requests(&state, &mut stream).await;
+    let mut ended = state.ended.subscribe();
+    let outcome = tokio::select! {
+        outcome = serve_requests(&state, &mut stream) => outcome,
+        _ = ended.wait_for(|ended| *ended) => Ok(()),
+    };
     state.open.fetch_sub(1, Ordering::SeqCst);
     if let Err(error) = outcome {
         log::debug!("connection of a router: {error}");
@@ -178,6 +214,11 @@
             continue;
         }
         state.seen.lock().expect("lock").push(request.clone());
+        let fatal = state.fatal.lock().expect("lock").clone();
+        if fatal.is_some_and(|text| request.text().contains(&text)) {
+            state.ended.send_replace(true);
+            return Ok(());
+        }
         let told = state.script.lock().expect("lock").pop_front();
         let answer = told.unwrap_or_else(|| state.usual.lock().expect("lock").clone());
         if !act(stream, &request, answer).await? {
--- a/testbed/src/direct/seen_request.rs
+++ b/testbed/src/direct/seen_request.rs
@@ -19,6 +19,11 @@
         self.headers.get(name).map_or("", String::as_str)
     }
 
+    /// The body as text.
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+
     /// The id of the client's attempt.
     pub fn id(&self) -> &str {
         self.header("archmast-attempt-id")
--- /dev/null
+++ b/testbed/tests/requests_that_end_replicas.rs
@@ -0,0 +1,154 @@
+//! Ten and 21 replicas of one service ended, one after the other, each within a tenth of a
+//! second after it had begun to run a request that had ended others before. Every try had an
+//! id of its own and was sent to one replica only, so that no router repeated anything; but
+//! what a router learnt from the end of a replica it kept about the replica, and nobody knew
+//! the request again when it came back, at the same router or at another. The router's log
+//! for one of these tries, 102 ms after its replica had begun it:
+//!
+//! ```text
+//! "attempt ended: Unknown { code: AnswerCut, … }" code 51, sent 1, again false
+//! ```
+//!
+//! Ten answers of that replica were lost at two routers within 4 ms of it, and connections
+//! to it were refused from then on.
+
+use {
+    archmast_testbed::{
+        direct::{
+            Client, ClientAnswer, ClientRequest, DirectFleet, Replica, ReplicaAnswer, RouteText,
+        },
+        fleet::until_async,
+    },
+    std::time::Duration,
+};
+
+/// Replicas that there are at the start.
+const REPLICAS: usize = 12;
+
+/// Replicas after whose end a router that is told nothing by others knows the request.
+const KNOWN_AFTER: usize = 2;
+
+/// The number that a request gets which is held back.
+const HELD_BACK: u64 = 44;
+
+/// The body of a request that ends each replica that begins to run it.
+const FATAL: &str = "a prompt that no engine survives";
+
+/// Routers in these zones before replicas that end under a request, and routes.
+async fn fleet(zones: &[usize]) -> (DirectFleet, Vec<Replica>) {
+    let fleet = DirectFleet::start_in_zones(zones, "").await;
+    let mut replicas = Vec::new();
+    for number in 0..REPLICAS {
+        let id = format!("i-{number}");
+        let replica = fleet.replica(&id, "s", ReplicaAnswer::ok("served")).await;
+        replica.ends_under(FATAL);
+        replicas.push(replica);
+    }
+    let once = RouteText {
+        attempts: 1,
+        ..RouteText::new("/once/", "s", "idempotent")
+    };
+    let read = RouteText::new("/read/", "s", "idempotent");
+    fleet.store.publish(1, &[once, read]);
+    fleet.all_ready().await;
+    for router in &fleet.routers {
+        until_async("all replicas are known", async || {
+            router.log_text().matches("upstream Ready").count() >= REPLICAS
+        })
+        .await;
+    }
+    (fleet, replicas)
+}
+
+async fn post(
+    fleet: &DirectFleet,
+    router: usize,
+    body: &str,
+) -> ClientAnswer {
+    let id = format!("{:016x}", rand::random::<u64>());
+    let request = ClientRequest::post("/once/", &id, body);
+    Client::ask(fleet.callers[router], &request).await
+}
+
+fn ended(replicas: &[Replica]) -> usize {
+    replicas
+        .iter()
+        .filter(|replica| replica.has_ended())
+        .count()
+}
+
+/// Requests with this body that reached replicas.
+fn arrivals(
+    replicas: &[Replica],
+    body: &str,
+) -> usize {
+    let seen = replicas.iter().flat_map(Replica::seen);
+    seen.filter(|request| request.text() == body).count()
+}
+
+/// Sends the request to one router after the other until all hold it back.
+async fn until_held_back(
+    fleet: &DirectFleet,
+    replicas: &[Replica],
+) {
+    loop {
+        let mut holding = 0;
+        for router in 0..fleet.routers.len() {
+            let answer = post(fleet, router, FATAL).await;
+            holding += usize::from(answer.code() == Some(HELD_BACK));
+        }
+        let ended = ended(replicas);
+        let most = KNOWN_AFTER * fleet.routers.len();
+        assert!(ended <= most, "{ended} replicas ended under one request");
+        if holding == fleet.routers.len() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Nothing of it reaches a replica any more, and all else is served.
+async fn is_held_back_alone(
+    fleet: &DirectFleet,
+    replicas: &[Replica],
+) {
+    let before = arrivals(replicas, FATAL);
+    for round in 0..10 {
+        for router in 0..fleet.routers.len() {
+            let answer = post(fleet, router, FATAL).await;
+            assert_eq!((answer.status, answer.code()), (503, Some(HELD_BACK)));
+            let other = post(fleet, router, &format!("another prompt {round}")).await;
+            assert_eq!(other.status, 200);
+        }
+    }
+    assert_eq!(arrivals(replicas, FATAL), before);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_under_which_replicas_end_is_held_back_by_all_routers() {
+    let (fleet, replicas) = fleet(&[3]).await;
+    until_held_back(&fleet, &replicas).await;
+    is_held_back_alone(&fleet, &replicas).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn other_zones_hold_it_back_too() {
+    let (fleet, replicas) = fleet(&[2, 2]).await;
+    until_held_back(&fleet, &replicas).await;
+    is_held_back_alone(&fleet, &replicas).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_that_starts_anew_learns_what_is_held_back() {
+    let (mut fleet, replicas) = fleet(&[3]).await;
+    until_held_back(&fleet, &replicas).await;
+    fleet.routers[2].kill();
+    fleet.routers[2].restart().expect("it starts again");
+    fleet.all_ready().await;
+    until_async("it was told", async || {
+        let log = fleet.routers[2].log_text();
+        log.matches("request held back").count() >= 2
+    })
+    .await;
+    is_held_back_alone(&fleet, &replicas).await;
+}
