--- a/testbed/src/direct/store.rs
+++ b/testbed/src/direct/store.rs
@@ -165,10 +165,17 @@
         &self,
         id: &str,
     ) {
-        let key = format!("servers/{id}");
+        self.delete(&format!("servers/{id}"));
+    }
+
+    /// Deletes an item.
+    pub fn delete(
+        &self,
+        key: &str,
+    ) {
         let revision = {
             let mut state = self.state.lock().expect("store lock");
-            state.items.remove(&key);
+            state.items.remove(key);
             state.revision += 1;
             let revision = state.revision;
             let event = json!({"private_key": key, "revision": revision, "gone": true});
@@ -190,7 +197,16 @@
         key: &str,
         value: &Value,
     ) {
-        let value = base64(value.to_string().as_bytes());
+        self.put_bytes(key, value.to_string().as_bytes());
+    }
+
+    /// Writes an item as any other writer may: any bytes, below any key.
+    pub fn put_bytes(
+        &self,
+        key: &str,
+        bytes: &[u8],
+    ) {
+        let value = base64(bytes);
         let revision = {
             let mut state = self.state.lock().expect("store lock");
             state.revision += 1;
--- /dev/null
+++ b/testbed/tests/foreign_entries.rs
@@ -0,0 +1,168 @@
+//! Another writer put an entry below the replicas' keys whose bytes are no text. From then
+//! on no router got a configuration or a change of the list, also after the entry had been
+//! removed, and routers that started were never ready: one item that could not be decoded
+//! failed the whole reading, or the whole watch, which was asked again from before it. The
+//! routers' log, again and again:
+//!
+//! ```text
+//! "store does not answer: [82] … invalid utf-8 sequence of 1 bytes from index 0"
+//! ```
+
+use archmast_testbed::{
+    direct::{Client, ClientRequest, DirectFleet, Replica, ReplicaAnswer, RouteText},
+    fleet::until_async,
+};
+
+/// Bytes that another writer may leave, none of which name a replica.
+fn foreign() -> Vec<Vec<u8>> {
+    let entry = |field: &str| {
+        format!(
+            r#"{{"service":"s","address":"127.0.0.1:9","zone":"z","slots":4,"state":"ready",{field}}}"#
+        )
+    };
+    let texts = [
+        String::new(),
+        "[]".to_owned(),
+        "null".to_owned(),
+        "{".to_owned(),
+        "{}".to_owned(),
+        entry(r#""service":"twice""#),
+        entry(r#""sequence":1"#).replace("\"ready\"", "\"resting\""),
+        entry(r#""sequence":1"#).replace("\"ready\"", "7"),
+        entry(r#""sequence":1"#).replace("127.0.0.1:9", "127.0.0.1:0"),
+        entry(r#""sequence":1"#).replace("127.0.0.1:9", "224.0.0.1:80"),
+        entry(r#""sequence":1"#).replace("127.0.0.1:9", "nowhere"),
+        entry(r#""sequence":1"#).replace("\"slots\":4", "\"slots\":-4"),
+        entry(r#""sequence":1"#).replace("\"slots\":4", "\"slots\":1e99"),
+        "[".repeat(10_000),
+        "x".repeat(300_000),
+    ];
+    let mut all: Vec<Vec<u8>> = texts.map(String::into_bytes).into();
+    all.push(b"\xff\xfe\x00 and text after them".to_vec());
+    all
+}
+
+/// Keys that no replica has.
+const KEYS: [&str; 5] = [
+    "servers/",
+    "servers/a b&c=%d",
+    "servers/i-foreign",
+    "servers/\u{1}\n",
+    "servers/zone/i-x",
+];
+
+fn route(prefix: &'static str) -> RouteText {
+    RouteText::new(prefix, "s", "idempotent")
+}
+
+async fn got_by(
+    fleet: &DirectFleet,
+    router: usize,
+) -> String {
+    let request = ClientRequest::get("/first/", "probe");
+    Client::ask(fleet.callers[router], &request).await.text()
+}
+
+/// Three routers that know two replicas.
+async fn fleet() -> (DirectFleet, [Replica; 2]) {
+    let fleet = DirectFleet::start(3, "").await;
+    let replicas = [
+        fleet.replica("i-a", "s", ReplicaAnswer::ok("a")).await,
+        fleet.replica("i-b", "s", ReplicaAnswer::ok("b")).await,
+    ];
+    fleet.store.publish(1, &[route("/first/")]);
+    fleet.all_ready().await;
+    (fleet, replicas)
+}
+
+/// A route that was published now is served by all, and all replicas are there.
+async fn follows(
+    fleet: &DirectFleet,
+    version: u64,
+    prefix: &'static str,
+) {
+    fleet
+        .store
+        .publish(version, &[route("/first/"), route(prefix)]);
+    for router in 0..fleet.callers.len() {
+        fleet.serves(router, prefix, 200).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_cannot_be_read_costs_itself_only() {
+    let (fleet, _replicas) = fleet().await;
+    let mut version = 1;
+    for bytes in foreign() {
+        version += 1;
+        fleet.store.put_bytes("servers/i-foreign", &bytes);
+        follows(&fleet, version, "/beside/").await;
+        version += 1;
+        fleet.store.delete("servers/i-foreign");
+        follows(&fleet, version, "/after/").await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn routers_start_beside_entries_that_cannot_be_read() {
+    let fleet = DirectFleet::start(2, "").await;
+    for (number, bytes) in foreign().iter().enumerate() {
+        fleet
+            .store
+            .put_bytes(&format!("servers/i-f{number}"), bytes);
+    }
+    for key in KEYS {
+        fleet
+            .store
+            .put_bytes(key, br#"{"service":"s","address":"127.0.0.1:9","zone":"z","slots":4,"state":"ready","sequence":1}"#);
+    }
+    let _replica = fleet.replica("i-a", "s", ReplicaAnswer::ok("a")).await;
+    fleet.store.publish(1, &[route("/first/")]);
+    fleet.all_ready().await;
+    for router in 0..2 {
+        fleet.serves(router, "/first/", 200).await;
+    }
+    follows(&fleet, 2, "/second/").await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_another_writer_overwrote_names_no_replica() {
+    let (fleet, [overwritten, _other]) = fleet().await;
+    fleet.store.put_bytes("servers/i-a", b"\xff\xfe\x00");
+    for router in 0..3 {
+        until_async("only the other one serves", async || {
+            let mut answers = Vec::new();
+            for _ in 0..8 {
+                answers.push(got_by(&fleet, router).await);
+            }
+            answers.iter().all(|answer| answer == "b")
+        })
+        .await;
+    }
+    let before = overwritten.seen().len();
+    for _ in 0..20 {
+        assert_eq!(got_by(&fleet, 0).await, "b");
+    }
+    assert_eq!(overwritten.seen().len(), before);
+    fleet.store.list("i-a", "s", overwritten.address, "ready");
+    until_async("it serves again", async || got_by(&fleet, 0).await == "a").await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_configuration_that_cannot_be_read_leaves_the_one_in_force() {
+    let (fleet, _replicas) = fleet().await;
+    let odd = [
+        &b"\xff\xfe\x00"[..],
+        b"[]",
+        br#"{"version":7,"routes":[{}]}"#,
+        br#"{"version":7,"routes":[{"host":"app.example","path_prefix":"/first/","kind":"idempotent","service":"s","timeout_ms":1e300}]}"#,
+        br#"{"version":7,"limits":{"idle_timeout_ms":-1e300}}"#,
+    ];
+    for (number, bytes) in (0..).zip(odd) {
+        fleet.store.put_bytes("op/config", bytes);
+        for router in 0..3 {
+            assert_ne!(got_by(&fleet, router).await, "");
+        }
+        follows(&fleet, 10 + number, "/next/").await;
+    }
+}
