What cannot be read of the store costs itself only

Cause: a reading and a watch were decoded whole, so that one value that is no text failed all of it, and a watch was asked again from before it for ever; an entry that could not be parsed left the one before in force; a configuration with a time of 1e300 ms ended the task that follows the store. Class: a whole that fails by one part that another wrote.

Items are read one by one; what is no text, too long, or no entry stands as known and not usable, so that revision and removal go on, here and in what peers are told. A configuration that cannot be read leaves the one in force, by gauge and log. Keys of any characters page on.

--- a/src/catalog/catalog.rs
+++ b/src/catalog/catalog.rs
@@ -3,9 +3,16 @@
         AcceptedConfig, CatalogChange, ConfigOrigin, Item, ParseUpstream, UpstreamEntry,
         UpstreamNews, UpstreamOrigin, upstream_list::UpstreamList,
     },
-    crate::{codes::Fault, routing::RoutingTable},
+    crate::{
+        codes::Fault,
+        ops::{CONFIG_REFUSED, UNUSABLE_ENTRIES},
+        routing::RoutingTable,
+    },
     serde::{Deserialize, Serialize},
-    std::sync::{Arc, Mutex},
+    std::{
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+    },
     tokio::{sync::watch, time::Instant},
 };
 
@@ -48,6 +55,15 @@
         }
     }
 
+    /// Addresses of this process, which are no upstream's.
+    pub fn keep_out(
+        &self,
+        own: Vec<SocketAddr>,
+    ) {
+        let mut state = self.state.lock().expect("catalog lock");
+        state.upstreams.keep_out(own);
+    }
+
     /// The configuration in force.
     pub fn config(&self) -> Option<Arc<RoutingTable>> {
         let state = self.state.lock().expect("catalog lock");
@@ -115,7 +131,11 @@
         if held.as_deref() == Some(text) {
             return Ok(false);
         }
-        let table = (self.parse_config)(text)?;
+        let parsed = (self.parse_config)(text);
+        if parsed.is_err() {
+            metrics::gauge!(CONFIG_REFUSED).set(1.0);
+        }
+        let table = parsed?;
         let version = table.version;
         let known = {
             let mut state = self.state.lock().expect("catalog lock");
@@ -135,6 +155,7 @@
             return Ok(false);
         }
         log::info!(version = version, known = known, from = from; "configuration accepted");
+        metrics::gauge!(CONFIG_REFUSED).set(0.0);
         self.changed.send_modify(|at| at.config = version);
         Ok(true)
     }
@@ -148,6 +169,7 @@
         let (is_news, reached) = {
             let mut state = self.state.lock().expect("catalog lock");
             let is_news = state.upstreams.take(news, from);
+            metrics::gauge!(UNUSABLE_ENTRIES).set(state.upstreams.unusable() as f64);
             (is_news, state.upstreams.at())
         };
         if is_news {
@@ -196,7 +218,7 @@
         for item in change.items {
             match item {
                 Item::Upstream(record) => records.push(record),
-                Item::Config { text } => self.offer_logged(&text, from),
+                Item::Config { text } => self.offer_told_config(&text, from),
             }
         }
         let news = UpstreamNews {
@@ -207,7 +229,9 @@
         self.offer_upstreams(news, from);
     }
 
-    fn offer_logged(
+    /// Takes in a configuration of which nobody waits to hear whether it was taken: one
+    /// that cannot be read leaves a line.
+    pub fn offer_told_config(
         &self,
         text: &str,
         from: &str,
--- a/src/catalog/upstream_list.rs
+++ b/src/catalog/upstream_list.rs
@@ -3,9 +3,10 @@
         UpstreamEntry, UpstreamNews, UpstreamOrigin, UpstreamRecord, UpstreamState,
         lapse_grace::{LapseGrace, vanish_together},
     },
-    crate::codes::Fault,
+    crate::codes::{Fault, ResultCode},
     std::{
         collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
         sync::Arc,
     },
     tokio::time::Instant,
@@ -22,6 +23,7 @@
     at: u64,    // the store's revision that the list reflects, 0 is none
     since: u64, // all removals behind this revision are among the records
     lapses: LapseGrace,
+    own: Vec<SocketAddr>, // addresses of this process, which are no upstream's
 }
 
 /// A record, and who told it.
@@ -40,9 +42,19 @@
             at: 0,
             since: 0,
             lapses: LapseGrace::default(),
+            own: Vec::new(),
         }
     }
 
+    /// Addresses of this process, which are no upstream's: a request that is sent there
+    /// comes back to be sent again.
+    pub fn keep_out(
+        &mut self,
+        own: Vec<SocketAddr>,
+    ) {
+        self.own = own;
+    }
+
     /// The upstreams that are there, as far as known.
     pub fn entries(&self) -> Vec<Arc<UpstreamEntry>> {
         self.entries.values().cloned().collect()
@@ -53,6 +65,14 @@
         self.at
     }
 
+    /// Entries that name no upstream: known, not usable.
+    pub fn unusable(&self) -> usize {
+        let told = self.records.iter();
+        let unusable =
+            told.filter(|(id, told)| told.record.text.is_some() && !self.entries.contains_key(*id));
+        unusable.count()
+    }
+
     /// Who told what is known of an upstream; none if it was never heard of.
     pub fn origin(
         &self,
@@ -163,28 +183,23 @@
         if record.revision <= reached.max(self.since) {
             return false;
         }
-        let entry = match &record.text {
-            None => None,
-            Some(text) => match (self.parse)(&record.id, text) {
-                Ok(entry) => Some(Arc::new(entry)),
-                Err(error) => {
-                    log::error!(
-                        code = error.code.number(), upstream = record.id.as_str(), from = &**from;
-                        "upstream entry refused: {error}"
-                    );
-                    return false;
-                }
-            },
-        };
+        let entry = self.parse(record, from);
         let told = ToldRecord {
-            record: record.clone(),
+            record: UpstreamRecord {
+                text: match entry {
+                    Some(_) => record.text.clone(),
+                    None => record.text.as_ref().map(|_| String::new()),
+                },
+                ..record.clone()
+            },
             from: from.clone(),
         };
         self.records.insert(record.id.clone(), told);
         let before = self.entries.get(&record.id);
         let same = before.map(|entry| &**entry) == entry.as_deref();
         let was_ready = before.is_some_and(|entry| entry.state == UpstreamState::Ready);
-        if entry.is_none() && was_ready && self.lapses.keeps(&record.id, Instant::now()) {
+        let is_gone = record.text.is_none();
+        if is_gone && was_ready && self.lapses.keeps(&record.id, Instant::now()) {
             log::info!(
                 upstream = record.id.as_str(), revision = record.revision, from = &**from;
                 "upstream's entry lapsed: kept for a moment"
@@ -204,4 +219,33 @@
         };
         !same
     }
+
+    /// The upstream that a record names. One that names none is known all the same, so
+    /// that its revision and its removal go on; its text is not kept.
+    fn parse(
+        &self,
+        record: &UpstreamRecord,
+        from: &str,
+    ) -> Option<Arc<UpstreamEntry>> {
+        let text = record.text.as_ref()?;
+        let parsed = (self.parse)(&record.id, text);
+        let parsed = parsed.and_then(|entry| match self.own.contains(&entry.address) {
+            true => Err(Fault::new(
+                ResultCode::PlatformReply,
+                "an address of this process",
+            )),
+            false => Ok(entry),
+        });
+        match parsed {
+            Ok(entry) => Some(Arc::new(entry)),
+            Err(error) => {
+                log::error!(
+                    code = error.code.number(), upstream = record.id.as_str(),
+                    revision = record.revision, from = from;
+                    "upstream entry cannot be used: {error}"
+                );
+                None
+            }
+        }
+    }
 }
--- a/src/conf/direct_settings.rs
+++ b/src/conf/direct_settings.rs
@@ -56,6 +56,17 @@
         Self::from_file(&SettingsFile::new(document, Self::SHIPPED)?)
     }
 
+    /// The addresses at which this process listens.
+    pub fn own_addresses(&self) -> Vec<SocketAddr> {
+        vec![
+            self.callers,
+            self.ready,
+            self.peers,
+            self.news,
+            self.operator.listen,
+        ]
+    }
+
     fn from_file(file: &SettingsFile) -> Result<Self, ConfError> {
         let callers = file.section("callers")?;
         let ready = file.section("ready")?;
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -48,6 +48,7 @@
 async fn run(settings: DirectSettings) -> Result<(), Report<StartError>> {
     let failed = || StartError(ResultCode::StartFailed);
     let catalog = Arc::new(Catalog::new(parse_config, parse_replica));
+    catalog.keep_out(settings.own_addresses());
     let pace = settings.catalog_pace;
     let store = StoreClient::new(settings.catalog, pace.read_time());
     let store = Arc::new(store.change_context_lazy(failed)?);
--- a/src/ops/metric_names.rs
+++ b/src/ops/metric_names.rs
@@ -36,3 +36,9 @@
 pub const STREAMS: &str = "archmast_streams_total";
 /// Requests that are held back, since replicas ended under them.
 pub const HELD: &str = "archmast_held_requests";
+/// What was read of the store and cannot be used, by `what`: `item`, `value`.
+pub const UNREADABLE: &str = "archmast_unreadable_total";
+/// Entries of the store's list that name no upstream: known, not usable.
+pub const UNUSABLE_ENTRIES: &str = "archmast_unusable_entries";
+/// 1 while the newest configuration that was heard of cannot be read.
+pub const CONFIG_REFUSED: &str = "archmast_configuration_refused";
--- a/src/peers/catch_up.rs
+++ b/src/peers/catch_up.rs
@@ -84,7 +84,7 @@
             "news of the upstreams taken in"
         );
         if let Some(text) = &news.config {
-            catalog.offer_config(text, &from)?;
+            catalog.offer_told_config(text, &from);
         }
         catalog.offer_upstreams(news.upstreams, &from);
         Ok(())
--- a/src/platform/config_json.rs
+++ b/src/platform/config_json.rs
@@ -104,7 +104,7 @@
     let accounts = config.tenants.into_iter().map(account).collect();
     Ok(RoutingTable::new(
         config.version,
-        limits(&config.limits),
+        limits(&config.limits)?,
         routes,
         services,
         accounts,
@@ -139,9 +139,9 @@
         host: route.host.to_ascii_lowercase(),
         path_prefix: route.path_prefix,
         kind,
-        timeout: millis(route.timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS)),
-        aim: millis(route.target_latency_ms.unwrap_or(DEFAULT_AIM_MS)),
-        pause_aim: route.itl_target_ms.map(millis),
+        timeout: millis(route.timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS))?,
+        aim: millis(route.target_latency_ms.unwrap_or(DEFAULT_AIM_MS))?,
+        pause_aim: route.itl_target_ms.map(millis).transpose()?,
         priority: route.priority,
         shares,
         max_attempts: route.max_attempts.unwrap_or(1).max(1),
@@ -172,19 +172,26 @@
     }
 }
 
-fn limits(limits: &LimitsJson) -> RequestLimits {
+fn limits(limits: &LimitsJson) -> Result<RequestLimits, Fault> {
     let default = RequestLimits::default();
-    RequestLimits {
+    let time = |given: Option<f64>, default| given.map_or(Ok(default), millis);
+    Ok(RequestLimits {
         max_header_bytes: limits.max_header_bytes.unwrap_or(default.max_header_bytes),
         max_body_bytes: limits.max_body_bytes.unwrap_or(default.max_body_bytes),
-        header_timeout: limits
-            .header_timeout_ms
-            .map_or(default.header_timeout, millis),
-        idle_timeout: limits.idle_timeout_ms.map_or(default.idle_timeout, millis),
+        header_timeout: time(limits.header_timeout_ms, default.header_timeout)?,
+        idle_timeout: time(limits.idle_timeout_ms, default.idle_timeout)?,
         tokens_per_s: limits.tokens_per_s,
-    }
+    })
 }
 
-fn millis(ms: f64) -> Duration {
-    Duration::from_secs_f64(ms.max(0.0) / 1000.0)
+/// The longest time that a configuration may name.
+const LONGEST: Duration = Duration::from_secs(24 * 3600);
+
+/// A time in milliseconds: code 82 outside zero and a day.
+fn millis(ms: f64) -> Result<Duration, Fault> {
+    let time = Duration::try_from_secs_f64(ms / 1000.0).ok();
+    time.filter(|time| *time <= LONGEST).ok_or_else(|| {
+        let detail = format!("{ms} ms is outside 0 to {} s", LONGEST.as_secs());
+        Fault::new(ResultCode::PlatformReply, detail)
+    })
 }
--- a/src/platform/prompt_headers.rs
+++ b/src/platform/prompt_headers.rs
@@ -10,12 +10,20 @@
 /// Tokens of the prompt and the most to be generated.
 pub const COUNTS: &str = "archmast-token-count";
 
+/// Tokens of a request, beyond which what it says is not believed: some twenty times the
+/// memory of the largest engine seen (784,000 tokens). Sums of a few such fit their numbers.
+const MOST_TOKENS: u64 = 1 << 24;
+
 /// What a request says of its prompt; none if it says nothing that can be read.
 pub fn prompt_shape(headers: &HeaderMap) -> Option<PromptShape> {
     let parts = headers.get(PARTS)?.to_str().ok()?;
     let parts = parts.split(',').map(part).collect::<Option<Vec<_>>>()?;
     let counts = headers.get(COUNTS)?.to_str().ok()?;
-    let output_tokens = counts.split(',').nth(1)?.trim().parse().ok()?;
+    let output_tokens: u32 = counts.split(',').nth(1)?.trim().parse().ok()?;
+    let named = parts.iter().map(|part| u64::from(part.tokens));
+    if named.sum::<u64>() + u64::from(output_tokens) > MOST_TOKENS {
+        return None;
+    }
     Some(PromptShape {
         parts,
         output_tokens,
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -1,15 +1,26 @@
 use {
-    super::store_json::{CONFIG_KEY, ItemJson, KeyJson, REPLICA_PREFIX, RangeJson, WatchJson},
+    super::store_json::{
+        CONFIG_KEY, REPLICA_PREFIX, RangeJson, WatchJson, last_key, translate, translate_all,
+    },
     crate::{
         catalog::{CatalogChange, CatalogSource, Item},
         codes::{Fault, ResultCode},
         ops::PLATFORM_CALLS,
     },
+    percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode},
     reqwest::{Client, StatusCode, retry},
     serde::de::DeserializeOwned,
+    serde_json::Value,
     std::{net::SocketAddr, time::Duration},
 };
 
+/// What is encoded in the words of a query: keys may have any characters.
+const ENCODED: &AsciiSet = &NON_ALPHANUMERIC
+    .remove(b'/')
+    .remove(b'-')
+    .remove(b'_')
+    .remove(b'.');
+
 /// Calls to the platform's store, each on a connection of its own: one that was kept
 /// from before may have fallen silent, which costs the time of a call to find out.
 pub struct StoreClient {
@@ -43,10 +54,16 @@
     async fn get<T: DeserializeOwned>(
         &self,
         path: &str,
+        query: &[(&str, &str)],
         time: Duration,
     ) -> Result<Option<T>, Fault> {
         let down = |error: reqwest::Error| Fault::caused(ResultCode::PlatformDown, &error);
-        let url = format!("{}/{path}", self.base);
+        let words = query.iter().map(|(name, value)| {
+            let value = utf8_percent_encode(value, ENCODED);
+            format!("{name}={value}")
+        });
+        let words: Vec<String> = words.collect();
+        let url = format!("{}/{path}?{}", self.base, words.join("&"));
         let sent = self.http.get(url).timeout(time).send().await;
         let label = match &sent {
             Ok(response) => response.status().as_str().to_owned(),
@@ -73,29 +90,28 @@
     async fn list(&self) -> Result<CatalogChange, Fault> {
         let mut items: Vec<Item> = Vec::new();
         let mut at = None;
-        let mut after = String::new();
+        let mut after: Option<String> = None;
         loop {
-            let path = format!("kv-range?path_prefix={REPLICA_PREFIX}{after}");
-            let page: Option<RangeJson> = self.get(&path, self.call_time).await?;
-            let page =
-                page.ok_or_else(|| Fault::new(ResultCode::PlatformReply, "no such range"))?;
+            let mut query = vec![("path_prefix", REPLICA_PREFIX)];
+            query.extend(after.as_deref().map(|after| ("after_revision", after)));
+            let page: Option<RangeJson> = self.get("kv-range", &query, self.call_time).await?;
+            let reply = |detail: &str| Fault::new(ResultCode::PlatformReply, detail);
+            let page = page.ok_or_else(|| reply("no such range"))?;
             at.get_or_insert(page.at);
-            let last = page.items.last().map(|item| item.key().to_owned());
-            items.extend(translate(page.items)?);
-            match last {
-                Some(last) if page.more => after = format!("&after_revision={last}"),
-                _ => break,
+            let last = last_key(&page.items).map(str::to_owned);
+            items.extend(translate_all(page.items));
+            if !page.more {
+                break;
+            }
+            if last.is_none() || last <= after {
+                return Err(reply("a page does not say where the next one begins"));
             }
+            after = last;
         }
         // Last, so that no change falls between it and the watch that goes on.
-        let path = format!("kv-key?private_key={CONFIG_KEY}");
-        let config: Option<KeyJson> = self.get(&path, self.call_time).await?;
-        items.extend(
-            config
-                .map(|key| key.item.translate())
-                .transpose()?
-                .flatten(),
-        );
+        let query = [("private_key", CONFIG_KEY)];
+        let config: Option<Value> = self.get("kv-key", &query, self.call_time).await?;
+        items.extend(config.and_then(translate));
         Ok(CatalogChange {
             items,
             at: at.unwrap_or_default(),
@@ -107,23 +123,17 @@
         after: u64,
         wait: Duration,
     ) -> Result<Option<CatalogChange>, Fault> {
-        let path = format!(
-            "kv-watch?path_prefix=&after_revision={after}&wait_ms={}",
-            wait.as_millis()
-        );
-        let reply: Option<WatchJson> = self.get(&path, wait + self.call_time).await?;
-        reply
-            .map(|reply| {
-                Ok(CatalogChange {
-                    items: translate(reply.events)?,
-                    at: reply.at,
-                })
-            })
-            .transpose()
+        let (after, wait_ms) = (after.to_string(), wait.as_millis().to_string());
+        let query = [
+            ("path_prefix", ""),
+            ("after_revision", &after),
+            ("wait_ms", &wait_ms),
+        ];
+        let time = wait + self.call_time;
+        let reply: Option<WatchJson> = self.get("kv-watch", &query, time).await?;
+        Ok(reply.map(|reply| CatalogChange {
+            items: translate_all(reply.events),
+            at: reply.at,
+        }))
     }
 }
-
-fn translate(items: Vec<ItemJson>) -> Result<Vec<Item>, Fault> {
-    let translated = items.into_iter().map(ItemJson::translate);
-    translated.filter_map(Result::transpose).collect()
-}
--- a/src/platform/store_json.rs
+++ b/src/platform/store_json.rs
@@ -1,10 +1,12 @@
 use {
     crate::{
         catalog::{Item, UpstreamRecord},
-        codes::{Fault, ResultCode},
+        codes::ResultCode,
+        ops::UNREADABLE,
     },
     base64::{Engine, engine::general_purpose::STANDARD},
     serde::Deserialize,
+    serde_json::Value,
 };
 
 /// The key of the operator's configuration.
@@ -13,9 +15,13 @@
 /// What the keys of replicas begin with.
 pub const REPLICA_PREFIX: &str = "servers/";
 
+/// The longest entry of a replica that is kept, in bytes; those seen take some 300. What
+/// is longer is no replica's, and would cost each router its size in memory.
+const LONGEST_ENTRY: usize = 16 << 10;
+
 /// An item of the store, or that it is gone.
 #[derive(Deserialize)]
-pub struct ItemJson {
+struct ItemJson {
     private_key: String,
     revision: u64,
     value: Option<String>,
@@ -23,10 +29,11 @@
     gone: bool,
 }
 
-/// A page of a range.
+/// A page of a range. Items are read one by one, so that one that cannot be read
+/// costs itself only.
 #[derive(Deserialize)]
 pub struct RangeJson {
-    pub items: Vec<ItemJson>,
+    pub items: Vec<Value>,
     pub more: bool,
     pub at: u64,
 }
@@ -34,47 +41,75 @@
 /// An answer to a watch.
 #[derive(Deserialize)]
 pub struct WatchJson {
-    pub events: Vec<ItemJson>,
+    pub events: Vec<Value>,
     pub at: u64,
 }
 
-/// An answer to a read of one key.
-#[derive(Deserialize)]
-pub struct KeyJson {
-    #[serde(flatten)]
-    pub item: ItemJson,
+/// The key of the last item that has one, for the next page.
+pub fn last_key(items: &[Value]) -> Option<&str> {
+    let mut keys = items.iter().rev();
+    keys.find_map(|item| item["private_key"].as_str())
 }
 
-impl ItemJson {
-    /// The key, for the next page.
-    pub fn key(&self) -> &str {
-        &self.private_key
-    }
+/// Items in the product's own terms, without those it has no use for or cannot read.
+pub fn translate_all(items: Vec<Value>) -> Vec<Item> {
+    items.into_iter().filter_map(translate).collect()
+}
 
-    /// The item in the product's own terms; none for keys it has no use for.
-    pub fn translate(self) -> Result<Option<Item>, Fault> {
-        let text = match (self.gone, self.value) {
-            (false, Some(value)) => Some(decode(&value)?),
-            _ => None,
-        };
-        if self.private_key == CONFIG_KEY {
-            return Ok(text.map(|text| Item::Config { text }));
+/// One item in the product's own terms; none for keys it has no use for. A value that is
+/// no text becomes an empty one, which is no entry and no configuration.
+pub fn translate(item: Value) -> Option<Item> {
+    let item: ItemJson = match serde_json::from_value(item) {
+        Ok(item) => item,
+        Err(error) => {
+            metrics::counter!(UNREADABLE, "what" => "item").increment(1);
+            log::error!(
+                code = ResultCode::PlatformReply.number();
+                "item of the store left out: it cannot be read: {error}"
+            );
+            return None;
         }
-        let id = self.private_key.strip_prefix(REPLICA_PREFIX);
-        Ok(id.map(|id| {
-            Item::Upstream(UpstreamRecord {
-                id: id.to_owned(),
-                revision: self.revision,
-                text,
-            })
-        }))
+    };
+    let is_config = item.private_key == CONFIG_KEY;
+    let id = item.private_key.strip_prefix(REPLICA_PREFIX);
+    if !is_config && id.is_none() {
+        return None;
+    }
+    let text = match (item.gone, &item.value) {
+        (false, Some(value)) => Some(decode(&item, value, !is_config)),
+        _ => None,
+    };
+    match id {
+        None => text.map(|text| Item::Config { text }),
+        Some(id) => Some(Item::Upstream(UpstreamRecord {
+            id: id.to_owned(),
+            revision: item.revision,
+            text,
+        })),
     }
 }
 
-fn decode(value: &str) -> Result<String, Fault> {
-    let reply = |detail: String| Fault::new(ResultCode::PlatformReply, detail);
-    let bytes = STANDARD
+/// The text of a value; empty if it is none, or far too long for an entry.
+fn decode(
+    item: &ItemJson,
+    value: &str,
+    is_entry: bool,
+) -> String {
+    let text = STANDARD
         .decode(value)
-        .map_err(|error| reply(error.to_string()))?;
-    String::from_utf8(bytes).map_err(|error| reply(error.to_string()))
+        .map_err(|error| error.to_string())
+        .and_then(|bytes| String::from_utf8(bytes).map_err(|error| error.to_string()));
+    let text = text.and_then(|text| match is_entry && text.len() > LONGEST_ENTRY {
+        true => Err(format!("{} bytes", text.len())),
+        false => Ok(text),
+    });
+    text.unwrap_or_else(|error| {
+        metrics::counter!(UNREADABLE, "what" => "value").increment(1);
+        log::error!(
+            code = ResultCode::PlatformReply.number(),
+            key = item.private_key.as_str(), revision = item.revision;
+            "value of the store cannot be read: {error}"
+        );
+        String::new()
+    })
 }
