A replica that starts again under its id is another one for every memory

Cause: all that is known of a replica was kept by its id, which it may have again after a crash: prompts believed kept, load and runs not ended, health and rest, speed, what peers tell, connections at rest. The start (`born`) is part of an entry's identity now; messages between routers name the start. What a router saw end keeps nothing, whatever the list says yet. An entry without `born` is of a start of unknown time, since platforms whose replicas never start again do not write it; one of another type names no replica.

Not done: the product's own form (sidecar's upstream, directory).

--- a/src/direct/cache_survey.rs
+++ b/src/direct/cache_survey.rs
@@ -58,7 +58,7 @@
 /// The model replicas not asked yet, those of the own availability zone first.
 fn due(
     gateway: &Gateway,
-    asked: &mut HashSet<Arc<str>>,
+    asked: &mut HashSet<u32>, // starts of replicas, by short name
 ) -> Vec<Arc<UpstreamEntry>> {
     let Some(table) = gateway.catalog.config() else {
         return Vec::new();
@@ -69,7 +69,7 @@
     };
     let zone = &gateway.settings().process.zone;
     let mut due = gateway.catalog.upstreams();
-    due.retain(|entry| keeps_prompts(entry) && asked.insert(entry.id.clone()));
+    due.retain(|entry| keeps_prompts(entry) && asked.insert(entry.start_name()));
     due.sort_by_key(|entry| *entry.zone != **zone);
     due
 }
@@ -108,10 +108,8 @@
     let Some(engine) = service.and_then(|service| service.engine) else {
         return;
     };
-    let mut board = gateway.board();
-    if let Some(view) = board.replica_mut(&entry.id) {
-        view.cache.learn(parts, engine.memory_tokens);
-    }
+    let memory = engine.memory_tokens;
+    gateway.board().learn_kept(entry, parts, memory);
 }
 
 async fn ask(
--- a/src/direct/events_relay.rs
+++ b/src/direct/events_relay.rs
@@ -146,7 +146,8 @@
                 None => {
                     self.done = true;
                     self.ended = "whole";
-                    self.succeeded();
+                    self.exchange().note_answered(None);
+                    self.exchange().note_success();
                     let rest = self.splitter.take_rest();
                     return Ok((!rest.is_empty()).then_some(rest));
                 }
@@ -201,12 +202,6 @@
         self.answer = begun.answer;
         Ok(())
     }
-
-    fn succeeded(&self) {
-        let replica = self.answer.work.replica().clone();
-        self.exchange().gateway.board().succeeded(&replica);
-        self.exchange().note_success();
-    }
 }
 
 fn silent(limit: Duration) -> AttemptEnd {
--- a/src/direct/exchange.rs
+++ b/src/direct/exchange.rs
@@ -155,6 +155,16 @@
         left.saturating_sub(ANSWER_MARGIN)
     }
 
+    /// The replica of the last attempt answered whole; a plain answer took so long.
+    pub fn note_answered(
+        &self,
+        took: Option<Duration>,
+    ) {
+        if let Some(run) = &self.run {
+            self.gateway.board().succeeded(&run.entry, took);
+        }
+    }
+
     /// An event of the last attempt came whole.
     pub fn note_event(&mut self) {
         let now = self.gateway.now();
@@ -307,9 +317,10 @@
         &self,
         end: &AttemptEnd,
     ) {
-        let Some(replica) = self.tried.last() else {
+        let Some(run) = &self.run else {
             return;
         };
+        let replica = &*run.entry;
         let now = self.gateway.now();
         let mut board = self.gateway.board();
         match end {
@@ -321,7 +332,7 @@
         }
         drop(board);
         if end.code() == ResultCode::UpstreamTimeout {
-            self.gateway.pool.forget_resting(replica);
+            self.gateway.pool.forget_resting(&replica.id);
         }
     }
 }
--- a/src/direct/exchange_suspects.rs
+++ b/src/direct/exchange_suspects.rs
@@ -45,7 +45,11 @@
             return false;
         };
         let now = self.gateway.now();
-        let replica = self.gateway.board().state_of(&run.entry.id);
+        let replica = {
+            let mut board = self.gateway.board();
+            board.ended(&run.entry);
+            board.state_of(&run.entry.id)
+        };
         if replica != Some(UpstreamState::Ready) {
             return false;
         }
--- a/src/direct/gateway.rs
+++ b/src/direct/gateway.rs
@@ -237,9 +237,14 @@
                 self.shares().set_capacity(table.limits.tokens_per_s);
             }
             let entries = self.catalog.upstreams();
-            self.board().set_entries(entries.clone());
-            self.pool
-                .keep_only(|id| entries.iter().any(|entry| &*entry.id == id));
+            let restarted = self.board().set_entries(entries.clone());
+            for replica in &restarted {
+                log::info!(replica = &**replica; "replica started again: all of it is new");
+            }
+            self.pool.keep_only(|id| {
+                let is_listed = entries.iter().any(|entry| &*entry.id == id);
+                is_listed && !restarted.iter().any(|replica| &**replica == id)
+            });
             if changes.changed().await.is_err() {
                 return;
             }
--- a/src/direct/plain_relay.rs
+++ b/src/direct/plain_relay.rs
@@ -30,15 +30,10 @@
         Err(_) => return Err(too_late(begun.limit)),
     };
     let status = answer.head.status;
-    let replica = answer.work.replica().clone();
     let now = exchange.gateway.now();
     let failed = status.is_server_error();
     if !failed {
-        let mut board = exchange.gateway.board();
-        board.succeeded(&replica);
-        if let Some(view) = board.replica_mut(&replica) {
-            view.learn_time(now.saturating_sub(started));
-        }
+        exchange.note_answered(Some(now.saturating_sub(started)));
     }
     if is_whole && status.is_success() {
         exchange.note_success();
--- a/src/platform/replica_json.rs
+++ b/src/platform/replica_json.rs
@@ -14,6 +14,7 @@
     service: String,
     address: SocketAddr,
     zone: String,
+    born: Option<u64>, // missing where replicas never start again under their ids
     #[serde(rename = "version")]
     _version: String,
     slots: u32,
@@ -53,6 +54,7 @@
     };
     Ok(UpstreamEntry {
         id: id.into(),
+        born: entry.born,
         service: entry.service.into(),
         address: entry.address,
         zone: entry.zone.into(),
--- a/src/policy/placement/board_evidence.rs
+++ b/src/policy/placement/board_evidence.rs
@@ -1,8 +1,11 @@
 //! What speaks for and against replicas.
 
 use {
-    super::ReplicaBoard,
-    crate::{catalog::UpstreamState, policy::Moment},
+    super::{KeptPart, PrefixCache, ReplicaBoard, ReplicaView},
+    crate::{
+        catalog::{UpstreamEntry, UpstreamState},
+        policy::Moment,
+    },
     std::time::Duration,
 };
 
@@ -41,13 +44,17 @@
         Some(view.entry.state)
     }
 
-    /// A request ended well at a replica.
+    /// A request ended well at a replica; a plain one took so long.
     pub fn succeeded(
         &mut self,
-        replica: &str,
+        replica: &UpstreamEntry,
+        took: Option<Duration>,
     ) {
-        if let Some(view) = self.replicas.get_mut(replica) {
+        if let Some(view) = self.same_start(replica) {
             view.health.success();
+            if let Some(took) = took {
+                view.learn_time(took);
+            }
         }
     }
 
@@ -55,10 +62,10 @@
     pub fn failed(
         &mut self,
         now: Moment,
-        replica: &str,
+        replica: &UpstreamEntry,
     ) {
-        let usual = self.usual_failure_rate(replica);
-        if let Some(view) = self.replicas.get_mut(replica) {
+        let usual = self.usual_failure_rate(&replica.id);
+        if let Some(view) = self.same_start(replica) {
             view.health.failure(now, usual);
         }
     }
@@ -67,9 +74,9 @@
     pub fn unreachable(
         &mut self,
         now: Moment,
-        replica: &str,
+        replica: &UpstreamEntry,
     ) {
-        if let Some(view) = self.replicas.get_mut(replica) {
+        if let Some(view) = self.same_start(replica) {
             view.health.unreachable(now);
         }
     }
@@ -78,13 +85,45 @@
     pub fn full(
         &mut self,
         now: Moment,
-        replica: &str,
+        replica: &UpstreamEntry,
     ) {
-        if let Some(view) = self.replicas.get_mut(replica) {
+        if let Some(view) = self.same_start(replica) {
             view.health.full(now, FULL_PAUSE);
         }
     }
 
+    /// The process at a replica's address was seen to end: what it kept is lost, whatever
+    /// the list says of it until it is heard of again.
+    pub fn ended(
+        &mut self,
+        replica: &UpstreamEntry,
+    ) {
+        if let Some(view) = self.same_start(replica) {
+            view.cache = PrefixCache::default();
+        }
+    }
+
+    /// A replica's own word on what it keeps, in a memory of `memory` tokens.
+    pub fn learn_kept(
+        &mut self,
+        replica: &UpstreamEntry,
+        parts: &[KeptPart],
+        memory: u64,
+    ) {
+        if let Some(view) = self.same_start(replica) {
+            view.cache.learn(parts, memory);
+        }
+    }
+
+    /// A replica that is still the start that an entry is of.
+    pub(super) fn same_start(
+        &mut self,
+        entry: &UpstreamEntry,
+    ) -> Option<&mut ReplicaView> {
+        let view = self.replicas.get_mut(&entry.id)?;
+        view.entry.is_same_start(entry).then_some(view)
+    }
+
     /// The median failure rate of a replica's fellows.
     fn usual_failure_rate(
         &self,
--- a/src/policy/placement/board_reports.rs
+++ b/src/policy/placement/board_reports.rs
@@ -30,8 +30,8 @@
         &self,
         now: Moment,
     ) -> Vec<ReplicaReport> {
-        let views = self.replicas.iter().map(|(id, view)| ReplicaReport {
-            replica: short_name(id),
+        let views = self.replicas.values().map(|view| ReplicaReport {
+            replica: view.start,
             load: view.own,
             placed: view.placed,
             rests: view.health.rests(now),
@@ -45,8 +45,8 @@
         now: Moment,
     ) -> Vec<ReplicaReport> {
         let age = self.belief_age();
-        let views = self.replicas.iter().map(|(id, view)| ReplicaReport {
-            replica: short_name(id),
+        let views = self.replicas.values().map(|view| ReplicaReport {
+            replica: view.start,
             load: view.zone_load(now, age),
             placed: view.placed_by_zone,
             rests: view.health.rests(now) || view.is_avoided_in_zone(now, age),
--- a/src/policy/placement/replica_board.rs
+++ b/src/policy/placement/replica_board.rs
@@ -3,10 +3,7 @@
         CacheNote, EngineModels, EngineTimes, FirstToken, FleetSize, Load, PlacementSettings,
         ReplicaView, SentPrompt, UsualReadings, Work, WorkNumber, board_reports::keep_note,
     },
-    crate::{
-        catalog::UpstreamEntry,
-        policy::{Moment, short_name},
-    },
+    crate::{catalog::UpstreamEntry, policy::Moment},
     std::{
         collections::{BTreeMap, HashMap},
         sync::Arc,
@@ -78,25 +75,29 @@
             .max(self.report_pace * MISSED_REPORTS)
     }
 
-    /// Takes in the newest list. Replicas that it lacks are forgotten.
+    /// Takes in the newest list. Replicas that it lacks are forgotten, and those that have
+    /// started again, which are given, begin anew.
     pub fn set_entries(
         &mut self,
         entries: Vec<Arc<UpstreamEntry>>,
-    ) {
+    ) -> Vec<Arc<str>> {
+        let mut restarted = Vec::new();
         let listed: HashMap<&str, &Arc<UpstreamEntry>> =
             entries.iter().map(|entry| (&*entry.id, entry)).collect();
         self.replicas.retain(|id, _| listed.contains_key(&**id));
         for entry in &entries {
             match self.replicas.get_mut(&entry.id) {
-                Some(view) => view.entry = entry.clone(),
-                None => {
+                Some(view) if view.entry.is_same_start(entry) => view.entry = entry.clone(),
+                known => {
+                    restarted.extend(known.map(|_| entry.id.clone()));
                     let view = ReplicaView::new(entry.clone());
                     self.replicas.insert(entry.id.clone(), view);
                 }
             }
         }
-        let keys = self.replicas.keys();
-        self.keys = keys.map(|id| (short_name(id), id.clone())).collect();
+        let views = self.replicas.iter();
+        self.keys = views.map(|(id, view)| (view.start, id.clone())).collect();
+        restarted
     }
 
     /// A replica by its id.
@@ -158,7 +159,7 @@
             for (index, part) in parts.iter().enumerate() {
                 view.cache.note(part.id);
                 let note = CacheNote {
-                    replica: short_name(replica),
+                    replica: view.start,
                     part: part.id,
                     shared: index + 1 < parts.len(),
                 };
@@ -171,6 +172,7 @@
         view.own += load;
         let work = Work {
             replica: replica.clone(),
+            start: view.start,
             sent: now,
             load,
             reading: load.reading,
@@ -191,7 +193,8 @@
     ) -> Option<EngineTimes> {
         let work = self.works.get_mut(&number)?;
         let unread = std::mem::take(&mut work.load.reading);
-        let view = self.replicas.get_mut(&work.replica)?;
+        let view = self.replicas.get_mut(&work.replica);
+        let view = view.filter(|view| view.start == work.start)?;
         view.own.reading = view.own.reading.saturating_sub(unread);
         let seen = FirstToken {
             tokens: work.reading,
@@ -215,7 +218,8 @@
         number: WorkNumber,
     ) -> Option<Work> {
         let work = self.works.remove(&number)?;
-        if let Some(view) = self.replicas.get_mut(&work.replica) {
+        let view = self.replicas.get_mut(&work.replica);
+        if let Some(view) = view.filter(|view| view.start == work.start) {
             view.own.running = view.own.running.saturating_sub(work.load.running);
             view.own.reading = view.own.reading.saturating_sub(work.load.reading);
             view.own.memory = view.own.memory.saturating_sub(work.load.memory);
--- a/src/policy/placement/replica_view.rs
+++ b/src/policy/placement/replica_view.rs
@@ -14,8 +14,9 @@
 #[derive(Debug)]
 pub struct ReplicaView {
     pub entry: Arc<UpstreamEntry>,
-    pub hash: u64, // of its id, the same at every router
-    pub own: Load, // what this router has there
+    pub hash: u64,  // of its id, the same at every router
+    pub start: u32, // short name of this start of it
+    pub own: Load,  // what this router has there
     pub health: ReplicaHealth,
     pub cache: PrefixCache,
     pub placed: u64,         // tokens that this router sent there so far
@@ -31,6 +32,7 @@
     pub fn new(entry: Arc<UpstreamEntry>) -> Self {
         Self {
             hash: stable_hash(&&*entry.id),
+            start: entry.start_name(),
             entry,
             own: Load::default(),
             health: ReplicaHealth::default(),
--- a/src/policy/placement/work.rs
+++ b/src/policy/placement/work.rs
@@ -7,6 +7,7 @@
 #[derive(Debug, Clone)]
 pub struct Work {
     pub replica: Arc<str>,
+    pub start: u32, // of the replica, short name
     pub sent: Moment,
     pub load: Load,    // what it counts for now
     pub reading: u32,  // prompt tokens that it has to read in all
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -54,6 +54,7 @@
 ) -> Arc<UpstreamEntry> {
     Arc::new(UpstreamEntry {
         id: id.into(),
+        born: None,
         service: "model".into(),
         address: "127.0.0.1:9".parse().expect("an address"),
         zone: zone.into(),
@@ -392,7 +393,7 @@
     let prompt = prompt(1, 2);
     let (home, _) = sent(board.choose(NOW, &request(&prompt)));
     for _ in 0..3 {
-        board.failed(NOW, &home);
+        board.failed(NOW, &entry(&home, "z", UpstreamState::Ready));
     }
     assert_ne!(sent(board.choose(NOW, &request(&prompt))).0, home);
     let later = NOW + Duration::from_secs(10);
@@ -403,7 +404,7 @@
 fn a_repeat_goes_to_a_resting_replica_rather_than_nowhere() {
     let mut board = board(&["a", "b"]);
     let prompt = prompt(1, 2);
-    board.unreachable(NOW, "b");
+    board.unreachable(NOW, &entry("b", "z", UpstreamState::Ready));
     let tried = ["a".into()];
     let again = PlacementRequest {
         tried: &tried,
@@ -416,7 +417,7 @@
 fn when_most_replicas_fail_none_is_left_out_for_it() {
     let mut board = board(&["a", "b", "c"]);
     for id in ["a", "b", "c"] {
-        board.unreachable(NOW, id);
+        board.unreachable(NOW, &entry(id, "z", UpstreamState::Ready));
     }
     sent(board.choose(NOW, &request(&prompt(1, 2))));
 }
@@ -426,8 +427,8 @@
     let mut board = board(&["a", "b", "c"]);
     for _ in 0..40 {
         for id in ["a", "b", "c"] {
-            board.failed(NOW, id);
-            board.succeeded(id);
+            board.failed(NOW, &entry(id, "z", UpstreamState::Ready));
+            board.succeeded(&entry(id, "z", UpstreamState::Ready), None);
         }
     }
     let awake = board.replicas().filter(|view| !view.health.rests(NOW));
@@ -439,10 +440,10 @@
     let mut board = board(&["a", "b", "c"]);
     for turn in 0..40 {
         for id in ["a", "b", "c"] {
-            board.succeeded(id);
+            board.succeeded(&entry(id, "z", UpstreamState::Ready), None);
         }
         if turn % 2 == 0 {
-            board.failed(NOW, "a");
+            board.failed(NOW, &entry("a", "z", UpstreamState::Ready));
         }
     }
     let rests = |id| board.replica(id).expect("listed").health.rests(NOW);
