--- a/src/catalog/catalog.rs
+++ b/src/catalog/catalog.rs
@@ -208,6 +208,18 @@
         }
     }
 
+    /// Takes all upstreams as gone whose entries have lapsed: the process stood still, and
+    /// their time to come back is over.
+    pub fn end_lapses(&self) {
+        let dropped = {
+            let mut state = self.state.lock().expect("catalog lock");
+            state.upstreams.end_lapses()
+        };
+        if dropped {
+            self.changed.send_modify(|_| {});
+        }
+    }
+
     fn offer_items(
         &self,
         change: CatalogChange,
--- a/src/catalog/lapse_grace.rs
+++ b/src/catalog/lapse_grace.rs
@@ -48,6 +48,12 @@
         self.kept.remove(id);
     }
 
+    /// All that are kept: their time is over.
+    pub fn take_all(&mut self) -> Vec<String> {
+        self.until = None;
+        std::mem::take(&mut self.kept).into_keys().collect()
+    }
+
     /// The entries that did not come back in time.
     pub fn take_expired(
         &mut self,
--- a/src/catalog/upstream_list.rs
+++ b/src/catalog/upstream_list.rs
@@ -163,7 +163,20 @@
     /// there were any.
     pub fn drop_lapsed(&mut self) -> bool {
         let expired = self.lapses.take_expired(Instant::now());
-        for id in &expired {
+        self.drop_all(&expired)
+    }
+
+    /// Takes all upstreams as gone whose entries have lapsed. Whether there were any.
+    pub fn end_lapses(&mut self) -> bool {
+        let lapsed = self.lapses.take_all();
+        self.drop_all(&lapsed)
+    }
+
+    fn drop_all(
+        &mut self,
+        expired: &[String],
+    ) -> bool {
+        for id in expired {
             self.entries.remove(id);
             log::info!(upstream = id.as_str(); "upstream gone: its entry did not come back");
         }
--- a/src/direct/gateway.rs
+++ b/src/direct/gateway.rs
@@ -4,13 +4,13 @@
         store_reading::StoreReading, upstream_pool::UpstreamPool,
     },
     crate::{
-        catalog::Catalog,
+        catalog::{Catalog, CatalogVersion},
         conf::DirectSettings,
         fleet::Revision,
-        ops::{AuditTrail, Uptime},
+        ops::{AuditTrail, PAUSES, Uptime},
         peers::{NamedRouter, PeerTable, ZoneTable},
         policy::{
-            Incarnation, Moment,
+            Incarnation, Moment, Standstill,
             placement::ReplicaBoard,
             shares::{RetryWindow, ShareBook},
             short_name,
@@ -29,8 +29,8 @@
 
 /// The shared tables of a router that carries requests itself.
 ///
-/// Lock order: `board`, `shares`, `retries`, then leaf locks (suspects, catalog,
-/// pool, peers). None is held across an await.
+/// Lock order: `board`, `shares`, `retries`, then leaf locks (suspects, standstill,
+/// catalog, pool, peers). None is held across an await.
 pub struct Gateway {
     settings: RwLock<Arc<DirectSettings>>, // a leaf lock
     pub dialect: Dialect,
@@ -48,7 +48,8 @@
     board: Mutex<ReplicaBoard>,
     shares: Mutex<ShareBook>,
     retries: Mutex<RetryWindow>,
-    suspects: Mutex<SuspectBook>, // a leaf lock
+    suspects: Mutex<SuspectBook>,  // a leaf lock
+    standstill: Mutex<Standstill>, // a leaf lock
     stopping: AtomicBool,
     refusing: AtomicBool, // stops, and takes no more requests
     crowded: AtomicBool,  // more connections of callers than are kept
@@ -61,6 +62,7 @@
         dialect: Dialect,
         catalog: Arc<Catalog>,
     ) -> Self {
+        let uptime = Uptime::start();
         let retries = RetryWindow::new(
             settings.retry_window,
             settings.retry_ratio,
@@ -73,7 +75,8 @@
         Self {
             dialect,
             incarnation: Uptime::new_incarnation(),
-            uptime: Uptime::start(),
+            standstill: Mutex::new(Standstill::new(settings.process.pause_limit, uptime.now())),
+            uptime,
             audit: AuditTrail::new(&settings.process.host, settings.operator.audit_entries),
             catalog,
             pool: UpstreamPool::default(),
@@ -123,6 +126,36 @@
         self.uptime.now()
     }
 
+    /// Whether the process stood still and what it knows is not confirmed yet. Connections
+    /// at rest and upstreams kept for a moment are given up when that is noticed.
+    pub fn is_unconfirmed(&self) -> bool {
+        let now = self.now();
+        let (pause, is_unconfirmed) = {
+            let mut standstill = self.standstill.lock().expect("standstill lock");
+            (standstill.look(now), standstill.is_unconfirmed(now))
+        };
+        if let Some(pause) = pause {
+            metrics::counter!(PAUSES).increment(1);
+            log::warn!(pause_ms = pause.as_millis() as u64; "the process stood still");
+            self.pool.forget_all_resting();
+            self.catalog.end_lapses();
+        }
+        is_unconfirmed
+    }
+
+    /// Another router says how far it has come: what is known here is confirmed if that is
+    /// not further.
+    pub fn heard_version(
+        &self,
+        theirs: CatalogVersion,
+    ) {
+        let ours = self.catalog.version();
+        if theirs.config <= ours.config && theirs.upstreams <= ours.upstreams {
+            let mut standstill = self.standstill.lock().expect("standstill lock");
+            standstill.confirm(self.now());
+        }
+    }
+
     /// The replicas and what is at them.
     pub fn board(&self) -> MutexGuard<'_, ReplicaBoard> {
         self.board.lock().expect("board lock")
--- a/src/direct/processor_watch.rs
+++ b/src/direct/processor_watch.rs
@@ -60,6 +60,7 @@
             let before = self.gateway.now();
             tokio::time::sleep(TICK).await;
             let now = self.gateway.now();
+            self.gateway.is_unconfirmed();
             self.look(now, now.saturating_sub(before));
         }
     }
--- a/src/direct/request_reader.rs
+++ b/src/direct/request_reader.rs
@@ -22,6 +22,10 @@
 /// When to come back, to another router, after this one stops.
 const STOPPING_RETRY: Duration = Duration::from_millis(50);
 
+/// When to come back to a router that stood still: others tell it of changes within a few
+/// of their reports.
+const UNCONFIRMED_RETRY: Duration = Duration::from_millis(200);
+
 /// How long a body may take.
 const BODY_TIME: Duration = Duration::from_secs(10);
 
@@ -43,6 +47,9 @@
     if gateway.is_refusing() {
         return Err(ErrorAnswer::new(ResultCode::Stopping).retry_after(STOPPING_RETRY));
     }
+    if gateway.is_unconfirmed() {
+        return Err(ErrorAnswer::new(ResultCode::Unconfirmed).retry_after(UNCONFIRMED_RETRY));
+    }
     if gateway.processor.is_choked() {
         return Err(ErrorAnswer::new(ResultCode::RouterBusy).retry_after(gateway.least_retry()));
     }
--- a/src/direct/upstream_pool.rs
+++ b/src/direct/upstream_pool.rs
@@ -99,6 +99,15 @@
         }
     }
 
+    /// Drops all connections at rest: while the process stood still their replicas may have
+    /// closed them, or ended.
+    pub fn forget_all_resting(&self) {
+        let mut replicas = self.replicas.lock().expect("pool lock");
+        for connections in replicas.values_mut() {
+            connections.idle.clear();
+        }
+    }
+
     /// Drops connections of replicas that are not listed any more.
     pub fn keep_only(
         &self,
--- a/src/ops/uptime.rs
+++ b/src/ops/uptime.rs
@@ -1,26 +1,29 @@
 use {
     crate::policy::{Incarnation, Moment},
-    std::time::{Instant, SystemTime, UNIX_EPOCH},
+    rustix::time::{ClockId, clock_gettime},
+    std::time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-/// The process's clock: the source of every [`Moment`].
+/// The process's clock: the source of every [`Moment`]. It counts the time for which the
+/// machine is suspended, so that what is known is as old as it is; timers, which only
+/// wait, do not.
 #[derive(Debug, Clone, Copy)]
 pub struct Uptime {
-    started: Instant,
+    started: Duration, // since the machine's start
 }
 
 impl Uptime {
     /// Starts at zero.
     pub fn start() -> Self {
         Self {
-            started: Instant::now(),
+            started: since_boot(),
         }
     }
 
-    /// Time since the start, by the monotonic clock, which goes on while the
-    /// process is stopped.
+    /// Time since the start, by a clock that goes on while the process is stopped or its
+    /// machine suspended, and never goes back.
     pub fn now(&self) -> Moment {
-        self.started.elapsed()
+        since_boot().saturating_sub(self.started)
     }
 
     /// Milliseconds of the wall clock.
@@ -35,3 +38,9 @@
         Incarnation::new(Self::unix_millis(), rand::random())
     }
 }
+
+/// Time since the machine's start, with that for which it was suspended.
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+}
--- a/src/peers/listen.rs
+++ b/src/peers/listen.rs
@@ -89,6 +89,7 @@
             name: router_name(&report.address),
             source: report.incarnation,
         };
+        gateway.heard_version(report.version);
         self.take_figures(now, teller, &report.figures);
     }
 
@@ -115,6 +116,7 @@
             name: sum.zone,
             source: mix(stable_hash(&sum.carrier), sum.incarnation),
         };
+        gateway.heard_version(sum.version);
         self.take_figures(now, teller, &sum.figures);
         true
     }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -48,6 +48,7 @@
 mod sidecar_exchange;
 mod slot_clock;
 mod slot_hold;
+mod standstill;
 pub mod suspects;
 mod teller;
 mod totals_mode;
@@ -96,6 +97,7 @@
     sidecar_exchange::SidecarExchange,
     slot_clock::SlotClock,
     slot_hold::SlotHold,
+    standstill::Standstill,
     teller::{Teller, TellerScope},
     totals_mode::TotalsMode,
     waiting_request::WaitingRequest,
--- a/testbed/tests/stood_still.rs
+++ b/testbed/tests/stood_still.rs
@@ -52,7 +52,9 @@
         assert!(refused.contains(&answer.code()), "{answer:?}");
     }
     let seen = replica.seen();
-    let late = seen.iter().filter(|request| request.id().starts_with("late"));
+    let late = seen
+        .iter()
+        .filter(|request| request.id().starts_with("late"));
     assert_eq!(late.count(), 0);
     fleet.serves(1, "/new/", 200).await;
     until_async("it says that it stood still", async || {
