--- /dev/null
+++ b/testbed/src/command/ending.rs
@@ -0,0 +1,27 @@
+use {
+    super::main::number,
+    crate::soak::{EndingKind, MOST_LATE, ending_run},
+    getopts::Matches,
+    std::{process::ExitCode, time::Duration},
+};
+
+/// The exit code when more was sent than is allowed.
+const BROKEN: u8 = 1;
+
+/// Plays a request that ends replicas in each setting, for some seeds, one after the other.
+pub async fn ending(matches: &Matches) -> ExitCode {
+    let first = number(matches, "seed", 1);
+    let seeds = number(matches, "seeds", 1).max(1);
+    let length = Duration::from_secs(number(matches, "seconds", 24));
+    let mut exit = ExitCode::SUCCESS;
+    for kind in EndingKind::ALL {
+        for seed in first..first + seeds {
+            let result = ending_run(kind, seed, length).await;
+            println!("{}", result.summary());
+            if result.late > MOST_LATE {
+                exit = ExitCode::from(BROKEN);
+            }
+        }
+    }
+    exit
+}
--- a/testbed/src/command/main.rs
+++ b/testbed/src/command/main.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         demo::{demo, traces},
+        ending::ending,
         fairness::fairness,
         measures::{ahead, control, costs, latency, prefix, revision, zone_loss},
         soak::soak_seeds,
@@ -24,6 +25,8 @@
   costs      microseconds of a choice, a standing, a report and a request (--requests)
   soak       faults at random times; what breaks a promise (--seed, --seeds, --minutes,
              --fleet)
+  ending     a request that ends replicas, in five settings: sends that come late, and
+             harmless requests beside it (--seed, --seeds, --seconds)
   zone-loss  what the death of an availability zone does to requests";
 
 /// The exit code for a wrong command line, as the product has it.
@@ -64,6 +67,7 @@
         Some("control") => control(matches).await,
         Some("revision") => revision().await,
         Some("costs") => costs(matches).await,
+        Some("ending") => return ending(matches).await,
         Some("soak") => return soak_seeds(matches).await,
         Some("zone-loss") => zone_loss(matches).await,
         Some(other) => return usage(options, &format!("no command {other}")),
--- a/testbed/src/command/mod.rs
+++ b/testbed/src/command/mod.rs
@@ -1,6 +1,7 @@
 //! The testbed's command line.
 
 mod demo;
+mod ending;
 mod fairness;
 mod main;
 mod measures;
--- a/testbed/src/direct/replica.rs
+++ b/testbed/src/direct/replica.rs
@@ -39,6 +39,8 @@
     opened: AtomicUsize,          // connections so far
     fatal: Mutex<Option<String>>, // a body with this text ends it
     ended: watch::Sender<bool>,
+    cuts_one_in: AtomicUsize, // requests; 0 is none
+    runs: AtomicUsize,
 }
 
 impl Drop for Replica {
@@ -67,6 +69,8 @@
             opened: AtomicUsize::new(0),
             fatal: Mutex::default(),
             ended: watch::Sender::new(false),
+            cuts_one_in: AtomicUsize::new(0),
+            runs: AtomicUsize::new(0),
         });
         let task = tokio::spawn(accept(state.clone(), listener));
         Self {
@@ -126,6 +130,14 @@
         *self.state.fatal.lock().expect("lock") = Some(text.to_owned());
     }
 
+    /// From now on it breaks off the connection of one in so many requests, and lives on.
+    pub fn cuts_one_in(
+        &self,
+        count: usize,
+    ) {
+        self.state.cuts_one_in.store(count, Ordering::SeqCst);
+    }
+
     /// Whether it has ended.
     pub fn has_ended(&self) -> bool {
         *self.state.ended.borrow()
@@ -219,6 +231,11 @@
             state.ended.send_replace(true);
             return Ok(());
         }
+        let run = state.runs.fetch_add(1, Ordering::SeqCst) + 1;
+        let cuts_one_in = state.cuts_one_in.load(Ordering::SeqCst);
+        if cuts_one_in > 0 && run % cuts_one_in == 0 {
+            return Ok(());
+        }
         let told = state.script.lock().expect("lock").pop_front();
         let answer = told.unwrap_or_else(|| state.usual.lock().expect("lock").clone());
         if !act(stream, &request, answer).await? {
--- a/testbed/src/direct/store.rs
+++ b/testbed/src/direct/store.rs
@@ -160,6 +160,22 @@
         self.put(&format!("servers/{id}"), &entry);
     }
 
+    /// Lists a start of a replica: one that may have started before under its id.
+    pub fn list_start(
+        &self,
+        zone: &str,
+        id: &str,
+        born: u64,
+        service: &str,
+        address: SocketAddr,
+    ) {
+        let entry = json!({
+            "service": service, "address": address, "zone": zone, "version": "v1", "slots": 8,
+            "state": "ready", "cold_remaining_ms": 0, "sequence": 1, "born": born,
+        });
+        self.put(&format!("servers/{id}"), &entry);
+    }
+
     /// Takes a replica off the list.
     pub fn remove(
         &self,
--- a/testbed/src/soak/mod.rs
+++ b/testbed/src/soak/mod.rs
@@ -6,6 +6,7 @@
 mod callers;
 mod checks;
 mod drain_check;
+mod ending_run;
 mod fault;
 mod fault_span;
 mod inflict;
@@ -23,6 +24,7 @@
     attempt::{Attempt, Kind},
     checks::broken,
     drain_check::{LateArrivals, late_arrivals},
+    ending_run::{EndingKind, EndingResult, MOST_LATE, ending_run},
     fault::Fault,
     fault_span::FaultSpan,
     movements::movements,
