Routers that have just started get no connections of busy neighbours

Cause: a router said how far its catalog had come, and was ready, some milliseconds before its board followed; busy neighbours looked at neither and handed connections on to it, and it answered 65. It says so, and is ready, once requests are placed by it, and neighbours are those that know both a configuration and a list. The test failed before (four neighbours of which one serves).

--- a/src/catalog/catalog.rs
+++ b/src/catalog/catalog.rs
@@ -26,6 +26,13 @@
     pub upstreams: u64, // the store's revision that the list reflects, 0 is none
 }
 
+impl CatalogVersion {
+    /// Whether there is a configuration and a list of upstreams.
+    pub fn knows_both(&self) -> bool {
+        self.config > 0 && self.upstreams > 0
+    }
+}
+
 /// The newest configuration and list of upstreams that this process has heard
 /// of, from the store or from peers. Higher versions win; nothing reverts.
 pub struct Catalog {
--- a/src/catalog/follow.rs
+++ b/src/catalog/follow.rs
@@ -69,7 +69,7 @@
 /// tell of both the configuration and the upstreams.
 fn told_so_far(catalog: &Catalog) -> Option<u64> {
     let version = catalog.version();
-    (version.config > 0 && version.upstreams > 0).then_some(version.upstreams)
+    version.knows_both().then_some(version.upstreams)
 }
 
 /// Milliseconds since a moment.
--- a/src/direct/gateway.rs
+++ b/src/direct/gateway.rs
@@ -52,6 +52,7 @@
     standstill: Mutex<Standstill>, // a leaf lock
     stopping: AtomicBool,
     refusing: AtomicBool, // stops, and takes no more requests
+    placing: AtomicBool,  // the board follows a configuration and a list
     crowded: AtomicBool,  // more connections of callers than are kept
 }
 
@@ -92,6 +93,7 @@
             suspects: Mutex::new(SuspectBook::new(settings.let_through.clone())),
             stopping: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
+            placing: AtomicBool::new(false),
             crowded: AtomicBool::new(false),
             settings: RwLock::new(Arc::new(settings)),
         }
@@ -247,11 +249,16 @@
 
     /// Whether callers should be sent here.
     pub fn is_ready(&self) -> bool {
-        let version = self.catalog.version();
-        !self.is_stopping()
-            && !self.processor.is_paused()
-            && version.config > 0
-            && version.upstreams > 0
+        !self.is_stopping() && !self.processor.is_paused() && self.version_in_use().knows_both()
+    }
+
+    /// How far the catalog had come when requests were first placed by it, and has come
+    /// since; nothing before.
+    pub fn version_in_use(&self) -> CatalogVersion {
+        match self.placing.load(Ordering::Relaxed) {
+            true => self.catalog.version(),
+            false => CatalogVersion::default(),
+        }
     }
 
     /// Keeps the board and the pool in step with the list of replicas.
@@ -274,6 +281,9 @@
             for replica in &restarted {
                 log::info!(replica = &**replica; "replica started again: all of it is new");
             }
+            if version.knows_both() {
+                self.placing.store(true, Ordering::Relaxed);
+            }
             self.pool.keep_only(|id| {
                 let is_listed = entries.iter().any(|entry| &*entry.id == id);
                 is_listed && !restarted.iter().any(|replica| &**replica == id)
--- a/src/peers/catch_up.rs
+++ b/src/peers/catch_up.rs
@@ -30,7 +30,7 @@
                 continue;
             };
             let since = *behind_since.get_or_insert(now);
-            let knows_both = ours.config > 0 && ours.upstreams > 0;
+            let knows_both = ours.knows_both();
             let waits = knows_both && self.gateway.reading.is_own();
             if waits && now.saturating_sub(since) < PATIENCE {
                 continue;
--- a/src/peers/peer_table.rs
+++ b/src/peers/peer_table.rs
@@ -232,7 +232,9 @@
     ) -> Vec<Neighbour> {
         let peers = self.peers();
         let there = peers.values().filter(|entry| entry.is_there(now, age));
-        let told = there.filter_map(|entry| {
+        // One that has just started refused what was handed on to it.
+        let serving = there.filter(|entry| entry.version.knows_both());
+        let told = serving.filter_map(|entry| {
             let busy = f64::from(entry.busy) / 100.0;
             let callers = entry.callers.filter(|_| busy <= most_busy)?;
             Some(Neighbour {
--- a/src/peers/tell.rs
+++ b/src/peers/tell.rs
@@ -103,7 +103,7 @@
                 busy: gateway.processor.busy_percent(),
                 millicores: (settings.process.cores * 1000.0) as u16,
                 store_lost: gateway.is_store_lost(),
-                version: gateway.catalog.version(),
+                version: gateway.version_in_use(),
                 figures,
             };
             self.send(&PeerMessage::Report(report), addresses).await;
@@ -164,7 +164,7 @@
                 incarnation: self.incarnation,
                 sequence,
                 routers: fellows.len() as u32 + 1,
-                version: gateway.catalog.version(),
+                version: gateway.version_in_use(),
                 figures,
                 members: in_turn(&fellows, turn, MEMBERS),
             };
--- a/testbed/src/direct/replica.rs
+++ b/testbed/src/direct/replica.rs
@@ -233,7 +233,7 @@
         }
         let run = state.runs.fetch_add(1, Ordering::SeqCst) + 1;
         let cuts_one_in = state.cuts_one_in.load(Ordering::SeqCst);
-        if cuts_one_in > 0 && run % cuts_one_in == 0 {
+        if cuts_one_in > 0 && run.is_multiple_of(cuts_one_in) {
             return Ok(());
         }
         let told = state.script.lock().expect("lock").pop_front();
--- /dev/null
+++ b/tests/neighbours.rs
@@ -0,0 +1,49 @@
+//! Connections are handed on to neighbours that can serve them. Routers that had started
+//! some milliseconds before took connections that busy neighbours handed on to them, and
+//! answered "the service has no replica" within 20 ms of their configuration: their reports
+//! were believed before anything was known there, and told of a catalog by which nothing
+//! was chosen yet.
+
+use {
+    archmast::{
+        catalog::CatalogVersion,
+        peers::{Figures, NamedRouter, PeerTable, RouterReport},
+    },
+    std::{net::SocketAddr, time::Duration},
+};
+
+const NOW: Duration = Duration::from_secs(1);
+const AGE: Duration = Duration::from_millis(500);
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+#[test]
+fn routers_that_know_no_configuration_or_no_replicas_get_no_connections() {
+    let own = NamedRouter {
+        address: address(1),
+        zone: 1,
+    };
+    let table = PeerTable::new(own, &[]);
+    for (port, config, upstreams) in [(2, 0, 0), (3, 7, 0), (4, 0, 9), (5, 7, 9)] {
+        let report = RouterReport {
+            address: address(port),
+            news: address(port),
+            callers: address(port + 1000),
+            zone: 1,
+            incarnation: 1,
+            sequence: 1,
+            leaving: false,
+            busy: 0,
+            millicores: 500,
+            store_lost: false,
+            version: CatalogVersion { config, upstreams },
+            figures: Figures::default(),
+        };
+        assert!(table.hear(NOW, &report, AGE));
+    }
+    let neighbours = table.neighbours(NOW, AGE, 0.5);
+    let callers: Vec<SocketAddr> = neighbours.iter().map(|it| it.callers).collect();
+    assert_eq!(callers, [address(1005)]);
+}
