--- a/testbed/src/direct/mod.rs
+++ b/testbed/src/direct/mod.rs
@@ -6,6 +6,10 @@
 mod direct_fleet;
 mod replica;
 mod replica_answer;
+mod replica_answering;
+mod replica_serving;
+mod replica_state;
+mod route_text;
 mod seen_request;
 mod store;
 mod store_mode;
@@ -15,10 +19,12 @@
     client::{Client, ClientRequest},
     client_answer::ClientAnswer,
     direct_fleet::{DirectFleet, zone_name},
-    replica::{Replica, event},
+    replica::Replica,
     replica_answer::ReplicaAnswer,
+    replica_answering::event,
+    route_text::RouteText,
     seen_request::SeenRequest,
-    store::{RouteText, Store},
+    store::Store,
     store_mode::StoreMode,
     store_port::StorePort,
 };
--- /dev/null
+++ b/testbed/src/direct/replica_answering.rs
@@ -0,0 +1,142 @@
+//! What a stand-in replica writes.
+
+use {
+    super::{ReplicaAnswer, SeenRequest, replica_state::ReplicaState},
+    serde_json::json,
+    std::{io, time::Duration},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+    },
+};
+
+/// What it keeps, as an answer.
+pub(super) fn list(state: &ReplicaState) -> String {
+    let kept = state.kept.lock().expect("lock").clone();
+    let body = json!({"epoch": 1, "next_token": 1, "held": kept}).to_string();
+    let length = body.len();
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}")
+}
+
+/// Answers one request. False if the connection ends with it.
+pub(super) async fn act(
+    stream: &mut TcpStream,
+    request: &SeenRequest,
+    answer: ReplicaAnswer,
+) -> io::Result<bool> {
+    let id = request.id();
+    match answer {
+        ReplicaAnswer::Whole { status, body } => write(stream, &whole(id, status, &body)).await?,
+        ReplicaAnswer::Slow { body, after } => {
+            let mut byte = [0];
+            tokio::select! {
+                () = tokio::time::sleep(after) => write(stream, &whole(id, 200, &body)).await?,
+                _ = stream.read(&mut byte) => return Ok(false),
+            }
+        }
+        ReplicaAnswer::NotExecuted { status } => {
+            let text = format!(
+                "HTTP/1.1 {status} Not Now\r\nArchmast-Attempt-Id: {id}\r\nArchmast-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            );
+            write(stream, &text).await?;
+        }
+        ReplicaAnswer::Close => return Ok(false),
+        ReplicaAnswer::Silent => {
+            wait_for_close(stream).await;
+            return Ok(false);
+        }
+        ReplicaAnswer::Cut => {
+            let text = whole(id, 200, "a whole body of some length");
+            write(stream, &text[..text.len() - 9]).await?;
+            return Ok(false);
+        }
+        ReplicaAnswer::WrongId => write(stream, &whole("another", 200, "not yours")).await?,
+        ReplicaAnswer::Unsigned => {
+            let text = format!(
+                "HTTP/1.1 200 OK\r\nArchmast-Attempt-Id: {id}\r\nContent-Length: 2\r\n\r\nok"
+            );
+            write(stream, &text).await?;
+        }
+        ReplicaAnswer::Garbage => {
+            write(stream, "\0\0 this is no answer \r\n\r\n").await?;
+            return Ok(false);
+        }
+        ReplicaAnswer::Surplus { body } => {
+            let text = whole(id, 200, &body) + &whole(id, 200, "surplus");
+            write(stream, &text).await?;
+        }
+        ReplicaAnswer::Events { last, pause } => {
+            write_events(stream, request, last, pause).await?;
+            write(stream, "0\r\n\r\n").await?;
+        }
+        ReplicaAnswer::EventsCut { last, .. } | ReplicaAnswer::EventsStall { last, .. }
+            if !request.header("last-event-id").is_empty() =>
+        {
+            write_events(stream, request, last, Duration::ZERO).await?;
+            write(stream, "0\r\n\r\n").await?;
+        }
+        ReplicaAnswer::EventsCut { after, .. } => {
+            write_events(stream, request, after, Duration::ZERO).await?;
+            write(stream, &chunk(&format!("id: {}\ndata: pa", after + 1))).await?;
+            return Ok(false);
+        }
+        ReplicaAnswer::EventsStall { after, .. } => {
+            write_events(stream, request, after, Duration::ZERO).await?;
+            wait_for_close(stream).await;
+            return Ok(false);
+        }
+    }
+    Ok(true)
+}
+
+async fn write_events(
+    stream: &mut TcpStream,
+    request: &SeenRequest,
+    last: u32,
+    pause: Duration,
+) -> io::Result<()> {
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nArchmast-Attempt-Id: {}\r\nArchmast-Replica-Signature: s.{}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+        request.id(),
+        request.header("archmast-expected-replica")
+    );
+    write(stream, &head).await?;
+    let first = request.header("last-event-id").parse().unwrap_or(0) + 1;
+    for number in first..=last {
+        tokio::time::sleep(pause).await;
+        write(stream, &chunk(&event(number))).await?;
+    }
+    Ok(())
+}
+
+/// One event as the stand-ins write it.
+pub fn event(number: u32) -> String {
+    format!("id: {number}\ndata: piece {number}\n\n")
+}
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+fn whole(
+    id: &str,
+    status: u16,
+    body: &str,
+) -> String {
+    format!(
+        "HTTP/1.1 {status} Answer\r\nArchmast-Attempt-Id: {id}\r\nArchmast-Replica-Signature: s.1\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+pub(super) async fn write(
+    stream: &mut TcpStream,
+    text: &str,
+) -> io::Result<()> {
+    stream.write_all(text.as_bytes()).await
+}
+
+async fn wait_for_close(stream: &mut TcpStream) {
+    let mut bytes = [0; 64];
+    while matches!(stream.read(&mut bytes).await, Ok(count) if count > 0) {}
+}
--- /dev/null
+++ b/testbed/src/direct/replica_state.rs
@@ -0,0 +1,26 @@
+use {
+    super::{ReplicaAnswer, SeenRequest},
+    serde_json::Value,
+    std::{
+        collections::VecDeque,
+        sync::{Mutex, atomic::AtomicUsize},
+        time::Duration,
+    },
+    tokio::sync::watch,
+};
+
+/// What a stand-in replica was told, and what it got.
+pub(super) struct ReplicaState {
+    pub id: Mutex<String>,
+    pub script: Mutex<VecDeque<ReplicaAnswer>>,
+    pub usual: Mutex<ReplicaAnswer>,
+    pub seen: Mutex<Vec<SeenRequest>>,
+    pub kept: Mutex<Vec<Value>>,     // parts of prompts, as it lists them
+    pub list_after: Mutex<Duration>, // what listing takes
+    pub open: AtomicUsize,           // connections
+    pub opened: AtomicUsize,         // connections so far
+    pub fatal: Mutex<Option<String>>, // a body with this text ends it
+    pub ended: watch::Sender<bool>,
+    pub cuts_one_in: AtomicUsize, // requests; 0 is none
+    pub runs: AtomicUsize,
+}
--- /dev/null
+++ b/testbed/src/direct/route_text.rs
@@ -0,0 +1,30 @@
+/// A route as the operator writes it.
+#[derive(Debug, Clone)]
+pub struct RouteText {
+    pub prefix: &'static str,
+    pub service: &'static str,
+    pub kind: &'static str,
+    pub attempts: u32,
+    pub timeout_ms: u32,
+    pub resumable: bool,
+    pub public: bool,
+}
+
+impl RouteText {
+    /// A route that is given up after ten seconds and sent to two replicas.
+    pub fn new(
+        prefix: &'static str,
+        service: &'static str,
+        kind: &'static str,
+    ) -> Self {
+        Self {
+            prefix,
+            service,
+            kind,
+            attempts: 2,
+            timeout_ms: 10_000,
+            resumable: true,
+            public: false,
+        }
+    }
+}
--- a/testbed/src/direct/store.rs
+++ b/testbed/src/direct/store.rs
@@ -1,4 +1,5 @@
 use {
+    super::RouteText,
     serde_json::{Value, json},
     std::{
         collections::BTreeMap,
@@ -29,37 +30,6 @@
     revision: u64,
 }
 
-/// A route as the operator writes it.
-#[derive(Debug, Clone)]
-pub struct RouteText {
-    pub prefix: &'static str,
-    pub service: &'static str,
-    pub kind: &'static str,
-    pub attempts: u32,
-    pub timeout_ms: u32,
-    pub resumable: bool,
-    pub public: bool,
-}
-
-impl RouteText {
-    /// A route that is given up after ten seconds and sent to two replicas.
-    pub fn new(
-        prefix: &'static str,
-        service: &'static str,
-        kind: &'static str,
-    ) -> Self {
-        Self {
-            prefix,
-            service,
-            kind,
-            attempts: 2,
-            timeout_ms: 10_000,
-            resumable: true,
-            public: false,
-        }
-    }
-}
-
 impl Default for Store {
     fn default() -> Self {
         Self {
--- a/testbed/src/soak/ending_run.rs
+++ b/testbed/src/soak/ending_run.rs
@@ -1,4 +1,5 @@
 use {
+    super::{EndingKind, EndingResult},
     crate::direct::{
         Client, ClientRequest, DirectFleet, Replica, ReplicaAnswer, RouteText, zone_name,
     },
@@ -49,55 +50,6 @@
 /// How long a caller waits.
 const GIVES_UP: Duration = Duration::from_secs(6);
 
-/// What happens in a run beside the harmless requests.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum EndingKind {
-    /// Replicas come back under new ids.
-    NewIds,
-    /// They come back after a second under the ids that they had.
-    SameIds,
-    /// Routers are killed one after the other.
-    RoutersKilled,
-    /// All harmless requests are one and the same.
-    OneRequest,
-    /// No such request; replicas break off a fifth of their connections and live on.
-    CutOff,
-}
-
-impl EndingKind {
-    /// All of them.
-    pub const ALL: [Self; 5] = [
-        Self::NewIds,
-        Self::SameIds,
-        Self::RoutersKilled,
-        Self::OneRequest,
-        Self::CutOff,
-    ];
-}
-
-/// What a run showed.
-#[derive(Debug, Clone, PartialEq)]
-pub struct EndingResult {
-    pub kind: EndingKind,
-    pub seed: u64,
-    pub ended: usize,    // replicas
-    pub late: usize,     // sends later than allowed after the third end
-    pub harmless: usize, // requests
-    pub served: usize,
-    pub held: usize, // harmless ones that were held back
-}
-
-impl EndingResult {
-    /// One line for people.
-    pub fn summary(&self) -> String {
-        let served = self.served as f64 / self.harmless.max(1) as f64;
-        format!(
-            "{:?} seed {}: {} ended, {} sent late; {} harmless, served {served:.3}, held back {}",
-            self.kind, self.seed, self.ended, self.late, self.harmless, self.held
-        )
-    }
-}
-
 /// The replicas that run, and what those that ended had seen.
 struct Place {
     replica: Replica,
--- a/testbed/src/soak/mod.rs
+++ b/testbed/src/soak/mod.rs
@@ -6,6 +6,8 @@
 mod callers;
 mod checks;
 mod drain_check;
+mod ending_kind;
+mod ending_result;
 mod ending_run;
 mod fault;
 mod fault_span;
@@ -24,7 +26,9 @@
     attempt::{Attempt, Kind},
     checks::broken,
     drain_check::{LateArrivals, late_arrivals},
-    ending_run::{EndingKind, EndingResult, MOST_LATE, ending_run},
+    ending_kind::EndingKind,
+    ending_result::EndingResult,
+    ending_run::{MOST_LATE, ending_run},
     fault::Fault,
     fault_span::FaultSpan,
     movements::movements,
