One replica's end counts once, and an answer speaks for its request for a minute

Found by one_harmless_request_that_is_everywhere_is_served_beside_it beside load: two routers had a copy of it at one replica as that ended, sent 1 and 2 ms before, and these counted as two ends one after the other, since reports may be 100 ms late (log: both ends at the same millisecond, then held back with two). An end names its replica now, and one replica's counts once within 800 ms. Answers of the last minute speak for their request, not only those that come after an end.

The test asked for more than can be known: in the next failure three replicas ended within 9 ms, the request was at each of them through other routers, and nobody had answered it ever; it was held back until its first answer, 22 ms later.

--- a/src/direct/exchange_suspects.rs
+++ b/src/direct/exchange_suspects.rs
@@ -45,19 +45,20 @@
             return false;
         };
         let now = self.gateway.now();
-        let replica = {
+        let state = {
             let mut board = self.gateway.board();
             board.ended(&run.entry);
             board.state_of(&run.entry.id)
         };
-        if replica != Some(UpstreamState::Ready) {
+        if state != Some(UpstreamState::Ready) {
             return false;
         }
         self.ends += 1;
-        let end = RunEnd::seen(rand::random(), run.sent, run.first_event, now);
+        let replica = run.entry.start_name();
+        let end = RunEnd::seen(rand::random(), replica, run.sent, run.first_event, now);
         let request = self.call.digest();
         let account = self.call.account.as_deref().map_or(0, short_name);
-        let hold = self.gateway.suspects().ended(request, account, end);
+        let hold = self.gateway.suspects().ended(now, request, account, end);
         self.gateway.report_wanted.notify_one();
         let Some(hold) = hold else {
             return false;
@@ -73,13 +74,10 @@
 
     /// A replica answered the request with a success, whole.
     pub(super) fn note_success(&self) {
-        let mut suspects = self.gateway.suspects();
-        if !suspects.suspects_any() {
-            return;
-        }
         let request = self.call.digest();
-        if suspects.answered(request) {
-            drop(suspects);
+        let now = self.gateway.now();
+        let excused = self.gateway.suspects().answered(now, request);
+        if excused {
             log::info!(
                 request_id = self.call.request_id.as_str(),
                 request = request.to_string().as_str();
--- a/src/policy/suspects/mod.rs
+++ b/src/policy/suspects/mod.rs
@@ -2,8 +2,9 @@
 //!
 //! A request is known again by its digest, whatever the id of the try. What speaks
 //! against it are runs that were under way when their replica ended, at whichever router;
-//! routers tell each other of them, and a whole answer anywhere speaks for it.
+//! routers tell each other of them, and a whole answer anywhere speaks for it, for a while.
 
+mod answered;
 mod book_notes;
 mod hold;
 mod request_digest;
--- a/src/policy/suspects/run_end.rs
+++ b/src/policy/suspects/run_end.rs
@@ -9,6 +9,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RunEnd {
     pub key: u32,          // drawn by the router that saw it
+    pub replica: u32,      // that ended, short name of its start
     pub began: ToldMoment, // sent to the replica
     pub ended: ToldMoment, // with the replica
     pub is_early: bool,    // it had brought no event, or not for long
@@ -19,6 +20,7 @@
     /// A run that this router saw end now.
     pub fn seen(
         key: u32,
+        replica: u32,
         began: Moment,
         first_event: Option<Moment>,
         now: Moment,
@@ -26,6 +28,7 @@
         let is_early = first_event.is_none_or(|first| now.saturating_sub(first) <= EARLY);
         Self {
             key,
+            replica,
             began: began.into(),
             ended: now.into(),
             is_early,
--- a/src/policy/suspects/suspect.rs
+++ b/src/policy/suspects/suspect.rs
@@ -11,6 +11,10 @@
 /// ended: a report takes as long from router to router, so that ends are heard of late.
 const TOLD_LATE: Duration = Duration::from_millis(100);
 
+/// Ends of one replica within this time of each other are the same: it takes longer to come
+/// back, and routers see and tell it at different moments.
+const ONE_END: Duration = Duration::from_millis(800);
+
 /// Ends of runs that had brought events for long, of which each counts as one early end.
 const LATE_ENDS: usize = 2;
 
@@ -95,15 +99,19 @@
 }
 
 /// The most runs that followed each other. Replicas that end together, each under a copy
-/// of one request, say no more against it than one.
+/// of one request, say no more against it than one; nor does one replica under several.
 fn one_after_the_other<'e>(ends: impl Iterator<Item = &'e RunEnd>) -> usize {
-    let mut last: Option<ToldMoment> = None;
-    let mut count = 0;
+    let mut counted: Vec<&RunEnd> = Vec::new();
     for end in ends {
-        if last.is_none_or(|last| end.began.plus(TOLD_LATE) >= last) {
-            last = Some(end.ended);
-            count += 1;
+        let follows = counted
+            .last()
+            .is_none_or(|last| end.began.plus(TOLD_LATE) >= last.ended);
+        let is_known = counted
+            .iter()
+            .any(|known| known.replica == end.replica && known.ended.plus(ONE_END) >= end.ended);
+        if follows && !is_known {
+            counted.push(end);
         }
     }
-    count
+    counted.len()
 }
--- a/src/policy/suspects/suspect_book.rs
+++ b/src/policy/suspects/suspect_book.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Hold, RequestDigest, RunEnd, suspect::Suspect},
+    super::{Hold, RequestDigest, RunEnd, answered::Answered, suspect::Suspect},
     crate::policy::Moment,
     std::{
         collections::{BTreeMap, BTreeSet, HashMap},
@@ -31,7 +31,7 @@
     pub(super) news: BTreeMap<RequestDigest, u8>, // learnt here: tellings that are left
     pub(super) zone_news: BTreeMap<RequestDigest, u8>, // learnt in the zone
     pub(super) lasting: BTreeSet<RequestDigest>,  // with enough ends to be held back
-    suspected: BTreeSet<RequestDigest>,           // something speaks against them
+    answers: Answered,                            // given here
     let_through: BTreeSet<RequestDigest>,         // by the operator
 }
 
@@ -57,19 +57,16 @@
         !self.lasting.is_empty()
     }
 
-    /// Whether anything speaks against any request.
-    pub fn suspects_any(&self) -> bool {
-        !self.suspected.is_empty()
-    }
-
     /// A replica ended under a request that this router had sent there. The hold that
     /// follows, if one does.
     pub fn ended(
         &mut self,
+        now: Moment,
         request: RequestDigest,
         account: u32,
-        end: RunEnd,
+        mut end: RunEnd,
     ) -> Option<Hold> {
+        end.is_excused |= self.answers.is_answered(now, request);
         self.make_room(account, request);
         let suspect = self.suspects.entry(request);
         let suspect = suspect.or_insert_with(|| Suspect::new(account));
@@ -100,8 +97,10 @@
     /// A request got a whole answer. Whether something had spoken against it.
     pub fn answered(
         &mut self,
+        now: Moment,
         request: RequestDigest,
     ) -> bool {
+        self.answers.note(now, request);
         let suspect = self.suspects.get_mut(&request);
         let is_news = suspect.is_some_and(Suspect::excuse);
         if is_news {
@@ -146,7 +145,6 @@
         });
         let known = &self.suspects;
         self.lasting.retain(|request| known.contains_key(request));
-        self.suspected.retain(|request| known.contains_key(request));
     }
 
     /// Sorts a request in anew after something was learnt of it. Gives its hold.
@@ -156,15 +154,10 @@
     ) -> Option<Hold> {
         let suspect = self.suspects.get(&request)?;
         let hold = suspect.hold();
-        let sort_in = |set: &mut BTreeSet<RequestDigest>, belongs: bool| {
-            if belongs {
-                set.insert(request);
-            } else {
-                set.remove(&request);
-            }
+        match hold {
+            Some(_) => self.lasting.insert(request),
+            None => self.lasting.remove(&request),
         };
-        sort_in(&mut self.lasting, hold.is_some());
-        sort_in(&mut self.suspected, suspect.is_suspected());
         hold
     }
 
@@ -196,7 +189,6 @@
         if let Some(request) = least.map(|(request, _)| *request) {
             self.suspects.remove(&request);
             self.lasting.remove(&request);
-            self.suspected.remove(&request);
         }
     }
 }
--- a/src/policy/suspects/suspect_note.rs
+++ b/src/policy/suspects/suspect_note.rs
@@ -17,6 +17,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndNote {
     pub key: u32,
+    pub replica: u32,  // short name of its start
     pub began_ms: u32, // ago
     pub ended_ms: u32, // ago
     pub is_early: bool,
@@ -31,6 +32,7 @@
     ) -> Self {
         Self {
             key: end.key,
+            replica: end.replica,
             began_ms: end.began.ago_ms(now),
             ended_ms: end.ended.ago_ms(now),
             is_early: end.is_early,
@@ -45,6 +47,7 @@
     ) -> RunEnd {
         RunEnd {
             key: self.key,
+            replica: self.replica,
             began: ToldMoment::before(now, self.began_ms),
             ended: ToldMoment::before(now, self.ended_ms),
             is_early: self.is_early,
