--- a/src/direct/exchange.rs
+++ b/src/direct/exchange.rs
@@ -152,7 +152,7 @@
     }
 
     /// The replica of the last attempt answered whole; a plain answer took so long.
-    pub fn note_answered(
+    pub fn note_replica_success(
         &self,
         took: Option<Duration>,
     ) {
--- a/src/direct/exchange_suspects.rs
+++ b/src/direct/exchange_suspects.rs
@@ -73,7 +73,7 @@
     }
 
     /// A replica answered the request with a success, whole.
-    pub(super) fn note_success(&self) {
+    pub(super) fn note_request_success(&self) {
         let request = self.call.digest();
         let now = self.gateway.now();
         let excused = self.gateway.suspects().answered(now, request);
--- a/src/direct/plain_relay.rs
+++ b/src/direct/plain_relay.rs
@@ -33,10 +33,10 @@
     let now = exchange.gateway.now();
     let failed = status.is_server_error();
     if !failed {
-        exchange.note_answered(Some(now.saturating_sub(started)));
+        exchange.note_replica_success(Some(now.saturating_sub(started)));
     }
     if is_whole && status.is_success() {
-        exchange.note_success();
+        exchange.note_request_success();
     }
     if is_whole {
         let length = (exchange.call.method != hyper::Method::HEAD).then_some(kept.len());
--- a/src/peers/tell_suspects.rs
+++ b/src/peers/tell_suspects.rs
@@ -50,16 +50,16 @@
         for note in &notes {
             times.insert(note.request, now);
         }
-        let is_due = |request: &RequestDigest| {
-            let told = times.get(request);
+        let is_due = |request: &&RequestDigest| {
+            let told = times.get(*request);
             told.is_none_or(|at| now.saturating_sub(*at) >= TOLD_AGAIN)
         };
-        let due: Vec<RequestDigest> = lasting.into_iter().filter(is_due).collect();
-        let due: Vec<RequestDigest> = due.into_iter().take(MOST_AGAIN).collect();
+        let due = lasting.iter().filter(is_due).take(MOST_AGAIN);
+        let due: Vec<RequestDigest> = due.copied().collect();
         for request in &due {
             times.insert(*request, now);
         }
-        notes.extend(suspects.notes(now, due));
+        notes.extend(suspects.notes(now, &due));
         notes
     }
 
--- a/src/policy/suspects/book_notes.rs
+++ b/src/policy/suspects/book_notes.rs
@@ -3,7 +3,7 @@
 use {
     super::{EndNote, Hold, RequestDigest, SuspectBook, SuspectNote, suspect::Suspect},
     crate::policy::{Moment, TellerScope},
-    std::collections::BTreeMap,
+    std::collections::{BTreeMap, BTreeSet},
 };
 
 /// How often what was learnt is told: a datagram may be lost.
@@ -69,7 +69,7 @@
         now: Moment,
     ) -> Vec<SuspectNote> {
         let told = take_told(&mut self.news);
-        self.notes(now, told)
+        self.notes(now, &told)
     }
 
     /// What other zones are told now: what was learnt in this one.
@@ -78,25 +78,25 @@
         now: Moment,
     ) -> Vec<SuspectNote> {
         let told = take_told(&mut self.zone_news);
-        self.notes(now, told)
+        self.notes(now, &told)
     }
 
     /// Requests that are to be told again and again, for routers that start: those that
     /// are held back, or were.
-    pub fn lasting(&self) -> Vec<RequestDigest> {
-        self.lasting.iter().copied().collect()
+    pub fn lasting(&self) -> &BTreeSet<RequestDigest> {
+        &self.lasting
     }
 
     /// What is known of these requests.
     pub fn notes(
         &self,
         now: Moment,
-        requests: Vec<RequestDigest>,
+        requests: &[RequestDigest],
     ) -> Vec<SuspectNote> {
-        let known = requests.into_iter().filter_map(|request| {
-            let suspect = self.suspects.get(&request)?;
+        let known = requests.iter().filter_map(|request| {
+            let suspect = self.suspects.get(request)?;
             Some(SuspectNote {
-                request,
+                request: *request,
                 account: suspect.account,
                 ends: suspect
                     .ends
