SIGHUP is taken over before anything listens

Cause: the task that watches the settings registered the signal when it first ran, after the router listened; before, it ends a process.

--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -15,7 +15,10 @@
     },
     error_stack::{Report, ResultExt},
     std::{process::ExitCode, sync::Arc, time::Duration},
-    tokio::runtime::Builder,
+    tokio::{
+        runtime::Builder,
+        signal::unix::{SignalKind, signal},
+    },
 };
 
 /// Before the kill, this much is left for the process's own end.
@@ -47,6 +50,8 @@
 
 async fn run(settings: DirectSettings) -> Result<(), Report<StartError>> {
     let failed = || StartError(ResultCode::StartFailed);
+    // Before anything listens: until then the signal ends the process.
+    let hangup = signal(SignalKind::hangup()).change_context_lazy(failed)?;
     let catalog = Arc::new(Catalog::new(parse_config, parse_replica));
     catalog.keep_out(settings.own_addresses());
     let pace = settings.catalog_pace;
@@ -68,7 +73,11 @@
     tokio::spawn(survey_caches(gateway.clone()));
     tokio::spawn(ProcessorWatch::new(gateway.clone()).run());
     link.clone().start();
-    tokio::spawn(watch_settings(gateway.clone(), settings.path.clone()));
+    tokio::spawn(watch_settings(
+        gateway.clone(),
+        settings.path.clone(),
+        hangup,
+    ));
     let operator = tokio::spawn(OperatorPort::serve(
         settings.operator.listen,
         gateway.clone(),
--- a/src/direct/settings_watch.rs
+++ b/src/direct/settings_watch.rs
@@ -2,7 +2,7 @@
     super::gateway::Gateway,
     crate::conf::DirectSettings,
     std::{sync::Arc, time::Duration},
-    tokio::signal::unix::{SignalKind, signal},
+    tokio::signal::unix::Signal,
 };
 
 /// How often the file is looked at without a signal.
@@ -13,11 +13,8 @@
 pub async fn watch_settings(
     gateway: Arc<Gateway>,
     path: String,
+    mut hangup: Signal,
 ) {
-    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
-        log::error!("signals cannot be had");
-        return;
-    };
     let mut known = std::fs::read(&path).unwrap_or_default();
     loop {
         let why = tokio::select! {
