--- a/src/peers/tell.rs
+++ b/src/peers/tell.rs
@@ -136,8 +136,10 @@
                 let told = told.entry(*zone).or_default();
                 let figures = self.due(now, told, all.clone());
                 self.send_sum(now, *zone, figures).await;
-                let contacts = self.contacts(now, *zone);
-                self.send_notes(suspects.clone(), &contacts).await;
+                if !suspects.is_empty() {
+                    let contacts = self.contacts(now, *zone);
+                    self.send_notes(suspects.clone(), &contacts).await;
+                }
             }
         }
         self.told.lock().expect("told lock").sums = told;
