--- a/src/policy/pause_detector.rs
+++ b/src/policy/clock/pause_detector.rs
@@ -1,4 +1,4 @@
-use {super::Moment, std::time::Duration};
+use {crate::policy::Moment, std::time::Duration};
 
 /// Notices that the process stood still: a frozen machine or a stopped process.
 #[derive(Debug, Clone, Copy)]
--- a/src/policy/standstill.rs
+++ b/src/policy/clock/standstill.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Moment, PauseDetector},
+    crate::policy::{Moment, PauseDetector},
     std::time::Duration,
 };
 
--- /dev/null
+++ b/src/policy/direct/mod.rs
@@ -0,0 +1,12 @@
+//! Decisions of the direct form, in which routers carry requests themselves.
+
+pub mod placement;
+mod processor;
+pub mod shares;
+pub mod suspects;
+mod teller;
+
+pub use {
+    processor::*,
+    teller::{Teller, TellerScope},
+};
--- a/src/policy/overload_pause.rs
+++ b/src/policy/direct/processor/overload_pause.rs
@@ -1,4 +1,4 @@
-use {super::Moment, std::time::Duration};
+use {crate::policy::Moment, std::time::Duration};
 
 /// A process that was short of processor for this long in all asks for a pause.
 const SUSTAINED: Duration = Duration::from_millis(500);
--- a/src/policy/ahead_estimate.rs
+++ b/src/policy/granted/dispatch/ahead_estimate.rs
@@ -1,4 +1,4 @@
-use {super::CostEstimate, std::time::Duration};
+use {crate::policy::CostEstimate, std::time::Duration};
 
 /// How many granted requests a sidecar holds ready, so that a slot that frees
 /// up never waits on a round trip to a router.
--- a/src/policy/announced_demand.rs
+++ b/src/policy/granted/dispatch/announced_demand.rs
@@ -1,6 +1,6 @@
 use {
-    super::{DemandLine, Moment},
     crate::fleet::AccountId,
+    crate::policy::{DemandLine, Moment},
     std::{
         collections::{BTreeMap, HashMap},
         time::Duration,
--- a/src/policy/arrival.rs
+++ b/src/policy/granted/dispatch/arrival.rs
@@ -1,4 +1,4 @@
-use {super::GrantNumber, crate::fleet::AccountId};
+use {crate::fleet::AccountId, crate::policy::GrantNumber};
 
 /// Numbers the exchanges of one incarnation of a sidecar.
 pub type ExchangeId = u64;
--- a/src/policy/demand_table.rs
+++ b/src/policy/granted/dispatch/demand_table.rs
@@ -1,6 +1,6 @@
 use {
-    super::{DemandLine, GrantNumber, Moment},
     crate::fleet::AccountId,
+    crate::policy::{DemandLine, GrantNumber, Moment},
     std::{collections::BTreeMap, time::Duration},
 };
 
--- a/src/policy/dispatch_settings.rs
+++ b/src/policy/granted/dispatch/dispatch_settings.rs
@@ -1,5 +1,5 @@
 use {
-    super::{OrderMode, TotalsMode},
+    crate::policy::{OrderMode, TotalsMode},
     std::time::Duration,
 };
 
--- a/src/policy/dispatcher.rs
+++ b/src/policy/granted/dispatch/dispatcher.rs
@@ -1,10 +1,10 @@
 use {
-    super::{
+    crate::fleet::AccountId,
+    crate::policy::{
         AheadEstimate, DemandLine, DemandTable, DispatchSettings, ExchangeId, Finished, Grant,
         GrantNumber, GrantTable, IssuedGrant, Ledger, Moment, OrderMode, ReportEntry, SlotHold,
         TotalEntry,
     },
-    crate::fleet::AccountId,
     std::collections::{BTreeMap, HashMap, VecDeque},
 };
 
--- a/src/policy/dispatcher_arrivals.rs
+++ b/src/policy/granted/dispatch/dispatcher_arrivals.rs
@@ -1,8 +1,8 @@
 //! How a dispatcher admits requests that reach the sidecar.
 
 use {
-    super::{Admission, Arrival, Dispatcher, GrantNumber, Moment, SlotHold},
     crate::codes::ResultCode,
+    crate::policy::{Admission, Arrival, Dispatcher, GrantNumber, Moment, SlotHold},
 };
 
 impl<R: Copy + Ord> Dispatcher<R> {
--- a/src/policy/dispatcher_endings.rs
+++ b/src/policy/granted/dispatch/dispatcher_endings.rs
@@ -1,6 +1,6 @@
 //! How a dispatcher stops granting: for good, after a pause, or for a moment.
 
-use super::{Dispatcher, ExchangeId, Moment, SlotHold};
+use crate::policy::{Dispatcher, ExchangeId, Moment, SlotHold};
 
 impl<R: Copy + Ord> Dispatcher<R> {
     /// Stops granting. Gives the requests that will now never start.
--- a/src/policy/dispatcher_readers.rs
+++ b/src/policy/granted/dispatch/dispatcher_readers.rs
@@ -1,8 +1,8 @@
 //! What others may read of a dispatcher.
 
 use {
-    super::{Dispatcher, Ledger, Moment},
     crate::fleet::AccountId,
+    crate::policy::{Dispatcher, Ledger, Moment},
 };
 
 impl<R: Copy + Ord> Dispatcher<R> {
--- a/src/policy/grant.rs
+++ b/src/policy/granted/dispatch/grant.rs
@@ -1,6 +1,6 @@
 use {
-    super::Moment,
     crate::fleet::AccountId,
+    crate::policy::Moment,
     serde::{Deserialize, Serialize},
 };
 
--- a/src/policy/grant_table.rs
+++ b/src/policy/granted/dispatch/grant_table.rs
@@ -1,5 +1,5 @@
 use {
-    super::{GrantNumber, IssuedGrant, Moment},
+    crate::policy::{GrantNumber, IssuedGrant, Moment},
     std::collections::BTreeMap,
 };
 
--- a/src/policy/slot_clock.rs
+++ b/src/policy/granted/dispatch/slot_clock.rs
@@ -1,4 +1,4 @@
-use {super::Moment, std::time::Duration};
+use {crate::policy::Moment, std::time::Duration};
 
 /// Sums busy slot time, and apart from it the time while work waited.
 #[derive(Debug, Clone, Copy, Default)]
--- a/src/policy/slot_hold.rs
+++ b/src/policy/granted/dispatch/slot_hold.rs
@@ -1,4 +1,4 @@
-use {super::Moment, crate::fleet::AccountId};
+use {crate::fleet::AccountId, crate::policy::Moment};
 
 /// A request that holds a slot, or a place among those that wait for one.
 #[derive(Debug, Clone, Copy)]
--- a/src/policy/attempts.rs
+++ b/src/policy/granted/exchange/attempts.rs
@@ -1,4 +1,4 @@
-use {super::RouterExchange, crate::codes::Ran};
+use {crate::codes::Ran, crate::policy::RouterExchange};
 
 /// What all attempts at one request together say about whether it ran.
 ///
--- a/src/policy/key_memory.rs
+++ b/src/policy/granted/exchange/key_memory.rs
@@ -1,6 +1,6 @@
 use {
-    super::Moment,
     crate::fleet::AccountId,
+    crate::policy::Moment,
     std::{
         collections::{HashMap, VecDeque},
         time::Duration,
--- /dev/null
+++ b/src/policy/granted/exchange/mod.rs
@@ -0,0 +1,17 @@
+//! One request between router and sidecar: attempts, repeats, at most once.
+
+mod attempts;
+mod finished;
+mod key_memory;
+mod retry_budget;
+mod router_exchange;
+mod sidecar_exchange;
+
+pub use {
+    attempts::Attempts,
+    finished::Finished,
+    key_memory::{KeyMemory, KeyVerdict},
+    retry_budget::RetryBudget,
+    router_exchange::{AnswerEvent, RouterExchange},
+    sidecar_exchange::SidecarExchange,
+};
--- a/src/policy/membership.rs
+++ b/src/policy/granted/fleet/membership.rs
@@ -1,4 +1,4 @@
-use {super::Incarnation, std::collections::HashMap};
+use {crate::policy::Incarnation, std::collections::HashMap};
 
 /// What a peer's first message says about its incarnation.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/policy/reach.rs
+++ b/src/policy/granted/fleet/reach.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Moment, rendezvous},
+    crate::policy::{Moment, rendezvous},
     std::time::Duration,
 };
 
--- /dev/null
+++ b/src/policy/granted/mod.rs
@@ -0,0 +1,9 @@
+//! Decisions of the granted form, in which sidecars own the capacity of their upstreams.
+
+mod dispatch;
+mod exchange;
+mod fleet;
+mod totals;
+mod waiting;
+
+pub use {dispatch::*, exchange::*, fleet::*, totals::*, waiting::*};
--- a/src/policy/keeper.rs
+++ b/src/policy/granted/totals/keeper.rs
@@ -1,6 +1,6 @@
 use {
-    super::{Incarnation, KeptAccount, Moment, ReportEntry, TotalEntry},
     crate::fleet::AccountId,
+    crate::policy::{Incarnation, KeptAccount, Moment, ReportEntry, TotalEntry},
     std::{collections::HashMap, sync::Arc, time::Duration},
 };
 
--- a/src/policy/kept_account.rs
+++ b/src/policy/granted/totals/kept_account.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Incarnation, Moment, ReportEntry, TotalEntry},
+    crate::policy::{Incarnation, Moment, ReportEntry, TotalEntry},
     std::{collections::HashMap, sync::Arc, time::Duration},
 };
 
--- a/src/policy/ledger.rs
+++ b/src/policy/granted/totals/ledger.rs
@@ -1,6 +1,6 @@
 use {
-    super::{LedgerEntry, Moment, ReportEntry, TotalEntry, TotalsMode},
     crate::fleet::AccountId,
+    crate::policy::{LedgerEntry, Moment, ReportEntry, TotalEntry, TotalsMode},
     std::{
         collections::{BTreeMap, HashMap},
         time::Duration,
@@ -18,10 +18,10 @@
     shares: HashMap<AccountId, f64>,
     mode: TotalsMode,
     idle_grace: Duration,
-    debt_ceiling: f64,              // service units per share
-    floor: Option<f64>,             // least standing among the waiting accounts
-    any_cost: super::CostEstimate,  // over all accounts
-    next_report: Option<AccountId>, // where the next report goes on
+    debt_ceiling: f64,                     // service units per share
+    floor: Option<f64>,                    // least standing among the waiting accounts
+    any_cost: crate::policy::CostEstimate, // over all accounts
+    next_report: Option<AccountId>,        // where the next report goes on
 }
 
 impl Ledger {
@@ -38,7 +38,7 @@
             idle_grace,
             debt_ceiling,
             floor: None,
-            any_cost: super::CostEstimate::default(),
+            any_cost: crate::policy::CostEstimate::default(),
             next_report: None,
         }
     }
--- a/src/policy/ledger_entry.rs
+++ b/src/policy/granted/totals/ledger_entry.rs
@@ -1,6 +1,6 @@
 use {
-    super::{CostEstimate, Moment, ReportEntry, TotalEntry, TotalsMode},
     crate::fleet::AccountId,
+    crate::policy::{CostEstimate, Moment, ReportEntry, TotalEntry, TotalsMode},
     std::time::Duration,
 };
 
--- /dev/null
+++ b/src/policy/granted/totals/mod.rs
@@ -0,0 +1,17 @@
+//! What accounts got, the fleet over: each sidecar's ledger and the keepers of sums.
+
+mod keeper;
+mod kept_account;
+mod ledger;
+mod ledger_entry;
+mod report;
+mod totals_mode;
+
+pub use {
+    keeper::Keeper,
+    kept_account::KeptAccount,
+    ledger::Ledger,
+    ledger_entry::LedgerEntry,
+    report::{ReportEntry, TotalEntry},
+    totals_mode::TotalsMode,
+};
--- a/src/policy/account_queue.rs
+++ b/src/policy/granted/waiting/account_queue.rs
@@ -1,5 +1,5 @@
 use {
-    super::{CurrentDemand, DrainRate, HostSet, Moment, PrefixMemory, WaitingRequest},
+    crate::policy::{CurrentDemand, DrainRate, HostSet, Moment, PrefixMemory, WaitingRequest},
     std::{
         collections::{BTreeMap, HashMap},
         sync::Arc,
--- a/src/policy/drain_rate.rs
+++ b/src/policy/granted/waiting/drain_rate.rs
@@ -1,5 +1,5 @@
 use {
-    super::Moment,
+    crate::policy::Moment,
     std::{collections::VecDeque, time::Duration},
 };
 
--- a/src/policy/waiting_request.rs
+++ b/src/policy/granted/waiting/waiting_request.rs
@@ -1,6 +1,6 @@
 use {
-    super::{HostSet, Moment, PrefixHash},
     crate::fleet::AccountId,
+    crate::policy::{HostSet, Moment, PrefixHash},
 };
 
 /// A request that waits at its router for a grant.
--- a/src/policy/waiting_room.rs
+++ b/src/policy/granted/waiting/waiting_room.rs
@@ -1,5 +1,5 @@
 use {
-    super::{AccountQueue, Moment, PrefixMemory, WaitingRequest},
+    crate::policy::{AccountQueue, Moment, PrefixMemory, WaitingRequest},
     crate::{codes::ResultCode, fleet::AccountId},
     std::{collections::BTreeMap, sync::Arc, time::Duration},
 };
