--- a/testbed/src/direct/store.rs
+++ b/testbed/src/direct/store.rs
@@ -146,6 +146,22 @@
         self.put(&format!("servers/{id}"), &entry);
     }
 
+    /// Asks for a zone to be emptied.
+    pub fn empty_zone(
+        &self,
+        zone: &str,
+    ) {
+        self.put(&format!("op/evacuate/{zone}"), &json!({}));
+    }
+
+    /// Takes a zone back that was emptied.
+    pub fn take_zone_back(
+        &self,
+        zone: &str,
+    ) {
+        self.delete(&format!("op/evacuate/{zone}"));
+    }
+
     /// Takes a replica off the list.
     pub fn remove(
         &self,
