Replicas that have just started get what they bear, from one router of their zone

Cause: how long a replica is slow, and how many requests a second it bears, were read and thrown away; with 15 requests a second at each, bursts of 32 routers passed the bound (23 in one second where 19.7 are allowed). Change: the entry's time counts from when it is heard; while it lasts, one router of the replica's zone sends there, drawn by hash among those it hears of, at half of what all may send (9 a second of 9.8 that it bears, of 19.7 allowed), so that two that both believe to be the one keep the bound. Not while the router hears of no more than half of its zone, nor in its first two seconds. Counted when chosen, and not sent 100 ms later: sends that waited for connections would leave together. One that was seen to end counts as slow until its entry says otherwise. Bounds by settings ([slow_start]) from the template; without them what replicas bear binds alone. Ruled out: a split by the number of routers (one request each 1.6 s, and nothing stops 32 in the same moment); slots of time (machines disagree on the time of day, and it steps). Tests: slow_start (12: up to 100 simulated routers, two halves, cut off one by one, lost reports, just started, killed, late sends), slow_starts (2, real processes).

--- a/src/catalog/upstream_entry.rs
+++ b/src/catalog/upstream_entry.rs
@@ -1,7 +1,7 @@
 use {
     super::UpstreamState,
     crate::policy::{short_name, stable_hash},
-    std::{net::SocketAddr, sync::Arc},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
 /// A replica as the platform's list shows it. It may start again under its id, and knows
@@ -15,6 +15,7 @@
     pub zone: Arc<str>,
     pub slots: u32, // requests it works on at once
     pub state: UpstreamState,
+    pub slow_for: Duration, // how much longer it was slow from its start, when it said so
 }
 
 impl UpstreamEntry {
--- a/src/catalog/upstream_list.rs
+++ b/src/catalog/upstream_list.rs
@@ -209,7 +209,11 @@
         };
         self.records.insert(record.id.clone(), told);
         let before = self.entries.get(&record.id);
-        let same = before.map(|entry| &**entry) == entry.as_deref();
+        // How long it is slow counts from when it is heard: the same again is news.
+        let is_slow = entry
+            .as_ref()
+            .is_some_and(|entry| !entry.slow_for.is_zero());
+        let same = before.map(|entry| &**entry) == entry.as_deref() && !is_slow;
         let was_ready = before.is_some_and(|entry| entry.state == UpstreamState::Ready);
         let is_gone = record.text.is_none();
         if is_gone && was_ready && self.lapses.keeps(&record.id, Instant::now()) {
--- a/src/conf/direct_settings.rs
+++ b/src/conf/direct_settings.rs
@@ -3,7 +3,7 @@
     crate::{
         catalog::FollowPace,
         codes::ResultCode,
-        policy::{placement::PlacementSettings, suspects::RequestDigest},
+        policy::{placement::PlacementSettings, slow_start::StartBounds, suspects::RequestDigest},
     },
     std::{collections::BTreeSet, net::SocketAddr, time::Duration},
 };
@@ -29,13 +29,14 @@
     pub catalog: SocketAddr,      // the store's address
     pub catalog_pace: FollowPace, // how often the store is asked
     pub placement: PlacementSettings,
-    pub share_window: Duration, // over which shares are counted
-    pub retry_ratio: f64,       // repeats per request
-    pub retry_extra: f64,       // and beyond that, for the whole fleet
-    pub retry_window: Duration, // over which both are counted
+    pub start_bounds: StartBounds, // of replicas that have just started
+    pub share_window: Duration,    // over which shares are counted
+    pub retry_ratio: f64,          // repeats per request
+    pub retry_extra: f64,          // and beyond that, for the whole fleet
+    pub retry_window: Duration,    // over which both are counted
     pub let_through: BTreeSet<RequestDigest>, // requests that are never held back
-    pub grace: Duration,        // from the stop signal to the kill
-    pub balancer_lag: Duration, // from the stop signal to refusing connections
+    pub grace: Duration,           // from the stop signal to the kill
+    pub balancer_lag: Duration,    // from the stop signal to refusing connections
 }
 
 impl DirectSettings {
@@ -104,6 +105,7 @@
             catalog: catalog.parsed("address", "an IP:port")?,
             catalog_pace: catalog_pace(file)?,
             placement: placement(file, peer_age)?,
+            start_bounds: start_bounds(file)?,
             share_window: file
                 .section("shares")?
                 .duration("window", 100 * ms..=600 * second)?,
@@ -144,6 +146,14 @@
     Err(section.fault(ResultCode::SettingsContradict, "apply", detail))
 }
 
+fn start_bounds(file: &SettingsFile) -> Result<StartBounds, ConfError> {
+    let section = file.section("slow_start")?;
+    Ok(StartBounds {
+        overage: section.number("overage", 0.01..=100.0)?,
+        tolerance: section.number("tolerance", 0.0..=1e6)?,
+    })
+}
+
 fn placement(
     file: &SettingsFile,
     peer_age: Duration,
--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -33,6 +33,10 @@
 ) -> Result<LiveAnswer, AttemptEnd> {
     let most = (call.max_connections / gateway.router_count()).max(1);
     let mut connection = gateway.pool.take(&target.entry, most).await?;
+    if !target.work.may_leave() {
+        gateway.pool.give_back(&target.entry.id, connection);
+        return Err(AttemptEnd::Withheld);
+    }
     let request = build(gateway, call, &target, last_event)?;
     let response = connection.send(request).await?;
     let (head, body) = response.into_parts();
--- a/src/direct/attempt_end.rs
+++ b/src/direct/attempt_end.rs
@@ -5,6 +5,9 @@
 pub enum AttemptEnd {
     /// No byte of the request was sent.
     NotSent { detail: String },
+    /// No byte was sent, since the replica has just started and bears no more; nothing
+    /// speaks against it.
+    Withheld,
     /// The replica said that it did not run the request.
     Refused {
         status: u16,
@@ -21,6 +24,7 @@
     pub fn code(&self) -> ResultCode {
         match self {
             Self::NotSent { .. } => ResultCode::UpstreamUnreachable,
+            Self::Withheld => ResultCode::NoRoom,
             Self::Refused { .. } => ResultCode::ReplicaRefused,
             Self::Failed { .. } => ResultCode::OutcomeUnknown,
             Self::Unknown { code, .. } => *code,
--- a/src/direct/exchange.rs
+++ b/src/direct/exchange.rs
@@ -195,7 +195,10 @@
         replica: &str,
         outcome: &Result<T, AttemptEnd>,
     ) {
-        if matches!(outcome, Err(AttemptEnd::NotSent { .. })) {
+        if matches!(
+            outcome,
+            Err(AttemptEnd::NotSent { .. } | AttemptEnd::Withheld)
+        ) {
             self.unsent += 1;
         } else {
             self.sent += 1;
--- a/src/direct/exchange_end.rs
+++ b/src/direct/exchange_end.rs
@@ -76,7 +76,9 @@
         let in_time = self.time_left() > LEAST_TIME;
         let more = self.sent < self.call.route.max_attempts;
         match end {
-            AttemptEnd::NotSent { .. } => in_time && self.unsent < MAX_UNSENT,
+            AttemptEnd::NotSent { .. } | AttemptEnd::Withheld => {
+                in_time && self.unsent < MAX_UNSENT
+            }
             AttemptEnd::Refused { .. } => in_time && more && self.take_retry("refused"),
             AttemptEnd::Failed { .. } => self.may_repeat() && self.take_retry("failure"),
             AttemptEnd::Unknown { .. } => self.may_repeat() && self.take_retry("unknown"),
@@ -128,6 +130,7 @@
         let now = self.gateway.now();
         let mut board = self.gateway.board();
         match end {
+            AttemptEnd::Withheld => {}
             AttemptEnd::NotSent { .. } | AttemptEnd::Refused { status: 421, .. } => {
                 board.unreachable(now, replica);
             }
--- a/src/direct/exchange_suspects.rs
+++ b/src/direct/exchange_suspects.rs
@@ -47,7 +47,7 @@
         let now = self.gateway.now();
         let state = {
             let mut board = self.gateway.board();
-            board.ended(&run.entry);
+            board.ended(now, &run.entry);
             board.state_of(&run.entry.id)
         };
         if state != Some(UpstreamState::Ready) {
--- a/src/direct/gateway_tasks.rs
+++ b/src/direct/gateway_tasks.rs
@@ -6,8 +6,13 @@
         catalog::UpstreamEntry,
         fleet::Revision,
         ops::{CORDONED, CORDONS_UNKNOWN},
+        policy::slow_start::StartLimit,
+    },
+    std::{
+        collections::{BTreeSet, HashMap},
+        sync::Arc,
+        time::Duration,
     },
-    std::{collections::BTreeSet, sync::Arc, time::Duration},
     tokio::time::{Instant, timeout},
 };
 
@@ -32,8 +37,14 @@
             if let Some(table) = self.catalog.config() {
                 self.shares().set_capacity(table.limits.tokens_per_s);
             }
+            let limits = self.start_limits();
             let entries = self.catalog.upstreams();
-            let restarted = self.board().set_entries(entries.clone());
+            let restarted = {
+                let now = self.now();
+                let mut board = self.board();
+                board.set_start_limits(limits);
+                board.set_entries(now, entries.clone())
+            };
             for replica in &restarted {
                 log::info!(replica = &**replica; "replica started again: all of it is new");
             }
@@ -62,6 +73,19 @@
         }
     }
 
+    /// What replicas of each service bear while they start, by the configuration in force.
+    fn start_limits(&self) -> HashMap<Arc<str>, StartLimit> {
+        let bounds = self.settings().start_bounds;
+        let Some(table) = self.catalog.config() else {
+            return HashMap::new();
+        };
+        let limits = table.services().filter_map(|service| {
+            let limit = bounds.limit(service.cold_per_s, service.cold_start)?;
+            Some((service.name.clone(), limit))
+        });
+        limits.collect()
+    }
+
     /// Closes connections that have rested too long, and forgets old suspects.
     pub async fn tidy(self: Arc<Self>) {
         loop {
--- a/src/direct/held_work.rs
+++ b/src/direct/held_work.rs
@@ -26,6 +26,12 @@
         &self.replica
     }
 
+    /// Whether its request may still be sent.
+    pub fn may_leave(&self) -> bool {
+        let now = self.gateway.now();
+        self.gateway.board().may_leave(now, self.number)
+    }
+
     /// Its first token came.
     pub fn first_token(&self) {
         let now = self.gateway.now();
--- a/src/peers/tell.rs
+++ b/src/peers/tell.rs
@@ -10,6 +10,8 @@
         policy::{
             Moment,
             placement::{CacheNote, FleetSize},
+            slow_start::ZoneRouters,
+            stable_hash,
         },
     },
     std::{net::SocketAddr, sync::Arc, time::Duration},
@@ -77,13 +79,27 @@
             in_zone: self.gateway.peers.alive(now, forget) + 1,
             in_all: self.gateway.router_count(),
         };
+        let routers = self.zone_routers(now);
         let mut board = self.gateway.board();
         board.set_reports(pace, fleet);
+        board.set_zone_routers(routers);
         let belief_age = board.belief_age();
         drop(board);
         self.gateway.shares().set_peer_age(belief_age);
     }
 
+    /// The routers of the own zone, for who sends to replicas that have just started.
+    fn zone_routers(
+        &self,
+        now: Moment,
+    ) -> ZoneRouters {
+        let peers = &self.gateway.peers;
+        let heard = peers.heard(now, SILENCE);
+        let fellows = heard.iter().map(stable_hash).collect();
+        let known = peers.alive(now, self.gateway.settings().peer_forget);
+        ZoneRouters::new(now, stable_hash(&peers.own().address), fellows, known)
+    }
+
     async fn send_reports(
         &self,
         now: Moment,
--- a/src/platform/config_json.rs
+++ b/src/platform/config_json.rs
@@ -56,6 +56,10 @@
 struct ServiceJson {
     name: String,
     max_connections: Option<usize>,
+    #[serde(default)]
+    cold_start_s: f64,
+    #[serde(default)]
+    cold_per_s: f64,
     engine: Option<EngineJson>,
 }
 
@@ -100,7 +104,11 @@
         .into_iter()
         .map(route)
         .collect::<Result<_, _>>()?;
-    let services = config.services.into_iter().map(service).collect();
+    let services = config
+        .services
+        .into_iter()
+        .map(service)
+        .collect::<Result<_, _>>()?;
     let accounts = config.tenants.into_iter().map(account).collect();
     Ok(RoutingTable::new(
         config.version,
@@ -149,7 +157,7 @@
     })
 }
 
-fn service(service: ServiceJson) -> Service {
+fn service(service: ServiceJson) -> Result<Service, Fault> {
     let engine = service.engine.and_then(|engine| {
         engine.kv_capacity_tokens.map(|tokens| EngineFacts {
             memory_tokens: tokens as u64,
@@ -158,11 +166,13 @@
             moves: engine.moves,
         })
     });
-    Service {
+    Ok(Service {
         name: service.name.into(),
         max_connections: service.max_connections.unwrap_or(DEFAULT_CONNECTIONS),
         engine,
-    }
+        cold_per_s: service.cold_per_s,
+        cold_start: millis(service.cold_start_s * 1000.0)?,
+    })
 }
 
 fn account(tenant: TenantJson) -> AccountEntry {
--- a/src/platform/replica_json.rs
+++ b/src/platform/replica_json.rs
@@ -4,7 +4,7 @@
         codes::{Fault, ResultCode},
     },
     serde::Deserialize,
-    std::net::SocketAddr,
+    std::{net::SocketAddr, time::Duration},
 };
 
 /// A replica's entry as the platform's store holds it. Every replica writes all of these;
@@ -19,8 +19,7 @@
     _version: String,
     slots: u32,
     state: String,
-    #[serde(rename = "cold_remaining_ms")]
-    _cold_ms: f64,
+    cold_remaining_ms: f64,
     #[serde(rename = "sequence")]
     _sequence: u64,
 }
@@ -28,6 +27,9 @@
 /// The longest id of a replica, in bytes; those seen have 12.
 const LONGEST_ID: usize = 128;
 
+/// The longest that a replica is believed to be slow after its start.
+const LONGEST_START: Duration = Duration::from_secs(3600);
+
 /// Reads a replica's entry: code 82.
 pub fn parse_replica(
     id: &str,
@@ -60,5 +62,8 @@
         zone: entry.zone.into(),
         slots: entry.slots,
         state,
+        slow_for: Duration::try_from_secs_f64(entry.cold_remaining_ms / 1000.0)
+            .unwrap_or_default()
+            .min(LONGEST_START),
     })
 }
--- a/src/policy/direct/mod.rs
+++ b/src/policy/direct/mod.rs
@@ -3,6 +3,7 @@
 pub mod placement;
 mod processor;
 pub mod shares;
+pub mod slow_start;
 pub mod suspects;
 mod teller;
 
--- a/src/policy/direct/placement/board_choice.rs
+++ b/src/policy/direct/placement/board_choice.rs
@@ -33,6 +33,10 @@
 /// a zone back after seconds at the soonest.
 const CORDONED_RETRY: Duration = Duration::from_secs(1);
 
+/// When to come back at the latest where all replicas have just started: a second later
+/// they have room for as many requests again.
+const START_RETRY: Duration = Duration::from_secs(1);
+
 /// The shortest and longest time to come back after.
 const RETRY_BOUNDS: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(5));
 
@@ -59,7 +63,7 @@
     ) -> Choice {
         let usable = self.usable(now, request);
         if usable.is_empty() {
-            return self.refuse_unusable(request);
+            return self.refuse_unusable(now, request);
         }
         match (request.prompt, request.engine) {
             (Some(prompt), Some(engine)) => {
@@ -72,12 +76,24 @@
     /// The refusal where no replica may be used.
     fn refuse_unusable(
         &self,
+        now: Moment,
         request: &PlacementRequest,
     ) -> Choice {
         let mut ready = self.replicas.values().filter(|view| {
             &*view.entry.service == request.service && view.entry.state == UpstreamState::Ready
         });
-        match ready.any(|view| self.is_cordoned(&view.entry)) && request.tried.is_empty() {
+        if !request.tried.is_empty() {
+            return Choice::Refuse {
+                reason: RefusalReason::NoReplica,
+                retry_after: NO_REPLICA_RETRY,
+            };
+        }
+        let starting = self.start_left(now, request.service);
+        if let Some(left) = starting {
+            let wait_ms = left.min(START_RETRY).as_secs_f64() * 1000.0;
+            return self.refuse(request, wait_ms);
+        }
+        match ready.any(|view| self.is_cordoned(&view.entry)) {
             true => Choice::Refuse {
                 reason: RefusalReason::Cordoned,
                 retry_after: CORDONED_RETRY,
@@ -103,6 +119,7 @@
             .filter(|view| view.entry.state == UpstreamState::Ready)
             .filter(|view| !request.tried.contains(&view.entry.id))
             .filter(|view| !self.is_cordoned(&view.entry))
+            .filter(|view| self.bears_more(now, request, view))
             .collect();
         let awake: Vec<&ReplicaView> = untried
             .iter()
--- a/src/policy/direct/placement/board_evidence.rs
+++ b/src/policy/direct/placement/board_evidence.rs
@@ -9,6 +9,10 @@
     std::time::Duration,
 };
 
+/// A replica that ended may be back under its entry, unheard of, for some time after it
+/// was last seen to be gone.
+const LONGEST_ABSENCE: Duration = Duration::from_secs(5);
+
 /// A replica that was full is left alone this long.
 const FULL_PAUSE: Duration = Duration::from_millis(60);
 
@@ -96,10 +100,15 @@
     /// the list says of it until it is heard of again.
     pub fn ended(
         &mut self,
+        now: Moment,
         replica: &UpstreamEntry,
     ) {
+        let limit = self.start_limits.get(&replica.service).copied();
         if let Some(view) = self.same_start(replica) {
             view.cache = PrefixCache::default();
+            if let Some(limit) = limit {
+                view.start_pace.doubt(now, limit.lasts + LONGEST_ABSENCE);
+            }
         }
     }
 
--- a/src/policy/direct/placement/mod.rs
+++ b/src/policy/direct/placement/mod.rs
@@ -5,6 +5,7 @@
 mod board_choice;
 mod board_evidence;
 mod board_reports;
+mod board_starts;
 mod cache_note;
 mod candidate;
 mod cheapest;
--- a/src/policy/direct/placement/replica_board.rs
+++ b/src/policy/direct/placement/replica_board.rs
@@ -3,7 +3,13 @@
         CacheNote, EngineModels, EngineTimes, FirstToken, FleetSize, Load, PlacementSettings,
         ReplicaView, SentPrompt, UsualReadings, Work, WorkNumber, board_reports::keep_note,
     },
-    crate::{catalog::UpstreamEntry, policy::Moment},
+    crate::{
+        catalog::UpstreamEntry,
+        policy::{
+            Moment,
+            slow_start::{StartLimit, ZoneRouters},
+        },
+    },
     std::{
         collections::{BTreeMap, BTreeSet, HashMap},
         sync::Arc,
@@ -17,7 +23,7 @@
     pub(super) settings: PlacementSettings,
     pub(super) replicas: BTreeMap<Arc<str>, ReplicaView>,
     keys: HashMap<u32, Arc<str>>, // ids by key
-    works: HashMap<WorkNumber, Work>,
+    pub(super) works: HashMap<WorkNumber, Work>,
     pub(super) engines: EngineModels,
     pub(super) usual: UsualReadings,
     next_work: WorkNumber,
@@ -26,6 +32,8 @@
     pub(super) report_pace: Duration, // between two reports of a peer
     pub(super) fleet: FleetSize,      // that chooses by the same reports
     cordoned: BTreeSet<String>,       // zones that get no new work
+    pub(super) start_limits: HashMap<Arc<str>, StartLimit>, // by service
+    pub(super) zone_routers: ZoneRouters, // who sends to replicas that start slowly
 }
 
 /// Reports of a peer that may be lost before the last one is no longer believed.
@@ -47,6 +55,8 @@
             report_pace: Duration::ZERO,
             fleet: FleetSize::default(),
             cordoned: BTreeSet::new(),
+            start_limits: HashMap::new(),
+            zone_routers: ZoneRouters::default(),
         }
     }
 
@@ -81,6 +91,7 @@
     /// started again, which are given, begin anew.
     pub fn set_entries(
         &mut self,
+        now: Moment,
         entries: Vec<Arc<UpstreamEntry>>,
     ) -> Vec<Arc<str>> {
         let mut restarted = Vec::new();
@@ -89,10 +100,16 @@
         self.replicas.retain(|id, _| listed.contains_key(&**id));
         for entry in &entries {
             match self.replicas.get_mut(&entry.id) {
-                Some(view) if view.entry.is_same_start(entry) => view.entry = entry.clone(),
+                Some(view) if view.entry.is_same_start(entry) => {
+                    if !Arc::ptr_eq(&view.entry, entry) {
+                        view.start_pace.told(now, entry.slow_for);
+                    }
+                    view.entry = entry.clone();
+                }
                 known => {
                     restarted.extend(known.map(|_| entry.id.clone()));
-                    let view = ReplicaView::new(entry.clone());
+                    let mut view = ReplicaView::new(entry.clone());
+                    view.start_pace.told(now, entry.slow_for);
                     self.replicas.insert(entry.id.clone(), view);
                 }
             }
@@ -188,7 +205,13 @@
             }
         }
         view.own += load;
+        let is_slow =
+            view.start_pace.is_slow(now) && self.start_limits.contains_key(&view.entry.service);
+        if is_slow {
+            view.start_pace.sent(now);
+        }
         let work = Work {
+            is_counted: is_slow,
             replica: replica.clone(),
             start: view.start,
             sent: now,
--- a/src/policy/direct/placement/replica_view.rs
+++ b/src/policy/direct/placement/replica_view.rs
@@ -2,7 +2,7 @@
     super::{Load, PeerLoads, PrefixCache, ReplicaHealth, ReplicaReport},
     crate::{
         catalog::UpstreamEntry,
-        policy::{Moment, Teller, TellerScope, stable_hash},
+        policy::{Moment, Teller, TellerScope, slow_start::StartPace, stable_hash},
     },
     std::{sync::Arc, time::Duration},
 };
@@ -19,12 +19,13 @@
     pub own: Load,  // what this router has there
     pub health: ReplicaHealth,
     pub cache: PrefixCache,
-    pub placed: u64,         // tokens that this router sent there so far
-    pub placed_by_zone: u64, // the same, with the other routers of its zone
-    pub heard: Moment,       // when it last answered anything
-    pub service_ms: f64,     // moving time of a plain request
-    routers: PeerLoads,      // of the own zone
-    zones: PeerLoads,        // the other zones, each as a whole
+    pub placed: u64,           // tokens that this router sent there so far
+    pub placed_by_zone: u64,   // the same, with the other routers of its zone
+    pub heard: Moment,         // when it last answered anything
+    pub service_ms: f64,       // moving time of a plain request
+    pub start_pace: StartPace, // what this router sends there while it starts slowly
+    routers: PeerLoads,        // of the own zone
+    zones: PeerLoads,          // the other zones, each as a whole
 }
 
 impl ReplicaView {
@@ -41,6 +42,7 @@
             placed_by_zone: 0,
             heard: Moment::ZERO,
             service_ms: 10.0,
+            start_pace: StartPace::default(),
             routers: PeerLoads::default(),
             zones: PeerLoads::default(),
         }
--- a/src/routing/routing_table.rs
+++ b/src/routing/routing_table.rs
@@ -72,6 +72,11 @@
         self.services.get(name)
     }
 
+    /// All services.
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        self.services.values()
+    }
+
     /// The account with a short name.
     pub fn account_named(
         &self,
--- a/src/routing/service.rs
+++ b/src/routing/service.rs
@@ -1,4 +1,7 @@
-use {super::EngineFacts, std::sync::Arc};
+use {
+    super::EngineFacts,
+    std::{sync::Arc, time::Duration},
+};
 
 /// A group of replicas that serve the same requests.
 #[derive(Debug, Clone, PartialEq)]
@@ -6,4 +9,6 @@
     pub name: Arc<str>,
     pub max_connections: usize, // to one replica, from all callers together
     pub engine: Option<EngineFacts>, // of model services
+    pub cold_per_s: f64, // requests that a replica bears that has just started; 0 is no bound
+    pub cold_start: Duration, // how long it is slow then
 }
--- a/testbed/src/direct/store.rs
+++ b/testbed/src/direct/store.rs
@@ -57,7 +57,19 @@
         routes: &[RouteText],
     ) {
         let engine = json!({"slots": 8, "kv_capacity_tokens": 100_000});
-        self.publish_config(version, routes, &["key-1"], &engine);
+        self.publish_config(version, routes, &["key-1"], &json!({"engine": engine}));
+    }
+
+    /// The same, where the replicas of all services bear so many requests a second for
+    /// three seconds after a start.
+    pub fn publish_slow_starts(
+        &self,
+        version: u64,
+        routes: &[RouteText],
+        per_second: f64,
+    ) {
+        let start = json!({"cold_start_s": 3.0, "cold_per_s": per_second});
+        self.publish_config(version, routes, &["key-1"], &start);
     }
 
     /// The same with other keys.
@@ -67,7 +79,7 @@
         routes: &[RouteText],
         keys: &[&str],
     ) {
-        self.publish_config(version, routes, keys, &Value::Null);
+        self.publish_config(version, routes, keys, &json!({}));
     }
 
     fn publish_config(
@@ -75,11 +87,20 @@
         version: u64,
         routes: &[RouteText],
         keys: &[&str],
-        engine: &Value,
+        details: &Value, // of each service
     ) {
         let services: Vec<Value> = routes
             .iter()
-            .map(|route| json!({"name": route.service, "health_path": "/health", "max_connections": 100, "protocol": "h1", "engine": engine}))
+            .map(|route| {
+                let mut service = json!({
+                    "name": route.service, "health_path": "/health", "max_connections": 100,
+                    "protocol": "h1",
+                });
+                for (name, value) in details.as_object().into_iter().flatten() {
+                    service[name] = value.clone();
+                }
+                service
+            })
             .collect();
         let routes: Vec<Value> = routes
             .iter()
@@ -130,6 +151,22 @@
         self.put(&format!("servers/{id}"), &entry);
     }
 
+    /// Lists a replica that has just started, and is slow for this long.
+    pub fn list_slow(
+        &self,
+        zone: &str,
+        id: &str,
+        service: &str,
+        address: SocketAddr,
+        slow_ms: u64,
+    ) {
+        let entry = json!({
+            "service": service, "address": address, "zone": zone, "version": "v1", "slots": 8,
+            "state": "ready", "cold_remaining_ms": slow_ms, "sequence": 1,
+        });
+        self.put(&format!("servers/{id}"), &entry);
+    }
+
     /// Lists a start of a replica: one that may have started before under its id.
     pub fn list_start(
         &self,
--- a/testbed/src/measure/costs.rs
+++ b/testbed/src/measure/costs.rs
@@ -146,9 +146,10 @@
             zone: format!("zone-{}", number % ZONES).into(),
             slots: 64,
             state: UpstreamState::Ready,
+            slow_for: Duration::ZERO,
         })
     });
-    board.set_entries(entries.collect());
+    board.set_entries(Duration::ZERO, entries.collect());
     let fleet = FleetSize {
         in_zone: scale.routers / ZONES,
         in_all: scale.routers,
--- /dev/null
+++ b/testbed/tests/slow_starts.rs
@@ -0,0 +1,126 @@
+//! A replica that has just started bears four requests a second. Before, 95 reached one
+//! in one second from six routers.
+
+use {
+    archmast_testbed::{
+        direct::{Client, ClientRequest, DirectFleet, Replica, ReplicaAnswer, RouteText},
+        fleet::until_async,
+    },
+    std::time::Duration,
+};
+
+/// Requests a second that a replica bears that has just started; the routers' settings
+/// allow no more.
+const PER_SECOND: usize = 4;
+
+/// Requests of each caller, of whom each router has one.
+const ASKED: usize = 150;
+
+fn route() -> RouteText {
+    RouteText::new("/first/", "s", "idempotent")
+}
+
+/// Two routers in each of three zones, with a replica in each.
+async fn fleet() -> (DirectFleet, Vec<Replica>) {
+    let fleet = DirectFleet::start_in_zones(&[2, 2, 2], "").await;
+    let mut replicas = Vec::new();
+    for (id, zone) in [("i-a", "z"), ("i-b", "z-1"), ("i-c", "z-2")] {
+        let replica = Replica::start(fleet.standins(), id, ReplicaAnswer::ok(id)).await;
+        fleet.store.list_in(zone, id, "s", replica.address, "ready");
+        replicas.push(replica);
+    }
+    fleet
+        .store
+        .publish_slow_starts(1, &[route()], PER_SECOND as f64);
+    fleet.all_ready().await;
+    (fleet, replicas)
+}
+
+/// Each router's caller asks again and again, one request after the other.
+async fn load(fleet: &DirectFleet) {
+    let callers = fleet.callers.iter().map(|callers| {
+        let callers = *callers;
+        tokio::spawn(async move {
+            for number in 0..ASKED {
+                let request = ClientRequest::get("/first/", &format!("r-{number}"));
+                Client::ask(callers, &request).await;
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        })
+    });
+    let callers: Vec<_> = callers.collect();
+    for caller in callers {
+        caller.await.expect("a caller");
+    }
+}
+
+/// The most requests that a replica got in any one second.
+fn most_in_a_second(replica: &Replica) -> usize {
+    let seen = replica.seen();
+    let mut arrived: Vec<_> = seen.iter().map(|seen| seen.arrived).collect();
+    arrived.sort();
+    let counts = arrived.iter().enumerate().map(|(last, end)| {
+        let within = |at: &&std::time::Instant| end.duration_since(**at) < Duration::from_secs(1);
+        arrived[..=last].iter().filter(within).count()
+    });
+    counts.max().unwrap_or(0)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replica_that_has_just_started_gets_what_it_bears_from_all_routers() {
+    let (fleet, _replicas) = fleet().await;
+    let starts = Replica::start(fleet.standins(), "i-a-new", ReplicaAnswer::ok("i-a-new")).await;
+    fleet
+        .store
+        .list_slow("z-1", "i-a-new", "s", starts.address, 600_000);
+    // It is the only one of its zone, so that this zone's routers would rather use it.
+    fleet.store.remove("i-b");
+    load(&fleet).await;
+    assert!(most_in_a_second(&starts) <= PER_SECOND);
+    until_async("it is used all the same", async || {
+        load(&fleet).await;
+        !starts.seen().is_empty()
+    })
+    .await;
+    assert!(most_in_a_second(&starts) <= PER_SECOND);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replica_that_becomes_slow_again_is_spared_and_used_in_full_when_it_is_through() {
+    let (fleet, replicas) = fleet().await;
+    load(&fleet).await;
+    let slow = &replicas[1];
+    for id in ["i-a", "i-c"] {
+        fleet.store.remove(id);
+    }
+    fleet
+        .store
+        .list_slow("z-1", "i-b", "s", slow.address, 600_000);
+    // All others are gone, so that what is refused is what it does not bear.
+    until_async("requests are refused", async || {
+        let mut refused = 0;
+        for callers in &fleet.callers {
+            let answer = Client::ask(*callers, &ClientRequest::get("/first/", "probe")).await;
+            refused += usize::from(answer.code() == Some(66));
+        }
+        refused == fleet.callers.len()
+    })
+    .await;
+    let before = slow.seen().len();
+    load(&fleet).await;
+    let seen = slow.seen();
+    let since = &seen[before..];
+    let span = since.last().map_or(Duration::ZERO, |last| {
+        last.arrived.duration_since(since[0].arrived)
+    });
+    assert!(since.len() as f64 <= PER_SECOND as f64 * (span.as_secs_f64() + 1.0));
+    fleet
+        .store
+        .list_in("z-1", "i-b", "s", slow.address, "ready");
+    for router in 0..6 {
+        fleet.serves(router, "/first/", 200).await;
+    }
+    let before = slow.seen().len();
+    load(&fleet).await;
+    assert_eq!(slow.seen().len() - before, 6 * ASKED);
+}
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -60,6 +60,7 @@
         zone: zone.into(),
         slots: 8,
         state,
+        slow_for: Duration::ZERO,
     })
 }
 
@@ -67,7 +68,7 @@
 fn fresh_board(ids: &[&str]) -> ReplicaBoard {
     let mut board = ReplicaBoard::new(PlacementSettings::default());
     let entries = ids.iter().map(|id| entry(id, "z", UpstreamState::Ready));
-    board.set_entries(entries.collect());
+    board.set_entries(NOW, entries.collect());
     board
 }
 
@@ -354,11 +355,11 @@
 #[test]
 fn a_leaving_or_foreign_replica_gets_nothing() {
     let mut board = ReplicaBoard::new(PlacementSettings::default());
-    board.set_entries(vec![entry("a", "z", UpstreamState::Draining)]);
+    board.set_entries(NOW, vec![entry("a", "z", UpstreamState::Draining)]);
     let prompt = prompt(1, 2);
     let (reason, _) = refused(board.choose(NOW, &request(&prompt)));
     assert_eq!(reason, RefusalReason::NoReplica);
-    board.set_entries(vec![entry("a", "z", UpstreamState::Ready)]);
+    board.set_entries(NOW, vec![entry("a", "z", UpstreamState::Ready)]);
     let foreign = PlacementRequest {
         service: "other",
         ..request(&prompt)
--- a/tests/restarted_replicas.rs
+++ b/tests/restarted_replicas.rs
@@ -45,12 +45,13 @@
         zone: "z".into(),
         slots: 8,
         state: UpstreamState::Ready,
+        slow_for: Duration::ZERO,
     })
 }
 
 fn board() -> ReplicaBoard {
     let mut board = ReplicaBoard::new(PlacementSettings::default());
-    board.set_entries(vec![start("i-a", 1000)]);
+    board.set_entries(NOW, vec![start("i-a", 1000)]);
     board
 }
 
@@ -97,9 +98,9 @@
     let mut board = board();
     send(&mut board);
     assert_eq!(reading(&mut board), 0);
-    board.set_entries(vec![start("i-a", 1000)]);
+    board.set_entries(NOW, vec![start("i-a", 1000)]);
     assert_eq!(reading(&mut board), 0, "the same start");
-    board.set_entries(vec![start("i-a", 2000)]);
+    board.set_entries(NOW, vec![start("i-a", 2000)]);
     assert_eq!(reading(&mut board), 5000);
 }
 
@@ -107,7 +108,7 @@
 fn what_ran_at_the_earlier_start_is_not_taken_from_the_new_one() {
     let mut board = board();
     let earlier = send(&mut board);
-    board.set_entries(vec![start("i-a", 2000)]);
+    board.set_entries(NOW, vec![start("i-a", 2000)]);
     let load = |board: &ReplicaBoard| board.replica("i-a").expect("listed").own;
     assert_eq!(load(&board), Load::default());
     send(&mut board);
@@ -128,7 +129,7 @@
     }
     let rests = |board: &ReplicaBoard| board.replica("i-a").expect("listed").health.rests(NOW);
     assert!(rests(&board));
-    board.set_entries(vec![start("i-a", 2000)]);
+    board.set_entries(NOW, vec![start("i-a", 2000)]);
     assert!(!rests(&board));
     for _ in 0..8 {
         board.failed(NOW, &earlier);
@@ -162,7 +163,7 @@
     board.hear(NOW, PEER, &[report(&earlier)]);
     let load = |board: &ReplicaBoard| board.replica("i-a").expect("listed").load(NOW, age);
     assert_eq!(load(&board).running, 3);
-    board.set_entries(vec![later.clone()]);
+    board.set_entries(NOW, vec![later.clone()]);
     assert_eq!(load(&board).running, 0);
     board.hear(NOW, PEER, &[report(&earlier)]);
     assert_eq!(load(&board).running, 0);
@@ -185,7 +186,7 @@
     let kept = [(1, 4000), (2, 1000)].map(|(part, tokens)| KeptPart { part, tokens });
     board.learn_kept(&start("i-a", 1000), &kept, MEMORY);
     assert_eq!(reading(&mut board), 0);
-    board.set_entries(vec![start("i-a", 2000)]);
+    board.set_entries(NOW, vec![start("i-a", 2000)]);
     board.learn_kept(&start("i-a", 1000), &kept, MEMORY);
     assert_eq!(reading(&mut board), 5000);
 }
@@ -194,7 +195,7 @@
 fn a_replica_that_was_seen_to_end_keeps_nothing_whatever_the_list_says_yet() {
     let mut board = board();
     send(&mut board);
-    board.ended(&start("i-a", 1000));
+    board.ended(NOW, &start("i-a", 1000));
     assert_eq!(reading(&mut board), 5000);
 }
 
@@ -203,10 +204,10 @@
     let mut board = board();
     assert!(
         board
-            .set_entries(vec![start("i-a", 1000), start("i-b", 1)])
+            .set_entries(NOW, vec![start("i-a", 1000), start("i-b", 1)])
             .is_empty()
     );
-    let restarted = board.set_entries(vec![start("i-a", 2000), start("i-b", 1)]);
+    let restarted = board.set_entries(NOW, vec![start("i-a", 2000), start("i-b", 1)]);
     assert_eq!(restarted, [Arc::from("i-a")]);
 }
 
