What a plain request takes is measured from when it is sent

Cause: measured from the head of the answer, when it is over: each replica looked as if it took no time, and neither a slow one nor what waits there counted; one that had just been listed (10 ms by default) got nothing while another had room. Test: a_slow_replica_is_learnt (red: the slow one is asked for 60 s).

--- a/src/direct/exchange.rs
+++ b/src/direct/exchange.rs
@@ -151,13 +151,20 @@
         left.saturating_sub(ANSWER_MARGIN)
     }
 
-    /// The replica of the last attempt answered whole; a plain answer took so long.
-    pub fn note_replica_success(
-        &self,
-        took: Option<Duration>,
-    ) {
+    /// The replica of the last attempt answered whole.
+    pub fn note_replica_success(&self) {
+        if let Some(run) = &self.run {
+            self.gateway.board().succeeded(&run.entry, None);
+        }
+    }
+
+    /// The same, with an answer that is no stream: what it took tells how quick the
+    /// replica is.
+    pub fn note_plain_success(&self) {
+        let now = self.gateway.now();
         if let Some(run) = &self.run {
-            self.gateway.board().succeeded(&run.entry, took);
+            let took = now.saturating_sub(run.sent);
+            self.gateway.board().succeeded(&run.entry, Some(took));
         }
     }
 
--- a/src/direct/plain_relay.rs
+++ b/src/direct/plain_relay.rs
@@ -24,16 +24,14 @@
     begun: Begun,
 ) -> Result<Response<ReplyBody>, AttemptEnd> {
     let mut answer = begun.answer;
-    let started = exchange.gateway.now();
     let (kept, is_whole) = match timeout(begun.limit, read_start(&mut answer)).await {
         Ok(outcome) => outcome?,
         Err(_) => return Err(too_late(begun.limit)),
     };
     let status = answer.head.status;
-    let now = exchange.gateway.now();
     let failed = status.is_server_error();
     if !failed {
-        exchange.note_replica_success(Some(now.saturating_sub(started)));
+        exchange.note_plain_success();
     }
     if is_whole && status.is_success() {
         exchange.note_request_success();
--- /dev/null
+++ b/testbed/tests/plain_services.rs
@@ -0,0 +1,33 @@
+//! Services that do not generate: their replicas are chosen by how long a request would
+//! wait there and take. What they take was measured from the head of the answer, when it
+//! is over, so that a slow replica looked as quick as any.
+
+use {
+    archmast_testbed::{
+        direct::{Client, ClientRequest, DirectFleet, ReplicaAnswer, RouteText},
+        fleet::until_async,
+    },
+    std::time::Duration,
+};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_slow_replica_is_learnt_and_the_quick_one_gets_the_requests() {
+    let route = RouteText::new("/first/", "s", "idempotent");
+    let (fleet, [slow, quick]) =
+        DirectFleet::with_two_replicas(ReplicaAnswer::ok("quick"), &[route]).await;
+    slow.usually(ReplicaAnswer::Slow {
+        body: "slow".to_owned(),
+        after: Duration::from_millis(100),
+    });
+    let ask = async || {
+        let request = ClientRequest::get("/first/", "probe");
+        Client::ask(fleet.callers[0], &request).await.text()
+    };
+    until_async("the quick one is asked", async || ask().await == "quick").await;
+    let before = slow.seen().len();
+    for _ in 0..40 {
+        assert_eq!(ask().await, "quick");
+    }
+    assert_eq!(slow.seen().len(), before);
+    drop(quick);
+}
