The store is followed so that cordons come into force in time too

Where the operator bounds an emptied zone more shortly than a configuration, the pace follows the shorter of both; from the template. Test: the filled template, with and without the optional bounds of a sheet (the test read no template with conditions before).

--- a/src/conf/direct_settings.rs
+++ b/src/conf/direct_settings.rs
@@ -134,8 +134,13 @@
 fn catalog_pace(file: &SettingsFile) -> Result<FollowPace, ConfError> {
     let section = file.section("catalog")?;
     let (ms, second) = (Duration::from_millis(1), Duration::from_secs(1));
+    let apply = section.duration("apply", 500 * ms..=60 * second)?;
+    let cordon_apply = match section.optional("cordon_apply") {
+        Some(_) => section.duration("cordon_apply", 500 * ms..=3600 * second)?,
+        None => apply,
+    };
     let pace = FollowPace {
-        apply: section.duration("apply", 500 * ms..=60 * second)?,
+        apply: apply.min(cordon_apply),
         pause: section.duration("pause", Duration::ZERO..=10 * second)?,
         retry_pause: section.duration("retry_pause", 10 * ms..=60 * second)?,
     };
--- a/tests/direct_settings.rs
+++ b/tests/direct_settings.rs
@@ -9,9 +9,27 @@
     std::time::Duration,
 };
 
-/// The deploy file's template with every gap filled.
+/// The deploy file's template with every gap filled, on a sheet that names all bounds.
 fn filled() -> String {
-    let template = include_str!("../deploy/router.ini");
+    let lines = include_str!("../deploy/router.ini").lines();
+    let kept = lines.map(|line| match line.strip_prefix("{{#") {
+        Some(rest) => {
+            let (_, rest) = rest.split_once("}}").expect("the condition ends");
+            rest.rsplit_once("{{/").expect("the part ends").0
+        }
+        None => line,
+    });
+    fill(&kept.collect::<Vec<_>>().join("\n"))
+}
+
+/// The same on a sheet that names none of the bounds that are optional.
+fn filled_where_bounds_lack() -> String {
+    let lines = include_str!("../deploy/router.ini").lines();
+    let kept = lines.filter(|line| !line.starts_with("{{#"));
+    fill(&kept.collect::<Vec<_>>().join("\n"))
+}
+
+fn fill(template: &str) -> String {
     let values = [
         ("{{node_name}}", "edge-1"),
         ("{{zone}}", "z"),
@@ -27,12 +45,14 @@
         ("{{bounds.config_apply_ms}}", "3000"),
         ("{{bounds.budget_window_s}}", "10"),
         ("{{bounds.grace_s}}", "8"),
+        ("{{bounds.evacuate_ms}}", "2500"),
+        ("{{bounds.cold_overage}}", "1.5"),
+        ("{{bounds.cold_tolerance}}", "5"),
     ];
-    let text = values
-        .iter()
-        .fold(template.to_owned(), |text, (gap, value)| {
-            text.replace(gap, value)
-        });
+    let mut text = template.to_owned() + "\n";
+    for (gap, value) in values {
+        text = text.replace(gap, value);
+    }
     assert!(!text.contains("{{"), "a gap is left:\n{text}");
     text
 }
@@ -47,12 +67,22 @@
     let settings = read(&filled()).expect("a valid file");
     assert_eq!(settings.seeds.len(), 2);
     assert_eq!(settings.process.cores, 0.09);
-    assert_eq!(settings.catalog_pace.apply, Duration::from_secs(3));
+    assert_eq!(settings.catalog_pace.apply, Duration::from_millis(2500));
+    let starts = settings.start_bounds;
+    assert_eq!((starts.overage, starts.tolerance), (1.5, 5.0));
     assert_eq!(settings.grace, Duration::from_secs(8));
     assert_eq!(settings.ready_path, "/v1/ready");
     assert!(settings.balancer_lag < settings.grace);
 }
 
+#[test]
+fn where_the_sheet_names_no_bounds_of_starts_and_cordons_the_strictest_hold() {
+    let settings = read(&filled_where_bounds_lack()).expect("a valid file");
+    assert_eq!(settings.catalog_pace.apply, Duration::from_secs(3));
+    let starts = settings.start_bounds;
+    assert_eq!((starts.overage, starts.tolerance), (1.0, 0.0));
+}
+
 #[test]
 fn faults_get_their_own_codes() {
     let with = |line: &str| read(&format!("{}{line}\n", filled())).expect_err("refused");
