Plain requests: expected wait against the aim, and a way between zones at its price

Cause: a replica was refused at slots x 3 in front, whatever its work and aim, and the own zone went before another by 120 ms, more than any wait that was believed: the hot zone's six slots filled while those of others idled. What a request takes is learnt only from those that did not wait. Replicas alike are drawn from.

--- a/src/conf/direct_settings.rs
+++ b/src/conf/direct_settings.rs
@@ -173,6 +173,10 @@
         fetch_weight: section.number("fetch_weight", 0.0..=100.0)?,
         memory_share: section.number("memory_share", 0.01..=1.0)?,
         zone_penalty: section.duration("zone_penalty", Duration::ZERO..=Duration::from_secs(1))?,
+        plain_zone_penalty: section.duration(
+            "plain_zone_penalty",
+            Duration::ZERO..=Duration::from_secs(1),
+        )?,
         peer_age,
     })
 }
--- a/src/direct/exchange.rs
+++ b/src/direct/exchange.rs
@@ -116,7 +116,7 @@
             let replica = target.entry.id.clone();
             let limit = self.limit(expected);
             let started = self.gateway.now();
-            self.run = Some(SentRun::new(target.entry.clone(), started));
+            self.run = Some(SentRun::new(target.entry.clone(), started, target.waits));
             let sending = send_call(&self.gateway, &self.call, target, last_event);
             let waited =
                 wait_while_alive(&self.gateway, &replica, limit, self.time_left(), sending);
@@ -159,12 +159,12 @@
     }
 
     /// The same, with an answer that is no stream: what it took tells how quick the
-    /// replica is.
+    /// replica is, unless it waited there.
     pub fn note_plain_success(&self) {
         let now = self.gateway.now();
         if let Some(run) = &self.run {
-            let took = now.saturating_sub(run.sent);
-            self.gateway.board().succeeded(&run.entry, Some(took));
+            let took = (!run.waits).then(|| now.saturating_sub(run.sent));
+            self.gateway.board().succeeded(&run.entry, took);
         }
     }
 
--- a/src/direct/exchange_choice.rs
+++ b/src/direct/exchange_choice.rs
@@ -82,6 +82,7 @@
                     Target {
                         entry,
                         fetch_from,
+                        waits: front_ms > 0.0,
                         work,
                     },
                     expected,
--- a/src/direct/sent_run.rs
+++ b/src/direct/sent_run.rs
@@ -7,6 +7,7 @@
 pub struct SentRun {
     pub entry: Arc<UpstreamEntry>,
     pub sent: Moment,
+    pub waits: bool,                 // believed to wait there before it runs
     pub first_event: Option<Moment>, // when its first whole event came
 }
 
@@ -15,10 +16,12 @@
     pub fn new(
         entry: Arc<UpstreamEntry>,
         sent: Moment,
+        waits: bool,
     ) -> Self {
         Self {
             entry,
             sent,
+            waits,
             first_event: None,
         }
     }
--- a/src/policy/direct/placement/board_choice.rs
+++ b/src/policy/direct/placement/board_choice.rs
@@ -10,10 +10,11 @@
         considered::{Considered, Tier},
         homes::homes,
         offer::{Sources, offer},
+        plain_queue::PlainQueue,
     },
     crate::{
         catalog::UpstreamState,
-        policy::{Moment, shares::Standing},
+        policy::{Moment, mix, shares::Standing},
         routing::EngineFacts,
     },
     std::time::Duration,
@@ -51,9 +52,6 @@
 /// Replicas that a request considers, beside its router's part of them.
 const LEAST_CONSIDERED: f64 = 2.0;
 
-/// More requests than slots that a plain replica is sent, as a factor.
-const PLAIN_QUEUE: f64 = 2.0;
-
 impl ReplicaBoard {
     /// Decides where a request goes.
     pub fn choose(
@@ -256,30 +254,50 @@
         request: &PlacementRequest,
         usable: &[&ReplicaView],
     ) -> Choice {
-        let mut best: Option<(f64, &ReplicaView)> = None;
+        let aim_ms = request.aim.as_secs_f64() * 1000.0 * self.settings.aim_share;
+        let mut best: Option<(f64, PlainQueue, &ReplicaView)> = None;
+        let mut soonest = f64::MAX;
         for view in usable {
-            let running = f64::from(view.load(now, self.belief_age()).running);
-            let slots = f64::from(view.entry.slots.max(1));
-            if running >= slots * (1.0 + PLAIN_QUEUE) {
+            let there = view.load(now, self.belief_age()).running;
+            let queue = PlainQueue::new(view, there);
+            let late_ms = queue.late_ms(aim_ms);
+            soonest = soonest.min(late_ms);
+            if late_ms > 0.0 {
                 continue;
             }
-            let mut score = view.service_ms * ((running + 1.0) / slots).max(1.0);
-            score += running / slots + self.zone_ms(request, view);
-            score += AVOIDED_PENALTY * view.health.failure_rate();
-            if best.is_none_or(|(least, _)| score < least) {
-                best = Some((score, view));
+            let cost = self.plain_cost_ms(request, view, &queue);
+            if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
+                best = Some((cost, queue, view));
             }
         }
         match best {
-            Some((_, view)) => Choice::Send {
+            Some((_, queue, view)) => Choice::Send {
                 replica: view.entry.id.clone(),
                 reading: 0,
                 fetch_from: None,
-                front_ms: 0.0,
-                expected: Duration::from_secs_f64(view.service_ms / 1000.0),
+                front_ms: queue.wait_ms,
+                expected: Duration::from_secs_f64(queue.expected_ms() / 1000.0),
             },
-            None => self.refuse(request, request.aim.as_secs_f64() * 1000.0),
+            None => self.refuse(request, soonest),
+        }
+    }
+
+    /// What a plain request costs at a replica, in milliseconds. Replicas alike are drawn
+    /// from, by up to the step that one request in front makes: all routers see the same
+    /// least busy one.
+    fn plain_cost_ms(
+        &self,
+        request: &PlacementRequest,
+        view: &ReplicaView,
+        queue: &PlainQueue,
+    ) -> f64 {
+        let mut cost = queue.expected_ms() + AVOIDED_PENALTY * view.health.failure_rate();
+        if !is_near(request, view) {
+            cost += self.settings.plain_zone_penalty.as_secs_f64() * 1000.0;
         }
+        let step_ms = queue.work_ms / f64::from(view.entry.slots.max(1));
+        let draw = mix(view.hash, self.next_work) >> 40;
+        cost + step_ms * draw as f64 / f64::from(1 << 24)
     }
 
     fn zone_ms(
--- a/src/policy/direct/placement/mod.rs
+++ b/src/policy/direct/placement/mod.rs
@@ -24,6 +24,7 @@
 mod peer_loads;
 mod placement_request;
 mod placement_settings;
+mod plain_queue;
 mod prefix_cache;
 mod prompt;
 mod replica_board;
--- a/src/policy/direct/placement/placement_settings.rs
+++ b/src/policy/direct/placement/placement_settings.rs
@@ -11,6 +11,7 @@
     pub fetch_weight: f64,  // cost of a fetched token, relative to reading it
     pub memory_share: f64,  // part of an engine's memory that running requests may take
     pub zone_penalty: Duration, // of a replica in another availability zone
+    pub plain_zone_penalty: Duration, // the same for plain requests
     pub peer_age: Duration, // older reports of peers are ignored
 }
 
@@ -25,6 +26,7 @@
             fetch_weight: 0.2,
             memory_share: 0.9,
             zone_penalty: Duration::from_millis(1),
+            plain_zone_penalty: Duration::from_millis(1),
             peer_age: Duration::from_secs(1),
         }
     }
--- /dev/null
+++ b/src/policy/direct/placement/plain_queue.rs
@@ -0,0 +1,41 @@
+use super::ReplicaView;
+
+/// How a plain request would fare at a replica: some run there at once, the others wait
+/// for these in the order in which they came.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PlainQueue {
+    pub wait_ms: f64, // until it begins to run
+    pub work_ms: f64, // that it runs for
+}
+
+impl PlainQueue {
+    /// The queue of a replica where so many are, running or waiting.
+    pub fn new(
+        view: &ReplicaView,
+        there: u32,
+    ) -> Self {
+        let slots = view.entry.slots.max(1);
+        let before = (there + 1).saturating_sub(slots);
+        Self {
+            wait_ms: view.service_ms * f64::from(before) / f64::from(slots),
+            work_ms: view.service_ms,
+        }
+    }
+
+    /// Milliseconds until its answer.
+    pub fn expected_ms(&self) -> f64 {
+        self.wait_ms + self.work_ms
+    }
+
+    /// By how many milliseconds the answer is late for an aim; 0 where it need not wait,
+    /// since it would be no sooner elsewhere or later.
+    pub fn late_ms(
+        &self,
+        aim_ms: f64,
+    ) -> f64 {
+        match self.wait_ms > 0.0 {
+            true => (self.expected_ms() - aim_ms).max(0.0),
+            false => 0.0,
+        }
+    }
+}
--- a/src/policy/direct/placement/replica_board.rs
+++ b/src/policy/direct/placement/replica_board.rs
@@ -26,7 +26,7 @@
     pub(super) works: HashMap<WorkNumber, Work>,
     pub(super) engines: EngineModels,
     pub(super) usual: UsualReadings,
-    next_work: WorkNumber,
+    pub(super) next_work: WorkNumber,
     pub(super) notes: Vec<CacheNote>, // parts that were sent to replicas anew
     pub(super) zone_notes: Vec<CacheNote>, // the same by the routers of the zone, shared parts only
     pub(super) report_pace: Duration, // between two reports of a peer
