--- a/src/ops/metric_names.rs
+++ b/src/ops/metric_names.rs
@@ -36,6 +36,9 @@
 pub const STREAMS: &str = "archmast_streams_total";
 /// Requests that are held back, since replicas ended under them.
 pub const HELD: &str = "archmast_held_requests";
+/// Messages of other routers that could not be read and were dropped, by `code`: those of
+/// a build that knows more than this one among them.
+pub const MESSAGES_REFUSED: &str = "archmast_messages_refused_total";
 /// Zones that get no new work, as the operator asked.
 pub const CORDONED: &str = "archmast_cordoned_zones";
 /// Of these, zones that have no replicas here.
--- a/src/peers/listen.rs
+++ b/src/peers/listen.rs
@@ -5,6 +5,7 @@
         Figures, NamedRouter, PeerLink, PeerMessage, RouterReport, ZoneSum, peer_link::router_name,
     },
     crate::{
+        ops::MESSAGES_REFUSED,
         policy::{Moment, Teller, TellerScope, mix, stable_hash},
         wire::decode_payload,
     },
@@ -65,7 +66,9 @@
                 self.gateway.peers.learn(self.gateway.now(), &names);
             }
             Err(error) => {
-                log::debug!(code = error.code.number(); "datagram refused: {error}");
+                let code = error.code.number();
+                metrics::counter!(MESSAGES_REFUSED, "code" => code.to_string()).increment(1);
+                log::debug!(code = code, from = from.to_string().as_str(); "datagram refused: {error}");
             }
         }
     }
--- /dev/null
+++ b/tests/landed_messages.rs
@@ -0,0 +1,225 @@
+//! Routers of the last landed build and of this one run side by side while machines are
+//! replaced. What that build sends is kept here as files, which this one must read; and
+//! what this one sends of the same kinds must be the same bytes, since that build refuses
+//! a message that is longer than it knows.
+//!
+//! How a message may change is in docs/DEVELOPERS.md.
+
+use {
+    archmast::{
+        catalog::{CatalogVersion, Cordon, CordonNews, UpstreamNews, UpstreamRecord},
+        codes::ResultCode,
+        peers::{
+            CatalogNews, Figures, NamedRouter, PeerMessage, RouterReport, SuspectsTold, ZoneSum,
+        },
+        policy::{
+            placement::{CacheNote, EngineReport, EngineTimes, Load, ReplicaReport},
+            shares::AccountUsage,
+            suspects::{EndNote, RequestDigest, SuspectNote},
+        },
+        wire::{decode_payload, encode_frame, encode_payload, read_frame},
+    },
+    serde::{Serialize, de::DeserializeOwned},
+    std::{fmt::Debug, net::SocketAddr},
+};
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], port))
+}
+
+fn version() -> CatalogVersion {
+    CatalogVersion {
+        config: 7,
+        upstreams: 300,
+    }
+}
+
+fn figures() -> Figures {
+    Figures {
+        replicas: vec![ReplicaReport {
+            replica: 0xfeed_beef,
+            load: Load {
+                running: 3,
+                reading: 4000,
+                memory: 5000,
+            },
+            placed: 1 << 40,
+            rests: true,
+        }],
+        accounts: vec![(
+            9,
+            AccountUsage {
+                asked: 1.5,
+                got: 0.25,
+            },
+        )],
+        notes: vec![CacheNote {
+            replica: 2,
+            part: u64::MAX,
+            shared: true,
+        }],
+        engines: vec![EngineReport {
+            service: 4,
+            times: EngineTimes {
+                fixed_ms: 40.0,
+                token_ms: 0.03,
+                residual_ms: 12.0,
+            },
+            samples: 5000,
+        }],
+    }
+}
+
+fn report() -> PeerMessage {
+    PeerMessage::Report(RouterReport {
+        address: address(1),
+        news: address(2),
+        callers: address(3),
+        zone: 5,
+        incarnation: 1_700_000_000_000,
+        sequence: 77,
+        leaving: true,
+        busy: 40,
+        millicores: 90,
+        store_lost: true,
+        version: version(),
+        figures: figures(),
+    })
+}
+
+fn sum() -> PeerMessage {
+    PeerMessage::Sum(ZoneSum {
+        zone: 5,
+        carrier: address(1),
+        news: address(2),
+        incarnation: 1_700_000_000_000,
+        sequence: 78,
+        routers: 10,
+        version: version(),
+        figures: figures(),
+        members: vec![address(4), address(5)],
+    })
+}
+
+fn router() -> NamedRouter {
+    NamedRouter {
+        address: address(6),
+        zone: 8,
+    }
+}
+
+fn suspects() -> PeerMessage {
+    let end = EndNote {
+        key: 11,
+        replica: 12,
+        began_ms: 2000,
+        ended_ms: 1000,
+        is_early: true,
+        is_excused: false,
+    };
+    PeerMessage::Suspects(SuspectsTold {
+        zone: 5,
+        teller: address(1),
+        notes: vec![SuspectNote {
+            request: RequestDigest::new("POST", "/a/b", "lot", b"body"),
+            account: 13,
+            ends: vec![end],
+        }],
+    })
+}
+
+fn news() -> CatalogNews {
+    CatalogNews {
+        config: Some("{\"version\":7}".to_owned()),
+        upstreams: UpstreamNews {
+            records: vec![
+                UpstreamRecord {
+                    id: "i-a".to_owned(),
+                    revision: 299,
+                    text: Some("{}".to_owned()),
+                },
+                UpstreamRecord {
+                    id: "i-b".to_owned(),
+                    revision: 300,
+                    text: None,
+                },
+            ],
+            at: 300,
+            is_whole: false,
+        },
+    }
+}
+
+/// A datagram of the landed build reads as this message, which is sent as the same bytes.
+fn datagram_is_kept(
+    kept: &[u8],
+    message: PeerMessage,
+) {
+    assert_eq!(encode_payload(&message).as_deref(), Ok(kept));
+    assert_eq!(decode_payload::<PeerMessage>(kept), Ok(message));
+}
+
+/// The same for a frame of a stream.
+async fn frame_is_kept<T>(
+    kept: &[u8],
+    message: T,
+) where
+    T: Serialize + DeserializeOwned + PartialEq + Debug,
+{
+    assert_eq!(encode_frame(&message).as_deref(), Ok(kept));
+    let mut stream = kept;
+    assert_eq!(read_frame::<T, _>(&mut stream).await, Ok(Some(message)));
+}
+
+#[test]
+fn datagrams_of_the_landed_build_are_read_and_sent_alike() {
+    datagram_is_kept(include_bytes!("messages/landed/report"), report());
+    datagram_is_kept(include_bytes!("messages/landed/sum"), sum());
+    datagram_is_kept(
+        include_bytes!("messages/landed/ask"),
+        PeerMessage::Ask(router()),
+    );
+    datagram_is_kept(
+        include_bytes!("messages/landed/names"),
+        PeerMessage::Names(vec![router()]),
+    );
+    datagram_is_kept(include_bytes!("messages/landed/suspects"), suspects());
+}
+
+#[tokio::test]
+async fn questions_and_news_of_the_landed_build_are_read_and_sent_alike() {
+    frame_is_kept(include_bytes!("messages/landed/question"), version()).await;
+    frame_is_kept(include_bytes!("messages/landed/news"), news()).await;
+}
+
+#[tokio::test]
+async fn what_follows_the_news_is_read_by_builds_that_know_it_and_by_no_other() {
+    let cordons = CordonNews {
+        cordons: vec![Cordon {
+            zone: "z-1".to_owned(),
+            revision: 299,
+        }],
+        at: 300,
+    };
+    let mut bytes = include_bytes!("messages/landed/news").to_vec();
+    bytes.extend(encode_frame(&cordons).expect("a frame"));
+    let mut stream = bytes.as_slice();
+    assert_eq!(read_frame(&mut stream).await, Ok(Some(news())));
+    assert_eq!(read_frame(&mut stream).await, Ok(Some(cordons)));
+    // The landed build sends nothing after its news.
+    let mut alone = include_bytes!("messages/landed/news").as_slice();
+    assert_eq!(read_frame(&mut alone).await, Ok(Some(news())));
+    assert_eq!(read_frame::<CordonNews, _>(&mut alone).await, Ok(None));
+}
+
+#[test]
+fn a_message_of_an_unknown_kind_or_with_more_in_it_is_refused_by_number() {
+    let mut longer = include_bytes!("messages/landed/report").to_vec();
+    longer.push(0);
+    let mut unknown = include_bytes!("messages/landed/ask").to_vec();
+    unknown[1] = 250; // the kind
+    for bytes in [longer, unknown] {
+        let error = decode_payload::<PeerMessage>(&bytes).expect_err("refused");
+        assert_eq!(error.code, ResultCode::FrameMalformed);
+    }
+}
