--- a/src/direct/exchange.rs
+++ b/src/direct/exchange.rs
@@ -116,7 +116,12 @@
             let replica = target.entry.id.clone();
             let limit = self.limit(expected);
             let started = self.gateway.now();
-            self.run = Some(SentRun::new(target.entry.clone(), started, target.waits));
+            self.run = Some(SentRun::new(
+                target.entry.clone(),
+                started,
+                expected,
+                target.waits,
+            ));
             let sending = send_call(&self.gateway, &self.call, target, last_event);
             let waited =
                 wait_while_alive(&self.gateway, &replica, limit, self.time_left(), sending);
@@ -154,17 +159,18 @@
     /// The replica of the last attempt answered whole.
     pub fn note_replica_success(&self) {
         if let Some(run) = &self.run {
-            self.gateway.board().succeeded(&run.entry, None);
+            self.gateway.board().succeeded(&run.entry);
         }
     }
 
     /// The same, with an answer that is no stream: what it took tells how quick the
-    /// replica is, unless it waited there.
+    /// replica is, and how far off what was expected.
     pub fn note_plain_success(&self) {
         let now = self.gateway.now();
         if let Some(run) = &self.run {
-            let took = (!run.waits).then(|| now.saturating_sub(run.sent));
-            self.gateway.board().succeeded(&run.entry, took);
+            let mut board = self.gateway.board();
+            board.succeeded(&run.entry);
+            board.learn_plain(&run.entry, run.plain(now, true));
         }
     }
 
--- a/src/direct/sent_run.rs
+++ b/src/direct/sent_run.rs
@@ -1,12 +1,16 @@
 use {
-    crate::{catalog::UpstreamEntry, policy::Moment},
-    std::sync::Arc,
+    crate::{
+        catalog::UpstreamEntry,
+        policy::{Moment, placement::PlainRun},
+    },
+    std::{sync::Arc, time::Duration},
 };
 
 /// The attempt of a call that was sent last: where to, and how far it came.
 pub struct SentRun {
     pub entry: Arc<UpstreamEntry>,
     pub sent: Moment,
+    pub expected: Duration,          // until its answer, or its first event
     pub waits: bool,                 // believed to wait there before it runs
     pub first_event: Option<Moment>, // when its first whole event came
 }
@@ -16,13 +20,29 @@
     pub fn new(
         entry: Arc<UpstreamEntry>,
         sent: Moment,
+        expected: Duration,
         waits: bool,
     ) -> Self {
         Self {
             entry,
             sent,
+            expected,
             waits,
             first_event: None,
         }
     }
+
+    /// How it fares as a plain request that ends now.
+    pub fn plain(
+        &self,
+        now: Moment,
+        ran: bool,
+    ) -> PlainRun {
+        PlainRun {
+            took: now.saturating_sub(self.sent),
+            expected: self.expected,
+            waits: self.waits,
+            ran,
+        }
+    }
 }
--- a/src/policy/direct/placement/board_evidence.rs
+++ b/src/policy/direct/placement/board_evidence.rs
@@ -1,7 +1,7 @@
 //! What speaks for and against replicas.
 
 use {
-    super::{KeptPart, PrefixCache, ReplicaBoard, ReplicaView},
+    super::{KeptPart, PlainRun, PrefixCache, ReplicaBoard, ReplicaView},
     crate::{
         catalog::{UpstreamEntry, UpstreamState},
         policy::Moment,
@@ -48,17 +48,24 @@
         Some(view.entry.state)
     }
 
-    /// A request ended well at a replica; a plain one took so long.
+    /// A request ended well at a replica.
     pub fn succeeded(
         &mut self,
         replica: &UpstreamEntry,
-        took: Option<Duration>,
     ) {
         if let Some(view) = self.same_start(replica) {
             view.health.success();
-            if let Some(took) = took {
-                view.learn_time(took);
-            }
+        }
+    }
+
+    /// A plain request ended at a replica like this.
+    pub fn learn_plain(
+        &mut self,
+        replica: &UpstreamEntry,
+        run: PlainRun,
+    ) {
+        if let Some(view) = self.same_start(replica) {
+            view.plain.learn(run);
         }
     }
 
--- a/src/policy/direct/placement/mod.rs
+++ b/src/policy/direct/placement/mod.rs
@@ -25,6 +25,7 @@
 mod placement_request;
 mod placement_settings;
 mod plain_queue;
+mod plain_times;
 mod prefix_cache;
 mod prompt;
 mod replica_board;
@@ -49,6 +50,7 @@
     peer_loads::PeerLoads,
     placement_request::PlacementRequest,
     placement_settings::PlacementSettings,
+    plain_times::{PlainRun, PlainTimes},
     prefix_cache::PrefixCache,
     prompt::{PromptPart, PromptShape},
     replica_board::ReplicaBoard,
--- a/src/policy/direct/placement/plain_queue.rs
+++ b/src/policy/direct/placement/plain_queue.rs
@@ -4,8 +4,9 @@
 /// for these in the order in which they came.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PlainQueue {
-    pub wait_ms: f64, // until it begins to run
-    pub work_ms: f64, // that it runs for
+    pub wait_ms: f64,  // until it begins to run
+    pub work_ms: f64,  // that it runs for
+    pub error_ms: f64, // by which answers usually come later than that
 }
 
 impl PlainQueue {
@@ -17,8 +18,9 @@
         let slots = view.entry.slots.max(1);
         let before = (there + 1).saturating_sub(slots);
         Self {
-            wait_ms: view.service_ms * f64::from(before) / f64::from(slots),
-            work_ms: view.service_ms,
+            wait_ms: view.plain.work_ms * f64::from(before) / f64::from(slots),
+            work_ms: view.plain.work_ms,
+            error_ms: view.plain.error_ms,
         }
     }
 
@@ -34,7 +36,7 @@
         aim_ms: f64,
     ) -> f64 {
         match self.wait_ms > 0.0 {
-            true => (self.expected_ms() - aim_ms).max(0.0),
+            true => (self.expected_ms() + self.error_ms - aim_ms).max(0.0),
             false => 0.0,
         }
     }
--- a/src/policy/direct/placement/replica_view.rs
+++ b/src/policy/direct/placement/replica_view.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Load, PeerLoads, PrefixCache, ReplicaHealth, ReplicaReport},
+    super::{Load, PeerLoads, PlainTimes, PrefixCache, ReplicaHealth, ReplicaReport},
     crate::{
         catalog::UpstreamEntry,
         policy::{Moment, Teller, TellerScope, slow_start::StartPace, stable_hash},
@@ -7,9 +7,6 @@
     std::{sync::Arc, time::Duration},
 };
 
-/// Weight of a new sample of the time that a plain request takes.
-const TIME_WEIGHT: f64 = 0.1;
-
 /// What this router knows of one replica.
 #[derive(Debug)]
 pub struct ReplicaView {
@@ -22,7 +19,7 @@
     pub placed: u64,           // tokens that this router sent there so far
     pub placed_by_zone: u64,   // the same, with the other routers of its zone
     pub heard: Moment,         // when it last answered anything
-    pub service_ms: f64,       // moving time of a plain request
+    pub plain: PlainTimes,     // of requests that are no prompts
     pub start_pace: StartPace, // what this router sends there while it starts slowly
     routers: PeerLoads,        // of the own zone
     zones: PeerLoads,          // the other zones, each as a whole
@@ -41,7 +38,7 @@
             placed: 0,
             placed_by_zone: 0,
             heard: Moment::ZERO,
-            service_ms: 10.0,
+            plain: PlainTimes::default(),
             start_pace: StartPace::default(),
             routers: PeerLoads::default(),
             zones: PeerLoads::default(),
@@ -106,13 +103,4 @@
         }
         self.cache.place(placed);
     }
-
-    /// A plain request took this long.
-    pub fn learn_time(
-        &mut self,
-        took: Duration,
-    ) {
-        let sample = took.as_secs_f64() * 1000.0;
-        self.service_ms += TIME_WEIGHT * (sample - self.service_ms);
-    }
 }
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -5,7 +5,7 @@
         catalog::{UpstreamEntry, UpstreamState},
         policy::placement::{
             Choice, EngineReport, EngineTimes, FleetSize, KeptPart, Load, PeerLoads,
-            PlacementRequest, PlacementSettings, PromptPart, PromptShape, RefusalReason,
+            PlacementRequest, PlacementSettings, PlainRun, PromptPart, PromptShape, RefusalReason,
             ReplicaBoard, ReplicaReport, SentPrompt,
         },
         policy::{Teller, TellerScope, shares::Standing, short_name},
@@ -433,7 +433,7 @@
     for _ in 0..40 {
         for id in ["a", "b", "c"] {
             board.failed(NOW, &entry(id, "z", UpstreamState::Ready));
-            board.succeeded(&entry(id, "z", UpstreamState::Ready), None);
+            board.succeeded(&entry(id, "z", UpstreamState::Ready));
         }
     }
     let awake = board.replicas().filter(|view| !view.health.rests(NOW));
@@ -445,7 +445,7 @@
     let mut board = board(&["a", "b", "c"]);
     for turn in 0..40 {
         for id in ["a", "b", "c"] {
-            board.succeeded(&entry(id, "z", UpstreamState::Ready), None);
+            board.succeeded(&entry(id, "z", UpstreamState::Ready));
         }
         if turn % 2 == 0 {
             board.failed(NOW, &entry("a", "z", UpstreamState::Ready));
@@ -687,6 +687,19 @@
     }
 }
 
+/// A plain request that did not wait and took so long, where so much was expected.
+fn run(
+    took_ms: u64,
+    expected_ms: u64,
+) -> PlainRun {
+    PlainRun {
+        took: Duration::from_millis(took_ms),
+        expected: Duration::from_millis(expected_ms),
+        waits: false,
+        ran: true,
+    }
+}
+
 /// How many plain requests each replica gets until one is refused.
 fn filled_with(
     board: &mut ReplicaBoard,
@@ -720,12 +733,28 @@
     let mut board = board(&["a"]);
     let replica = entry("a", "z", UpstreamState::Ready);
     for _ in 0..100 {
-        board.succeeded(&replica, Some(Duration::from_millis(200)));
+        board.learn_plain(&replica, run(200, 200));
     }
     let counts = filled_with(&mut board, &plain("z"));
     assert_eq!(counts.into_values().collect::<Vec<_>>(), [8]);
 }
 
+#[test]
+fn where_answers_come_later_than_expected_fewer_are_let_wait() {
+    let mut board = board(&["a"]);
+    let replica = entry("a", "z", UpstreamState::Ready);
+    for _ in 0..100 {
+        let late = PlainRun {
+            waits: true,
+            ..run(20, 10)
+        };
+        board.learn_plain(&replica, late);
+    }
+    let counts = filled_with(&mut board, &plain("z"));
+    // 10 ms of the 20 that are left beside the work go to the usual error.
+    assert_eq!(counts.into_values().collect::<Vec<_>>(), [16]);
+}
+
 #[test]
 fn plain_requests_leave_a_zone_whose_replicas_make_them_wait() {
     let mut board = ReplicaBoard::new(PlacementSettings {
