Plain requests: what they take is learnt from those that wait too, and from fellows

Change: of an answer's time the part counts that was expected to be work; a replica that was not met takes what its fellows take; refusals by replicas teach no time. Test: what_a_plain_request_takes_is_learnt_from_those_that_wait.

--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -20,7 +20,7 @@
 pub struct Target {
     pub entry: Arc<UpstreamEntry>,
     pub fetch_from: Option<SocketAddr>, // a replica that keeps more of the prompt
-    pub waits: bool,                    // others are believed to be in front of it
+    pub waits: Duration,                // for what is believed to be in front of it
     pub work: HeldWork,
 }
 
--- a/src/direct/exchange.rs
+++ b/src/direct/exchange.rs
@@ -170,7 +170,7 @@
         if let Some(run) = &self.run {
             let mut board = self.gateway.board();
             board.succeeded(&run.entry);
-            board.learn_plain(&run.entry, run.plain(now, true));
+            board.learn_plain(&run.entry, run.plain(now));
         }
     }
 
--- a/src/direct/exchange_choice.rs
+++ b/src/direct/exchange_choice.rs
@@ -82,7 +82,7 @@
                     Target {
                         entry,
                         fetch_from,
-                        waits: front_ms > 0.0,
+                        waits: Duration::from_secs_f64(front_ms / 1000.0),
                         work,
                     },
                     expected,
--- a/src/direct/exchange_end.rs
+++ b/src/direct/exchange_end.rs
@@ -134,12 +134,7 @@
             AttemptEnd::NotSent { .. } | AttemptEnd::Refused { status: 421, .. } => {
                 board.unreachable(now, replica);
             }
-            AttemptEnd::Refused { .. } => {
-                board.full(now, replica);
-                if self.call.engine.is_none() {
-                    board.learn_plain(replica, run.plain(now, false));
-                }
-            }
+            AttemptEnd::Refused { .. } => board.full(now, replica),
             AttemptEnd::Failed { .. } | AttemptEnd::Unknown { .. } => board.failed(now, replica),
         }
         drop(board);
--- a/src/direct/sent_run.rs
+++ b/src/direct/sent_run.rs
@@ -11,7 +11,7 @@
     pub entry: Arc<UpstreamEntry>,
     pub sent: Moment,
     pub expected: Duration,          // until its answer, or its first event
-    pub waits: bool,                 // believed to wait there before it runs
+    pub waits: Duration,             // of that, behind others
     pub first_event: Option<Moment>, // when its first whole event came
 }
 
@@ -21,7 +21,7 @@
         entry: Arc<UpstreamEntry>,
         sent: Moment,
         expected: Duration,
-        waits: bool,
+        waits: Duration,
     ) -> Self {
         Self {
             entry,
@@ -36,13 +36,11 @@
     pub fn plain(
         &self,
         now: Moment,
-        ran: bool,
     ) -> PlainRun {
         PlainRun {
             took: now.saturating_sub(self.sent),
             expected: self.expected,
-            waits: self.waits,
-            ran,
+            waited: self.waits,
         }
     }
 }
--- a/src/policy/direct/placement/board_choice.rs
+++ b/src/policy/direct/placement/board_choice.rs
@@ -49,6 +49,9 @@
 /// reports is little, and a part of the replicas would cost more.
 const FEW_ROUTERS: usize = 8;
 
+/// What a plain request is believed to take before any was answered.
+const FIRST_WORK_MS: f64 = 10.0;
+
 /// Replicas that a request considers, beside its router's part of them.
 const LEAST_CONSIDERED: f64 = 2.0;
 
@@ -255,11 +258,12 @@
         usable: &[&ReplicaView],
     ) -> Choice {
         let aim_ms = request.aim.as_secs_f64() * 1000.0 * self.settings.aim_share;
+        let usual_ms = usual_work_ms(usable);
         let mut best: Option<(f64, PlainQueue, &ReplicaView)> = None;
         let mut soonest = f64::MAX;
         for view in usable {
             let there = view.load(now, self.belief_age()).running;
-            let queue = PlainQueue::new(view, there);
+            let queue = PlainQueue::new(view, there, usual_ms);
             let late_ms = queue.late_ms(aim_ms);
             soonest = soonest.min(late_ms);
             if late_ms > 0.0 {
@@ -329,6 +333,17 @@
     }
 }
 
+/// What a plain request takes where it was learnt, on average; the first guess where it was
+/// learnt nowhere.
+fn usual_work_ms(usable: &[&ReplicaView]) -> f64 {
+    let learnt = usable.iter().filter(|view| view.plain.samples > 0);
+    let times: Vec<f64> = learnt.map(|view| view.plain.work_ms).collect();
+    match times.len() {
+        0 => FIRST_WORK_MS,
+        count => times.iter().sum::<f64>() / count as f64,
+    }
+}
+
 /// Whether a replica is in the router's own availability zone.
 fn is_near(
     request: &PlacementRequest,
--- a/src/policy/direct/placement/plain_queue.rs
+++ b/src/policy/direct/placement/plain_queue.rs
@@ -10,16 +10,22 @@
 }
 
 impl PlainQueue {
-    /// The queue of a replica where so many are, running or waiting.
+    /// The queue of a replica where so many are, running or waiting. `usual_ms` is what
+    /// requests take at its fellows.
     pub fn new(
         view: &ReplicaView,
         there: u32,
+        usual_ms: f64,
     ) -> Self {
+        let work_ms = match view.plain.samples {
+            0 => usual_ms,
+            _ => view.plain.work_ms,
+        };
         let slots = view.entry.slots.max(1);
         let before = (there + 1).saturating_sub(slots);
         Self {
-            wait_ms: view.plain.work_ms * f64::from(before) / f64::from(slots),
-            work_ms: view.plain.work_ms,
+            wait_ms: work_ms * f64::from(before) / f64::from(slots),
+            work_ms,
             error_ms: view.plain.error_ms,
         }
     }
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -695,8 +695,7 @@
     PlainRun {
         took: Duration::from_millis(took_ms),
         expected: Duration::from_millis(expected_ms),
-        waits: false,
-        ran: true,
+        waited: Duration::ZERO,
     }
 }
 
@@ -743,16 +742,35 @@
 fn where_answers_come_later_than_expected_fewer_are_let_wait() {
     let mut board = board(&["a"]);
     let replica = entry("a", "z", UpstreamState::Ready);
+    for _ in 0..100 {
+        board.learn_plain(&replica, run(10, 10));
+    }
     for _ in 0..100 {
         let late = PlainRun {
-            waits: true,
-            ..run(20, 10)
+            waited: Duration::from_millis(10),
+            ..run(30, 20)
         };
         board.learn_plain(&replica, late);
     }
     let counts = filled_with(&mut board, &plain("z"));
-    // 10 ms of the 20 that are left beside the work go to the usual error.
-    assert_eq!(counts.into_values().collect::<Vec<_>>(), [16]);
+    // Half of 30 ms is what one takes now, and 10 ms go to the usual error: of 30 ms that
+    // leaves 5 ms, for two of eight.
+    assert_eq!(counts.into_values().collect::<Vec<_>>(), [10]);
+}
+
+/// Under overload nothing runs without waiting, from the first request on.
+#[test]
+fn what_a_plain_request_takes_is_learnt_from_those_that_wait() {
+    let mut board = board(&["a", "b"]);
+    let replica = entry("a", "z", UpstreamState::Ready);
+    let waiting = PlainRun {
+        waited: Duration::from_millis(10),
+        ..run(120, 20)
+    };
+    board.learn_plain(&replica, waiting);
+    // 60 ms at both: nothing is let wait for an aim of 30 ms.
+    let counts = filled_with(&mut board, &plain("z"));
+    assert_eq!(counts.into_values().collect::<Vec<_>>(), [8, 8]);
 }
 
 #[test]
