Runs that this router ended itself count when their replica ends shortly after

Change: a run that is dropped before its replica answered, refused or broke off is kept; 300 ms later its replica is looked at, once for all of them, by a connection at rest that is still open, or a new one. The line "request held back" is written in one place. Ruled out: counting such runs without a look (callers that leave would be held back). Tests: two that fail without it, and one that callers who leave are not held back for.

--- a/src/direct/attempt_end.rs
+++ b/src/direct/attempt_end.rs
@@ -42,6 +42,11 @@
         )
     }
 
+    /// Whether nothing of the attempt goes on at its replica, as far as that lives.
+    pub fn is_over_there(&self) -> bool {
+        !matches!(self, Self::Unknown { .. }) || self.is_cut()
+    }
+
     /// Whether it is proved that the request did not run.
     pub fn did_not_run(&self) -> bool {
         !matches!(self, Self::Unknown { .. } | Self::Failed { .. })
--- a/src/direct/events_relay.rs
+++ b/src/direct/events_relay.rs
@@ -146,7 +146,7 @@
                 None => {
                     self.done = true;
                     self.ended = "whole";
-                    self.exchange().note_replica_success();
+                    self.exchange_mut().note_replica_success();
                     self.exchange().note_request_success();
                     let rest = self.splitter.take_rest();
                     return Ok((!rest.is_empty()).then_some(rest));
--- a/src/direct/exchange.rs
+++ b/src/direct/exchange.rs
@@ -117,8 +117,9 @@
             let limit = self.limit(expected);
             let started = self.gateway.now();
             self.run = Some(SentRun::new(
+                self.gateway.clone(),
+                self.call.clone(),
                 target.entry.clone(),
-                started,
                 expected,
                 target.waits,
             ));
@@ -157,17 +158,19 @@
     }
 
     /// The replica of the last attempt answered whole.
-    pub fn note_replica_success(&self) {
-        if let Some(run) = &self.run {
+    pub fn note_replica_success(&mut self) {
+        if let Some(run) = &mut self.run {
+            run.is_over();
             self.gateway.board().succeeded(&run.entry);
         }
     }
 
     /// The same, with an answer that is no stream: what it took tells how quick the
     /// replica is, and how far off what was expected.
-    pub fn note_plain_success(&self) {
+    pub fn note_plain_success(&mut self) {
         let now = self.gateway.now();
-        if let Some(run) = &self.run {
+        if let Some(run) = &mut self.run {
+            run.is_over();
             let mut board = self.gateway.board();
             board.succeeded(&run.entry);
             board.learn_plain(&run.entry, run.plain(now));
--- a/src/direct/exchange_end.rs
+++ b/src/direct/exchange_end.rs
@@ -21,6 +21,9 @@
         end: &AttemptEnd,
     ) -> Result<(), ErrorAnswer> {
         self.note_evidence(end);
+        if let Some(run) = self.run.as_mut().filter(|_| end.is_over_there()) {
+            run.is_over();
+        }
         self.may_have_run |= !end.did_not_run();
         let replica_ended = end.is_cut() && self.has_replica_ended().await;
         let held_back = replica_ended && self.note_replica_end();
--- a/src/direct/exchange_suspects.rs
+++ b/src/direct/exchange_suspects.rs
@@ -1,13 +1,20 @@
 //! What a call's attempts say of its request, and what is known of it.
 
 use {
-    super::exchange::{Exchange, REFUSED_RETRY},
+    super::{
+        call::Call,
+        exchange::{Exchange, REFUSED_RETRY},
+        gateway::Gateway,
+    },
     crate::{
-        catalog::UpstreamState,
+        catalog::{UpstreamEntry, UpstreamState},
         codes::{ErrorAnswer, ResultCode},
-        policy::{short_name, suspects::RunEnd},
+        policy::{
+            Moment, short_name,
+            suspects::{Hold, RequestDigest, RunEnd},
+        },
     },
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
 };
 
 impl Exchange {
@@ -44,32 +51,14 @@
         let Some(run) = &self.run else {
             return false;
         };
-        let now = self.gateway.now();
-        let state = {
-            let mut board = self.gateway.board();
-            board.ended(now, &run.entry);
-            board.state_of(&run.entry.id)
-        };
-        if state != Some(UpstreamState::Ready) {
-            return false;
+        let ended = run.ended(self.gateway.now());
+        match self.gateway.note_run_end(&ended) {
+            None => false,
+            Some(is_held_back) => {
+                self.ends += 1;
+                is_held_back
+            }
         }
-        self.ends += 1;
-        let replica = run.entry.start_name();
-        let end = RunEnd::seen(rand::random(), replica, run.sent, run.first_event, now);
-        let request = self.call.digest();
-        let account = self.call.account.as_deref().map_or(0, short_name);
-        let hold = self.gateway.suspects().ended(now, request, account, end);
-        self.gateway.report_wanted.notify_one();
-        let Some(hold) = hold else {
-            return false;
-        };
-        log::warn!(
-            request_id = self.call.request_id.as_str(),
-            request = request.to_string().as_str(), ends = hold.ends,
-            for_ms = hold.until.left(now).as_millis() as u64, from = "here";
-            "request held back: replicas ended under it"
-        );
-        true
     }
 
     /// A replica answered the request with a success, whole.
@@ -97,3 +86,63 @@
         ErrorAnswer::new(ResultCode::HeldBack).retry_after(left.max(REFUSED_RETRY))
     }
 }
+
+/// A run that was under way when its replica ended, or that was left shortly before.
+pub struct EndedRun {
+    pub call: Arc<Call>,
+    pub entry: Arc<UpstreamEntry>,
+    pub sent: Moment,
+    pub first_event: Option<Moment>,
+    pub ended: Moment,
+}
+
+impl Gateway {
+    /// Notes that a replica ended under a run, unless it was to end. Whether its request is
+    /// held back from now on; none if the end speaks against nobody.
+    pub(super) fn note_run_end(
+        &self,
+        run: &EndedRun,
+    ) -> Option<bool> {
+        let now = self.now();
+        let state = {
+            let mut board = self.board();
+            board.ended(now, &run.entry);
+            board.state_of(&run.entry.id)
+        };
+        if state != Some(UpstreamState::Ready) {
+            return None;
+        }
+        let replica = run.entry.start_name();
+        let end = RunEnd::seen(
+            rand::random(),
+            replica,
+            run.sent,
+            run.first_event,
+            run.ended,
+        );
+        let request = run.call.digest();
+        let account = run.call.account.as_deref().map_or(0, short_name);
+        let hold = self.suspects().ended(now, request, account, end);
+        self.report_wanted.notify_one();
+        if let Some(hold) = &hold {
+            log_held_back(now, request, hold, &run.call.request_id, "here");
+        }
+        Some(hold.is_some())
+    }
+}
+
+/// One line for a request that is held back from now on; `from` says who saw the end.
+pub fn log_held_back(
+    now: Moment,
+    request: RequestDigest,
+    hold: &Hold,
+    request_id: &str,
+    from: &str,
+) {
+    log::warn!(
+        request_id = request_id, request = request.to_string().as_str(), ends = hold.ends,
+        last_end_ms = hold.since.ago_ms(now),
+        for_ms = hold.until.left(now).as_millis() as u64, from = from;
+        "request held back: replicas ended under it"
+    );
+}
--- a/src/direct/gateway.rs
+++ b/src/direct/gateway.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        dialect::Dialect, end_checks::EndChecks, processor_state::ProcessorState,
-        store_reading::StoreReading, upstream_pool::UpstreamPool,
+        dialect::Dialect, end_checks::EndChecks, left_runs::LeftRuns,
+        processor_state::ProcessorState, store_reading::StoreReading, upstream_pool::UpstreamPool,
     },
     crate::{
         catalog::{Catalog, CatalogVersion},
@@ -39,6 +39,7 @@
     pub catalog: Arc<Catalog>,
     pub pool: UpstreamPool,
     pub end_checks: EndChecks,
+    pub(super) left_runs: LeftRuns,
     pub peers: PeerTable, // the routers of the own zone, and some others
     pub zones: ZoneTable, // the other zones
     pub processor: ProcessorState,
@@ -81,6 +82,7 @@
             catalog,
             pool: UpstreamPool::default(),
             end_checks: EndChecks::default(),
+            left_runs: LeftRuns::default(),
             peers: PeerTable::new(own, &settings.seeds),
             zones: ZoneTable::default(),
             processor: ProcessorState::default(),
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -21,6 +21,7 @@
 mod hand_on;
 mod held_work;
 mod late_wait;
+mod left_runs;
 mod live_answer;
 mod plain_relay;
 mod processor_state;
@@ -42,6 +43,7 @@
     cache_calls::CacheCalls,
     dialect::{Dialect, HeaderNames},
     event_splitter::EventSplitter,
+    exchange_suspects::log_held_back,
     gateway::Gateway,
     serve::main,
     store_reading::StoreReading,
--- a/src/direct/upstream_pool.rs
+++ b/src/direct/upstream_pool.rs
@@ -70,6 +70,16 @@
         }
     }
 
+    /// Whether a connection at rest to a replica is still open.
+    pub fn has_open(
+        &self,
+        replica: &str,
+    ) -> bool {
+        let replicas = self.replicas.lock().expect("pool lock");
+        let known = replicas.get(replica);
+        known.is_some_and(|known| known.idle.iter().any(UpstreamConnection::is_usable))
+    }
+
     /// Keeps a connection whose last answer was read whole.
     pub fn give_back(
         &self,
--- a/src/peers/tell_suspects.rs
+++ b/src/peers/tell_suspects.rs
@@ -2,9 +2,12 @@
 
 use {
     super::{PeerLink, PeerMessage, SuspectsTold},
-    crate::policy::{
-        Moment, TellerScope,
-        suspects::{RequestDigest, SuspectNote},
+    crate::{
+        direct::log_held_back,
+        policy::{
+            Moment, TellerScope,
+            suspects::{RequestDigest, SuspectNote},
+        },
     },
     std::{collections::HashMap, net::SocketAddr, time::Duration},
 };
@@ -94,13 +97,7 @@
         };
         let held = self.gateway.suspects().hear(now, scope, &told.notes);
         for (request, hold) in held {
-            log::info!(
-                request = request.to_string().as_str(), ends = hold.ends,
-                last_end_ms = hold.since.ago_ms(now),
-                for_ms = hold.until.left(now).as_millis() as u64,
-                from = told.teller.to_string().as_str();
-                "request held back: replicas ended under it"
-            );
+            log_held_back(now, request, &hold, "", &told.teller.to_string());
         }
         if is_own_zone {
             let mut state = self.told.lock().expect("told lock");
--- a/testbed/src/direct/mod.rs
+++ b/testbed/src/direct/mod.rs
@@ -21,7 +21,7 @@
     direct_fleet::{DirectFleet, zone_name},
     replica::Replica,
     replica_answer::ReplicaAnswer,
-    replica_answering::event,
+    replica_answering::{EndManner, event},
     route_text::RouteText,
     seen_request::SeenRequest,
     store::Store,
--- a/testbed/src/direct/replica.rs
+++ b/testbed/src/direct/replica.rs
@@ -1,5 +1,8 @@
 use {
-    super::{ReplicaAnswer, SeenRequest, replica_serving::accept, replica_state::ReplicaState},
+    super::{
+        ReplicaAnswer, SeenRequest, replica_answering::EndManner, replica_serving::accept,
+        replica_state::ReplicaState,
+    },
     serde_json::json,
     std::{
         net::{IpAddr, SocketAddr},
@@ -105,7 +108,16 @@
         &self,
         text: &str,
     ) {
-        *self.state.fatal.lock().expect("lock") = Some(text.to_owned());
+        self.ends_after(text, EndManner::AtOnce);
+    }
+
+    /// The same, in another manner.
+    pub fn ends_after(
+        &self,
+        text: &str,
+        manner: EndManner,
+    ) {
+        *self.state.fatal.lock().expect("lock") = Some((text.to_owned(), manner));
     }
 
     /// From now on it breaks off the connection of one in so many requests, and lives on.
--- a/testbed/src/direct/replica_answering.rs
+++ b/testbed/src/direct/replica_answering.rs
@@ -89,6 +89,42 @@
     Ok(true)
 }
 
+/// How long a replica lives on under a request that ends it later.
+const LIVES_ON: Duration = Duration::from_millis(100);
+
+/// How a replica ends under a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndManner {
+    /// As it begins to run it.
+    AtOnce,
+    /// Some time later, after a head without proof.
+    AfterHead,
+    /// Some time later, without a word.
+    Later,
+}
+
+/// Ends under a request, whoever still waits for it.
+pub(super) async fn end(
+    state: &ReplicaState,
+    stream: &mut TcpStream,
+    request: &SeenRequest,
+    manner: EndManner,
+) {
+    if manner == EndManner::AfterHead {
+        let text = format!(
+            "HTTP/1.1 200 OK\r\nArchmast-Attempt-Id: {}\r\nContent-Length: 9\r\n\r\n",
+            request.id()
+        );
+        if let Err(error) = write(stream, &text).await {
+            log::debug!("head not written: {error}");
+        }
+    }
+    if manner != EndManner::AtOnce {
+        tokio::time::sleep(LIVES_ON).await;
+    }
+    state.ended.send_replace(true);
+}
+
 async fn write_events(
     stream: &mut TcpStream,
     request: &SeenRequest,
--- a/testbed/src/direct/replica_serving.rs
+++ b/testbed/src/direct/replica_serving.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         SeenRequest,
-        replica_answering::{act, list, write},
+        replica_answering::{act, end, list, write},
         replica_state::ReplicaState,
     },
     std::{
@@ -78,8 +78,9 @@
         }
         state.seen.lock().expect("lock").push(request.clone());
         let fatal = state.fatal.lock().expect("lock").clone();
-        if fatal.is_some_and(|text| request.text().contains(&text)) {
-            state.ended.send_replace(true);
+        let fatal = fatal.filter(|(text, _)| request.text().contains(text));
+        if let Some((_, manner)) = fatal {
+            end(state, stream, &request, manner).await;
             return Ok(());
         }
         let run = state.runs.fetch_add(1, Ordering::SeqCst) + 1;
--- a/testbed/src/direct/replica_state.rs
+++ b/testbed/src/direct/replica_state.rs
@@ -1,5 +1,5 @@
 use {
-    super::{ReplicaAnswer, SeenRequest},
+    super::{ReplicaAnswer, SeenRequest, replica_answering::EndManner},
     serde_json::Value,
     std::{
         collections::VecDeque,
@@ -19,7 +19,7 @@
     pub list_after: Mutex<Duration>, // what listing takes
     pub open: AtomicUsize,           // connections
     pub opened: AtomicUsize,         // connections so far
-    pub fatal: Mutex<Option<String>>, // a body with this text ends it
+    pub fatal: Mutex<Option<(String, EndManner)>>, // a body with this text ends it
     pub ended: watch::Sender<bool>,
     pub cuts_one_in: AtomicUsize, // requests; 0 is none
     pub runs: AtomicUsize,
--- a/testbed/tests/requests_that_end_replicas.rs
+++ b/testbed/tests/requests_that_end_replicas.rs
@@ -15,7 +15,8 @@
 use {
     archmast_testbed::{
         direct::{
-            Client, ClientAnswer, ClientRequest, DirectFleet, Replica, ReplicaAnswer, RouteText,
+            Client, ClientAnswer, ClientRequest, DirectFleet, EndManner, Replica, ReplicaAnswer,
+            RouteText,
         },
         fleet::until_async,
     },
@@ -234,3 +235,87 @@
         assert_eq!(post(&fleet, router, "the same prompt").await.status, 200);
     }
 }
+
+/// Replicas that end in this manner, and what routers wrote of runs that were left there.
+async fn fleet_ending(manner: EndManner) -> (DirectFleet, Vec<Replica>) {
+    let (fleet, replicas) = fleet(&[2, 1]).await;
+    for replica in &replicas {
+        replica.ends_after(FATAL, manner);
+    }
+    (fleet, replicas)
+}
+
+/// Waits until routers have looked at all replicas that ended.
+async fn ends_are_noticed(
+    fleet: &DirectFleet,
+    replicas: &[Replica],
+    tries: usize,
+) {
+    until_async("a replica has ended, and that is known", async || {
+        let logs = fleet.routers.iter().map(|router| router.log_text());
+        let noticed = logs.map(|log| log.matches("whose runs were left").count());
+        ended(replicas) == tries && noticed.sum::<usize>() >= tries
+    })
+    .await;
+}
+
+/// Before, an attempt that its router had ended itself spoke against nobody: 97 sends.
+#[tokio::test(flavor = "multi_thread")]
+async fn replicas_that_end_after_a_head_without_proof_count_as_others() {
+    let (fleet, replicas) = fleet_ending(EndManner::AfterHead).await;
+    for tries in 1..=KNOWN_AFTER {
+        let answer = post(&fleet, tries % 3, FATAL).await;
+        assert_eq!((answer.status, answer.code()), (502, Some(69)));
+        ends_are_noticed(&fleet, &replicas, tries).await;
+    }
+    until_held_back(&fleet, &replicas).await;
+    is_held_back_alone(&fleet, &replicas).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn replicas_that_end_when_the_caller_has_left_count_as_others() {
+    let (fleet, replicas) = fleet_ending(EndManner::Later).await;
+    for tries in 1..=KNOWN_AFTER {
+        let id = format!("{:016x}", rand::random::<u64>());
+        let request = ClientRequest::post("/once/", &id, FATAL);
+        let mut caller = Client::connect(fleet.callers[tries % 3])
+            .await
+            .expect("a connection");
+        caller.send(&request.bytes()).await.expect("sent");
+        until_async("it is at a replica", async || {
+            arrivals(&replicas, FATAL) == tries
+        })
+        .await;
+        drop(caller);
+        ends_are_noticed(&fleet, &replicas, tries).await;
+    }
+    until_held_back(&fleet, &replicas).await;
+    is_held_back_alone(&fleet, &replicas).await;
+}
+
+/// Callers that leave speak against nobody while replicas live.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_whose_callers_leave_are_not_held_back_where_replicas_live() {
+    let (fleet, replicas) = fleet_ending(EndManner::Later).await;
+    for replica in &replicas {
+        replica.next(ReplicaAnswer::Silent);
+    }
+    for tries in 1..=REPLICAS {
+        let request = ClientRequest::post("/once/", &format!("left-{tries}"), "a prompt");
+        let mut caller = Client::connect(fleet.callers[tries % 3])
+            .await
+            .expect("a connection");
+        caller.send(&request.bytes()).await.expect("sent");
+        until_async("it is at a replica", async || {
+            arrivals(&replicas, "a prompt") == tries
+        })
+        .await;
+    }
+    for router in 0..3 {
+        until_async("it is served", async || {
+            post(&fleet, router, "a prompt").await.status == 200
+        })
+        .await;
+    }
+    assert!(beliefs(&fleet).is_empty(), "{}", beliefs(&fleet));
+}
