--- a/testbed/src/command/main.rs
+++ b/testbed/src/command/main.rs
@@ -111,6 +111,12 @@
             "FILE",
         )
         .optopt("", "fleet", "the fleet, as testbed/fleets (soak)", "FILE")
+        .optopt(
+            "",
+            "other",
+            "another build of archmast-router, by which routers are replaced (soak)",
+            "PROGRAM",
+        )
         .optflag("j", "json", "print JSON")
         .optflag("h", "help", "print this text");
     options
--- a/testbed/src/command/soak.rs
+++ b/testbed/src/command/soak.rs
@@ -2,7 +2,12 @@
     super::main::number,
     crate::soak::{SoakFleet, SoakResult, soak},
     getopts::Matches,
-    std::{fs, path::Path, process::ExitCode, time::Duration},
+    std::{
+        fs,
+        path::{Path, PathBuf},
+        process::ExitCode,
+        time::Duration,
+    },
 };
 
 /// The exit code when a promise was broken, or a run proved nothing.
@@ -15,7 +20,7 @@
     let seeds = number(matches, "seeds", 1).max(1);
     let seconds = number(matches, "minutes", 1) * 60;
     let length = Duration::from_secs(seconds) / seeds as u32;
-    let fleet = match matches.opt_str("fleet") {
+    let mut fleet = match matches.opt_str("fleet") {
         None => SoakFleet::default(),
         Some(path) => match SoakFleet::read(&path) {
             Ok(fleet) => fleet,
@@ -25,6 +30,7 @@
             }
         },
     };
+    fleet.other_build = matches.opt_str("other").map(PathBuf::from);
     let mut exit = ExitCode::SUCCESS;
     for seed in first..first + seeds {
         let result = soak(seed, length, &fleet).await;
--- a/testbed/src/fleet/process.rs
+++ b/testbed/src/fleet/process.rs
@@ -60,6 +60,14 @@
         Ok(())
     }
 
+    /// Starts as another build of the program from now on.
+    pub fn become_build(
+        &mut self,
+        program: &Path,
+    ) {
+        self.program = program.to_owned();
+    }
+
     /// The process's number.
     pub fn id(&self) -> u32 {
         self.child.id()
--- a/testbed/src/soak/checks.rs
+++ b/testbed/src/soak/checks.rs
@@ -7,6 +7,7 @@
         fault_span::FaultSpan,
         record::Record,
         replica_slot::{EVENTS, PLAIN_BODY},
+        zone_check::{emptied, overrun},
     },
     crate::direct::event,
     std::{
@@ -31,6 +32,8 @@
         .collect();
     broken.extend(unasked(record));
     broken.extend(late_arrivals(record).late);
+    broken.extend(emptied(record));
+    broken.extend(overrun(record));
     broken.extend(outdated(record));
     broken.extend(
         record
--- a/testbed/src/soak/drain_check.rs
+++ b/testbed/src/soak/drain_check.rs
@@ -1,6 +1,6 @@
 use {
     super::record::{Arrival, DrainSeen, Record},
-    std::{collections::HashMap, time::Duration},
+    std::time::Duration,
 };
 
 /// What reached replicas after they had left.
@@ -14,11 +14,7 @@
 /// Holds each request that reached a leaving replica against the store's word. A router
 /// is not held to it while it, or the store, is in trouble, nor for `contact` after.
 pub fn late_arrivals(record: &Record) -> LateArrivals {
-    let senders: HashMap<&str, usize> = record
-        .attempts
-        .iter()
-        .map(|attempt| (attempt.id.as_str(), attempt.router))
-        .collect();
+    let senders = record.senders();
     let mut found = LateArrivals::default();
     for drain in &record.drains {
         for arrival in &drain.arrivals {
@@ -26,7 +22,7 @@
             let sender = senders.get(arrival.id.as_str()).copied();
             if after <= record.fleet.drain {
                 found.in_time += 1;
-            } else if sender.is_some_and(|router| is_excused(record, router, arrival)) {
+            } else if sender.is_some_and(|router| record.excuses(router, arrival.at)) {
                 found.excused += 1;
             } else {
                 found.late.push(in_words(drain, arrival, sender, after));
@@ -36,19 +32,6 @@
     found
 }
 
-fn is_excused(
-    record: &Record,
-    router: usize,
-    arrival: &Arrival,
-) -> bool {
-    let since = arrival.at - record.fleet.contact;
-    let mut spans = record.spans.iter();
-    spans.any(|span| {
-        let meets = span.began <= arrival.at && span.ended >= since;
-        meets && span.fault.hides_the_store_from(router)
-    })
-}
-
 fn in_words(
     drain: &DrainSeen,
     arrival: &Arrival,
--- a/testbed/src/soak/fault.rs
+++ b/testbed/src/soak/fault.rs
@@ -45,6 +45,15 @@
     SilenceReplica(usize),
     /// The open connections of a router's callers fall silent for good.
     SilenceCallers(usize),
+    /// The operator empties a zone, and takes it back.
+    EmptyZone(usize),
+    /// The replicas of a zone are away, and come back slowly under their ids.
+    SlowReturn(usize),
+    /// Routers are stopped one after the other and start again as the other build, then
+    /// back.
+    ReplaceBuilds,
+    /// A router runs as the other build, from the stop before to the start after it.
+    OtherBuild(usize),
 }
 
 impl Fault {
@@ -57,6 +66,9 @@
                 | Self::Publish
                 | Self::DrainReplica(_)
                 | Self::UnlistReplica(_)
+                | Self::EmptyZone(_)
+                | Self::ReplaceBuilds
+                | Self::OtherBuild(_)
         )
     }
 
@@ -71,7 +83,8 @@
             | Self::StopRouter(hit)
             | Self::FreezeRouter(hit)
             | Self::StoreTrouble(hit, _)
-            | Self::SilenceStore(hit) => *hit == router,
+            | Self::SilenceStore(hit)
+            | Self::OtherBuild(hit) => *hit == router,
             Self::KillRouters { first, count } => (*first..first + count).contains(&router),
             Self::KillAllRouters | Self::StoreDown(_) | Self::SilenceAllStores => true,
             _ => false,
--- a/testbed/src/soak/inflict.rs
+++ b/testbed/src/soak/inflict.rs
@@ -78,6 +78,11 @@
                 self.silence_callers(router);
                 Instant::now()
             }
+            Fault::EmptyZone(zone) => self.empty_zone(zone, lasts).await,
+            Fault::SlowReturn(zone) => self.return_slowly(zone, lasts).await,
+            Fault::ReplaceBuilds => self.replace_builds().await,
+            // Inflicted as a part of replacing them all.
+            Fault::OtherBuild(_) => Instant::now(),
         };
         let span = FaultSpan {
             fault,
--- a/testbed/src/soak/mod.rs
+++ b/testbed/src/soak/mod.rs
@@ -14,6 +14,8 @@
 mod inflict;
 mod lateness;
 mod movements;
+mod operator_inflict;
+mod operator_work;
 mod record;
 mod replica_slot;
 mod schedule;
@@ -21,6 +23,7 @@
 mod soak_fleet;
 mod soak_result;
 mod world;
+mod zone_check;
 
 pub use {
     attempt::{Attempt, Kind},
@@ -32,7 +35,8 @@
     fault::Fault,
     fault_span::FaultSpan,
     movements::movements,
-    record::{Arrival, ChangeSeen, DrainSeen, Record},
+    operator_work::{cordons, replaced_builds, slow_returns},
+    record::{Arrival, ChangeSeen, CordonSeen, DrainSeen, Record, ReplicaSeen, StartSeen},
     replica_slot::{EVENTS, PLAIN_BODY},
     schedule::{PlannedFault, schedule, silences},
     soak::soak,
--- a/testbed/src/soak/record.rs
+++ b/testbed/src/soak/record.rs
@@ -1,5 +1,5 @@
 use {
-    super::{attempt::Attempt, fault_span::FaultSpan, soak_fleet::SoakFleet},
+    super::{attempt::Attempt, fault::Fault, fault_span::FaultSpan, soak_fleet::SoakFleet},
     std::{
         collections::HashMap,
         time::{Duration, Instant},
@@ -30,6 +30,30 @@
     pub served: Option<Instant>, // none if it never did
 }
 
+/// A zone that was emptied, and when it was taken back.
+#[derive(Debug, Clone)]
+pub struct CordonSeen {
+    pub zone: String,
+    pub confirmed: Instant, // by the store
+    pub taken_back: Instant,
+}
+
+/// A replica's slow start.
+#[derive(Debug, Clone)]
+pub struct StartSeen {
+    pub replica: String,
+    pub from: Instant, // it was listed as slow
+    pub until: Instant,
+}
+
+/// All that reached one replica.
+#[derive(Debug, Clone)]
+pub struct ReplicaSeen {
+    pub id: String,
+    pub zone: String,
+    pub arrivals: Vec<Arrival>,
+}
+
 /// What callers and replicas saw, and what was done to the fleet.
 #[derive(Debug, Default)]
 pub struct Record {
@@ -38,7 +62,48 @@
     pub spans: Vec<FaultSpan>,
     pub drains: Vec<DrainSeen>,
     pub changes: Vec<ChangeSeen>,
+    pub cordons: Vec<CordonSeen>,
+    pub starts: Vec<StartSeen>,
+    pub replicas: Vec<ReplicaSeen>, // all that there were
     pub runs: HashMap<String, Vec<&'static str>>, // the services that ran a request, by its id
-    pub unserved: Vec<String>,                    // what did not work when all was well again
-    pub lateness: Duration,                       // of the harness itself, at most
+    pub unserved: Vec<String>,      // what did not work when all was well again
+    pub lateness: Duration,         // of the harness itself, at most
+}
+
+impl Record {
+    /// The router that each request was sent to; probes are none of them.
+    pub fn senders(&self) -> HashMap<&str, usize> {
+        let attempts = self.attempts.iter();
+        attempts
+            .map(|attempt| (attempt.id.as_str(), attempt.router))
+            .collect()
+    }
+
+    /// Whether a router ran as the other build at a moment.
+    pub fn was_other_build(
+        &self,
+        sender: Option<usize>,
+        at: Instant,
+    ) -> bool {
+        let mut spans = self.spans.iter();
+        spans.any(|span| {
+            let is_its = matches!(span.fault, Fault::OtherBuild(router) if Some(router) == sender);
+            is_its && span.began <= at && at <= span.ended
+        })
+    }
+
+    /// Whether a router, or the store as it sees it, was in trouble within `contact`
+    /// before a moment.
+    pub fn excuses(
+        &self,
+        router: usize,
+        at: Instant,
+    ) -> bool {
+        let since = at - self.fleet.contact;
+        let mut spans = self.spans.iter();
+        spans.any(|span| {
+            let meets = span.began <= at && span.ended >= since;
+            meets && span.fault.hides_the_store_from(router)
+        })
+    }
 }
--- a/testbed/src/soak/replica_slot.rs
+++ b/testbed/src/soak/replica_slot.rs
@@ -19,6 +19,9 @@
 /// Answers that are spoilt in a row.
 const SPOILT: usize = 24;
 
+/// How long a replica is slow after its start.
+const SLOW_FOR: Duration = Duration::from_secs(3);
+
 /// Between two events.
 const EVENT_PAUSE: Duration = Duration::from_millis(8);
 
@@ -27,7 +30,7 @@
     pub service: &'static str,
     pub replica: Replica,
     pub proxy: TcpProxy,
-    zone: String,
+    pub zone: String,
     number: usize,
     lives: usize,
     ip: IpAddr,
@@ -65,6 +68,18 @@
         store.list_in(&self.zone, &self.replica.id, self.service, address, state);
     }
 
+    /// Lists the present replica as one that has just started. Gives until when it is
+    /// slow at the latest.
+    pub fn list_slow(
+        &self,
+        store: &Store,
+    ) -> Instant {
+        let (id, address) = (&self.replica.id, self.proxy.address);
+        let slow_ms = SLOW_FOR.as_millis() as u64;
+        store.list_slow(&self.zone, id, self.service, address, slow_ms);
+        Instant::now() + SLOW_FOR
+    }
+
     /// What reached the present replica after a moment.
     pub fn arrivals_after(
         &self,
@@ -122,12 +137,17 @@
         &mut self,
         store: &Store,
     ) -> Replica {
+        let gone = self.start_another().await;
+        self.list(store, "ready");
+        gone
+    }
+
+    /// The same, without listing it.
+    pub async fn start_another(&mut self) -> Replica {
         let (replica, proxy) = start_replica(self.number, self.lives, self.service, self.ip).await;
         self.lives += 1;
         self.proxy = proxy;
-        let gone = std::mem::replace(&mut self.replica, replica);
-        self.list(store, "ready");
-        gone
+        std::mem::replace(&mut self.replica, replica)
     }
 }
 
--- a/testbed/src/soak/soak.rs
+++ b/testbed/src/soak/soak.rs
@@ -4,6 +4,7 @@
         callers::Callers,
         lateness::Lateness,
         movements::movements,
+        operator_work::{cordons, replaced_builds, slow_returns},
         schedule::{PlannedFault, schedule, silences},
         soak_fleet::SoakFleet,
         soak_result::SoakResult,
@@ -41,6 +42,15 @@
     if plan.movements {
         begin(movements(seed, length, routers, replicas));
     }
+    if plan.cordons {
+        begin(cordons(seed, length, plan));
+    }
+    if plan.slow_returns {
+        begin(slow_returns(seed, length, plan));
+    }
+    if plan.other_build.is_some() {
+        begin(replaced_builds(seed, length));
+    }
     work.join_all().await;
     world.recover().await;
     let attempts = callers.end().await;
--- a/testbed/src/soak/soak_fleet.rs
+++ b/testbed/src/soak/soak_fleet.rs
@@ -1,21 +1,26 @@
 use {
     archmast::conf::{ConfError, IniDocument, SettingsFile},
-    std::time::Duration,
+    std::{path::PathBuf, time::Duration},
 };
 
 /// The fleet that a soak starts, and what happens to it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct SoakFleet {
     pub zones: usize,
-    pub per_zone: usize,   // routers
-    pub callers: usize,    // of each router
-    pub plain: usize,      // replicas that answer whole
-    pub events: usize,     // replicas that answer with a stream
-    pub drain: Duration,   // from the store's word until nothing reaches a leaving replica
-    pub contact: Duration, // trouble within it excuses a router
+    pub per_zone: usize,        // routers
+    pub callers: usize,         // of each router
+    pub plain: usize,           // replicas that answer whole
+    pub events: usize,          // replicas that answer with a stream
+    pub drain: Duration,        // from the store's word until nothing reaches a leaving replica
+    pub contact: Duration,      // trouble within it excuses a router
+    pub evacuate: Duration,     // from the store's word until nothing reaches an emptied zone
+    pub slow_per_second: usize, // requests that a replica bears after a start; 0 is no bound
     pub faults: bool,
     pub silences: bool,
     pub movements: bool,
+    pub cordons: bool,
+    pub slow_returns: bool,
+    pub other_build: Option<PathBuf>, // that routers are replaced by, and back
 }
 
 /// The most routers that a file may ask for, against slips of the pen: a few hundred
@@ -58,9 +63,14 @@
             events: replicas.number("events", 1..=MOST_REPLICAS)?,
             drain: bounds.duration("drain", TIMES)?,
             contact: bounds.duration("contact", TIMES)?,
+            evacuate: bounds.duration("evacuate", TIMES)?,
+            slow_per_second: bounds.number("slow_per_second", 0..=1000)?,
             faults: work.flag("faults")?,
             silences: work.flag("silences")?,
             movements: work.flag("movements")?,
+            cordons: work.flag("cordons")?,
+            slow_returns: work.flag("slow_returns")?,
+            other_build: None,
         })
     }
 
