--- a/testbed/src/direct/store.rs
+++ b/testbed/src/direct/store.rs
@@ -167,6 +167,23 @@
         self.put(&format!("servers/{id}"), &entry);
     }
 
+    /// A replica is through its start: its entry, if it is there, says so from now on.
+    pub fn end_slow_start(
+        &self,
+        id: &str,
+    ) {
+        let key = format!("servers/{id}");
+        let entry = {
+            let state = self.state.lock().expect("store lock");
+            state.items.get(&key).map(|item| unbase64(&item.value))
+        };
+        let Some(mut entry) = entry else {
+            return;
+        };
+        entry["cold_remaining_ms"] = 0.into();
+        self.put(&key, &entry);
+    }
+
     /// Lists a start of a replica: one that may have started before under its id.
     pub fn list_start(
         &self,
@@ -322,6 +339,12 @@
     json!({"private_key": key, "value": value, "revision": revision, "made": revision, "lease": 0})
 }
 
+fn unbase64(value: &str) -> Value {
+    use base64::{Engine, engine::general_purpose::STANDARD};
+    let bytes = STANDARD.decode(value).expect("written by this store");
+    serde_json::from_slice(&bytes).expect("an entry")
+}
+
 fn base64(bytes: &[u8]) -> String {
     use base64::{Engine, engine::general_purpose::STANDARD};
     STANDARD.encode(bytes)
--- a/testbed/src/soak/world.rs
+++ b/testbed/src/soak/world.rs
@@ -201,12 +201,18 @@
     ) {
         let from = Instant::now();
         let until = slot.list_slow(&self.store);
+        let replica = slot.replica.id.clone();
         let start = StartSeen {
-            replica: slot.replica.id.clone(),
+            replica: replica.clone(),
             from,
             until,
         };
         self.record.lock().expect("record lock").starts.push(start);
+        let store = self.store.clone();
+        tokio::spawn(async move {
+            sleep(until.saturating_duration_since(Instant::now())).await;
+            store.end_slow_start(&replica);
+        });
     }
 
     /// When nothing is wrong any more: each router has the newest configuration
