--- a/src/policy/direct/placement/board_choice.rs
+++ b/src/policy/direct/placement/board_choice.rs
@@ -10,18 +10,17 @@
         considered::{Considered, Tier},
         homes::homes,
         offer::{Sources, offer},
-        plain_queue::PlainQueue,
     },
     crate::{
         catalog::UpstreamState,
-        policy::{Moment, mix, shares::Standing},
+        policy::{Moment, shares::Standing},
         routing::EngineFacts,
     },
     std::time::Duration,
 };
 
 /// Added to the expected time of a replica that a peer lets rest.
-const AVOIDED_PENALTY: f64 = 200.0;
+pub(super) const AVOIDED_PENALTY: f64 = 200.0;
 
 /// Milliseconds by which a prompt's home goes before its neighbours, so that
 /// routers that know nothing yet agree on one.
@@ -49,9 +48,6 @@
 /// reports is little, and a part of the replicas would cost more.
 const FEW_ROUTERS: usize = 8;
 
-/// What a plain request is believed to take before any was answered.
-const FIRST_WORK_MS: f64 = 10.0;
-
 /// Replicas that a request considers, beside its router's part of them.
 const LEAST_CONSIDERED: f64 = 2.0;
 
@@ -251,59 +247,6 @@
         }
     }
 
-    fn choose_plain(
-        &self,
-        now: Moment,
-        request: &PlacementRequest,
-        usable: &[&ReplicaView],
-    ) -> Choice {
-        let aim_ms = request.aim.as_secs_f64() * 1000.0 * self.settings.aim_share;
-        let usual_ms = usual_work_ms(usable);
-        let mut best: Option<(f64, PlainQueue, &ReplicaView)> = None;
-        let mut soonest = f64::MAX;
-        for view in usable {
-            let there = view.load(now, self.belief_age()).running;
-            let queue = PlainQueue::new(view, there, usual_ms);
-            let late_ms = queue.late_ms(aim_ms);
-            soonest = soonest.min(late_ms);
-            if late_ms > 0.0 {
-                continue;
-            }
-            let cost = self.plain_cost_ms(request, view, &queue);
-            if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
-                best = Some((cost, queue, view));
-            }
-        }
-        match best {
-            Some((_, queue, view)) => Choice::Send {
-                replica: view.entry.id.clone(),
-                reading: 0,
-                fetch_from: None,
-                front_ms: queue.wait_ms,
-                expected: Duration::from_secs_f64(queue.expected_ms() / 1000.0),
-            },
-            None => self.refuse(request, soonest),
-        }
-    }
-
-    /// What a plain request costs at a replica, in milliseconds. Replicas alike are drawn
-    /// from, by up to the step that one request in front makes: all routers see the same
-    /// least busy one.
-    fn plain_cost_ms(
-        &self,
-        request: &PlacementRequest,
-        view: &ReplicaView,
-        queue: &PlainQueue,
-    ) -> f64 {
-        let mut cost = queue.expected_ms() + AVOIDED_PENALTY * view.health.failure_rate();
-        if !is_near(request, view) {
-            cost += self.settings.plain_zone_penalty.as_secs_f64() * 1000.0;
-        }
-        let step_ms = queue.work_ms / f64::from(view.entry.slots.max(1));
-        let draw = mix(view.hash, self.next_work) >> 40;
-        cost + step_ms * draw as f64 / f64::from(1 << 24)
-    }
-
     fn zone_ms(
         &self,
         request: &PlacementRequest,
@@ -316,7 +259,7 @@
         }
     }
 
-    fn refuse(
+    pub(super) fn refuse(
         &self,
         request: &PlacementRequest,
         wait_ms: f64,
@@ -333,19 +276,8 @@
     }
 }
 
-/// What a plain request takes where it was learnt, on average; the first guess where it was
-/// learnt nowhere.
-fn usual_work_ms(usable: &[&ReplicaView]) -> f64 {
-    let learnt = usable.iter().filter(|view| view.plain.samples > 0);
-    let times: Vec<f64> = learnt.map(|view| view.plain.work_ms).collect();
-    match times.len() {
-        0 => FIRST_WORK_MS,
-        count => times.iter().sum::<f64>() / count as f64,
-    }
-}
-
 /// Whether a replica is in the router's own availability zone.
-fn is_near(
+pub(super) fn is_near(
     request: &PlacementRequest,
     view: &ReplicaView,
 ) -> bool {
--- /dev/null
+++ b/src/policy/direct/placement/board_plain.rs
@@ -0,0 +1,88 @@
+//! Where the next request goes that is no prompt.
+//!
+//! At the worst load each zone has one replica of such a service, callers of one zone ask for
+//! three times the work of another, and 32 routers know what is in front of a replica 50 to
+//! 100 ms late. By expected wait against the aim instead of a fixed number in front, with a
+//! way between zones at 20 ms: mean worth of the five days with trouble .665 to .707 on the
+//! deployment with 32 routers (one score each), .733 to .740 and .759 to .763 with 4 and 6.
+
+use {
+    super::{
+        Choice, PlacementRequest, ReplicaBoard, ReplicaView,
+        board_choice::{AVOIDED_PENALTY, is_near},
+        plain_queue::PlainQueue,
+    },
+    crate::policy::{Moment, mix},
+    std::time::Duration,
+};
+
+/// What a plain request is believed to take before any was answered.
+const FIRST_WORK_MS: f64 = 10.0;
+
+impl ReplicaBoard {
+    /// Decides where a request goes that is no prompt: where its answer is expected soonest,
+    /// or nowhere if it would come after the aim.
+    pub(super) fn choose_plain(
+        &self,
+        now: Moment,
+        request: &PlacementRequest,
+        usable: &[&ReplicaView],
+    ) -> Choice {
+        let aim_ms = request.aim.as_secs_f64() * 1000.0 * self.settings.aim_share;
+        let usual_ms = usual_work_ms(usable);
+        let mut best: Option<(f64, PlainQueue, &ReplicaView)> = None;
+        let mut soonest = f64::MAX;
+        for view in usable {
+            let there = view.load(now, self.belief_age()).running;
+            let queue = PlainQueue::new(view, there, usual_ms);
+            let late_ms = queue.late_ms(aim_ms);
+            soonest = soonest.min(late_ms);
+            if late_ms > 0.0 {
+                continue;
+            }
+            let cost = self.plain_cost_ms(request, view, &queue);
+            if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
+                best = Some((cost, queue, view));
+            }
+        }
+        match best {
+            Some((_, queue, view)) => Choice::Send {
+                replica: view.entry.id.clone(),
+                reading: 0,
+                fetch_from: None,
+                front_ms: queue.wait_ms,
+                expected: Duration::from_secs_f64(queue.expected_ms() / 1000.0),
+            },
+            None => self.refuse(request, soonest),
+        }
+    }
+
+    /// What a plain request costs at a replica, in milliseconds. Replicas alike are drawn
+    /// from, by up to the step that one request in front makes: all routers see the same
+    /// least busy one.
+    fn plain_cost_ms(
+        &self,
+        request: &PlacementRequest,
+        view: &ReplicaView,
+        queue: &PlainQueue,
+    ) -> f64 {
+        let mut cost = queue.expected_ms() + AVOIDED_PENALTY * view.health.failure_rate();
+        if !is_near(request, view) {
+            cost += self.settings.plain_zone_penalty.as_secs_f64() * 1000.0;
+        }
+        let step_ms = queue.work_ms / f64::from(view.entry.slots.max(1));
+        let draw = mix(view.hash, self.next_work) >> 40;
+        cost + step_ms * draw as f64 / f64::from(1 << 24)
+    }
+}
+
+/// What a plain request takes where it was learnt, on average; the first guess where it was
+/// learnt nowhere.
+fn usual_work_ms(usable: &[&ReplicaView]) -> f64 {
+    let learnt = usable.iter().filter(|view| view.plain.samples > 0);
+    let times: Vec<f64> = learnt.map(|view| view.plain.work_ms).collect();
+    match times.len() {
+        0 => FIRST_WORK_MS,
+        count => times.iter().sum::<f64>() / count as f64,
+    }
+}
