--- a/testbed/src/direct/store.rs
+++ b/testbed/src/direct/store.rs
@@ -151,7 +151,7 @@
         self.put(&format!("servers/{id}"), &entry);
     }
 
-    /// Lists a replica that has just started, and is slow for this long.
+    /// Lists a replica that has just started, and is slow for this long. Gives the revision.
     pub fn list_slow(
         &self,
         zone: &str,
@@ -159,23 +159,27 @@
         service: &str,
         address: SocketAddr,
         slow_ms: u64,
-    ) {
+    ) -> u64 {
         let entry = json!({
             "service": service, "address": address, "zone": zone, "version": "v1", "slots": 8,
             "state": "ready", "cold_remaining_ms": slow_ms, "sequence": 1,
         });
-        self.put(&format!("servers/{id}"), &entry);
+        self.put(&format!("servers/{id}"), &entry)
     }
 
-    /// A replica is through its start: its entry, if it is there, says so from now on.
+    /// A replica is through the start that was listed at this revision: its entry says so
+    /// from now on, unless it has changed since.
     pub fn end_slow_start(
         &self,
         id: &str,
+        listed: u64,
     ) {
         let key = format!("servers/{id}");
         let entry = {
             let state = self.state.lock().expect("store lock");
-            state.items.get(&key).map(|item| unbase64(&item.value))
+            let item = state.items.get(&key);
+            let same = item.filter(|item| item.revision == listed);
+            same.map(|item| unbase64(&item.value))
         };
         let Some(mut entry) = entry else {
             return;
@@ -252,16 +256,16 @@
         &self,
         key: &str,
         value: &Value,
-    ) {
-        self.put_bytes(key, value.to_string().as_bytes());
+    ) -> u64 {
+        self.put_bytes(key, value.to_string().as_bytes())
     }
 
-    /// Writes an item as any other writer may: any bytes, below any key.
+    /// Writes an item as any other writer may: any bytes, below any key. Gives the revision.
     pub fn put_bytes(
         &self,
         key: &str,
         bytes: &[u8],
-    ) {
+    ) -> u64 {
         let value = base64(bytes);
         let revision = {
             let mut state = self.state.lock().expect("store lock");
@@ -272,6 +276,7 @@
             revision
         };
         self.changed.send_replace(revision);
+        revision
     }
 
     pub(super) fn key(
--- a/testbed/src/soak/replica_slot.rs
+++ b/testbed/src/soak/replica_slot.rs
@@ -68,16 +68,16 @@
         store.list_in(&self.zone, &self.replica.id, self.service, address, state);
     }
 
-    /// Lists the present replica as one that has just started. Gives until when it is
-    /// slow at the latest.
+    /// Lists the present replica as one that has just started. Gives the revision, and
+    /// until when it is slow.
     pub fn list_slow(
         &self,
         store: &Store,
-    ) -> Instant {
+    ) -> (u64, Instant) {
         let (id, address) = (&self.replica.id, self.proxy.address);
         let slow_ms = SLOW_FOR.as_millis() as u64;
-        store.list_slow(&self.zone, id, self.service, address, slow_ms);
-        Instant::now() + SLOW_FOR
+        let revision = store.list_slow(&self.zone, id, self.service, address, slow_ms);
+        (revision, Instant::now() + SLOW_FOR)
     }
 
     /// What reached the present replica after a moment.
--- a/testbed/src/soak/world.rs
+++ b/testbed/src/soak/world.rs
@@ -200,7 +200,7 @@
         slot: &ReplicaSlot,
     ) {
         let from = Instant::now();
-        let until = slot.list_slow(&self.store);
+        let (revision, until) = slot.list_slow(&self.store);
         let replica = slot.replica.id.clone();
         let start = StartSeen {
             replica: replica.clone(),
@@ -211,7 +211,7 @@
         let store = self.store.clone();
         tokio::spawn(async move {
             sleep(until.saturating_duration_since(Instant::now())).await;
-            store.end_slow_start(&replica);
+            store.end_slow_start(&replica, revision);
         });
     }
 
