Plain requests go round where none has to wait

Change: what makes nobody wait counts a tenth of what makes the next wait; the draw is within that. Test: plain_requests_go_round_where_none_has_to_wait.

--- a/src/direct/gateway.rs
+++ b/src/direct/gateway.rs
@@ -28,8 +28,8 @@
 
 /// The shared tables of a router that carries requests itself.
 ///
-/// Lock order: `board`, `shares`, `retries`, then leaf locks (suspects, standstill,
-/// catalog, pool, peers). None is held across an await.
+/// Lock order: `board`, `shares`, `retries`, then leaf locks (suspects, left runs,
+/// standstill, catalog, pool, peers). None is held across an await.
 pub struct Gateway {
     settings: RwLock<Arc<DirectSettings>>, // a leaf lock
     pub dialect: Dialect,
--- a/src/policy/direct/placement/board_plain.rs
+++ b/src/policy/direct/placement/board_plain.rs
@@ -19,6 +19,10 @@
 /// What a plain request is believed to take before any was answered.
 const FIRST_WORK_MS: f64 = 10.0;
 
+/// How much a request that makes nobody wait counts, as a part of what one that does makes
+/// the next wait: enough to go round, too little to cross a zone for.
+const SPREAD: f64 = 0.1;
+
 impl ReplicaBoard {
     /// Decides where a request goes that is no prompt: where its answer is expected soonest,
     /// or nowhere if it would come after the aim.
@@ -40,7 +44,7 @@
             if late_ms > 0.0 {
                 continue;
             }
-            let cost = self.plain_cost_ms(request, view, &queue);
+            let cost = self.plain_cost_ms(request, view, there, &queue);
             if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
                 best = Some((cost, queue, view));
             }
@@ -57,13 +61,13 @@
         }
     }
 
-    /// What a plain request costs at a replica, in milliseconds. Replicas alike are drawn
-    /// from, by up to the step that one request in front makes: all routers see the same
-    /// least busy one.
+    /// What a plain request costs at a replica where so many are, in milliseconds. Where none
+    /// waits the less busy one goes first, and among replicas alike one is drawn.
     fn plain_cost_ms(
         &self,
         request: &PlacementRequest,
         view: &ReplicaView,
+        there: u32,
         queue: &PlainQueue,
     ) -> f64 {
         let mut cost = queue.expected_ms() + AVOIDED_PENALTY * view.health.failure_rate();
@@ -71,8 +75,8 @@
             cost += self.settings.plain_zone_penalty.as_secs_f64() * 1000.0;
         }
         let step_ms = queue.work_ms / f64::from(view.entry.slots.max(1));
-        let draw = mix(view.hash, self.next_work) >> 40;
-        cost + step_ms * draw as f64 / f64::from(1 << 24)
+        let draw = (mix(view.hash, self.next_work) >> 40) as f64 / f64::from(1 << 24);
+        cost + step_ms * SPREAD * (f64::from(there) + draw)
     }
 }
 
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -727,6 +727,21 @@
     assert_eq!(counts.into_values().collect::<Vec<_>>(), [24, 24]);
 }
 
+#[test]
+fn plain_requests_go_round_where_none_has_to_wait() {
+    let mut board = board(&["a", "b", "c", "d"]);
+    for round in 1..=8 {
+        for _ in 0..4 {
+            let Choice::Send { replica, .. } = board.choose(NOW, &plain("z")) else {
+                panic!("refused");
+            };
+            board.start(NOW, &replica, None);
+        }
+        let running = board.replicas().map(|view| view.own.running);
+        assert_eq!(running.collect::<Vec<_>>(), [round; 4]);
+    }
+}
+
 #[test]
 fn a_service_that_takes_longer_than_its_aim_is_not_queued_for() {
     let mut board = board(&["a"]);
