--- a/testbed/tests/soak.rs
+++ b/testbed/tests/soak.rs
@@ -353,6 +353,16 @@
     assert!(result.statuses.contains_key(&200), "{}", result.summary());
 }
 
+/// The store is silent while replicas come back slowly and routers restart: these are told
+/// what was so before, and send as usual until the store answers them (34 requests in a
+/// second, of 6).
+#[tokio::test(flavor = "multi_thread")]
+async fn replicas_that_come_back_slowly_while_the_store_is_silent_are_spared() {
+    let fleet = SoakFleet::parse(include_str!("../fleets/operator.ini")).expect("a fleet");
+    let result = soak(42, Duration::from_secs(10), &fleet).await;
+    assert_eq!(result.broken, Vec::<String>::new(), "{}", result.summary());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_short_run_breaks_nothing() {
     let result = soak(1, Duration::from_secs(6), &SoakFleet::default()).await;
