Sight: what replicas say of themselves in answers is read, kept and logged

No line said whether an answer had told the router that its replica leaves, or wants rest. Nothing decides by it yet.

--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         attempt_end::AttemptEnd, call::Call, gateway::Gateway, held_work::HeldWork,
-        live_answer::LiveAnswer, request_reader::header_text,
+        live_answer::LiveAnswer, replica_call::call_replica, request_reader::header_text,
     },
     crate::{catalog::UpstreamEntry, codes::ResultCode},
     bytes::Bytes,
@@ -39,7 +39,7 @@
         return Err(AttemptEnd::Withheld);
     }
     let request = build(gateway, call, &target, last_event)?;
-    let response = connection.send(request).await?;
+    let response = call_replica(gateway, &target.entry, &mut connection, request).await?;
     let (head, body) = response.into_parts();
     check(gateway, call, &head)?;
     Ok(LiveAnswer::new(
--- a/src/direct/cache_survey.rs
+++ b/src/direct/cache_survey.rs
@@ -1,5 +1,5 @@
 use {
-    super::gateway::Gateway,
+    super::{gateway::Gateway, replica_call::call_replica},
     crate::{
         catalog::UpstreamEntry,
         codes::{Fault, ResultCode},
@@ -128,8 +128,7 @@
         .take(entry, AT_ONCE)
         .await
         .map_err(|end| Fault::unreachable(format!("{end:?}")))?;
-    let response = connection
-        .send(request)
+    let response = call_replica(gateway, entry, &mut connection, request)
         .await
         .map_err(|end| Fault::unreachable(format!("{end:?}")))?;
     let status = response.status();
--- a/src/direct/dialect.rs
+++ b/src/direct/dialect.rs
@@ -1,7 +1,7 @@
 use {
     super::cache_calls::CacheCalls,
-    crate::policy::placement::PromptShape,
-    hyper::{HeaderMap, header::HeaderName},
+    crate::policy::{ReplicaNotice, placement::PromptShape},
+    hyper::{HeaderMap, StatusCode, header::HeaderName},
 };
 
 /// What the headers are called that callers and replicas speak.
@@ -25,6 +25,8 @@
     pub names: HeaderNames,
     /// What a request says of its prompt.
     pub prompt: fn(&HeaderMap) -> Option<PromptShape>,
+    /// What the head of an answer says of its replica.
+    pub notice: fn(StatusCode, &HeaderMap) -> ReplicaNotice,
     /// How a replica is asked what it keeps.
     pub cache: CacheCalls,
 }
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -27,6 +27,7 @@
 mod processor_state;
 mod processor_watch;
 mod ready_port;
+mod replica_call;
 mod reply;
 mod request_reader;
 mod sent_run;
--- a/src/ops/metric_names.rs
+++ b/src/ops/metric_names.rs
@@ -32,6 +32,9 @@
 pub const PROMPT_TOKENS: &str = "archmast_prompt_tokens_total";
 /// Replicas that are left alone for a time, by evidence.
 pub const RESTING: &str = "archmast_resting_replicas";
+/// What replicas said of themselves in answers and was news, by what one `says`: `leaves`,
+/// `rests`.
+pub const NOTICES: &str = "archmast_replica_notices_total";
 /// Streams that ended, by `how`: `whole`, `cut`, `left` by their caller.
 pub const STREAMS: &str = "archmast_streams_total";
 /// Requests that are held back, since replicas ended under them.
--- a/src/platform/dialect.rs
+++ b/src/platform/dialect.rs
@@ -1,5 +1,5 @@
 use {
-    super::{cache_json::CACHE_CALLS, prompt_headers::prompt_shape},
+    super::{cache_json::CACHE_CALLS, notice_headers::read_notice, prompt_headers::prompt_shape},
     crate::direct::{Dialect, HeaderNames},
     hyper::header::HeaderName,
 };
@@ -34,6 +34,7 @@
             system: SYSTEM_HEADERS.iter().map(|text| name(text)).collect(),
         },
         prompt: prompt_shape,
+        notice: read_notice,
         cache: CACHE_CALLS,
     }
 }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -5,12 +5,13 @@
 mod cache_json;
 mod config_json;
 mod dialect;
+mod notice_headers;
 mod prompt_headers;
 mod replica_json;
 mod store_client;
 mod store_json;
 
 pub use {
-    config_json::parse_config, dialect::dialect, replica_json::parse_replica,
-    store_client::StoreClient,
+    config_json::parse_config, dialect::dialect, notice_headers::read_notice,
+    replica_json::parse_replica, store_client::StoreClient,
 };
--- a/src/policy/direct/placement/mod.rs
+++ b/src/policy/direct/placement/mod.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod board_choice;
 mod board_evidence;
+mod board_notices;
 mod board_plain;
 mod board_reports;
 mod board_starts;
--- a/src/policy/direct/placement/replica_board.rs
+++ b/src/policy/direct/placement/replica_board.rs
@@ -6,7 +6,7 @@
     crate::{
         catalog::UpstreamEntry,
         policy::{
-            Moment,
+            Moment, NoticeBook,
             slow_start::{StartLimit, ZoneRouters},
         },
     },
@@ -34,6 +34,7 @@
     cordoned: BTreeSet<String>,       // zones that get no new work
     pub(super) start_limits: HashMap<Arc<str>, StartLimit>, // by service
     pub(super) zone_routers: ZoneRouters, // who sends to replicas that start slowly
+    pub(super) notices: NoticeBook,   // what replicas said of themselves
 }
 
 /// Reports of a peer that may be lost before the last one is no longer believed.
@@ -57,6 +58,7 @@
             cordoned: BTreeSet::new(),
             start_limits: HashMap::new(),
             zone_routers: ZoneRouters::default(),
+            notices: NoticeBook::default(),
         }
     }
 
@@ -98,6 +100,7 @@
         let listed: HashMap<&str, &Arc<UpstreamEntry>> =
             entries.iter().map(|entry| (&*entry.id, entry)).collect();
         self.replicas.retain(|id, _| listed.contains_key(&**id));
+        self.notices.set_listed(now, &entries);
         for entry in &entries {
             match self.replicas.get_mut(&entry.id) {
                 Some(view) if view.entry.is_same_start(entry) => {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -7,6 +7,7 @@
 mod clock;
 mod direct;
 mod granted;
+mod notices;
 mod rendezvous;
 mod short_name;
 
@@ -14,6 +15,7 @@
     clock::*,
     direct::*,
     granted::*,
+    notices::*,
     rendezvous::rendezvous,
     short_name::{mix, short_name, stable_hash},
 };
--- /dev/null
+++ b/src/policy/notices/mod.rs
@@ -0,0 +1,7 @@
+//! What replicas say of themselves in their answers: that they leave, or that they want
+//! nothing for a while. It binds the process that was told, whatever the list says.
+
+mod notice_book;
+mod replica_notice;
+
+pub use {notice_book::NoticeBook, replica_notice::ReplicaNotice};
