--- a/testbed/src/direct/replica.rs
+++ b/testbed/src/direct/replica.rs
@@ -8,7 +8,7 @@
         net::{IpAddr, SocketAddr},
         sync::{
             Arc, Mutex,
-            atomic::{AtomicUsize, Ordering},
+            atomic::{AtomicBool, AtomicUsize, Ordering},
         },
         time::Duration,
     },
@@ -52,6 +52,8 @@
             ended: watch::Sender::new(false),
             cuts_one_in: AtomicUsize::new(0),
             runs: AtomicUsize::new(0),
+            list_refused: AtomicBool::new(false),
+            said: Mutex::default(),
         });
         let task = tokio::spawn(accept(state.clone(), listener));
         Self {
@@ -102,6 +104,11 @@
         *self.state.list_after.lock().expect("lock") = time;
     }
 
+    /// From now on it turns the question for what it keeps away.
+    pub fn turns_list_away(&self) {
+        self.state.list_refused.store(true, Ordering::SeqCst);
+    }
+
     /// From now on it ends when it begins to run a request whose body has this text:
     /// its connections break off and new ones are refused.
     pub fn ends_under(
@@ -128,6 +135,17 @@
         self.state.cuts_one_in.store(count, Ordering::SeqCst);
     }
 
+    /// From now on all its answers have these headers too.
+    pub fn says(
+        &self,
+        headers: &[(&str, &str)],
+    ) {
+        let lines = headers
+            .iter()
+            .map(|(name, value)| format!("{name}: {value}\r\n"));
+        *self.state.said.lock().expect("lock") = lines.collect();
+    }
+
     /// Whether it has ended.
     pub fn has_ended(&self) -> bool {
         *self.state.ended.borrow()
--- a/testbed/src/direct/replica_answering.rs
+++ b/testbed/src/direct/replica_answering.rs
@@ -3,7 +3,7 @@
 use {
     super::{ReplicaAnswer, SeenRequest, replica_state::ReplicaState},
     serde_json::json,
-    std::{io, time::Duration},
+    std::{io, sync::atomic::Ordering, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpStream,
@@ -12,77 +12,103 @@
 
 /// What it keeps, as an answer.
 pub(super) fn list(state: &ReplicaState) -> String {
+    if state.list_refused.load(Ordering::SeqCst) {
+        return "HTTP/1.1 503 Not Now\r\nContent-Length: 0\r\n\r\n".to_owned();
+    }
     let kept = state.kept.lock().expect("lock").clone();
     let body = json!({"epoch": 1, "next_token": 1, "held": kept}).to_string();
     let length = body.len();
     format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}")
 }
 
+/// A connection, and the header lines that stand in each answer on it.
+pub(super) struct Answering<'s> {
+    pub stream: &'s mut TcpStream,
+    pub said: String,
+}
+
+impl Answering<'_> {
+    /// Writes an answer, or a part of one.
+    pub(super) async fn write(
+        &mut self,
+        text: &str,
+    ) -> io::Result<()> {
+        if let Some((status, rest)) = text.split_once("\r\n")
+            && status.starts_with("HTTP/1.1 ")
+        {
+            let text = format!("{status}\r\n{}{rest}", self.said);
+            return self.stream.write_all(text.as_bytes()).await;
+        }
+        self.stream.write_all(text.as_bytes()).await
+    }
+}
+
 /// Answers one request. False if the connection ends with it.
 pub(super) async fn act(
-    stream: &mut TcpStream,
+    out: &mut Answering<'_>,
     request: &SeenRequest,
     answer: ReplicaAnswer,
 ) -> io::Result<bool> {
     let id = request.id();
     match answer {
-        ReplicaAnswer::Whole { status, body } => write(stream, &whole(id, status, &body)).await?,
+        ReplicaAnswer::Whole { status, body } => out.write(&whole(id, status, &body)).await?,
         ReplicaAnswer::Slow { body, after } => {
             let mut byte = [0];
             tokio::select! {
-                () = tokio::time::sleep(after) => write(stream, &whole(id, 200, &body)).await?,
-                _ = stream.read(&mut byte) => return Ok(false),
+                () = tokio::time::sleep(after) => out.write(&whole(id, 200, &body)).await?,
+                _ = out.stream.read(&mut byte) => return Ok(false),
             }
         }
         ReplicaAnswer::NotExecuted { status } => {
             let text = format!(
                 "HTTP/1.1 {status} Not Now\r\nArchmast-Attempt-Id: {id}\r\nArchmast-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
             );
-            write(stream, &text).await?;
+            out.write(&text).await?;
         }
         ReplicaAnswer::Close => return Ok(false),
         ReplicaAnswer::Silent => {
-            wait_for_close(stream).await;
+            wait_for_close(out.stream).await;
             return Ok(false);
         }
         ReplicaAnswer::Cut => {
             let text = whole(id, 200, "a whole body of some length");
-            write(stream, &text[..text.len() - 9]).await?;
+            out.write(&text[..text.len() - 9]).await?;
             return Ok(false);
         }
-        ReplicaAnswer::WrongId => write(stream, &whole("another", 200, "not yours")).await?,
+        ReplicaAnswer::WrongId => out.write(&whole("another", 200, "not yours")).await?,
         ReplicaAnswer::Unsigned => {
             let text = format!(
                 "HTTP/1.1 200 OK\r\nArchmast-Attempt-Id: {id}\r\nContent-Length: 2\r\n\r\nok"
             );
-            write(stream, &text).await?;
+            out.write(&text).await?;
         }
         ReplicaAnswer::Garbage => {
-            write(stream, "\0\0 this is no answer \r\n\r\n").await?;
+            out.write("\0\0 this is no answer \r\n\r\n").await?;
             return Ok(false);
         }
         ReplicaAnswer::Surplus { body } => {
             let text = whole(id, 200, &body) + &whole(id, 200, "surplus");
-            write(stream, &text).await?;
+            out.write(&text).await?;
         }
         ReplicaAnswer::Events { last, pause } => {
-            write_events(stream, request, last, pause).await?;
-            write(stream, "0\r\n\r\n").await?;
+            write_events(out, request, last, pause).await?;
+            out.write("0\r\n\r\n").await?;
         }
         ReplicaAnswer::EventsCut { last, .. } | ReplicaAnswer::EventsStall { last, .. }
             if !request.header("last-event-id").is_empty() =>
         {
-            write_events(stream, request, last, Duration::ZERO).await?;
-            write(stream, "0\r\n\r\n").await?;
+            write_events(out, request, last, Duration::ZERO).await?;
+            out.write("0\r\n\r\n").await?;
         }
         ReplicaAnswer::EventsCut { after, .. } => {
-            write_events(stream, request, after, Duration::ZERO).await?;
-            write(stream, &chunk(&format!("id: {}\ndata: pa", after + 1))).await?;
+            write_events(out, request, after, Duration::ZERO).await?;
+            out.write(&chunk(&format!("id: {}\ndata: pa", after + 1)))
+                .await?;
             return Ok(false);
         }
         ReplicaAnswer::EventsStall { after, .. } => {
-            write_events(stream, request, after, Duration::ZERO).await?;
-            wait_for_close(stream).await;
+            write_events(out, request, after, Duration::ZERO).await?;
+            wait_for_close(out.stream).await;
             return Ok(false);
         }
     }
@@ -106,7 +132,7 @@
 /// Ends under a request, whoever still waits for it.
 pub(super) async fn end(
     state: &ReplicaState,
-    stream: &mut TcpStream,
+    out: &mut Answering<'_>,
     request: &SeenRequest,
     manner: EndManner,
 ) {
@@ -115,7 +141,7 @@
             "HTTP/1.1 200 OK\r\nArchmast-Attempt-Id: {}\r\nContent-Length: 9\r\n\r\n",
             request.id()
         );
-        if let Err(error) = write(stream, &text).await {
+        if let Err(error) = out.write(&text).await {
             log::debug!("head not written: {error}");
         }
     }
@@ -126,7 +152,7 @@
 }
 
 async fn write_events(
-    stream: &mut TcpStream,
+    out: &mut Answering<'_>,
     request: &SeenRequest,
     last: u32,
     pause: Duration,
@@ -136,11 +162,11 @@
         request.id(),
         request.header("archmast-expected-replica")
     );
-    write(stream, &head).await?;
+    out.write(&head).await?;
     let first = request.header("last-event-id").parse().unwrap_or(0) + 1;
     for number in first..=last {
         tokio::time::sleep(pause).await;
-        write(stream, &chunk(&event(number))).await?;
+        out.write(&chunk(&event(number))).await?;
     }
     Ok(())
 }
@@ -165,13 +191,6 @@
     )
 }
 
-pub(super) async fn write(
-    stream: &mut TcpStream,
-    text: &str,
-) -> io::Result<()> {
-    stream.write_all(text.as_bytes()).await
-}
-
 async fn wait_for_close(stream: &mut TcpStream) {
     let mut bytes = [0; 64];
     while matches!(stream.read(&mut bytes).await, Ok(count) if count > 0) {}
--- a/testbed/src/direct/replica_serving.rs
+++ b/testbed/src/direct/replica_serving.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         SeenRequest,
-        replica_answering::{act, end, list, write},
+        replica_answering::{Answering, act, end, list},
         replica_state::ReplicaState,
     },
     std::{
@@ -13,7 +13,7 @@
         time::Instant,
     },
     tokio::{
-        io::{AsyncReadExt, AsyncWriteExt},
+        io::AsyncReadExt,
         net::{TcpListener, TcpStream},
     },
 };
@@ -62,10 +62,14 @@
 ) -> io::Result<()> {
     let mut rest = Vec::new();
     while let Some(request) = read_request(stream, &mut rest).await? {
+        let mut out = Answering {
+            stream,
+            said: state.said.lock().expect("lock").clone(),
+        };
         if request.target == "/v1/kv-list" {
             let wait = *state.list_after.lock().expect("lock");
             tokio::time::sleep(wait).await;
-            write(stream, &list(state)).await?;
+            out.write(&list(state)).await?;
             continue;
         }
         let id = state.id.lock().expect("lock").clone();
@@ -73,14 +77,14 @@
             let text = format!(
                 "HTTP/1.1 421 Misdirected Request\r\nArchmast-Replica-Id: {id}\r\nContent-Length: 0\r\n\r\n"
             );
-            stream.write_all(text.as_bytes()).await?;
+            out.write(&text).await?;
             continue;
         }
         state.seen.lock().expect("lock").push(request.clone());
         let fatal = state.fatal.lock().expect("lock").clone();
         let fatal = fatal.filter(|(text, _)| request.text().contains(text));
         if let Some((_, manner)) = fatal {
-            end(state, stream, &request, manner).await;
+            end(state, &mut out, &request, manner).await;
             return Ok(());
         }
         let run = state.runs.fetch_add(1, Ordering::SeqCst) + 1;
@@ -90,7 +94,7 @@
         }
         let told = state.script.lock().expect("lock").pop_front();
         let answer = told.unwrap_or_else(|| state.usual.lock().expect("lock").clone());
-        if !act(stream, &request, answer).await? {
+        if !act(&mut out, &request, answer).await? {
             return Ok(());
         }
     }
--- a/testbed/src/direct/replica_state.rs
+++ b/testbed/src/direct/replica_state.rs
@@ -3,7 +3,10 @@
     serde_json::Value,
     std::{
         collections::VecDeque,
-        sync::{Mutex, atomic::AtomicUsize},
+        sync::{
+            Mutex,
+            atomic::{AtomicBool, AtomicUsize},
+        },
         time::Duration,
     },
     tokio::sync::watch,
@@ -23,4 +26,6 @@
     pub ended: watch::Sender<bool>,
     pub cuts_one_in: AtomicUsize, // requests; 0 is none
     pub runs: AtomicUsize,
+    pub list_refused: AtomicBool, // it is turned away
+    pub said: Mutex<String>,      // header lines of all its answers
 }
--- a/testbed/src/proxy/tcp_proxy.rs
+++ b/testbed/src/proxy/tcp_proxy.rs
@@ -22,9 +22,7 @@
 /// A TCP proxy in front of one server.
 pub struct TcpProxy {
     pub address: SocketAddr,
-    faults: Arc<Mutex<Faults>>,
-    cuts: watch::Sender<u64>,     // counts cuts; each ends all connections
-    silences: watch::Sender<u64>, // counts silences; each silences all connections
+    connections: Connections,
     task: JoinHandle<()>,
 }
 
@@ -43,51 +41,63 @@
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(SocketAddr::new(ip, 0)).await?;
         let address = listener.local_addr()?;
-        let faults = Arc::new(Mutex::new(Faults::default()));
-        let cuts = watch::Sender::new(0);
-        let silences = watch::Sender::new(0);
         let connections = Connections {
             target,
-            faults: faults.clone(),
-            cuts: cuts.clone(),
-            silences: silences.clone(),
+            faults: Arc::default(),
+            cuts: watch::Sender::new(0),
+            silences: watch::Sender::new(0),
         };
-        let task = tokio::spawn(connections.accept(listener));
+        let task = tokio::spawn(connections.clone().accept(listener));
         Ok(Self {
             address,
-            faults,
-            cuts,
-            silences,
+            connections,
             task,
         })
     }
 
+    /// Ends every connection, and refuses new ones: what is behind it has ended.
+    pub async fn stop(&mut self) {
+        self.task.abort();
+        if let Err(error) = (&mut self.task).await {
+            log::debug!("no longer listens: {error}");
+        }
+        self.cut_connections();
+    }
+
+    /// Listens again at its address after a stop.
+    pub async fn restart(&mut self) -> io::Result<()> {
+        let listener = TcpListener::bind(self.address).await?;
+        self.task = tokio::spawn(self.connections.clone().accept(listener));
+        Ok(())
+    }
+
     /// Changes what the proxy breaks.
     pub fn set(
         &self,
         change: impl FnOnce(&mut Faults),
     ) {
-        change(&mut self.faults.lock().expect("fault lock"));
+        change(&mut self.connections.faults.lock().expect("fault lock"));
     }
 
     /// Nothing passes any more on the connections that are open now, which stay open;
     /// new ones work.
     pub fn silence_connections(&self) {
-        self.silences.send_modify(|count| *count += 1);
+        self.connections.silences.send_modify(|count| *count += 1);
     }
 
     /// Ends every connection now.
     pub fn cut_connections(&self) {
-        self.cuts.send_modify(|count| *count += 1);
+        self.connections.cuts.send_modify(|count| *count += 1);
     }
 }
 
 /// What every connection of a proxy shares.
+#[derive(Clone)]
 struct Connections {
     target: SocketAddr,
     faults: Arc<Mutex<Faults>>,
-    cuts: watch::Sender<u64>,
-    silences: watch::Sender<u64>,
+    cuts: watch::Sender<u64>,     // counts cuts; each ends all connections
+    silences: watch::Sender<u64>, // counts silences; each silences all connections
 }
 
 impl Connections {
--- a/testbed/src/standin/plain_service.rs
+++ b/testbed/src/standin/plain_service.rs
@@ -3,7 +3,7 @@
     rocket::{
         Data, Request, Response, Route, async_trait,
         data::ByteUnit,
-        http::Method,
+        http::{Method, Status},
         route::{Handler, Outcome},
     },
     std::{
@@ -24,6 +24,7 @@
     pub address: SocketAddr,
     pub log: Arc<RunLog>,
     service_time: Arc<Mutex<Duration>>,
+    manner: Arc<Mutex<AnswerManner>>,
     _server: BoundServer,
 }
 
@@ -31,9 +32,17 @@
 struct Call {
     slots: Arc<Semaphore>,
     service_time: Arc<Mutex<Duration>>,
+    manner: Arc<Mutex<AnswerManner>>,
     log: Arc<RunLog>,
 }
 
+/// How calls are answered.
+#[derive(Debug, Clone, Default)]
+struct AnswerManner {
+    turns_away: bool,               // with 503, without running them
+    headers: Vec<(String, String)>, // in all answers
+}
+
 impl PlainService {
     /// Starts a service on a port that the system chooses.
     pub async fn start(
@@ -43,9 +52,11 @@
     ) -> Self {
         let log = Arc::new(RunLog::default());
         let service_time = Arc::new(Mutex::new(service_time));
+        let manner: Arc<Mutex<AnswerManner>> = Arc::default();
         let call = Call {
             slots: Arc::new(Semaphore::new(slots)),
             service_time: service_time.clone(),
+            manner: manner.clone(),
             log: log.clone(),
         };
         let methods = [Method::Get, Method::Post, Method::Put, Method::Delete];
@@ -58,10 +69,30 @@
             address: server.address,
             log,
             service_time,
+            manner,
             _server: server,
         }
     }
 
+    /// From now on all its answers have these headers too.
+    pub fn says(
+        &self,
+        headers: &[(&str, &str)],
+    ) {
+        let headers = headers
+            .iter()
+            .map(|(name, value)| (name.to_string(), value.to_string()));
+        self.manner.lock().expect("manner lock").headers = headers.collect();
+    }
+
+    /// Whether it turns calls away from now on.
+    pub fn turns_away(
+        &self,
+        turns_away: bool,
+    ) {
+        self.manner.lock().expect("manner lock").turns_away = turns_away;
+    }
+
     /// Changes how long a call takes.
     pub fn set_service_time(
         &self,
@@ -81,6 +112,14 @@
         let header = |name: &str| request.headers().get_one(name).unwrap_or("").to_owned();
         let (request_id, nonce) = (header("x-request-id"), header("x-nonce"));
         let number = self.log.start(&request_id, &nonce, &header("x-account"));
+        let manner = self.manner.lock().expect("manner lock").clone();
+        let mut response = Response::build();
+        for (name, value) in manner.headers {
+            response.raw_header(name, value);
+        }
+        if manner.turns_away {
+            return Outcome::Success(response.status(Status::ServiceUnavailable).finalize());
+        }
         let body = data.open(MAX_BODY).into_bytes().await;
         let body = body.map_or_else(|_| Vec::new(), |body| body.into_inner());
         let slot = self.slots.acquire().await;
@@ -92,7 +131,7 @@
         self.log.update(number, |run| run.ended = true);
         let answer = format!("{nonce}:{}", String::from_utf8_lossy(&body));
         Outcome::Success(
-            Response::build()
+            response
                 .raw_header("x-request-id", request_id)
                 .sized_body(answer.len(), Cursor::new(answer))
                 .finalize(),
--- /dev/null
+++ b/testbed/tests/replica_notices.rs
@@ -0,0 +1,210 @@
+//! What replicas say of themselves in their answers binds the router that was told.
+
+use {
+    archmast_testbed::{
+        direct::{
+            Client, ClientAnswer, ClientRequest, DirectFleet, Replica, ReplicaAnswer, RouteText,
+            StoreMode,
+        },
+        fleet::{until, until_async},
+    },
+    std::time::Duration,
+};
+
+const LEAVES: &[(&str, &str)] = &[("Server-Leaving", "1")];
+
+/// Requests that show where a router sends: with two replicas alike, it sends each a share.
+const ASKED: usize = 40;
+
+/// A router before two replicas of one service, the first of which is looked at.
+async fn fleet() -> (DirectFleet, [Replica; 2]) {
+    let routes = [
+        RouteText::new("/first/", "s", "idempotent"),
+        RouteText::new("/once/", "s", "non_idempotent"),
+    ];
+    DirectFleet::with_two_replicas(ReplicaAnswer::ok("whole"), &routes).await
+}
+
+async fn ask(
+    fleet: &DirectFleet,
+    path: &str,
+) -> ClientAnswer {
+    Client::ask(fleet.callers[0], &ClientRequest::get(path, "asked")).await
+}
+
+async fn ask_often(fleet: &DirectFleet) -> Vec<ClientAnswer> {
+    let mut answers = Vec::new();
+    for number in 0..ASKED {
+        let path = if number % 2 == 0 { "/first/" } else { "/once/" };
+        answers.push(ask(fleet, path).await);
+    }
+    answers
+}
+
+async fn until_asked(
+    fleet: &DirectFleet,
+    replica: &Replica,
+    more_than: usize,
+) {
+    until_async("the replica is asked", async || {
+        ask(fleet, "/first/").await;
+        replica.seen().len() > more_than
+    })
+    .await;
+}
+
+fn turns_away(rest_seconds: &str) -> (ReplicaAnswer, [(&str, &str); 1]) {
+    (
+        ReplicaAnswer::NotExecuted { status: 503 },
+        [("Retry-After", rest_seconds)],
+    )
+}
+
+/// Routers went on sending to a replica whose answers said that it leaves, while the store
+/// was silent: 31 requests in 5 s, two of them 2114 and 2783 ms after the first such answer,
+/// each by `"upstream_from":"store","upstream_lapsed":"false"`.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replica_that_says_that_it_leaves_gets_nothing_more() {
+    let (fleet, [leaves, stays]) = fleet().await;
+    fleet.ports[0].set(StoreMode::Silent);
+    leaves.says(LEAVES);
+    until_asked(&fleet, &leaves, 0).await;
+    let before = leaves.seen().len();
+    let answers = ask_often(&fleet).await;
+    assert!(answers.iter().all(|answer| answer.status == 200));
+    assert_eq!(leaves.seen().len(), before);
+    stays.says(LEAVES);
+    until_asked(&fleet, &stays, stays.seen().len()).await;
+    let before = stays.seen().len();
+    // Nobody is left: refused at once, and truly not run.
+    for answer in ask_often(&fleet).await {
+        assert_eq!((answer.status, answer.code()), (503, Some(65)));
+        assert!(answer.retry_after().is_some());
+    }
+    assert_eq!((leaves.seen().len(), stays.seen().len()), (1, before));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replica_that_leaves_stays_left_when_its_entry_lapses_and_returns() {
+    let (fleet, [leaves, _stays]) = fleet().await;
+    leaves.says(LEAVES);
+    until_asked(&fleet, &leaves, 0).await;
+    let before = leaves.seen().len();
+    fleet.store.remove("i-a");
+    until("the entry is gone", || {
+        fleet.routers[0].log_text().contains("upstream gone")
+    })
+    .await;
+    let listed = fleet.routers[0]
+        .log_text()
+        .matches("upstream Ready")
+        .count();
+    fleet.store.list("i-a", "s", leaves.address, "ready");
+    until("the entry is back", || {
+        fleet.routers[0]
+            .log_text()
+            .matches("upstream Ready")
+            .count()
+            > listed
+    })
+    .await;
+    ask_often(&fleet).await;
+    assert_eq!(leaves.seen().len(), before);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replica_that_left_and_starts_again_under_its_id_is_used() {
+    let (fleet, [leaves, _stays]) = fleet().await;
+    fleet.store.list_start("z", "i-a", 1, "s", leaves.address);
+    leaves.says(LEAVES);
+    until_asked(&fleet, &leaves, 0).await;
+    let before = leaves.seen().len();
+    ask_often(&fleet).await;
+    assert_eq!(leaves.seen().len(), before);
+    leaves.says(&[]);
+    fleet.store.list_start("z", "i-a", 2, "s", leaves.address);
+    until_asked(&fleet, &leaves, before).await;
+}
+
+/// Routers went on sending to replicas that had turned a request away and asked for three
+/// seconds of rest: `attempt ended: Refused { status: 503, retry_after: Some(3s) }` came
+/// twenty times in 3 s for one replica, from one router.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replica_that_asks_for_rest_gets_it_and_is_used_again() {
+    const REST: Duration = Duration::from_secs(3);
+    let (fleet, [rests, _awake]) = fleet().await;
+    let (refusal, headers) = turns_away("3");
+    rests.says(&headers);
+    rests.usually(refusal);
+    until_asked(&fleet, &rests, 0).await;
+    until_asked(&fleet, &rests, 1).await;
+    let arrived: Vec<_> = rests.seen().iter().map(|seen| seen.arrived).collect();
+    let gap = arrived[1].duration_since(arrived[0]);
+    assert!(gap >= REST, "{gap:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn replicas_that_all_ask_for_rest_get_it_and_callers_are_told_when_to_come() {
+    let (fleet, replicas) = fleet().await;
+    let (refusal, headers) = turns_away("30.5");
+    for replica in &replicas {
+        replica.says(&headers);
+        replica.usually(refusal.clone());
+    }
+    for replica in &replicas {
+        until_asked(&fleet, replica, 0).await;
+    }
+    let seen = || replicas.each_ref().map(|replica| replica.seen().len());
+    let before = seen();
+    for answer in ask_often(&fleet).await {
+        assert_eq!(answer.status, 503);
+        assert!(answer.retry_after().is_some());
+    }
+    assert_eq!(seen(), before);
+    // The list is read anew meanwhile, and one entry goes and returns.
+    let listed = fleet.routers[0]
+        .log_text()
+        .matches("upstream Ready")
+        .count();
+    fleet.store.remove("i-a");
+    fleet.store.list("i-a", "s", replicas[0].address, "ready");
+    until("the entry is back", || {
+        fleet.routers[0]
+            .log_text()
+            .matches("upstream Ready")
+            .count()
+            > listed
+    })
+    .await;
+    ask_often(&fleet).await;
+    assert_eq!(seen(), before);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replica_that_turns_the_question_for_its_prompts_away_rests_too() {
+    let fleet = DirectFleet::start(1, "").await;
+    let ip = fleet.standins();
+    let rests = Replica::start(ip, "i-a", ReplicaAnswer::events(3)).await;
+    let awake = Replica::start(ip, "i-b", ReplicaAnswer::events(3)).await;
+    rests.turns_list_away();
+    rests.says(&[("Retry-After", "30")]);
+    fleet
+        .store
+        .publish_engines(1, &[RouteText::new("/events/", "s", "streaming")]);
+    for replica in [&rests, &awake] {
+        fleet.store.list(&replica.id, "s", replica.address, "ready");
+    }
+    fleet.all_ready().await;
+    until("both were asked", || {
+        let log = fleet.routers[0].log_text();
+        log.contains("replica asked what it keeps") && log.contains("did not say what it keeps")
+    })
+    .await;
+    for number in 0..ASKED {
+        let request = ClientRequest::post("/events/", &format!("asked-{number}"), "{}")
+            .header("Archmast-Prefix-Hash", &format!("a{number}:3000"))
+            .header("Archmast-Token-Count", "3000,5");
+        assert_eq!(Client::ask(fleet.callers[0], &request).await.status, 200);
+    }
+    assert_eq!(rests.seen().len(), 0);
+}
