Direct form: a replica that says in an answer that it leaves gets nothing more

Callers' requests reached a replica for seconds after its answers had said that it leaves (users' record: 2114 and 2783 ms after, 2000 allowed; here 31 requests in 5 s), while the store was silent.

Cause: the header was not read. A router believed the list alone, which is as old as the store's last word. Class: what a peer says of itself is passed on to whom it was said to, and not kept.

Holds: all that is sent to a replica goes through one call, which keeps what the head of the answer says before anyone sees the answer; the word is kept by start of the replica, outlives a lapse of its entry, and is looked at in the choice, once more just before the request is sent (it may have waited for a connection), and before replicas are asked for their prompts. A new start under the id is used at once, unless it was that one that said it while the list was behind: told apart by its `born`, for a minute at most.

Ruled out: the word taken back by news (the list's version did not change); requests that waited in the router (5 and 11 ms from caller to replica). Weighed: the word taken back by a newer entry of the same start (an entry written before the word may arrive after it), and no time of day at all (then each restart costs a fixed rest, or a list that is behind loses the word).

--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -34,7 +34,7 @@
 ) -> Result<LiveAnswer, AttemptEnd> {
     let most = (call.max_connections / gateway.router_count()).max(1);
     let mut connection = gateway.pool.take(&target.entry, most).await?;
-    if !target.work.may_leave() {
+    if !target.work.may_be_sent(&target.entry) {
         gateway.pool.give_back(&target.entry.id, connection);
         return Err(AttemptEnd::Withheld);
     }
--- a/src/direct/attempt_end.rs
+++ b/src/direct/attempt_end.rs
@@ -5,8 +5,8 @@
 pub enum AttemptEnd {
     /// No byte of the request was sent.
     NotSent { detail: String },
-    /// No byte was sent, since the replica has just started and bears no more; nothing
-    /// speaks against it.
+    /// No byte was sent, since the replica has just started and bears no more, or said
+    /// meanwhile that it wants none; nothing speaks against it.
     Withheld,
     /// The replica said that it did not run the request.
     Refused {
--- a/src/direct/cache_survey.rs
+++ b/src/direct/cache_survey.rs
@@ -69,10 +69,12 @@
     };
     let zone = &gateway.settings().process.zone;
     let mut due = gateway.catalog.upstreams();
-    let is_cordoned = |entry: &UpstreamEntry| gateway.board().is_cordoned(entry);
-    due.retain(|entry| {
-        keeps_prompts(entry) && !is_cordoned(entry) && asked.insert(entry.start_name())
-    });
+    let board = gateway.board();
+    let now = gateway.now();
+    let is_open =
+        |entry: &UpstreamEntry| !board.is_cordoned(entry) && board.wants_requests(now, entry);
+    due.retain(|entry| keeps_prompts(entry) && is_open(entry) && asked.insert(entry.start_name()));
+    drop(board);
     due.sort_by_key(|entry| *entry.zone != **zone);
     due
 }
--- a/src/direct/held_work.rs
+++ b/src/direct/held_work.rs
@@ -1,4 +1,8 @@
-use {super::gateway::Gateway, crate::policy::placement::WorkNumber, std::sync::Arc};
+use {
+    super::gateway::Gateway,
+    crate::{catalog::UpstreamEntry, policy::placement::WorkNumber},
+    std::sync::Arc,
+};
 
 /// A request that counts at its replica for as long as this lives.
 pub struct HeldWork {
@@ -26,10 +30,14 @@
         &self.replica
     }
 
-    /// Whether its request may still be sent.
-    pub fn may_leave(&self) -> bool {
+    /// Whether its request may still be sent to a replica.
+    pub fn may_be_sent(
+        &self,
+        replica: &UpstreamEntry,
+    ) -> bool {
         let now = self.gateway.now();
-        self.gateway.board().may_leave(now, self.number)
+        let board = self.gateway.board();
+        board.may_be_sent(now, self.number, replica)
     }
 
     /// Its first token came.
--- a/src/direct/replica_call.rs
+++ b/src/direct/replica_call.rs
@@ -1,6 +1,10 @@
 use {
     super::{attempt_end::AttemptEnd, gateway::Gateway, upstream_connection::UpstreamConnection},
-    crate::{catalog::UpstreamEntry, ops::NOTICES, policy::ReplicaNotice},
+    crate::{
+        catalog::UpstreamEntry,
+        ops::{NOTICES, Uptime},
+        policy::ReplicaNotice,
+    },
     bytes::Bytes,
     http_body_util::Full,
     hyper::{Request, Response, body::Incoming},
@@ -29,7 +33,10 @@
     if notice.is_empty() {
         return;
     }
-    let is_news = gateway.board().hear_notice(gateway.now(), replica, notice);
+    let is_news =
+        gateway
+            .board()
+            .hear_notice(gateway.now(), Uptime::unix_millis(), replica, notice);
     if !is_news {
         return;
     }
--- a/src/policy/direct/placement/board_choice.rs
+++ b/src/policy/direct/placement/board_choice.rs
@@ -116,6 +116,7 @@
             .filter(|view| view.entry.state == UpstreamState::Ready)
             .filter(|view| !request.tried.contains(&view.entry.id))
             .filter(|view| !self.is_cordoned(&view.entry))
+            .filter(|view| self.wants_requests(now, &view.entry))
             .filter(|view| self.bears_more(now, request, view))
             .collect();
         let awake: Vec<&ReplicaView> = untried
--- a/src/policy/direct/placement/board_starts.rs
+++ b/src/policy/direct/placement/board_starts.rs
@@ -42,9 +42,9 @@
             && self.zone_routers.owns(now, view.hash)
     }
 
-    /// Whether a request that was counted at its replica may still leave: not to one
-    /// that has started again since, and not late to one that starts slowly.
-    pub fn may_leave(
+    /// Whether a request that was counted at its replica may still be sent there: not to
+    /// one that has started again since, and not late to one that starts slowly.
+    pub fn still_bears(
         &self,
         now: Moment,
         number: WorkNumber,
--- a/src/policy/notices/mod.rs
+++ b/src/policy/notices/mod.rs
@@ -3,5 +3,6 @@
 
 mod notice_book;
 mod replica_notice;
+mod said_word;
 
 pub use {notice_book::NoticeBook, replica_notice::ReplicaNotice};
--- a/src/policy/notices/notice_book.rs
+++ b/src/policy/notices/notice_book.rs
@@ -1,5 +1,5 @@
 use {
-    super::ReplicaNotice,
+    super::{ReplicaNotice, said_word::SaidWord},
     crate::{catalog::UpstreamEntry, policy::Moment},
     std::{collections::HashMap, sync::Arc, time::Duration},
 };
@@ -8,49 +8,48 @@
 /// and return, and their replicas have said what they said.
 const KEPT_UNLISTED: Duration = Duration::from_secs(600);
 
-/// What replicas said of themselves to this process, by their start: a replica that starts
-/// again under its id has said nothing yet.
+/// What replicas said of themselves to this process.
+///
+/// A word is kept for the start of the replica that was listed when it was said, and binds
+/// that start only: one that has started again has said nothing yet. Where the list is
+/// behind, it may have been the next start that said it; see [`SaidWord::binds_next`].
 #[derive(Debug, Default)]
 pub struct NoticeBook {
-    words: HashMap<Start, Word>,
-}
-
-/// One start of a replica: its id, and when it was, where it says so.
-type Start = (Arc<str>, Option<u64>);
-
-#[derive(Debug, Clone, Copy, Default)]
-struct Word {
-    leaves: bool,
-    rests_until: Moment,
-    unlisted_since: Option<Moment>,
+    words: HashMap<Arc<str>, Vec<SaidWord>>, // by replica, one for each start of it
 }
 
 impl NoticeBook {
-    /// A replica said this in an answer. True if it is news: that it leaves, or a rest
-    /// where none was under way.
+    /// A replica said this in an answer, at `unix_ms` by this host's clock. True if it is
+    /// news: that it leaves, or a rest where none was under way.
     pub fn hear(
         &mut self,
         now: Moment,
+        unix_ms: u64,
         replica: &UpstreamEntry,
         notice: ReplicaNotice,
     ) -> bool {
         if notice.is_empty() {
             return false;
         }
-        let word = self.words.entry(start_of(replica)).or_default();
-        let is_news =
-            (notice.leaves && !word.leaves) || (!notice.rest.is_zero() && now >= word.rests_until);
-        word.leaves |= notice.leaves;
-        word.rests_until = word.rests_until.max(now + notice.rest);
-        is_news
+        let words = self.words.entry(replica.id.clone()).or_default();
+        match words.iter_mut().find(|word| word.born == replica.born) {
+            Some(word) => word.hear(now, unix_ms, notice),
+            None => {
+                let mut word = SaidWord::of(replica.born);
+                word.hear(now, unix_ms, notice);
+                words.push(word);
+                true
+            }
+        }
     }
 
     /// Whether a replica said that it leaves.
     pub fn leaves(
         &self,
+        now: Moment,
         replica: &UpstreamEntry,
     ) -> bool {
-        self.word(replica).is_some_and(|word| word.leaves)
+        self.binding(now, replica).any(|word| word.leaves)
     }
 
     /// What is left of the rest that a replica asked for.
@@ -59,17 +58,8 @@
         now: Moment,
         replica: &UpstreamEntry,
     ) -> Duration {
-        let word = self.word(replica);
-        word.map_or(Duration::ZERO, |word| word.rests_until.saturating_sub(now))
-    }
-
-    /// Whether a replica may be sent a request, by its own word.
-    pub fn permits(
-        &self,
-        now: Moment,
-        replica: &UpstreamEntry,
-    ) -> bool {
-        !self.leaves(replica) && self.rest_left(now, replica).is_zero()
+        let left = self.binding(now, replica).map(|word| word.rest_left(now));
+        left.max().unwrap_or_default()
     }
 
     /// Takes in who is listed. What others said is forgotten after a while, and rests
@@ -79,30 +69,33 @@
         now: Moment,
         listed: &[Arc<UpstreamEntry>],
     ) {
-        self.words.retain(|start, word| {
-            let is_listed = listed.iter().any(|entry| start_of(entry) == *start);
-            word.unlisted_since = match is_listed {
-                true => None,
-                false => Some(word.unlisted_since.unwrap_or(now)),
-            };
-            let unlisted = word.unlisted_since;
-            let is_old = unlisted.is_some_and(|since| now.saturating_sub(since) > KEPT_UNLISTED);
-            (word.leaves || now < word.rests_until) && !is_old
+        if self.words.is_empty() {
+            return;
+        }
+        let starts: HashMap<&str, Option<u64>> = listed
+            .iter()
+            .map(|entry| (&*entry.id, entry.born))
+            .collect();
+        self.words.retain(|id, words| {
+            let listed = starts.get(&**id);
+            words.retain_mut(|word| {
+                word.set_listed(now, listed == Some(&word.born));
+                word.unlisted_for(now) <= KEPT_UNLISTED
+                    && (word.leaves || !word.rest_left(now).is_zero())
+            });
+            !words.is_empty()
         });
     }
 
-    fn word(
+    /// The words that bind a replica's present start.
+    fn binding(
         &self,
+        now: Moment,
         replica: &UpstreamEntry,
-    ) -> Option<&Word> {
-        // Mostly nobody has said anything, and each choice asks for each replica.
-        match self.words.is_empty() {
-            true => None,
-            false => self.words.get(&start_of(replica)),
-        }
+    ) -> impl Iterator<Item = &SaidWord> {
+        let words = self.words.get(&replica.id).map_or(&[][..], Vec::as_slice);
+        words
+            .iter()
+            .filter(move |word| word.born == replica.born || word.binds_next(now, replica.born))
     }
 }
-
-fn start_of(replica: &UpstreamEntry) -> Start {
-    (replica.id.clone(), replica.born)
-}
--- a/testbed/tests/replica_notices.rs
+++ b/testbed/tests/replica_notices.rs
@@ -1,6 +1,7 @@
 //! What replicas say of themselves in their answers binds the router that was told.
 
 use {
+    archmast::ops::Uptime,
     archmast_testbed::{
         direct::{
             Client, ClientAnswer, ClientRequest, DirectFleet, Replica, ReplicaAnswer, RouteText,
@@ -62,7 +63,9 @@
 
 /// Routers went on sending to a replica whose answers said that it leaves, while the store
 /// was silent: 31 requests in 5 s, two of them 2114 and 2783 ms after the first such answer,
-/// each by `"upstream_from":"store","upstream_lapsed":"false"`.
+/// each by `"upstream_from":"store","upstream_lapsed":"false"`. The header was not read: they
+/// went by the list's word alone, which stands still with the store. Since it is read the
+/// router's log has `replica said of itself` with the first answer, and no `sent` after it.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_replica_that_says_that_it_leaves_gets_nothing_more() {
     let (fleet, [leaves, stays]) = fleet().await;
@@ -115,14 +118,16 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_replica_that_left_and_starts_again_under_its_id_is_used() {
     let (fleet, [leaves, _stays]) = fleet().await;
-    fleet.store.list_start("z", "i-a", 1, "s", leaves.address);
     leaves.says(LEAVES);
     until_asked(&fleet, &leaves, 0).await;
     let before = leaves.seen().len();
     ask_often(&fleet).await;
     assert_eq!(leaves.seen().len(), before);
     leaves.says(&[]);
-    fleet.store.list_start("z", "i-a", 2, "s", leaves.address);
+    let born = Uptime::unix_millis() + 2_000;
+    fleet
+        .store
+        .list_start("z", "i-a", born, "s", leaves.address);
     until_asked(&fleet, &leaves, before).await;
 }
 
--- /dev/null
+++ b/tests/notices.rs
@@ -0,0 +1,116 @@
+//! What replicas say of themselves, and for how long it binds.
+
+use {
+    archmast::{
+        catalog::{UpstreamEntry, UpstreamState},
+        policy::{Moment, NoticeBook, ReplicaNotice},
+    },
+    std::{sync::Arc, time::Duration},
+};
+
+const LEAVES: ReplicaNotice = ReplicaNotice {
+    leaves: true,
+    rest: Duration::ZERO,
+};
+
+fn replica(
+    id: &str,
+    born: Option<u64>,
+) -> Arc<UpstreamEntry> {
+    Arc::new(UpstreamEntry {
+        id: id.into(),
+        born,
+        service: "s".into(),
+        address: ([127, 0, 0, 1], 9000).into(),
+        zone: "z".into(),
+        slots: 8,
+        state: UpstreamState::Ready,
+        slow_for: Duration::ZERO,
+    })
+}
+
+fn at(seconds: f64) -> Moment {
+    Moment::ZERO + Duration::from_secs_f64(seconds)
+}
+
+fn rests(seconds: f64) -> ReplicaNotice {
+    ReplicaNotice::new(false, Some(seconds))
+}
+
+/// Whether a replica may be sent a request, by its own word.
+fn permits(
+    book: &NoticeBook,
+    now: Moment,
+    replica: &UpstreamEntry,
+) -> bool {
+    !book.leaves(now, replica) && book.rest_left(now, replica).is_zero()
+}
+
+/// When the words of these tests are said, in unix milliseconds.
+const SAID: u64 = 1_700_000_000_000;
+
+#[test]
+fn leaving_binds_for_good_and_for_that_start_only() {
+    let mut book = NoticeBook::default();
+    let old = replica("a", Some(SAID - 60_000));
+    let new = replica("a", Some(SAID + 2_000));
+    let other = replica("b", None);
+    assert!(book.hear(at(1.0), SAID, &old, LEAVES));
+    assert!(!book.hear(at(2.0), SAID, &old, LEAVES));
+    book.set_listed(at(1000.0), &[old.clone(), other.clone()]);
+    assert!(!permits(&book, at(1000.0), &old));
+    assert!(permits(&book, at(1000.0), &new));
+    assert!(permits(&book, at(1000.0), &other));
+}
+
+/// A replica started again, and leaves; the list tells of that start only afterwards.
+#[test]
+fn a_word_binds_the_start_that_said_it_though_the_list_was_behind() {
+    let mut book = NoticeBook::default();
+    let listed = replica("a", Some(SAID - 60_000));
+    let speaker = replica("a", Some(SAID - 500));
+    book.hear(at(1.0), SAID, &listed, LEAVES);
+    book.hear(at(1.0), SAID, &listed, rests(30.0));
+    book.set_listed(at(5.0), std::slice::from_ref(&speaker));
+    assert!(!permits(&book, at(5.0), &speaker));
+    assert_eq!(book.rest_left(at(5.0), &speaker), Duration::from_secs(26));
+    // A clock that is wrong shuts a replica out for a bounded time.
+    assert!(permits(&book, at(66.0), &speaker));
+}
+
+#[test]
+fn a_word_outlives_a_lapse_of_its_entry_and_is_forgotten_long_after() {
+    let mut book = NoticeBook::default();
+    let leaves = replica("a", None);
+    book.hear(at(1.0), SAID, &leaves, LEAVES);
+    book.set_listed(at(2.0), &[]);
+    book.set_listed(at(300.0), std::slice::from_ref(&leaves));
+    book.set_listed(at(700.0), &[]);
+    assert!(!permits(&book, at(700.0), &leaves));
+    book.set_listed(at(1301.0), &[]);
+    assert!(permits(&book, at(1301.0), &leaves));
+}
+
+#[test]
+fn the_latest_end_of_several_rests_counts() {
+    let mut book = NoticeBook::default();
+    let tired = replica("a", Some(1));
+    assert!(book.hear(at(0.0), SAID, &tired, rests(3.0)));
+    assert!(!book.hear(at(1.0), SAID, &tired, rests(0.5)));
+    book.set_listed(at(2.0), &[]);
+    assert_eq!(book.rest_left(at(2.0), &tired), Duration::from_secs(1));
+    assert!(!permits(&book, at(2.9), &tired));
+    assert!(permits(&book, at(3.0), &tired));
+    assert!(book.hear(at(3.0), SAID, &tired, rests(1.0)));
+}
+
+#[test]
+fn seconds_that_are_no_time_count_for_nothing_and_long_ones_end() {
+    for seconds in [0.0, -1.0, f64::NAN, f64::NEG_INFINITY] {
+        assert!(rests(seconds).is_empty());
+    }
+    for seconds in [1e300, f64::INFINITY, 601.0] {
+        assert_eq!(rests(seconds).rest, Duration::from_secs(600));
+    }
+    assert_eq!(rests(0.25).rest, Duration::from_millis(250));
+}
