The planned end of a replica that said so in an answer speaks against no request

Callers got 503 (44, held back) for requests that ran at replicas as these ended on purpose, in a silence of the store. Cause, the same as of requests sent there: leaving was known by the list's word alone. The replica's own word counts now. Red before: the third of three such requests was held back.

--- a/src/direct/exchange_suspects.rs
+++ b/src/direct/exchange_suspects.rs
@@ -7,7 +7,7 @@
         gateway::Gateway,
     },
     crate::{
-        catalog::{UpstreamEntry, UpstreamState},
+        catalog::UpstreamEntry,
         codes::{ErrorAnswer, ResultCode},
         policy::{
             Moment, short_name,
@@ -104,12 +104,13 @@
         run: &EndedRun,
     ) -> Option<bool> {
         let now = self.now();
-        let state = {
+        let was_to_end = {
             let mut board = self.board();
             board.ended(now, &run.entry);
-            board.state_of(&run.entry.id)
+            // A planned end speaks against no request, also while the list does not know yet.
+            board.is_to_end(now, &run.entry)
         };
-        if state != Some(UpstreamState::Ready) {
+        if was_to_end {
             return None;
         }
         let replica = run.entry.start_name();
--- a/src/policy/direct/placement/board_evidence.rs
+++ b/src/policy/direct/placement/board_evidence.rs
@@ -39,13 +39,16 @@
         view.is_some_and(|view| now.saturating_sub(view.heard) <= age)
     }
 
-    /// Whether a replica takes new work; none if it is not listed.
-    pub fn state_of(
+    /// Whether a replica is to end: it says so, in the list or in answers, or it is not
+    /// listed any more.
+    pub fn is_to_end(
         &self,
-        replica: &str,
-    ) -> Option<UpstreamState> {
-        let view = self.replicas.get(replica)?;
-        Some(view.entry.state)
+        now: Moment,
+        replica: &UpstreamEntry,
+    ) -> bool {
+        let view = self.replicas.get(&replica.id);
+        let is_ready = view.is_some_and(|view| view.entry.state == UpstreamState::Ready);
+        !is_ready || self.notices.leaves(now, replica)
     }
 
     /// A request ended well at a replica.
--- a/testbed/tests/replica_notices.rs
+++ b/testbed/tests/replica_notices.rs
@@ -4,8 +4,8 @@
     archmast::ops::Uptime,
     archmast_testbed::{
         direct::{
-            Client, ClientAnswer, ClientRequest, DirectFleet, Replica, ReplicaAnswer, RouteText,
-            StoreMode,
+            Client, ClientAnswer, ClientRequest, DirectFleet, EndManner, Replica, ReplicaAnswer,
+            RouteText, StoreMode,
         },
         fleet::{until, until_async},
     },
@@ -213,3 +213,44 @@
     }
     assert_eq!(rests.seen().len(), 0);
 }
+
+/// Requests that ran at replicas as these ended were held back (code 44) though each replica
+/// had said in its answer that it leaves. The end of a replica that leaves speaks against no
+/// request, but leaving was known by the list's word alone.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_end_of_a_replica_that_said_that_it_leaves_speaks_against_no_request() {
+    const TRIES: usize = 3;
+    let fleet = DirectFleet::start(1, "").await;
+    let mut replicas = Vec::new();
+    for number in 0..TRIES {
+        let replica = fleet
+            .replica(&format!("i-{number}"), "s", ReplicaAnswer::ok("whole"))
+            .await;
+        replica.says(LEAVES);
+        replica.ends_after("unlucky", EndManner::AfterHead);
+        replicas.push(replica);
+    }
+    let route = RouteText::new("/once/", "s", "non_idempotent");
+    fleet.store.publish(1, &[route]);
+    fleet.all_ready().await;
+    until("all replicas are known", || {
+        fleet.routers[0]
+            .log_text()
+            .matches("upstream Ready")
+            .count()
+            >= TRIES
+    })
+    .await;
+    for tries in 1..=TRIES {
+        let request = ClientRequest::post("/once/", &format!("try-{tries}"), "unlucky");
+        let answer = Client::ask(fleet.callers[0], &request).await;
+        assert_eq!(answer.code(), Some(69), "try {tries}");
+        until("its replica's end is noticed", || {
+            let log = fleet.routers[0].log_text();
+            log.matches("a replica has ended whose runs were left")
+                .count()
+                == tries
+        })
+        .await;
+    }
+}
