Own form: a sidecar leaves with an upstream that says in an answer that it leaves

Half of the callers' requests (20 of 40, two upstreams) went on to an upstream that had said so.

Cause, the same as in the direct form: the header was passed on to the caller and not kept; the sidecar knew of leaving by the list of hosts alone.

Holds: all work of an upstream comes through its sidecar, which leaves as if the list said so (admits nothing, hands back what has not started, tells its routers). When the upstream has ended and another listens in its place, seen by a connection on which nothing is sent, the sidecar takes work again, unless its host leaves or it stops.

Red before; weighed: leaving until the sidecar is restarted (a rolling restart of upstreams would take each one's capacity until an operator came).

--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -84,6 +84,14 @@
         first
     }
 
+    /// No longer leaves.
+    pub fn end_leaving(&self) {
+        if self.leaving.swap(false, Ordering::SeqCst) {
+            self.audit
+                .record("came_back", None, None, "takes new work again");
+        }
+    }
+
     /// The first message on each connection.
     pub fn hello(&self) -> ControlMessage {
         ControlMessage::Hello {
--- a/src/policy/granted/dispatch/dispatcher_endings.rs
+++ b/src/policy/granted/dispatch/dispatcher_endings.rs
@@ -22,6 +22,11 @@
             .collect()
     }
 
+    /// Grants again after it had stopped.
+    pub fn come_back(&mut self) {
+        self.leaving = false;
+    }
+
     /// Drops grants and demand, which may be old after a pause.
     pub fn forget_views(
         &mut self,
--- a/src/policy/granted/fleet/membership.rs
+++ b/src/policy/granted/fleet/membership.rs
@@ -52,6 +52,16 @@
         }
     }
 
+    /// Takes in that a peer takes work again.
+    pub fn come_back(
+        &mut self,
+        host: &str,
+    ) {
+        if let Some(peer) = self.peers.get_mut(host) {
+            peer.leaving = false;
+        }
+    }
+
     /// Whether a peer has said, in its newest life, that it is leaving.
     pub fn is_leaving(
         &self,
--- a/src/router/link_events.rs
+++ b/src/router/link_events.rs
@@ -59,7 +59,7 @@
         }
         match envelope.message {
             ControlMessage::Grants(grants) => self.on_grants(peer, &grants),
-            ControlMessage::Room { free } => self.with_sidecar(peer, |view| view.free = free),
+            ControlMessage::Room { free } => self.on_room(peer, free),
             ControlMessage::Leaving => {
                 self.with_sidecar(peer, |view| {
                     view.leaving = true;
@@ -109,3 +109,30 @@
         }
     }
 }
+
+impl Router {
+    /// A sidecar tells how many slots it has free. One that leaves has none: one that has
+    /// some again takes work for another upstream, and has forgotten what it was told.
+    fn on_room(
+        &self,
+        peer: &Peer,
+        free: u32,
+    ) {
+        let mut comes_back = false;
+        self.with_sidecar(peer, |view| {
+            view.free = free;
+            comes_back = view.leaving && free > 0;
+            if comes_back {
+                view.leaving = false;
+                view.announced.clear();
+            }
+        });
+        if comes_back {
+            log::info!(sidecar = &*peer.host, free = free; "a sidecar that left takes work again");
+            let mut membership = self.node.membership.lock().expect("membership lock");
+            membership.come_back(&peer.host);
+            drop(membership);
+            self.demand_changed.notify_one();
+        }
+    }
+}
--- a/src/sidecar/housekeeping.rs
+++ b/src/sidecar/housekeeping.rs
@@ -49,7 +49,7 @@
         let hosts = lists.borrow_and_update().1.clone();
         let own = hosts.find(&sidecar.node.host);
         if own.is_some_and(|host| host.state == HostState::Leaving) {
-            sidecar.leave().await;
+            sidecar.leave_for_good().await;
         }
         if !sidecar.node.readiness.has_asked() {
             dial_some_routers(&sidecar, &dials, &hosts);
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -12,6 +12,8 @@
 mod status;
 mod turn;
 mod upstream_client;
+mod upstream_notice;
+mod upstream_restart;
 mod usage_meter;
 
 pub use {serve::main, sidecar::Sidecar, usage_meter::UsageMeter};
--- a/src/sidecar/relay.rs
+++ b/src/sidecar/relay.rs
@@ -9,7 +9,6 @@
     crate::{
         codes::ResultCode,
         fleet::Group,
-        ops::NOTICES,
         platform::read_notice,
         policy::{Finished, Moment},
         wire::{AnswerFrame, MAX_FRAME},
@@ -66,7 +65,8 @@
         send: &mut SendStream,
     ) {
         self.sidecar.arrived(self.id);
-        self.hear_notice(&response);
+        let notice = read_notice(response.status(), response.headers());
+        self.sidecar.hear_notice(&self.head.request_id, notice);
         let outcome = if self.is_own_answer(&response) {
             self.relay_body(&mut response, meter, started, send).await
         } else {
@@ -87,25 +87,6 @@
         }
     }
 
-    /// Takes in what the upstream says of itself.
-    fn hear_notice(
-        &self,
-        response: &Response,
-    ) {
-        let notice = read_notice(response.status(), response.headers());
-        if notice.is_empty() {
-            return;
-        }
-        let says = if notice.leaves { "leaves" } else { "rests" };
-        metrics::counter!(NOTICES, "says" => says).increment(1);
-        log::info!(
-            request_id = self.head.request_id.as_str(),
-            leaves = notice.leaves,
-            rest_ms = notice.rest.as_millis() as u64;
-            "the upstream said of itself"
-        );
-    }
-
     /// Whether the upstream answers this request, where it echoes the name.
     fn is_own_answer(
         &self,
--- a/src/sidecar/serve.rs
+++ b/src/sidecar/serve.rs
@@ -88,7 +88,7 @@
             ended.change_context_lazy(failed)?.change_context_lazy(failed)?;
         }
     }
-    sidecar.leave().await;
+    sidecar.leave_for_good().await;
     sidecar.all_closed().await;
     log::info!("sidecar stopped: nothing runs here any more");
     link.close().await;
--- a/src/sidecar/sidecar.rs
+++ b/src/sidecar/sidecar.rs
@@ -17,7 +17,7 @@
     std::{
         sync::{
             Arc, Mutex, OnceLock,
-            atomic::{AtomicU64, Ordering},
+            atomic::{AtomicBool, AtomicU64, Ordering},
         },
         time::Duration,
     },
@@ -47,7 +47,8 @@
     pub(super) table: Mutex<DispatchTable>,
     link: OnceLock<Arc<Link<Sidecar>>>,
     next_exchange: AtomicU64,
-    open: watch::Sender<usize>, // exchanges not yet wholly with their routers
+    pub(super) leaves_for_good: AtomicBool, // its host leaves, or this process stops
+    open: watch::Sender<usize>,             // exchanges not yet wholly with their routers
 }
 
 /// Counts an open exchange for as long as it lives.
@@ -89,6 +90,7 @@
             table: Mutex::new(DispatchTable::new(dispatch)),
             link: OnceLock::new(),
             next_exchange: AtomicU64::new(1),
+            leaves_for_good: AtomicBool::new(false),
             open: watch::Sender::new(0),
         }
     }
@@ -202,15 +204,21 @@
         self.table.lock().expect("table lock").arrived(exchange);
     }
 
+    /// Leaves, and does not come back whatever its upstream does.
+    pub async fn leave_for_good(&self) {
+        self.leaves_for_good.store(true, Ordering::SeqCst);
+        self.leave().await;
+    }
+
     /// Stops granting, hands back what has not started, waits for what is on its way
     /// to the upstream, and tells the routers. In this order: once anyone is told that
     /// it leaves, nothing reaches the upstream (9 to 16 requests did, in six plays with
-    /// 200 ms from here to there).
-    pub async fn leave(&self) {
+    /// 200 ms from here to there). False if it leaves already.
+    pub(super) async fn leave(&self) -> bool {
         let mut on_way = {
             let mut table = self.table.lock().expect("table lock");
             if table.dispatcher.is_leaving() {
-                return;
+                return false;
             }
             table.leave(self.node.now());
             table.on_way()
@@ -218,12 +226,12 @@
         let arrived = on_way.wait_for(|on_way| on_way.is_empty());
         let in_time = timeout(ARRIVAL_TIME, arrived).await.is_ok();
         log::info!(all_arrived = in_time; "leaving: takes no new work");
-        if !self.node.begin_leaving() {
-            return;
-        }
-        if let Some(link) = self.link() {
+        if self.node.begin_leaving()
+            && let Some(link) = self.link()
+        {
             link.send_to_all(&ControlMessage::Leaving);
         }
+        true
     }
 
     pub(super) fn on_demand(
--- a/testbed/tests/upstream_notices.rs
+++ b/testbed/tests/upstream_notices.rs
@@ -3,7 +3,7 @@
 
 use {
     archmast_testbed::{
-        fleet::{Fleet, FleetPlan, FleetText, Outcome, nonce, until_async},
+        fleet::{Fleet, FleetPlan, FleetText, Outcome, nonce, until, until_async},
         standin::PlainService,
     },
     reqwest::Method,
@@ -60,7 +60,8 @@
 }
 
 /// After an upstream had said in an answer that it leaves, 20 of the next 40 requests went
-/// there, as before: half of them, with two upstreams alike.
+/// there, as before: half of them, with two upstreams alike. Its sidecar passed the header on
+/// to the caller, and knew of leaving by the list of hosts alone.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_upstream_that_says_that_it_leaves_gets_nothing_more_until_it_starts_again() {
     let mut fleet = fleet(2).await;
@@ -73,6 +74,11 @@
     }
     assert_eq!(arrivals(&fleet, 0).len(), before);
     fleet.sidecars[0].upstream_link.stop().await;
+    until("its end is noticed", || {
+        let log = fleet.sidecars[0].process.log_text();
+        log.contains("the upstream that left has ended")
+    })
+    .await;
     upstream(&fleet, 0).says(&[]);
     fleet.sidecars[0]
         .upstream_link
