--- a/testbed/src/direct/replica.rs
+++ b/testbed/src/direct/replica.rs
@@ -52,6 +52,7 @@
             ended: watch::Sender::new(false),
             cuts_one_in: AtomicUsize::new(0),
             runs: AtomicUsize::new(0),
+            rest_seconds: Mutex::default(),
             list_refused: AtomicBool::new(false),
             said: Mutex::default(),
         });
@@ -104,6 +105,15 @@
         *self.state.list_after.lock().expect("lock") = time;
     }
 
+    /// From now on it turns all requests away and asks for so much rest; with none it
+    /// answers again.
+    pub fn turns_away(
+        &self,
+        rest_seconds: Option<u32>,
+    ) {
+        *self.state.rest_seconds.lock().expect("lock") = rest_seconds;
+    }
+
     /// From now on it turns the question for what it keeps away.
     pub fn turns_list_away(&self) {
         self.state.list_refused.store(true, Ordering::SeqCst);
--- a/testbed/src/direct/seen_request.rs
+++ b/testbed/src/direct/seen_request.rs
@@ -8,6 +8,7 @@
     pub headers: HashMap<String, String>, // names in lower case
     pub body: Vec<u8>,
     pub arrived: Instant, // whole
+    pub ran: bool,        // it was not turned away
 }
 
 impl SeenRequest {
--- a/testbed/src/soak/checks.rs
+++ b/testbed/src/soak/checks.rs
@@ -5,6 +5,7 @@
         attempt::{Attempt, Kind},
         drain_check::late_arrivals,
         fault_span::FaultSpan,
+        notice_check::unheeded,
         record::Record,
         replica_slot::{EVENTS, PLAIN_BODY},
         zone_check::{emptied, overrun},
@@ -32,6 +33,7 @@
         .collect();
     broken.extend(unasked(record));
     broken.extend(late_arrivals(record).late);
+    broken.extend(unheeded(record));
     broken.extend(emptied(record));
     broken.extend(overrun(record));
     broken.extend(outdated(record));
--- a/testbed/src/soak/fault.rs
+++ b/testbed/src/soak/fault.rs
@@ -49,6 +49,12 @@
     EmptyZone(usize),
     /// The replicas of a zone are away, and come back slowly under their ids.
     SlowReturn(usize),
+    /// A replica says in its answers that it leaves, and is replaced after a while.
+    SayLeaving(usize),
+    /// A replica turns all requests away, and asks for rest.
+    AskForRest(usize),
+    /// All replicas do.
+    AllAskForRest,
     /// Routers are stopped one after the other and start again as the other build, then
     /// back.
     ReplaceBuilds,
@@ -66,15 +72,15 @@
                 | Self::Publish
                 | Self::DrainReplica(_)
                 | Self::UnlistReplica(_)
+                | Self::SayLeaving(_)
                 | Self::EmptyZone(_)
                 | Self::ReplaceBuilds
                 | Self::OtherBuild(_)
         )
     }
 
-    /// Whether this router may learn late what the store says, since the fault is its
-    /// own. What befalls others only must not keep it from the news.
-    pub fn hides_the_store_from(
+    /// Whether this router's process ends or stands still meanwhile.
+    pub fn interrupts(
         &self,
         router: usize,
     ) -> bool {
@@ -82,12 +88,24 @@
             Self::KillRouter(hit)
             | Self::StopRouter(hit)
             | Self::FreezeRouter(hit)
-            | Self::StoreTrouble(hit, _)
-            | Self::SilenceStore(hit)
             | Self::OtherBuild(hit) => *hit == router,
             Self::KillRouters { first, count } => (*first..first + count).contains(&router),
-            Self::KillAllRouters | Self::StoreDown(_) | Self::SilenceAllStores => true,
+            Self::KillAllRouters => true,
             _ => false,
         }
     }
+
+    /// Whether this router may learn late what the store says, since the fault is its
+    /// own. What befalls others only must not keep it from the news.
+    pub fn hides_the_store_from(
+        &self,
+        router: usize,
+    ) -> bool {
+        self.interrupts(router)
+            || match self {
+                Self::StoreTrouble(hit, _) | Self::SilenceStore(hit) => *hit == router,
+                Self::StoreDown(_) | Self::SilenceAllStores => true,
+                _ => false,
+            }
+    }
 }
--- a/testbed/src/soak/inflict.rs
+++ b/testbed/src/soak/inflict.rs
@@ -7,7 +7,7 @@
         record::DrainSeen,
         replica_slot::ReplicaSlot,
         schedule::PlannedFault,
-        world::{LOOK, World},
+        world::{LOOK, SERVES_ON, World},
     },
     crate::direct::{Store, StoreMode},
     std::{
@@ -18,9 +18,6 @@
     tokio::time::sleep,
 };
 
-/// So much longer than it must get nothing new a leaving replica serves on.
-const SERVES_ON: Duration = Duration::from_millis(1500);
-
 /// What a slow link adds, one way.
 const SLOW: Duration = Duration::from_millis(40);
 
@@ -80,6 +77,9 @@
             }
             Fault::EmptyZone(zone) => self.empty_zone(zone, lasts).await,
             Fault::SlowReturn(zone) => self.return_slowly(zone, lasts).await,
+            Fault::SayLeaving(slot) => self.say_leaving(slot).await,
+            Fault::AskForRest(slot) => self.ask_for_rest(slot, lasts).await,
+            Fault::AllAskForRest => self.all_ask_for_rest(lasts).await,
             Fault::ReplaceBuilds => self.replace_builds().await,
             // Inflicted as a part of replacing them all.
             Fault::OtherBuild(_) => Instant::now(),
--- a/testbed/src/soak/mod.rs
+++ b/testbed/src/soak/mod.rs
@@ -14,6 +14,9 @@
 mod inflict;
 mod lateness;
 mod movements;
+mod notice_check;
+mod notice_inflict;
+mod notices;
 mod operator_inflict;
 mod operator_work;
 mod record;
@@ -35,8 +38,12 @@
     fault::Fault,
     fault_span::FaultSpan,
     movements::movements,
+    notices::notices,
     operator_work::{cordons, replaced_builds, slow_returns},
-    record::{Arrival, ChangeSeen, CordonSeen, DrainSeen, Record, ReplicaSeen, StartSeen},
+    record::{
+        Arrival, ChangeSeen, CordonSeen, DrainSeen, Notice, NoticeSeen, Record, ReplicaSeen,
+        StartSeen,
+    },
     replica_slot::{EVENTS, PLAIN_BODY},
     schedule::{PlannedFault, schedule, silences},
     soak::soak,
--- a/testbed/src/soak/record.rs
+++ b/testbed/src/soak/record.rs
@@ -1,5 +1,6 @@
 use {
     super::{attempt::Attempt, fault::Fault, fault_span::FaultSpan, soak_fleet::SoakFleet},
+    crate::direct::SeenRequest,
     std::{
         collections::HashMap,
         time::{Duration, Instant},
@@ -21,6 +22,16 @@
     pub at: Instant,
 }
 
+impl Arrival {
+    /// A request as a stand-in saw it.
+    pub fn of(seen: &SeenRequest) -> Self {
+        Self {
+            id: seen.id().to_owned(),
+            at: seen.arrived,
+        }
+    }
+}
+
 /// A configuration that the store confirmed, and when a router served it.
 #[derive(Debug, Clone)]
 pub struct ChangeSeen {
@@ -46,6 +57,21 @@
     pub until: Instant,
 }
 
+/// What a replica said of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Notice {
+    Leaves,
+    Rests(Duration), // it turned requests away
+}
+
+/// A replica that said something of itself, and what it got from then on.
+#[derive(Debug, Clone)]
+pub struct NoticeSeen {
+    pub replica: String,
+    pub notice: Notice,
+    pub arrivals: Vec<(Arrival, bool)>, // and whether each ran
+}
+
 /// All that reached one replica.
 #[derive(Debug, Clone)]
 pub struct ReplicaSeen {
@@ -64,6 +90,7 @@
     pub changes: Vec<ChangeSeen>,
     pub cordons: Vec<CordonSeen>,
     pub starts: Vec<StartSeen>,
+    pub notices: Vec<NoticeSeen>,
     pub replicas: Vec<ReplicaSeen>, // all that there were
     pub runs: HashMap<String, Vec<&'static str>>, // the services that ran a request, by its id
     pub unserved: Vec<String>,      // what did not work when all was well again
@@ -92,6 +119,20 @@
         })
     }
 
+    /// Whether a router ended or stood still between two moments, or ran as the other build.
+    pub fn starts_anew(
+        &self,
+        router: usize,
+        since: Instant,
+        until: Instant,
+    ) -> bool {
+        let mut spans = self.spans.iter();
+        spans.any(|span| {
+            let meets = span.began <= until && span.ended >= since;
+            meets && span.fault.interrupts(router)
+        })
+    }
+
     /// Whether a router, or the store as it sees it, was in trouble within `contact`
     /// before a moment.
     pub fn excuses(
--- a/testbed/src/soak/replica_slot.rs
+++ b/testbed/src/soak/replica_slot.rs
@@ -87,12 +87,7 @@
     ) -> Vec<Arrival> {
         let seen = self.replica.seen().into_iter();
         let after = seen.filter(|request| request.arrived > moment);
-        after
-            .map(|request| Arrival {
-                id: request.id().to_owned(),
-                at: request.arrived,
-            })
-            .collect()
+        after.map(|request| Arrival::of(&request)).collect()
     }
 
     /// Lists the present replica as leaving.
--- a/testbed/src/soak/schedule.rs
+++ b/testbed/src/soak/schedule.rs
@@ -62,7 +62,7 @@
 
 /// Draws how long after the one before a fault begins, then the fault and how long it
 /// lasts, until `length` is over.
-fn planned(
+pub(super) fn planned(
     mut random: StdRng,
     gap_ms: Range<u64>,
     length: Duration,
--- a/testbed/src/soak/soak.rs
+++ b/testbed/src/soak/soak.rs
@@ -4,6 +4,7 @@
         callers::Callers,
         lateness::Lateness,
         movements::movements,
+        notices::notices,
         operator_work::{cordons, replaced_builds, slow_returns},
         schedule::{PlannedFault, schedule, silences},
         soak_fleet::SoakFleet,
@@ -48,6 +49,9 @@
     if plan.slow_returns {
         begin(slow_returns(seed, length, plan));
     }
+    if plan.notices {
+        begin(notices(seed, length, replicas));
+    }
     if plan.other_build.is_some() {
         begin(replaced_builds(seed, length));
     }
--- a/testbed/src/soak/soak_fleet.rs
+++ b/testbed/src/soak/soak_fleet.rs
@@ -20,6 +20,7 @@
     pub movements: bool,
     pub cordons: bool,
     pub slow_returns: bool,
+    pub notices: bool,
     pub other_build: Option<PathBuf>, // that routers are replaced by, and back
 }
 
@@ -70,6 +71,7 @@
             movements: work.flag("movements")?,
             cordons: work.flag("cordons")?,
             slow_returns: work.flag("slow_returns")?,
+            notices: work.flag("notices")?,
             other_build: None,
         })
     }
--- a/testbed/tests/replica_notices.rs
+++ b/testbed/tests/replica_notices.rs
@@ -256,3 +256,40 @@
         .await;
     }
 }
+
+/// A router had handed a caller's connection on to a neighbour, and so passed an answer on
+/// by which a replica leaves; it sent there itself 3159 ms later. What its neighbour had
+/// heard it did not know: its log had `replica said of itself` with that late answer only.
+#[tokio::test(flavor = "multi_thread")]
+async fn fellows_hear_that_a_replica_leaves() {
+    let fleet = DirectFleet::start(2, "").await;
+    let leaves = fleet.replica("i-a", "s", ReplicaAnswer::ok("whole")).await;
+    let _stays = fleet.replica("i-b", "s", ReplicaAnswer::ok("whole")).await;
+    let routes = [
+        RouteText::new("/first/", "s", "idempotent"),
+        RouteText::new("/once/", "s", "non_idempotent"),
+    ];
+    fleet.store.publish(1, &routes);
+    fleet.all_ready().await;
+    for router in &fleet.routers {
+        until("both replicas are known", || {
+            router.log_text().matches("upstream Ready").count() >= 2
+        })
+        .await;
+    }
+    leaves.says(LEAVES);
+    until_async("the other router is told", async || {
+        Client::ask(fleet.callers[1], &ClientRequest::get("/first/", "asked")).await;
+        !leaves.seen().is_empty()
+    })
+    .await;
+    until("the first hears of it", || {
+        fleet.routers[0]
+            .log_text()
+            .contains("a fellow heard that a replica leaves")
+    })
+    .await;
+    let before = leaves.seen().len();
+    ask_often(&fleet).await;
+    assert_eq!(leaves.seen().len(), before);
+}
