Routers of a zone tell each other which replicas said that they leave

Cause: busy routers hand callers' connections on to a neighbour and pass the bytes without reading them; the neighbour heard the word, the router in between did not.

Holds: who hears that a replica leaves tells the zone's routers at once, and every half second while the replica is listed (a lost datagram, a fellow that starts), by a datagram of its own kind, which builds that do not know it drop; nothing is told otherwise. A rest is asked of the router that sent, and stays with it.

Left: a neighbour of the last build does not tell. Weighed: reading the passed bytes (the router in between would pay for what it wanted to hand on).

--- a/src/direct/replica_call.rs
+++ b/src/direct/replica_call.rs
@@ -40,6 +40,10 @@
     if !is_news {
         return;
     }
+    if notice.leaves {
+        // An answer on a connection that a fellow handed on tells that one nothing.
+        gateway.report_wanted.notify_one();
+    }
     let says = if notice.leaves { "leaves" } else { "rests" };
     metrics::counter!(NOTICES, "says" => says).increment(1);
     log::info!(
--- a/src/peers/listen.rs
+++ b/src/peers/listen.rs
@@ -61,6 +61,7 @@
                     self.send_datagram(datagram, "relay", &fellows).await;
                 }
             }
+            Ok(PeerMessage::Leaving(told)) => self.take_leaving(from, &told),
             Ok(PeerMessage::Ask(asker)) => self.answer_ask(from, asker).await,
             Ok(PeerMessage::Names(names)) => {
                 self.gateway.peers.learn(self.gateway.now(), &names);
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -20,6 +20,7 @@
 mod catalog_news;
 mod catch_up;
 mod figures;
+mod leaving_told;
 mod listen;
 mod named_router;
 mod news_port;
@@ -31,6 +32,7 @@
 mod router_report;
 mod suspects_told;
 mod tell;
+mod tell_leaving;
 mod tell_suspects;
 mod told_reports;
 mod zone_duties;
@@ -40,6 +42,7 @@
 pub use {
     catalog_news::CatalogNews,
     figures::Figures,
+    leaving_told::LeavingTold,
     named_router::NamedRouter,
     peer_link::{PeerLink, SILENCE},
     peer_message::PeerMessage,
--- a/src/peers/peer_link.rs
+++ b/src/peers/peer_link.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         PeerMessage, ToldReports, ZoneTable, ask_news::connect, news_port::serve_news,
-        own_certificate::quic_configs, tell_suspects::SuspectTimes,
+        own_certificate::quic_configs, tell_leaving::LeavingTimes, tell_suspects::SuspectTimes,
     },
     crate::{
         codes::{Fault, ResultCode},
@@ -47,6 +47,7 @@
     pub sums: HashMap<u32, ToldReports>, // to other zones, while this router speaks to them
     pub suspects: SuspectTimes,          // in the own zone, also by others
     pub zone_suspects: SuspectTimes,     // to other zones
+    pub leaving: LeavingTimes,           // in the own zone
 }
 
 impl PeerLink {
--- a/src/peers/peer_message.rs
+++ b/src/peers/peer_message.rs
@@ -1,5 +1,5 @@
 use {
-    super::{NamedRouter, RouterReport, SuspectsTold, ZoneSum},
+    super::{LeavingTold, NamedRouter, RouterReport, SuspectsTold, ZoneSum},
     serde::{Deserialize, Serialize},
 };
 
@@ -17,6 +17,8 @@
     Names(Vec<NamedRouter>),
     /// Requests under which replicas ended, to the own zone and others.
     Suspects(SuspectsTold),
+    /// Replicas that said that they leave, to the routers of the own zone.
+    Leaving(LeavingTold),
 }
 
 impl PeerMessage {
@@ -28,6 +30,7 @@
             Self::Ask(_) => "ask",
             Self::Names(_) => "names",
             Self::Suspects(_) => "suspects",
+            Self::Leaving(_) => "leaving",
         }
     }
 }
--- a/src/peers/tell.rs
+++ b/src/peers/tell.rs
@@ -53,6 +53,7 @@
             let addresses = peers.in_zone();
             self.send_reports(now, &addresses).await;
             self.send_suspects(now, &addresses).await;
+            self.send_leaving(now, &addresses).await;
             let sums = self.send_sums(now).await;
             let datagrams = (addresses.len() + sums) as f64;
             let least = Duration::from_secs_f64(datagrams / URGENT_DATAGRAMS_PER_SECOND);
--- a/src/policy/direct/placement/board_notices.rs
+++ b/src/policy/direct/placement/board_notices.rs
@@ -6,7 +6,7 @@
         catalog::{UpstreamEntry, UpstreamState},
         policy::{Moment, ReplicaNotice},
     },
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
 };
 
 impl ReplicaBoard {
@@ -22,6 +22,28 @@
         self.notices.hear(now, unix_ms, replica, notice)
     }
 
+    /// Replicas that said to this router that they leave, by their starts' short names.
+    pub fn heard_leaving(&self) -> Vec<u32> {
+        let views = self.replicas.values();
+        let leaving = views.filter(|view| self.notices.heard_leaving_here(&view.entry));
+        leaving.map(|view| view.start).collect()
+    }
+
+    /// A fellow heard of these starts of replicas that they leave. Gives the replicas of
+    /// which that is news.
+    pub fn hear_of_leaving(
+        &mut self,
+        unix_ms: u64,
+        starts: &[u32],
+    ) -> Vec<Arc<UpstreamEntry>> {
+        let mut news = Vec::new();
+        for start in starts {
+            let entry = self.by_key(*start).map(|view| view.entry.clone());
+            news.extend(entry.filter(|entry| self.notices.hear_of_leaving(unix_ms, entry)));
+        }
+        news
+    }
+
     /// Whether a replica takes requests of this router, by its own word. The list lags
     /// behind that word by as long as the store is silent.
     pub fn wants_requests(
--- a/src/policy/notices/notice_book.rs
+++ b/src/policy/notices/notice_book.rs
@@ -31,16 +31,26 @@
         if notice.is_empty() {
             return false;
         }
-        let words = self.words.entry(replica.id.clone()).or_default();
-        match words.iter_mut().find(|word| word.born == replica.born) {
-            Some(word) => word.hear(now, unix_ms, notice),
-            None => {
-                let mut word = SaidWord::of(replica.born);
-                word.hear(now, unix_ms, notice);
-                words.push(word);
-                true
-            }
-        }
+        self.word_mut(replica).hear(now, unix_ms, notice)
+    }
+
+    /// A fellow heard that a replica leaves, at `unix_ms` by this host's clock. True if it
+    /// is news.
+    pub fn hear_of_leaving(
+        &mut self,
+        unix_ms: u64,
+        replica: &UpstreamEntry,
+    ) -> bool {
+        self.word_mut(replica).hear_of_leaving(unix_ms)
+    }
+
+    /// Whether a replica said to this process that it leaves.
+    pub fn heard_leaving_here(
+        &self,
+        replica: &UpstreamEntry,
+    ) -> bool {
+        let mut words = self.words_of(replica).iter();
+        words.any(|word| word.born == replica.born && word.was_heard_here)
     }
 
     /// Whether a replica said that it leaves.
@@ -93,9 +103,27 @@
         now: Moment,
         replica: &UpstreamEntry,
     ) -> impl Iterator<Item = &SaidWord> {
-        let words = self.words.get(&replica.id).map_or(&[][..], Vec::as_slice);
-        words
-            .iter()
-            .filter(move |word| word.born == replica.born || word.binds_next(now, replica.born))
+        let words = self.words_of(replica).iter();
+        words.filter(move |word| word.born == replica.born || word.binds_next(now, replica.born))
+    }
+
+    fn words_of(
+        &self,
+        replica: &UpstreamEntry,
+    ) -> &[SaidWord] {
+        self.words.get(&replica.id).map_or(&[], Vec::as_slice)
+    }
+
+    fn word_mut(
+        &mut self,
+        replica: &UpstreamEntry,
+    ) -> &mut SaidWord {
+        let words = self.words.entry(replica.id.clone()).or_default();
+        let known = words.iter().position(|word| word.born == replica.born);
+        let index = known.unwrap_or_else(|| {
+            words.push(SaidWord::of(replica.born));
+            words.len() - 1
+        });
+        &mut words[index]
     }
 }
--- a/src/policy/notices/said_word.rs
+++ b/src/policy/notices/said_word.rs
@@ -12,6 +12,7 @@
 pub struct SaidWord {
     pub born: Option<u64>, // of the start that was listed then
     pub leaves: bool,
+    pub was_heard_here: bool, // and not only by a fellow
     rests_until: Moment,
     said_ms: u64, // last, unix milliseconds
     unlisted_since: Option<Moment>,
@@ -23,6 +24,7 @@
         Self {
             born,
             leaves: false,
+            was_heard_here: false,
             rests_until: Moment::ZERO,
             said_ms: 0,
             unlisted_since: None,
@@ -39,11 +41,21 @@
         let begins_rest = !notice.rest.is_zero() && self.rest_left(now).is_zero();
         let is_news = begins_rest || (notice.leaves && !self.leaves);
         self.leaves |= notice.leaves;
+        self.was_heard_here |= notice.leaves;
         self.rests_until = self.rests_until.max(now + notice.rest);
         self.said_ms = unix_ms;
         is_news
     }
 
+    /// A fellow heard that the replica leaves. True if it is news.
+    pub fn hear_of_leaving(
+        &mut self,
+        unix_ms: u64,
+    ) -> bool {
+        self.said_ms = self.said_ms.max(unix_ms);
+        !std::mem::replace(&mut self.leaves, true)
+    }
+
     /// What is left of its rest.
     pub fn rest_left(
         &self,
--- a/testbed/tests/replica_notices.rs
+++ b/testbed/tests/replica_notices.rs
@@ -260,6 +260,7 @@
 /// A router had handed a caller's connection on to a neighbour, and so passed an answer on
 /// by which a replica leaves; it sent there itself 3159 ms later. What its neighbour had
 /// heard it did not know: its log had `replica said of itself` with that late answer only.
+/// Routers of a zone now tell each other who says that it leaves.
 #[tokio::test(flavor = "multi_thread")]
 async fn fellows_hear_that_a_replica_leaves() {
     let fleet = DirectFleet::start(2, "").await;
