A caller need not wait for the one replica that rests

A caller whose request a replica had turned away with a rest was told to come back when that rest is over (3 s), though other replicas were idle. Cause: what one replica asks of a router was passed on as the service's word. Now it is told the soonest end of the rests where all replicas rest, and the usual 300 ms otherwise.

--- a/src/direct/exchange_end.rs
+++ b/src/direct/exchange_end.rs
@@ -11,6 +11,7 @@
         ops::RETRIES,
         policy::Moment,
     },
+    std::time::Duration,
 };
 
 impl Exchange {
@@ -115,11 +116,24 @@
                 ..ErrorAnswer::new(code)
             };
         }
-        let wait = match end {
+        error.retry_after(self.wait_after(end))
+    }
+
+    /// When the caller should come back. The rest that one replica asked for is no matter of
+    /// a caller that others may serve.
+    fn wait_after(
+        &self,
+        end: &AttemptEnd,
+    ) -> Duration {
+        match end {
+            AttemptEnd::Refused { status: 503, .. } => {
+                let board = self.gateway.board();
+                let rest = board.all_rest_for(self.gateway.now(), &self.call.service);
+                rest.unwrap_or_default().max(REFUSED_RETRY)
+            }
             AttemptEnd::Refused { retry_after, .. } => retry_after.unwrap_or(REFUSED_RETRY),
             _ => REFUSED_RETRY,
-        };
-        error.retry_after(wait)
+        }
     }
 
     fn note_evidence(
--- a/testbed/src/direct/replica.rs
+++ b/testbed/src/direct/replica.rs
@@ -109,7 +109,7 @@
     /// answers again.
     pub fn turns_away(
         &self,
-        rest_seconds: Option<u32>,
+        rest_seconds: Option<f64>,
     ) {
         *self.state.rest_seconds.lock().expect("lock") = rest_seconds;
     }
--- a/testbed/src/direct/replica_state.rs
+++ b/testbed/src/direct/replica_state.rs
@@ -26,7 +26,7 @@
     pub ended: watch::Sender<bool>,
     pub cuts_one_in: AtomicUsize, // requests; 0 is none
     pub runs: AtomicUsize,
-    pub rest_seconds: Mutex<Option<u32>>, // all requests are turned away, and rest is asked for
+    pub rest_seconds: Mutex<Option<f64>>, // all requests are turned away, and rest is asked for
     pub list_refused: AtomicBool,         // it is turned away
     pub said: Mutex<String>,              // header lines of all its answers
 }
--- a/testbed/src/soak/notice_inflict.rs
+++ b/testbed/src/soak/notice_inflict.rs
@@ -11,8 +11,8 @@
     tokio::{sync::MutexGuard, time::sleep},
 };
 
-/// The rest that replicas ask for, in seconds.
-const REST_SECONDS: u32 = 2;
+/// The rest that replicas ask for.
+const REST: Duration = Duration::from_secs(2);
 
 impl World {
     /// A replica says in all its answers that it leaves, and serves on. The store hears of
@@ -59,13 +59,12 @@
         lasts: Duration,
     ) -> Instant {
         let began = Instant::now();
-        slot.replica.turns_away(Some(REST_SECONDS));
+        slot.replica.turns_away(Some(REST.as_secs_f64()));
         sleep(lasts).await;
         slot.replica.turns_away(None);
         // Rests that were asked for last are watched to their end.
-        let rest = Duration::from_secs(REST_SECONDS.into());
-        sleep(rest).await;
-        self.note_notice(&slot, Notice::Rests(rest), began);
+        sleep(REST).await;
+        self.note_notice(&slot, Notice::Rests(REST), began);
         began
     }
 
--- a/testbed/tests/replica_notices.rs
+++ b/testbed/tests/replica_notices.rs
@@ -54,13 +54,6 @@
     .await;
 }
 
-fn turns_away(rest_seconds: &str) -> (ReplicaAnswer, [(&str, &str); 1]) {
-    (
-        ReplicaAnswer::NotExecuted { status: 503 },
-        [("Retry-After", rest_seconds)],
-    )
-}
-
 /// Routers went on sending to a replica whose answers said that it leaves, while the store
 /// was silent: 31 requests in 5 s, two of them 2114 and 2783 ms after the first such answer,
 /// each by `"upstream_from":"store","upstream_lapsed":"false"`. The header was not read: they
@@ -140,9 +133,7 @@
 async fn a_replica_that_asks_for_rest_gets_it_and_is_used_again() {
     const REST: Duration = Duration::from_secs(3);
     let (fleet, [rests, _awake]) = fleet().await;
-    let (refusal, headers) = turns_away("3");
-    rests.says(&headers);
-    rests.usually(refusal);
+    rests.turns_away(Some(3.0));
     until_asked(&fleet, &rests, 0).await;
     until_asked(&fleet, &rests, 1).await;
     let arrived: Vec<_> = rests.seen().iter().map(|seen| seen.arrived).collect();
@@ -153,10 +144,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn replicas_that_all_ask_for_rest_get_it_and_callers_are_told_when_to_come() {
     let (fleet, replicas) = fleet().await;
-    let (refusal, headers) = turns_away("30.5");
     for replica in &replicas {
-        replica.says(&headers);
-        replica.usually(refusal.clone());
+        replica.turns_away(Some(30.5));
     }
     for replica in &replicas {
         until_asked(&fleet, replica, 0).await;
@@ -294,3 +283,30 @@
     ask_often(&fleet).await;
     assert_eq!(leaves.seen().len(), before);
 }
+
+/// A caller whose request was turned away by a replica that wants three seconds of rest was
+/// told to come back after three seconds, though another replica was idle. What one replica
+/// asks of a router was passed on as if it were the service's word.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_need_not_wait_for_the_replica_that_rests() {
+    let single = RouteText {
+        attempts: 1,
+        ..RouteText::new("/single/", "s", "idempotent")
+    };
+    let (fleet, [rests, _awake]) =
+        DirectFleet::with_two_replicas(ReplicaAnswer::ok("whole"), &[single]).await;
+    rests.turns_away(Some(3.0));
+    let mut refused = None;
+    until_async("a request is turned away", async || {
+        let answer = ask(&fleet, "/single/").await;
+        refused = (answer.status == 503).then_some(answer);
+        refused.is_some()
+    })
+    .await;
+    let answer = refused.expect("a refusal");
+    assert_eq!(answer.code(), Some(68));
+    assert!(
+        answer.retry_after() < Some(Duration::from_secs(1)),
+        "{answer:?}"
+    );
+}
