A router that the store does not answer asks others at once when it is behind

Cause: a router that reads the store waits half a second for it before it asks a fellow that is ahead, also where the store has never answered it. Now it waits only for a store that answers.

--- a/src/direct/store_reading.rs
+++ b/src/direct/store_reading.rs
@@ -70,6 +70,11 @@
         self.answered.age(now)
     }
 
+    /// Whether the store answers here: it has, and the last call to it did not fail.
+    pub fn is_answered(&self) -> bool {
+        self.answered.is_set() && !self.failed.is_set()
+    }
+
     /// Whether others should read the store: it could not be read here of late, or
     /// has been silent for longer than `apply`, whatever became of the call.
     pub fn is_lost(
@@ -101,6 +106,10 @@
         self.0.store(0, Ordering::Relaxed);
     }
 
+    fn is_set(&self) -> bool {
+        self.0.load(Ordering::Relaxed) > 0
+    }
+
     fn age(
         &self,
         now: Moment,
--- a/src/peers/catch_up.rs
+++ b/src/peers/catch_up.rs
@@ -6,7 +6,7 @@
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
-/// How long a router that reads the store, and knows something, may be behind others
+/// How long a router that the store answers, and that knows something, may be behind others
 /// before it asks one for its news: the store tells most changes by then.
 const PATIENCE: Duration = Duration::from_millis(500);
 
@@ -30,8 +30,10 @@
                 continue;
             };
             let since = *behind_since.get_or_insert(now);
-            let knows_both = ours.knows_both();
-            let waits = knows_both && self.gateway.reading.is_own();
+            // A store that does not answer here tells nothing: a router that had started in its
+            // silence learnt half a second late that replicas had just started.
+            let reading = &self.gateway.reading;
+            let waits = ours.knows_both() && reading.is_own() && reading.is_answered();
             if waits && now.saturating_sub(since) < PATIENCE {
                 continue;
             }
