--- a/testbed/tests/replica_notices.rs
+++ b/testbed/tests/replica_notices.rs
@@ -80,30 +80,29 @@
     assert_eq!((leaves.seen().len(), stays.seen().len()), (1, before));
 }
 
+/// A replica's entry goes, and comes back as it was.
+async fn entry_lapses_and_returns(
+    fleet: &DirectFleet,
+    replica: &Replica,
+) {
+    let log = || fleet.routers[0].log_text();
+    fleet.store.remove(&replica.id);
+    until("the entry is gone", || log().contains("upstream gone")).await;
+    let listed = log().matches("upstream Ready").count();
+    fleet.store.list(&replica.id, "s", replica.address, "ready");
+    until("the entry is back", || {
+        log().matches("upstream Ready").count() > listed
+    })
+    .await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_replica_that_leaves_stays_left_when_its_entry_lapses_and_returns() {
     let (fleet, [leaves, _stays]) = fleet().await;
     leaves.says(LEAVES);
     until_asked(&fleet, &leaves, 0).await;
     let before = leaves.seen().len();
-    fleet.store.remove("i-a");
-    until("the entry is gone", || {
-        fleet.routers[0].log_text().contains("upstream gone")
-    })
-    .await;
-    let listed = fleet.routers[0]
-        .log_text()
-        .matches("upstream Ready")
-        .count();
-    fleet.store.list("i-a", "s", leaves.address, "ready");
-    until("the entry is back", || {
-        fleet.routers[0]
-            .log_text()
-            .matches("upstream Ready")
-            .count()
-            > listed
-    })
-    .await;
+    entry_lapses_and_returns(&fleet, &leaves).await;
     ask_often(&fleet).await;
     assert_eq!(leaves.seen().len(), before);
 }
@@ -157,21 +156,7 @@
         assert!(answer.retry_after() > Some(Duration::from_secs(1)));
     }
     assert_eq!(seen(), before);
-    // The list is read anew meanwhile, and one entry goes and returns.
-    let listed = fleet.routers[0]
-        .log_text()
-        .matches("upstream Ready")
-        .count();
-    fleet.store.remove("i-a");
-    fleet.store.list("i-a", "s", replicas[0].address, "ready");
-    until("the entry is back", || {
-        fleet.routers[0]
-            .log_text()
-            .matches("upstream Ready")
-            .count()
-            > listed
-    })
-    .await;
+    entry_lapses_and_returns(&fleet, &replicas[0]).await;
     ask_often(&fleet).await;
     assert_eq!(seen(), before);
 }
