Soak: a router that SIGHUP ends before its first line is started again, as a platform does

A process that was started less than 100 ms before and ends by the signal is started again, and its end counts as a kill; any other that ends stays away.

--- a/testbed/src/fleet/process.rs
+++ b/testbed/src/fleet/process.rs
@@ -5,6 +5,7 @@
         io,
         path::{Path, PathBuf},
         process::{Child, Command, ExitStatus, Stdio},
+        time::Instant,
     },
 };
 
@@ -15,6 +16,7 @@
     settings: PathBuf,
     log: PathBuf,
     child: Child,
+    started: Instant,
 }
 
 impl Drop for Process {
@@ -51,12 +53,14 @@
             settings: settings.to_owned(),
             log: log.to_owned(),
             child,
+            started: Instant::now(),
         })
     }
 
     /// Starts it again after its end, with the same settings and no memory.
     pub fn restart(&mut self) -> io::Result<()> {
         self.child = spawn(&self.program, &self.words, &self.settings, &self.log)?;
+        self.started = Instant::now();
         Ok(())
     }
 
@@ -68,6 +72,11 @@
         self.program = program.to_owned();
     }
 
+    /// When it was last started.
+    pub fn started(&self) -> Instant {
+        self.started
+    }
+
     /// The process's number.
     pub fn id(&self) -> u32 {
         self.child.id()
--- a/testbed/src/soak/inflict.rs
+++ b/testbed/src/soak/inflict.rs
@@ -18,6 +18,9 @@
     tokio::time::sleep,
 };
 
+/// A process that was started less than this ago may not have come to its first line.
+const YOUNG: Duration = Duration::from_millis(100);
+
 /// What a slow link adds, one way.
 const SLOW: Duration = Duration::from_millis(40);
 
@@ -36,11 +39,7 @@
             Fault::KillRouters { first, count } => self.kill(first..first + count, lasts).await,
             Fault::StopRouter(router) => self.stop(router).await,
             Fault::FreezeRouter(router) => self.freeze(router, lasts).await,
-            Fault::HangUpRouter(router) => {
-                let process = self.routers[router].lock().await;
-                process.hang_up();
-                Instant::now()
-            }
+            Fault::HangUpRouter(router) => self.hang_up(router).await,
             Fault::StoreTrouble(router, mode) => {
                 self.trouble(router..router + 1, mode, lasts).await
             }
@@ -139,6 +138,30 @@
         began
     }
 
+    /// Tells a router that its settings changed. No program can take a signal over before its
+    /// first line: one that has just been started ends by it, and the platform starts it
+    /// again. Any other that ends stays away.
+    async fn hang_up(
+        &self,
+        router: usize,
+    ) -> Instant {
+        let mut process = self.routers[router].lock().await;
+        let began = Instant::now();
+        process.hang_up();
+        let is_young = began.duration_since(process.started()) < YOUNG;
+        sleep(LOOK).await;
+        if is_young && process.ended().is_some() {
+            process.restart().expect("the router starts again");
+            let span = FaultSpan {
+                fault: Fault::KillRouter(router),
+                began,
+                ended: Instant::now(),
+            };
+            self.record.lock().expect("record lock").spans.push(span);
+        }
+        began
+    }
+
     async fn freeze(
         &self,
         router: usize,
