--- a/testbed/src/soak/notice_check.rs
+++ b/testbed/src/soak/notice_check.rs
@@ -3,7 +3,7 @@
 use {
     super::record::{Arrival, Notice, NoticeSeen, Record},
     std::{
-        collections::HashMap,
+        collections::{HashMap, HashSet},
         time::{Duration, Instant},
     },
 };
@@ -36,14 +36,13 @@
 type Arrivals<'r> = Vec<&'r (Arrival, bool)>;
 
 fn by_router<'r>(
-    record: &'r Record,
+    record: &Record,
     seen: &'r NoticeSeen,
 ) -> HashMap<usize, Arrivals<'r>> {
-    let senders = record.senders();
     let mut by_router: HashMap<usize, Arrivals> = HashMap::new();
     for arrival in &seen.arrivals {
-        if let Some(router) = senders.get(arrival.0.id.as_str()) {
-            by_router.entry(*router).or_default().push(arrival);
+        if let Some(router) = record.sender(&arrival.0.id, &seen.replica) {
+            by_router.entry(router).or_default().push(arrival);
         }
     }
     by_router
@@ -55,14 +54,18 @@
     router: usize,
     arrivals: &Arrivals,
 ) -> Option<String> {
-    let passed_on = record
+    let ids = seen.arrivals.iter().map(|(arrival, _)| &*arrival.id);
+    let ids: HashSet<&str> = ids.collect();
+    let answered = record
         .attempts
         .iter()
-        .filter(|attempt| arrivals.iter().any(|(arrival, _)| arrival.id == attempt.id))
-        .filter(|attempt| {
-            let answer = attempt.answer.as_ref();
-            answer.is_some_and(|answer| answer.whole && answer.header("server-leaving") == "1")
-        });
+        .filter(|attempt| ids.contains(&*attempt.id));
+    let passed_on = answered.filter(|attempt| {
+        let sender = record.sender(&attempt.id, &seen.replica);
+        let answer = attempt.answer.as_ref();
+        (attempt.router == router || sender == Some(router))
+            && answer.is_some_and(|answer| answer.whole && answer.header("server-leaving") == "1")
+    });
     let told = passed_on.map(|attempt| attempt.ended).min()?;
     let late = arrivals.iter().find(|(arrival, _)| {
         let is_late = arrival.at > told + record.fleet.drain;
--- a/testbed/src/soak/record.rs
+++ b/testbed/src/soak/record.rs
@@ -1,12 +1,16 @@
 use {
     super::{attempt::Attempt, fault::Fault, fault_span::FaultSpan, soak_fleet::SoakFleet},
     crate::direct::SeenRequest,
+    serde_json::Value,
     std::{
         collections::HashMap,
         time::{Duration, Instant},
     },
 };
 
+/// In the line of a router's log for a request that it sends to a replica.
+const SENT: &str = "\"message\":\"sent\"";
+
 /// A replica that leaves, and what it got afterwards.
 #[derive(Debug, Clone)]
 pub struct DrainSeen {
@@ -93,6 +97,7 @@
     pub notices: Vec<NoticeSeen>,
     pub replicas: Vec<ReplicaSeen>, // all that there were
     pub runs: HashMap<String, Vec<&'static str>>, // the services that ran a request, by its id
+    pub sent: HashMap<(String, String), usize>, // request and replica: the router that sent it
     pub unserved: Vec<String>,      // what did not work when all was well again
     pub lateness: Duration,         // of the harness itself, at most
 }
@@ -106,6 +111,39 @@
             .collect()
     }
 
+    /// The router that sent a request to a replica, by its own log; where that has no line
+    /// of it, the one that the caller asked. A busy router hands connections on, and then its
+    /// neighbour sends.
+    pub fn sender(
+        &self,
+        request: &str,
+        replica: &str,
+    ) -> Option<usize> {
+        let logged = self.sent.get(&(request.to_owned(), replica.to_owned()));
+        let asked = || {
+            let mut attempts = self.attempts.iter();
+            let attempt = attempts.find(|attempt| attempt.id == request)?;
+            Some(attempt.router)
+        };
+        logged.copied().or_else(asked)
+    }
+
+    /// Takes in which requests a router sent to which replicas, by its log.
+    pub fn read_sent(
+        &mut self,
+        router: usize,
+        log: &str,
+    ) {
+        for line in log.lines().filter(|line| line.contains(SENT)) {
+            let Ok(line) = serde_json::from_str::<Value>(line) else {
+                continue; // cut by the router's end
+            };
+            let text = |name: &str| line[name].as_str().unwrap_or("").to_owned();
+            self.sent
+                .insert((text("request_id"), text("replica")), router);
+        }
+    }
+
     /// Whether a router ran as the other build at a moment.
     pub fn was_other_build(
         &self,
--- a/testbed/src/soak/world.rs
+++ b/testbed/src/soak/world.rs
@@ -282,15 +282,17 @@
             let (began, ended) = (since(span.began), since(span.ended));
             format!("{began:.1} s to {ended:.1} s: {:?}", span.fault)
         });
+        let faults = faults.collect();
         let mut logs = Vec::new();
         for (router, process) in self.routers.iter().enumerate() {
             let text = process.lock().await.log_text();
+            record.read_sent(router, &text);
             logs.push((format!("router-{router}.log"), text));
         }
         let arrivals = late_arrivals(&record);
         SoakResult {
             seed,
-            faults: faults.collect(),
+            faults,
             statuses,
             broken: broken(&record),
             leaving: record.drains.len(),
