--- a/src/direct/left_runs.rs
+++ b/src/direct/left_runs.rs
@@ -12,8 +12,8 @@
     tokio::runtime::Handle,
 };
 
-/// How long after the first run that was left its replica is looked at: requests in
-/// question end their replicas within 102 ms of their beginning.
+/// How long after the first run that was left its replica is looked at: by
+/// then a replica that ends under it has ended.
 const LOOK_AFTER: Duration = Duration::from_millis(300);
 
 /// Runs that are kept for one look.
--- a/src/direct/replica_call.rs
+++ b/src/direct/replica_call.rs
@@ -44,8 +44,7 @@
         // An answer on a connection that a fellow handed on tells that one nothing.
         gateway.report_wanted.notify_one();
     }
-    let says = if notice.leaves { "leaves" } else { "rests" };
-    metrics::counter!(NOTICES, "says" => says).increment(1);
+    metrics::counter!(NOTICES, "says" => notice.kind()).increment(1);
     log::info!(
         replica = &*replica.id,
         born = replica.born,
--- a/src/platform/config_json.rs
+++ b/src/platform/config_json.rs
@@ -170,8 +170,8 @@
         name: service.name.into(),
         max_connections: service.max_connections.unwrap_or(DEFAULT_CONNECTIONS),
         engine,
-        cold_per_s: service.cold_per_s,
-        cold_start: millis(service.cold_start_s * 1000.0)?,
+        slow_per_s: service.cold_per_s,
+        slow_start: millis(service.cold_start_s * 1000.0)?,
     })
 }
 
--- a/src/policy/direct/placement/board_plain.rs
+++ b/src/policy/direct/placement/board_plain.rs
@@ -1,10 +1,8 @@
 //! Where the next request goes that is no prompt.
 //!
-//! At the worst load each zone has one replica of such a service, callers of one zone ask for
-//! three times the work of another, and 32 routers know what is in front of a replica 50 to
-//! 100 ms late. By expected wait against the aim instead of a fixed number in front, with a
-//! way between zones at 20 ms: mean worth of the five days with trouble .665 to .707 on the
-//! deployment with 32 routers (one score each), .733 to .740 and .759 to .763 with 4 and 6.
+//! A zone may have one replica of such a service, callers of one zone may ask for several times
+//! the work of another, and routers know late what is in front of a replica: what counts is the
+//! expected wait against the aim, and not how many are in front.
 
 use {
     super::{
--- a/src/policy/notices/notice_book.rs
+++ b/src/policy/notices/notice_book.rs
@@ -12,7 +12,7 @@
 ///
 /// A word is kept for the start of the replica that was listed when it was said, and binds
 /// that start only: one that has started again has said nothing yet. Where the list is
-/// behind, it may have been the next start that said it; see [`SaidWord::binds_next`].
+/// behind, it may have been the next start that said it; see [`SaidWord::binds`].
 #[derive(Debug, Default)]
 pub struct NoticeBook {
     words: HashMap<Arc<str>, Vec<SaidWord>>, // by replica, one for each start of it
@@ -104,7 +104,7 @@
         replica: &UpstreamEntry,
     ) -> impl Iterator<Item = &SaidWord> {
         let words = self.words_of(replica).iter();
-        words.filter(move |word| word.born == replica.born || word.binds_next(now, replica.born))
+        words.filter(move |word| word.binds(now, replica.born))
     }
 
     fn words_of(
--- a/src/policy/notices/replica_notice.rs
+++ b/src/policy/notices/replica_notice.rs
@@ -26,6 +26,11 @@
         }
     }
 
+    /// What it says, for metrics.
+    pub fn kind(&self) -> &'static str {
+        if self.leaves { "leaves" } else { "rests" }
+    }
+
     /// Whether it says nothing.
     pub fn is_empty(&self) -> bool {
         !self.leaves && self.rest.is_zero()
--- a/src/policy/notices/said_word.rs
+++ b/src/policy/notices/said_word.rs
@@ -85,9 +85,18 @@
         since.map_or(Duration::ZERO, |since| now.saturating_sub(since))
     }
 
+    /// Whether it binds a start of its replica.
+    pub fn binds(
+        &self,
+        now: Moment,
+        born: Option<u64>,
+    ) -> bool {
+        self.born == born || self.binds_next(now, born)
+    }
+
     /// Whether it binds another start of its replica, of which the list has just told: that
     /// one had begun when the word was said, so that it was the one to say it.
-    pub fn binds_next(
+    fn binds_next(
         &self,
         now: Moment,
         born: Option<u64>,
--- a/src/routing/service.rs
+++ b/src/routing/service.rs
@@ -9,6 +9,6 @@
     pub name: Arc<str>,
     pub max_connections: usize, // to one replica, from all callers together
     pub engine: Option<EngineFacts>, // of model services
-    pub cold_per_s: f64, // requests that a replica bears that has just started; 0 is no bound
-    pub cold_start: Duration, // how long it is slow then
+    pub slow_per_s: f64, // requests that a replica bears that has just started; 0 is no bound
+    pub slow_start: Duration, // how long it is slow then
 }
--- a/src/sidecar/upstream_notice.rs
+++ b/src/sidecar/upstream_notice.rs
@@ -16,8 +16,7 @@
         if notice.is_empty() {
             return;
         }
-        let says = if notice.leaves { "leaves" } else { "rests" };
-        metrics::counter!(NOTICES, "says" => says).increment(1);
+        metrics::counter!(NOTICES, "says" => notice.kind()).increment(1);
         log::info!(
             request_id = request_id,
             leaves = notice.leaves,
--- a/testbed/tests/emptied_zones.rs
+++ b/testbed/tests/emptied_zones.rs
@@ -80,17 +80,26 @@
     assert_eq!(emptied.seen().len(), before);
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn an_emptied_zone_gets_nothing_until_it_is_taken_back() {
-    let (fleet, replicas) = fleet().await;
+/// The second zone is emptied: its replica gets nothing until the zone is taken back, and
+/// then serves its routers again.
+async fn is_emptied_and_taken_back(
+    fleet: &DirectFleet,
+    replica: &Replica,
+) {
     fleet.store.empty_zone("z-1");
-    gets_nothing(&fleet, &replicas[1]).await;
+    gets_nothing(fleet, replica).await;
     fleet.store.take_zone_back("z-1");
     for router in [2, 3] {
-        serves_by(&fleet, router, "i-b").await;
+        serves_by(fleet, router, "i-b").await;
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_emptied_zone_gets_nothing_until_it_is_taken_back() {
+    let (fleet, replicas) = fleet().await;
+    is_emptied_and_taken_back(&fleet, &replicas[1]).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn what_runs_in_a_zone_ends_in_peace_when_it_is_emptied() {
     let (fleet, replicas) = fleet().await;
@@ -165,12 +174,7 @@
     for port in [2, 3] {
         fleet.ports[port].set(StoreMode::Silent);
     }
-    fleet.store.empty_zone("z-1");
-    gets_nothing(&fleet, &replicas[1]).await;
-    fleet.store.take_zone_back("z-1");
-    for router in [2, 3] {
-        serves_by(&fleet, router, "i-b").await;
-    }
+    is_emptied_and_taken_back(&fleet, &replicas[1]).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -49,8 +49,8 @@
         name: "first".into(),
         max_connections: 7,
         engine: None,
-        cold_per_s: 0.0,
-        cold_start: Duration::ZERO,
+        slow_per_s: 0.0,
+        slow_start: Duration::ZERO,
     };
     let account = AccountEntry {
         name: "lot".into(),
