--- a/src/policy/direct/placement/board_choice.rs
+++ b/src/policy/direct/placement/board/board_choice.rs
@@ -1,19 +1,20 @@
 //! Where the next request goes.
 
 use {
-    super::{
-        Choice, EngineTimes, PlacementRequest, PromptShape, RefusalReason, ReplicaBoard,
-        ReplicaView,
-        admission::{Admission, is_over},
-        candidate::Candidate,
-        cheapest::Cheapest,
-        considered::{Considered, Tier},
-        homes::homes,
-        offer::{Sources, offer},
-    },
+    super::ReplicaBoard,
     crate::{
         catalog::UpstreamState,
-        policy::{Moment, shares::Standing},
+        policy::{
+            Moment,
+            placement::{
+                Choice, EngineTimes, PlacementRequest, PromptShape, RefusalReason, ReplicaView,
+                choosing::{
+                    Admission, Candidate, Cheapest, Considered, Sources, Tier, homes, is_over,
+                    offer,
+                },
+            },
+            shares::Standing,
+        },
         routing::EngineFacts,
     },
     std::time::Duration,
--- a/src/policy/direct/placement/board_evidence.rs
+++ b/src/policy/direct/placement/board/board_evidence.rs
@@ -1,10 +1,13 @@
 //! What speaks for and against replicas.
 
 use {
-    super::{KeptPart, PlainRun, PrefixCache, ReplicaBoard, ReplicaView},
+    super::ReplicaBoard,
     crate::{
         catalog::{UpstreamEntry, UpstreamState},
-        policy::Moment,
+        policy::{
+            Moment,
+            placement::{KeptPart, PlainRun, PrefixCache, ReplicaView},
+        },
     },
     std::time::Duration,
 };
--- a/src/policy/direct/placement/board_notices.rs
+++ b/src/policy/direct/placement/board/board_notices.rs
@@ -1,10 +1,10 @@
 //! What replicas said of themselves in their answers.
 
 use {
-    super::{ReplicaBoard, WorkNumber},
+    super::ReplicaBoard,
     crate::{
         catalog::{UpstreamEntry, UpstreamState},
-        policy::{Moment, ReplicaNotice},
+        policy::{Moment, ReplicaNotice, placement::WorkNumber},
     },
     std::{sync::Arc, time::Duration},
 };
--- a/src/policy/direct/placement/board_plain.rs
+++ b/src/policy/direct/placement/board/board_plain.rs
@@ -6,11 +6,13 @@
 
 use {
     super::{
-        Choice, PlacementRequest, ReplicaBoard, ReplicaView,
+        ReplicaBoard,
         board_choice::{AVOIDED_PENALTY, is_near},
-        plain_queue::PlainQueue,
     },
-    crate::policy::{Moment, mix},
+    crate::policy::{
+        Moment, mix,
+        placement::{Choice, PlacementRequest, ReplicaView, choosing::PlainQueue},
+    },
     std::time::Duration,
 };
 
--- a/src/policy/direct/placement/board_reports.rs
+++ b/src/policy/direct/placement/board/board_reports.rs
@@ -1,8 +1,12 @@
 //! What routers tell each other of replicas: loads, parts placed, engines' times.
 
 use {
-    super::{CacheNote, EngineReport, ReplicaBoard, ReplicaReport},
-    crate::policy::{Moment, Teller, TellerScope, short_name},
+    super::ReplicaBoard,
+    crate::policy::{
+        Moment, Teller, TellerScope,
+        placement::{CacheNote, EngineReport, ReplicaReport},
+        short_name,
+    },
 };
 
 /// Notes that are kept for peers at most.
--- a/src/policy/direct/placement/board_starts.rs
+++ b/src/policy/direct/placement/board/board_starts.rs
@@ -1,9 +1,10 @@
 //! Replicas that have just started, and bear few requests.
 
 use {
-    super::{PlacementRequest, ReplicaBoard, ReplicaView, WorkNumber},
+    super::ReplicaBoard,
     crate::policy::{
         Moment,
+        placement::{PlacementRequest, ReplicaView, WorkNumber},
         slow_start::{StartLimit, StartPace, ZoneRouters},
     },
     std::{collections::HashMap, sync::Arc, time::Duration},
--- /dev/null
+++ b/src/policy/direct/placement/board/mod.rs
@@ -0,0 +1,11 @@
+//! The replicas as one router sees them: what it believes, learns and decides.
+
+mod board_choice;
+mod board_evidence;
+mod board_notices;
+mod board_plain;
+mod board_reports;
+mod board_starts;
+mod replica_board;
+
+pub use replica_board::ReplicaBoard;
--- a/src/policy/direct/placement/replica_board.rs
+++ b/src/policy/direct/placement/board/replica_board.rs
@@ -1,12 +1,13 @@
 use {
-    super::{
-        CacheNote, EngineModels, EngineTimes, FirstToken, FleetSize, Load, PlacementSettings,
-        ReplicaView, SentPrompt, UsualReadings, Work, WorkNumber, board_reports::keep_note,
-    },
+    super::board_reports::keep_note,
     crate::{
         catalog::UpstreamEntry,
         policy::{
             Moment, NoticeBook,
+            placement::{
+                CacheNote, EngineModels, EngineTimes, FirstToken, FleetSize, Load,
+                PlacementSettings, ReplicaView, SentPrompt, UsualReadings, Work, WorkNumber,
+            },
             slow_start::{StartLimit, ZoneRouters},
         },
     },
--- a/src/policy/direct/placement/admission.rs
+++ b/src/policy/direct/placement/choosing/admission.rs
@@ -1,6 +1,12 @@
 use {
-    super::{Load, PlacementRequest, PlacementSettings, ReplicaView},
-    crate::{policy::shares::Standing, routing::EngineFacts},
+    super::PlacementRequest,
+    crate::{
+        policy::{
+            placement::{Load, PlacementSettings, ReplicaView},
+            shares::Standing,
+        },
+        routing::EngineFacts,
+    },
 };
 
 /// What a replica may have in front for one request to be sent there.
--- a/src/policy/direct/placement/candidate.rs
+++ b/src/policy/direct/placement/choosing/candidate.rs
@@ -1,4 +1,7 @@
-use super::{EngineTimes, PromptShape, homes::scatter, offer::Offer};
+use {
+    super::{homes::scatter, offer::Offer},
+    crate::policy::placement::{EngineTimes, PromptShape},
+};
 
 /// A replica that may run a prompt, and what speaks for it.
 pub struct Candidate<'v> {
--- a/src/policy/direct/placement/homes.rs
+++ b/src/policy/direct/placement/choosing/homes.rs
@@ -1,8 +1,8 @@
 //! Where a prompt is at home, so that every router derives the same.
 
-use {
-    super::{PromptShape, ReplicaView},
-    crate::policy::mix,
+use crate::policy::{
+    mix,
+    placement::{PromptShape, ReplicaView},
 };
 
 /// Homes of a prompt that are told apart; what is beyond them is no home.
--- /dev/null
+++ b/src/policy/direct/placement/choosing/mod.rs
@@ -0,0 +1,24 @@
+//! What a choice weighs: the request, what a replica would have to do, and what it may
+//! have in front.
+
+mod admission;
+mod candidate;
+mod cheapest;
+mod choice;
+mod considered;
+mod homes;
+mod offer;
+mod placement_request;
+mod plain_queue;
+
+pub use {
+    admission::{Admission, is_over},
+    candidate::Candidate,
+    cheapest::Cheapest,
+    choice::{Choice, RefusalReason},
+    considered::{Considered, Tier},
+    homes::homes,
+    offer::{Sources, offer},
+    placement_request::PlacementRequest,
+    plain_queue::PlainQueue,
+};
--- a/src/policy/direct/placement/offer.rs
+++ b/src/policy/direct/placement/choosing/offer.rs
@@ -1,6 +1,11 @@
 use {
-    super::{PromptShape, ReplicaView},
-    crate::{policy::mix, routing::EngineFacts},
+    crate::{
+        policy::{
+            mix,
+            placement::{PromptShape, ReplicaView},
+        },
+        routing::EngineFacts,
+    },
     std::collections::HashMap,
 };
 
--- a/src/policy/direct/placement/placement_request.rs
+++ b/src/policy/direct/placement/choosing/placement_request.rs
@@ -1,6 +1,8 @@
 use {
-    super::PromptShape,
-    crate::{policy::shares::Standing, routing::EngineFacts},
+    crate::{
+        policy::{placement::PromptShape, shares::Standing},
+        routing::EngineFacts,
+    },
     std::{sync::Arc, time::Duration},
 };
 
--- a/src/policy/direct/placement/plain_queue.rs
+++ b/src/policy/direct/placement/choosing/plain_queue.rs
@@ -1,4 +1,4 @@
-use super::ReplicaView;
+use crate::policy::placement::ReplicaView;
 
 /// How a plain request would fare at a replica: some run there at once, the others wait
 /// for these in the order in which they came.
--- /dev/null
+++ b/src/policy/direct/placement/replicas/mod.rs
@@ -0,0 +1,11 @@
+//! What one router knows of one replica.
+
+mod plain_times;
+mod replica_health;
+mod replica_view;
+
+pub use {
+    plain_times::{PlainRun, PlainTimes},
+    replica_health::ReplicaHealth,
+    replica_view::ReplicaView,
+};
--- a/src/policy/direct/placement/replica_view.rs
+++ b/src/policy/direct/placement/replicas/replica_view.rs
@@ -1,8 +1,13 @@
 use {
-    super::{Load, PeerLoads, PlainTimes, PrefixCache, ReplicaHealth, ReplicaReport},
+    super::{PlainTimes, ReplicaHealth},
     crate::{
         catalog::UpstreamEntry,
-        policy::{Moment, Teller, TellerScope, slow_start::StartPace, stable_hash},
+        policy::{
+            Moment, Teller, TellerScope,
+            placement::{Load, PeerLoads, PrefixCache, ReplicaReport},
+            slow_start::StartPace,
+            stable_hash,
+        },
     },
     std::{sync::Arc, time::Duration},
 };
