What routers see of how replicas work: evidence of pace and pauses, told in the zone

Not used by any decision yet. A datagram of its own behind the last variant: builds that do not know it drop it, and nothing was promised by it.

--- a/src/peers/listen.rs
+++ b/src/peers/listen.rs
@@ -62,6 +62,7 @@
                 }
             }
             Ok(PeerMessage::Leaving(told)) => self.take_leaving(from, &told),
+            Ok(PeerMessage::Evidence(told)) => self.take_evidence(from, &told),
             Ok(PeerMessage::Ask(asker)) => self.answer_ask(from, asker).await,
             Ok(PeerMessage::Names(names)) => {
                 self.gateway.peers.learn(self.gateway.now(), &names);
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -19,6 +19,7 @@
 mod ask_news;
 mod catalog_news;
 mod catch_up;
+mod evidence_told;
 mod figures;
 mod leaving_told;
 mod listen;
@@ -32,6 +33,7 @@
 mod router_report;
 mod suspects_told;
 mod tell;
+mod tell_evidence;
 mod tell_leaving;
 mod tell_suspects;
 mod told_reports;
@@ -41,6 +43,7 @@
 
 pub use {
     catalog_news::CatalogNews,
+    evidence_told::EvidenceTold,
     figures::Figures,
     leaving_told::LeavingTold,
     named_router::NamedRouter,
--- a/src/peers/peer_link.rs
+++ b/src/peers/peer_link.rs
@@ -1,7 +1,8 @@
 use {
     super::{
         PeerMessage, ToldReports, ZoneTable, ask_news::connect, news_port::serve_news,
-        own_certificate::quic_configs, tell_leaving::LeavingTimes, tell_suspects::SuspectTimes,
+        own_certificate::quic_configs, tell_evidence::EvidenceTurn, tell_leaving::LeavingTimes,
+        tell_suspects::SuspectTimes,
     },
     crate::{
         codes::{Fault, ResultCode},
@@ -48,6 +49,7 @@
     pub suspects: SuspectTimes,          // in the own zone, also by others
     pub zone_suspects: SuspectTimes,     // to other zones
     pub leaving: LeavingTimes,           // in the own zone
+    pub evidence: EvidenceTurn,          // in the own zone
 }
 
 impl PeerLink {
--- a/src/peers/peer_message.rs
+++ b/src/peers/peer_message.rs
@@ -1,5 +1,5 @@
 use {
-    super::{LeavingTold, NamedRouter, RouterReport, SuspectsTold, ZoneSum},
+    super::{EvidenceTold, LeavingTold, NamedRouter, RouterReport, SuspectsTold, ZoneSum},
     serde::{Deserialize, Serialize},
 };
 
@@ -19,6 +19,8 @@
     Suspects(SuspectsTold),
     /// Replicas that said that they leave, to the routers of the own zone.
     Leaving(LeavingTold),
+    /// What was seen of how replicas work, to the routers of the own zone.
+    Evidence(EvidenceTold),
 }
 
 impl PeerMessage {
@@ -31,6 +33,7 @@
             Self::Names(_) => "names",
             Self::Suspects(_) => "suspects",
             Self::Leaving(_) => "leaving",
+            Self::Evidence(_) => "evidence",
         }
     }
 }
--- a/src/peers/tell.rs
+++ b/src/peers/tell.rs
@@ -54,6 +54,7 @@
             self.send_reports(now, &addresses).await;
             self.send_suspects(now, &addresses).await;
             self.send_leaving(now, &addresses).await;
+            self.send_evidence(now, &addresses).await;
             let sums = self.send_sums(now).await;
             let datagrams = (addresses.len() + sums) as f64;
             let least = Duration::from_secs_f64(datagrams / URGENT_DATAGRAMS_PER_SECOND);
--- a/src/policy/direct/placement/board/board_reports.rs
+++ b/src/policy/direct/placement/board/board_reports.rs
@@ -4,7 +4,7 @@
     super::ReplicaBoard,
     crate::policy::{
         Moment, Teller, TellerScope,
-        placement::{CacheNote, EngineReport, ReplicaReport},
+        placement::{CacheNote, EngineReport, ReplicaEvidence, ReplicaReport},
         short_name,
     },
 };
@@ -85,6 +85,30 @@
         }
     }
 
+    /// What this router has seen of how replicas work, for the routers of its zone.
+    pub fn evidence(
+        &self,
+        now: Moment,
+    ) -> Vec<ReplicaEvidence> {
+        let views = self.replicas.values();
+        let seen = views.map(|view| view.seen.own(now, view.start));
+        seen.filter(ReplicaEvidence::says_something).collect()
+    }
+
+    /// A fellow told what it has seen of how replicas work.
+    pub fn hear_evidence(
+        &mut self,
+        now: Moment,
+        teller: u32,
+        told: &[ReplicaEvidence],
+    ) {
+        for evidence in told {
+            if let Some(view) = self.by_key(evidence.start) {
+                view.seen.hear(now, teller, *evidence);
+            }
+        }
+    }
+
     /// What this router has learnt of engines, for its peers.
     pub fn engine_reports(&self) -> Vec<EngineReport> {
         self.engines.reports()
--- a/src/policy/direct/placement/engines/mod.rs
+++ b/src/policy/direct/placement/engines/mod.rs
@@ -5,9 +5,14 @@
 mod engine_report;
 mod engine_times;
 mod first_token;
+mod pace_evidence;
+mod pause_evidence;
+mod replica_evidence;
 mod usual_readings;
 
 pub use {
     engine_model::EngineModel, engine_models::EngineModels, engine_report::EngineReport,
-    engine_times::EngineTimes, first_token::FirstToken, usual_readings::UsualReadings,
+    engine_times::EngineTimes, first_token::FirstToken, pace_evidence::PaceEvidence,
+    pause_evidence::PauseEvidence, replica_evidence::ReplicaEvidence,
+    usual_readings::UsualReadings,
 };
--- /dev/null
+++ b/src/policy/direct/placement/engines/replica_evidence.rs
@@ -0,0 +1,22 @@
+use {
+    super::{PaceEvidence, PauseEvidence},
+    serde::{Deserialize, Serialize},
+};
+
+/// What one router has seen of how one start of a replica works, for its fellows.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct ReplicaEvidence {
+    pub start: u32, // short name
+    pub pace: PaceEvidence,
+    pub pauses: PauseEvidence,
+}
+
+/// Less weight than this is not worth telling.
+const NEGLIGIBLE: f32 = 0.05;
+
+impl ReplicaEvidence {
+    /// Whether there is anything in it.
+    pub fn says_something(&self) -> bool {
+        self.pace.weight > NEGLIGIBLE || self.pauses.watched_s > NEGLIGIBLE
+    }
+}
--- a/src/policy/direct/placement/mod.rs
+++ b/src/policy/direct/placement/mod.rs
@@ -12,9 +12,12 @@
 pub use {
     board::ReplicaBoard,
     choosing::{Choice, PlacementRequest, RefusalReason},
-    engines::{EngineModel, EngineModels, EngineReport, EngineTimes, FirstToken, UsualReadings},
+    engines::{
+        EngineModel, EngineModels, EngineReport, EngineTimes, FirstToken, PaceEvidence,
+        PauseEvidence, ReplicaEvidence, UsualReadings,
+    },
     loads::{FleetSize, Load, PeerLoads, ReplicaReport, Work, WorkNumber},
     placement_settings::PlacementSettings,
     prompts::{CacheNote, KeptPart, PrefixCache, PromptPart, PromptShape, SentPrompt},
-    replicas::{PlainRun, PlainTimes, ReplicaHealth, ReplicaView},
+    replicas::{PlainRun, PlainTimes, ReplicaHealth, ReplicaView, SeenWork},
 };
--- a/src/policy/direct/placement/replicas/mod.rs
+++ b/src/policy/direct/placement/replicas/mod.rs
@@ -3,9 +3,11 @@
 mod plain_times;
 mod replica_health;
 mod replica_view;
+mod seen_work;
 
 pub use {
     plain_times::{PlainRun, PlainTimes},
     replica_health::ReplicaHealth,
     replica_view::ReplicaView,
+    seen_work::SeenWork,
 };
--- a/src/policy/direct/placement/replicas/replica_view.rs
+++ b/src/policy/direct/placement/replicas/replica_view.rs
@@ -1,5 +1,5 @@
 use {
-    super::{PlainTimes, ReplicaHealth},
+    super::{PlainTimes, ReplicaHealth, SeenWork},
     crate::{
         catalog::UpstreamEntry,
         policy::{
@@ -25,6 +25,7 @@
     pub placed_by_zone: u64,   // the same, with the other routers of its zone
     pub heard: Moment,         // when it last answered anything
     pub plain: PlainTimes,     // of requests that are no prompts
+    pub seen: SeenWork,        // of how it works
     pub start_pace: StartPace, // what this router sends there while it starts slowly
     routers: PeerLoads,        // of the own zone
     zones: PeerLoads,          // the other zones, each as a whole
@@ -44,6 +45,7 @@
             placed_by_zone: 0,
             heard: Moment::ZERO,
             plain: PlainTimes::default(),
+            seen: SeenWork::default(),
             start_pace: StartPace::default(),
             routers: PeerLoads::default(),
             zones: PeerLoads::default(),
--- /dev/null
+++ b/src/policy/direct/placement/replicas/seen_work.rs
@@ -0,0 +1,107 @@
+use {
+    crate::policy::{
+        Moment,
+        placement::{PaceEvidence, PauseEvidence, ReplicaEvidence},
+    },
+    std::{collections::HashMap, time::Duration},
+};
+
+/// What was seen this long ago counts for a third: some turns of a replica's load.
+const PACE_FADES: Duration = Duration::from_secs(8);
+const PAUSES_FADE: Duration = Duration::from_secs(4);
+
+/// What fellows told longer ago than this counts no more.
+const TOLD_AGE: Duration = Duration::from_secs(3);
+
+/// What this router and the others of its zone have seen of how one start of a replica
+/// works.
+#[derive(Debug, Default)]
+pub struct SeenWork {
+    pace: PaceEvidence,
+    pauses: PauseEvidence,
+    faded: Moment,
+    told: HashMap<u32, (Moment, ReplicaEvidence)>, // by who told
+}
+
+impl SeenWork {
+    /// This router saw more.
+    pub fn see(
+        &mut self,
+        now: Moment,
+        pace: PaceEvidence,
+        pauses: PauseEvidence,
+    ) {
+        self.fade(now);
+        self.pace += pace;
+        self.pauses += pauses;
+    }
+
+    /// What this router itself has seen of the replica's start, for its fellows.
+    pub fn own(
+        &self,
+        now: Moment,
+        start: u32,
+    ) -> ReplicaEvidence {
+        let age = now.saturating_sub(self.faded);
+        ReplicaEvidence {
+            start,
+            pace: self.pace.faded(age, PACE_FADES),
+            pauses: self.pauses.faded(age, PAUSES_FADE),
+        }
+    }
+
+    /// A fellow told what it has seen; that takes the place of what it told before.
+    pub fn hear(
+        &mut self,
+        now: Moment,
+        teller: u32,
+        told: ReplicaEvidence,
+    ) {
+        self.told.insert(teller, (now, told));
+        self.told
+            .retain(|_, (heard, _)| now.saturating_sub(*heard) <= TOLD_AGE);
+    }
+
+    /// What all of them have seen of its pace.
+    pub fn pace(
+        &self,
+        now: Moment,
+    ) -> PaceEvidence {
+        let mut sum = self.own(now, 0).pace;
+        for (age, told) in self.recent(now) {
+            sum += told.pace.faded(age, PACE_FADES);
+        }
+        sum
+    }
+
+    /// What all of them have seen of its pauses.
+    pub fn pauses(
+        &self,
+        now: Moment,
+    ) -> PauseEvidence {
+        let mut sum = self.own(now, 0).pauses;
+        for (age, told) in self.recent(now) {
+            sum += told.pauses.faded(age, PAUSES_FADE);
+        }
+        sum
+    }
+
+    fn recent(
+        &self,
+        now: Moment,
+    ) -> impl Iterator<Item = (Duration, &ReplicaEvidence)> {
+        let told = self.told.values();
+        let aged = told.map(move |(heard, told)| (now.saturating_sub(*heard), told));
+        aged.filter(|(age, _)| *age <= TOLD_AGE)
+    }
+
+    fn fade(
+        &mut self,
+        now: Moment,
+    ) {
+        let seen = self.own(now, 0);
+        self.pace = seen.pace;
+        self.pauses = seen.pauses;
+        self.faded = now;
+    }
+}
