--- a/testbed/tests/foreign_entries.rs
+++ b/testbed/tests/foreign_entries.rs
@@ -130,6 +130,12 @@
     let (fleet, [overwritten, other]) = fleet().await;
     fleet.store.put_bytes("servers/i-a", b"\xff\xfe\x00");
     for router in 0..3 {
+        // Before that the other one may serve alone, since it was quicker.
+        until_async("the router knows that the replica is gone", async || {
+            let log = fleet.routers[router].log_text();
+            log.contains("upstream gone")
+        })
+        .await;
         until_async("only the other one serves", async || {
             let mut answers = Vec::new();
             for _ in 0..8 {
