Soak: refusals for want of processor are held against what the kernel says of the routers' waiting

A refusal that the kernel's count does not explain stays a fault, and so does one in a run without it; code 43 in calm by a router's own work is still found (test). The summary prints both figures.

Ruled out: calling such runs not valid (they are, for everything else), playing them again.

--- a/testbed/src/soak/checks.rs
+++ b/testbed/src/soak/checks.rs
@@ -10,7 +10,8 @@
         replica_slot::{EVENTS, PLAIN_BODY},
         zone_check::{emptied, overrun},
     },
-    crate::direct::event,
+    crate::direct::{ClientAnswer, event},
+    archmast::codes::ResultCode,
     std::{
         collections::HashSet,
         time::{Duration, Instant},
@@ -113,6 +114,9 @@
     let Some(answer) = &attempt.answer else {
         return Some("got no answer in calm".to_owned());
     };
+    if is_starved(record, attempt, answer) {
+        return None;
+    }
     let served = answer.status == 200 && answer.whole;
     let crossed = answer.status == 0 && !ran;
     let refused = NOT_RUN.contains(&answer.status);
@@ -128,6 +132,28 @@
     })
 }
 
+/// Requests that routers refused for want of processor while the machine gave them none.
+pub fn starved_refusals(record: &Record) -> usize {
+    let attempts = record.attempts.iter();
+    let answered = attempts.filter_map(|attempt| Some((attempt, attempt.answer.as_ref()?)));
+    let starved = answered.filter(|(attempt, answer)| is_starved(record, attempt, answer));
+    starved.count()
+}
+
+/// Whether a router refused for want of processor, and the machine gave it none: that it
+/// does so then is what it promises.
+fn is_starved(
+    record: &Record,
+    attempt: &Attempt,
+    answer: &ClientAnswer,
+) -> bool {
+    let is_busy = answer.code() == Some(ResultCode::RouterBusy.number().into());
+    is_busy
+        && record
+            .starvation
+            .explains_refusal(attempt.router, attempt.ended)
+}
+
 fn unasked(record: &Record) -> Vec<String> {
     let known: HashSet<&str> = record.attempts.iter().map(|a| a.id.as_str()).collect();
     let runs = record.runs.keys();
--- a/testbed/src/soak/mod.rs
+++ b/testbed/src/soak/mod.rs
@@ -25,6 +25,7 @@
 mod soak;
 mod soak_fleet;
 mod soak_result;
+mod starvation;
 mod world;
 mod zone_check;
 
@@ -49,4 +50,5 @@
     soak::soak,
     soak_fleet::SoakFleet,
     soak_result::SoakResult,
+    starvation::Starvation,
 };
--- a/testbed/src/soak/record.rs
+++ b/testbed/src/soak/record.rs
@@ -1,5 +1,8 @@
 use {
-    super::{attempt::Attempt, fault::Fault, fault_span::FaultSpan, soak_fleet::SoakFleet},
+    super::{
+        attempt::Attempt, fault::Fault, fault_span::FaultSpan, soak_fleet::SoakFleet,
+        starvation::Starvation,
+    },
     crate::direct::SeenRequest,
     serde_json::Value,
     std::{
@@ -100,6 +103,7 @@
     pub sent: HashMap<(String, String), usize>, // request and replica: the router that sent it
     pub unserved: Vec<String>,      // what did not work when all was well again
     pub lateness: Duration,         // of the harness itself, at most
+    pub starvation: Starvation,     // of the routers
 }
 
 impl Record {
--- a/testbed/src/soak/soak.rs
+++ b/testbed/src/soak/soak.rs
@@ -9,6 +9,7 @@
         schedule::{PlannedFault, schedule, silences},
         soak_fleet::SoakFleet,
         soak_result::SoakResult,
+        starvation::StarvationWatch,
         world::World,
     },
     crate::direct::DirectFleet,
@@ -32,6 +33,7 @@
     }
     let callers = Callers::start(seed, &world.caller_addresses(), plan.callers);
     let lateness = Lateness::start();
+    let starvation = StarvationWatch::start(world.clone());
     let mut work = JoinSet::new();
     let mut begin = |planned: Vec<PlannedFault>| work.spawn(play(world.clone(), planned));
     if plan.faults {
@@ -62,6 +64,7 @@
         let mut record = world.record.lock().expect("record lock");
         record.attempts = attempts;
         record.lateness = lateness.end();
+        record.starvation = starvation.end();
     }
     world.result(seed).await
 }
--- a/testbed/src/soak/soak_result.rs
+++ b/testbed/src/soak/soak_result.rs
@@ -11,6 +11,8 @@
     pub arrivals_in_time: usize,     // requests that reached these since
     pub arrivals_excused: usize,     // later than allowed, but in trouble
     pub lateness: Duration,          // of the harness itself, at most
+    pub starved: Duration,           // of a router for want of a processor, at most
+    pub starved_refusals: usize,     // requests that routers refused since
     pub valid: bool,                 // the harness was not too late to tell
     pub logs: Vec<(String, String)>, // the routers' logs, by file name
 }
@@ -25,7 +27,8 @@
             .collect();
         format!(
             "seed {}: {} faults, answers {}, {} replicas left ({} requests in time, {} excused), \
-             harness late by {} ms{}, broken {}",
+             harness late by {} ms{}, \
+             routers without a processor for {} ms ({} refusals), broken {}",
             self.seed,
             self.faults.len(),
             statuses.join(", "),
@@ -34,6 +37,8 @@
             self.arrivals_excused,
             self.lateness.as_millis(),
             if self.valid { "" } else { " (not valid)" },
+            self.starved.as_millis(),
+            self.starved_refusals,
             self.broken.len()
         )
     }
