Placement knows how quick each replica's engine is

Cause: all engines of a service were believed alike. Where they differ by 2.4 times, the median of first token / expected ran from .49 to 1.55 by replica, and the fast third got no more tokens to read than the slow third.

Change: each start of a replica has a factor beside its service's times (ReplicaPace), learnt from first tokens (geometric mean, four prior samples for 1, fading in 8 s), told in the zone, and gone by in candidates, admission and expected times. The model learns from samples divided by that factor; evidence counts beside what the router sees on average, so that neither a late router nor skewed noise moves the paces. First tokens that are overdue, and a moment of 2.5 times and more, count at once and for a second. Streams that were resumed give their reading back with the first event (they counted as unread until they ended).

Prior of two samples for the moment: one that turned five times slower was found out late.

--- a/src/direct/events_relay.rs
+++ b/src/direct/events_relay.rs
@@ -28,6 +28,7 @@
     answer: LiveAnswer,
     splitter: EventSplitter,
     done: bool,
+    resumed: bool,                 // and nothing has come since
     first_after: Option<Duration>, // from the call's arrival to its first event
     ended: &'static str,           // how, for the log
 }
@@ -62,6 +63,7 @@
             answer,
             splitter: EventSplitter::default(),
             done: false,
+            resumed: false,
             first_after: None,
             ended: "left",
         }
@@ -117,7 +119,12 @@
                 Err(_) => Err(silent(limit)),
             };
             match outcome {
-                Ok(Some(events)) => return Some(Ok(events)),
+                Ok(Some(events)) => {
+                    if std::mem::take(&mut self.resumed) {
+                        self.answer.work.first_token();
+                    }
+                    return Some(Ok(events));
+                }
                 Ok(None) => return None,
                 Err(end) => {
                     if let Err(error) = self.resume(&end).await {
@@ -200,6 +207,7 @@
             return Err(cut(format!("resumed with {}", begun.answer.head.status)));
         }
         self.answer = begun.answer;
+        self.resumed = true;
         Ok(())
     }
 }
--- a/src/direct/gateway_tasks.rs
+++ b/src/direct/gateway_tasks.rs
@@ -20,6 +20,9 @@
 /// is ready: where only routers of a build that knows none tell it, and the store is away.
 const CORDON_WAIT: Duration = Duration::from_secs(1);
 
+/// Lines a second of replicas whose pace has changed; the others follow.
+const PACE_LINES: usize = 4;
+
 impl Gateway {
     /// Keeps the board and the pool in step with the list of replicas.
     pub async fn follow_catalog(self: Arc<Self>) {
@@ -92,6 +95,22 @@
             tokio::time::sleep(Duration::from_secs(1)).await;
             self.pool.tidy();
             self.suspects().forget_old(self.now());
+            self.log_paces();
+        }
+    }
+
+    /// One line for each replica that is lastingly quicker or slower than was logged.
+    fn log_paces(&self) {
+        let news = self.board().pace_news(self.now(), PACE_LINES);
+        for news in news {
+            log::info!(
+                replica = &*news.replica,
+                pace = news.pace.lasting,
+                pace_now = news.pace.now,
+                before = news.before,
+                samples = news.samples;
+                "a replica is believed to be quicker or slower than before"
+            );
         }
     }
 }
--- a/src/direct/status.rs
+++ b/src/direct/status.rs
@@ -6,13 +6,16 @@
         fleet::{HostRole, Revision},
         ops::{
             AuditTrail, HELD, HeldStatus, PeerStatus, ProcessStatus, RESTING, REVISION, RUNNING,
-            STORE_AGE, StatusSource,
+            SLOW_REPLICAS, STORE_AGE, StatusSource,
         },
         policy::Incarnation,
     },
     std::collections::BTreeMap,
 };
 
+/// Replicas whose pace is beyond this are counted as slow.
+const SLOW: f64 = 1.5;
+
 impl StatusSource for Gateway {
     fn status(&self) -> ProcessStatus {
         let settings = self.settings();
@@ -26,6 +29,8 @@
             .filter(|view| view.health.rests(now))
             .count();
         metrics::gauge!(RESTING).set(resting as f64);
+        let slow = self.board().slower_than(SLOW);
+        metrics::gauge!(SLOW_REPLICAS).set(slow as f64);
         metrics::gauge!(REVISION).set(version.config as f64);
         let store_age = self.reading.answer_age(now);
         metrics::gauge!(STORE_AGE).set(store_age.map_or(-1.0, |age| age.as_secs_f64()));
--- a/src/ops/metric_names.rs
+++ b/src/ops/metric_names.rs
@@ -32,6 +32,8 @@
 pub const PROMPT_TOKENS: &str = "archmast_prompt_tokens_total";
 /// Replicas that are left alone for a time, by evidence.
 pub const RESTING: &str = "archmast_resting_replicas";
+/// Replicas that are believed to take half as long again as their service's engines, or more.
+pub const SLOW_REPLICAS: &str = "archmast_slow_replicas";
 /// What replicas said of themselves in answers and was news, by what one `says`: `leaves`,
 /// `rests`.
 pub const NOTICES: &str = "archmast_replica_notices_total";
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -20,6 +20,7 @@
 mod catalog_news;
 mod catch_up;
 mod evidence_told;
+mod evidence_turn;
 mod figures;
 mod leaving_told;
 mod listen;
@@ -44,6 +45,7 @@
 pub use {
     catalog_news::CatalogNews,
     evidence_told::EvidenceTold,
+    evidence_turn::EvidenceTurn,
     figures::Figures,
     leaving_told::LeavingTold,
     named_router::NamedRouter,
--- a/src/peers/peer_link.rs
+++ b/src/peers/peer_link.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        PeerMessage, ToldReports, ZoneTable, ask_news::connect, news_port::serve_news,
-        own_certificate::quic_configs, tell_evidence::EvidenceTurn, tell_leaving::LeavingTimes,
+        EvidenceTurn, PeerMessage, ToldReports, ZoneTable, ask_news::connect,
+        news_port::serve_news, own_certificate::quic_configs, tell_leaving::LeavingTimes,
         tell_suspects::SuspectTimes,
     },
     crate::{
--- a/src/peers/tell_evidence.rs
+++ b/src/peers/tell_evidence.rs
@@ -3,32 +3,18 @@
 use {
     super::{EvidenceTold, PeerLink, PeerMessage, peer_link::router_name},
     crate::policy::{Moment, placement::ReplicaEvidence},
-    std::{net::SocketAddr, time::Duration},
+    std::net::SocketAddr,
 };
 
-/// Replicas in one datagram: up to 21 bytes each.
-const REPLICAS: usize = 40;
-
-/// The shortest time between two such datagrams of one router.
-const TOLD_AGAIN: Duration = Duration::from_millis(250);
-
-/// What was told of how replicas work, and when.
-#[derive(Default)]
-pub(super) struct EvidenceTurn {
-    told: Option<Moment>,
-    next: usize, // of the replicas, whose turn it is
-}
-
 impl PeerLink {
-    /// Tells the routers of the own zone what this one has seen; where that does not fit
-    /// one datagram, some replicas at a time, in turn.
+    /// Tells the routers of the own zone what this one has seen, in one datagram.
     pub(super) async fn send_evidence(
         &self,
         now: Moment,
         addresses: &[SocketAddr],
     ) {
-        let replicas = self.due_evidence(now);
-        if replicas.is_empty() || addresses.is_empty() {
+        let replicas = self.due_evidence(now, addresses.len());
+        if replicas.is_empty() {
             return;
         }
         let own = self.gateway.peers.own();
@@ -43,18 +29,16 @@
     fn due_evidence(
         &self,
         now: Moment,
+        routers: usize,
     ) -> Vec<ReplicaEvidence> {
-        let turn = &mut self.told.lock().expect("told lock").evidence;
-        let is_early = |at: Moment| now.saturating_sub(at) < TOLD_AGAIN;
-        if turn.told.is_some_and(is_early) {
+        let mut told = self.told.lock().expect("told lock");
+        if !told.evidence.is_due(now, routers) {
             return Vec::new();
         }
-        turn.told = Some(now);
+        drop(told);
         let seen = self.gateway.board().evidence(now);
-        let begin = turn.next % seen.len().max(1);
-        turn.next = begin + REPLICAS;
-        let round = seen.iter().cycle().skip(begin);
-        round.take(REPLICAS.min(seen.len())).copied().collect()
+        told = self.told.lock().expect("told lock");
+        told.evidence.take(now, seen)
     }
 
     /// Takes in what a router of the own zone has seen.
--- a/src/policy/direct/placement/board/board_choice.rs
+++ b/src/policy/direct/placement/board/board_choice.rs
@@ -7,10 +7,10 @@
         policy::{
             Moment,
             placement::{
-                Choice, EngineTimes, PlacementRequest, PromptShape, RefusalReason, ReplicaView,
+                Choice, PlacementRequest, PromptShape, RefusalReason, ReplicaView,
                 choosing::{
-                    Admission, Candidate, Cheapest, Considered, Sources, Tier, homes, is_over,
-                    offer,
+                    Admission, Candidate, Cheapest, Considered, Sources, SpareTime, Tier, homes,
+                    is_over, offer,
                 },
             },
             shares::Standing,
@@ -151,13 +151,8 @@
         let age = self.belief_age();
         let times = self.engine_times(request.service);
         let most_are_idle = is_over(request.standing) && self.most_are_idle(now, usable);
-        let admission = Admission::new(
-            settings,
-            request,
-            engine,
-            most_are_idle,
-            self.spare_ms(now, request, times),
-        );
+        let admission = Admission::new(settings, request, engine, most_are_idle);
+        let spare = SpareTime::new(now, request, &self.usual);
         let homes = homes(prompt, usable);
         let sources = Sources::new(prompt, usable);
         let considered = self.considered(request, usable);
@@ -168,8 +163,9 @@
             let offer = offer(index, engine, usable, &sources);
             let tokens = offer.reading + prompt.output_tokens;
             let rank = homes.iter().position(|home| *home == index);
-            let candidate = Candidate::new(offer, prompt, load.reading, times, rank);
-            let excess_ms = admission.excess_ms(candidate.front_ms, candidate.own_ms);
+            let own_times = view.pace.of(times);
+            let candidate = Candidate::new(offer, prompt, load.reading, own_times, rank);
+            let excess_ms = admission.excess_ms(&candidate, spare.ms(own_times));
             soonest = soonest.min(excess_ms);
             if !admission.admits(view, &load, tokens, excess_ms) {
                 continue;
@@ -184,21 +180,6 @@
         }
     }
 
-    /// How much reading may be in front of a request so that it, and any other that
-    /// is usual at its service, still meets its aim: what the aim leaves beyond the
-    /// engines' fixed time, its own reading, and what the belief is usually off.
-    fn spare_ms(
-        &self,
-        now: Moment,
-        request: &PlacementRequest,
-        times: EngineTimes,
-    ) -> f64 {
-        let aim_ms = request.aim.as_secs_f64() * 1000.0;
-        let left = self.usual.least_left_ms(now, request.service, times);
-        let left_ms = left.map_or(aim_ms, |left| left.min(aim_ms));
-        (left_ms - times.fixed_ms - times.residual_ms).max(0.0)
-    }
-
     /// What a candidate costs: the time until its first token, and what it costs
     /// others, in milliseconds.
     fn cost_ms(
--- /dev/null
+++ b/src/policy/direct/placement/board/board_paces.rs
@@ -0,0 +1,175 @@
+//! How quick each replica is beside its service's engines.
+
+use {
+    super::ReplicaBoard,
+    crate::policy::{
+        Moment,
+        placement::{
+            EngineTimes, ExpectedWork, FirstToken, PaceEvidence, PaceNews, ReplicaPace, UsualPace,
+            Work,
+        },
+    },
+    std::{collections::HashMap, sync::Arc, time::Duration},
+};
+
+/// The shortest time between two looks at all replicas.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// The same for each replica that is looked at: a look takes a fraction of this.
+const LOOK_EACH: Duration = Duration::from_micros(100);
+
+/// A first token that has not come after this many times what the replica usually takes
+/// is evidence before it comes.
+const OVERDUE: f64 = 2.0;
+
+/// Waits are off by this many milliseconds however short they are.
+const OVERDUE_LEAST: f64 = 30.0;
+
+/// A lasting pace is news when it differs by this factor from the last news.
+const NEWS: f64 = 1.5;
+
+impl ReplicaBoard {
+    /// A first token came. Gives what is believed of the service's engines if that is
+    /// news. They learn what an engine of the usual pace would have taken.
+    pub(super) fn learn_pace(
+        &mut self,
+        now: Moment,
+        work: &Work,
+        expected: ExpectedWork,
+    ) -> Option<EngineTimes> {
+        let took = now.saturating_sub(work.sent);
+        let view = self.replicas.get_mut(&work.replica)?;
+        let seen = FirstToken {
+            tokens: work.reading,
+            front_ms: expected.front_ms,
+            took: took.div_f64(view.pace.lasting),
+        };
+        let sample = PaceEvidence::sample(took, expected.first_ms);
+        view.seen.pace.see(now, sample);
+        let news = self.engines.learn(&view.entry.service, seen);
+        self.refresh_paces(now);
+        self.set_pace(now, &work.replica);
+        news
+    }
+
+    /// Looks at the paces of all replicas, unless that was done a moment ago.
+    pub(super) fn refresh_paces(
+        &mut self,
+        now: Moment,
+    ) {
+        let pause = LOOK.max(LOOK_EACH * self.replicas.len() as u32);
+        if now.saturating_sub(self.paced) < pause {
+            return;
+        }
+        self.paced = now;
+        self.note_overdue(now);
+        let mut sums: HashMap<Arc<str>, PaceEvidence> = HashMap::new();
+        for view in self.replicas.values_mut() {
+            view.seen.pace.forget_old(now);
+            let own = view.seen.pace.own(now);
+            match sums.get_mut(&view.entry.service) {
+                Some(sum) => *sum += own,
+                None => {
+                    sums.insert(view.entry.service.clone(), own);
+                }
+            }
+        }
+        let usual = sums.into_iter();
+        self.usual_paces = usual
+            .map(|(service, sum)| (service, UsualPace::new(sum)))
+            .collect();
+        for view in self.replicas.values_mut() {
+            let usual = self.usual_paces.get(&view.entry.service);
+            let usual = usual.copied().unwrap_or_default();
+            view.pace = ReplicaPace::new(view.seen.pace.all(now, usual));
+        }
+    }
+
+    /// Takes in what was seen of one replica.
+    pub(super) fn set_pace(
+        &mut self,
+        now: Moment,
+        replica: &str,
+    ) {
+        if let Some(view) = self.replicas.get_mut(replica) {
+            let usual = self.usual_paces.get(&view.entry.service);
+            let usual = usual.copied().unwrap_or_default();
+            view.pace = ReplicaPace::new(view.seen.pace.all(now, usual));
+        }
+    }
+
+    /// What this router usually sees of a service.
+    pub(super) fn usual_pace(
+        &self,
+        service: &str,
+    ) -> UsualPace {
+        self.usual_paces.get(service).copied().unwrap_or_default()
+    }
+
+    /// Replicas whose lasting pace has changed since it was last asked for, `most` of them.
+    pub fn pace_news(
+        &mut self,
+        now: Moment,
+        most: usize,
+    ) -> Vec<PaceNews> {
+        self.refresh_paces(now);
+        let usual = &self.usual_paces;
+        let views = self.replicas.values_mut();
+        let changed = views.filter(|view| {
+            let factor = view.pace.lasting / view.logged_pace;
+            factor.max(1.0 / factor) >= NEWS
+        });
+        let news = changed.take(most).map(|view| {
+            let usual = usual.get(&view.entry.service).copied();
+            let seen = view.seen.pace.all(now, usual.unwrap_or_default());
+            PaceNews {
+                replica: view.entry.id.clone(),
+                before: std::mem::replace(&mut view.logged_pace, view.pace.lasting),
+                pace: view.pace,
+                samples: seen.lasting.weight,
+            }
+        });
+        news.collect()
+    }
+
+    /// How many replicas take this many times longer than their service's engines.
+    pub fn slower_than(
+        &self,
+        factor: f64,
+    ) -> usize {
+        let slow = self.replicas.values().filter(|view| view.pace.now > factor);
+        slow.count()
+    }
+
+    /// Looks for first tokens that should have come.
+    fn note_overdue(
+        &mut self,
+        now: Moment,
+    ) {
+        for view in self.replicas.values_mut() {
+            view.seen.pace.set_overdue(PaceEvidence::default());
+        }
+        let mut overdue: HashMap<Arc<str>, PaceEvidence> = HashMap::new();
+        for work in self.works.values_mut() {
+            let waited = now.saturating_sub(work.sent);
+            let Some(expected) = work.expected else {
+                continue;
+            };
+            let view = self.replicas.get(&work.replica);
+            let Some(view) = view.filter(|view| view.start == work.start) else {
+                continue;
+            };
+            let most_ms = expected.first_ms * view.pace.lasting * OVERDUE + OVERDUE_LEAST;
+            if waited.as_secs_f64() * 1000.0 > most_ms {
+                work.overdue = Some((now, waited));
+                *overdue.entry(work.replica.clone()).or_default() +=
+                    PaceEvidence::overdue(waited, expected.first_ms);
+            }
+        }
+        for (replica, overdue) in overdue {
+            if let Some(view) = self.replicas.get_mut(&replica) {
+                view.seen.pace.set_overdue(overdue);
+            }
+        }
+    }
+}
--- a/src/policy/direct/placement/board/board_reports.rs
+++ b/src/policy/direct/placement/board/board_reports.rs
@@ -91,7 +91,13 @@
         now: Moment,
     ) -> Vec<ReplicaEvidence> {
         let views = self.replicas.values();
-        let seen = views.map(|view| view.seen.own(now, view.start));
+        let seen = views.map(|view| {
+            let seen = view.seen.own(now, view.start);
+            ReplicaEvidence {
+                pace: seen.pace.beside(self.usual_pace(&view.entry.service)),
+                ..seen
+            }
+        });
         seen.filter(ReplicaEvidence::says_something).collect()
     }
 
@@ -107,6 +113,7 @@
                 view.seen.hear(now, teller, *evidence);
             }
         }
+        self.refresh_paces(now);
     }
 
     /// What this router has learnt of engines, for its peers.
--- a/src/policy/direct/placement/board/replica_board.rs
+++ b/src/policy/direct/placement/board/replica_board.rs
@@ -5,8 +5,9 @@
         policy::{
             Moment, NoticeBook,
             placement::{
-                CacheNote, EngineModels, EngineTimes, FirstToken, FleetSize, Load,
-                PlacementSettings, ReplicaView, SentPrompt, UsualReadings, Work, WorkNumber,
+                CacheNote, EngineModels, EngineTimes, ExpectedWork, FleetSize, Load, PaceEvidence,
+                PlacementSettings, ReplicaView, SentPrompt, UsualPace, UsualReadings, Work,
+                WorkNumber,
             },
             slow_start::{StartLimit, ZoneRouters},
         },
@@ -27,6 +28,8 @@
     pub(super) works: HashMap<WorkNumber, Work>,
     pub(super) engines: EngineModels,
     pub(super) usual: UsualReadings,
+    pub(super) usual_paces: HashMap<Arc<str>, UsualPace>, // by service
+    pub(super) paced: Moment,                             // when paces were last looked at
     pub(super) next_work: WorkNumber,
     pub(super) notes: Vec<CacheNote>, // parts that were sent to replicas anew
     pub(super) zone_notes: Vec<CacheNote>, // the same by the routers of the zone, shared parts only
@@ -51,6 +54,8 @@
             works: HashMap::new(),
             engines: EngineModels::default(),
             usual: UsualReadings::default(),
+            usual_paces: HashMap::new(),
+            paced: Moment::ZERO,
             next_work: 1,
             notes: Vec::new(),
             zone_notes: Vec::new(),
@@ -176,6 +181,7 @@
         replica: &Arc<str>,
         prompt: Option<SentPrompt>,
     ) -> Option<WorkNumber> {
+        self.refresh_paces(now);
         let age = self.belief_age();
         let view = self.replicas.get_mut(replica)?;
         let there = view.load(now, age);
@@ -208,6 +214,14 @@
                 }
             }
         }
+        let times = self.engines.times(&view.entry.service);
+        let expected = prompt.map(|prompt| {
+            let front_ms = prompt.front_ms / view.pace.now;
+            ExpectedWork {
+                front_ms,
+                first_ms: times.fixed_ms + times.reading_ms(prompt.reading) + front_ms,
+            }
+        });
         view.own += load;
         let is_slow =
             view.start_pace.is_slow(now) && self.start_limits.contains_key(&view.entry.service);
@@ -221,7 +235,8 @@
             sent: now,
             load,
             reading: load.reading,
-            front_ms: prompt.map_or(0.0, |prompt| prompt.front_ms),
+            expected,
+            overdue: None,
         };
         let number = self.next_work;
         self.next_work += 1;
@@ -238,15 +253,13 @@
     ) -> Option<EngineTimes> {
         let work = self.works.get_mut(&number)?;
         let unread = std::mem::take(&mut work.load.reading);
+        let expected = work.expected.take();
+        work.overdue = None;
+        let work = work.clone();
         let view = self.replicas.get_mut(&work.replica);
         let view = view.filter(|view| view.start == work.start)?;
         view.own.reading = view.own.reading.saturating_sub(unread);
-        let seen = FirstToken {
-            tokens: work.reading,
-            front_ms: work.front_ms,
-            took: now.saturating_sub(work.sent),
-        };
-        self.engines.learn(&view.entry.service, seen)
+        self.learn_pace(now, &work, expected?)
     }
 
     /// What is believed of the engines of a service.
@@ -265,6 +278,10 @@
         let work = self.works.remove(&number)?;
         let view = self.replicas.get_mut(&work.replica);
         if let Some(view) = view.filter(|view| view.start == work.start) {
+            if let (Some(expected), Some((seen, waited))) = (work.expected, work.overdue) {
+                let sample = PaceEvidence::sample(waited, expected.first_ms);
+                view.seen.pace.see(seen, sample);
+            }
             view.own.running = view.own.running.saturating_sub(work.load.running);
             view.own.reading = view.own.reading.saturating_sub(work.load.reading);
             view.own.memory = view.own.memory.saturating_sub(work.load.memory);
--- a/src/policy/direct/placement/choosing/admission.rs
+++ b/src/policy/direct/placement/choosing/admission.rs
@@ -1,5 +1,5 @@
 use {
-    super::PlacementRequest,
+    super::{Candidate, PlacementRequest},
     crate::{
         policy::{
             placement::{Load, PlacementSettings, ReplicaView},
@@ -12,7 +12,7 @@
 /// What a replica may have in front for one request to be sent there.
 #[derive(Debug, Clone, Copy)]
 pub struct Admission {
-    bound_ms: f64,      // of reading, what is in front and the request's own, weighed
+    bound_share: f64,   // of the spare time, that reading may take
     most_memory: f64,   // tokens that running requests may take
     own_weight: f64,    // of the request's own reading against the bound
     may_use_idle: bool, // a replica where nothing is read, whatever the bound
@@ -20,13 +20,11 @@
 
 impl Admission {
     /// The bounds for a request, by how its account stands to its share.
-    /// `spare_ms` of reading in front leave every usual request its time.
     pub fn new(
         settings: &PlacementSettings,
         request: &PlacementRequest,
         engine: EngineFacts,
         most_are_idle: bool,
-        spare_ms: f64,
     ) -> Self {
         let share = match request.standing {
             Standing::Over { factor, .. } => settings.over_share / f64::from(factor * factor),
@@ -34,20 +32,23 @@
             Standing::Behind => settings.behind_share,
         };
         Self {
-            bound_ms: spare_ms * settings.aim_share * share,
+            bound_share: settings.aim_share * share,
             most_memory: engine.memory_tokens as f64 * settings.memory_share,
             own_weight: settings.own_weight,
             may_use_idle: most_are_idle || !is_over(request.standing),
         }
     }
 
-    /// By how many milliseconds a replica is beyond the bound.
+    /// By how many milliseconds a replica is beyond the bound: what is in front and the
+    /// request's own reading, weighed. `spare_ms` of reading in front leave every usual
+    /// request its time there.
     pub fn excess_ms(
         &self,
-        front_ms: f64,
-        own_ms: f64,
+        candidate: &Candidate,
+        spare_ms: f64,
     ) -> f64 {
-        (front_ms + own_ms * self.own_weight - self.bound_ms).max(0.0)
+        let reading_ms = candidate.front_ms + candidate.own_ms * self.own_weight;
+        (reading_ms - spare_ms * self.bound_share).max(0.0)
     }
 
     /// Whether a replica may take the request, which needs `tokens` of memory.
--- a/src/policy/direct/placement/choosing/candidate.rs
+++ b/src/policy/direct/placement/choosing/candidate.rs
@@ -6,7 +6,7 @@
 /// A replica that may run a prompt, and what speaks for it.
 pub struct Candidate<'v> {
     pub offer: Offer<'v>,
-    pub times: EngineTimes,  // of its service
+    pub times: EngineTimes,  // of its service's engines, at its pace
     pub front_ms: f64,       // of reading, in front of the prompt
     pub own_ms: f64,         // of its own reading and fetching
     pub rank: Option<usize>, // among the prompt's homes, 0 is the first
--- a/src/policy/direct/placement/choosing/mod.rs
+++ b/src/policy/direct/placement/choosing/mod.rs
@@ -10,6 +10,7 @@
 mod offer;
 mod placement_request;
 mod plain_queue;
+mod spare_time;
 
 pub use {
     admission::{Admission, is_over},
@@ -21,4 +22,5 @@
     offer::{Sources, offer},
     placement_request::PlacementRequest,
     plain_queue::PlainQueue,
+    spare_time::SpareTime,
 };
--- a/src/policy/direct/placement/engines/mod.rs
+++ b/src/policy/direct/placement/engines/mod.rs
@@ -6,13 +6,18 @@
 mod engine_times;
 mod first_token;
 mod pace_evidence;
+mod pace_news;
+mod pace_sum;
 mod pause_evidence;
 mod replica_evidence;
+mod replica_pace;
+mod usual_pace;
 mod usual_readings;
 
 pub use {
     engine_model::EngineModel, engine_models::EngineModels, engine_report::EngineReport,
     engine_times::EngineTimes, first_token::FirstToken, pace_evidence::PaceEvidence,
-    pause_evidence::PauseEvidence, replica_evidence::ReplicaEvidence,
+    pace_news::PaceNews, pace_sum::PaceSum, pause_evidence::PauseEvidence,
+    replica_evidence::ReplicaEvidence, replica_pace::ReplicaPace, usual_pace::UsualPace,
     usual_readings::UsualReadings,
 };
--- a/src/policy/direct/placement/engines/pace_evidence.rs
+++ b/src/policy/direct/placement/engines/pace_evidence.rs
@@ -1,26 +1,70 @@
 use {
+    super::{PaceSum, UsualPace},
     serde::{Deserialize, Serialize},
-    std::{ops::AddAssign, time::Duration},
+    std::{
+        ops::{AddAssign, SubAssign},
+        time::Duration,
+    },
 };
 
+/// What was seen this long ago counts for a third, in what is believed to last: dozens of
+/// first tokens of a busy replica.
+const LASTING_FADES: Duration = Duration::from_secs(8);
+
+/// The same in what is believed of the moment: a few of them.
+const RECENT_FADES: Duration = Duration::from_millis(700);
+
 /// What was seen of how quick one replica is beside its service's engines.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct PaceEvidence {
-    pub weight: f32,    // samples, faded by age
-    pub log_ratio: f32, // weighted sum of ln(time taken / time expected of the service)
+    pub lasting: PaceSum,
+    pub recent: PaceSum,
 }
 
 impl PaceEvidence {
-    /// What is left of it after some time; `fades` leaves a third.
+    /// One first token.
+    pub fn sample(
+        took: Duration,
+        expected_ms: f64,
+    ) -> Self {
+        let sum = PaceSum::sample(took, expected_ms);
+        Self {
+            lasting: sum,
+            recent: sum,
+        }
+    }
+
+    /// One first token that has not come for some time: it speaks of the moment only, since
+    /// it will be counted when it comes.
+    pub fn overdue(
+        waited: Duration,
+        expected_ms: f64,
+    ) -> Self {
+        Self {
+            recent: PaceSum::sample(waited, expected_ms),
+            ..Self::default()
+        }
+    }
+
+    /// What is left of it after some time.
     pub fn faded(
         self,
         age: Duration,
-        fades: Duration,
     ) -> Self {
-        let factor = (-age.as_secs_f32() / fades.as_secs_f32()).exp();
         Self {
-            weight: self.weight * factor,
-            log_ratio: self.log_ratio * factor,
+            lasting: self.lasting.faded(age, LASTING_FADES),
+            recent: self.recent.faded(age, RECENT_FADES),
+        }
+    }
+
+    /// The same beside what a router usually sees of the service.
+    pub fn beside(
+        self,
+        usual: UsualPace,
+    ) -> Self {
+        Self {
+            lasting: self.lasting.beside(usual.lasting),
+            recent: self.recent.beside(usual.recent),
         }
     }
 }
@@ -30,7 +74,17 @@
         &mut self,
         other: Self,
     ) {
-        self.weight += other.weight;
-        self.log_ratio += other.log_ratio;
+        self.lasting += other.lasting;
+        self.recent += other.recent;
+    }
+}
+
+impl SubAssign for PaceEvidence {
+    fn sub_assign(
+        &mut self,
+        other: Self,
+    ) {
+        self.lasting -= other.lasting;
+        self.recent -= other.recent;
     }
 }
--- a/src/policy/direct/placement/engines/replica_evidence.rs
+++ b/src/policy/direct/placement/engines/replica_evidence.rs
@@ -15,8 +15,14 @@
 const NEGLIGIBLE: f32 = 0.05;
 
 impl ReplicaEvidence {
+    /// How much it says of the replica: what is far from usual, seen often.
+    pub fn says(&self) -> f32 {
+        let pace = self.pace.lasting.log_ratio.abs() + self.pace.recent.log_ratio.abs();
+        pace + self.pauses.broken
+    }
+
     /// Whether there is anything in it.
     pub fn says_something(&self) -> bool {
-        self.pace.weight > NEGLIGIBLE || self.pauses.watched_s > NEGLIGIBLE
+        self.pace.lasting.weight > NEGLIGIBLE || self.pauses.watched_s > NEGLIGIBLE
     }
 }
--- a/src/policy/direct/placement/engines/usual_readings.rs
+++ b/src/policy/direct/placement/engines/usual_readings.rs
@@ -1,5 +1,4 @@
 use {
-    super::EngineTimes,
     crate::policy::Moment,
     std::{collections::HashMap, sync::Arc, time::Duration},
 };
@@ -39,18 +38,16 @@
         usual.seen = now;
     }
 
-    /// The least time, in milliseconds, that the reading of a usual request leaves
-    /// of its aim, over the aims that were asked for lately. None if none was.
-    pub fn least_left_ms(
+    /// The aims that were asked for lately, in milliseconds, and the tokens that such
+    /// requests usually read.
+    pub fn recent(
         &self,
         now: Moment,
         service: &str,
-        times: EngineTimes,
-    ) -> Option<f64> {
-        let recent = self.services.get(service)?.iter();
-        recent
-            .filter(|(_, usual)| now.saturating_sub(usual.seen) <= FORGOTTEN)
-            .map(|(aim, usual)| aim.as_secs_f64() * 1000.0 - usual.tokens * times.token_ms)
-            .min_by(f64::total_cmp)
+    ) -> impl Iterator<Item = (f64, f64)> {
+        let known = self.services.get(service).into_iter().flatten();
+        known
+            .filter(move |(_, usual)| now.saturating_sub(usual.seen) <= FORGOTTEN)
+            .map(|(aim, usual)| (aim.as_secs_f64() * 1000.0, usual.tokens))
     }
 }
--- a/src/policy/direct/placement/loads/mod.rs
+++ b/src/policy/direct/placement/loads/mod.rs
@@ -1,5 +1,6 @@
 //! What routers have at replicas.
 
+mod expected_work;
 mod fleet_size;
 mod load;
 mod peer_loads;
@@ -7,6 +8,7 @@
 mod work;
 
 pub use {
+    expected_work::ExpectedWork,
     fleet_size::FleetSize,
     load::Load,
     peer_loads::PeerLoads,
--- a/src/policy/direct/placement/loads/work.rs
+++ b/src/policy/direct/placement/loads/work.rs
@@ -1,4 +1,8 @@
-use {super::Load, crate::policy::Moment, std::sync::Arc};
+use {
+    super::{ExpectedWork, Load},
+    crate::policy::Moment,
+    std::{sync::Arc, time::Duration},
+};
 
 /// Names one request at one replica.
 pub type WorkNumber = u64;
@@ -12,5 +16,6 @@
     pub is_counted: bool, // among what is sent to a replica that starts slowly
     pub load: Load,       // what it counts for now
     pub reading: u32,     // prompt tokens that it has to read in all
-    pub front_ms: f64,    // of reading believed to be in front, and of fetching
+    pub expected: Option<ExpectedWork>, // of a prompt, until its first token has come
+    pub overdue: Option<(Moment, Duration)>, // when it was last seen to be, after how long
 }
--- a/src/policy/direct/placement/mod.rs
+++ b/src/policy/direct/placement/mod.rs
@@ -13,11 +13,11 @@
     board::ReplicaBoard,
     choosing::{Choice, PlacementRequest, RefusalReason},
     engines::{
-        EngineModel, EngineModels, EngineReport, EngineTimes, FirstToken, PaceEvidence,
-        PauseEvidence, ReplicaEvidence, UsualReadings,
+        EngineModel, EngineModels, EngineReport, EngineTimes, FirstToken, PaceEvidence, PaceNews,
+        PaceSum, PauseEvidence, ReplicaEvidence, ReplicaPace, UsualPace, UsualReadings,
     },
-    loads::{FleetSize, Load, PeerLoads, ReplicaReport, Work, WorkNumber},
+    loads::{ExpectedWork, FleetSize, Load, PeerLoads, ReplicaReport, Work, WorkNumber},
     placement_settings::PlacementSettings,
     prompts::{CacheNote, KeptPart, PrefixCache, PromptPart, PromptShape, SentPrompt},
-    replicas::{PlainRun, PlainTimes, ReplicaHealth, ReplicaView, SeenWork},
+    replicas::{PlainRun, PlainTimes, ReplicaHealth, ReplicaView, SeenPace, SeenWork},
 };
--- a/src/policy/direct/placement/replicas/replica_view.rs
+++ b/src/policy/direct/placement/replicas/replica_view.rs
@@ -4,7 +4,7 @@
         catalog::UpstreamEntry,
         policy::{
             Moment, Teller, TellerScope,
-            placement::{Load, PeerLoads, PrefixCache, ReplicaReport},
+            placement::{Load, PeerLoads, PrefixCache, ReplicaPace, ReplicaReport},
             slow_start::StartPace,
             stable_hash,
         },
@@ -26,6 +26,8 @@
     pub heard: Moment,         // when it last answered anything
     pub plain: PlainTimes,     // of requests that are no prompts
     pub seen: SeenWork,        // of how it works
+    pub pace: ReplicaPace,     // as of the last look at what was seen
+    pub logged_pace: f64,      // the lasting one, as it was last logged
     pub start_pace: StartPace, // what this router sends there while it starts slowly
     routers: PeerLoads,        // of the own zone
     zones: PeerLoads,          // the other zones, each as a whole
@@ -46,6 +48,8 @@
             heard: Moment::ZERO,
             plain: PlainTimes::default(),
             seen: SeenWork::default(),
+            pace: ReplicaPace::default(),
+            logged_pace: 1.0,
             start_pace: StartPace::default(),
             routers: PeerLoads::default(),
             zones: PeerLoads::default(),
--- a/src/policy/direct/placement/replicas/seen_work.rs
+++ b/src/policy/direct/placement/replicas/seen_work.rs
@@ -1,4 +1,5 @@
 use {
+    super::SeenPace,
     crate::policy::{
         Moment,
         placement::{PaceEvidence, PauseEvidence, ReplicaEvidence},
@@ -6,8 +7,7 @@
     std::{collections::HashMap, time::Duration},
 };
 
-/// What was seen this long ago counts for a third: some turns of a replica's load.
-const PACE_FADES: Duration = Duration::from_secs(8);
+/// What was seen of pauses this long ago counts for a third: some turns of a replica's load.
 const PAUSES_FADE: Duration = Duration::from_secs(4);
 
 /// What fellows told longer ago than this counts no more.
@@ -17,7 +17,7 @@
 /// works.
 #[derive(Debug, Default)]
 pub struct SeenWork {
-    pace: PaceEvidence,
+    pub pace: SeenPace,
     pauses: PauseEvidence,
     faded: Moment,
     told: HashMap<u32, (Moment, ReplicaEvidence)>, // by who told
@@ -32,7 +32,7 @@
         pauses: PauseEvidence,
     ) {
         self.fade(now);
-        self.pace += pace;
+        self.pace.see(now, pace);
         self.pauses += pauses;
     }
 
@@ -45,7 +45,7 @@
         let age = now.saturating_sub(self.faded);
         ReplicaEvidence {
             start,
-            pace: self.pace.faded(age, PACE_FADES),
+            pace: self.pace.own(now),
             pauses: self.pauses.faded(age, PAUSES_FADE),
         }
     }
@@ -57,23 +57,12 @@
         teller: u32,
         told: ReplicaEvidence,
     ) {
+        self.pace.hear(now, teller, told.pace);
         self.told.insert(teller, (now, told));
         self.told
             .retain(|_, (heard, _)| now.saturating_sub(*heard) <= TOLD_AGE);
     }
 
-    /// What all of them have seen of its pace.
-    pub fn pace(
-        &self,
-        now: Moment,
-    ) -> PaceEvidence {
-        let mut sum = self.own(now, 0).pace;
-        for (age, told) in self.recent(now) {
-            sum += told.pace.faded(age, PACE_FADES);
-        }
-        sum
-    }
-
     /// What all of them have seen of its pauses.
     pub fn pauses(
         &self,
@@ -100,7 +89,6 @@
         now: Moment,
     ) {
         let seen = self.own(now, 0);
-        self.pace = seen.pace;
         self.pauses = seen.pauses;
         self.faded = now;
     }
