--- a/src/policy/direct/placement/board/board_paces.rs
+++ b/src/policy/direct/placement/board/board_paces.rs
@@ -13,7 +13,7 @@
 };
 
 /// The shortest time between two looks at all replicas.
-const LOOK: Duration = Duration::from_millis(50);
+const LOOK: Duration = Duration::from_millis(100);
 
 /// The same for each replica that is looked at: a look takes a fraction of this.
 const LOOK_EACH: Duration = Duration::from_micros(100);
