What is read again is weighed at the service's pace

Change: the cost of reading again and of moving is taken at the service's times; what a request itself waits stays at the replica's pace.

Ruled out: homes by pace (paces differ from router to router, homes would move).

--- a/src/policy/direct/placement/board/board_choice.rs
+++ b/src/policy/direct/placement/board/board_choice.rs
@@ -163,9 +163,8 @@
             let offer = offer(index, engine, usable, &sources);
             let tokens = offer.reading + prompt.output_tokens;
             let rank = homes.iter().position(|home| *home == index);
-            let own_times = view.pace.of(times);
-            let candidate = Candidate::new(offer, prompt, load.reading, own_times, rank);
-            let excess_ms = admission.excess_ms(&candidate, spare.ms(own_times));
+            let candidate = Candidate::new(offer, prompt, load.reading, times, rank);
+            let excess_ms = admission.excess_ms(&candidate, spare.ms(candidate.times));
             soonest = soonest.min(excess_ms);
             if !admission.admits(view, &load, tokens, excess_ms) {
                 continue;
--- a/src/policy/direct/placement/choosing/candidate.rs
+++ b/src/policy/direct/placement/choosing/candidate.rs
@@ -7,6 +7,7 @@
 pub struct Candidate<'v> {
     pub offer: Offer<'v>,
     pub times: EngineTimes,  // of its service's engines, at its pace
+    pub usual: EngineTimes,  // of its service's engines
     pub front_ms: f64,       // of reading, in front of the prompt
     pub own_ms: f64,         // of its own reading and fetching
     pub rank: Option<usize>, // among the prompt's homes, 0 is the first
@@ -15,18 +16,20 @@
 }
 
 impl<'v> Candidate<'v> {
-    /// A replica with this much reading in front.
+    /// A replica with this much reading in front; `usual` are its service's times.
     pub fn new(
         offer: Offer<'v>,
         prompt: &PromptShape,
         front: u32,
-        times: EngineTimes,
+        usual: EngineTimes,
         rank: Option<usize>,
     ) -> Self {
+        let times = offer.view.pace.of(usual);
         Self {
             front_ms: times.reading_ms(front),
             own_ms: times.reading_ms(offer.reading) + offer.fetch_ms,
             times,
+            usual,
             rank,
             scatter: scatter(prompt, offer.view),
             is_home: offer.keeps_shared(prompt),
@@ -39,11 +42,12 @@
         self.times.fixed_ms + self.front_ms + self.own_ms
     }
 
-    /// How long some of its tokens take to read there, in milliseconds.
+    /// How long some of its tokens usually take to read, in milliseconds: what is read
+    /// again, or moved, takes room from others at every replica alike.
     pub fn reading_ms(
         &self,
         tokens: u32,
     ) -> f64 {
-        self.times.reading_ms(tokens)
+        self.usual.reading_ms(tokens)
     }
 }
