Paces are looked at after what is sent is counted

Cause: a look between the choice and the count could change the pace by which the time in front had been weighed. Change: the look follows the count; one place says what was seen of a replica.

--- a/src/policy/direct/placement/board/board_paces.rs
+++ b/src/policy/direct/placement/board/board_paces.rs
@@ -5,8 +5,8 @@
     crate::policy::{
         Moment,
         placement::{
-            EngineTimes, ExpectedWork, FirstToken, PaceEvidence, PaceNews, ReplicaPace, UsualPace,
-            Work,
+            EngineTimes, ExpectedWork, FirstToken, PaceEvidence, PaceNews, ReplicaPace,
+            ReplicaView, UsualPace, Work,
         },
     },
     std::{collections::HashMap, sync::Arc, time::Duration},
@@ -47,8 +47,9 @@
         let sample = PaceEvidence::sample(took, expected.first_ms);
         view.seen.pace.see(now, sample);
         let news = self.engines.learn(&view.entry.service, seen);
+        let seen = all_seen(view, now, &self.usual_paces);
+        view.pace = ReplicaPace::new(seen);
         self.refresh_paces(now);
-        self.set_pace(now, &work.replica);
         news
     }
 
@@ -79,22 +80,8 @@
             .map(|(service, sum)| (service, UsualPace::new(sum)))
             .collect();
         for view in self.replicas.values_mut() {
-            let usual = self.usual_paces.get(&view.entry.service);
-            let usual = usual.copied().unwrap_or_default();
-            view.pace = ReplicaPace::new(view.seen.pace.all(now, usual));
-        }
-    }
-
-    /// Takes in what was seen of one replica.
-    pub(super) fn set_pace(
-        &mut self,
-        now: Moment,
-        replica: &str,
-    ) {
-        if let Some(view) = self.replicas.get_mut(replica) {
-            let usual = self.usual_paces.get(&view.entry.service);
-            let usual = usual.copied().unwrap_or_default();
-            view.pace = ReplicaPace::new(view.seen.pace.all(now, usual));
+            let seen = all_seen(view, now, &self.usual_paces);
+            view.pace = ReplicaPace::new(seen);
         }
     }
 
@@ -119,15 +106,11 @@
             let factor = view.pace.lasting / view.logged_pace;
             factor.max(1.0 / factor) >= NEWS
         });
-        let news = changed.take(most).map(|view| {
-            let usual = usual.get(&view.entry.service).copied();
-            let seen = view.seen.pace.all(now, usual.unwrap_or_default());
-            PaceNews {
-                replica: view.entry.id.clone(),
-                before: std::mem::replace(&mut view.logged_pace, view.pace.lasting),
-                pace: view.pace,
-                samples: seen.lasting.weight,
-            }
+        let news = changed.take(most).map(|view| PaceNews {
+            replica: view.entry.id.clone(),
+            before: std::mem::replace(&mut view.logged_pace, view.pace.lasting),
+            pace: view.pace,
+            samples: all_seen(view, now, usual).lasting.weight,
         });
         news.collect()
     }
@@ -173,3 +156,13 @@
         }
     }
 }
+
+/// What this router and its zone have seen of a replica's pace.
+fn all_seen(
+    view: &ReplicaView,
+    now: Moment,
+    usual: &HashMap<Arc<str>, UsualPace>,
+) -> PaceEvidence {
+    let usual = usual.get(&view.entry.service).copied();
+    view.seen.pace.all(now, usual.unwrap_or_default())
+}
--- a/src/policy/direct/placement/board/replica_board.rs
+++ b/src/policy/direct/placement/board/replica_board.rs
@@ -181,7 +181,6 @@
         replica: &Arc<str>,
         prompt: Option<SentPrompt>,
     ) -> Option<WorkNumber> {
-        self.refresh_paces(now);
         let age = self.belief_age();
         let view = self.replicas.get_mut(replica)?;
         let there = view.load(now, age);
@@ -241,6 +240,7 @@
         let number = self.next_work;
         self.next_work += 1;
         self.works.insert(number, work);
+        self.refresh_paces(now);
         Some(number)
     }
 
--- a/src/policy/direct/placement/replicas/seen_pace.rs
+++ b/src/policy/direct/placement/replicas/seen_pace.rs
@@ -31,7 +31,7 @@
     ) {
         self.own = self.own.faded(now.saturating_sub(self.faded));
         self.own += seen;
-        self.faded = now;
+        self.faded = self.faded.max(now);
     }
 
     /// What is overdue now, in place of what was.
