Pauses between events are watched, and weighed where a request goes

Cause: a route's pause aim made answers late, and no decision read it.

The cost of a replica gets what the request's own pauses are expected to lose, and how many running streams its reading newly breaks. Where pauses break, the replicas of other zones that a request considers are compared with the own zone's, 40 ms behind. Evidence of pauses fades in 10 s instead of 4.

Conclusion: streams and long readings part by cost alone, and the borders move with load.

--- a/src/direct/events_relay.rs
+++ b/src/direct/events_relay.rs
@@ -6,6 +6,7 @@
         late_wait::wait_while_alive,
         live_answer::LiveAnswer,
         reply::{ReplyBody, copy_head, cut, replica_reply},
+        stream_watch::StreamWatch,
     },
     crate::{codes::ResultCode, ops::STREAMS},
     bytes::Bytes,
@@ -29,6 +30,8 @@
     splitter: EventSplitter,
     done: bool,
     first_after: Option<Duration>, // from the call's arrival to its first event
+    longest_pause: Duration,       // that the replica made
+    watch: Option<StreamWatch>,    // of its pauses, where its route says how long they may be
     ended: &'static str,           // how, for the log
 }
 
@@ -45,6 +48,7 @@
             last_event = self.splitter.last_id().unwrap_or(""),
             how = self.ended,
             first_ms = self.first_after.unwrap_or(took).as_millis() as u64,
+            longest_pause_ms = self.longest_pause.as_millis() as u64,
             ms = took.as_millis() as u64;
             "stream ended"
         );
@@ -63,6 +67,8 @@
             splitter: EventSplitter::default(),
             done: false,
             first_after: None,
+            longest_pause: Duration::ZERO,
+            watch: None,
             ended: "left",
         }
     }
@@ -88,6 +94,7 @@
         self.answer.work.first_token();
         let arrived = self.exchange().call.arrived;
         self.first_after = Some(gateway.now().saturating_sub(arrived));
+        self.watch_pauses();
         let head = copy_head(&self.answer.head);
         let pieces = stream::unfold((first, self), |(first, mut relay)| async move {
             if let Some(first) = first {
@@ -112,11 +119,7 @@
             } else {
                 left
             };
-            let outcome = match timeout(limit, self.piece()).await {
-                Ok(outcome) => outcome,
-                Err(_) => Err(silent(limit)),
-            };
-            match outcome {
+            match self.watched_piece(limit).await {
                 Ok(Some(events)) => return Some(Ok(events)),
                 Ok(None) => return None,
                 Err(end) => {
@@ -130,6 +133,57 @@
         }
     }
 
+    /// The next whole events, awaited up to `limit`. Only time in which the replica is
+    /// waited for is a pause of it: a caller that reads slowly makes none.
+    async fn watched_piece(
+        &mut self,
+        limit: Duration,
+    ) -> Result<Option<Bytes>, AttemptEnd> {
+        let since = self.exchange().gateway.now();
+        // Taken out while the replica is waited for; dropped with this wait, it hands in
+        // what was seen.
+        let mut watch = self.watch.take();
+        let aim = watch.as_ref().and_then(StreamWatch::aim);
+        let outcome = {
+            let piece = self.piece();
+            tokio::pin!(piece);
+            let first = aim.unwrap_or(limit).min(limit);
+            match (timeout(first, &mut piece).await, &mut watch) {
+                (Ok(outcome), _) => outcome,
+                (Err(_), Some(watch)) if first < limit => {
+                    watch.breaks();
+                    let left = limit.saturating_sub(first);
+                    timeout(left, &mut piece)
+                        .await
+                        .unwrap_or_else(|_| Err(silent(limit)))
+                }
+                (Err(_), _) => Err(silent(limit)),
+            }
+        };
+        if self.first_after.is_some() {
+            let waited = self.exchange().gateway.now().saturating_sub(since);
+            self.longest_pause = self.longest_pause.max(waited);
+        }
+        match (&outcome, &mut watch) {
+            (Ok(Some(_)), Some(watch)) => watch.event(since),
+            (Ok(Some(_)), None) => self.watch_pauses(),
+            _ => {}
+        }
+        self.watch = self.watch.take().or(watch);
+        outcome
+    }
+
+    /// Watches the pauses of the present replica's events from now on.
+    fn watch_pauses(&mut self) {
+        let exchange = self.exchange();
+        let gateway = exchange.gateway.clone();
+        let entry = exchange.run.as_ref().map(|run| run.entry.clone());
+        let aim = exchange.call.route.pause_aim;
+        self.watch = entry
+            .zip(aim)
+            .map(|(entry, aim)| StreamWatch::new(gateway, entry, aim));
+    }
+
     /// The next whole events of the present replica; none at its clean end.
     async fn piece(&mut self) -> Result<Option<Bytes>, AttemptEnd> {
         if self.done {
@@ -147,6 +201,7 @@
                     self.done = true;
                     self.ended = "whole";
                     self.exchange_mut().note_replica_success();
+                    self.exchange().learn_run();
                     self.exchange().note_request_success();
                     let rest = self.splitter.take_rest();
                     return Ok((!rest.is_empty()).then_some(rest));
@@ -192,6 +247,7 @@
         }
         // Closes the connection first: no two replicas may work on one request.
         self.answer.abandon();
+        self.watch = None;
         self.splitter.drop_rest();
         let last = self.splitter.last_id().map(str::to_owned);
         let begun = self.exchange_mut().begin(last.as_deref()).await;
--- a/src/direct/exchange_choice.rs
+++ b/src/direct/exchange_choice.rs
@@ -36,6 +36,7 @@
             engine: call.engine,
             prompt: call.prompt.as_ref(),
             aim: call.service_aim,
+            pause_aim: call.route.pause_aim,
             standing,
             tried: &self.tried,
         };
@@ -53,6 +54,7 @@
                 reading,
                 fetch_from,
                 front_ms,
+                pauses_ms,
                 expected,
             } => {
                 let sent = call.prompt.as_ref().zip(call.engine);
@@ -60,6 +62,7 @@
                     shape,
                     engine,
                     aim: call.route.aim,
+                    pause_aim: call.route.pause_aim,
                     reading,
                     front_ms,
                 });
@@ -74,7 +77,7 @@
                 if reading >= URGENT_READING {
                     self.gateway.report_wanted.notify_one();
                 }
-                self.log_sent(&replica, reading, front_ms, fetch_from, expected);
+                self.log_sent(&replica, reading, front_ms, pauses_ms, fetch_from, expected);
                 let work = HeldWork::new(self.gateway.clone(), number, replica.clone());
                 self.tried.push(replica);
                 self.grant();
@@ -97,6 +100,7 @@
         replica: &str,
         reading: u32,
         front_ms: f64,
+        pauses_ms: f64,
         fetch_from: Option<SocketAddr>,
         expected: Duration,
     ) {
@@ -118,6 +122,7 @@
             prompt_tokens = tokens,
             reading_tokens = reading,
             front_ms = front_ms as u64,
+            pauses_ms = pauses_ms as u64,
             fetch_from = fetch_from.as_str(),
             expected_ms = expected.as_millis() as u64,
             attempt = self.sent + self.unsent + 1,
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -37,6 +37,7 @@
 mod status;
 mod store_duty;
 mod store_reading;
+mod stream_watch;
 mod upstream_connection;
 mod upstream_pool;
 
--- a/src/ops/metric_names.rs
+++ b/src/ops/metric_names.rs
@@ -37,6 +37,9 @@
 pub const NOTICES: &str = "archmast_replica_notices_total";
 /// Streams that ended, by `how`: `whole`, `cut`, `left` by their caller.
 pub const STREAMS: &str = "archmast_streams_total";
+/// Streams one of whose pauses came over the aim of their route, by `service`; each stream
+/// once at each replica.
+pub const BROKEN_PAUSES: &str = "archmast_broken_pauses_total";
 /// Requests that are held back, since replicas ended under them.
 pub const HELD: &str = "archmast_held_requests";
 /// Messages of other routers that could not be read and were dropped, by `code`: those of
--- a/src/policy/direct/placement/board/board_choice.rs
+++ b/src/policy/direct/placement/board/board_choice.rs
@@ -27,6 +27,10 @@
 /// routers that know nothing yet agree on one.
 const HOME_LEAD: f64 = 40.0;
 
+/// Milliseconds by which replicas of other zones go behind the own zone's where pauses
+/// break: both are compared then, since a late answer costs more than a way between zones.
+const FAR_LAG: f64 = 40.0;
+
 /// When to come back where no replica is known.
 const NO_REPLICA_RETRY: Duration = Duration::from_millis(500);
 
@@ -161,6 +165,7 @@
         let homes = homes(prompt, usable);
         let sources = Sources::new(prompt, usable);
         let considered = self.considered(request, usable);
+        let risk = self.pause_risk(now, request, prompt, usable);
         let mut best: [Cheapest; Tier::COUNT] = Default::default();
         let mut soonest = f64::MAX;
         for (index, view) in usable.iter().enumerate() {
@@ -168,14 +173,21 @@
             let offer = offer(index, engine, usable, &sources);
             let tokens = offer.reading + prompt.output_tokens;
             let rank = homes.iter().position(|home| *home == index);
-            let candidate = Candidate::new(offer, prompt, load.reading, times, rank);
+            let mut candidate = Candidate::new(offer, prompt, load.reading, times, rank);
             let excess_ms = admission.excess_ms(candidate.front_ms, candidate.own_ms);
             soonest = soonest.min(excess_ms);
             if !admission.admits(view, &load, tokens, excess_ms) {
                 continue;
             }
-            let cost_ms = self.cost_ms(now, request, &candidate);
-            let tier = considered.tier(&candidate, is_near(request, view));
+            if let Some(risk) = &risk {
+                candidate.pauses_ms = self.pauses_ms(now, risk, load.running, &candidate);
+            }
+            let mut cost_ms = self.cost_ms(now, request, &candidate);
+            let mut tier = considered.tier(&candidate, is_near(request, view));
+            if risk.is_some() && matches!(tier, Tier::FarConsidered) {
+                tier = Tier::First;
+                cost_ms += FAR_LAG;
+            }
             best[tier as usize].show(cost_ms, candidate);
         }
         match best.into_iter().find_map(Cheapest::take) {
@@ -209,7 +221,7 @@
     ) -> f64 {
         let settings = &self.settings;
         let offer = &candidate.offer;
-        let mut cost = candidate.expected_ms();
+        let mut cost = candidate.expected_ms() + candidate.pauses_ms;
         cost += candidate.reading_ms(offer.again) * settings.reread_weight;
         cost += candidate.reading_ms(offer.fetched) * settings.fetch_weight;
         cost += self.zone_ms(request, offer.view);
@@ -309,6 +321,7 @@
         reading: offer.reading,
         fetch_from: offer.source.map(|view| view.entry.id.clone()),
         front_ms: candidate.front_ms + offer.fetch_ms,
+        pauses_ms: candidate.pauses_ms,
         expected: Duration::from_secs_f64(candidate.expected_ms() / 1000.0),
     }
 }
--- a/src/policy/direct/placement/board/board_plain.rs
+++ b/src/policy/direct/placement/board/board_plain.rs
@@ -55,6 +55,7 @@
                 reading: 0,
                 fetch_from: None,
                 front_ms: queue.wait_ms,
+                pauses_ms: 0.0,
                 expected: Duration::from_secs_f64(queue.expected_ms() / 1000.0),
             },
             None => self.refuse(request, soonest),
--- a/src/policy/direct/placement/board/mod.rs
+++ b/src/policy/direct/placement/board/mod.rs
@@ -3,6 +3,7 @@
 mod board_choice;
 mod board_evidence;
 mod board_notices;
+mod board_pauses;
 mod board_plain;
 mod board_reports;
 mod board_starts;
--- a/src/policy/direct/placement/board/replica_board.rs
+++ b/src/policy/direct/placement/board/replica_board.rs
@@ -5,8 +5,9 @@
         policy::{
             Moment, NoticeBook,
             placement::{
-                CacheNote, EngineModels, EngineTimes, FirstToken, FleetSize, Load,
-                PlacementSettings, ReplicaView, SentPrompt, UsualReadings, Work, WorkNumber,
+                CacheNote, EngineModels, EngineTimes, FirstToken, FleetSize, Load, PauseAims,
+                PlacementSettings, ReplicaView, RunLengths, SentPrompt, UsualReadings, Work,
+                WorkNumber,
             },
             slow_start::{StartLimit, ZoneRouters},
         },
@@ -27,6 +28,8 @@
     pub(super) works: HashMap<WorkNumber, Work>,
     pub(super) engines: EngineModels,
     pub(super) usual: UsualReadings,
+    pub(super) pause_aims: PauseAims,
+    pub(super) run_lengths: RunLengths,
     pub(super) next_work: WorkNumber,
     pub(super) notes: Vec<CacheNote>, // parts that were sent to replicas anew
     pub(super) zone_notes: Vec<CacheNote>, // the same by the routers of the zone, shared parts only
@@ -51,6 +54,8 @@
             works: HashMap::new(),
             engines: EngineModels::default(),
             usual: UsualReadings::default(),
+            pause_aims: PauseAims::default(),
+            run_lengths: RunLengths::default(),
             next_work: 1,
             notes: Vec::new(),
             zone_notes: Vec::new(),
@@ -186,6 +191,9 @@
         if let Some(prompt) = prompt {
             let service = &view.entry.service;
             self.usual.note(now, service, prompt.aim, prompt.reading);
+            if let Some(aim) = prompt.pause_aim {
+                self.pause_aims.note(now, service, aim);
+            }
             load.reading = prompt.reading;
             load.memory = prompt.reading + prompt.shape.output_tokens;
             let room = prompt.engine.memory_tokens;
--- a/src/policy/direct/placement/choosing/candidate.rs
+++ b/src/policy/direct/placement/choosing/candidate.rs
@@ -9,6 +9,7 @@
     pub times: EngineTimes,  // of its service
     pub front_ms: f64,       // of reading, in front of the prompt
     pub own_ms: f64,         // of its own reading and fetching
+    pub pauses_ms: f64,      // what pauses are expected to cost there
     pub rank: Option<usize>, // among the prompt's homes, 0 is the first
     pub scatter: f64,        // 0 to 1, as if drawn for this request and replica
     pub is_home: bool,       // it keeps all that the prompt shares with others
@@ -27,6 +28,7 @@
             front_ms: times.reading_ms(front),
             own_ms: times.reading_ms(offer.reading) + offer.fetch_ms,
             times,
+            pauses_ms: 0.0,
             rank,
             scatter: scatter(prompt, offer.view),
             is_home: offer.keeps_shared(prompt),
--- a/src/policy/direct/placement/choosing/choice.rs
+++ b/src/policy/direct/placement/choosing/choice.rs
@@ -8,6 +8,7 @@
         reading: u32,                 // prompt tokens that it has to read
         fetch_from: Option<Arc<str>>, // the replica that keeps more of the prompt
         front_ms: f64,                // of reading believed to be in front, and of fetching
+        pauses_ms: f64,               // what pauses were expected to cost, weighed
         expected: Duration,           // until the first token, as far as can be told
     },
     Refuse {
--- a/src/policy/direct/placement/choosing/placement_request.rs
+++ b/src/policy/direct/placement/choosing/placement_request.rs
@@ -13,7 +13,8 @@
     pub zone: &'r str, // of this router
     pub engine: Option<EngineFacts>,
     pub prompt: Option<&'r PromptShape>,
-    pub aim: Duration,         // shortest among the service's routes
-    pub standing: Standing,    // of its account
-    pub tried: &'r [Arc<str>], // replicas it was sent to before
+    pub aim: Duration,               // shortest among the service's routes
+    pub pause_aim: Option<Duration>, // of its route: longest pause between events
+    pub standing: Standing,          // of its account
+    pub tried: &'r [Arc<str>],       // replicas it was sent to before
 }
--- a/src/policy/direct/placement/mod.rs
+++ b/src/policy/direct/placement/mod.rs
@@ -5,6 +5,7 @@
 mod choosing;
 mod engines;
 mod loads;
+mod pauses;
 mod placement_settings;
 mod prompts;
 mod replicas;
@@ -17,6 +18,7 @@
         PauseEvidence, ReplicaEvidence, UsualReadings,
     },
     loads::{FleetSize, Load, PeerLoads, ReplicaReport, Work, WorkNumber},
+    pauses::{PauseAims, PauseRecord, PauseRisk, PauseWatch, RunLengths, broken_share},
     placement_settings::PlacementSettings,
     prompts::{CacheNote, KeptPart, PrefixCache, PromptPart, PromptShape, SentPrompt},
     replicas::{PlainRun, PlainTimes, ReplicaHealth, ReplicaView, SeenWork},
--- a/src/policy/direct/placement/prompts/sent_prompt.rs
+++ b/src/policy/direct/placement/prompts/sent_prompt.rs
@@ -5,7 +5,8 @@
 pub struct SentPrompt<'p> {
     pub shape: &'p PromptShape,
     pub engine: EngineFacts,
-    pub aim: Duration, // of its route
-    pub reading: u32,  // tokens that the replica has to read
-    pub front_ms: f64, // of reading believed to be in front, and of fetching
+    pub aim: Duration,               // of its route
+    pub pause_aim: Option<Duration>, // longest pause between its events that is in time
+    pub reading: u32,                // tokens that the replica has to read
+    pub front_ms: f64,               // of reading believed to be in front, and of fetching
 }
--- a/src/policy/direct/placement/replicas/replica_view.rs
+++ b/src/policy/direct/placement/replicas/replica_view.rs
@@ -4,7 +4,7 @@
         catalog::UpstreamEntry,
         policy::{
             Moment, Teller, TellerScope,
-            placement::{Load, PeerLoads, PrefixCache, ReplicaReport},
+            placement::{Load, PauseRecord, PeerLoads, PrefixCache, ReplicaReport},
             slow_start::StartPace,
             stable_hash,
         },
@@ -26,6 +26,7 @@
     pub heard: Moment,         // when it last answered anything
     pub plain: PlainTimes,     // of requests that are no prompts
     pub seen: SeenWork,        // of how it works
+    pub pauses: PauseRecord,   // of its streams, against what was expected
     pub start_pace: StartPace, // what this router sends there while it starts slowly
     routers: PeerLoads,        // of the own zone
     zones: PeerLoads,          // the other zones, each as a whole
@@ -46,6 +47,7 @@
             heard: Moment::ZERO,
             plain: PlainTimes::default(),
             seen: SeenWork::default(),
+            pauses: PauseRecord::default(),
             start_pace: StartPace::default(),
             routers: PeerLoads::default(),
             zones: PeerLoads::default(),
--- a/src/policy/direct/placement/replicas/seen_work.rs
+++ b/src/policy/direct/placement/replicas/seen_work.rs
@@ -8,7 +8,7 @@
 
 /// What was seen this long ago counts for a third: some turns of a replica's load.
 const PACE_FADES: Duration = Duration::from_secs(8);
-const PAUSES_FADE: Duration = Duration::from_secs(4);
+const PAUSES_FADE: Duration = Duration::from_secs(10);
 
 /// What fellows told longer ago than this counts no more.
 const TOLD_AGE: Duration = Duration::from_secs(3);
--- a/testbed/src/measure/costs.rs
+++ b/testbed/src/measure/costs.rs
@@ -126,6 +126,7 @@
         engine: Some(ENGINE),
         prompt: Some(prompt),
         aim: AIM,
+        pause_aim: None,
         standing: Standing::Within,
         tried: &[],
     }
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -111,6 +111,7 @@
         engine: Some(ENGINE),
         prompt: Some(prompt),
         aim: AIM,
+        pause_aim: None,
         standing: Standing::Within,
         tried: &[],
     }
@@ -171,6 +172,7 @@
         shape,
         engine: ENGINE,
         aim: AIM,
+        pause_aim: None,
         reading,
         front_ms: 0.0,
     }
@@ -682,6 +684,7 @@
         engine: None,
         prompt: None,
         aim: Duration::from_millis(30),
+        pause_aim: None,
         standing: Standing::Within,
         tried: &[],
     }
--- a/tests/restarted_replicas.rs
+++ b/tests/restarted_replicas.rs
@@ -72,6 +72,7 @@
         engine: Some(ENGINE),
         prompt: Some(&prompt),
         aim: Duration::from_secs(10),
+        pause_aim: None,
         standing: Standing::Within,
         tried: &[],
     };
@@ -86,6 +87,7 @@
         shape: &prompt(),
         engine: ENGINE,
         aim: Duration::from_secs(10),
+        pause_aim: None,
         reading: 5000,
         front_ms: 0.0,
     };
--- a/tests/slow_start.rs
+++ b/tests/slow_start.rs
@@ -136,6 +136,7 @@
             engine: None,
             prompt: None,
             aim: Duration::from_millis(600),
+            pause_aim: None,
             standing: Standing::Within,
             tried: &[],
         };
@@ -347,6 +348,7 @@
         engine: None,
         prompt: None,
         aim: Duration::from_millis(600),
+        pause_aim: None,
         standing: Standing::Within,
         tried: &[],
     };
