--- a/src/policy/direct/placement/board/board_paces.rs
+++ b/src/policy/direct/placement/board/board_paces.rs
@@ -5,7 +5,7 @@
     crate::policy::{
         Moment,
         placement::{
-            EngineTimes, ExpectedWork, FirstToken, PaceEvidence, PaceNews, ReplicaPace,
+            EngineTimes, ExpectedWork, FirstToken, PaceEvidence, PaceNews, PauseSight, ReplicaPace,
             ReplicaView, UsualPace, Work,
         },
     },
@@ -49,12 +49,13 @@
         let news = self.engines.learn(&view.entry.service, seen);
         let seen = all_seen(view, now, &self.usual_paces);
         view.pace = ReplicaPace::new(seen);
-        self.refresh_paces(now);
+        self.refresh_beliefs(now);
         news
     }
 
-    /// Looks at the paces of all replicas, unless that was done a moment ago.
-    pub(super) fn refresh_paces(
+    /// Looks at what was seen of all replicas, unless that was done a moment ago: choices go by
+    /// what was believed then.
+    pub fn refresh_beliefs(
         &mut self,
         now: Moment,
     ) {
@@ -82,6 +83,7 @@
         for view in self.replicas.values_mut() {
             let seen = all_seen(view, now, &self.usual_paces);
             view.pace = ReplicaPace::new(seen);
+            view.pause_sight = PauseSight::new(now, view.seen.pauses(now), &view.pauses);
         }
     }
 
@@ -99,7 +101,7 @@
         now: Moment,
         most: usize,
     ) -> Vec<PaceNews> {
-        self.refresh_paces(now);
+        self.refresh_beliefs(now);
         let usual = &self.usual_paces;
         let views = self.replicas.values_mut();
         let changed = views.filter(|view| {
--- a/src/policy/direct/placement/board/board_reports.rs
+++ b/src/policy/direct/placement/board/board_reports.rs
@@ -113,7 +113,7 @@
                 view.seen.hear(now, teller, *evidence);
             }
         }
-        self.refresh_paces(now);
+        self.refresh_beliefs(now);
     }
 
     /// What this router has learnt of engines, for its peers.
--- a/src/policy/direct/placement/board/replica_board.rs
+++ b/src/policy/direct/placement/board/replica_board.rs
@@ -6,8 +6,8 @@
             Moment, NoticeBook,
             placement::{
                 CacheNote, EngineModels, EngineTimes, ExpectedWork, FleetSize, Load, PaceEvidence,
-                PlacementSettings, ReplicaView, SentPrompt, UsualPace, UsualReadings, Work,
-                WorkNumber,
+                PauseAims, PlacementSettings, ReplicaView, RunLengths, SentPrompt, UsualPace,
+                UsualReadings, Work, WorkNumber,
             },
             slow_start::{StartLimit, ZoneRouters},
         },
@@ -30,6 +30,8 @@
     pub(super) usual: UsualReadings,
     pub(super) usual_paces: HashMap<Arc<str>, UsualPace>, // by service
     pub(super) paced: Moment,                             // when paces were last looked at
+    pub(super) pause_aims: PauseAims,
+    pub(super) run_lengths: RunLengths,
     pub(super) next_work: WorkNumber,
     pub(super) notes: Vec<CacheNote>, // parts that were sent to replicas anew
     pub(super) zone_notes: Vec<CacheNote>, // the same by the routers of the zone, shared parts only
@@ -56,6 +58,8 @@
             usual: UsualReadings::default(),
             usual_paces: HashMap::new(),
             paced: Moment::ZERO,
+            pause_aims: PauseAims::default(),
+            run_lengths: RunLengths::default(),
             next_work: 1,
             notes: Vec::new(),
             zone_notes: Vec::new(),
@@ -191,6 +195,9 @@
         if let Some(prompt) = prompt {
             let service = &view.entry.service;
             self.usual.note(now, service, prompt.aim, prompt.reading);
+            if let Some(aim) = prompt.pause_aim {
+                self.pause_aims.note(now, service, aim);
+            }
             load.reading = prompt.reading;
             load.memory = prompt.reading + prompt.shape.output_tokens;
             let room = prompt.engine.memory_tokens;
@@ -240,7 +247,7 @@
         let number = self.next_work;
         self.next_work += 1;
         self.works.insert(number, work);
-        self.refresh_paces(now);
+        self.refresh_beliefs(now);
         Some(number)
     }
 
--- a/src/policy/direct/placement/choosing/admission.rs
+++ b/src/policy/direct/placement/choosing/admission.rs
@@ -2,7 +2,7 @@
     super::{Candidate, PlacementRequest},
     crate::{
         policy::{
-            placement::{Load, PlacementSettings, ReplicaView},
+            placement::{Load, PlacementSettings},
             shares::Standing,
         },
         routing::EngineFacts,
@@ -54,7 +54,7 @@
     /// Whether a replica may take the request, which needs `tokens` of memory.
     pub fn admits(
         &self,
-        view: &ReplicaView,
+        candidate: &Candidate,
         load: &Load,
         tokens: u32,
         excess_ms: f64,
@@ -62,7 +62,8 @@
         let memory = f64::from(load.memory) + f64::from(tokens);
         let fits = memory <= self.most_memory || load.running == 0;
         let is_idle = load.reading == 0 && self.may_use_idle;
-        load.running < view.entry.slots && fits && (excess_ms <= 0.0 || is_idle)
+        let in_time = excess_ms <= 0.0 || is_idle;
+        load.running < candidate.offer.view.entry.slots && fits && in_time
     }
 }
 
--- a/src/policy/direct/placement/mod.rs
+++ b/src/policy/direct/placement/mod.rs
@@ -5,6 +5,7 @@
 mod choosing;
 mod engines;
 mod loads;
+mod pauses;
 mod placement_settings;
 mod prompts;
 mod replicas;
@@ -17,6 +18,7 @@
         PaceSum, PauseEvidence, ReplicaEvidence, ReplicaPace, UsualPace, UsualReadings,
     },
     loads::{ExpectedWork, FleetSize, Load, PeerLoads, ReplicaReport, Work, WorkNumber},
+    pauses::{PauseAims, PauseRecord, PauseRisk, PauseSight, PauseWatch, RunLengths, broken_share},
     placement_settings::PlacementSettings,
     prompts::{CacheNote, KeptPart, PrefixCache, PromptPart, PromptShape, SentPrompt},
     replicas::{PlainRun, PlainTimes, ReplicaHealth, ReplicaView, SeenPace, SeenWork},
--- a/src/policy/direct/placement/replicas/replica_view.rs
+++ b/src/policy/direct/placement/replicas/replica_view.rs
@@ -4,7 +4,9 @@
         catalog::UpstreamEntry,
         policy::{
             Moment, Teller, TellerScope,
-            placement::{Load, PeerLoads, PrefixCache, ReplicaPace, ReplicaReport},
+            placement::{
+                Load, PauseRecord, PauseSight, PeerLoads, PrefixCache, ReplicaPace, ReplicaReport,
+            },
             slow_start::StartPace,
             stable_hash,
         },
@@ -21,16 +23,18 @@
     pub own: Load,  // what this router has there
     pub health: ReplicaHealth,
     pub cache: PrefixCache,
-    pub placed: u64,           // tokens that this router sent there so far
-    pub placed_by_zone: u64,   // the same, with the other routers of its zone
-    pub heard: Moment,         // when it last answered anything
-    pub plain: PlainTimes,     // of requests that are no prompts
-    pub seen: SeenWork,        // of how it works
-    pub pace: ReplicaPace,     // as of the last look at what was seen
-    pub logged_pace: f64,      // the lasting one, as it was last logged
-    pub start_pace: StartPace, // what this router sends there while it starts slowly
-    routers: PeerLoads,        // of the own zone
-    zones: PeerLoads,          // the other zones, each as a whole
+    pub placed: u64,             // tokens that this router sent there so far
+    pub placed_by_zone: u64,     // the same, with the other routers of its zone
+    pub heard: Moment,           // when it last answered anything
+    pub plain: PlainTimes,       // of requests that are no prompts
+    pub seen: SeenWork,          // of how it works
+    pub pace: ReplicaPace,       // as of the last look at what was seen
+    pub logged_pace: f64,        // the lasting one, as it was last logged
+    pub pauses: PauseRecord,     // of its streams, against what was expected
+    pub pause_sight: PauseSight, // as of the last look at what was seen
+    pub start_pace: StartPace,   // what this router sends there while it starts slowly
+    routers: PeerLoads,          // of the own zone
+    zones: PeerLoads,            // the other zones, each as a whole
 }
 
 impl ReplicaView {
@@ -50,6 +54,8 @@
             seen: SeenWork::default(),
             pace: ReplicaPace::default(),
             logged_pace: 1.0,
+            pauses: PauseRecord::default(),
+            pause_sight: PauseSight::default(),
             start_pace: StartPace::default(),
             routers: PeerLoads::default(),
             zones: PeerLoads::default(),
--- a/tests/engine_pace.rs
+++ b/tests/engine_pace.rs
@@ -91,6 +91,7 @@
     prompt: &PromptShape,
 ) -> Choice {
     let request = PlacementRequest {
+        pause_aim: None,
         service: "model",
         zone: "z",
         engine: Some(ENGINE),
@@ -235,6 +236,7 @@
     ) {
         self.next += 1;
         let sent = SentPrompt {
+            pause_aim: None,
             shape,
             engine: ENGINE,
             aim: AIM,
@@ -426,6 +428,7 @@
         for (number, replica) in [(900, "a"), (901, "a"), (902, "b"), (903, "b")] {
             let shape = prompt(number);
             let sent = SentPrompt {
+                pause_aim: None,
                 shape: &shape,
                 engine: ENGINE,
                 aim: AIM,
