What is lent to an account over its share makes hardly any stream late

Cause: an account over its share was held back by what is in front alone; its long prompts broke the pauses of the streams of others, which are within theirs.

--- a/tests/stream_pauses.rs
+++ b/tests/stream_pauses.rs
@@ -12,8 +12,8 @@
             Moment,
             placement::{
                 Choice, PaceEvidence, PauseEvidence, PauseWatch, PlacementRequest,
-                PlacementSettings, PromptPart, PromptShape, ReplicaBoard, ReplicaEvidence,
-                SentPrompt, WorkNumber,
+                PlacementSettings, PromptPart, PromptShape, RefusalReason, ReplicaBoard,
+                ReplicaEvidence, SentPrompt, WorkNumber,
             },
             shares::Standing,
         },
@@ -527,3 +527,44 @@
     assert_eq!(seen, Some(pauses(0.5, 0.0)));
     assert_eq!(watch.end(START + ms(600)), None);
 }
+
+/// Thirty streams run at each of two slow replicas, where blocks of reading are known to
+/// break pauses. An account over its share is not lent what would make them late, however
+/// idle the reading is; one within its share is served.
+#[test]
+fn what_is_lent_makes_hardly_any_stream_late() {
+    let chats = Kind {
+        per_s: 30.0,
+        tokens: 50,
+        ..CHAT
+    };
+    let mut world = World::new(&[0.4, 0.4], &[chats], Some(PAUSE_AIM));
+    world.play(8);
+    for index in 0..2 {
+        let broken = pauses(20.0, 15.0);
+        world
+            .board
+            .see_pauses(world.now, &entry(index, None), broken);
+    }
+    let long = PromptShape {
+        parts: vec![PromptPart {
+            id: 9_999_999,
+            tokens: 5000,
+        }],
+        output_tokens: 100,
+    };
+    let standing = |standing| PlacementRequest {
+        standing,
+        aim: Duration::from_secs(20),
+        ..request(&long, Some(PAUSE_AIM))
+    };
+    let over = Standing::Over {
+        wait: Duration::from_secs(1),
+        factor: 1.1,
+    };
+    let choice = world.board.choose(world.now, &standing(Standing::Within));
+    assert!(matches!(choice, Choice::Send { pauses_ms, .. } if pauses_ms > 0.0));
+    let choice = world.board.choose(world.now, &standing(over));
+    let reason = RefusalReason::OverShare;
+    assert!(matches!(choice, Choice::Refuse { reason: given, .. } if given == reason));
+}
