A refusal asks for rest with plain decimal seconds only, half a minute at most

Cause: Retry-After was read as any float, in two places: inf, 1e300 or twenty nines took a replica out for ten minutes (the cap), NaN and dates for nothing. Change: one reader, asked_rest (policy/notices), for what is kept of a replica and what its caller is told: plain decimal seconds, bounded at 30 s; an operator who wants a replica out for longer has drains and cordons. 600 s was a bound against figures that never end. Ruled out: dates (the clock is the replica's); ignoring long times (30 s is what they mean). Tests: seconds_that_are_no_time_count_for_nothing_and_long_ones_end is replaced by two that read the header's text, stricter: more that is no time, and 30 s for 600 s.

--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -5,7 +5,7 @@
         attempt_end::AttemptEnd, call::Call, gateway::Gateway, held_work::HeldWork,
         live_answer::LiveAnswer, replica_call::call_replica, request_reader::header_text,
     },
-    crate::{catalog::UpstreamEntry, codes::ResultCode},
+    crate::{catalog::UpstreamEntry, codes::ResultCode, policy::asked_rest},
     bytes::Bytes,
     http_body_util::Full,
     hyper::{
@@ -97,7 +97,7 @@
     if head.headers.contains_key(&names.not_run) || head.status == 421 {
         return Err(AttemptEnd::Refused {
             status: head.status.as_u16(),
-            retry_after: retry_after(head),
+            retry_after: asked_rest(header_text(&head.headers, &RETRY_AFTER)),
         });
     }
     let proved = head.headers.contains_key(&names.signature)
@@ -111,8 +111,3 @@
     }
     Ok(())
 }
-
-fn retry_after(head: &Parts) -> Option<Duration> {
-    let seconds: f64 = header_text(&head.headers, &RETRY_AFTER).parse().ok()?;
-    Duration::try_from_secs_f64(seconds).ok()
-}
--- a/src/platform/notice_headers.rs
+++ b/src/platform/notice_headers.rs
@@ -1,5 +1,5 @@
 use {
-    crate::policy::ReplicaNotice,
+    crate::policy::{ReplicaNotice, asked_rest},
     hyper::{
         StatusCode,
         header::{HeaderMap, RETRY_AFTER},
@@ -20,8 +20,8 @@
     }
     let leaves = text(headers, LEAVING) == Some("1");
     let turns_away = status == StatusCode::SERVICE_UNAVAILABLE;
-    let seconds = text(headers, RETRY_AFTER.as_str()).and_then(|text| text.parse().ok());
-    ReplicaNotice::new(leaves, seconds.filter(|_| turns_away))
+    let rest = text(headers, RETRY_AFTER.as_str()).and_then(asked_rest);
+    ReplicaNotice::new(leaves, rest.filter(|_| turns_away))
 }
 
 fn text<'h>(
--- a/src/policy/notices/replica_notice.rs
+++ b/src/policy/notices/replica_notice.rs
@@ -1,9 +1,5 @@
 use std::time::Duration;
 
-/// A longer rest than this is taken for this long; the replica may then ask anew. A wrong
-/// figure must not shut a replica out for good.
-const LONGEST_REST: Duration = Duration::from_secs(600);
-
 /// What the head of an answer says of the replica that gave it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ReplicaNotice {
@@ -12,17 +8,15 @@
 }
 
 impl ReplicaNotice {
-    /// What a replica said: that it leaves, and the seconds of rest that it asked for as
-    /// it turned a request away. Seconds that are no time count for nothing.
+    /// What a replica said: that it leaves, and the rest that it asked for as it turned a
+    /// request away.
     pub fn new(
         leaves: bool,
-        rest_seconds: Option<f64>,
+        rest: Option<Duration>,
     ) -> Self {
-        let rest = rest_seconds.filter(|seconds| *seconds > 0.0);
-        let rest = rest.map(|seconds| seconds.min(LONGEST_REST.as_secs_f64()));
         Self {
             leaves,
-            rest: rest.map_or(Duration::ZERO, Duration::from_secs_f64),
+            rest: rest.unwrap_or_default(),
         }
     }
 
--- a/testbed/tests/replica_notices.rs
+++ b/testbed/tests/replica_notices.rs
@@ -295,3 +295,21 @@
         "{answer:?}"
     );
 }
+
+/// A replica that refused one request with `Retry-After: inf` got nothing for ten minutes.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refusal_whose_retry_after_is_no_time_asks_for_no_rest() {
+    for no_time in [f64::INFINITY, f64::NAN, -30.0] {
+        let (fleet, [refuses, _awake]) = fleet().await;
+        refuses.turns_away(Some(no_time));
+        until_asked(&fleet, &refuses, 2).await;
+        refuses.turns_away(None);
+        let refused = refuses.seen().len();
+        until_asked(&fleet, &refuses, refused).await;
+        assert!(
+            !fleet.routers[0]
+                .log_text()
+                .contains("replica said of itself")
+        );
+    }
+}
--- a/tests/notices.rs
+++ b/tests/notices.rs
@@ -3,7 +3,12 @@
 use {
     archmast::{
         catalog::{UpstreamEntry, UpstreamState},
-        policy::{Moment, NoticeBook, ReplicaNotice},
+        platform::read_notice,
+        policy::{Moment, NoticeBook, ReplicaNotice, asked_rest},
+    },
+    hyper::{
+        StatusCode,
+        header::{HeaderMap, HeaderValue, RETRY_AFTER},
     },
     std::{sync::Arc, time::Duration},
 };
@@ -34,7 +39,7 @@
 }
 
 fn rests(seconds: f64) -> ReplicaNotice {
-    ReplicaNotice::new(false, Some(seconds))
+    ReplicaNotice::new(false, Some(Duration::from_secs_f64(seconds)))
 }
 
 /// Whether a replica may be sent a request, by its own word.
@@ -104,13 +109,63 @@
     assert!(book.hear(at(3.0), SAID, &tired, rests(1.0)));
 }
 
+/// A replica's refusal with no sensible `Retry-After` took it out for ten minutes.
 #[test]
-fn seconds_that_are_no_time_count_for_nothing_and_long_ones_end() {
-    for seconds in [0.0, -1.0, f64::NAN, f64::NEG_INFINITY] {
-        assert!(rests(seconds).is_empty());
+fn a_refusal_asks_for_rest_with_plain_decimal_seconds_only() {
+    for text in [
+        "",
+        " ",
+        "inf",
+        "infinity",
+        "NaN",
+        "1e300",
+        "1e1",
+        "-1",
+        "+1",
+        "-0",
+        "0x10",
+        "1_000",
+        "1,5",
+        "1.",
+        ".5",
+        "1.5.2",
+        "1 2",
+        "3s",
+        "soon",
+        "\u{0663}",
+        "Fri, 31 Dec 1999 23:59:59 GMT",
+    ] {
+        assert_eq!(asked_rest(text), None, "{text:?}");
+        assert!(turned_away(text).is_empty(), "{text:?}");
     }
-    for seconds in [1e300, f64::INFINITY, 601.0] {
-        assert_eq!(rests(seconds).rest, Duration::from_secs(600));
+    for (text, millis) in [
+        ("0", 0),
+        ("0.0", 0),
+        ("0.25", 250),
+        (" 3 ", 3_000),
+        ("07.50", 7_500),
+    ] {
+        let rest = Duration::from_millis(millis);
+        assert_eq!(asked_rest(text), Some(rest), "{text:?}");
+        assert_eq!(turned_away(text).rest, rest, "{text:?}");
     }
-    assert_eq!(rests(0.25).rest, Duration::from_millis(250));
+}
+
+#[test]
+fn no_rest_binds_for_longer_than_an_operator_would_wait() {
+    for text in ["31", "601", "99999999999999999999", &"9".repeat(400)] {
+        let mut book = NoticeBook::default();
+        let tired = replica("a", None);
+        book.hear(at(0.0), SAID, &tired, turned_away(text));
+        assert!(!permits(&book, at(29.9), &tired), "{text}");
+        assert!(permits(&book, at(30.0), &tired), "{text}");
+    }
+}
+
+/// What a refusal with this `Retry-After` says of its replica.
+fn turned_away(retry_after: &str) -> ReplicaNotice {
+    let mut headers = HeaderMap::new();
+    let value = HeaderValue::from_bytes(retry_after.as_bytes()).expect("a header's value");
+    headers.insert(RETRY_AFTER, value);
+    read_notice(StatusCode::SERVICE_UNAVAILABLE, &headers)
 }
