Slow readers: answers are read on within a budget of memory, bodies of requests have one

Cause: once a caller stopped reading, its replica's answer was read no further, and replicas cut off what is left unread; the kernel reset callers 2.5 s after their window had closed; bodies of slow uploads were bounded each (max_body_bytes), not together. Change: MemoryBudget (policy/direct/memory, pure): a holder has no more than is left free. UnsentAnswer reads an answer on while its connection cannot send; beyond the budget reading stops, and a caller that took nothing for 2 s loses its own answer (code 48). Bodies beyond theirs are refused (code 49). [memory] limit, on the platform from memory_mb. Callers' connections: 10 s for unacknowledged bytes; 128 KB unsent in the kernel on all connections. Ruled out: a task and channel for each answer (a hand-over an event on small hosts), ending whoever holds most, back pressure alone; see docs/design/slow-readers.md. Before/after: a_stream_is_read_on_for_a_caller_that_pauses fails without read_on (the stream ends with its deadline after 10 s, 'cut') and with 2.5 s (reset at 4 s), passes with both.

--- a/src/codes/result_code.rs
+++ b/src/codes/result_code.rs
@@ -89,6 +89,8 @@
     Unconfirmed = 45, No, 503, "the process stood still, and what it knows is not confirmed yet";
     Cordoned = 46, No, 503, "all replicas of the service are in zones that get no new work";
     Resting = 47, No, 503, "all replicas of the service that may be used asked for rest";
+    AnswerUnread = 48, Unknown, 0, "the caller took nothing of its answer, and held too much of the router's memory";
+    BodiesHeld = 49, No, 503, "the router holds as many bytes of requests as it may";
     OutcomeUnknown = 50, Unknown, 502, "contact was lost after the request was sent; it may have run";
     AnswerCut = 51, Unknown, 502, "the upstream's answer ended before it was whole";
     AnswerMismatch = 52, Unknown, 502, "an answer does not belong to the request, or its length or digest is wrong";
--- a/src/conf/direct_settings.rs
+++ b/src/conf/direct_settings.rs
@@ -3,7 +3,10 @@
     crate::{
         catalog::FollowPace,
         codes::ResultCode,
-        policy::{placement::PlacementSettings, slow_start::StartBounds, suspects::RequestDigest},
+        policy::{
+            memory::MemoryBudget, placement::PlacementSettings, slow_start::StartBounds,
+            suspects::RequestDigest,
+        },
     },
     std::{collections::BTreeSet, net::SocketAddr, time::Duration},
 };
@@ -14,20 +17,22 @@
     pub path: String, // of the file they were read from; empty if none
     pub process: ProcessSettings,
     pub operator: OperatorSettings,
-    pub callers: SocketAddr,      // HTTP address for callers
-    pub max_connections: usize,   // of callers; beyond it those at rest are closed
-    pub most_busy: f64,           // part of the time; busier, callers are sent elsewhere
-    pub hand_on: f64,             // part of the time; busier, connections are handed on
-    pub ready: SocketAddr,        // HTTP address for the balancer
-    pub ready_path: String,       // what the balancer asks for
-    pub peers: SocketAddr,        // UDP address for reports of other routers
-    pub news: SocketAddr,         // QUIC address for routers that ask for the catalog
-    pub seeds: Vec<SocketAddr>,   // some of them
-    pub peer_interval: Duration,  // between two reports to peers
-    pub peer_age: Duration,       // older reports count for nothing
-    pub peer_forget: Duration,    // silence after which a router is forgotten
-    pub catalog: SocketAddr,      // the store's address
-    pub catalog_pace: FollowPace, // how often the store is asked
+    pub callers: SocketAddr,          // HTTP address for callers
+    pub max_connections: usize,       // of callers; beyond it those at rest are closed
+    pub answer_memory: MemoryBudget,  // for answers that callers are slow to read
+    pub request_memory: MemoryBudget, // for bodies of requests
+    pub most_busy: f64,               // part of the time; busier, callers are sent elsewhere
+    pub hand_on: f64,                 // part of the time; busier, connections are handed on
+    pub ready: SocketAddr,            // HTTP address for the balancer
+    pub ready_path: String,           // what the balancer asks for
+    pub peers: SocketAddr,            // UDP address for reports of other routers
+    pub news: SocketAddr,             // QUIC address for routers that ask for the catalog
+    pub seeds: Vec<SocketAddr>,       // some of them
+    pub peer_interval: Duration,      // between two reports to peers
+    pub peer_age: Duration,           // older reports count for nothing
+    pub peer_forget: Duration,        // silence after which a router is forgotten
+    pub catalog: SocketAddr,          // the store's address
+    pub catalog_pace: FollowPace,     // how often the store is asked
     pub placement: PlacementSettings,
     pub start_bounds: StartBounds, // of replicas that have just started
     pub share_window: Duration,    // over which shares are counted
@@ -39,6 +44,12 @@
     pub balancer_lag: Duration,    // from the stop signal to refusing connections
 }
 
+/// Parts of the process's memory: for one answer and for all, and for the bodies of requests.
+/// The greater part is left to connections, replicas and the configuration.
+const ONE_ANSWER: u64 = 128;
+const ALL_ANSWERS: u64 = 8;
+const ALL_REQUESTS: u64 = 4;
+
 impl DirectSettings {
     /// The commented defaults that ship with the product.
     pub const SHIPPED: &'static str = include_str!("../../conf/direct.ini");
@@ -70,6 +81,9 @@
 
     fn from_file(file: &SettingsFile) -> Result<Self, ConfError> {
         let callers = file.section("callers")?;
+        let memory = file
+            .section("memory")?
+            .size("limit", 16_000_000..=1_000_000_000_000)?;
         let ready = file.section("ready")?;
         let peers = file.section("peers")?;
         let catalog = file.section("catalog")?;
@@ -83,6 +97,14 @@
             operator: OperatorSettings::read(file)?,
             callers: callers.parsed("listen", "an IP:port")?,
             max_connections: callers.number("max_connections", 1..=1_000_000)?,
+            answer_memory: MemoryBudget {
+                one: memory / ONE_ANSWER,
+                all: memory / ALL_ANSWERS,
+            },
+            request_memory: MemoryBudget {
+                one: memory / ALL_REQUESTS,
+                all: memory / ALL_REQUESTS,
+            },
             most_busy: callers.number("most_busy", 0.01..=1.0)?,
             hand_on: callers.number("hand_on", 0.0..=1.0)?,
             ready: ready.parsed("listen", "an IP:port")?,
--- a/src/direct/call.rs
+++ b/src/direct/call.rs
@@ -1,4 +1,5 @@
 use {
+    super::held_bytes::HeldBytes,
     crate::{
         policy::{Moment, placement::PromptShape, suspects::RequestDigest},
         routing::{EngineFacts, Route},
@@ -16,6 +17,7 @@
     pub target: Uri,        // path and query
     pub headers: HeaderMap, // as they are passed on
     pub body: Bytes,
+    pub _held: HeldBytes, // counted until the call is over: its body may be sent again
     pub route: Arc<Route>,
     pub service: Arc<str>,
     pub engine: Option<EngineFacts>,
--- a/src/direct/caller_connections.rs
+++ b/src/direct/caller_connections.rs
@@ -1,14 +1,21 @@
 use {
     super::{
+        caller_body::CallerBody,
         caller_port::answer_caller,
+        caller_stream::CallerStream,
         gateway::Gateway,
         hand_on::{connect_to_neighbour, pass_on},
-        sockets::watch_over,
+        sockets::watch_over_caller,
+        unsent_answer::UnsentAnswer,
+    },
+    crate::{
+        codes::ResultCode,
+        ops::{HANDED_ON, UNREAD_ANSWERS},
     },
-    crate::ops::HANDED_ON,
     hyper::{server::conn::http1, service::service_fn},
-    hyper_util::rt::{TokioIo, TokioTimer},
+    hyper_util::rt::TokioTimer,
     std::{
+        future::{Future, poll_fn},
         io,
         net::{IpAddr, SocketAddr},
         sync::{
@@ -112,7 +119,7 @@
         stream: TcpStream,
         from: SocketAddr,
     ) {
-        watch_over(&stream);
+        watch_over_caller(&stream);
         self.open.send_modify(|count| *count += 1);
         self.gateway.crowded(self.is_crowded());
         let _counted = CountedConnection(self.clone());
@@ -143,7 +150,7 @@
                 }
             }
         }
-        self.serve(stream, was_handed_on.then(|| from.ip())).await;
+        self.serve(stream, from, was_handed_on).await;
     }
 
     /// Serves a connection. One that a router in between handed on ends with its answer
@@ -151,20 +158,23 @@
     async fn serve(
         self: &Arc<Self>,
         stream: TcpStream,
-        in_between: Option<IpAddr>,
+        from: SocketAddr,
+        was_handed_on: bool,
     ) {
+        let in_between = was_handed_on.then(|| from.ip());
         let activity = Arc::new(Activity::new(&self.gateway));
+        let answer = UnsentAnswer::new(self.gateway.clone());
         let gateway = self.gateway.clone();
-        let noted = activity.clone();
+        let (noted, unsent) = (activity.clone(), answer.clone());
         let service = service_fn(move |request| {
             let busy = noted.begin();
-            let gateway = gateway.clone();
+            let (gateway, unsent) = (gateway.clone(), unsent.clone());
             let ends_with_answer = stops(&gateway, in_between);
             // Boxed, so that a connection at rest holds no room for it.
             Box::pin(async move {
                 let answer = answer_caller(gateway, request, ends_with_answer).await;
                 drop(busy);
-                answer
+                answer.map(|response| response.map(|body| CallerBody::new(unsent, body)))
             })
         });
         let limits = self.gateway.catalog.config().map(|table| table.limits);
@@ -173,38 +183,61 @@
             .timer(TokioTimer::new())
             .header_read_timeout(None)
             .max_buf_size(limits.max_header_bytes.max(8192) * 2)
-            .serve_connection(TokioIo::new(stream), service);
+            .serve_connection(CallerStream::new(stream, answer.clone()), service);
         tokio::pin!(connection);
         let mut closing = self.closing.subscribe();
+        let mut is_closing = false;
         loop {
+            let driven = poll_fn(|context| {
+                let ended = connection.as_mut().poll(context);
+                if ended.is_pending() {
+                    answer.read_on(context);
+                }
+                ended
+            });
             tokio::select! {
-                ended = &mut connection => {
+                ended = driven => {
                     if let Err(error) = ended {
                         log::debug!("connection of a caller: {error}");
                     }
                     return;
                 }
-                asked = closing.wait_for(|closing| *closing) => {
+                asked = closing.wait_for(|closing| *closing), if !is_closing => {
                     if asked.is_err() {
                         return;
                     }
-                    break;
+                    is_closing = true;
+                    connection.as_mut().graceful_shutdown();
                 }
                 () = tokio::time::sleep(REST_CHECK) => {
+                    if let Some(held) = answer.given_up() {
+                        return log_unread(from, held);
+                    }
                     let rested = activity.rested(&self.gateway, self.is_crowded());
-                    if rested || stops(&self.gateway, in_between) {
-                        break;
+                    if !is_closing && (rested || stops(&self.gateway, in_between)) {
+                        is_closing = true;
+                        connection.as_mut().graceful_shutdown();
                     }
                 }
             }
         }
-        connection.as_mut().graceful_shutdown();
-        if let Err(error) = connection.await {
-            log::debug!("connection of a caller, closing: {error}");
-        }
     }
 }
 
+/// An answer whose caller took nothing of it is given up.
+fn log_unread(
+    from: SocketAddr,
+    held: u64,
+) {
+    metrics::counter!(UNREAD_ANSWERS).increment(1);
+    log::info!(
+        caller = from.to_string().as_str(),
+        code = ResultCode::AnswerUnread.number(),
+        held_bytes = held;
+        "answer given up: {}", ResultCode::AnswerUnread.meaning()
+    );
+}
+
 /// Whether the router that handed a connection on stops.
 fn stops(
     gateway: &Gateway,
--- /dev/null
+++ b/src/direct/caller_stream.rs
@@ -0,0 +1,89 @@
+use {
+    super::unsent_answer::UnsentAnswer,
+    hyper::rt::{Read, ReadBufCursor, Write},
+    hyper_util::rt::TokioIo,
+    std::{
+        io::{self, IoSlice},
+        pin::Pin,
+        sync::Arc,
+        task::{Context, Poll},
+    },
+    tokio::net::TcpStream,
+};
+
+/// A caller's connection that counts what the caller took.
+pub struct CallerStream {
+    stream: TokioIo<TcpStream>,
+    answer: Arc<UnsentAnswer>,
+}
+
+impl CallerStream {
+    /// Counts for `answer` what is written to `stream`.
+    pub fn new(
+        stream: TcpStream,
+        answer: Arc<UnsentAnswer>,
+    ) -> Self {
+        Self {
+            stream: TokioIo::new(stream),
+            answer,
+        }
+    }
+
+    fn note(
+        &self,
+        written: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(Ok(bytes)) = &written {
+            self.answer.note_taken(*bytes);
+        }
+        written
+    }
+}
+
+impl Read for CallerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl Write for CallerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.note(written)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.note(written)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/src/direct/gateway.rs
+++ b/src/direct/gateway.rs
@@ -19,7 +19,7 @@
     std::{
         sync::{
             Arc, Mutex, MutexGuard, RwLock,
-            atomic::{AtomicBool, Ordering},
+            atomic::{AtomicBool, AtomicU64, Ordering},
         },
         time::Duration,
     },
@@ -28,7 +28,7 @@
 
 /// The shared tables of a router that carries requests itself.
 ///
-/// Lock order: `board`, `shares`, `retries`, then leaf locks (suspects, left runs,
+/// Lock order: a connection's `UnsentAnswer`, `board`, `shares`, `retries`, then leaf locks (suspects, left runs,
 /// standstill, catalog, pool, peers). None is held across an await.
 pub struct Gateway {
     settings: RwLock<Arc<DirectSettings>>, // a leaf lock
@@ -43,8 +43,10 @@
     pub peers: PeerTable, // the routers of the own zone, and some others
     pub zones: ZoneTable, // the other zones
     pub processor: ProcessorState,
-    pub reading: StoreReading, // of the store
-    pub report_wanted: Notify, // peers should be told before the regular time
+    pub reading: StoreReading,                // of the store
+    pub report_wanted: Notify,                // peers should be told before the regular time
+    pub(super) answer_bytes: Arc<AtomicU64>,  // held for callers' connections
+    pub(super) request_bytes: Arc<AtomicU64>, // held of requests
     board: Mutex<ReplicaBoard>,
     shares: Mutex<ShareBook>,
     retries: Mutex<RetryWindow>,
@@ -88,6 +90,8 @@
             processor: ProcessorState::default(),
             reading: StoreReading::default(),
             report_wanted: Notify::new(),
+            answer_bytes: Arc::default(),
+            request_bytes: Arc::default(),
             board: Mutex::new(ReplicaBoard::new(settings.placement)),
             shares: Mutex::new(ShareBook::new(settings.share_window, settings.peer_age)),
             retries: Mutex::new(retries),
--- a/src/direct/request_reader.rs
+++ b/src/direct/request_reader.rs
@@ -1,8 +1,8 @@
 use {
-    super::{call::Call, gateway::Gateway, reply::drop_connection_headers},
+    super::{call::Call, gateway::Gateway, held_bytes::HeldBytes, reply::drop_connection_headers},
     crate::{
         codes::{ErrorAnswer, ResultCode},
-        policy::Moment,
+        policy::{Moment, memory::MemoryBudget},
         routing::{Route, RoutingTable},
     },
     bytes::Bytes,
@@ -26,6 +26,10 @@
 /// of their reports.
 const UNCONFIRMED_RETRY: Duration = Duration::from_millis(200);
 
+/// When to come back to a router that holds as much of requests as it may: bodies come and
+/// go within less.
+const BODIES_HELD_RETRY: Duration = Duration::from_millis(500);
+
 /// How long a body may take.
 const BODY_TIME: Duration = Duration::from_secs(10);
 
@@ -60,7 +64,8 @@
     check_size(&table, &head)?;
     let route = find_route(&table, &head)?;
     let account = find_account(gateway, &table, &route, &head.headers)?;
-    let body = read_body(&table, &head.headers, body).await?;
+    let held = HeldBytes::new(gateway.request_bytes.clone());
+    let body = read_body(gateway, &table, &head.headers, body, &held).await?;
     let service = route
         .service(rand::random())
         .ok_or_else(|| ErrorAnswer::new(ResultCode::NoReplica))?
@@ -81,6 +86,7 @@
         prompt: (gateway.dialect.prompt)(&head.headers),
         headers: passed_on(gateway, head.headers, account.as_deref()),
         body,
+        _held: held,
         service,
         account,
         config_version: table.version,
@@ -135,27 +141,56 @@
 }
 
 async fn read_body(
+    gateway: &Gateway,
     table: &RoutingTable,
     headers: &HeaderMap,
     body: Incoming,
+    held: &HeldBytes,
 ) -> Result<Bytes, ErrorAnswer> {
     let most = table.limits.max_body_bytes;
-    let too_large = || ErrorAnswer::new(ResultCode::BodyTooLarge);
     let declared: Option<u64> = header_text(headers, &CONTENT_LENGTH).parse().ok();
     if declared.is_some_and(|length| length > most as u64) {
-        return Err(too_large());
+        return Err(ErrorAnswer::new(ResultCode::BodyTooLarge));
     }
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
-    match tokio::time::timeout(BODY_TIME, Limited::new(body, most).collect()).await {
-        Err(_) => Err(ErrorAnswer::new(ResultCode::BodyLate)),
-        Ok(Ok(whole)) => Ok(whole.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large()),
-        Ok(Err(error)) => {
-            Err(ErrorAnswer::new(ResultCode::BadBody).detail(format!("the body was cut: {error}")))
+    let budget = gateway.settings().request_memory;
+    let reading = read_held(Limited::new(body, most), budget, held);
+    tokio::time::timeout(BODY_TIME, reading)
+        .await
+        .unwrap_or_else(|_| Err(ErrorAnswer::new(ResultCode::BodyLate)))
+}
+
+/// Reads a body to its end while the budget permits what is held of it.
+async fn read_held(
+    mut body: Limited<Incoming>,
+    budget: MemoryBudget,
+    held: &HeldBytes,
+) -> Result<Bytes, ErrorAnswer> {
+    let mut pieces = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| body_error(&*error))?;
+        let Ok(piece) = frame.into_data() else {
+            continue;
+        };
+        held.add(piece.len() as u64);
+        if !budget.permits(held.own(), held.others()) {
+            return Err(ErrorAnswer::new(ResultCode::BodiesHeld).retry_after(BODIES_HELD_RETRY));
         }
+        pieces.push(piece);
+    }
+    Ok(match pieces.len() {
+        1 => pieces.swap_remove(0),
+        _ => pieces.concat().into(),
+    })
+}
+
+fn body_error(error: &(dyn std::error::Error + Send + Sync + 'static)) -> ErrorAnswer {
+    if error.is::<LengthLimitError>() {
+        return ErrorAnswer::new(ResultCode::BodyTooLarge);
     }
+    ErrorAnswer::new(ResultCode::BadBody).detail(format!("the body was cut: {error}"))
 }
 
 /// Path and query only.
--- a/src/direct/status.rs
+++ b/src/direct/status.rs
@@ -5,12 +5,12 @@
     crate::{
         fleet::{HostRole, Revision},
         ops::{
-            AuditTrail, HELD, HeldStatus, PeerStatus, ProcessStatus, RESTING, REVISION, RUNNING,
-            STORE_AGE, StatusSource,
+            AuditTrail, HELD, HELD_BYTES, HeldStatus, PeerStatus, ProcessStatus, RESTING, REVISION,
+            RUNNING, STORE_AGE, StatusSource,
         },
         policy::Incarnation,
     },
-    std::collections::BTreeMap,
+    std::{collections::BTreeMap, sync::atomic::Ordering},
 };
 
 impl StatusSource for Gateway {
@@ -31,6 +31,10 @@
         metrics::gauge!(STORE_AGE).set(store_age.map_or(-1.0, |age| age.as_secs_f64()));
         let held = self.held_status();
         metrics::gauge!(HELD).set(held.len() as f64);
+        let answers = self.answer_bytes.load(Ordering::Relaxed);
+        metrics::gauge!(HELD_BYTES, "what" => "answers").set(answers as f64);
+        let requests = self.request_bytes.load(Ordering::Relaxed);
+        metrics::gauge!(HELD_BYTES, "what" => "requests").set(requests as f64);
         let peers = self.peers.heard(self.now(), settings.peer_age);
         ProcessStatus {
             host: settings.process.host.clone(),
--- a/src/ops/metric_names.rs
+++ b/src/ops/metric_names.rs
@@ -35,6 +35,11 @@
 /// What replicas said of themselves in answers and was news, by what one `says`: `leaves`,
 /// `rests`.
 pub const NOTICES: &str = "archmast_replica_notices_total";
+/// Bytes that are held for callers: `what` is `answers` that they are slow to read, or
+/// `requests`.
+pub const HELD_BYTES: &str = "archmast_held_bytes";
+/// Answers that ended since their callers took nothing of them (code 48).
+pub const UNREAD_ANSWERS: &str = "archmast_unread_answers_total";
 /// Streams that ended, by `how`: `whole`, `cut`, `left` by their caller.
 pub const STREAMS: &str = "archmast_streams_total";
 /// Requests that are held back, since replicas ended under them.
--- a/src/policy/direct/mod.rs
+++ b/src/policy/direct/mod.rs
@@ -1,5 +1,6 @@
 //! Decisions of the direct form, in which routers carry requests themselves.
 
+pub mod memory;
 pub mod placement;
 mod processor;
 pub mod shares;
--- a/testbed/src/direct/replica_answering.rs
+++ b/testbed/src/direct/replica_answering.rs
@@ -165,7 +165,9 @@
     out.write(&head).await?;
     let first = request.header("last-event-id").parse().unwrap_or(0) + 1;
     for number in first..=last {
-        tokio::time::sleep(pause).await;
+        if !pause.is_zero() {
+            tokio::time::sleep(pause).await;
+        }
         out.write(&chunk(&event(number))).await?;
     }
     Ok(())
