--- a/testbed/tests/slow_readers.rs
+++ b/testbed/tests/slow_readers.rs
@@ -26,7 +26,10 @@
     ];
     fleet.store.publish(1, &routes);
     fleet.all_ready().await;
-    until("the replica is known", || log(&fleet).contains("upstream Ready")).await;
+    until("the replica is known", || {
+        log(&fleet).contains("upstream Ready")
+    })
+    .await;
     (fleet, replica)
 }
 
