A router that knows nothing asks the store anew beside a call that is not answered

Ruled out: a shorter limit (slow stores), replicas (they know no routes), disk. Tests: a_router_that_knows_nothing_asks_again_before_its_call_is_lost fails before, passes after; first_reading (real processes) passes before and after: it holds that all serve without losing another call.

--- a/src/catalog/follow.rs
+++ b/src/catalog/follow.rs
@@ -1,6 +1,7 @@
 use {
-    super::{Catalog, CatalogSource, FollowPace, ReadDuty, WatchTime},
+    super::{Catalog, CatalogChange, CatalogSource, FollowPace, ReadDuty},
     crate::codes::{Fault, ResultCode},
+    futures::{StreamExt, stream::FuturesUnordered},
     std::{
         sync::{Arc, Weak},
         time::Duration,
@@ -40,7 +41,7 @@
             answered = Instant::now();
         }
         let begun = Instant::now();
-        match step(&catalog, &*source, pace.next_watch(failures > 0), reached).await {
+        match step(&catalog, &*source, pace, failures > 0, reached).await {
             Ok(at) => {
                 if failures > 0 {
                     log::info!(failures = failures, silent_ms = millis(answered); "store answers again");
@@ -91,15 +92,21 @@
 async fn step<S: CatalogSource>(
     catalog: &Catalog,
     source: &S,
-    time: WatchTime,
+    pace: FollowPace,
+    failed_before: bool,
     reached: Option<u64>,
 ) -> Result<Option<u64>, Fault> {
     let Some(after) = reached else {
-        let listing = source.list().await?;
+        let knows_nothing = catalog.version().config == 0;
+        let listing = match knows_nothing {
+            true => first_listing(source, pace.first_again()).await?,
+            false => source.list().await?,
+        };
         let at = listing.at;
         catalog.offer_listing(listing, "store");
         return Ok(Some(at));
     };
+    let time = pace.next_watch(failed_before);
     let asked = timeout(time.limit, source.watch(after, time.wait)).await;
     let lost = |_| Fault::new(ResultCode::PlatformDown, "no answer in time");
     let Some(change) = asked.map_err(lost)?? else {
@@ -110,3 +117,19 @@
     catalog.offer_change(change, "store");
     Ok(Some(at))
 }
+
+/// Reads everything for a process that can serve nobody before: while a call is not answered
+/// others are begun beside it, and whichever ends first counts. One that is sent into a
+/// silence is not answered when the store speaks again.
+async fn first_listing<S: CatalogSource>(
+    source: &S,
+    again: Duration,
+) -> Result<CatalogChange, Fault> {
+    let mut calls = FuturesUnordered::from_iter([source.list()]);
+    loop {
+        match timeout(again, calls.next()).await {
+            Ok(Some(ended)) => return ended,
+            Ok(None) | Err(_) => calls.push(source.list()),
+        }
+    }
+}
--- a/src/catalog/follow_pace.rs
+++ b/src/catalog/follow_pace.rs
@@ -42,6 +42,11 @@
         self.apply.mul_f64(READ_SHARE)
     }
 
+    /// After how long the first reading is begun anew beside one that is not answered.
+    pub fn first_again(&self) -> Duration {
+        self.slack()
+    }
+
     /// The pause after a call that failed. `drawn` is from 0 to 1, so that a store that
     /// comes back is not met by all at once; what the call took counts.
     pub fn pause_after_failure(
--- a/tests/silent_store.rs
+++ b/tests/silent_store.rs
@@ -261,6 +261,27 @@
     assert!(late.is_empty(), "late after silences of {late:?} ms");
 }
 
+/// Load: a router that starts in a silence of any length, as when all are replaced in it.
+/// Reason: it can serve nobody until the store has answered once; a call that was sent into
+/// the silence held the next one back for half of the time that a configuration has.
+#[tokio::test(start_paused = true)]
+async fn a_router_that_knows_nothing_asks_again_before_its_call_is_lost() {
+    let mut late = Vec::new();
+    for step in 1..60 {
+        let store = SilencedStore::new();
+        store.begin_silence();
+        let catalog = follow(&store);
+        sleep(Duration::from_millis(100) * step).await;
+        store.end_silence();
+        let mut changes = catalog.subscribe();
+        let known = changes.wait_for(|_| catalog.config().is_some());
+        if timeout(APPLY / 5, known).await.is_err() {
+            late.push(step * 100);
+        }
+    }
+    assert!(late.is_empty(), "late after silences of {late:?} ms");
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_configuration_is_in_force_in_time_when_open_connections_fall_silent() {
     let mut late = Vec::new();
