What replicas keep, by their own word: one router of the zone follows, and tells

Cause: routers believe that a part of prompts is kept until as many tokens were placed at its replica as fit there.

Change: for each replica one router of its zone, drawn by rendezvous hash of those heard of lately, reads the replica's events, and tells the zone those that change what is believed, in a new datagram behind the last variant; of shared parts given up it tells other zones too, whose routers place there. An event about a part placed within the last second is in doubt until that second is over. Setting [caches] follow.

--- a/src/conf/direct_settings.rs
+++ b/src/conf/direct_settings.rs
@@ -29,6 +29,7 @@
     pub catalog: SocketAddr,      // the store's address
     pub catalog_pace: FollowPace, // how often the store is asked
     pub placement: PlacementSettings,
+    pub follow_kept: bool,         // what replicas say that they keep
     pub start_bounds: StartBounds, // of replicas that have just started
     pub share_window: Duration,    // over which shares are counted
     pub retry_ratio: f64,          // repeats per request
@@ -105,6 +106,7 @@
             catalog: catalog.parsed("address", "an IP:port")?,
             catalog_pace: catalog_pace(file)?,
             placement: placement(file, peer_age)?,
+            follow_kept: file.section("caches")?.number("follow", 0..=1)? == 1,
             start_bounds: start_bounds(file)?,
             share_window: file
                 .section("shares")?
--- /dev/null
+++ b/src/direct/kept_follow.rs
@@ -0,0 +1,188 @@
+//! Following what replicas keep, by their own word.
+
+use {
+    super::{gateway::Gateway, replica_call::call_replica},
+    crate::{
+        catalog::UpstreamEntry,
+        codes::{Fault, ResultCode},
+        ops::{KEPT_CALLS, KEPT_EVENTS, KEPT_FOLLOWED},
+        policy::placement::{KeptChange, KeptNews},
+    },
+    http_body_util::{BodyExt, Limited},
+    hyper::{
+        StatusCode,
+        header::{HOST, HeaderValue},
+    },
+    std::{
+        collections::{HashMap, hash_map::Entry},
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::{task::JoinHandle, time::timeout},
+};
+
+/// How often it is looked which replicas to follow.
+const LOOK_EVERY: Duration = Duration::from_millis(500);
+
+/// How long a replica may hold a call until there are events.
+const LONGEST_WAIT: Duration = Duration::from_secs(1);
+
+/// How much longer an answer may take.
+const ANSWER_TIME: Duration = Duration::from_millis(700);
+
+/// Between two calls, so that events come together.
+const CALL_PAUSE: Duration = Duration::from_millis(200);
+
+/// After a call that failed.
+const RETRY_PAUSE: Duration = Duration::from_secs(2);
+
+/// After an answer that says that the replica tells nothing, or nothing more.
+const REFUSED_PAUSE: Duration = Duration::from_secs(30);
+
+/// Connections to a replica beyond which it is not followed.
+const MOST_CONNECTIONS: usize = 256;
+
+/// The largest answer that is read, in bytes.
+const LARGEST_ANSWER: usize = 1 << 20;
+
+/// Follows the model replicas of the own availability zone for which this router is drawn,
+/// for as long as the process lives.
+pub async fn follow_kept(gateway: Arc<Gateway>) {
+    let mut followed: HashMap<u32, JoinHandle<()>> = HashMap::new();
+    loop {
+        followed.retain(|_, task| !task.is_finished());
+        if gateway.settings().follow_kept {
+            for entry in due(&gateway) {
+                if let Entry::Vacant(place) = followed.entry(entry.start_name()) {
+                    place.insert(tokio::spawn(follow(gateway.clone(), entry)));
+                }
+            }
+        }
+        metrics::gauge!(KEPT_FOLLOWED).set(followed.len() as f64);
+        tokio::time::sleep(LOOK_EVERY).await;
+    }
+}
+
+/// The replicas that this router is to follow.
+fn due(gateway: &Gateway) -> Vec<Arc<UpstreamEntry>> {
+    let Some(table) = gateway.catalog.config() else {
+        return Vec::new();
+    };
+    let keeps_prompts = |entry: &UpstreamEntry| {
+        let service = table.service(&entry.service);
+        service.is_some_and(|service| service.engine.is_some())
+    };
+    let mut due = gateway.catalog.upstreams();
+    due.retain(|entry| keeps_prompts(entry) && is_due(gateway, entry));
+    due
+}
+
+fn is_due(
+    gateway: &Gateway,
+    entry: &UpstreamEntry,
+) -> bool {
+    let settings = gateway.settings();
+    settings.follow_kept
+        && *entry.zone == *settings.process.zone
+        && !gateway.is_stopping()
+        && gateway.board().follows(gateway.now(), entry)
+}
+
+/// Follows one start of a replica until another router is drawn for it, or it is to be left
+/// alone.
+async fn follow(
+    gateway: Arc<Gateway>,
+    entry: Arc<UpstreamEntry>,
+) {
+    log::info!(replica = &*entry.id; "following what a replica keeps");
+    while is_due(&gateway, &entry) {
+        let pause = match ask(&gateway, &entry).await {
+            Ok(news) => {
+                metrics::counter!(KEPT_CALLS, "outcome" => "answered").increment(1);
+                let change = gateway.board().heard_kept(gateway.now(), &entry, &news);
+                if let Some(change) = change {
+                    note(&entry, &change);
+                }
+                CALL_PAUSE
+            }
+            Err(error) => {
+                metrics::counter!(KEPT_CALLS, "outcome" => "failed").increment(1);
+                log::info!(
+                    replica = &*entry.id, code = error.code.number();
+                    "replica does not say what it keeps: {error}"
+                );
+                match error.code {
+                    ResultCode::PlatformReply => REFUSED_PAUSE,
+                    _ => RETRY_PAUSE,
+                }
+            }
+        };
+        tokio::time::sleep(pause).await;
+    }
+}
+
+fn note(
+    entry: &UpstreamEntry,
+    change: &KeptChange,
+) {
+    let kinds = [
+        ("heard", change.heard),
+        ("taken", change.taken),
+        ("given_up", change.given_up),
+    ];
+    for (kind, count) in kinds {
+        metrics::counter!(KEPT_EVENTS, "kind" => kind).increment(count as u64);
+    }
+    let news = &change.news;
+    if news.has_gap || change.is_anew || change.taken + change.given_up > 0 {
+        log::debug!(
+            replica = &*entry.id,
+            epoch = news.epoch,
+            from = news.from,
+            next = news.next,
+            has_gap = news.has_gap,
+            is_anew = change.is_anew,
+            heard = change.heard,
+            taken = change.taken,
+            given_up = change.given_up;
+            "replica said what it keeps"
+        );
+    }
+}
+
+/// Asks once: code 82 where the replica refuses, others where it was not reached.
+async fn ask(
+    gateway: &Gateway,
+    entry: &UpstreamEntry,
+) -> Result<KeptNews, Fault> {
+    let answer = timeout(LONGEST_WAIT + ANSWER_TIME, call(gateway, entry)).await;
+    answer.map_err(Fault::unreachable).flatten()
+}
+
+async fn call(
+    gateway: &Gateway,
+    entry: &UpstreamEntry,
+) -> Result<KeptNews, Fault> {
+    let calls = gateway.dialect.cache;
+    let next = gateway.board().kept_follow(entry).next;
+    let mut request = (calls.events)(next, LONGEST_WAIT);
+    let host = HeaderValue::from_str(&entry.address.to_string()).map_err(Fault::unreachable)?;
+    request.headers_mut().insert(HOST, host);
+    let mut connection = gateway
+        .pool
+        .take(entry, MOST_CONNECTIONS)
+        .await
+        .map_err(|end| Fault::unreachable(format!("{end:?}")))?;
+    let response = call_replica(gateway, entry, &mut connection, request)
+        .await
+        .map_err(|end| Fault::unreachable(format!("{end:?}")))?;
+    let status = response.status();
+    let body = Limited::new(response.into_body(), LARGEST_ANSWER);
+    let body = body.collect().await.map_err(Fault::unreachable)?.to_bytes();
+    gateway.pool.give_back(&entry.id, connection);
+    match status {
+        StatusCode::OK => (calls.read_events)(next, &body),
+        StatusCode::SERVICE_UNAVAILABLE => Err(Fault::unreachable(status)),
+        status => Err(Fault::new(ResultCode::PlatformReply, status)),
+    }
+}
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -20,6 +20,7 @@
 mod gateway_tasks;
 mod hand_on;
 mod held_work;
+mod kept_follow;
 mod late_wait;
 mod left_runs;
 mod live_answer;
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -1,8 +1,8 @@
 use {
     super::{
         cache_survey::survey_caches, caller_connections::CallerConnections, gateway::Gateway,
-        processor_watch::ProcessorWatch, ready_port::ready_server, settings_watch::watch_settings,
-        store_duty::StoreDuty,
+        kept_follow::follow_kept, processor_watch::ProcessorWatch, ready_port::ready_server,
+        settings_watch::watch_settings, store_duty::StoreDuty,
     },
     crate::{
         catalog::{Catalog, follow_source},
@@ -71,6 +71,7 @@
     tokio::spawn(gateway.clone().follow_catalog());
     tokio::spawn(gateway.clone().tidy());
     tokio::spawn(survey_caches(gateway.clone()));
+    tokio::spawn(follow_kept(gateway.clone()));
     tokio::spawn(ProcessorWatch::new(gateway.clone()).run());
     link.clone().start();
     tokio::spawn(watch_settings(
--- a/src/ops/metric_names.rs
+++ b/src/ops/metric_names.rs
@@ -35,6 +35,13 @@
 /// What replicas said of themselves in answers and was news, by what one `says`: `leaves`,
 /// `rests`.
 pub const NOTICES: &str = "archmast_replica_notices_total";
+/// Replicas that this router follows to hear what they keep of prompts.
+pub const KEPT_FOLLOWED: &str = "archmast_kept_followed_replicas";
+/// Calls for that, by `outcome`: `answered`, `failed`.
+pub const KEPT_CALLS: &str = "archmast_kept_calls_total";
+/// Events of parts of prompts, by `kind`: `heard`; of these `taken`, not believed to be
+/// kept before, and `given_up`, believed to be.
+pub const KEPT_EVENTS: &str = "archmast_kept_events_total";
 /// Streams that ended, by `how`: `whole`, `cut`, `left` by their caller.
 pub const STREAMS: &str = "archmast_streams_total";
 /// Requests that are held back, since replicas ended under them.
--- a/src/peers/listen.rs
+++ b/src/peers/listen.rs
@@ -63,6 +63,12 @@
             }
             Ok(PeerMessage::Leaving(told)) => self.take_leaving(from, &told),
             Ok(PeerMessage::Evidence(told)) => self.take_evidence(from, &told),
+            Ok(PeerMessage::Kept(told)) => {
+                if self.take_kept(from, &told) {
+                    let fellows = self.gateway.peers.in_zone();
+                    self.send_datagram(datagram, "relay", &fellows).await;
+                }
+            }
             Ok(PeerMessage::Ask(asker)) => self.answer_ask(from, asker).await,
             Ok(PeerMessage::Names(names)) => {
                 self.gateway.peers.learn(self.gateway.now(), &names);
@@ -134,7 +140,7 @@
     ) {
         let mut board = self.gateway.board();
         board.hear(now, teller, &figures.replicas);
-        board.hear_notes(teller.scope, &figures.notes);
+        board.hear_notes(now, teller.scope, &figures.notes);
         board.hear_engines(&figures.engines);
         drop(board);
         self.gateway.shares().hear(now, teller, &figures.accounts);
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -21,6 +21,7 @@
 mod catch_up;
 mod evidence_told;
 mod figures;
+mod kept_told;
 mod leaving_told;
 mod listen;
 mod named_router;
@@ -34,6 +35,7 @@
 mod suspects_told;
 mod tell;
 mod tell_evidence;
+mod tell_kept;
 mod tell_leaving;
 mod tell_suspects;
 mod told_reports;
@@ -45,6 +47,7 @@
     catalog_news::CatalogNews,
     evidence_told::EvidenceTold,
     figures::Figures,
+    kept_told::KeptTold,
     leaving_told::LeavingTold,
     named_router::NamedRouter,
     peer_link::{PeerLink, SILENCE},
--- a/src/peers/peer_message.rs
+++ b/src/peers/peer_message.rs
@@ -1,5 +1,7 @@
 use {
-    super::{EvidenceTold, LeavingTold, NamedRouter, RouterReport, SuspectsTold, ZoneSum},
+    super::{
+        EvidenceTold, KeptTold, LeavingTold, NamedRouter, RouterReport, SuspectsTold, ZoneSum,
+    },
     serde::{Deserialize, Serialize},
 };
 
@@ -21,6 +23,8 @@
     Leaving(LeavingTold),
     /// What was seen of how replicas work, to the routers of the own zone.
     Evidence(EvidenceTold),
+    /// What replicas say that they keep, to the own zone; shared parts given up, to others.
+    Kept(KeptTold),
 }
 
 impl PeerMessage {
@@ -34,6 +38,7 @@
             Self::Suspects(_) => "suspects",
             Self::Leaving(_) => "leaving",
             Self::Evidence(_) => "evidence",
+            Self::Kept(_) => "kept",
         }
     }
 }
--- a/src/peers/tell.rs
+++ b/src/peers/tell.rs
@@ -55,6 +55,7 @@
             self.send_suspects(now, &addresses).await;
             self.send_leaving(now, &addresses).await;
             self.send_evidence(now, &addresses).await;
+            self.send_kept(now, &addresses).await;
             let sums = self.send_sums(now).await;
             let datagrams = (addresses.len() + sums) as f64;
             let least = Duration::from_secs_f64(datagrams / URGENT_DATAGRAMS_PER_SECOND);
@@ -194,7 +195,7 @@
 
     /// Where a sum goes: to the router that speaks for the zone, or to some that
     /// are known while none does.
-    fn contacts(
+    pub(super) fn contacts(
         &self,
         now: Moment,
         zone: u32,
--- /dev/null
+++ b/src/policy/direct/placement/board/board_kept.rs
@@ -0,0 +1,90 @@
+//! What replicas say that they keep, and who follows it.
+
+use {
+    super::ReplicaBoard,
+    crate::{
+        catalog::{UpstreamEntry, UpstreamState},
+        policy::{
+            Moment,
+            placement::{KeptChange, KeptFollow, KeptNews},
+        },
+    },
+};
+
+/// Replicas whose news are kept for peers at most; news beyond it are a gap to them.
+const MOST_NEWS: usize = 400;
+
+impl ReplicaBoard {
+    /// Whether this router is to follow what a replica of its own zone keeps: one is drawn
+    /// of those that were heard of lately. Replicas that leave, rest or stand in a zone that
+    /// is emptied are left alone.
+    pub fn follows(
+        &self,
+        now: Moment,
+        entry: &UpstreamEntry,
+    ) -> bool {
+        let Some(view) = self.replicas.get(&entry.id) else {
+            return false;
+        };
+        view.entry.is_same_start(entry)
+            && view.entry.state == UpstreamState::Ready
+            && !view.health.rests(now)
+            && !self.is_cordoned(&view.entry)
+            && self.wants_requests(now, &view.entry)
+            && self.zone_routers.draws(now, view.hash)
+    }
+
+    /// Where a replica's events go on.
+    pub fn kept_follow(
+        &self,
+        entry: &UpstreamEntry,
+    ) -> KeptFollow {
+        let view = self.replicas.get(&entry.id);
+        let view = view.filter(|view| view.entry.is_same_start(entry));
+        view.map_or_else(KeptFollow::default, |view| view.cache.follow())
+    }
+
+    /// A replica that this router follows said what it took in and gave up.
+    pub fn heard_kept(
+        &mut self,
+        now: Moment,
+        entry: &UpstreamEntry,
+        news: &KeptNews,
+    ) -> Option<KeptChange> {
+        let start = entry.start_name();
+        let change = self.same_start(entry)?.cache.hear(now, news);
+        let shared = change
+            .news
+            .given_up(|part| self.shared_parts.contains(part));
+        if !shared.events.is_empty() && self.zone_kept_news.len() < MOST_NEWS {
+            self.zone_kept_news.push((start, shared));
+        }
+        if self.kept_news.len() < MOST_NEWS {
+            self.kept_news.push((start, change.news.clone()));
+        }
+        Some(change)
+    }
+
+    /// What replicas said since this was last asked, by the short names of their starts.
+    pub fn take_kept_news(&mut self) -> Vec<(u32, KeptNews)> {
+        std::mem::take(&mut self.kept_news)
+    }
+
+    /// Of the same, what other zones are to know: shared parts that were given up. Those that
+    /// were taken in they hear of as they are placed.
+    pub fn take_zone_kept_news(&mut self) -> Vec<(u32, KeptNews)> {
+        std::mem::take(&mut self.zone_kept_news)
+    }
+
+    /// Another router told what a replica said to it.
+    pub fn hear_kept(
+        &mut self,
+        now: Moment,
+        start: u32,
+        news: &KeptNews,
+    ) {
+        if let Some(view) = self.by_key(start) {
+            view.cache.hear(now, news);
+        }
+    }
+}
--- a/src/policy/direct/placement/board/board_reports.rs
+++ b/src/policy/direct/placement/board/board_reports.rs
@@ -72,12 +72,16 @@
     /// Others sent these parts to replicas.
     pub fn hear_notes(
         &mut self,
+        now: Moment,
         scope: TellerScope,
         notes: &[CacheNote],
     ) {
         for note in notes {
             if let Some(view) = self.by_key(note.replica) {
-                view.cache.note(note.part);
+                view.cache.note(now, note.part);
+            }
+            if note.shared {
+                self.shared_parts.note(note.part);
             }
             if note.shared && scope == TellerScope::Router {
                 keep_note(&mut self.zone_notes, *note);
--- a/src/policy/direct/placement/board/mod.rs
+++ b/src/policy/direct/placement/board/mod.rs
@@ -2,6 +2,7 @@
 
 mod board_choice;
 mod board_evidence;
+mod board_kept;
 mod board_notices;
 mod board_plain;
 mod board_reports;
--- a/src/policy/direct/placement/board/replica_board.rs
+++ b/src/policy/direct/placement/board/replica_board.rs
@@ -5,8 +5,9 @@
         policy::{
             Moment, NoticeBook,
             placement::{
-                CacheNote, EngineModels, EngineTimes, FirstToken, FleetSize, Load,
-                PlacementSettings, ReplicaView, SentPrompt, UsualReadings, Work, WorkNumber,
+                CacheNote, EngineModels, EngineTimes, FirstToken, FleetSize, KeptNews, Load,
+                PlacementSettings, ReplicaView, SentPrompt, SharedParts, UsualReadings, Work,
+                WorkNumber,
             },
             slow_start::{StartLimit, ZoneRouters},
         },
@@ -30,6 +31,9 @@
     pub(super) next_work: WorkNumber,
     pub(super) notes: Vec<CacheNote>, // parts that were sent to replicas anew
     pub(super) zone_notes: Vec<CacheNote>, // the same by the routers of the zone, shared parts only
+    pub(super) kept_news: Vec<(u32, KeptNews)>, // of replicas that this router follows
+    pub(super) zone_kept_news: Vec<(u32, KeptNews)>, // the same, shared parts given up only
+    pub(super) shared_parts: SharedParts,
     pub(super) report_pace: Duration, // between two reports of a peer
     pub(super) fleet: FleetSize,      // that chooses by the same reports
     cordoned: BTreeSet<String>,       // zones that get no new work
@@ -54,6 +58,9 @@
             next_work: 1,
             notes: Vec::new(),
             zone_notes: Vec::new(),
+            kept_news: Vec::new(),
+            zone_kept_news: Vec::new(),
+            shared_parts: SharedParts::default(),
             report_pace: Duration::ZERO,
             fleet: FleetSize::default(),
             cordoned: BTreeSet::new(),
@@ -196,7 +203,7 @@
             view.cache.place(u64::from(load.memory));
             let parts = &prompt.shape.parts;
             for (index, part) in parts.iter().enumerate() {
-                view.cache.note(part.id);
+                view.cache.note(now, part.id);
                 let note = CacheNote {
                     replica: view.start,
                     part: part.id,
@@ -204,6 +211,7 @@
                 };
                 keep_note(&mut self.notes, note);
                 if note.shared {
+                    self.shared_parts.note(part.id);
                     keep_note(&mut self.zone_notes, note);
                 }
             }
--- a/src/policy/direct/placement/mod.rs
+++ b/src/policy/direct/placement/mod.rs
@@ -4,6 +4,7 @@
 mod board;
 mod choosing;
 mod engines;
+mod kept;
 mod loads;
 mod placement_settings;
 mod prompts;
@@ -16,6 +17,7 @@
         EngineModel, EngineModels, EngineReport, EngineTimes, FirstToken, PaceEvidence,
         PauseEvidence, ReplicaEvidence, UsualReadings,
     },
+    kept::{HeardEvents, KeptChange, KeptEvent, KeptFollow, KeptNews, KeptWord, SharedParts},
     loads::{FleetSize, Load, PeerLoads, ReplicaReport, Work, WorkNumber},
     placement_settings::PlacementSettings,
     prompts::{CacheNote, KeptPart, PrefixCache, PromptPart, PromptShape, SentPrompt},
--- a/src/policy/direct/placement/prompts/prefix_cache.rs
+++ b/src/policy/direct/placement/prompts/prefix_cache.rs
@@ -1,22 +1,31 @@
 use {
     super::{KeptPart, PromptShape},
+    crate::policy::{
+        Moment,
+        placement::{KeptChange, KeptEvent, KeptFollow, KeptNews, KeptWord},
+    },
     std::collections::HashMap,
 };
 
 /// Parts that are known at most; those unused longest are forgotten beyond it.
 const KNOWN_PARTS: usize = 4096;
 
+/// Tokens that fit where nothing was placed yet, and the replica itself says what it gives
+/// up.
+const UNTOLD_ROOM: u64 = u64::MAX;
+
 /// What one replica is believed to keep of prompts.
 ///
 /// Replicas give up the parts that were unused longest, so age is counted in
 /// tokens: a part is believed to be there until as many tokens were placed at
-/// the replica after its last use as the replica has room for. A belief: events
-/// come late, and a replica gives parts up without a word.
+/// the replica after its last use as the replica has room for. Where the replica says
+/// what it takes in and gives up, that goes before; its events come late, and some never.
 #[derive(Debug, Clone, Default)]
 pub struct PrefixCache {
     used: HashMap<u64, u64>, // tokens placed at the replica when a part was last used
     placed: u64,             // tokens placed at the replica so far
     room: u64,               // tokens that fit beside running requests
+    word: KeptWord,          // the replica's own
 }
 
 impl PrefixCache {
@@ -66,13 +75,81 @@
         }
         for kept in parts.iter().filter(|kept| kept.tokens > 0) {
             if !self.used.contains_key(&kept.part) {
-                self.note(kept.part);
+                self.use_part(kept.part);
             }
         }
     }
 
-    /// A part is used there.
+    /// A part is used there by a request that was placed.
     pub fn note(
+        &mut self,
+        now: Moment,
+        part: u64,
+    ) {
+        self.word.place(now, part);
+        self.use_part(part);
+    }
+
+    /// Where the replica's events go on.
+    pub fn follow(&self) -> KeptFollow {
+        self.word.follow()
+    }
+
+    /// What the replica took in and gave up.
+    pub fn hear(
+        &mut self,
+        now: Moment,
+        news: &KeptNews,
+    ) -> KeptChange {
+        let heard = self.word.hear(now, news);
+        if heard.is_anew {
+            self.used.clear();
+        }
+        if self.room == 0 {
+            self.room = UNTOLD_ROOM;
+        }
+        for part in self.word.take_gone(now) {
+            self.used.remove(&part);
+        }
+        let all = heard.events.len();
+        let events = heard.events.into_iter();
+        let events = events.filter(|event| self.hear_event(now, event));
+        let events: Vec<KeptEvent> = events.collect();
+        KeptChange {
+            heard: all,
+            taken: events.iter().filter(|event| event.is_kept).count(),
+            given_up: events.iter().filter(|event| !event.is_kept).count(),
+            is_anew: heard.is_anew,
+            news: KeptNews {
+                has_gap: heard.has_gap,
+                events,
+                ..news.clone()
+            },
+        }
+    }
+
+    /// Whether an event says other than what was believed.
+    fn hear_event(
+        &mut self,
+        now: Moment,
+        event: &KeptEvent,
+    ) -> bool {
+        let was_known = self.used.contains_key(&event.part);
+        if !event.is_kept {
+            if was_known && self.word.gave_up(now, event.part) {
+                self.used.remove(&event.part);
+            }
+            return was_known;
+        }
+        self.word.settle(event.part);
+        let was_held = self.holds(event.part);
+        if !was_held {
+            self.use_part(event.part);
+        }
+        !was_held
+    }
+
+    fn use_part(
         &mut self,
         part: u64,
     ) {
--- a/src/policy/direct/slow_start/zone_routers.rs
+++ b/src/policy/direct/slow_start/zone_routers.rs
@@ -45,10 +45,20 @@
         now: Moment,
         replica: u64,
     ) -> bool {
-        let is_settled = now >= SETTLED && now.saturating_sub(self.seen) <= BELIEVED;
         let hears_most = (self.fellows.len() + 1) * 2 > self.known.max(self.fellows.len()) + 1;
+        hears_most && self.draws(now, replica)
+    }
+
+    /// Whether this router is drawn for a replica of its zone of all that were heard of
+    /// lately. Where routers do not hear of each other, more than one may be.
+    pub fn draws(
+        &self,
+        now: Moment,
+        replica: u64,
+    ) -> bool {
+        let is_settled = now >= SETTLED && now.saturating_sub(self.seen) <= BELIEVED;
         let weight = mix(self.own, replica);
         let mut others = self.fellows.iter().map(|fellow| mix(*fellow, replica));
-        is_settled && hears_most && !others.any(|other| other > weight)
+        is_settled && !others.any(|other| other > weight)
     }
 }
--- a/testbed/src/direct/replica.rs
+++ b/testbed/src/direct/replica.rs
@@ -46,6 +46,8 @@
             seen: Mutex::default(),
             kept: Mutex::default(),
             list_after: Mutex::default(),
+            events: watch::Sender::default(),
+            events_asked: AtomicUsize::new(0),
             open: AtomicUsize::new(0),
             opened: AtomicUsize::new(0),
             fatal: Mutex::default(),
@@ -97,6 +99,24 @@
         *self.state.kept.lock().expect("lock") = parts.collect();
     }
 
+    /// It takes a part in or gives it up, and tells so to those that ask from now on.
+    pub fn tells(
+        &self,
+        sign: &str,
+        part: &str,
+        tokens: u32,
+    ) {
+        self.state.events.send_modify(|events| {
+            let number = events.len() + 1;
+            events.push(json!([number, sign, "", part, tokens, "m"]));
+        });
+    }
+
+    /// How often it was asked for that.
+    pub fn events_asked(&self) -> usize {
+        self.state.events_asked.load(Ordering::SeqCst)
+    }
+
     /// How long it takes to say what it keeps.
     pub fn list_after(
         &self,
--- a/testbed/src/direct/replica_answering.rs
+++ b/testbed/src/direct/replica_answering.rs
@@ -7,6 +7,7 @@
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpStream,
+        time::timeout,
     },
 };
 
@@ -21,6 +22,29 @@
     format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}")
 }
 
+/// What it took in and gave up, as soon as there is something that the asker does not know.
+pub(super) async fn events(
+    state: &ReplicaState,
+    request: &SeenRequest,
+) -> String {
+    state.events_asked.fetch_add(1, Ordering::SeqCst);
+    let since = request.target.rsplit_once('=');
+    let since: usize = since.map_or(0, |(_, number)| number.parse().expect("a number"));
+    let wait = request.header("wait-ms").parse().expect("milliseconds");
+    let mut told = state.events.subscribe();
+    let news = told.wait_for(|events| events.len() > since);
+    let is_quiet = timeout(Duration::from_millis(wait), news).await.is_err();
+    if is_quiet {
+        log::debug!("nothing to tell within {wait} ms");
+    }
+    let all = state.events.borrow().clone();
+    let (last, events) = (all.len(), &all[since.min(all.len())..]);
+    let body = json!({"epoch": 1, "next_token": last, "lost": false, "events": events});
+    let body = body.to_string();
+    let length = body.len();
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}")
+}
+
 /// A connection, and the header lines that stand in each answer on it.
 pub(super) struct Answering<'s> {
     pub stream: &'s mut TcpStream,
--- a/testbed/src/direct/replica_serving.rs
+++ b/testbed/src/direct/replica_serving.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         ReplicaAnswer, SeenRequest,
-        replica_answering::{Answering, act, end, list},
+        replica_answering::{Answering, act, end, events, list},
         replica_state::ReplicaState,
     },
     std::{
@@ -72,6 +72,11 @@
             out.write(&list(state)).await?;
             continue;
         }
+        if request.target.starts_with("/v1/kv-events") {
+            let answer = events(state, &request).await;
+            out.write(&answer).await?;
+            continue;
+        }
         let id = state.id.lock().expect("lock").clone();
         if request.header("archmast-expected-replica") != id {
             let text = format!(
--- a/testbed/src/direct/replica_state.rs
+++ b/testbed/src/direct/replica_state.rs
@@ -20,8 +20,10 @@
     pub seen: Mutex<Vec<SeenRequest>>,
     pub kept: Mutex<Vec<Value>>,     // parts of prompts, as it lists them
     pub list_after: Mutex<Duration>, // what listing takes
-    pub open: AtomicUsize,           // connections
-    pub opened: AtomicUsize,         // connections so far
+    pub events: watch::Sender<Vec<Value>>, // parts taken in and given up, all of them
+    pub events_asked: AtomicUsize,
+    pub open: AtomicUsize,                         // connections
+    pub opened: AtomicUsize,                       // connections so far
     pub fatal: Mutex<Option<(String, EndManner)>>, // a body with this text ends it
     pub ended: watch::Sender<bool>,
     pub cuts_one_in: AtomicUsize, // requests; 0 is none
--- a/testbed/src/measure/costs.rs
+++ b/testbed/src/measure/costs.rs
@@ -168,7 +168,7 @@
             part: 10 + part,
             shared: true,
         };
-        board.hear_notes(TellerScope::Zone, &[note]);
+        board.hear_notes(NOW, TellerScope::Zone, &[note]);
     }
     board
 }
--- /dev/null
+++ b/tests/kept_parts.rs
@@ -0,0 +1,265 @@
+//! What routers believe that replicas keep of prompts, by the replicas' own word.
+//!
+//! The load: prompts that share parts, at replicas whose running requests take so much of
+//! the memory that parts go sooner than what was placed there says.
+
+use {
+    archmast::{
+        catalog::{UpstreamEntry, UpstreamState},
+        policy::{
+            TellerScope,
+            placement::{
+                CacheNote, KeptEvent, KeptNews, PlacementSettings, PrefixCache, ReplicaBoard,
+            },
+            slow_start::ZoneRouters,
+            stable_hash,
+        },
+    },
+    std::{collections::BTreeSet, sync::Arc, time::Duration},
+};
+
+const MEMORY: u64 = 100_000;
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Long after all requests placed at 0 ms have begun.
+const LATER: Duration = Duration::from_secs(10);
+
+fn event(
+    number: u64,
+    part: u64,
+    is_kept: bool,
+) -> KeptEvent {
+    KeptEvent {
+        number,
+        part,
+        is_kept,
+    }
+}
+
+/// Events of memory 1 that follow each other.
+fn news(events: &[KeptEvent]) -> KeptNews {
+    KeptNews {
+        epoch: 1,
+        from: events.first().map_or(1, |event| event.number),
+        next: events.last().map_or(1, |event| event.number + 1),
+        has_gap: false,
+        events: events.to_vec(),
+    }
+}
+
+/// A replica with room for all that is placed, at which these parts were placed at 0 ms.
+fn placed(parts: &[u64]) -> PrefixCache {
+    let mut cache = PrefixCache::default();
+    cache.set_room(MEMORY);
+    for part in parts {
+        cache.note(ms(0), *part);
+    }
+    cache
+}
+
+#[test]
+fn a_part_given_up_sooner_than_believed_is_gone_until_it_is_placed_again() {
+    let mut cache = placed(&[1, 2]);
+    let change = cache.hear(LATER, &news(&[event(1, 1, false), event(2, 9, false)]));
+    assert_eq!((cache.holds(1), cache.holds(2)), (false, true));
+    assert_eq!((change.heard, change.given_up, change.taken), (2, 1, 0));
+    // Fellows need not hear of what nobody believed.
+    assert_eq!(change.news.events, [event(1, 1, false)]);
+    cache.note(LATER, 1);
+    assert!(cache.holds(1));
+}
+
+#[test]
+fn a_part_kept_longer_than_believed_or_placed_by_nobody_known_is_used() {
+    let mut cache = placed(&[1]);
+    cache.place(MEMORY);
+    assert!(!cache.holds(1));
+    let change = cache.hear(LATER, &news(&[event(1, 1, true), event(2, 7, true)]));
+    assert_eq!(
+        (cache.holds(1), cache.holds(7), change.taken),
+        (true, true, 2)
+    );
+}
+
+#[test]
+fn where_nothing_was_placed_yet_the_replicas_own_word_is_enough() {
+    let mut cache = PrefixCache::default();
+    cache.hear(LATER, &news(&[event(1, 7, true)]));
+    assert!(cache.holds(7));
+}
+
+#[test]
+fn an_event_that_comes_late_does_not_undo_what_was_placed_after_it() {
+    // Given up, and placed again before that was heard: the request will read it, and the
+    // replica says so.
+    let mut cache = placed(&[1]);
+    cache.note(LATER, 1);
+    cache.hear(LATER + ms(100), &news(&[event(1, 1, false)]));
+    assert!(cache.holds(1));
+    cache.hear(LATER + ms(300), &news(&[event(2, 1, true)]));
+    cache.hear(LATER * 2, &news(&[event(3, 2, true)]));
+    assert!(cache.holds(1));
+}
+
+#[test]
+fn a_part_given_up_right_after_it_was_placed_is_gone_once_that_is_certain() {
+    let mut cache = placed(&[1]);
+    cache.hear(ms(100), &news(&[event(1, 1, false)]));
+    assert!(cache.holds(1));
+    cache.hear(LATER, &news(&[event(2, 2, true)]));
+    assert!(!cache.holds(1));
+}
+
+#[test]
+fn what_two_followers_tell_at_once_counts_once() {
+    let mut cache = placed(&[1]);
+    let first = news(&[event(1, 1, true), event(2, 1, false)]);
+    cache.hear(LATER, &first);
+    // The other follower's answer ended sooner, and comes later.
+    let other = news(&[event(1, 1, true)]);
+    let change = cache.hear(LATER, &other);
+    assert!(!cache.holds(1));
+    assert_eq!((change.heard, change.news.has_gap), (0, false));
+    assert_eq!(cache.follow().next, 3);
+}
+
+#[test]
+fn after_a_gap_what_was_placed_is_guessed_as_before() {
+    let mut cache = placed(&[1, 2]);
+    let change = cache.hear(LATER, &news(&[event(50, 2, false)]));
+    assert!(change.news.has_gap);
+    assert_eq!((cache.holds(1), cache.holds(2)), (true, false));
+    cache.place(MEMORY);
+    assert!(!cache.holds(1), "no event said so");
+}
+
+#[test]
+fn another_memory_has_nothing_of_the_one_before() {
+    let mut cache = placed(&[1]);
+    cache.hear(LATER, &news(&[event(900, 2, true)]));
+    let anew = KeptNews {
+        epoch: 2,
+        ..news(&[event(1, 3, true)])
+    };
+    assert!(cache.hear(LATER, &anew).is_anew);
+    assert_eq!(
+        [1, 2, 3].map(|part| cache.holds(part)),
+        [false, false, true]
+    );
+    assert_eq!(cache.follow().next, 2);
+}
+
+#[test]
+fn numbers_that_are_missing_are_a_gap() {
+    let whole = news(&[event(4, 1, true), event(5, 2, true)]);
+    assert!(!whole.lacks_numbers());
+    let torn = news(&[event(4, 1, true), event(6, 2, true)]);
+    assert!(torn.lacks_numbers());
+}
+
+fn replica() -> Arc<UpstreamEntry> {
+    Arc::new(UpstreamEntry {
+        id: "i-a".into(),
+        born: None,
+        service: "s".into(),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        zone: "z".into(),
+        slots: 8,
+        state: UpstreamState::Ready,
+        slow_for: Duration::ZERO,
+    })
+}
+
+/// A router by its hash, which hears of these fellows.
+fn board(
+    own: u64,
+    fellows: &[u64],
+) -> ReplicaBoard {
+    let settings = PlacementSettings {
+        aim_share: 1.0,
+        over_share: 0.1,
+        behind_share: 2.0,
+        own_weight: 0.5,
+        reread_weight: 1.0,
+        fetch_weight: 1.0,
+        memory_share: 0.9,
+        zone_penalty: ms(120),
+        plain_zone_penalty: ms(20),
+        peer_age: ms(1000),
+    };
+    let mut board = ReplicaBoard::new(settings);
+    board.set_entries(LATER, vec![replica()]);
+    let known = fellows.len();
+    board.set_zone_routers(ZoneRouters::new(LATER, own, fellows.to_vec(), known));
+    board
+}
+
+#[test]
+fn of_the_routers_of_a_zone_one_follows_a_replica_and_when_it_is_silent_another() {
+    let routers: Vec<u64> = ["a", "b", "c", "d"].iter().map(stable_hash).collect();
+    let followers = |there: &[u64]| -> Vec<u64> {
+        let follows = |own: &&u64| {
+            let fellows: Vec<u64> = there.iter().filter(|it| it != own).copied().collect();
+            board(**own, &fellows).follows(LATER, &replica())
+        };
+        there.iter().filter(follows).copied().collect()
+    };
+    let first = followers(&routers);
+    assert_eq!(first.len(), 1);
+    let rest: Vec<u64> = routers.into_iter().filter(|it| *it != first[0]).collect();
+    assert_eq!(followers(&rest).len(), 1);
+    // One that is left of four is no majority, and follows all the same.
+    assert_eq!(followers(&rest[..1]).len(), 1);
+}
+
+#[test]
+fn a_replica_that_leaves_or_stands_in_an_emptied_zone_is_left_alone() {
+    let mut board = board(1, &[]);
+    assert!(board.follows(LATER, &replica()));
+    board.set_cordoned(BTreeSet::from(["z".to_owned()]));
+    assert!(!board.follows(LATER, &replica()));
+    board.set_cordoned(BTreeSet::new());
+    let leaving = UpstreamEntry {
+        state: UpstreamState::Draining,
+        ..(*replica()).clone()
+    };
+    board.set_entries(LATER, vec![Arc::new(leaving)]);
+    assert!(!board.follows(LATER, &replica()));
+}
+
+#[test]
+fn who_takes_over_goes_on_from_the_number_it_was_told_and_other_zones_hear_of_shared_parts() {
+    let (mut follower, mut fellow) = (board(1, &[]), board(2, &[]));
+    let start = replica().start_name();
+    let note = |part, shared| CacheNote {
+        replica: start,
+        part,
+        shared,
+    };
+    for board in [&mut follower, &mut fellow] {
+        board.hear_notes(ms(0), TellerScope::Router, &[note(1, true), note(2, false)]);
+    }
+    // What is kept at a replica without a prompt of this router counts once it is followed.
+    let heard = news(&[event(1, 5, true), event(2, 1, false), event(3, 2, false)]);
+    follower.heard_kept(LATER, &replica(), &heard);
+    let told = follower.take_kept_news();
+    assert_eq!(told.len(), 1);
+    for (start, news) in &told {
+        fellow.hear_kept(LATER, *start, news);
+    }
+    assert_eq!(
+        fellow.kept_follow(&replica()),
+        follower.kept_follow(&replica())
+    );
+    let cache = &fellow.replica("i-a").expect("listed").cache;
+    assert_eq!(
+        [1, 2, 5].map(|part| cache.holds(part)),
+        [false, false, true]
+    );
+    let zones = follower.take_zone_kept_news();
+    assert_eq!(zones[0].1.events, [event(2, 1, false)]);
+    assert!(follower.take_kept_news().is_empty());
+}
