A router that starts is told what replicas keep; lists are asked for only where nobody follows

Change: who follows a replica tells its zone the shared parts kept there again when a fellow is heard of anew (256 a replica at most); the router that starts waits 300 ms for that and asks for the list only of replicas that nobody follows.

Starts of all routers at once still ask.

--- a/src/direct/cache_survey.rs
+++ b/src/direct/cache_survey.rs
@@ -25,14 +25,21 @@
 /// peers have told of them by then.
 const SURVEY_TIME: Duration = Duration::from_secs(3);
 
-/// Asks the model replicas what they keep of prompts, once, when this router
-/// starts. Its peers tell only what they send from now on, and after a loss of
-/// all routers there are none that know.
+/// A router that starts among others waits so long for those that follow replicas to tell
+/// it what these keep: some of their reports.
+const TOLD_TIME: Duration = Duration::from_millis(300);
+
+/// Asks the model replicas what they keep of prompts, once, when this router starts, but
+/// for those that other routers follow and tell of. After a loss of all routers there are
+/// none that know. It holds the replicas' work up.
 pub async fn survey_caches(gateway: Arc<Gateway>) {
     let mut changes = gateway.catalog.subscribe();
     let mut asked = HashSet::new();
     let mut until = None;
     loop {
+        if until.is_none() && gateway.catalog.config().is_some() {
+            tokio::time::sleep(TOLD_TIME).await;
+        }
         let due = due(&gateway, &mut asked);
         if !due.is_empty() {
             until.get_or_insert_with(|| Instant::now() + SURVEY_TIME);
@@ -73,7 +80,11 @@
     let now = gateway.now();
     let is_open =
         |entry: &UpstreamEntry| !board.is_cordoned(entry) && board.wants_requests(now, entry);
-    due.retain(|entry| keeps_prompts(entry) && is_open(entry) && asked.insert(entry.start_name()));
+    let is_told = |entry: &UpstreamEntry| board.is_followed(now, entry);
+    due.retain(|entry| {
+        let is_due = keeps_prompts(entry) && is_open(entry) && !is_told(entry);
+        is_due && asked.insert(entry.start_name())
+    });
     drop(board);
     due.sort_by_key(|entry| *entry.zone != **zone);
     due
--- a/src/peers/peer_link.rs
+++ b/src/peers/peer_link.rs
@@ -13,7 +13,7 @@
     },
     quinn::{Connection, Endpoint},
     std::{
-        collections::HashMap,
+        collections::{HashMap, HashSet},
         net::SocketAddr,
         sync::{
             Arc, Mutex,
@@ -44,12 +44,13 @@
 /// What was told before, so that only what changed is told.
 #[derive(Default)]
 pub(super) struct TellState {
-    pub zone: ToldReports,               // to routers of the own zone
-    pub sums: HashMap<u32, ToldReports>, // to other zones, while this router speaks to them
-    pub suspects: SuspectTimes,          // in the own zone, also by others
-    pub zone_suspects: SuspectTimes,     // to other zones
-    pub leaving: LeavingTimes,           // in the own zone
-    pub evidence: EvidenceTurn,          // in the own zone
+    pub zone: ToldReports,                 // to routers of the own zone
+    pub sums: HashMap<u32, ToldReports>,   // to other zones, while this router speaks to them
+    pub suspects: SuspectTimes,            // in the own zone, also by others
+    pub zone_suspects: SuspectTimes,       // to other zones
+    pub leaving: LeavingTimes,             // in the own zone
+    pub evidence: EvidenceTurn,            // in the own zone
+    pub kept_fellows: HashSet<SocketAddr>, // heard of when it was last told what is kept
 }
 
 impl PeerLink {
--- a/src/peers/tell_kept.rs
+++ b/src/peers/tell_kept.rs
@@ -1,7 +1,7 @@
 //! Telling and hearing of what replicas say that they keep, in the own zone.
 
 use {
-    super::{KeptTold, PeerLink, PeerMessage},
+    super::{KeptTold, PeerLink, PeerMessage, peer_link::SILENCE},
     crate::policy::{Moment, placement::KeptNews},
     std::net::SocketAddr,
 };
@@ -20,6 +20,16 @@
         now: Moment,
         addresses: &[SocketAddr],
     ) {
+        let heard = self.gateway.peers.heard(now, SILENCE).into_iter().collect();
+        let has_new = {
+            let known = &mut self.told.lock().expect("told lock").kept_fellows;
+            let before = std::mem::replace(known, heard);
+            known.iter().any(|fellow| !before.contains(fellow))
+        };
+        if has_new {
+            let zone = &self.gateway.settings().process.zone;
+            self.gateway.board().tell_kept_again(now, zone);
+        }
         let (news, zone_news) = {
             let mut board = self.gateway.board();
             (board.take_kept_news(), board.take_zone_kept_news())
@@ -113,6 +123,7 @@
             from,
             next,
             has_gap: std::mem::take(&mut has_gap),
+            is_again: news.is_again,
             events: events.to_vec(),
         });
         from = next;
--- a/src/platform/cache_json.rs
+++ b/src/platform/cache_json.rs
@@ -91,6 +91,7 @@
         from: from.max(1),
         next: json.next_token.saturating_add(1),
         has_gap: false,
+        is_again: false,
         events: events.collect(),
     };
     news.events.sort_by_key(|event| event.number);
--- a/src/policy/direct/placement/board/board_kept.rs
+++ b/src/policy/direct/placement/board/board_kept.rs
@@ -34,6 +34,38 @@
             && self.zone_routers.draws(now, view.hash)
     }
 
+    /// Whether some router tells this one what a replica keeps.
+    pub fn is_followed(
+        &self,
+        now: Moment,
+        entry: &UpstreamEntry,
+    ) -> bool {
+        let view = self.replicas.get(&entry.id);
+        let view = view.filter(|view| view.entry.is_same_start(entry));
+        view.is_some_and(|view| view.cache.is_followed(now))
+    }
+
+    /// A router of the own zone has just started: what the replicas keep that this one
+    /// follows is news once more.
+    pub fn tell_kept_again(
+        &mut self,
+        now: Moment,
+        zone: &str,
+    ) {
+        let is_shared = |part| self.shared_parts.contains(part);
+        let views = self
+            .replicas
+            .values()
+            .filter(|view| &*view.entry.zone == zone);
+        let views = views.filter(|view| self.follows(now, &view.entry));
+        let news = views.filter_map(|view| {
+            let news = view.cache.news_again(is_shared)?;
+            Some((view.start, news))
+        });
+        let news: Vec<_> = news.collect();
+        self.kept_news.extend(news);
+    }
+
     /// Where a replica's events go on.
     pub fn kept_follow(
         &self,
--- a/src/policy/direct/placement/kept/kept_news.rs
+++ b/src/policy/direct/placement/kept/kept_news.rs
@@ -6,10 +6,11 @@
 /// Events of one start of a replica, in the order of their numbers.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KeptNews {
-    pub epoch: u32,    // names the life of the memory that they are of
-    pub from: u64,     // the first number that they may have
-    pub next: u64,     // the first number of those to come
-    pub has_gap: bool, // some between are missing
+    pub epoch: u32,     // names the life of the memory that they are of
+    pub from: u64,      // the first number that they may have
+    pub next: u64,      // the first number of those to come
+    pub has_gap: bool,  // some between are missing
+    pub is_again: bool, // parts that are kept are told again, for routers that have just started
     pub events: Vec<KeptEvent>,
 }
 
--- a/src/policy/direct/placement/kept/kept_word.rs
+++ b/src/policy/direct/placement/kept/kept_word.rs
@@ -75,7 +75,10 @@
         if !is_same {
             self.doubts.clear();
         }
-        let events = news.events.iter().filter(|event| event.number >= next);
+        let events = news
+            .events
+            .iter()
+            .filter(|event| news.is_again || event.number >= next);
         let heard = HeardEvents {
             is_anew: known.epoch.is_some() && !is_same,
             has_gap: news.has_gap || news.from > next,
--- a/src/policy/direct/placement/prompts/prefix_cache.rs
+++ b/src/policy/direct/placement/prompts/prefix_cache.rs
@@ -10,6 +10,9 @@
 /// Parts that are known at most; those unused longest are forgotten beyond it.
 const KNOWN_PARTS: usize = 4096;
 
+/// Parts of one replica that are told again at most.
+const MOST_AGAIN: usize = 256;
+
 /// Tokens that fit where nothing was placed yet, and the replica itself says what it gives
 /// up.
 const UNTOLD_ROOM: u64 = u64::MAX;
@@ -95,6 +98,37 @@
         self.word.follow()
     }
 
+    /// Whether some router follows the replica's events.
+    pub fn is_followed(
+        &self,
+        now: Moment,
+    ) -> bool {
+        self.word.is_followed(now)
+    }
+
+    /// Parts that are kept, for a router that has just started: of those that it asks for.
+    pub fn news_again(
+        &self,
+        is_of: impl Fn(u64) -> bool,
+    ) -> Option<KeptNews> {
+        let follow = self.word.follow();
+        let parts = self.used.keys().copied();
+        let parts = parts.filter(|part| is_of(*part) && self.holds(*part));
+        let events = parts.take(MOST_AGAIN).map(|part| KeptEvent {
+            number: follow.next.saturating_sub(1),
+            part,
+            is_kept: true,
+        });
+        Some(KeptNews {
+            epoch: follow.epoch?,
+            from: follow.next,
+            next: follow.next,
+            has_gap: false,
+            is_again: true,
+            events: events.collect(),
+        })
+    }
+
     /// What the replica took in and gave up.
     pub fn hear(
         &mut self,
--- a/tests/kept_parts.rs
+++ b/tests/kept_parts.rs
@@ -46,6 +46,7 @@
         from: events.first().map_or(1, |event| event.number),
         next: events.last().map_or(1, |event| event.number + 1),
         has_gap: false,
+        is_again: false,
         events: events.to_vec(),
     }
 }
@@ -263,3 +264,35 @@
     assert_eq!(zones[0].1.events, [event(2, 1, false)]);
     assert!(follower.take_kept_news().is_empty());
 }
+
+#[test]
+fn a_router_that_starts_is_told_which_shared_parts_are_kept_whatever_it_hears_first() {
+    let (mut follower, mut fellow) = (board(1, &[]), board(2, &[]));
+    let start = replica().start_name();
+    let parts = (1..=300).map(|part| CacheNote {
+        replica: start,
+        part,
+        shared: part > 3,
+    });
+    let parts: Vec<CacheNote> = parts.collect();
+    follower.hear_notes(ms(0), TellerScope::Router, &parts);
+    follower.heard_kept(LATER, &replica(), &news(&[event(7, 10, false)]));
+    follower.take_kept_news();
+    fellow.hear_kept(LATER, start, &news(&[event(8, 400, true)]));
+    follower.tell_kept_again(LATER, "elsewhere");
+    assert!(follower.take_kept_news().is_empty(), "its own zone's only");
+    follower.tell_kept_again(LATER, "z");
+    let told = follower.take_kept_news();
+    assert!(told.iter().all(|(_, news)| news.events.len() <= 256));
+    for (start, news) in &told {
+        fellow.hear_kept(LATER, *start, news);
+    }
+    let cache = &fellow.replica("i-a").expect("listed").cache;
+    let kept = (1..=300).filter(|part| cache.holds(*part)).count();
+    assert!(kept >= 250, "{kept} of the shared parts");
+    assert_eq!(
+        [1, 10, 400].map(|part| cache.holds(part)),
+        [false, false, true]
+    );
+    assert_eq!(cache.follow().next, 9);
+}
