--- /dev/null
+++ b/src/direct/cache_ask.rs
@@ -0,0 +1,49 @@
+//! Questions to replicas about what they keep.
+
+use {
+    super::{
+        gateway::Gateway, replica_call::call_replica, upstream_connection::UpstreamConnection,
+    },
+    crate::{catalog::UpstreamEntry, codes::Fault},
+    bytes::Bytes,
+    http_body_util::{BodyExt, Full, Limited},
+    hyper::{
+        Request, StatusCode,
+        header::{HOST, HeaderValue},
+    },
+    std::sync::Arc,
+};
+
+/// The largest answer that is read, in bytes.
+const LARGEST_ANSWER: usize = 1 << 20;
+
+/// The replicas of services whose engines keep parts of prompts.
+pub fn prompt_replicas(gateway: &Gateway) -> Vec<Arc<UpstreamEntry>> {
+    let Some(table) = gateway.catalog.config() else {
+        return Vec::new();
+    };
+    let mut replicas = gateway.catalog.upstreams();
+    replicas.retain(|entry| {
+        let service = table.service(&entry.service);
+        service.is_some_and(|service| service.engine.is_some())
+    });
+    replicas
+}
+
+/// Sends a question on a connection and reads the whole answer: code 74.
+pub async fn ask_on(
+    gateway: &Gateway,
+    entry: &UpstreamEntry,
+    connection: &mut UpstreamConnection,
+    mut request: Request<Full<Bytes>>,
+) -> Result<(StatusCode, Bytes), Fault> {
+    let host = HeaderValue::from_str(&entry.address.to_string()).map_err(Fault::unreachable)?;
+    request.headers_mut().insert(HOST, host);
+    let response = call_replica(gateway, entry, connection, request)
+        .await
+        .map_err(|end| Fault::unreachable(format!("{end:?}")))?;
+    let status = response.status();
+    let body = Limited::new(response.into_body(), LARGEST_ANSWER);
+    let body = body.collect().await.map_err(Fault::unreachable)?;
+    Ok((status, body.to_bytes()))
+}
--- a/src/direct/cache_survey.rs
+++ b/src/direct/cache_survey.rs
@@ -1,13 +1,14 @@
 use {
-    super::{gateway::Gateway, replica_call::call_replica},
+    super::{
+        cache_ask::{ask_on, prompt_replicas},
+        gateway::Gateway,
+    },
     crate::{
         catalog::UpstreamEntry,
         codes::{Fault, ResultCode},
         policy::placement::KeptPart,
     },
     futures::{StreamExt, stream},
-    http_body_util::{BodyExt, Limited},
-    hyper::header::{HOST, HeaderValue},
     std::{collections::HashSet, sync::Arc, time::Duration},
     tokio::time::{Instant, timeout, timeout_at},
 };
@@ -18,9 +19,6 @@
 /// How long one answer may take.
 const ANSWER_TIME: Duration = Duration::from_millis(700);
 
-/// The largest answer that is read, in bytes.
-const LARGEST_ANSWER: usize = 1 << 20;
-
 /// Replicas that are listed later than this after the first ones are new, or
 /// peers have told of them by then.
 const SURVEY_TIME: Duration = Duration::from_secs(3);
@@ -67,24 +65,14 @@
     gateway: &Gateway,
     asked: &mut HashSet<u32>, // starts of replicas, by short name
 ) -> Vec<Arc<UpstreamEntry>> {
-    let Some(table) = gateway.catalog.config() else {
-        return Vec::new();
-    };
-    let keeps_prompts = |entry: &UpstreamEntry| {
-        let service = table.service(&entry.service);
-        service.is_some_and(|service| service.engine.is_some())
-    };
     let zone = &gateway.settings().process.zone;
-    let mut due = gateway.catalog.upstreams();
+    let mut due = prompt_replicas(gateway);
     let board = gateway.board();
     let now = gateway.now();
     let is_open =
         |entry: &UpstreamEntry| !board.is_cordoned(entry) && board.wants_requests(now, entry);
     let is_told = |entry: &UpstreamEntry| board.is_followed(now, entry);
-    due.retain(|entry| {
-        let is_due = keeps_prompts(entry) && is_open(entry) && !is_told(entry);
-        is_due && asked.insert(entry.start_name())
-    });
+    due.retain(|entry| is_open(entry) && !is_told(entry) && asked.insert(entry.start_name()));
     drop(board);
     due.sort_by_key(|entry| *entry.zone != **zone);
     due
@@ -133,20 +121,12 @@
     entry: &UpstreamEntry,
 ) -> Result<Vec<KeptPart>, Fault> {
     let calls = gateway.dialect.cache;
-    let mut request = (calls.list)();
-    let host = HeaderValue::from_str(&entry.address.to_string()).map_err(Fault::unreachable)?;
-    request.headers_mut().insert(HOST, host);
     let mut connection = gateway
         .pool
         .take(entry, AT_ONCE)
         .await
         .map_err(|end| Fault::unreachable(format!("{end:?}")))?;
-    let response = call_replica(gateway, entry, &mut connection, request)
-        .await
-        .map_err(|end| Fault::unreachable(format!("{end:?}")))?;
-    let status = response.status();
-    let body = Limited::new(response.into_body(), LARGEST_ANSWER);
-    let body = body.collect().await.map_err(Fault::unreachable)?.to_bytes();
+    let (status, body) = ask_on(gateway, entry, &mut connection, (calls.list)()).await?;
     gateway.pool.give_back(&entry.id, connection);
     if !status.is_success() {
         return Err(Fault::new(ResultCode::PlatformReply, status));
--- a/src/direct/kept_follow.rs
+++ b/src/direct/kept_follow.rs
@@ -1,18 +1,18 @@
 //! Following what replicas keep, by their own word.
 
 use {
-    super::{gateway::Gateway, replica_call::call_replica},
+    super::{
+        cache_ask::{ask_on, prompt_replicas},
+        gateway::Gateway,
+        upstream_connection::UpstreamConnection,
+    },
     crate::{
         catalog::UpstreamEntry,
         codes::{Fault, ResultCode},
         ops::{KEPT_CALLS, KEPT_EVENTS, KEPT_FOLLOWED},
         policy::placement::{KeptChange, KeptNews},
     },
-    http_body_util::{BodyExt, Limited},
-    hyper::{
-        StatusCode,
-        header::{HOST, HeaderValue},
-    },
+    hyper::StatusCode,
     std::{
         collections::{HashMap, hash_map::Entry},
         sync::Arc,
@@ -39,12 +39,6 @@
 /// After an answer that says that the replica tells nothing, or nothing more.
 const REFUSED_PAUSE: Duration = Duration::from_secs(30);
 
-/// Connections to a replica beyond which it is not followed.
-const MOST_CONNECTIONS: usize = 256;
-
-/// The largest answer that is read, in bytes.
-const LARGEST_ANSWER: usize = 1 << 20;
-
 /// Follows the model replicas of the own availability zone for which this router is drawn,
 /// for as long as the process lives.
 pub async fn follow_kept(gateway: Arc<Gateway>) {
@@ -52,7 +46,8 @@
     loop {
         followed.retain(|_, task| !task.is_finished());
         if gateway.settings().follow_kept {
-            for entry in due(&gateway) {
+            let due = prompt_replicas(&gateway).into_iter();
+            for entry in due.filter(|entry| is_due(&gateway, entry)) {
                 if let Entry::Vacant(place) = followed.entry(entry.start_name()) {
                     place.insert(tokio::spawn(follow(gateway.clone(), entry)));
                 }
@@ -63,20 +58,6 @@
     }
 }
 
-/// The replicas that this router is to follow.
-fn due(gateway: &Gateway) -> Vec<Arc<UpstreamEntry>> {
-    let Some(table) = gateway.catalog.config() else {
-        return Vec::new();
-    };
-    let keeps_prompts = |entry: &UpstreamEntry| {
-        let service = table.service(&entry.service);
-        service.is_some_and(|service| service.engine.is_some())
-    };
-    let mut due = gateway.catalog.upstreams();
-    due.retain(|entry| keeps_prompts(entry) && is_due(gateway, entry));
-    due
-}
-
 fn is_due(
     gateway: &Gateway,
     entry: &UpstreamEntry,
@@ -95,8 +76,9 @@
     entry: Arc<UpstreamEntry>,
 ) {
     log::info!(replica = &*entry.id; "following what a replica keeps");
+    let mut connection = None;
     while is_due(&gateway, &entry) {
-        let pause = match ask(&gateway, &entry).await {
+        let pause = match ask(&gateway, &entry, &mut connection).await {
             Ok(news) => {
                 metrics::counter!(KEPT_CALLS, "outcome" => "answered").increment(1);
                 let change = gateway.board().heard_kept(gateway.now(), &entry, &news);
@@ -150,36 +132,37 @@
     }
 }
 
-/// Asks once: code 82 where the replica refuses, others where it was not reached.
+/// Asks once: code 82 where the replica refuses, 74 where it was not reached.
 async fn ask(
     gateway: &Gateway,
     entry: &UpstreamEntry,
+    kept: &mut Option<UpstreamConnection>,
 ) -> Result<KeptNews, Fault> {
-    let answer = timeout(LONGEST_WAIT + ANSWER_TIME, call(gateway, entry)).await;
+    let answer = timeout(LONGEST_WAIT + ANSWER_TIME, call(gateway, entry, kept)).await;
     answer.map_err(Fault::unreachable).flatten()
 }
 
+/// The connection is not of the pool: a call that is held would take the place of requests.
 async fn call(
     gateway: &Gateway,
     entry: &UpstreamEntry,
+    kept: &mut Option<UpstreamConnection>,
 ) -> Result<KeptNews, Fault> {
     let calls = gateway.dialect.cache;
     let next = gateway.board().kept_follow(entry).next;
-    let mut request = (calls.events)(next, LONGEST_WAIT);
-    let host = HeaderValue::from_str(&entry.address.to_string()).map_err(Fault::unreachable)?;
-    request.headers_mut().insert(HOST, host);
-    let mut connection = gateway
-        .pool
-        .take(entry, MOST_CONNECTIONS)
-        .await
-        .map_err(|end| Fault::unreachable(format!("{end:?}")))?;
-    let response = call_replica(gateway, entry, &mut connection, request)
-        .await
-        .map_err(|end| Fault::unreachable(format!("{end:?}")))?;
-    let status = response.status();
-    let body = Limited::new(response.into_body(), LARGEST_ANSWER);
-    let body = body.collect().await.map_err(Fault::unreachable)?.to_bytes();
-    gateway.pool.give_back(&entry.id, connection);
+    let mut connection = match kept.take().filter(UpstreamConnection::is_usable) {
+        Some(connection) => connection,
+        None => {
+            let opened = UpstreamConnection::open(entry.address, Arc::default()).await;
+            opened.map_err(Fault::unreachable)?
+        }
+    };
+    let request = (calls.events)(next, LONGEST_WAIT);
+    let (status, body) = ask_on(gateway, entry, &mut connection, request).await?;
+    if connection.may_be_kept() {
+        connection.rest();
+        *kept = Some(connection);
+    }
     match status {
         StatusCode::OK => (calls.read_events)(next, &body),
         StatusCode::SERVICE_UNAVAILABLE => Err(Fault::unreachable(status)),
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -3,6 +3,7 @@
 
 mod attempt;
 mod attempt_end;
+mod cache_ask;
 mod cache_calls;
 mod cache_survey;
 mod call;
--- a/testbed/src/direct/replica_answering.rs
+++ b/testbed/src/direct/replica_answering.rs
@@ -11,10 +11,13 @@
     },
 };
 
+/// The answer where it does not say what it keeps.
+const REFUSAL: &str = "HTTP/1.1 503 Not Now\r\nContent-Length: 0\r\n\r\n";
+
 /// What it keeps, as an answer.
 pub(super) fn list(state: &ReplicaState) -> String {
     if state.list_refused.load(Ordering::SeqCst) {
-        return "HTTP/1.1 503 Not Now\r\nContent-Length: 0\r\n\r\n".to_owned();
+        return REFUSAL.to_owned();
     }
     let kept = state.kept.lock().expect("lock").clone();
     let body = json!({"epoch": 1, "next_token": 1, "held": kept}).to_string();
@@ -28,6 +31,9 @@
     request: &SeenRequest,
 ) -> String {
     state.events_asked.fetch_add(1, Ordering::SeqCst);
+    if state.list_refused.load(Ordering::SeqCst) {
+        return REFUSAL.to_owned();
+    }
     let since = request.target.rsplit_once('=');
     let since: usize = since.map_or(0, |(_, number)| number.parse().expect("a number"));
     let wait = request.header("wait-ms").parse().expect("milliseconds");
--- a/testbed/tests/kept_parts.rs
+++ b/testbed/tests/kept_parts.rs
@@ -91,6 +91,24 @@
     until_known(&fleet, fellow.expect("a third"), &mut (1000..2000)).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replica_that_does_not_tell_is_served_as_before() {
+    let fleet = DirectFleet::start(1, "").await;
+    let replica = Replica::start(fleet.standins(), "i-a", ReplicaAnswer::events(3)).await;
+    replica.turns_list_away();
+    let routes = [RouteText::new("/events/", "s", "streaming")];
+    fleet.store.publish_engines(1, &routes);
+    fleet.store.list("i-a", "s", replica.address, "ready");
+    fleet.all_ready().await;
+    let refused = "replica does not say what it keeps";
+    until_one_logs(&fleet, &[0], refused, &HashMap::new()).await;
+    for own in [1, 1] {
+        let answer = Client::ask(fleet.callers[0], &prompt(own)).await;
+        assert_eq!(answer.status, 200);
+    }
+    until_one_logs(&fleet, &[0], "\"reading_tokens\":0,", &HashMap::new()).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_part_that_its_replica_gave_up_is_read_again_by_belief_too() {
     let fleet = DirectFleet::start(1, "").await;
--- a/tests/foreign_text.rs
+++ b/tests/foreign_text.rs
@@ -167,5 +167,6 @@
             }
         }
         let _kept = (dialect().cache.read_list)(json.to_string().as_bytes());
+        let _events = (dialect().cache.read_events)(7, json.to_string().as_bytes());
     }
 }
--- a/tests/platform_adapter.rs
+++ b/tests/platform_adapter.rs
@@ -100,3 +100,40 @@
     let error = (cache.read_list)(b"{}").expect_err("refused");
     assert_eq!(error.code, ResultCode::PlatformReply);
 }
+
+#[test]
+fn what_a_replica_takes_in_and_gives_up_is_read() {
+    let cache = dialect().cache;
+    let request = (cache.events)(8, Duration::from_secs(1));
+    assert_eq!(request.uri(), "/v1/kv-events?since=7");
+    assert_eq!(request.headers()["wait-ms"], "1000");
+    assert_eq!(
+        (cache.events)(0, Duration::ZERO).uri(),
+        "/v1/kv-events?since=0"
+    );
+    let read = |text: &[u8]| (cache.read_events)(8, text);
+    let text = br#"{"epoch":5,"next_token":10,"lost":false,"events":[[9,"-","","91bd3f06",16,"m"],[8,"+","","5c1e07a2",800,"m"],[10,"-","","91bd3f06",0,"m"]]}"#;
+    let news = read(text).expect("events");
+    assert_eq!((news.from, news.next, news.has_gap), (8, 11, false));
+    let told: Vec<_> = news
+        .events
+        .iter()
+        .map(|it| (it.number, it.part, it.is_kept))
+        .collect();
+    assert_eq!(
+        told,
+        [
+            (8, 0x5c1e_07a2, true),
+            (9, 0x91bd_3f06, false),
+            (10, 0x91bd_3f06, false)
+        ]
+    );
+    let lost = br#"{"epoch":5,"next_token":7,"lost":true,"events":[]}"#;
+    assert!(read(lost).expect("events").has_gap);
+    let torn = br#"{"epoch":6,"next_token":9,"lost":false,"events":[[9,"+","","1",16,"m"]]}"#;
+    let torn = read(torn).expect("events");
+    assert!(torn.has_gap);
+    assert_ne!(torn.epoch, news.epoch);
+    let error = read(b"{}").expect_err("refused");
+    assert_eq!(error.code, ResultCode::PlatformReply);
+}
