Followed parts: fellows are told changes at once, and once a second that a replica is followed

Cause: three of five answers of replicas change nothing that is believed, and each went to all routers of the zone.

Change: what changed is told at once; an answer without a change goes with the next that has one, or after a second. Numbers join, so that fellows see no gap.

--- a/src/policy/direct/placement/board/board_kept.rs
+++ b/src/policy/direct/placement/board/board_kept.rs
@@ -84,7 +84,9 @@
         news: &KeptNews,
     ) -> Option<KeptChange> {
         let start = entry.start_name();
-        let change = self.same_start(entry)?.cache.hear(now, news);
+        let cache = &mut self.same_start(entry)?.cache;
+        let change = cache.hear(now, news);
+        let told = cache.to_tell(now, &change.news);
         let shared = change
             .news
             .given_up(|part| self.shared_parts.contains(part));
@@ -92,7 +94,7 @@
             self.zone_kept_news.push((start, shared));
         }
         if self.kept_news.len() < MOST_NEWS {
-            self.kept_news.push((start, change.news.clone()));
+            self.kept_news.extend(told.map(|news| (start, news)));
         }
         Some(change)
     }
--- a/src/policy/direct/placement/kept/kept_word.rs
+++ b/src/policy/direct/placement/kept/kept_word.rs
@@ -12,6 +12,9 @@
 /// which each wait for a second at most.
 const FOLLOWED_AGE: Duration = Duration::from_secs(4);
 
+/// Where nothing changes, fellows are told that a replica is followed this often.
+const TOLD_AGAIN: Duration = Duration::from_secs(1);
+
 /// Parts placed lately that are remembered at most.
 const MOST_PLACED: usize = 256;
 
@@ -28,6 +31,15 @@
     heard: Option<Moment>,
     placed: VecDeque<PartTime>, // lately, the oldest first
     doubts: VecDeque<PartTime>, // given up around the time at which they were placed
+    told: Option<Told>,         // by this router, to its fellows
+}
+
+/// How far a router has told its fellows what it heard.
+#[derive(Debug, Clone, Copy)]
+struct Told {
+    at: Moment,
+    epoch: u32,
+    next: u64,
 }
 
 /// A part, and when it was placed.
@@ -91,6 +103,30 @@
         heard
     }
 
+    /// What fellows are to be told of news that this router heard from the replica: changes
+    /// at once; that the replica is followed, and how far, now and then.
+    pub fn to_tell(
+        &mut self,
+        now: Moment,
+        news: &KeptNews,
+    ) -> Option<KeptNews> {
+        let told = self.told.filter(|told| told.epoch == news.epoch);
+        let is_recent = told.is_some_and(|told| now.saturating_sub(told.at) < TOLD_AGAIN);
+        if is_recent && news.events.is_empty() && !news.has_gap {
+            return None;
+        }
+        let from = told.map_or(news.from, |told| told.next.min(news.from));
+        self.told = Some(Told {
+            at: now,
+            epoch: news.epoch,
+            next: news.next,
+        });
+        Some(KeptNews {
+            from,
+            ..news.clone()
+        })
+    }
+
     /// A request with this part was placed.
     pub fn place(
         &mut self,
--- a/src/policy/direct/placement/prompts/prefix_cache.rs
+++ b/src/policy/direct/placement/prompts/prefix_cache.rs
@@ -106,6 +106,15 @@
         self.word.is_followed(now)
     }
 
+    /// What fellows are to be told of news that this router heard from the replica.
+    pub fn to_tell(
+        &mut self,
+        now: Moment,
+        news: &KeptNews,
+    ) -> Option<KeptNews> {
+        self.word.to_tell(now, news)
+    }
+
     /// Parts that are kept, for a router that has just started: of those that it asks for.
     pub fn news_again(
         &self,
--- a/tests/kept_parts.rs
+++ b/tests/kept_parts.rs
@@ -265,6 +265,37 @@
     assert!(follower.take_kept_news().is_empty());
 }
 
+#[test]
+fn answers_without_a_change_are_told_once_a_second_and_leave_no_gap() {
+    let (mut follower, mut fellow) = (board(1, &[]), board(2, &[]));
+    let mut tell = |at, heard: &KeptNews| {
+        follower.heard_kept(LATER + at, &replica(), heard);
+        let told = follower.take_kept_news();
+        for (start, news) in &told {
+            fellow.hear_kept(LATER + at, *start, news);
+        }
+        told.first()
+            .map(|(_, news)| (news.from, news.next, news.has_gap))
+    };
+    assert_eq!(
+        tell(ms(0), &news(&[event(1, 7, true)])),
+        Some((1, 2, false))
+    );
+    // Given up, but believed by nobody.
+    assert_eq!(tell(ms(200), &news(&[event(2, 8, false)])), None);
+    assert_eq!(
+        tell(ms(400), &news(&[event(3, 7, false)])),
+        Some((2, 4, false))
+    );
+    assert_eq!(tell(ms(600), &news(&[event(4, 9, false)])), None);
+    assert_eq!(
+        tell(ms(1500), &news(&[event(5, 9, false)])),
+        Some((4, 6, false))
+    );
+    assert!(fellow.is_followed(LATER + ms(1500), &replica()));
+    assert_eq!(fellow.kept_follow(&replica()).next, 6);
+}
+
 #[test]
 fn a_router_that_starts_is_told_which_shared_parts_are_kept_whatever_it_hears_first() {
     let (mut follower, mut fellow) = (board(1, &[]), board(2, &[]));
