A router that starts asks replicas of other zones what they keep, whatever it is told of them

Cause: of replicas of other zones a router is told only which shared parts they gave up; that passed for being followed, and the list was not asked for.

Change: only replicas of the own zone are left out.

--- a/src/direct/cache_survey.rs
+++ b/src/direct/cache_survey.rs
@@ -71,7 +71,8 @@
     let now = gateway.now();
     let is_open =
         |entry: &UpstreamEntry| !board.is_cordoned(entry) && board.wants_requests(now, entry);
-    let is_told = |entry: &UpstreamEntry| board.is_followed(now, entry);
+    // Of other zones' replicas it is told only what they gave up.
+    let is_told = |entry: &UpstreamEntry| *entry.zone == **zone && board.is_followed(now, entry);
     due.retain(|entry| is_open(entry) && !is_told(entry) && asked.insert(entry.start_name()));
     drop(board);
     due.sort_by_key(|entry| *entry.zone != **zone);
