--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -3,6 +3,7 @@
 
 mod attempt;
 mod attempt_end;
+mod cache_ask;
 mod cache_calls;
 mod cache_survey;
 mod call;
@@ -23,6 +24,7 @@
 mod hand_on;
 mod held_bytes;
 mod held_work;
+mod kept_follow;
 mod late_wait;
 mod left_runs;
 mod live_answer;
--- a/src/ops/metric_names.rs
+++ b/src/ops/metric_names.rs
@@ -42,6 +42,13 @@
 pub const HELD_BYTES: &str = "archmast_held_bytes";
 /// Answers that ended since their callers took nothing of them (code 48).
 pub const UNREAD_ANSWERS: &str = "archmast_unread_answers_total";
+/// Replicas that this router follows to hear what they keep of prompts.
+pub const KEPT_FOLLOWED: &str = "archmast_kept_followed_replicas";
+/// Calls for that, by `outcome`: `answered`, `failed`.
+pub const KEPT_CALLS: &str = "archmast_kept_calls_total";
+/// Events of parts of prompts, by `kind`: `heard`; of these `taken`, not believed to be
+/// kept before, and `given_up`, believed to be.
+pub const KEPT_EVENTS: &str = "archmast_kept_events_total";
 /// Streams that ended, by `how`: `whole`, `cut`, `left` by their caller.
 pub const STREAMS: &str = "archmast_streams_total";
 /// Streams one of whose pauses came over the aim of their route, by `service`; each stream
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -22,6 +22,7 @@
 mod evidence_told;
 mod evidence_turn;
 mod figures;
+mod kept_told;
 mod leaving_told;
 mod listen;
 mod named_router;
@@ -35,6 +36,7 @@
 mod suspects_told;
 mod tell;
 mod tell_evidence;
+mod tell_kept;
 mod tell_leaving;
 mod tell_suspects;
 mod told_reports;
@@ -47,6 +49,7 @@
     evidence_told::EvidenceTold,
     evidence_turn::EvidenceTurn,
     figures::Figures,
+    kept_told::KeptTold,
     leaving_told::LeavingTold,
     named_router::NamedRouter,
     peer_link::{PeerLink, SILENCE},
--- a/src/policy/direct/placement/mod.rs
+++ b/src/policy/direct/placement/mod.rs
@@ -4,6 +4,7 @@
 mod board;
 mod choosing;
 mod engines;
+mod kept;
 mod loads;
 mod pauses;
 mod placement_settings;
@@ -17,6 +18,7 @@
         EngineModel, EngineModels, EngineReport, EngineTimes, FirstToken, PaceEvidence, PaceNews,
         PaceSum, PauseEvidence, ReplicaEvidence, ReplicaPace, UsualPace, UsualReadings,
     },
+    kept::{HeardEvents, KeptChange, KeptEvent, KeptFollow, KeptNews, KeptWord, SharedParts},
     loads::{ExpectedWork, FleetSize, Load, PeerLoads, ReplicaReport, Work, WorkNumber},
     pauses::{PauseAims, PauseRecord, PauseRisk, PauseSight, PauseWatch, RunLengths, broken_share},
     placement_settings::PlacementSettings,
