--- a/src/policy/direct/placement/board/board_paces.rs
+++ b/src/policy/direct/placement/board/board_paces.rs
@@ -5,25 +5,19 @@
     crate::policy::{
         Moment,
         placement::{
-            EngineTimes, ExpectedWork, FirstToken, PaceEvidence, PaceNews, PauseSight, ReplicaPace,
+            EngineTimes, ExpectedWork, FirstToken, PaceEvidence, PaceNews, ReplicaPace,
             ReplicaView, UsualPace, Work,
         },
     },
-    std::{collections::HashMap, sync::Arc, time::Duration},
+    std::{collections::HashMap, sync::Arc},
 };
 
-/// The shortest time between two looks at all replicas.
-const LOOK: Duration = Duration::from_millis(100);
-
-/// The same for each replica that is looked at: a look takes a fraction of this.
-const LOOK_EACH: Duration = Duration::from_micros(100);
-
 /// A first token that has not come after this many times what the replica usually takes
 /// is evidence before it comes.
 const OVERDUE: f64 = 2.0;
 
 /// Waits are off by this many milliseconds however short they are.
-const OVERDUE_LEAST: f64 = 30.0;
+const OVERDUE_LEAST_MS: f64 = 30.0;
 
 /// A lasting pace is news when it differs by this factor from the last news.
 const NEWS: f64 = 1.5;
@@ -53,40 +47,6 @@
         news
     }
 
-    /// Looks at what was seen of all replicas, unless that was done a moment ago: choices go by
-    /// what was believed then.
-    pub fn refresh_beliefs(
-        &mut self,
-        now: Moment,
-    ) {
-        let pause = LOOK.max(LOOK_EACH * self.replicas.len() as u32);
-        if now.saturating_sub(self.paced) < pause {
-            return;
-        }
-        self.paced = now;
-        self.note_overdue(now);
-        let mut sums: HashMap<Arc<str>, PaceEvidence> = HashMap::new();
-        for view in self.replicas.values_mut() {
-            view.seen.pace.forget_old(now);
-            let own = view.seen.pace.own(now);
-            match sums.get_mut(&view.entry.service) {
-                Some(sum) => *sum += own,
-                None => {
-                    sums.insert(view.entry.service.clone(), own);
-                }
-            }
-        }
-        let usual = sums.into_iter();
-        self.usual_paces = usual
-            .map(|(service, sum)| (service, UsualPace::new(sum)))
-            .collect();
-        for view in self.replicas.values_mut() {
-            let seen = all_seen(view, now, &self.usual_paces);
-            view.pace = ReplicaPace::new(seen);
-            view.pause_sight = PauseSight::new(now, view.seen.pauses(now), &view.pauses);
-        }
-    }
-
     /// What this router usually sees of a service.
     pub(super) fn usual_pace(
         &self,
@@ -127,7 +87,7 @@
     }
 
     /// Looks for first tokens that should have come.
-    fn note_overdue(
+    pub(super) fn note_overdue(
         &mut self,
         now: Moment,
     ) {
@@ -144,7 +104,7 @@
             let Some(view) = view.filter(|view| view.start == work.start) else {
                 continue;
             };
-            let most_ms = expected.first_ms * view.pace.lasting * OVERDUE + OVERDUE_LEAST;
+            let most_ms = expected.first_ms * view.pace.lasting * OVERDUE + OVERDUE_LEAST_MS;
             if waited.as_secs_f64() * 1000.0 > most_ms {
                 work.overdue = Some((now, waited));
                 *overdue.entry(work.replica.clone()).or_default() +=
@@ -160,7 +120,7 @@
 }
 
 /// What this router and its zone have seen of a replica's pace.
-fn all_seen(
+pub(super) fn all_seen(
     view: &ReplicaView,
     now: Moment,
     usual: &HashMap<Arc<str>, UsualPace>,
--- a/src/policy/direct/placement/board/board_pauses.rs
+++ b/src/policy/direct/placement/board/board_pauses.rs
@@ -7,8 +7,8 @@
         policy::{
             Moment,
             placement::{
-                PaceEvidence, PauseEvidence, PauseRisk, PauseSight, PlacementRequest, PromptShape,
-                ReplicaView, broken_share, choosing::Candidate,
+                PauseEvidence, PauseRisk, PauseSight, PlacementRequest, PromptShape, ReplicaView,
+                broken_share, choosing::Candidate,
             },
         },
     },
@@ -28,7 +28,7 @@
         let times = self.engine_times(&replica.service);
         let age = self.belief_age();
         let view = self.same_start(replica)?;
-        view.seen.see(now, PaceEvidence::default(), seen);
+        view.seen.see_pauses(now, seen);
         if let Some(aim) = aim {
             let front_ms = view.pace.of(times).reading_ms(view.load(now, age).reading);
             let aim_s = aim.as_secs_f64();
--- a/src/policy/direct/placement/board/mod.rs
+++ b/src/policy/direct/placement/board/mod.rs
@@ -1,5 +1,6 @@
 //! The replicas as one router sees them: what it believes, learns and decides.
 
+mod board_beliefs;
 mod board_choice;
 mod board_evidence;
 mod board_kept;
@@ -7,8 +8,10 @@
 mod board_paces;
 mod board_pauses;
 mod board_plain;
+mod board_refusals;
 mod board_reports;
 mod board_starts;
+mod board_works;
 mod replica_board;
 
 pub use replica_board::ReplicaBoard;
--- a/src/policy/direct/placement/board/replica_board.rs
+++ b/src/policy/direct/placement/board/replica_board.rs
@@ -1,13 +1,12 @@
 use {
-    super::board_reports::keep_note,
     crate::{
         catalog::UpstreamEntry,
         policy::{
             Moment, NoticeBook,
             placement::{
-                CacheNote, EngineModels, EngineTimes, ExpectedWork, FleetSize, KeptNews, Load,
-                PaceEvidence, PauseAims, PlacementSettings, ReplicaView, RunLengths, SentPrompt,
-                SharedParts, UsualPace, UsualReadings, Work, WorkNumber,
+                CacheNote, EngineModels, EngineTimes, FleetSize, KeptNews, PauseAims,
+                PlacementSettings, ReplicaView, RunLengths, SharedParts, UsualPace, UsualReadings,
+                Work, WorkNumber,
             },
             slow_start::{StartLimit, ZoneRouters},
         },
@@ -30,7 +29,7 @@
     pub(super) engines: EngineModels,
     pub(super) usual: UsualReadings,
     pub(super) usual_paces: HashMap<Arc<str>, UsualPace>, // by service
-    pub(super) paced: Moment,                             // when paces were last looked at
+    pub(super) looked: Moment, // when what was seen of replicas was last looked at
     pub(super) pause_aims: PauseAims,
     pub(super) run_lengths: RunLengths,
     pub(super) next_work: WorkNumber,
@@ -62,7 +61,7 @@
             engines: EngineModels::default(),
             usual: UsualReadings::default(),
             usual_paces: HashMap::new(),
-            paced: Moment::ZERO,
+            looked: Moment::ZERO,
             pause_aims: PauseAims::default(),
             run_lengths: RunLengths::default(),
             next_work: 1,
@@ -205,98 +204,6 @@
         self.replicas.values()
     }
 
-    /// A request goes to a replica.
-    pub fn start(
-        &mut self,
-        now: Moment,
-        replica: &Arc<str>,
-        prompt: Option<SentPrompt>,
-    ) -> Option<WorkNumber> {
-        let age = self.belief_age();
-        let view = self.replicas.get_mut(replica)?;
-        let there = view.load(now, age);
-        let mut load = Load {
-            running: 1,
-            ..Load::default()
-        };
-        if let Some(prompt) = prompt {
-            let service = &view.entry.service;
-            self.usual.note(now, service, prompt.aim, prompt.reading);
-            if let Some(aim) = prompt.pause_aim {
-                self.pause_aims.note(now, service, aim);
-            }
-            load.reading = prompt.reading;
-            load.memory = prompt.reading + prompt.shape.output_tokens;
-            let room = prompt.engine.memory_tokens;
-            let memory = there.memory + load.memory;
-            view.cache.set_room(room.saturating_sub(u64::from(memory)));
-            view.placed += u64::from(load.memory);
-            view.placed_by_zone += u64::from(load.memory);
-            view.cache.place(u64::from(load.memory));
-            let parts = &prompt.shape.parts;
-            for (index, part) in parts.iter().enumerate() {
-                view.cache.note(now, part.id);
-                let note = CacheNote {
-                    replica: view.start,
-                    part: part.id,
-                    shared: index + 1 < parts.len(),
-                };
-                keep_note(&mut self.notes, note);
-                if note.shared {
-                    self.shared_parts.note(part.id);
-                    keep_note(&mut self.zone_notes, note);
-                }
-            }
-        }
-        let times = self.engines.times(&view.entry.service);
-        let expected = prompt.map(|prompt| {
-            let front_ms = prompt.front_ms / view.pace.now;
-            ExpectedWork {
-                front_ms,
-                first_ms: times.fixed_ms + times.reading_ms(prompt.reading) + front_ms,
-            }
-        });
-        view.own += load;
-        let is_slow =
-            view.start_pace.is_slow(now) && self.start_limits.contains_key(&view.entry.service);
-        if is_slow {
-            view.start_pace.sent(now);
-        }
-        let work = Work {
-            is_counted: is_slow,
-            replica: replica.clone(),
-            start: view.start,
-            sent: now,
-            load,
-            reading: load.reading,
-            expected,
-            overdue: None,
-        };
-        let number = self.next_work;
-        self.next_work += 1;
-        self.works.insert(number, work);
-        self.refresh_beliefs(now);
-        Some(number)
-    }
-
-    /// The first token of a prompt came. Gives what is believed of the service's
-    /// engines if that is news.
-    pub fn first_token(
-        &mut self,
-        now: Moment,
-        number: WorkNumber,
-    ) -> Option<EngineTimes> {
-        let work = self.works.get_mut(&number)?;
-        let unread = std::mem::take(&mut work.load.reading);
-        let expected = work.expected.take();
-        work.overdue = None;
-        let work = work.clone();
-        let view = self.replicas.get_mut(&work.replica);
-        let view = view.filter(|view| view.start == work.start)?;
-        view.own.reading = view.own.reading.saturating_sub(unread);
-        self.learn_pace(now, &work, expected?)
-    }
-
     /// What is believed of the engines of a service.
     pub fn engine_times(
         &self,
@@ -304,23 +211,4 @@
     ) -> EngineTimes {
         self.engines.times(service)
     }
-
-    /// A request is over at its replica, however it ended.
-    pub fn finish(
-        &mut self,
-        number: WorkNumber,
-    ) -> Option<Work> {
-        let work = self.works.remove(&number)?;
-        let view = self.replicas.get_mut(&work.replica);
-        if let Some(view) = view.filter(|view| view.start == work.start) {
-            if let (Some(expected), Some((seen, waited))) = (work.expected, work.overdue) {
-                let sample = PaceEvidence::sample(waited, expected.first_ms);
-                view.seen.pace.see(seen, sample);
-            }
-            view.own.running = view.own.running.saturating_sub(work.load.running);
-            view.own.reading = view.own.reading.saturating_sub(work.load.reading);
-            view.own.memory = view.own.memory.saturating_sub(work.load.memory);
-        }
-        Some(work)
-    }
 }
--- a/src/policy/direct/placement/replicas/seen_work.rs
+++ b/src/policy/direct/placement/replicas/seen_work.rs
@@ -2,7 +2,7 @@
     super::SeenPace,
     crate::policy::{
         Moment,
-        placement::{PaceEvidence, PauseEvidence, ReplicaEvidence},
+        placement::{PauseEvidence, ReplicaEvidence},
     },
     std::{collections::HashMap, time::Duration},
 };
@@ -24,15 +24,13 @@
 }
 
 impl SeenWork {
-    /// This router saw more.
-    pub fn see(
+    /// This router saw more of its pauses.
+    pub fn see_pauses(
         &mut self,
         now: Moment,
-        pace: PaceEvidence,
         pauses: PauseEvidence,
     ) {
         self.fade(now);
-        self.pace.see(now, pace);
         self.pauses += pauses;
     }
 
