What fellows tell of paces and pauses is taken in only if it can have been seen

Cause, found by reading: numbers in a datagram are whatever its bytes say. One that is no number made a replica's pace none either, for as long as its word counted; the next first token of that replica divided a time by it, which ends the process, and so at every router of the zone that heard it. Change: sums outside what first tokens and streams can show are dropped as they are heard. The test fails without that.

--- a/src/policy/direct/placement/board/board_reports.rs
+++ b/src/policy/direct/placement/board/board_reports.rs
@@ -112,7 +112,7 @@
         teller: u32,
         told: &[ReplicaEvidence],
     ) {
-        for evidence in told {
+        for evidence in told.iter().filter(|evidence| evidence.is_possible()) {
             if let Some(view) = self.by_key(evidence.start) {
                 view.seen.hear(now, teller, *evidence);
             }
--- a/src/policy/direct/placement/engines/pace_evidence.rs
+++ b/src/policy/direct/placement/engines/pace_evidence.rs
@@ -46,6 +46,11 @@
         }
     }
 
+    /// Whether first tokens can have shown it.
+    pub fn is_possible(self) -> bool {
+        self.lasting.is_possible() && self.recent.is_possible()
+    }
+
     /// What is left of it after some time.
     pub fn faded(
         self,
--- a/src/policy/direct/placement/engines/pace_sum.rs
+++ b/src/policy/direct/placement/engines/pace_sum.rs
@@ -14,6 +14,12 @@
 /// counts half.
 const UNSURE_MS: f64 = 30.0;
 
+/// More first tokens than a router sees of one replica before they fade.
+const MOST_WEIGHT: f32 = 1e5;
+
+/// What sums that were added and subtracted may be off.
+const ROUNDING: f32 = 0.1;
+
 /// Sums over first tokens of how much longer they took than a service's engines usually do.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct PaceSum {
@@ -37,6 +43,12 @@
         }
     }
 
+    /// Whether first tokens can have shown it, also beside what is usual.
+    pub fn is_possible(self) -> bool {
+        let most = 2.0 * MOST_RATIO.ln() as f32 * self.weight + ROUNDING;
+        (0.0..=MOST_WEIGHT).contains(&self.weight) && self.log_ratio.abs() <= most
+    }
+
     /// What is left of it after some time; `fades` leaves a third.
     pub fn faded(
         self,
--- a/src/policy/direct/placement/engines/pause_evidence.rs
+++ b/src/policy/direct/placement/engines/pause_evidence.rs
@@ -3,6 +3,9 @@
     std::{ops::AddAssign, time::Duration},
 };
 
+/// More streams, or seconds of them, than a router watches at one replica before they fade.
+const MOST: f32 = 1e6;
+
 /// What was seen of how often streams pause for too long at one replica.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct PauseEvidence {
@@ -11,6 +14,12 @@
 }
 
 impl PauseEvidence {
+    /// Whether streams can have shown it.
+    pub fn is_possible(self) -> bool {
+        let possible = 0.0..=MOST;
+        possible.contains(&self.watched_s) && possible.contains(&self.broken)
+    }
+
     /// What is left of it after some time; `fades` leaves a third.
     pub fn faded(
         self,
--- a/src/policy/direct/placement/engines/replica_evidence.rs
+++ b/src/policy/direct/placement/engines/replica_evidence.rs
@@ -21,6 +21,11 @@
         pace + self.pauses.broken
     }
 
+    /// Whether it can have been seen: what another process tells may be anything.
+    pub fn is_possible(&self) -> bool {
+        self.pace.is_possible() && self.pauses.is_possible()
+    }
+
     /// Whether there is anything in it.
     pub fn says_something(&self) -> bool {
         self.pace.lasting.weight > NEGLIGIBLE || self.pauses.watched_s > NEGLIGIBLE
--- a/tests/engine_pace.rs
+++ b/tests/engine_pace.rs
@@ -9,7 +9,7 @@
             placement::{
                 Choice, EngineReport, EngineTimes, PaceEvidence, PaceSum, PauseEvidence,
                 PlacementRequest, PlacementSettings, PromptPart, PromptShape, ReplicaBoard,
-                ReplicaEvidence, SentPrompt, WorkNumber,
+                ReplicaEvidence, ReplicaPace, SentPrompt, WorkNumber,
             },
             shares::Standing,
             short_name,
@@ -518,3 +518,34 @@
     assert_eq!(named[&(u32::MAX - 700)], rounds);
     assert_eq!(named.len(), 1000);
 }
+
+/// A fellow's build is broken, or its datagram: what no first token can have shown is not
+/// taken in, and ends nothing.
+#[test]
+fn words_that_cannot_be_true_are_not_taken_in() {
+    for (weight, log_ratio) in [
+        (f32::NAN, 0.0),
+        (1.0, f32::NAN),
+        (f32::INFINITY, f32::INFINITY),
+        (-5.0, 10.0),
+        (1.0, 1e30),
+    ] {
+        let mut board = board(&["a", "b"]);
+        let sum = PaceSum { weight, log_ratio };
+        let told = ReplicaEvidence {
+            start: entry("a", 1).start_name(),
+            pace: PaceEvidence {
+                lasting: sum,
+                recent: sum,
+            },
+            pauses: PauseEvidence {
+                watched_s: weight,
+                broken: log_ratio,
+            },
+        };
+        board.hear_evidence(secs(200.0), 1, &[told]);
+        let view = board.replica("a").expect("listed");
+        assert_eq!(view.pace, ReplicaPace::default());
+        assert_eq!(view.seen.pauses(secs(200.0)), PauseEvidence::default());
+    }
+}
