Evidence of a replica's work: pauses are summed without its paces, and kept once

SeenWork made the pace evidence anew, six exponentials a replica, whenever it faded or summed pauses, and threw it away; fellows' words of paces lay there and in SeenPace.

--- a/src/policy/direct/placement/replicas/seen_work.rs
+++ b/src/policy/direct/placement/replicas/seen_work.rs
@@ -20,7 +20,7 @@
     pub pace: SeenPace,
     pauses: PauseEvidence,
     faded: Moment,
-    told: HashMap<u32, (Moment, ReplicaEvidence)>, // by who told
+    told: HashMap<u32, (Moment, PauseEvidence)>, // by who told
 }
 
 impl SeenWork {
@@ -30,8 +30,9 @@
         now: Moment,
         pauses: PauseEvidence,
     ) {
-        self.fade(now);
+        self.pauses = self.own_pauses(now);
         self.pauses += pauses;
+        self.faded = now;
     }
 
     /// What this router itself has seen of the replica's start, for its fellows.
@@ -40,11 +41,10 @@
         now: Moment,
         start: u32,
     ) -> ReplicaEvidence {
-        let age = now.saturating_sub(self.faded);
         ReplicaEvidence {
             start,
             pace: self.pace.own(now),
-            pauses: self.pauses.faded(age, PAUSES_FADE),
+            pauses: self.own_pauses(now),
         }
     }
 
@@ -56,7 +56,7 @@
         told: ReplicaEvidence,
     ) {
         self.pace.hear(now, teller, told.pace);
-        self.told.insert(teller, (now, told));
+        self.told.insert(teller, (now, told.pauses));
         self.told
             .retain(|_, (heard, _)| now.saturating_sub(*heard) <= TOLD_AGE);
     }
@@ -66,9 +66,9 @@
         &self,
         now: Moment,
     ) -> PauseEvidence {
-        let mut sum = self.own(now, 0).pauses;
+        let mut sum = self.own_pauses(now);
         for (age, told) in self.recent(now) {
-            sum += told.pauses.faded(age, PAUSES_FADE);
+            sum += told.faded(age, PAUSES_FADE);
         }
         sum
     }
@@ -76,18 +76,17 @@
     fn recent(
         &self,
         now: Moment,
-    ) -> impl Iterator<Item = (Duration, &ReplicaEvidence)> {
+    ) -> impl Iterator<Item = (Duration, PauseEvidence)> {
         let told = self.told.values();
-        let aged = told.map(move |(heard, told)| (now.saturating_sub(*heard), told));
+        let aged = told.map(move |(heard, told)| (now.saturating_sub(*heard), *told));
         aged.filter(|(age, _)| *age <= TOLD_AGE)
     }
 
-    fn fade(
-        &mut self,
+    fn own_pauses(
+        &self,
         now: Moment,
-    ) {
-        let seen = self.own(now, 0);
-        self.pauses = seen.pauses;
-        self.faded = now;
+    ) -> PauseEvidence {
+        let age = now.saturating_sub(self.faded);
+        self.pauses.faded(age, PAUSES_FADE)
     }
 }
