Logs and gauges say how an account stands to its share, and by what

Lines of requests that were sent or not answered name the account, its tokens, its standing, what it asked and got, the level and what is divided. Gauges: accounts by standing, the level, what is divided. Choices are as before: the level is worked out by a type of its own (Division) that ShareBook fills.

--- a/src/direct/caller_port.rs
+++ b/src/direct/caller_port.rs
@@ -5,11 +5,12 @@
         gateway::Gateway,
         reply::{ReplyBody, error_reply},
         request_reader::{header_text, read_call},
+        unanswered::Unanswered,
     },
     crate::{
         codes::{ErrorAnswer, ResultCode},
         ops::{ANSWER_SECONDS, REQUESTS},
-        policy::Moment,
+        policy::{Moment, shares::AccountShare},
     },
     hyper::{
         Request, Response,
@@ -29,7 +30,7 @@
     let request_id = header_text(request.headers(), &gateway.dialect.names.request_id).to_owned();
     let mut response = match read_call(&gateway, request, arrived).await {
         Err(error) => {
-            log_refusal(&gateway, None, &request_id, &error, arrived);
+            log_refused(&gateway, &request_id, &error, arrived);
             error_reply(&gateway, &error, &request_id)
         }
         Ok(call) => answer_call(&gateway, Arc::new(call)).await,
@@ -51,8 +52,8 @@
             log_answer(gateway, &call, response.status().as_u16());
             response
         }
-        Err(error) => {
-            log_refusal(gateway, Some(&call), &call.request_id, &error, call.arrived);
+        Err(Unanswered { error, share }) => {
+            log_unanswered(gateway, &call, &error, &share.unwrap_or_default());
             error_reply(gateway, &error, &call.request_id)
         }
     }
@@ -78,16 +79,19 @@
     );
 }
 
-fn log_refusal(
+fn count_error(error: &ErrorAnswer) {
+    let code = error.code.number().to_string();
+    metrics::counter!(REQUESTS, "code" => code, "ran" => error.ran.to_string()).increment(1);
+}
+
+/// Logs a request that was refused as it was read.
+fn log_refused(
     gateway: &Gateway,
-    call: Option<&Call>,
     request_id: &str,
     error: &ErrorAnswer,
     arrived: Moment,
 ) {
-    let code = error.code.number();
-    let ran = error.ran.to_string();
-    metrics::counter!(REQUESTS, "code" => code.to_string(), "ran" => ran.clone()).increment(1);
+    count_error(error);
     if matches!(
         error.code,
         ResultCode::NoRoute | ResultCode::UnknownCallerKey
@@ -96,17 +100,42 @@
     }
     log::info!(
         request_id = request_id,
-        route = call.map_or("", |call| call.route.name.as_str()),
-        account = call.and_then(|call| call.account.as_deref()).unwrap_or(""),
-        config = call.map_or(gateway.catalog.version().config, |call| call.config_version),
-        code = code,
-        ran = ran.as_str(),
+        config = gateway.catalog.version().config,
+        code = error.code.number(),
+        ran = error.ran.to_string().as_str(),
         retry_after_ms = error.retry_after.map_or(0, |wait| wait.as_millis() as u64),
         ms = gateway.now().saturating_sub(arrived).as_millis() as u64;
         "not answered: {}", error.code.meaning()
     );
 }
 
+/// Logs a call that ended without an answer, with what its account's standing was judged by.
+fn log_unanswered(
+    gateway: &Gateway,
+    call: &Call,
+    error: &ErrorAnswer,
+    share: &AccountShare,
+) {
+    count_error(error);
+    log::info!(
+        request_id = call.request_id.as_str(),
+        route = call.route.name.as_str(),
+        account = call.account.as_deref().unwrap_or(""),
+        tokens = call.tokens() as u64,
+        standing = share.standing.name(),
+        account_asked = share.usage.asked as u64,
+        account_got = share.usage.got as u64,
+        account_level = share.level_tokens(),
+        divided = share.divided as u64,
+        config = call.config_version,
+        code = error.code.number(),
+        ran = error.ran.to_string().as_str(),
+        retry_after_ms = error.retry_after.map_or(0, |wait| wait.as_millis() as u64),
+        ms = gateway.now().saturating_sub(call.arrived).as_millis() as u64;
+        "not answered: {}", error.code.meaning()
+    );
+}
+
 /// Logs how old the configuration is by which a request is refused, and how old the
 /// store's last answer here.
 fn log_configuration(
--- a/src/direct/exchange.rs
+++ b/src/direct/exchange.rs
@@ -2,9 +2,12 @@
     super::{
         attempt::send_call, attempt_end::AttemptEnd, call::Call, events_relay::EventsRelay,
         gateway::Gateway, late_wait::wait_while_alive, live_answer::LiveAnswer,
-        plain_relay::plain_reply, reply::ReplyBody, sent_run::SentRun,
+        plain_relay::plain_reply, reply::ReplyBody, sent_run::SentRun, unanswered::Unanswered,
+    },
+    crate::{
+        codes::{ErrorAnswer, ResultCode},
+        policy::shares::AccountShare,
     },
-    crate::codes::{ErrorAnswer, ResultCode},
     hyper::Response,
     std::{sync::Arc, time::Duration},
 };
@@ -28,13 +31,14 @@
 pub struct Exchange {
     pub gateway: Arc<Gateway>,
     pub call: Arc<Call>,
-    pub(super) tried: Vec<Arc<str>>,       // replicas that it went to
-    pub(super) sent: u32,                  // attempts of which something was sent
-    pub(super) unsent: u32,                // attempts that ended before
-    pub(super) may_have_run: bool,         // some attempt's outcome is unknown
-    pub(super) granted: f32,               // tokens that its account was charged
-    pub(super) run: Option<SentRun>,       // the last attempt
-    pub(super) ends: u32,                  // attempts under which a replica ended
+    pub(super) tried: Vec<Arc<str>>, // replicas that it went to
+    pub(super) sent: u32,            // attempts of which something was sent
+    pub(super) unsent: u32,          // attempts that ended before
+    pub(super) may_have_run: bool,   // some attempt's outcome is unknown
+    pub(super) granted: f32,         // tokens that its account was charged
+    pub(super) share: Option<AccountShare>, // of its account, when it was last placed
+    pub(super) run: Option<SentRun>, // the last attempt
+    pub(super) ends: u32,            // attempts under which a replica ended
     pub(super) checked_after: Option<u32>, // so many, when it was last looked whether it is held back
     failure: Option<Response<ReplyBody>>,  // a replica's own, if nothing better comes
 }
@@ -59,6 +63,7 @@
             unsent: 0,
             may_have_run: false,
             granted: 0.0,
+            share: None,
             run: None,
             ends: 0,
             checked_after: None,
@@ -67,13 +72,13 @@
     }
 
     /// Brings the call to its answer.
-    pub async fn run(mut self) -> Result<Response<ReplyBody>, ErrorAnswer> {
+    pub async fn run(mut self) -> Result<Response<ReplyBody>, Unanswered> {
         self.gateway.count_request(&self.call.service);
         self.ask();
         loop {
             let begun = match self.begin(None).await {
                 Ok(begun) => begun,
-                Err(error) => return self.failure.ok_or(error),
+                Err(error) => return self.unanswered(error),
             };
             let is_events = self.call.route.kind.is_stream() && begun.answer.head.status == 200;
             let outcome = if is_events {
@@ -92,11 +97,20 @@
                 }
             };
             if let Err(error) = self.end_attempt(&outcome).await {
-                return self.failure.ok_or(error);
+                return self.unanswered(error);
             }
         }
     }
 
+    /// The failure that a replica gave, or else why there is no answer.
+    fn unanswered(
+        self,
+        error: ErrorAnswer,
+    ) -> Result<Response<ReplyBody>, Unanswered> {
+        let share = self.share;
+        self.failure.ok_or(Unanswered { error, share })
+    }
+
     /// Keeps a replica's failure for the caller, if nothing better comes.
     pub fn keep_failure(
         &mut self,
--- a/src/direct/exchange_choice.rs
+++ b/src/direct/exchange_choice.rs
@@ -11,7 +11,7 @@
         ops::PROMPT_TOKENS,
         policy::{
             placement::{Choice, PlacementRequest, PromptShape, RefusalReason, SentPrompt},
-            shares::Standing,
+            shares::{AccountShare, Standing},
             short_name,
         },
     },
@@ -27,7 +27,8 @@
     pub(super) fn choose(&mut self) -> Result<(Target, Duration), ErrorAnswer> {
         let now = self.gateway.now();
         let call = self.call.clone();
-        let standing = self.standing();
+        self.share = self.account_share();
+        let standing = self.share.map_or(Standing::Within, |share| share.standing);
         let zone = self.gateway.settings().process.zone.clone();
         let mut board = self.gateway.board();
         let request = PlacementRequest {
@@ -117,10 +118,16 @@
         metrics::counter!(PROMPT_TOKENS, "kind" => other).increment(saved);
         let fetch_from = fetch_from.map_or_else(String::new, |address| address.to_string());
         let origin = self.gateway.catalog.upstream_origin(replica);
+        let share = self.share.unwrap_or_default();
         log::info!(
             request_id = self.call.request_id.as_str(),
             replica = replica,
             service = &*self.call.service,
+            account = self.call.account.as_deref().unwrap_or(""),
+            tokens = self.call.tokens() as u64,
+            standing = share.standing.name(),
+            account_got = share.usage.got as u64,
+            account_level = share.level_tokens(),
             prompt_tokens = tokens,
             reading_tokens = reading,
             front_ms = front_ms as u64,
@@ -169,13 +176,11 @@
         }
     }
 
-    fn standing(&self) -> Standing {
+    fn account_share(&self) -> Option<AccountShare> {
+        let account = self.account()?;
         let now = self.gateway.now();
-        let Some(account) = self.account() else {
-            return Standing::Within;
-        };
         let asking = self.call.tokens();
-        self.gateway.shares().standing(now, account, asking)
+        Some(self.gateway.shares().share(now, account, asking))
     }
 
     /// Charges the account, once.
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -43,6 +43,7 @@
 mod store_duty;
 mod store_reading;
 mod stream_watch;
+mod unanswered;
 mod unsent_answer;
 mod upstream_connection;
 mod upstream_pool;
--- a/src/direct/status.rs
+++ b/src/direct/status.rs
@@ -5,8 +5,8 @@
     crate::{
         fleet::{HostRole, Revision},
         ops::{
-            AuditTrail, HELD, HELD_BYTES, HeldStatus, PeerStatus, ProcessStatus, RESTING, REVISION,
-            RUNNING, SLOW_REPLICAS, STORE_AGE, StatusSource,
+            ACCOUNTS, AuditTrail, HELD, HELD_BYTES, HeldStatus, PeerStatus, ProcessStatus, RESTING,
+            REVISION, RUNNING, SHARE_DIVIDED, SHARE_LEVEL, SLOW_REPLICAS, STORE_AGE, StatusSource,
         },
         policy::Incarnation,
     },
@@ -40,6 +40,7 @@
         metrics::gauge!(HELD_BYTES, "what" => "answers").set(answers as f64);
         let requests = self.request_bytes.load(Ordering::Relaxed);
         metrics::gauge!(HELD_BYTES, "what" => "requests").set(requests as f64);
+        self.measure_shares();
         let peers = self.peers.heard(self.now(), settings.peer_age);
         ProcessStatus {
             host: settings.process.host.clone(),
@@ -86,6 +87,21 @@
 }
 
 impl Gateway {
+    fn measure_shares(&self) {
+        let now = self.now();
+        let division = self.shares().division(now);
+        metrics::gauge!(SHARE_DIVIDED).set(f64::from(division.divided));
+        let level = Some(division.level).filter(|level| level.is_finite());
+        metrics::gauge!(SHARE_LEVEL).set(f64::from(level.unwrap_or(-1.0)));
+        let mut accounts = BTreeMap::from([("over", 0_u32), ("within", 0), ("behind", 0)]);
+        for standing in division.standings() {
+            *accounts.entry(standing.name()).or_default() += 1;
+        }
+        for (standing, count) in accounts {
+            metrics::gauge!(ACCOUNTS, "standing" => standing).set(f64::from(count));
+        }
+    }
+
     /// The requests that are held back here.
     fn held_status(&self) -> Vec<HeldStatus> {
         let now = self.now();
--- a/src/ops/metric_names.rs
+++ b/src/ops/metric_names.rs
@@ -30,6 +30,12 @@
 /// Prompt tokens of requests that were placed, by `kind`: `read`, `kept`,
 /// `fetched`.
 pub const PROMPT_TOKENS: &str = "archmast_prompt_tokens_total";
+/// Accounts that asked of late, by `standing` to their share: `over`, `within`, `behind`.
+pub const ACCOUNTS: &str = "archmast_accounts";
+/// Tokens that are divided among accounts in a window of shares.
+pub const SHARE_DIVIDED: &str = "archmast_share_divided_tokens";
+/// Tokens that each account may have of these; -1 where all get what they ask.
+pub const SHARE_LEVEL: &str = "archmast_share_level_tokens";
 /// Replicas that are left alone for a time, by evidence.
 pub const RESTING: &str = "archmast_resting_replicas";
 /// Replicas that are believed to take half as long again as their service's engines, or more.
--- a/src/policy/direct/shares/mod.rs
+++ b/src/policy/direct/shares/mod.rs
@@ -1,13 +1,15 @@
 //! Which client accounts have had their share of what all replicas make, over
 //! the whole fleet and the last seconds.
 
+mod account_share;
 mod account_usage;
+mod division;
 mod fair_level;
 mod retry_window;
 mod share_book;
 mod standing;
 
 pub use {
-    account_usage::AccountUsage, fair_level::fair_level, retry_window::RetryWindow,
-    share_book::ShareBook, standing::Standing,
+    account_share::AccountShare, account_usage::AccountUsage, division::Division,
+    fair_level::fair_level, retry_window::RetryWindow, share_book::ShareBook, standing::Standing,
 };
--- a/src/policy/direct/shares/share_book.rs
+++ b/src/policy/direct/shares/share_book.rs
@@ -1,5 +1,5 @@
 use {
-    super::{AccountUsage, Standing, fair_level},
+    super::{AccountShare, AccountUsage, Division},
     crate::policy::{Moment, Teller, TellerScope},
     std::{collections::HashMap, time::Duration},
 };
@@ -13,13 +13,6 @@
 /// What others told is summed up anew after this long.
 const SUM_AGE: Duration = Duration::from_millis(20);
 
-/// An account that got less than this part of what it asked, and of the level,
-/// is behind.
-const BEHIND: f32 = 0.5;
-
-/// How far above the level an account may be and still count as within.
-const SLACK: f32 = 1.05;
-
 /// What accounts asked for and got, here and at the peers.
 #[derive(Debug)]
 pub struct ShareBook {
@@ -163,35 +156,23 @@
 
     /// How an account stands that now asks for `asking` tokens, which are counted
     /// as asked already.
-    pub fn standing(
+    pub fn share(
         &mut self,
         now: Moment,
         account: u32,
         asking: f32,
-    ) -> Standing {
+    ) -> AccountShare {
+        self.division(now).share(account, asking)
+    }
+
+    /// What is divided now, among all accounts that asked of late.
+    pub fn division(
+        &mut self,
+        now: Moment,
+    ) -> Division {
         let usage = self.fleet_usage(now);
-        let Some(mine) = usage.get(&account) else {
-            return Standing::Within;
-        };
-        let given: f32 = usage.values().map(|usage| usage.got).sum();
-        let asked = usage
-            .values()
-            .map(|usage| usage.asked.max(usage.got))
-            .collect();
-        let level = fair_level(asked, self.divided(given));
-        let bound = level * SLACK;
-        if mine.got > bound {
-            let factor = mine.got / bound.max(1.0);
-            let wait = self.window.mul_f32(factor.ln());
-            return Standing::Over { wait, factor };
-        }
-        let asked_before = mine.asked - asking;
-        let is_behind = mine.got < asked_before * BEHIND && mine.got < level * BEHIND;
-        if is_behind {
-            Standing::Behind
-        } else {
-            Standing::Within
-        }
+        let given = usage.values().map(|usage| usage.got).sum();
+        Division::new(self.window, usage, self.divided(given))
     }
 
     /// What is divided among accounts: what the replicas make in a window, or what
--- a/src/policy/direct/shares/standing.rs
+++ b/src/policy/direct/shares/standing.rs
@@ -12,3 +12,14 @@
     /// It was refused more than it got, and got less than half its share.
     Behind,
 }
+
+impl Standing {
+    /// Its name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Over { .. } => "over",
+            Self::Within => "within",
+            Self::Behind => "behind",
+        }
+    }
+}
--- a/tests/fair_shares.rs
+++ b/tests/fair_shares.rs
@@ -67,7 +67,7 @@
     now: Duration,
     account: u32,
 ) -> Option<Duration> {
-    match book.standing(now, account, 0.0) {
+    match book.share(now, account, 0.0).standing {
         Standing::Over { wait, .. } => Some(wait),
         Standing::Within | Standing::Behind => None,
     }
@@ -142,12 +142,12 @@
     book.give(now, big, 20_000.0);
     // Its first request: nothing was refused yet.
     book.ask(now, small, 5000.0);
-    assert_eq!(book.standing(now, small, 5000.0), Standing::Within);
+    assert_eq!(book.share(now, small, 5000.0).standing, Standing::Within);
     // It was refused, and comes again.
     book.ask(now, small, 5000.0);
-    assert_eq!(book.standing(now, small, 5000.0), Standing::Behind);
+    assert_eq!(book.share(now, small, 5000.0).standing, Standing::Behind);
     book.give(now, small, 5000.0);
-    assert_eq!(book.standing(now, small, 0.0), Standing::Within);
+    assert_eq!(book.share(now, small, 0.0).standing, Standing::Within);
 }
 
 #[test]
