--- a/tests/fair_shares.rs
+++ b/tests/fair_shares.rs
@@ -228,3 +228,36 @@
     let (hot, other) = after_a_burst(Duration::from_secs(4));
     assert!(hot < other / 2.0, "{hot} of {other}");
 }
+
+/// What a router believes that an account got, which is given the same again and again, if it
+/// is looked at this often.
+fn believed_when_looked_at_every(look: Duration) -> f32 {
+    let account = short_name("steady");
+    let mut book = ShareBook::new(Duration::from_secs(3), AGE);
+    let mut now = Duration::from_secs(10);
+    let (mut next_given, mut next_look) = (now, now);
+    while now < Duration::from_secs(40) {
+        if now >= next_given {
+            book.give(now, account, 1000.0);
+            next_given += Duration::from_millis(500);
+        }
+        if now >= next_look {
+            book.own(now);
+            next_look += look;
+        }
+        now += Duration::from_millis(1);
+    }
+    book.own(now)[&account].got
+}
+
+#[test]
+fn an_account_is_not_believed_to_have_got_more_where_its_router_is_looked_at_seldom() {
+    // 2,000 tokens a second over three seconds.
+    for look in [1, 7, 60, 95, 99, 101, 190, 450].map(Duration::from_millis) {
+        let got = believed_when_looked_at_every(look);
+        assert!(
+            (got - 6000.0).abs() < 600.0,
+            "{got} where looked at every {look:?}"
+        );
+    }
+}
