Usage fades by all the time that passed, not by whole steps since the last look

Callers saw: an account refused for its share (67) that had got less than others. Cause: usage fades in steps of 100 ms, and the time beyond the last whole step was dropped at each look. A book looked at every 95 ms by its reports, and hardly otherwise, faded half as fast: what few large requests gave at seldom used routers was believed to be up to twice as much.

Why it works: the clock of the book moves by what was faded, the rest counts next time.

--- a/src/policy/direct/shares/share_book.rs
+++ b/src/policy/direct/shares/share_book.rs
@@ -244,9 +244,9 @@
         if steps == 0 {
             return;
         }
-        self.faded = now;
-        let passed = STEP.as_secs_f32() * steps.min(10_000) as f32;
-        let factor = (-passed / self.window.as_secs_f32()).exp();
+        let passed = STEP.saturating_mul(u32::try_from(steps).unwrap_or(u32::MAX));
+        self.faded += passed;
+        let factor = (-passed.as_secs_f32() / self.window.as_secs_f32()).exp();
         self.own.retain(|_, usage| {
             usage.fade(factor);
             usage.asked > NEGLIGIBLE || usage.got > NEGLIGIBLE
