--- a/tests/shares_under_strain.rs
+++ b/tests/shares_under_strain.rs
@@ -66,7 +66,11 @@
 impl Fleet {
     fn new() -> Self {
         let window = shipped_window();
-        let book = || ShareBook::new(window, AGE);
+        let book = || {
+            let mut book = ShareBook::new(window, AGE);
+            book.set_capacity(Some(f64::from(CAPACITY) * 1000.0));
+            book
+        };
         Self {
             books: std::iter::repeat_with(book).take(ROUTERS).collect(),
             in_front: 0.0,
@@ -209,6 +213,21 @@
     }
 }
 
+/// A third of what the operator says is made; one account asks for 150 times as much as each of
+/// four others, which ask for three times their share.
+#[test]
+fn an_account_is_not_outrun_by_one_that_asks_more_where_replicas_make_less_than_is_said() {
+    let hot = demand("hot", 0..30, 5, 200.0, 0..24_000);
+    let few = (0..4).map(|n| demand(&format!("few {n}"), 4 * n..4 * n + 4, 100, 200.0, 0..24_000));
+    let demands: Vec<Demand> = few.chain([hot]).collect();
+    let made = CAPACITY / 3.0;
+    let got = given(&demands, 24, |_| made);
+    for few in 0..4 {
+        let part = worst_part(&got, &format!("few {few}"), "hot", 6..24);
+        assert!(part >= 0.5, "few {few}: {part}");
+    }
+}
+
 fn demand(
     name: &str,
     routers: Range<usize>,
