What is divided among accounts follows whether requests find room

Callers would see: accounts that ask for a little more than their share get a quarter of one that asks most, while replicas make less than the configuration's limit says (some lost, slow or cold). Cause: what is divided was the larger of what was given and that figure. With a level that nobody can reach no account is over its share, and room goes to who asks most often.

Change: each router counts how many prompts of accounts that are not over their share find room (RoomEvidence, over a second); the figure counts in full where all do and not at all where half do not. A few refusals say little, so that a clump or a restart makes nobody go over a share that there is, for which the figure was brought in.

--- a/src/direct/exchange_choice.rs
+++ b/src/direct/exchange_choice.rs
@@ -10,6 +10,7 @@
         codes::{ErrorAnswer, ResultCode},
         ops::PROMPT_TOKENS,
         policy::{
+            Moment,
             placement::{Choice, PlacementRequest, PromptShape, RefusalReason, SentPrompt},
             shares::{AccountShare, Standing},
             short_name,
@@ -43,7 +44,9 @@
             regions: call.regions.as_ref(),
         };
         board.refresh_beliefs(now);
-        match board.choose(now, &request) {
+        let choice = board.choose(now, &request);
+        self.count_room(now, &choice, standing);
+        match choice {
             Choice::Refuse {
                 reason,
                 retry_after,
@@ -97,6 +100,26 @@
         }
     }
 
+    /// Whether a prompt of an account that is not over its share found room says what the
+    /// replicas make.
+    fn count_room(
+        &self,
+        now: Moment,
+        choice: &Choice,
+        standing: Standing,
+    ) {
+        if self.call.prompt.is_none() || matches!(standing, Standing::Over { .. }) {
+            return;
+        }
+        match choice {
+            Choice::Send { .. } => self.gateway.shares().count_room(now, true),
+            Choice::Refuse { reason, .. } if *reason == RefusalReason::NoRoom => {
+                self.gateway.shares().count_room(now, false);
+            }
+            Choice::Refuse { .. } => {}
+        }
+    }
+
     /// One line for the decision, with what decided it.
     fn log_sent(
         &self,
--- a/src/policy/direct/shares/mod.rs
+++ b/src/policy/direct/shares/mod.rs
@@ -7,11 +7,12 @@
 mod fair_level;
 mod given_lately;
 mod retry_window;
+mod room_evidence;
 mod share_book;
 mod standing;
 
 pub use {
     account_share::AccountShare, account_usage::AccountUsage, division::Division,
     fair_level::fair_level, given_lately::GivenLately, retry_window::RetryWindow,
-    share_book::ShareBook, standing::Standing,
+    room_evidence::RoomEvidence, share_book::ShareBook, standing::Standing,
 };
--- a/src/policy/direct/shares/share_book.rs
+++ b/src/policy/direct/shares/share_book.rs
@@ -1,5 +1,5 @@
 use {
-    super::{AccountShare, AccountUsage, Division, GivenLately},
+    super::{AccountShare, AccountUsage, Division, GivenLately, RoomEvidence},
     crate::policy::{Moment, Teller, TellerScope},
     std::{collections::HashMap, time::Duration},
 };
@@ -24,6 +24,7 @@
     faded: Moment,
     told_sum: Option<ToldSum>,
     lately: GivenLately,
+    room: RoomEvidence,
 }
 
 /// What one router of the own zone told, or another zone as a whole.
@@ -55,6 +56,7 @@
             faded: Moment::ZERO,
             told_sum: None,
             lately: GivenLately::default(),
+            room: RoomEvidence::default(),
         }
     }
 
@@ -191,7 +193,7 @@
     ) -> Division {
         let usage = self.fleet_usage(now);
         let given = usage.values().map(|usage| usage.got).sum();
-        Division::new(self.window, usage, self.divided(given))
+        Division::new(self.window, usage, self.divided(now, given))
     }
 
     fn note_given(
@@ -204,14 +206,28 @@
         }
     }
 
-    /// What is divided among accounts: what the replicas make in a window, or what
-    /// was given in it if that is more. What was refused in a window in which
-    /// little was given makes nobody go over a share that there is.
+    /// A request of an account that was not over its share was placed, or there was no
+    /// room for it.
+    pub fn count_room(
+        &mut self,
+        now: Moment,
+        is_placed: bool,
+    ) {
+        self.room.count(now, is_placed);
+    }
+
+    /// What is divided among accounts: what was given in a window, and what the operator
+    /// says that the replicas make beyond that, as far as requests find room. What was
+    /// refused in a window in which little was given makes nobody go over a share that
+    /// there is; where replicas make less than that, as some are lost, nobody may have
+    /// what they do not make.
     fn divided(
         &self,
+        now: Moment,
         given: f32,
     ) -> f32 {
-        given.max(self.capacity * self.window.as_secs_f32())
+        let beyond = self.capacity * self.window.as_secs_f32() - given;
+        given + beyond.max(0.0) * self.room.spare(now)
     }
 
     /// What each account asked for and got over the fleet.
--- a/tests/fair_shares.rs
+++ b/tests/fair_shares.rs
@@ -47,6 +47,26 @@
     assert!(over_for(&mut book, now, big).is_some());
 }
 
+#[test]
+fn what_is_divided_follows_whether_requests_find_room() {
+    let mut book = ShareBook::new(WINDOW, AGE);
+    book.set_capacity(Some(1000.0));
+    let mut now = Duration::from_secs(10);
+    let mut count = |placed: usize, refused: usize| {
+        for is_placed in [vec![false; refused], vec![true; placed]].concat() {
+            now += Duration::from_millis(10);
+            book.count_room(now, is_placed);
+        }
+        book.division(now).divided
+    };
+    assert!(count(50, 2) > 3600.0);
+    assert!(count(30, 70) < 400.0);
+    assert!(count(300, 0) > 3600.0);
+    // What no request has tried for long is believed.
+    assert!(count(0, 100) < 400.0);
+    assert_eq!(book.division(now + Duration::from_secs(60)).divided, 4000.0);
+}
+
 proptest! {
     #[test]
     fn nobody_gets_more_than_asked_and_all_is_given(
--- a/tests/shares_under_strain.rs
+++ b/tests/shares_under_strain.rs
@@ -92,7 +92,9 @@
             Standing::Within => MOST_IN_FRONT_MS,
             Standing::Behind => MOST_IN_FRONT_MS * 2.0,
         };
-        if self.in_front > capacity * most_ms {
+        let is_placed = self.in_front <= capacity * most_ms;
+        book.count_room(now, is_placed);
+        if !is_placed {
             return false;
         }
         book.give(now, demand.account, demand.tokens);
