--- a/src/policy/direct/shares/given_lately.rs
+++ b/src/policy/direct/shares/given_lately.rs
@@ -4,8 +4,9 @@
     std::{collections::HashMap, time::Duration},
 };
 
-/// Windows of shares over which it fades: short, since nobody is to be shut out for longer.
-const WINDOWS: f32 = 1.0 / 3.0;
+/// Over which part of a window of shares it fades: short, since an account that is shut out
+/// waits for about this long.
+const FADES: f32 = 1.0 / 3.0;
 
 /// Less than this part of a share is not kept.
 const NEGLIGIBLE: f32 = 0.001;
@@ -68,6 +69,6 @@
         let known = self.accounts.get(&account).copied().unwrap_or_default();
         let windows = now.saturating_sub(self.noted).as_secs_f32() / division.window.as_secs_f32();
         let given = (usage.got - known.got * (-windows).exp()) / division.level.max(1.0);
-        (known.shares * (-windows / WINDOWS).exp() + given / WINDOWS).max(0.0)
+        (known.shares * (-windows / FADES).exp() + given / FADES).max(0.0)
     }
 }
