--- a/tests/shares_under_strain.rs
+++ b/tests/shares_under_strain.rs
@@ -209,7 +209,7 @@
             let (early, late) = (format!("early {early}"), format!("late {late}"));
             let part = worst_part(&got, &early, &late, 10..24);
             assert!(part >= 0.5, "{part} of what {late} got");
-            let part = worst_part(&got, &late, &early, 12..24);
+            let part = worst_part(&got, &late, &early, 10..24);
             assert!(part >= 0.5, "{late}: {part} of what {early} got");
         }
     }
