A killed sidecar: the test sends more than one sidecar holds

Callers saw nothing wrong: all ten requests share a prefix, so that eight of them run at one engine, and the other two went to either. Where the machine is short of processor, a grant's round trip is long, and the sidecar holds up to three requests ready; then all ten fit at one.

What is asserted stays as it was, for twice as many requests.

--- a/testbed/tests/whole_answers.rs
+++ b/testbed/tests/whole_answers.rs
@@ -10,6 +10,10 @@
     tokio::task::JoinSet,
 };
 
+/// Requests that no sidecar holds alone: its upstream's 8 slots, and at most 8
+/// held ready.
+const MORE_THAN_ONE_HOLDS: usize = 20;
+
 fn plan() -> FleetPlan {
     let text = FleetText::default()
         .class("chat", "60 s")
@@ -118,7 +122,7 @@
 async fn a_sidecar_killed_in_the_middle_of_answers_cuts_them_visibly() {
     let mut fleet = Fleet::start(plan()).await;
     let mut requests = JoinSet::new();
-    for index in 0..10 {
+    for index in 0..MORE_THAN_ONE_HOLDS {
         let caller = fleet.caller(index % 2, "lot-a");
         requests.spawn(async move {
             let body = ChatBody::new("drafter", "prefix", &nonce(), 400, true);
@@ -138,7 +142,7 @@
     let cut = outcomes.iter().filter(|o| **o == Outcome::Cut).count();
     let whole = outcomes.iter().filter(|o| o.is_whole()).count();
     assert!(cut > 0, "{outcomes:?}");
-    assert_eq!(cut + whole, 10, "{outcomes:?}");
+    assert_eq!(cut + whole, MORE_THAN_ONE_HOLDS, "{outcomes:?}");
 }
 
 #[tokio::test(flavor = "multi_thread")]
