Refusals that a replica does not prove are no promise to the caller

Callers saw 408, 429 or 503 for a request that had run: these statuses say that it did not and never will, and a caller that may repeat then runs a charge twice.

Cause: a replica's answer passed with its status, whatever that promises. Only the replica's word (not executed) and 421 were looked at; 503 counted as a failure, but was kept and passed on, 429 and 408 counted as a success.

Now such an answer without that word is a failure: repeated elsewhere where the route allows it, else 502 with code 50, 'may have run', without a time to come back. Which statuses promise is said by the dialect, beside the names of headers. Ruled out: passing it on for requests that may be repeated: callers read the same promise there.

unproved_refusals (both tests) failed before: 408 where 502 was expected, with short and long answers; the second with 408 where another replica would have served.

--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -100,6 +100,12 @@
             retry_after: asked_rest(header_text(&head.headers, &RETRY_AFTER)),
         });
     }
+    if (gateway.dialect.promises_not_run)(head.status) {
+        // It may have run: passed on, the status would be a promise that nobody gave.
+        return Err(AttemptEnd::Failed {
+            status: head.status.as_u16(),
+        });
+    }
     let proved = head.headers.contains_key(&names.signature)
         && !head.headers.contains_key(CONTENT_ENCODING)
         && (echoed == call.request_id);
--- a/src/direct/attempt_end.rs
+++ b/src/direct/attempt_end.rs
@@ -13,7 +13,7 @@
         status: u16,
         retry_after: Option<Duration>,
     },
-    /// The request ran and its replica answered with a failure, which is kept.
+    /// The request may have run, and its replica answered with a failure.
     Failed { status: u16 },
     /// The request was sent and may have run.
     Unknown { code: ResultCode, detail: String },
--- a/src/direct/dialect.rs
+++ b/src/direct/dialect.rs
@@ -25,6 +25,8 @@
     pub names: HeaderNames,
     /// What a request says of its prompt.
     pub prompt: fn(&HeaderMap) -> Option<PromptShape>,
+    /// Whether a status tells a caller that its request did not run and never will.
+    pub promises_not_run: fn(StatusCode) -> bool,
     /// What the head of an answer says of its replica.
     pub notice: fn(StatusCode, &HeaderMap) -> ReplicaNotice,
     /// How a replica is asked what it keeps.
--- a/src/platform/dialect.rs
+++ b/src/platform/dialect.rs
@@ -1,7 +1,7 @@
 use {
     super::{cache_json::CACHE_CALLS, notice_headers::read_notice, prompt_headers::prompt_shape},
     crate::direct::{Dialect, HeaderNames},
-    hyper::header::HeaderName,
+    hyper::{StatusCode, header::HeaderName},
 };
 
 /// Headers that only the system sets: a caller's own are not passed on.
@@ -34,7 +34,19 @@
             system: SYSTEM_HEADERS.iter().map(|text| name(text)).collect(),
         },
         prompt: prompt_shape,
+        promises_not_run,
         notice: read_notice,
         cache: CACHE_CALLS,
     }
 }
+
+/// Replicas may answer with these without the promise that callers read in them.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
