A prompt's own reading is weighed against pauses at the replica's pace

What is in front of a prompt was weighed at the pace of the replica, the prompt's own reading at the service's: the harm to streams was taken for too small at slow engines and for too large at quick ones.

The test failed before: 546 ms at the usual pace, and the same 546 where the engine takes three times as long.

--- a/src/policy/direct/placement/board/board_pauses.rs
+++ b/src/policy/direct/placement/board/board_pauses.rs
@@ -83,7 +83,7 @@
         candidate: &mut Candidate,
     ) {
         let sight = candidate.offer.view.pause_sight;
-        let own_ms = candidate.reading_ms(candidate.offer.reading);
+        let own_ms = candidate.times.reading_ms(candidate.offer.reading);
         candidate.others_late = risk.others_late(sight, running, candidate.front_ms, own_ms);
         candidate.pauses_ms = risk.own_ms(sight) + risk.cost_ms(candidate.others_late);
     }
--- a/tests/engine_pace.rs
+++ b/tests/engine_pace.rs
@@ -85,12 +85,8 @@
     }
 }
 
-fn choose(
-    board: &ReplicaBoard,
-    now: Duration,
-    prompt: &PromptShape,
-) -> Choice {
-    let request = PlacementRequest {
+fn request(prompt: &PromptShape) -> PlacementRequest<'_> {
+    PlacementRequest {
         regions: None,
         pause_aim: None,
         service: "model",
@@ -100,8 +96,15 @@
         aim: AIM,
         standing: Standing::Within,
         tried: &[],
-    };
-    board.choose(now, &request)
+    }
+}
+
+fn choose(
+    board: &ReplicaBoard,
+    now: Duration,
+    prompt: &PromptShape,
+) -> Choice {
+    board.choose(now, &request(prompt))
 }
 
 /// An engine that reads one prompt after the other.
@@ -549,3 +552,47 @@
         assert_eq!(view.seen.pauses(secs(200.0)), PauseEvidence::default());
     }
 }
+
+/// What placing a prompt at "a" costs by the pauses that it brings, in milliseconds, where
+/// two streams run and first tokens take `ratio` times as long as usual.
+fn pauses_at(ratio: f32) -> f64 {
+    let pause_aim = Some(Duration::from_millis(300));
+    let mut board = board(&["a"]);
+    board.hear_evidence(BEGIN, 1, &[told("a", ratio, 500.0)]);
+    for number in [900, 901] {
+        let shape = prompt(number);
+        let sent = SentPrompt {
+            pause_aim,
+            shape: &shape,
+            engine: ENGINE,
+            aim: AIM,
+            reading: 0,
+            front_ms: 0.0,
+        };
+        board.start(BEGIN, &"a".into(), Some(sent));
+    }
+    board.learn_run(BEGIN, &entry("a", 1), 50, Duration::from_secs(2));
+    let seen = PauseEvidence {
+        watched_s: 20.0,
+        broken: 1.0,
+    };
+    board.see_pauses(BEGIN, &entry("a", 1), seen);
+    let shape = prompt(1);
+    let request = PlacementRequest {
+        pause_aim,
+        ..request(&shape)
+    };
+    match board.choose(BEGIN, &request) {
+        Choice::Send { pauses_ms, .. } => pauses_ms,
+        Choice::Refuse { reason, .. } => panic!("refused: {reason:?}"),
+    }
+}
+
+#[test]
+fn a_prompts_reading_is_weighed_at_the_pace_of_the_engine_that_reads_it() {
+    // 5,000 tokens take half of a pause aim of 300 ms at the usual pace: a quarter of the
+    // two streams is expected to break. At a third of that pace both are.
+    let (usual, slow, quick) = (pauses_at(1.0), pauses_at(3.0), pauses_at(0.5));
+    assert!(slow > usual * 2.0, "{slow} at a slow engine, {usual}");
+    assert!(quick < usual / 2.0, "{quick} at a quick engine, {usual}");
+}
