A replica's event number that was far too high is left again

Cause: the highest number that was heard stood whatever came after. Now an answer whose number is below the one that was asked from is gone on from, with a gap. An older answer of a second follower has no such number and takes nothing back (in the test). Ruled out: a bound on how far a number may jump (what is far would be a figure without a reason), and not going on beyond the last event that came (of events that never come each call would ask again).

The test failed before: the gap was not seen, the part given up believed.

--- a/src/policy/direct/placement/kept/kept_word.rs
+++ b/src/policy/direct/placement/kept/kept_word.rs
@@ -91,14 +91,21 @@
             .events
             .iter()
             .filter(|event| news.is_again || event.number >= next);
+        // It was asked from beyond what it counts: an earlier answer named too high a number,
+        // and its events would be taken for known until it starts again.
+        let is_beyond = news.next < news.from;
         let heard = HeardEvents {
             is_anew: known.epoch.is_some() && !is_same,
-            has_gap: news.has_gap || news.from > next,
+            has_gap: news.has_gap || news.from > next || is_beyond,
             events: events.copied().collect(),
         };
         self.follow = KeptFollow {
             epoch: Some(news.epoch),
-            next: next.max(news.next),
+            next: if is_beyond {
+                news.next
+            } else {
+                next.max(news.next)
+            },
         };
         heard
     }
--- a/tests/kept_parts.rs
+++ b/tests/kept_parts.rs
@@ -161,6 +161,27 @@
     assert!(torn.lacks_numbers());
 }
 
+/// One answer names a number far ahead, and later ones the replica's own again: its events
+/// are taken in from there on.
+#[test]
+fn a_number_far_ahead_is_left_when_the_replica_names_a_lower_one() {
+    let mut cache = placed(&[1, 2]);
+    let nothing = |from, next| KeptNews {
+        from,
+        next,
+        has_gap: next > from,
+        ..news(&[])
+    };
+    cache.hear(LATER, &nothing(1, 1_000_000));
+    let change = cache.hear(LATER, &nothing(1_000_000, 3));
+    assert!(change.news.has_gap);
+    let change = cache.hear(LATER, &news(&[event(3, 1, false)]));
+    assert_eq!((change.heard, cache.holds(1)), (1, false));
+    // News of a second follower that are older by some numbers take nothing back.
+    cache.hear(LATER, &news(&[event(2, 2, false)]));
+    assert!(cache.holds(2));
+}
+
 fn replica() -> Arc<UpstreamEntry> {
     Arc::new(UpstreamEntry {
         id: "i-a".into(),
