--- a/src/policy/direct/shares/mod.rs
+++ b/src/policy/direct/shares/mod.rs
@@ -10,9 +10,10 @@
 mod room_evidence;
 mod share_book;
 mod standing;
+mod told_usage;
 
 pub use {
     account_share::AccountShare, account_usage::AccountUsage, division::Division,
     fair_level::fair_level, given_lately::GivenLately, retry_window::RetryWindow,
-    room_evidence::RoomEvidence, share_book::ShareBook, standing::Standing,
+    room_evidence::RoomEvidence, share_book::ShareBook, standing::Standing, told_usage::ToldUsage,
 };
--- a/src/policy/direct/shares/share_book.rs
+++ b/src/policy/direct/shares/share_book.rs
@@ -1,5 +1,5 @@
 use {
-    super::{AccountShare, AccountUsage, Division, GivenLately, RoomEvidence},
+    super::{AccountShare, AccountUsage, Division, GivenLately, RoomEvidence, ToldUsage},
     crate::policy::{Moment, Teller, TellerScope},
     std::{collections::HashMap, time::Duration},
 };
@@ -10,9 +10,6 @@
 /// Accounts with less than this are not kept, in tokens.
 const NEGLIGIBLE: f32 = 1.0;
 
-/// What others told is summed up anew after this long.
-const SUM_AGE: Duration = Duration::from_millis(20);
-
 /// What accounts asked for and got, here and at the peers.
 #[derive(Debug)]
 pub struct ShareBook {
@@ -20,27 +17,12 @@
     peer_age: Duration, // older reports of peers are ignored
     capacity: f32,      // tokens a second that the operator says all replicas make; 0 if untold
     own: HashMap<u32, AccountUsage>,
-    told: HashMap<u32, Told>, // by who told
+    told: ToldUsage,
     faded: Moment,
-    told_sum: Option<ToldSum>,
     lately: GivenLately,
     room: RoomEvidence,
 }
 
-/// What one router of the own zone told, or another zone as a whole.
-#[derive(Debug)]
-struct Told {
-    scope: TellerScope,
-    usage: HashMap<u32, (Moment, AccountUsage)>, // by account
-}
-
-/// What all of them told, summed, as of a moment.
-#[derive(Debug)]
-struct ToldSum {
-    made: Moment,
-    usage: HashMap<u32, AccountUsage>,
-}
-
 impl ShareBook {
     /// An empty book.
     pub fn new(
@@ -52,9 +34,8 @@
             peer_age,
             capacity: 0.0,
             own: HashMap::new(),
-            told: HashMap::new(),
+            told: ToldUsage::default(),
             faded: Moment::ZERO,
-            told_sum: None,
             lately: GivenLately::default(),
             room: RoomEvidence::default(),
         }
@@ -126,18 +107,7 @@
         teller: Teller,
         usage: &[(u32, AccountUsage)],
     ) {
-        let told = self.told.entry(teller.name).or_insert_with(|| Told {
-            scope: teller.scope,
-            usage: HashMap::new(),
-        });
-        told.usage.extend(
-            usage
-                .iter()
-                .map(|(account, usage)| (*account, (now, *usage))),
-        );
-        let age = self.peer_age;
-        told.usage
-            .retain(|_, (heard, _)| now.saturating_sub(*heard) <= age);
+        self.told.hear(now, teller, usage, self.peer_age);
     }
 
     /// Who told this is gone.
@@ -145,8 +115,7 @@
         &mut self,
         name: u32,
     ) {
-        self.told.remove(&name);
-        self.told_sum = None;
+        self.told.forget(name);
     }
 
     /// This router's own usage, to be told to peers. Asked for at each report, also where
@@ -173,17 +142,18 @@
         division.share(now, &self.lately, account, asking)
     }
 
-    /// How each account stands that asked of late.
+    /// What is divided now, and how each account stands that asked of late.
     pub fn shares(
         &mut self,
         now: Moment,
-    ) -> Vec<AccountShare> {
+    ) -> (Division, Vec<AccountShare>) {
         self.note_given(now);
         let division = self.division(now);
         let accounts = division.usage().map(|(account, _)| account);
-        accounts
+        let shares = accounts
             .map(|account| division.share(now, &self.lately, account, 0.0))
-            .collect()
+            .collect();
+        (division, shares)
     }
 
     /// What is divided now, among all accounts that asked of late.
@@ -235,7 +205,7 @@
         &mut self,
         now: Moment,
     ) -> HashMap<u32, AccountUsage> {
-        let mut sum = self.recent_told(now).clone();
+        let mut sum = self.told.sum(now, self.peer_age, self.window).clone();
         add_usage(&mut sum, &self.own);
         sum
     }
@@ -246,41 +216,12 @@
         now: Moment,
     ) -> HashMap<u32, AccountUsage> {
         self.fade(now);
-        let mut sum = self.told_usage(now, |scope| scope == TellerScope::Router);
+        let routers = |scope| scope == TellerScope::Router;
+        let mut sum = self.told.sum_of(now, self.peer_age, self.window, routers);
         add_usage(&mut sum, &self.own);
         sum
     }
 
-    /// The usage that all others told, summed not longer ago than [`SUM_AGE`].
-    fn recent_told(
-        &mut self,
-        now: Moment,
-    ) -> &HashMap<u32, AccountUsage> {
-        let is_fresh = |sum: &ToldSum| sum.made <= now && now - sum.made < SUM_AGE;
-        let known = self.told_sum.take().filter(is_fresh);
-        let sum = known.unwrap_or_else(|| ToldSum {
-            made: now,
-            usage: self.told_usage(now, |_| true),
-        });
-        &self.told_sum.insert(sum).usage
-    }
-
-    fn told_usage(
-        &self,
-        now: Moment,
-        counts: impl Fn(TellerScope) -> bool,
-    ) -> HashMap<u32, AccountUsage> {
-        let mut sum: HashMap<u32, AccountUsage> = HashMap::new();
-        let tellers = self.told.values().filter(|told| counts(told.scope));
-        for (account, (heard, usage)) in tellers.flat_map(|told| &told.usage) {
-            let age = now.saturating_sub(*heard);
-            if age <= self.peer_age {
-                *sum.entry(*account).or_default() += usage.faded(age, self.window);
-            }
-        }
-        sum
-    }
-
     fn fade(
         &mut self,
         now: Moment,
