Routers ask for news as they hear of it, and soon where their store fell silent

Cause: a router whose open connection to the store is silent hears from its fellows that it is behind, but looked every 0.1 s and then waited 0.5 s for the store, twice where a zone hears from another: longer than the second for which a replica is listed before it serves. And the wait was for being behind anybody, so that under many changes routers that keep up asked as well.

--- a/src/catalog/catalog.rs
+++ b/src/catalog/catalog.rs
@@ -32,6 +32,14 @@
     pub fn knows_both(&self) -> bool {
         self.config > 0 && self.upstreams > 0
     }
+
+    /// Whether something here is newer than there.
+    pub fn is_ahead_of(
+        &self,
+        other: Self,
+    ) -> bool {
+        self.config > other.config || self.upstreams > other.upstreams
+    }
 }
 
 /// The newest configuration and list of upstreams that this process has heard
--- a/src/direct/gateway.rs
+++ b/src/direct/gateway.rs
@@ -153,17 +153,10 @@
         is_unconfirmed
     }
 
-    /// Another router says how far it has come: what is known here is confirmed if that is
-    /// not further.
-    pub fn heard_version(
-        &self,
-        theirs: CatalogVersion,
-    ) {
-        let ours = self.catalog.version();
-        if theirs.config <= ours.config && theirs.upstreams <= ours.upstreams {
-            let mut standstill = self.standstill.lock().expect("standstill lock");
-            standstill.confirm(self.now());
-        }
+    /// Another router has come no further than this one: what is known here is confirmed.
+    pub fn confirm_known(&self) {
+        let mut standstill = self.standstill.lock().expect("standstill lock");
+        standstill.confirm(self.now());
     }
 
     /// The replicas and what is at them.
--- a/src/peers/listen.rs
+++ b/src/peers/listen.rs
@@ -5,6 +5,7 @@
         Figures, NamedRouter, PeerLink, PeerMessage, RouterReport, ZoneSum, peer_link::router_name,
     },
     crate::{
+        catalog::CatalogVersion,
         ops::MESSAGES_REFUSED,
         policy::{Moment, Teller, TellerScope, mix, stable_hash},
         wire::decode_payload,
@@ -100,7 +101,7 @@
             name: router_name(&report.address),
             source: report.incarnation,
         };
-        gateway.heard_version(report.version);
+        self.hear_version(report.version);
         self.take_figures(now, teller, &report.figures);
     }
 
@@ -127,11 +128,23 @@
             name: sum.zone,
             source: mix(stable_hash(&sum.carrier), sum.incarnation),
         };
-        gateway.heard_version(sum.version);
+        self.hear_version(sum.version);
         self.take_figures(now, teller, &sum.figures);
         true
     }
 
+    /// Another router, or zone, says how far it has come.
+    fn hear_version(
+        &self,
+        theirs: CatalogVersion,
+    ) {
+        if theirs.is_ahead_of(self.gateway.catalog.version()) {
+            self.behind.notify_one();
+        } else {
+            self.gateway.confirm_known();
+        }
+    }
+
     fn take_figures(
         &self,
         now: Moment,
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -17,6 +17,7 @@
 
 mod ask_names;
 mod ask_news;
+mod behind;
 mod catalog_news;
 mod catch_up;
 mod evidence_told;
@@ -45,6 +46,7 @@
 mod zone_table;
 
 pub use {
+    behind::Behind,
     catalog_news::CatalogNews,
     evidence_told::EvidenceTold,
     evidence_turn::EvidenceTurn,
--- a/src/peers/peer_link.rs
+++ b/src/peers/peer_link.rs
@@ -21,7 +21,7 @@
         },
         time::Duration,
     },
-    tokio::net::UdpSocket,
+    tokio::{net::UdpSocket, sync::Notify},
 };
 
 /// A zone or router that said nothing for this long no longer speaks for its
@@ -37,6 +37,7 @@
     pub(super) socket: UdpSocket,
     pub(super) incarnation: u64,
     pub(super) told: Mutex<TellState>, // a leaf lock
+    pub(super) behind: Notify,         // another has a newer catalog
     sequence: AtomicU64,
     asked: Mutex<Option<(SocketAddr, Connection)>>, // for news, the last time; a leaf lock
 }
@@ -69,6 +70,7 @@
             incarnation: Uptime::unix_millis(),
             sequence: AtomicU64::new(0),
             told: Mutex::default(),
+            behind: Notify::new(),
             asked: Mutex::default(),
             gateway,
         }))
