--- a/testbed/tests/silent_connections.rs
+++ b/testbed/tests/silent_connections.rs
@@ -203,3 +203,45 @@
     assert!(seen.clone().any(|seen| seen.id() == "stays"));
     assert_eq!(seen.filter(|seen| seen.id() == "left").count(), 0);
 }
+
+/// A read waits and a stream runs on silent connections as their router is told to stop:
+/// both are answered whole before it ends.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_loses_nothing_that_waits_on_silent_connections() {
+    const LAST: u32 = 12;
+    let events = ReplicaAnswer::Events {
+        last: LAST,
+        pause: Duration::from_millis(50),
+    };
+    let (mut fleet, _replicas, proxies) = fleet_of_two(events).await;
+    let callers = fleet.callers[0];
+    let begun = async |path: &str, id: &str| {
+        let mut client = Client::connect(callers).await.expect("a connection");
+        let request = ClientRequest::post(path, id, "{}");
+        client.send(&request.bytes()).await.expect("sent");
+        client
+    };
+    // A connection to each replica is at rest afterwards.
+    for client in join_all(["warm-1", "warm-2"].map(|id| begun("/read/", id))).await {
+        let mut client = client;
+        assert_eq!(client.answer().await.status, 200);
+    }
+    let mut stream = begun("/events/", "stream").await;
+    assert!(stream.wait_for("piece 3").await);
+    for proxy in &proxies {
+        proxy.silence_connections();
+    }
+    let mut read = begun("/read/", "read").await;
+    until("the read waits at a replica", || {
+        fleet.routers[0].log_text().contains("\"read\"")
+    })
+    .await;
+    fleet.routers[0].terminate();
+    let whole: String = (1..=LAST).map(event).collect();
+    for client in [&mut stream, &mut read] {
+        let answer = client.answer().await;
+        assert!(answer.status == 200 && answer.whole, "{answer:?}");
+        assert_eq!(answer.text(), whole);
+    }
+    until("it stops by itself", || fleet.routers[0].ended().is_some()).await;
+}
