--- a/src/peers/catch_up.rs
+++ b/src/peers/catch_up.rs
@@ -19,7 +19,7 @@
         let mut behind = Behind::default();
         loop {
             // Hearing nothing is no fault: what it asked for may not have come.
-            let _nothing = tokio::time::timeout(LOOK_EVERY, self.behind.notified()).await;
+            let _nothing = tokio::time::timeout(LOOK_EVERY, self.newer_heard.notified()).await;
             let now = self.gateway.now();
             let ours = self.gateway.catalog.version();
             let ahead = self.ahead_of(now, ours);
--- a/src/peers/listen.rs
+++ b/src/peers/listen.rs
@@ -139,7 +139,7 @@
         theirs: CatalogVersion,
     ) {
         if theirs.is_ahead_of(self.gateway.catalog.version()) {
-            self.behind.notify_one();
+            self.newer_heard.notify_one();
         } else {
             self.gateway.confirm_known();
         }
--- a/src/peers/peer_link.rs
+++ b/src/peers/peer_link.rs
@@ -37,7 +37,7 @@
     pub(super) socket: UdpSocket,
     pub(super) incarnation: u64,
     pub(super) told: Mutex<TellState>, // a leaf lock
-    pub(super) behind: Notify,         // another has a newer catalog
+    pub(super) newer_heard: Notify,    // another router has a newer catalog
     sequence: AtomicU64,
     asked: Mutex<Option<(SocketAddr, Connection)>>, // for news, the last time; a leaf lock
 }
@@ -70,7 +70,7 @@
             incarnation: Uptime::unix_millis(),
             sequence: AtomicU64::new(0),
             told: Mutex::default(),
-            behind: Notify::new(),
+            newer_heard: Notify::new(),
             asked: Mutex::default(),
             gateway,
         }))
