Stand-in store: a configuration is a type of its own; replicas count what they got

Test code only: ConfigText takes the limit on bodies, which one test wrote as a configuration of its own; two tests counted arrivals by the same lines.

--- /dev/null
+++ b/testbed/src/direct/config_text.rs
@@ -0,0 +1,72 @@
+use {
+    super::RouteText,
+    serde_json::{Value, json},
+};
+
+/// A configuration as the operator writes it, for the host `app.example` and the account
+/// `lot`.
+pub struct ConfigText<'c> {
+    pub version: u64,
+    pub routes: &'c [RouteText],
+    pub keys: &'c [&'c str], // of the account
+    pub details: Value,      // fields of each service besides the usual ones
+    pub max_body: usize,     // bytes
+}
+
+impl<'c> ConfigText<'c> {
+    /// One in which the account has the key `key-1`.
+    pub fn new(
+        version: u64,
+        routes: &'c [RouteText],
+    ) -> Self {
+        Self {
+            version,
+            routes,
+            keys: &["key-1"],
+            details: json!({}),
+            max_body: 64 << 10,
+        }
+    }
+
+    /// As the store holds it.
+    pub fn to_json(&self) -> Value {
+        let services: Vec<Value> = self
+            .routes
+            .iter()
+            .map(|route| self.service(route))
+            .collect();
+        let routes: Vec<Value> = self.routes.iter().map(route_json).collect();
+        json!({
+            "version": self.version, "routes": routes, "services": services,
+            "limits": {"max_header_bytes": 8192, "max_body_bytes": self.max_body,
+                       "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+            "tenants": [{"name": "lot", "api_keys": self.keys}],
+        })
+    }
+
+    fn service(
+        &self,
+        route: &RouteText,
+    ) -> Value {
+        let mut service = json!({
+            "name": route.service, "health_path": "/health", "max_connections": 100,
+            "protocol": "h1",
+        });
+        for (name, value) in self.details.as_object().into_iter().flatten() {
+            service[name] = value.clone();
+        }
+        service
+    }
+}
+
+fn route_json(route: &RouteText) -> Value {
+    json!({
+        "name": format!("r{}", route.prefix.replace('/', "-")),
+        "host": "app.example", "path_prefix": route.prefix,
+        "kind": route.kind, "service": route.service,
+        "timeout_ms": route.timeout_ms, "target_latency_ms": 500,
+        "priority": 1, "max_attempts": route.attempts,
+        "public": route.public, "resumable": route.resumable,
+        "allowed_regions": route.regions,
+    })
+}
--- a/testbed/src/direct/mod.rs
+++ b/testbed/src/direct/mod.rs
@@ -3,6 +3,7 @@
 
 mod client;
 mod client_answer;
+mod config_text;
 mod direct_fleet;
 mod replica;
 mod replica_answer;
@@ -18,6 +19,7 @@
 pub use {
     client::{Client, ClientRequest},
     client_answer::ClientAnswer,
+    config_text::ConfigText,
     direct_fleet::{DirectFleet, zone_name},
     replica::Replica,
     replica_answer::ReplicaAnswer,
--- a/testbed/src/direct/replica.rs
+++ b/testbed/src/direct/replica.rs
@@ -194,6 +194,15 @@
         self.state.seen.lock().expect("lock").clone()
     }
 
+    /// How often it got a request with this id.
+    pub fn got(
+        &self,
+        id: &str,
+    ) -> usize {
+        let seen = self.seen();
+        seen.iter().filter(|request| request.id() == id).count()
+    }
+
     /// Connections that are open.
     pub fn open(&self) -> usize {
         self.state.open.load(Ordering::SeqCst)
--- a/testbed/src/direct/store.rs
+++ b/testbed/src/direct/store.rs
@@ -1,5 +1,5 @@
 use {
-    super::RouteText,
+    super::{ConfigText, RouteText},
     serde_json::{Value, json},
     std::{
         collections::BTreeMap,
@@ -40,14 +40,13 @@
 }
 
 impl Store {
-    /// Publishes a configuration for the host `app.example`, in which the
-    /// account `lot` has the key `key-1`.
+    /// Publishes a configuration in which the account has the key `key-1`.
     pub fn publish(
         &self,
         version: u64,
         routes: &[RouteText],
     ) {
-        self.publish_with_keys(version, routes, &["key-1"]);
+        self.publish_config(&ConfigText::new(version, routes));
     }
 
     /// The same, where the replicas of all services are model engines.
@@ -56,8 +55,10 @@
         version: u64,
         routes: &[RouteText],
     ) {
-        let engine = json!({"slots": 8, "kv_capacity_tokens": 100_000});
-        self.publish_config(version, routes, &["key-1"], &json!({"engine": engine}));
+        self.publish_config(&ConfigText {
+            details: json!({"engine": {"slots": 8, "kv_capacity_tokens": 100_000}}),
+            ..ConfigText::new(version, routes)
+        });
     }
 
     /// The same, where the replicas of all services bear so many requests a second for
@@ -68,8 +69,10 @@
         routes: &[RouteText],
         per_second: f64,
     ) {
-        let start = json!({"cold_start_s": 3.0, "cold_per_s": per_second});
-        self.publish_config(version, routes, &["key-1"], &start);
+        self.publish_config(&ConfigText {
+            details: json!({"cold_start_s": 3.0, "cold_per_s": per_second}),
+            ..ConfigText::new(version, routes)
+        });
     }
 
     /// The same with other keys.
@@ -79,50 +82,18 @@
         routes: &[RouteText],
         keys: &[&str],
     ) {
-        self.publish_config(version, routes, keys, &json!({}));
+        self.publish_config(&ConfigText {
+            keys,
+            ..ConfigText::new(version, routes)
+        });
     }
 
-    fn publish_config(
+    /// Publishes a configuration.
+    pub fn publish_config(
         &self,
-        version: u64,
-        routes: &[RouteText],
-        keys: &[&str],
-        details: &Value, // of each service
+        config: &ConfigText<'_>,
     ) {
-        let services: Vec<Value> = routes
-            .iter()
-            .map(|route| {
-                let mut service = json!({
-                    "name": route.service, "health_path": "/health", "max_connections": 100,
-                    "protocol": "h1",
-                });
-                for (name, value) in details.as_object().into_iter().flatten() {
-                    service[name] = value.clone();
-                }
-                service
-            })
-            .collect();
-        let routes: Vec<Value> = routes
-            .iter()
-            .map(|route| {
-                json!({
-                    "name": format!("r{}", route.prefix.replace('/', "-")),
-                    "host": "app.example", "path_prefix": route.prefix,
-                    "kind": route.kind, "service": route.service,
-                    "timeout_ms": route.timeout_ms, "target_latency_ms": 500,
-                    "priority": 1, "max_attempts": route.attempts,
-                    "public": route.public, "resumable": route.resumable,
-                    "allowed_regions": route.regions,
-                })
-            })
-            .collect();
-        let config = json!({
-            "version": version, "routes": routes, "services": services,
-            "limits": {"max_header_bytes": 8192, "max_body_bytes": 65536,
-                       "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-            "tenants": [{"name": "lot", "api_keys": keys}],
-        });
-        self.put("op/config", &config);
+        self.put("op/config", &config.to_json());
     }
 
     /// Lists a replica of the zone `z`.
--- a/testbed/tests/direct_requests.rs
+++ b/testbed/tests/direct_requests.rs
@@ -57,8 +57,7 @@
     replicas: &[Replica],
     id: &str,
 ) -> usize {
-    let seen = replicas.iter().flat_map(Replica::seen);
-    seen.filter(|request| request.id() == id).count()
+    replicas.iter().map(|replica| replica.got(id)).sum()
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/testbed/tests/odd_answers.rs
+++ b/testbed/tests/odd_answers.rs
@@ -2,10 +2,9 @@
 
 use {
     archmast_testbed::{
-        direct::{Client, ClientRequest, DirectFleet},
+        direct::{Client, ClientRequest, ConfigText, DirectFleet, RouteText},
         fleet::until,
     },
-    serde_json::json,
     std::{
         sync::{Arc, Mutex},
         time::Duration,
@@ -96,25 +95,11 @@
         .expect("an address");
     let address = listener.local_addr().expect("an address");
     fleet.store.list_in("z", "i-odd", "s", address, "ready");
-    let config = json!({
-        "version": 1,
-        "routes": [{
-            "name": "charge", "host": "app.example", "path_prefix": "/charge/",
-            "kind": "non_idempotent", "service": "s", "timeout_ms": 5000,
-            "target_latency_ms": 500, "priority": 1, "max_attempts": 2,
-        }],
-        "services": [{
-            "name": "s", "health_path": "/health", "max_connections": 100, "protocol": "h1",
-        }],
-        "limits": {
-            "max_header_bytes": 8192, "max_body_bytes": LONG_BODY,
-            "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
-        },
-        "tenants": [{"name": "lot", "api_keys": ["key-1"]}],
+    let once = [RouteText::new("/charge/", "s", "non_idempotent")];
+    fleet.store.publish_config(&ConfigText {
+        max_body: LONG_BODY,
+        ..ConfigText::new(1, &once)
     });
-    fleet
-        .store
-        .put_bytes("op/config", config.to_string().as_bytes());
     fleet.all_ready().await;
     (fleet, listener)
 }
--- a/testbed/tests/unproved_refusals.rs
+++ b/testbed/tests/unproved_refusals.rs
@@ -24,8 +24,7 @@
     replicas: &[Replica],
     id: &str,
 ) -> usize {
-    let seen = replicas.iter().flat_map(Replica::seen);
-    seen.filter(|request| request.id() == id).count()
+    replicas.iter().map(|replica| replica.got(id)).sum()
 }
 
 /// A request that may run once only: it may have run, and the caller must not be told
