--- a/src/direct/hand_on.rs
+++ b/src/direct/hand_on.rs
@@ -3,8 +3,6 @@
 //!
 //! The balancer spreads callers by a hash: one caller that asks for more than a
 //! small host bears meets the same host again and again, also when it is refused.
-//! Refusals for want of processor in 34 s at 103 routers: 22,143 without this, none
-//! with it.
 
 use {
     super::sockets::watch_over,
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -7,13 +7,12 @@
 //! hands it to its fellows. So what a router sends and hears grows with its zone,
 //! and what passes between zones with the square of their number.
 //!
-//! Reports and sums go by datagrams, news of the catalog over QUIC when a router
-//! is behind. QUIC for the reports too cost 0.033 of a core at 20 routers, where
-//! hosts have 0.09; a report may be lost, since the next one says the same. News
-//! are encrypted with certificates that each process makes for itself at its
-//! start; reports are not. Since hosts are given no keys, a peer is known by its
-//! address alone: a stranger who can send from inside the network from such an
-//! address is not kept out.
+//! Reports and sums go by datagrams, since QUIC for each takes more processor than small
+//! hosts have to spare; a report may be lost, since the next one says the same. News of the
+//! catalog go over QUIC when a router is behind, encrypted with certificates that each
+//! process makes for itself at its start; reports are not. Since hosts are given no keys, a
+//! peer is known by its address alone: a stranger who can send from inside the network from
+//! such an address is not kept out.
 
 mod ask_names;
 mod ask_news;
