--- a/src/catalog/upstream_list.rs
+++ b/src/catalog/upstream_list.rs
@@ -88,8 +88,7 @@
 
     /// What changed after a revision; the whole list for one that may know upstreams
     /// whose removals were never heard of here. Without that it would take the revision
-    /// for its own and keep them: 2001 requests in 27 s went to one that was gone, of
-    /// three processes of which two had started anew.
+    /// for its own, and keep and use them.
     pub fn news_after(
         &self,
         revision: u64,
--- a/src/direct/end_checks.rs
+++ b/src/direct/end_checks.rs
@@ -10,7 +10,7 @@
 };
 
 /// Answers that are lost within this time of each other are lost to one cause, and one
-/// look at their replica serves them all: 19 answers were lost within 5 ms.
+/// look at their replica serves them all.
 const TOGETHER: Duration = Duration::from_millis(50);
 
 /// Looks whether a replica that broke off answers has ended, or lives on and broke off
--- a/src/direct/upstream_pool.rs
+++ b/src/direct/upstream_pool.rs
@@ -97,8 +97,7 @@
     }
 
     /// Drops the connections at rest to a replica that left a request without an answer:
-    /// what made the one silent may have silenced all. A charge after one that got no
-    /// answer was sent on the next silent connection, of four at rest.
+    /// what made the one silent may have silenced all, and each would cost a request.
     pub fn forget_resting(
         &self,
         replica: &str,
--- a/src/sidecar/sidecar.rs
+++ b/src/sidecar/sidecar.rs
@@ -220,8 +220,7 @@
 
     /// Stops granting, hands back what has not started, waits for what is on its way
     /// to the upstream, and tells the routers. In this order: once anyone is told that
-    /// it leaves, nothing reaches the upstream (9 to 16 requests did, in six plays with
-    /// 200 ms from here to there). False if it leaves already.
+    /// it leaves, nothing reaches the upstream. False if it leaves already.
     pub(super) async fn leave(&self) -> bool {
         let mut on_way = {
             let mut table = self.table.lock().expect("table lock");
