--- a/src/direct/caller_connections.rs
+++ b/src/direct/caller_connections.rs
@@ -4,6 +4,7 @@
         caller_body::CallerBody,
         caller_port::answer_caller,
         caller_stream::CallerStream,
+        connection_activity::ConnectionActivity,
         gateway::Gateway,
         neighbour_relay::{connect_to_neighbour, relay_to_neighbour},
         sockets::configure_caller_socket,
@@ -18,10 +19,7 @@
         future::{Future, poll_fn},
         io,
         net::{IpAddr, SocketAddr},
-        sync::{
-            Arc,
-            atomic::{AtomicUsize, Ordering},
-        },
+        sync::Arc,
         time::Duration,
     },
     tokio::{
@@ -36,9 +34,6 @@
 /// How often a connection checks whether it should be closed.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Idle time-out while more connections are open than `max_connections`.
-const CROWDED_IDLE_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -217,7 +212,7 @@
                     if let Some(held_bytes) = buffer.aborted_bytes() {
                         return log_unread(from, held_bytes);
                     }
-                    let is_idle = activity.is_idle_too_long(&self.gateway, self.is_crowded());
+                    let is_idle = activity.is_idle_too_long(self.is_crowded());
                     if !is_closing && (is_idle || is_stopping(&self.gateway, forwarding_router)) {
                         is_closing = true;
                         connection.as_mut().graceful_shutdown();
@@ -259,62 +254,3 @@
         self.0.gateway.set_crowded(self.0.is_crowded());
     }
 }
-
-/// Tracks whether a connection is busy, and when it last was.
-struct ConnectionActivity {
-    gateway: Arc<Gateway>,
-    requests: AtomicUsize,     // in progress
-    last_busy_ms: AtomicUsize, // since the process started
-}
-
-/// Counts a request in progress until it is dropped.
-struct BusyGuard(Arc<ConnectionActivity>);
-
-impl Drop for BusyGuard {
-    fn drop(&mut self) {
-        self.0.touch();
-        self.0.requests.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-impl ConnectionActivity {
-    fn new(gateway: &Arc<Gateway>) -> Self {
-        let now = gateway.now().as_millis() as usize;
-        Self {
-            gateway: gateway.clone(),
-            requests: AtomicUsize::new(0),
-            last_busy_ms: AtomicUsize::new(now),
-        }
-    }
-
-    fn start_request(self: &Arc<Self>) -> BusyGuard {
-        self.touch();
-        self.requests.fetch_add(1, Ordering::Relaxed);
-        BusyGuard(self.clone())
-    }
-
-    fn touch(&self) {
-        let now = self.gateway.now().as_millis() as usize;
-        self.last_busy_ms.store(now, Ordering::Relaxed);
-    }
-
-    /// Whether the connection has been idle for longer than the configured time-out, or than
-    /// `CROWDED_IDLE_TIMEOUT` if `crowded`.
-    fn is_idle_too_long(
-        &self,
-        gateway: &Gateway,
-        crowded: bool,
-    ) -> bool {
-        let limits = gateway.catalog.config().map(|table| table.limits);
-        let configured = limits.unwrap_or_default().idle_timeout;
-        let timeout = if crowded {
-            CROWDED_IDLE_TIMEOUT
-        } else {
-            configured
-        }
-        .as_millis() as usize;
-        let idle = (gateway.now().as_millis() as usize)
-            .saturating_sub(self.last_busy_ms.load(Ordering::Relaxed));
-        self.requests.load(Ordering::Relaxed) == 0 && idle > timeout
-    }
-}
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -14,6 +14,7 @@
 mod caller_connections;
 mod caller_port;
 mod caller_stream;
+mod connection_activity;
 mod dialect;
 mod event_splitter;
 mod events_relay;
