Deliver what arrived while the router was suspended

What callers saw: a stream was cut, with all its events received, since its router had stood still for longer than the stream's time-outs.

Cause: when a process resumes, its timers fire before its sockets are read. Each wait for a replica (the head of an answer, an event, a plain answer, a piece of a long one) gave up though its bytes were there. Found while looking for the fault of a suspended neighbour on the paths that wait.

Ruled out: longer time-outs, which a longer suspension exceeds again.

--- a/src/direct/events_relay.rs
+++ b/src/direct/events_relay.rs
@@ -6,6 +6,7 @@
         live_answer::LiveAnswer,
         reply::{ReplyBody, copy_head, cut_error, replica_reply},
         stream_watch::StreamWatch,
+        timeout_unless_ready::timeout_unless_ready,
         wait_while_alive::wait_while_alive,
     },
     crate::{codes::ResultCode, ops::STREAMS},
@@ -14,7 +15,6 @@
     http_body_util::{BodyExt, StreamBody},
     hyper::{Response, body::Frame},
     std::{io, time::Duration},
-    tokio::time::timeout,
 };
 
 /// Minimum time without an event after which a stream is resumed at another replica.
@@ -157,16 +157,16 @@
             let events = self.read_events();
             tokio::pin!(events);
             let first = target_pause.unwrap_or(limit).min(limit);
-            match (timeout(first, &mut events).await, &mut watch) {
-                (Ok(outcome), _) => outcome,
-                (Err(_), Some(watch)) if first < limit => {
+            match (timeout_unless_ready(first, &mut events).await, &mut watch) {
+                (Some(outcome), _) => outcome,
+                (None, Some(watch)) if first < limit => {
                     watch.record_overrun();
                     let remaining = limit.saturating_sub(first);
-                    timeout(remaining, &mut events)
+                    timeout_unless_ready(remaining, &mut events)
                         .await
-                        .unwrap_or_else(|_| Err(timed_out(limit)))
+                        .unwrap_or_else(|| Err(timed_out(limit)))
                 }
-                (Err(_), _) => Err(timed_out(limit)),
+                (None, _) => Err(timed_out(limit)),
             }
         };
         if self.first_event_after.is_some() {
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -43,6 +43,7 @@
 mod status;
 mod store_read_state;
 mod stream_watch;
+mod timeout_unless_ready;
 mod unanswered;
 mod upstream_connection;
 mod upstream_pool;
--- a/src/direct/plain_relay.rs
+++ b/src/direct/plain_relay.rs
@@ -4,6 +4,7 @@
         exchange::{Exchange, StartedAnswer},
         live_answer::LiveAnswer,
         reply::{ReplyBody, copy_head, cut_error, full_body, replica_reply},
+        timeout_unless_ready::timeout_unless_ready,
     },
     crate::codes::ResultCode,
     bytes::{Bytes, BytesMut},
@@ -11,7 +12,7 @@
     http_body_util::{BodyExt, StreamBody},
     hyper::{Response, body::Frame, header::CONTENT_LENGTH},
     std::{io, time::Duration},
-    tokio::time::timeout,
+    tokio::time::Instant,
 };
 
 /// Answers up to this size are buffered completely before any byte is sent to the caller, so
@@ -25,10 +26,10 @@
     started: StartedAnswer,
 ) -> Result<Response<ReplyBody>, AttemptEnd> {
     let mut answer = started.answer;
-    let (buffered, is_whole) = match timeout(started.timeout, read_buffered(&mut answer)).await {
-        Ok(outcome) => outcome?,
-        Err(_) => return Err(timed_out(started.timeout)),
-    };
+    let reading = timeout_unless_ready(started.timeout, read_buffered(&mut answer));
+    let (buffered, is_whole) = reading
+        .await
+        .unwrap_or_else(|| Err(timed_out(started.timeout)))?;
     let status = answer.head.status;
     let is_failure = status.is_server_error();
     if !is_failure {
@@ -83,19 +84,20 @@
         .headers
         .get(CONTENT_LENGTH)
         .and_then(|value| value.to_str().ok()?.parse().ok());
-    let deadline = tokio::time::Instant::now() + time_left;
+    let deadline = Instant::now() + time_left;
     let pieces = stream::unfold(
         (Some(buffered), answer),
         move |(first, mut answer)| async move {
             if let Some(first) = first {
                 return Some((Ok(Frame::data(first)), (None, answer)));
             }
-            let next = tokio::time::timeout_at(deadline, answer.next_chunk()).await;
+            let limit = deadline.saturating_duration_since(Instant::now());
+            let next = timeout_unless_ready(limit, answer.next_chunk()).await;
             let piece: Result<_, io::Error> = match next {
-                Ok(Ok(Some(chunk))) => Ok(Frame::data(chunk)),
-                Ok(Ok(None)) => return None,
-                Ok(Err(end)) => Err(cut_error(format!("{end:?}"))),
-                Err(_) => Err(cut_error("deadline exceeded")),
+                Some(Ok(Some(chunk))) => Ok(Frame::data(chunk)),
+                Some(Ok(None)) => return None,
+                Some(Err(end)) => Err(cut_error(format!("{end:?}"))),
+                None => Err(cut_error("deadline exceeded")),
             };
             Some((piece, (None, answer)))
         },
--- a/src/direct/wait_while_alive.rs
+++ b/src/direct/wait_while_alive.rs
@@ -1,4 +1,7 @@
-use {super::gateway::Gateway, std::time::Duration, tokio::time::timeout};
+use {
+    super::{gateway::Gateway, timeout_unless_ready::timeout_unless_ready},
+    std::time::Duration,
+};
 
 /// A replica from which anything arrived within this time counts as alive, if slow.
 const ALIVE_WINDOW: Duration = Duration::from_millis(400);
@@ -23,16 +26,16 @@
     tokio::pin!(awaited);
     let longest = MAX_FIRST_ANSWER_WAIT.min(time_left).max(limit);
     let mut waited = limit;
-    let mut outcome = timeout(limit, &mut awaited).await;
-    while outcome.is_err() && waited < longest {
+    let mut outcome = timeout_unless_ready(limit, &mut awaited).await;
+    while outcome.is_none() && waited < longest {
         if !gateway
             .replica_table()
             .is_alive(gateway.now(), replica, ALIVE_WINDOW)
         {
             return None;
         }
-        outcome = timeout(LIVENESS_CHECK_INTERVAL, &mut awaited).await;
+        outcome = timeout_unless_ready(LIVENESS_CHECK_INTERVAL, &mut awaited).await;
         waited += LIVENESS_CHECK_INTERVAL;
     }
-    outcome.ok()
+    outcome
 }
--- a/testbed/tests/stood_still.rs
+++ b/testbed/tests/stood_still.rs
@@ -66,3 +66,36 @@
     })
     .await;
 }
+
+/// Guards against cutting a stream whose events arrived while its router was suspended, since
+/// timers fire before sockets are read.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_is_delivered_whole_though_its_router_was_suspended_longer_than_any_timeout() {
+    let fleet = DirectFleet::start(1, "").await;
+    let events = ReplicaAnswer::Events {
+        last: 8,
+        pause: std::time::Duration::from_millis(100),
+    };
+    let replica = fleet.start_replica("i-a", "s", events).await;
+    let chat = RouteText {
+        timeout_ms: 2000,
+        ..RouteText::new("/chat/", "s", "streaming")
+    };
+    fleet.store.publish(1, &[chat]);
+    fleet.wait_until_ready().await;
+    fleet.wait_until_served(0, "/chat/", 200).await;
+    let mut client = Client::connect(fleet.caller_addresses[0])
+        .await
+        .expect("it listens");
+    let request = ClientRequest::post("/chat/", "stream-1", "prompt");
+    client.send(&request.bytes()).await.expect("a connection");
+    assert!(client.wait_for("piece 2").await);
+    fleet.routers[0].freeze();
+    // Longer than the route's time-out and the replica's stream.
+    tokio::time::sleep(std::time::Duration::from_millis(2500)).await;
+    fleet.routers[0].thaw();
+    let answer = client.answer().await;
+    assert!(answer.status == 200 && answer.is_complete, "{answer:?}");
+    assert!(answer.text().contains("piece 8"));
+    assert_eq!(replica.received_count("stream-1"), 1);
+}
