Answer callers whose connection was forwarded to a suspended router

What callers saw: no answer at all, for as long as a neighbour stood still to which their busy router had forwarded their connection.

Cause: the kernel accepts connections and bytes for a suspended process. The router took the accepted connection for a neighbour that serves, passed the request on, and waited without a bound.

Change: - Before the caller's first bytes are passed on, the neighbour must answer `OPTIONS *` on that connection within 100 ms, and not refuse. Otherwise the router serves the caller itself. Earlier builds answer 404, which shows as well that they run.

--- a/src/direct/caller_connections.rs
+++ b/src/direct/caller_connections.rs
@@ -6,7 +6,8 @@
         caller_stream::CallerStream,
         connection_activity::ConnectionActivity,
         gateway::Gateway,
-        neighbour_relay::{connect_to_neighbour, relay_to_neighbour},
+        neighbour_connection::{answer_neighbour_check, connect_to_neighbour, is_neighbour_check},
+        neighbour_relay::NeighbourRelay,
         sockets::configure_caller_socket,
     },
     crate::{
@@ -23,8 +24,10 @@
         time::Duration,
     },
     tokio::{
+        io::Interest,
         net::{TcpListener, TcpSocket, TcpStream},
         sync::watch,
+        time::timeout,
     },
 };
 
@@ -34,6 +37,10 @@
 /// How often a connection checks whether it should be closed.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// How long a connection that is to be forwarded may take to send its first bytes. Later it is
+/// served here.
+const FIRST_BYTES_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -119,37 +126,62 @@
         self.open_count.send_modify(|count| *count += 1);
         self.gateway.set_crowded(self.is_crowded());
         let _counted = CountedConnection(self.clone());
-        let was_forwarded = self.gateway.peers.is_neighbour(from.ip());
-        if let Some(neighbour) = self
-            .neighbour_for_new_connection()
-            .filter(|_| !was_forwarded)
-        {
-            let own_address = self.gateway.settings().caller_listen;
-            let started = self.gateway.now();
-            match connect_to_neighbour(own_address, neighbour).await {
-                Ok(connection) => {
-                    let connect_ms = (self.gateway.now() - started).as_millis() as u64;
-                    metrics::counter!(CONNECTIONS_FORWARDED).increment(1);
-                    log::info!(
-                        caller = from.to_string().as_str(), neighbour = neighbour.to_string().as_str(),
-                        connect_ms = connect_ms;
-                        "connection handed on"
-                    );
-                    let relaying = relay_to_neighbour(stream, connection, self.closing.subscribe());
-                    if let Err(error) = Box::pin(relaying).await {
-                        log::debug!("connection that was handed on: {error}");
-                    }
-                    return;
-                }
-                Err(error) => {
-                    log::info!(
-                        neighbour = neighbour.to_string().as_str();
-                        "connection not handed on: {error}"
-                    );
-                }
+        if self.gateway.peers.is_neighbour(from.ip()) {
+            return self.serve(stream, from, true).await;
+        }
+        if let Some(stream) = self.forward(stream, from).await {
+            self.serve(stream, from, false).await;
+        }
+    }
+
+    /// Forwards a connection to a neighbour and relays it until its end. Returns the connection
+    /// if it is to be served here, since this router has time or no neighbour answers.
+    async fn forward(
+        &self,
+        stream: TcpStream,
+        from: SocketAddr,
+    ) -> Option<TcpStream> {
+        if self.neighbour_for_new_connection().is_none() {
+            return Some(stream);
+        }
+        // The neighbour is checked right before the caller's first bytes are passed on.
+        let first_bytes = stream.ready(Interest::READABLE);
+        if timeout(FIRST_BYTES_TIMEOUT, first_bytes).await.is_err() {
+            return Some(stream);
+        }
+        let Some(neighbour) = self.neighbour_for_new_connection() else {
+            return Some(stream);
+        };
+        let own_address = self.gateway.settings().caller_listen;
+        let started = self.gateway.now();
+        let connection = match connect_to_neighbour(own_address, neighbour).await {
+            Ok(connection) => connection,
+            Err(error) => {
+                log::info!(
+                    neighbour = neighbour.to_string().as_str();
+                    "connection not handed on: {error}"
+                );
+                return Some(stream);
             }
+        };
+        let connect_ms = (self.gateway.now() - started).as_millis() as u64;
+        // A request whose caller disconnected while it waited here must not be run.
+        let ready = stream.ready(Interest::READABLE).await.ok()?;
+        if ready.is_read_closed() {
+            return None;
         }
-        self.serve(stream, from, was_forwarded).await;
+        metrics::counter!(CONNECTIONS_FORWARDED).increment(1);
+        log::info!(
+            caller = from.to_string().as_str(), neighbour = neighbour.to_string().as_str(),
+            connect_ms = connect_ms;
+            "connection handed on"
+        );
+        let relay = NeighbourRelay::new(&self.gateway, neighbour);
+        let relaying = relay.run(stream, connection, self.closing.subscribe());
+        if let Err(error) = Box::pin(relaying).await {
+            log::debug!("connection that was handed on: {error}");
+        }
+        None
     }
 
     /// Serves a connection. A connection that another router forwards is closed after its
@@ -166,11 +198,16 @@
         let gateway = self.gateway.clone();
         let (service_activity, service_buffer) = (activity.clone(), buffer.clone());
         let service = service_fn(move |request| {
+            let is_check = was_forwarded && is_neighbour_check(&request);
             let busy = service_activity.start_request();
             let (gateway, buffer) = (gateway.clone(), service_buffer.clone());
             let closes_after_answer = is_stopping(&gateway, forwarding_router);
             // Boxed, so that an idle connection does not reserve memory for this future.
             Box::pin(async move {
+                if is_check {
+                    let answer = answer_neighbour_check(&gateway);
+                    return Ok(answer.map(|body| CallerBody::new(buffer, body)));
+                }
                 let answer = answer_caller(gateway, request, closes_after_answer).await;
                 drop(busy);
                 answer.map(|response| response.map(|body| CallerBody::new(buffer, body)))
--- a/src/direct/caller_port.rs
+++ b/src/direct/caller_port.rs
@@ -80,7 +80,8 @@
     );
 }
 
-fn count_error(error: &ErrorAnswer) {
+/// Counts a request that ends with an error.
+pub(super) fn count_error(error: &ErrorAnswer) {
     let code = error.code.number().to_string();
     metrics::counter!(REQUESTS, "code" => code, "ran" => error.ran.to_string()).increment(1);
 }
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -28,6 +28,7 @@
 mod held_bytes;
 mod in_flight_guard;
 mod live_answer;
+mod neighbour_connection;
 mod neighbour_relay;
 mod plain_relay;
 mod processor_state;
--- /dev/null
+++ b/src/direct/neighbour_connection.rs
@@ -0,0 +1,96 @@
+//! Connections to a neighbour, a less busy router of the same zone, and the check that it serves
+//! callers. The kernel accepts connections and bytes for a suspended process too, so that only an
+//! answer shows that a request will be looked at.
+
+use {
+    super::{
+        gateway::Gateway,
+        reply::{ReplyBody, full_body},
+        sockets::configure_outgoing_socket,
+    },
+    bytes::Bytes,
+    http_body_util::{BodyExt, Empty},
+    hyper::{
+        Method, Request, Response, StatusCode,
+        client::conn::http1,
+        header::{CONNECTION, HOST},
+        http::response::Parts,
+    },
+    hyper_util::rt::TokioIo,
+    std::{io, net::SocketAddr, time::Duration},
+    tokio::{
+        net::{TcpSocket, TcpStream},
+        time::timeout,
+    },
+};
+
+/// Time-out for connecting to the neighbour and, separately, for its answer to the check: about a
+/// hundred round trips inside a zone.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Target of the check, a request `OPTIONS *`, which no route serves.
+const CHECK_TARGET: &str = "*";
+
+/// Connects to a neighbour from this router's own address, by which the neighbour sees that the
+/// connection was forwarded already, and checks that it serves callers. Fails if it does not
+/// answer in time, or refuses requests.
+pub async fn connect_to_neighbour(
+    own_address: SocketAddr,
+    neighbour: SocketAddr,
+) -> io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    socket.bind(SocketAddr::new(own_address.ip(), 0))?;
+    let stream = timeout(CHECK_TIMEOUT, socket.connect(neighbour)).await??;
+    configure_outgoing_socket(&stream);
+    timeout(CHECK_TIMEOUT, check(stream, neighbour)).await?
+}
+
+/// Sends the check on a new connection and returns the connection after a good answer.
+async fn check(
+    stream: TcpStream,
+    neighbour: SocketAddr,
+) -> io::Result<TcpStream> {
+    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let (mut sender, connection) = handshake.map_err(io::Error::other)?;
+    let request = Request::builder()
+        .method(Method::OPTIONS)
+        .uri(CHECK_TARGET)
+        .header(HOST, neighbour.to_string())
+        .body(Empty::<Bytes>::new())
+        .map_err(io::Error::other)?;
+    // The connection ends, and gives its socket back, when the sender is dropped.
+    let exchange = async move {
+        let (head, body) = sender.send_request(request).await?.into_parts();
+        body.collect().await?;
+        Ok::<Parts, hyper::Error>(head)
+    };
+    let (answered, ended) = tokio::join!(exchange, connection.without_shutdown());
+    let head = answered.map_err(io::Error::other)?;
+    // Builds without this check answer that no route has this target.
+    let serves = head.status.is_success() || head.status == StatusCode::NOT_FOUND;
+    if !serves || head.headers.contains_key(CONNECTION) {
+        let detail = format!("the neighbour refuses: {}", head.status);
+        return Err(io::Error::other(detail));
+    }
+    let socket = ended.map_err(io::Error::other)?.io;
+    Ok(socket.into_inner())
+}
+
+/// Whether a request is the check of another router.
+pub fn is_neighbour_check<B>(request: &Request<B>) -> bool {
+    request.method() == Method::OPTIONS && request.uri().path() == CHECK_TARGET
+}
+
+/// The answer to another router's check: whether requests would be refused.
+pub fn answer_neighbour_check(gateway: &Gateway) -> Response<ReplyBody> {
+    let refuses = gateway.is_stopping()
+        || gateway.is_unconfirmed()
+        || gateway.processor.is_lagging()
+        || !gateway.version_in_use().is_complete();
+    let mut response = Response::new(full_body(Bytes::new()));
+    *response.status_mut() = match refuses {
+        true => StatusCode::SERVICE_UNAVAILABLE,
+        false => StatusCode::NO_CONTENT,
+    };
+    response
+}
--- a/src/peers/peer_table.rs
+++ b/src/peers/peer_table.rs
@@ -251,6 +251,19 @@
         neighbours.collect()
     }
 
+    /// Whether the router that accepts callers at this address reported within `age`.
+    pub fn has_recent_report(
+        &self,
+        now: Moment,
+        age: Duration,
+        caller_address: SocketAddr,
+    ) -> bool {
+        let peers = self.peers();
+        peers.values().any(|entry| {
+            entry.caller_address == Some(caller_address) && entry.has_reported(now, age)
+        })
+    }
+
     /// Whether a router of the own zone has this IP address.
     pub fn is_neighbour(
         &self,
--- a/testbed/src/direct/client.rs
+++ b/testbed/src/direct/client.rs
@@ -123,6 +123,28 @@
         self.stream.write_all(bytes).await
     }
 
+    /// Sends bytes until an answer begins, and reads the answer. A router may answer before it has
+    /// read all of a request.
+    pub async fn answer_while_sending(
+        &mut self,
+        bytes: &[u8],
+    ) -> ClientAnswer {
+        let (mut read, mut write) = self.stream.split();
+        tokio::select! {
+            sent = write.write_all(bytes) => {
+                if let Err(error) = sent {
+                    log::debug!("not all was sent: {error}");
+                }
+            }
+            received = read.read_buf(&mut self.received) => {
+                if let Err(error) = received {
+                    log::debug!("connection failed: {error}");
+                }
+            }
+        }
+        self.answer().await
+    }
+
     /// Waits until the received bytes contain `text`. Returns false if the connection
     /// ends first.
     pub async fn wait_for(
--- a/testbed/src/direct/direct_fleet.rs
+++ b/testbed/src/direct/direct_fleet.rs
@@ -151,6 +151,35 @@
         replica
     }
 
+    /// Changes the settings of a router that forwards its callers' connections, so that it serves
+    /// them itself and keeps them open; returns when this is in force.
+    pub async fn keep_connections(
+        &self,
+        router: usize,
+    ) {
+        let settings = std::fs::read_to_string(&self.settings[router]).expect("settings");
+        let settings = settings.replace("hand_on = 0.0", "hand_on = 1.0");
+        std::fs::write(&self.settings[router], settings).expect("settings are written");
+        self.routers[router].signal_reload();
+        wait_until_async("the router keeps connections", async || {
+            let request = ClientRequest::get("/plain/", "probe");
+            let answer = Client::call_once(self.caller_addresses[router], &request).await;
+            answer.status == 200 && answer.header("connection") != "close"
+        })
+        .await;
+    }
+
+    /// Whether a router logged that it sent the request with this id to a replica.
+    pub fn was_sent_by(
+        &self,
+        router: usize,
+        id: &str,
+    ) -> bool {
+        let log = self.routers[router].log_text();
+        log.lines()
+            .any(|line| line.contains(id) && line.contains(r#""message":"sent""#))
+    }
+
     /// Whether a router reports that it is ready.
     pub async fn is_ready(
         &self,
--- a/testbed/src/direct/mod.rs
+++ b/testbed/src/direct/mod.rs
@@ -5,6 +5,7 @@
 mod client_answer;
 mod config_text;
 mod direct_fleet;
+mod forwarding_fleet;
 mod received_request;
 mod replica;
 mod replica_answer;
@@ -21,6 +22,7 @@
     client_answer::ClientAnswer,
     config_text::ConfigText,
     direct_fleet::{DirectFleet, zone_name},
+    forwarding_fleet::forwarding_fleet,
     received_request::ReceivedRequest,
     replica::Replica,
     replica_answer::ReplicaAnswer,
--- a/testbed/tests/handing_on.rs
+++ b/testbed/tests/handing_on.rs
@@ -4,42 +4,12 @@
 
 use {
     archmast_testbed::{
-        direct::{Client, ClientRequest, DirectFleet, Replica, ReplicaAnswer, RouteText},
+        direct::{Client, ClientRequest, ReplicaAnswer, forwarding_fleet},
         fleet::{wait_until, wait_until_async},
     },
     std::time::Duration,
 };
 
-/// Two routers that forward all connections of their callers, and a replica.
-async fn forwarding_fleet() -> (DirectFleet, Replica) {
-    let fleet = DirectFleet::start(2, "hand_on = 0.0\n").await;
-    let replica = fleet
-        .start_replica("i-a", "s", ReplicaAnswer::ok("answer"))
-        .await;
-    let plain = RouteText::new("/plain/", "s", "non_idempotent");
-    let chat = RouteText::new("/chat/", "s", "streaming");
-    fleet.store.publish(1, &[plain, chat]);
-    fleet.wait_until_ready().await;
-    for router in [0, 1] {
-        wait_until("the router knows its neighbour and the replica", || {
-            let log = fleet.routers[router].log_text();
-            log.contains("connections are handed on") && log.contains("upstream Ready")
-        })
-        .await;
-    }
-    (fleet, replica)
-}
-
-fn sent_by(
-    fleet: &DirectFleet,
-    router: usize,
-    id: &str,
-) -> bool {
-    let log = fleet.routers[router].log_text();
-    log.lines()
-        .any(|line| line.contains(id) && line.contains(r#""message":"sent""#))
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn connections_of_a_busy_router_are_forwarded_to_its_neighbour_only_once() {
     let (fleet, replica) = forwarding_fleet().await;
@@ -49,8 +19,8 @@
     for id in ["first-1", "first-2"] {
         let answer = client.call(&ClientRequest::get("/plain/", id)).await;
         assert_eq!((answer.status, answer.text()), (200, "answer".to_owned()));
-        wait_until("the neighbour sent it", || sent_by(&fleet, 1, id)).await;
-        assert!(!sent_by(&fleet, 0, id));
+        wait_until("the neighbour sent it", || fleet.was_sent_by(1, id)).await;
+        assert!(!fleet.was_sent_by(0, id));
         if answer.header("connection") == "close" {
             client = Client::connect(fleet.caller_addresses[0])
                 .await
@@ -83,7 +53,10 @@
             .status,
         200
     );
-    wait_until("the router sent it itself", || sent_by(&fleet, 0, "own-1")).await;
+    wait_until("the router sent it itself", || {
+        fleet.was_sent_by(0, "own-1")
+    })
+    .await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -99,7 +72,7 @@
     let request = ClientRequest::post("/chat/", "stream-1", "prompt");
     client.send(&request.bytes()).await.expect("sent");
     assert!(client.wait_for("piece 2").await);
-    wait_until("the neighbour sent it", || sent_by(&fleet, 1, "stream-1")).await;
+    wait_until("the neighbour sent it", || fleet.was_sent_by(1, "stream-1")).await;
     fleet.routers[0].terminate();
     let answer = client.answer().await;
     assert!(answer.status == 200 && answer.is_complete);
@@ -161,17 +134,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn connections_that_were_handed_on_end_when_the_router_in_between_stops() {
     let (fleet, replica) = forwarding_fleet().await;
-    // The neighbour forwards nothing, and keeps its callers' connections open.
-    let settings = std::fs::read_to_string(&fleet.settings[1]).expect("settings");
-    let settings = settings.replace("hand_on = 0.0", "hand_on = 1.0");
-    std::fs::write(&fleet.settings[1], settings).expect("written");
-    fleet.routers[1].signal_reload();
-    wait_until_async("the neighbour keeps connections", async || {
-        let request = ClientRequest::get("/plain/", "own-1");
-        let answer = Client::call_once(fleet.caller_addresses[1], &request).await;
-        answer.status == 200 && answer.header("connection") != "close"
-    })
-    .await;
+    fleet.keep_connections(1).await;
     let mut client = Client::connect(fleet.caller_addresses[0])
         .await
         .expect("connected");
