Send a request that may run once on no connection that was long idle

What callers saw: 504 (code 58, "may have run") after the whole deadline, for a charge that no replica ran, in calm.

Cause: a connection at rest to a replica had fallen silent without a reset. The kernel's probes are answered, so only a request shows it, and one that may run once is lost with it. Connections were used up to 8 s after their last answer.

Change: an attempt that no other can follow uses a connection that was idle for a second at most, the time after which the kernel probes one; an older one is replaced. Requests that can be repeated are sent as before: their repeat is the remedy. Ruled out: probing by a request (priced as one, and waits for a slot); shorter keep-alive for all (connections are opened again for each request).

Test: a_request_that_may_run_once_is_not_sent_on_a_connection_that_was_long_idle, 504 on the code before.

--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -24,16 +24,18 @@
     pub in_flight: InFlightGuard,
 }
 
-/// Sends a call to a replica and waits for the head of the answer. A resumed stream
-/// continues after the event with id `last_event`.
+/// Sends a call to a replica and waits for the head of the answer. Uses a connection that was
+/// idle for at most `max_idle`, or a new one. A resumed stream continues after the event with id
+/// `last_event`.
 pub async fn send_call(
     gateway: &Arc<Gateway>,
     call: &Call,
     target: AttemptTarget,
+    max_idle: Duration,
     last_event: Option<&str>,
 ) -> Result<LiveAnswer, AttemptEnd> {
     let max_open = (call.max_connections / gateway.router_count()).max(1);
-    let mut connection = gateway.pool.take(&target.entry, max_open).await?;
+    let mut connection = gateway.pool.take(&target.entry, max_open, max_idle).await?;
     if !target.in_flight.may_be_sent(&target.entry) {
         gateway.pool.give_back(&target.entry.id, connection);
         return Err(AttemptEnd::Withheld);
--- a/src/direct/cache_survey.rs
+++ b/src/direct/cache_survey.rs
@@ -134,7 +134,7 @@
     let calls = gateway.dialect.cache;
     let mut connection = gateway
         .pool
-        .take(entry, MAX_CONCURRENT_QUERIES)
+        .take(entry, MAX_CONCURRENT_QUERIES, Duration::MAX)
         .await
         .map_err(|end| Fault::unreachable(format!("{end:?}")))?;
     let (status, body) =
--- a/src/direct/exchange.rs
+++ b/src/direct/exchange.rs
@@ -25,6 +25,10 @@
 /// Retry-After where a replica refused without giving one.
 pub(super) const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// An attempt that no other can follow uses no connection that was idle for longer. A connection
+/// that fell silent without a reset looks like any other, and the caller would get no answer.
+const MAX_IDLE_FOR_LAST_ATTEMPT: Duration = Duration::from_secs(1);
+
 /// Minimum wait for the first event of a stream before another replica is tried.
 const MIN_FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(900);
 
@@ -130,6 +134,10 @@
             let (target, expected) = self.choose_replica()?;
             let replica = target.entry.id.clone();
             let limit = self.attempt_timeout(expected);
+            let max_idle = match self.is_last_attempt() {
+                true => MAX_IDLE_FOR_LAST_ATTEMPT,
+                false => Duration::MAX,
+            };
             let sent_at = self.gateway.now();
             self.last_attempt = Some(SentAttempt::new(
                 self.gateway.clone(),
@@ -138,7 +146,7 @@
                 expected,
                 target.queue_wait,
             ));
-            let sending = send_call(&self.gateway, &self.call, target, last_event);
+            let sending = send_call(&self.gateway, &self.call, target, max_idle, last_event);
             let waited =
                 wait_while_alive(&self.gateway, &replica, limit, self.time_left(), sending);
             let outcome = waited.await.unwrap_or_else(|| {
@@ -216,6 +224,12 @@
         }
     }
 
+    /// Whether the call cannot be sent again if the next attempt gets no answer.
+    fn is_last_attempt(&self) -> bool {
+        let route = &self.call.route;
+        !route.kind.may_repeat() || self.sent_attempts + 1 >= route.max_attempts
+    }
+
     /// How long an attempt may take before another replica is tried or the caller gets an
     /// error.
     fn attempt_timeout(
@@ -223,9 +237,7 @@
         expected: Duration,
     ) -> Duration {
         let time_left = self.time_left();
-        let may_retry = self.call.route.kind.may_repeat()
-            && self.sent_attempts + 1 < self.call.route.max_attempts;
-        if !may_retry {
+        if self.is_last_attempt() {
             return time_left;
         }
         let target_latency = self.call.route.target_latency;
--- a/src/direct/upstream_connection.rs
+++ b/src/direct/upstream_connection.rs
@@ -104,7 +104,12 @@
 
     /// Whether another request can be sent on the connection now.
     pub fn is_usable(&self) -> bool {
-        self.sender.is_ready() && self.idle_since.elapsed() < self.keep_alive
+        self.sender.is_ready() && self.idle_time() < self.keep_alive
+    }
+
+    /// Time since the last answer, or since the connection was opened.
+    pub fn idle_time(&self) -> Duration {
+        self.idle_since.elapsed()
     }
 
     /// Whether the connection can be reused after an answer that was read completely.
--- a/src/direct/upstream_pool.rs
+++ b/src/direct/upstream_pool.rs
@@ -8,6 +8,7 @@
             Arc, Mutex,
             atomic::{AtomicUsize, Ordering},
         },
+        time::Duration,
     },
 };
 
@@ -25,19 +26,25 @@
 }
 
 impl UpstreamPool {
-    /// An idle connection, or a new one while fewer than `max_open` are open.
+    /// A connection that was idle for at most `max_idle`, or a new one while fewer than `max_open`
+    /// are open. The new one replaces one that was idle for longer.
     pub async fn take(
         &self,
         entry: &UpstreamEntry,
         max_open: usize,
+        max_idle: Duration,
     ) -> Result<UpstreamConnection, AttemptEnd> {
         let open = {
             let mut replicas = self.replicas.lock().expect("pool lock");
             let connections = replicas.entry(entry.id.clone()).or_default();
             while let Some(connection) = connections.idle.pop() {
-                if connection.is_usable() {
+                if !connection.is_usable() {
+                    continue;
+                }
+                if connection.idle_time() <= max_idle {
                     return Ok(connection);
                 }
+                break; // the others were idle for even longer
             }
             connections.open.clone()
         };
--- a/testbed/tests/silent_connections.rs
+++ b/testbed/tests/silent_connections.rs
@@ -15,6 +15,9 @@
 /// Idle connections in the pool of the router when they fall silent.
 const IDLE_CONNECTIONS: usize = 4;
 
+/// Longer than a connection is idle on which a request is sent that may run only once.
+const LONG_IDLE: Duration = Duration::from_millis(1500);
+
 /// A router with one replica, which it reaches through a proxy.
 async fn fleet_behind_proxy() -> (DirectFleet, Replica, TcpProxy) {
     let fleet = DirectFleet::start(1, "").await;
@@ -66,6 +69,22 @@
     assert_eq!(ask(&fleet, "/charge/", "after").await, 200);
 }
 
+/// Guards against losing a request that may run only once on a connection that fell silent while
+/// nothing was sent there: it was answered with 504 after its whole deadline, and had not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_may_run_once_is_not_sent_on_a_connection_that_was_long_idle() {
+    let (fleet, replica, proxy) = fleet_behind_proxy().await;
+    assert_eq!(ask(&fleet, "/charge/", "before").await, 200);
+    proxy.stall_connections();
+    tokio::time::sleep(LONG_IDLE).await;
+    assert_eq!(ask(&fleet, "/charge/", "after").await, 200);
+    assert_eq!(replica.received_count("after"), 1);
+    // A connection that was just used is used again.
+    let opened = replica.total_connections();
+    assert_eq!(ask(&fleet, "/charge/", "again").await, 200);
+    assert_eq!(replica.total_connections(), opened);
+}
+
 /// A router with two replicas, which it reaches through proxies. Requests one after the other
 /// go to the first replica.
 async fn fleet_of_two(usual: ReplicaAnswer) -> (DirectFleet, [Replica; 2], [TcpProxy; 2]) {
