Let a caller be gone before the router that it waited for resumes

a_request_whose_caller_left_while_it_waited_is_not_handed_on failed beside load: the request reached the replica, sent by the router itself each time (ten of ten). The test resumed the router right after it had closed the caller's connection; on a busy machine the kernel delivers that close later, and the router read a request whose caller was there, as far as its host knew.

The test now waits until the kernel has noted the close at the router's end of the connection, then resumes it. What is asserted stays.

--- a/testbed/src/direct/client.rs
+++ b/testbed/src/direct/client.rs
@@ -94,6 +94,11 @@
         })
     }
 
+    /// Its own address.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.stream.local_addr()
+    }
+
     /// Sends one request on a new connection and reads its answer.
     pub async fn call_once(
         address: SocketAddr,
--- a/testbed/src/fleet/mod.rs
+++ b/testbed/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 mod process;
 mod sidecar_host;
 mod starter;
+mod tcp_state;
 mod wait;
 
 pub use {
@@ -23,5 +24,6 @@
     plan::{FleetPlan, SidecarPlan, UpstreamPlan},
     process::{Process, program_path},
     sidecar_host::{SidecarHost, Upstream},
+    tcp_state::is_closed_by_peer,
     wait::{wait_until, wait_until_async},
 };
--- a/testbed/tests/handing_on.rs
+++ b/testbed/tests/handing_on.rs
@@ -5,7 +5,7 @@
 use {
     archmast_testbed::{
         direct::{Client, ClientRequest, ReplicaAnswer, forwarding_fleet},
-        fleet::{wait_until, wait_until_async},
+        fleet::{is_closed_by_peer, wait_until, wait_until_async},
     },
     std::time::Duration,
 };
@@ -112,7 +112,12 @@
             .expect("connected");
         let request = ClientRequest::get("/plain/", &left);
         client.send(&request.bytes()).await.expect("sent");
+        let client_address = client.address().expect("its own address");
         drop(client);
+        wait_until("the router's host knows that the caller has left", || {
+            is_closed_by_peer(fleet.caller_addresses[0], client_address)
+        })
+        .await;
         fleet.routers[0].thaw();
         // Connections are accepted in order, so this request is served after the abandoned one.
         wait_until_async("a caller that stays is served", async || {
