Ask for a replica's health by the same query as for its cache

The health check wrote again what `send_query` does: the Host header, the call, the whole body. Its own copy read a body of any size. `send_query` returns the whole answer now, with its headers, and serves both; its file is named for queries of any kind.

--- a/src/direct/cache_follow.rs
+++ b/src/direct/cache_follow.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        cache_query::{model_replicas, send_query},
         gateway::Gateway,
+        replica_query::{model_replicas, send_query},
         upstream_connection::UpstreamConnection,
     },
     crate::{
@@ -170,14 +170,14 @@
         }
     };
     let request = (calls.events_request)(next, LONG_POLL_TIMEOUT);
-    let (status, body) = send_query(gateway, entry, &mut connection, request).await?;
+    let answer = send_query(gateway, entry, &mut connection, request).await?;
     if connection.is_reusable() {
         connection.mark_idle();
         *idle = Some(connection);
     }
-    match status {
-        StatusCode::OK => (calls.parse_events)(next, &body),
-        StatusCode::SERVICE_UNAVAILABLE => Err(Fault::unreachable(status)),
+    match answer.status() {
+        StatusCode::OK => (calls.parse_events)(next, answer.body()),
+        status @ StatusCode::SERVICE_UNAVAILABLE => Err(Fault::unreachable(status)),
         status => Err(Fault::new(ResultCode::PlatformReply, status)),
     }
 }
--- a/src/direct/cache_survey.rs
+++ b/src/direct/cache_survey.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        cache_query::{model_replicas, send_query},
         gateway::Gateway,
+        replica_query::{model_replicas, send_query},
     },
     crate::{
         catalog::UpstreamEntry,
@@ -137,11 +137,10 @@
         .take(entry, MAX_CONCURRENT_QUERIES, Duration::MAX)
         .await
         .map_err(|end| Fault::unreachable(format!("{end:?}")))?;
-    let (status, body) =
-        send_query(gateway, entry, &mut connection, (calls.list_request)()).await?;
+    let answer = send_query(gateway, entry, &mut connection, (calls.list_request)()).await?;
     gateway.pool.give_back(&entry.id, connection);
-    if !status.is_success() {
-        return Err(Fault::new(ResultCode::PlatformReply, status));
+    if !answer.status().is_success() {
+        return Err(Fault::new(ResultCode::PlatformReply, answer.status()));
     }
-    (calls.parse_list)(&body)
+    (calls.parse_list)(answer.body())
 }
--- a/src/direct/cache_query.rs
+++ b/src/direct/replica_query.rs
@@ -1,4 +1,4 @@
-//! Queries to replicas about the contents of their prompt caches.
+//! Queries of this router's own to replicas: about their prompt caches, and health checks.
 
 use {
     super::{
@@ -8,7 +8,7 @@
     bytes::Bytes,
     http_body_util::{BodyExt, Full, Limited},
     hyper::{
-        Request, StatusCode,
+        Request, Response,
         header::{HOST, HeaderValue},
     },
     std::sync::Arc,
@@ -30,21 +30,21 @@
     replicas
 }
 
-/// Sends a query on a connection and reads the whole answer. Fails with
+/// Sends a query on a connection and reads the whole answer, up to `MAX_ANSWER_BYTES`. Fails with
 /// `ResultCode::PeerUnreachable`.
 pub async fn send_query(
     gateway: &Gateway,
     entry: &UpstreamEntry,
     connection: &mut UpstreamConnection,
     mut request: Request<Full<Bytes>>,
-) -> Result<(StatusCode, Bytes), Fault> {
+) -> Result<Response<Bytes>, Fault> {
     let host = HeaderValue::from_str(&entry.address.to_string()).map_err(Fault::unreachable)?;
     request.headers_mut().insert(HOST, host);
     let response = call_replica(gateway, entry, connection, request)
         .await
         .map_err(|end| Fault::unreachable(format!("{end:?}")))?;
-    let status = response.status();
-    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+    let (head, body) = response.into_parts();
+    let body = Limited::new(body, MAX_ANSWER_BYTES);
     let body = body.collect().await.map_err(Fault::unreachable)?;
-    Ok((status, body.to_bytes()))
+    Ok(Response::from_parts(head, body.to_bytes()))
 }
--- a/src/direct/start_check.rs
+++ b/src/direct/start_check.rs
@@ -3,16 +3,15 @@
 
 use {
     super::{
-        attempt_end::AttemptEnd, gateway::Gateway, replica_call::call_replica,
+        attempt_end::AttemptEnd, gateway::Gateway, replica_query::send_query,
         upstream_connection::UpstreamConnection,
     },
-    crate::{catalog::UpstreamEntry, codes::ResultCode},
-    bytes::Bytes,
-    http_body_util::{BodyExt, Full},
-    hyper::{
-        Request, StatusCode,
-        header::{HOST, HeaderValue},
+    crate::{
+        catalog::UpstreamEntry,
+        codes::{Fault, ResultCode},
     },
+    http_body_util::Full,
+    hyper::{Request, StatusCode},
     std::time::Duration,
     tokio::time::timeout,
 };
@@ -79,39 +78,33 @@
     connection: &mut UpstreamConnection,
     path: &str,
 ) -> Option<Duration> {
-    let answer = timeout(ANSWER_TIMEOUT, send_check(gateway, entry, connection, path)).await;
-    let answer = answer.unwrap_or_else(|_| {
-        Err(AttemptEnd::Unknown {
-            code: ResultCode::UpstreamTimeout,
-            detail: format!("no answer in {} ms", ANSWER_TIMEOUT.as_millis()),
-        })
-    });
+    let answer = timeout(
+        ANSWER_TIMEOUT,
+        check_health(gateway, entry, connection, path),
+    )
+    .await;
+    let answer = answer.map_err(Fault::unreachable).flatten();
     answer
-        .inspect_err(|end| log::info!(replica = &*entry.id; "health check failed: {end:?}"))
+        .inspect_err(|error| {
+            log::info!(
+                replica = &*entry.id, code = error.code.number();
+                "health check failed: {error}"
+            );
+        })
         .ok()
 }
 
-async fn send_check(
+async fn check_health(
     gateway: &Gateway,
     entry: &UpstreamEntry,
     connection: &mut UpstreamConnection,
     path: &str,
-) -> Result<Duration, AttemptEnd> {
-    let not_sent = |error: &dyn std::fmt::Display| AttemptEnd::NotSent {
-        detail: error.to_string(),
-    };
-    let mut request = Request::new(Full::<Bytes>::default());
-    *request.uri_mut() = path.parse().map_err(|error| not_sent(&error))?;
-    let host =
-        HeaderValue::from_str(&entry.address.to_string()).map_err(|error| not_sent(&error))?;
-    request.headers_mut().insert(HOST, host);
-    let response = call_replica(gateway, entry, connection, request).await?;
-    let (head, body) = response.into_parts();
-    body.collect().await.map_err(|error| not_sent(&error))?;
-    if head.status != StatusCode::OK {
-        return Err(AttemptEnd::Failed {
-            status: head.status.as_u16(),
-        });
+) -> Result<Duration, Fault> {
+    let mut request = Request::new(Full::default());
+    *request.uri_mut() = path.parse().map_err(Fault::unreachable)?;
+    let answer = send_query(gateway, entry, connection, request).await?;
+    if answer.status() != StatusCode::OK {
+        return Err(Fault::new(ResultCode::PlatformReply, answer.status()));
     }
-    Ok((gateway.dialect.parse_slow_start)(&head.headers))
+    Ok((gateway.dialect.parse_slow_start)(answer.headers()))
 }
