Log the store's era and the revision of each listing

Whether the store's revision went back could not be read from any line: the one after a 410 names the revision asked for, and where the store has grown past it there is none. A listing now logs the header Store-Era, its revision and the one known before; the gauge archmast_store_era follows every answer.

--- a/src/catalog/catalog_change.rs
+++ b/src/catalog/catalog_change.rs
@@ -12,5 +12,6 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CatalogChange {
     pub items: Vec<CatalogItem>,
-    pub revision: u64, // store revision from which the next watch continues
+    pub revision: u64,    // store revision from which the next watch continues
+    pub era: Option<u64>, // of the revision; rises when the store has lost changes; none if untold
 }
--- a/src/catalog/follow_store.rs
+++ b/src/catalog/follow_store.rs
@@ -1,6 +1,9 @@
 use {
     super::{Catalog, CatalogChange, CatalogSource, ReaderRole, WatchPacing},
-    crate::codes::{Fault, ResultCode},
+    crate::{
+        codes::{Fault, ResultCode},
+        ops::STORE_ERA,
+    },
     futures::{StreamExt, stream::FuturesUnordered},
     std::{
         sync::{Arc, Weak},
@@ -107,6 +110,11 @@
             false => source.list().await?,
         };
         let revision = listing.revision;
+        record_era(&listing);
+        log::info!(
+            era = listing.era.unwrap_or(0), at = revision, known = catalog.version().upstreams;
+            "store listed"
+        );
         catalog.offer_listing(listing, "store");
         return Ok(Some(revision));
     };
@@ -117,11 +125,18 @@
         log::info!(after = after; "store has discarded its history: listing all items");
         return Ok(None);
     };
+    record_era(&change);
     let revision = change.revision.max(after);
     catalog.offer_change(change, "store");
     Ok(Some(revision))
 }
 
+fn record_era(change: &CatalogChange) {
+    if let Some(era) = change.era {
+        metrics::gauge!(STORE_ERA).set(era as f64);
+    }
+}
+
 /// The first listing of a process, without which it cannot serve any request. Starts another
 /// call every `hedge_delay` while none has ended, and returns the result of the first that
 /// ends. A call sent while the store is unreachable is not answered after its return, so a
--- a/src/ops/metric_names.rs
+++ b/src/ops/metric_names.rs
@@ -21,6 +21,8 @@
 /// Seconds since the store with the configuration and the upstreams last answered; -1 if it never
 /// did.
 pub const STORE_AGE: &str = "archmast_store_answer_age_seconds";
+/// Era of the store's last answer: how often it has come back from a copy without its newest changes.
+pub const STORE_ERA: &str = "archmast_store_era";
 /// Suspensions of the process, after which it no longer relies on its state until it is confirmed.
 pub const SUSPENSIONS: &str = "archmast_pauses_total";
 /// Histogram of the seconds until an answer's head or first event, by `route`.
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -8,7 +8,7 @@
         ops::PLATFORM_CALLS,
     },
     percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode},
-    reqwest::{Client, StatusCode, retry},
+    reqwest::{Client, StatusCode, header::HeaderMap, retry},
     serde::de::DeserializeOwned,
     std::{net::SocketAddr, time::Duration},
 };
@@ -20,6 +20,16 @@
     .remove(b'_')
     .remove(b'.');
 
+/// Header of the store's answers: the number of times that it has come back from a copy, which
+/// lacks its newest changes. Their revisions are then given out again.
+const ERA_HEADER: &str = "Store-Era";
+
+/// A successful answer of the store.
+struct StoreAnswer<T> {
+    body: T,
+    era: Option<u64>, // none if the store does not tell it
+}
+
 /// HTTP client of the platform's store. Each call opens a new connection: a pooled one may be
 /// dead, which is noticed only when a call on it times out.
 pub struct StoreClient {
@@ -57,7 +67,7 @@
         path: &str,
         query: &[(&str, &str)],
         time: Duration,
-    ) -> Result<Option<T>, Fault> {
+    ) -> Result<Option<StoreAnswer<T>>, Fault> {
         let down = |error: reqwest::Error| Fault::with_causes(ResultCode::PlatformDown, &error);
         let parameters = query.iter().map(|(name, value)| {
             let value = utf8_percent_encode(value, ENCODED);
@@ -74,10 +84,10 @@
         let response = sent.map_err(down)?;
         match response.status() {
             StatusCode::OK => {
+                let era = store_era(response.headers());
                 let bytes = response.bytes().await.map_err(down)?;
-                let reply = serde_json::from_slice(&bytes);
-                reply
-                    .map(Some)
+                let body = serde_json::from_slice(&bytes);
+                body.map(|body| Some(StoreAnswer { body, era }))
                     .map_err(|error| Fault::new(ResultCode::PlatformReply, error))
             }
             StatusCode::GONE | StatusCode::NOT_FOUND => Ok(None),
@@ -92,30 +102,31 @@
         prefix: &str,
     ) -> Result<CatalogChange, Fault> {
         let mut items: Vec<CatalogItem> = Vec::new();
-        let mut revision = None;
+        let mut start = None; // revision and era of the first page
         let mut after: Option<String> = None;
         loop {
             let mut query = vec![("path_prefix", prefix)];
             query.extend(after.as_deref().map(|after| ("after_revision", after)));
-            let page: Option<RangeJson> = self.get("kv-range", &query, self.call_timeout).await?;
+            let answer = self.get("kv-range", &query, self.call_timeout).await?;
             let reply = |detail: &str| Fault::new(ResultCode::PlatformReply, detail);
-            let page =
-                page.ok_or_else(|| reply("the store answered that the range does not exist"))?;
-            revision.get_or_insert(page.at);
+            let answer: StoreAnswer<RangeJson> =
+                answer.ok_or_else(|| reply("the store answered that the range does not exist"))?;
+            let page = answer.body;
+            let (revision, era) = *start.get_or_insert((page.at, answer.era));
             let last = last_key(&page.items).map(str::to_owned);
             items.extend(translate_all(page.items));
             if !page.more {
-                break;
+                return Ok(CatalogChange {
+                    items,
+                    revision,
+                    era,
+                });
             }
             if last.is_none() || last <= after {
                 return Err(reply("a page has no key after which the next one begins"));
             }
             after = last;
         }
-        Ok(CatalogChange {
-            items,
-            revision: revision.unwrap_or_default(),
-        })
     }
 }
 
@@ -125,11 +136,9 @@
         // Read after the replicas, whose revision the watch continues from, so that no change
         // is missed between the listing and the watch.
         let operator = self.range(OPERATOR_PREFIX).await?;
-        let items = replicas.items.into_iter().chain(operator.items);
-        Ok(CatalogChange {
-            items: items.collect(),
-            revision: replicas.revision,
-        })
+        let mut listing = replicas;
+        listing.items.extend(operator.items);
+        Ok(listing)
     }
 
     async fn watch(
@@ -144,10 +153,24 @@
             ("wait_ms", &wait_ms),
         ];
         let time = wait + self.call_timeout;
-        let reply: Option<WatchJson> = self.get("kv-watch", &query, time).await?;
-        Ok(reply.map(|reply| CatalogChange {
-            items: translate_all(reply.events),
-            revision: reply.at,
+        let answer: Option<StoreAnswer<WatchJson>> = self.get("kv-watch", &query, time).await?;
+        Ok(answer.map(|answer| CatalogChange {
+            items: translate_all(answer.body.events),
+            revision: answer.body.at,
+            era: answer.era,
         }))
     }
 }
+
+/// The era that an answer tells; none if it has no such header, or an invalid one.
+fn store_era(headers: &HeaderMap) -> Option<u64> {
+    let value = headers.get(ERA_HEADER)?;
+    let era = value.to_str().ok().and_then(|text| text.parse().ok());
+    if era.is_none() {
+        log::error!(
+            code = ResultCode::PlatformReply.number();
+            "invalid {ERA_HEADER} of the store ignored: {value:?}"
+        );
+    }
+    era
+}
--- a/tests/catalog.rs
+++ b/tests/catalog.rs
@@ -106,6 +106,7 @@
     let listing = CatalogChange {
         items: vec![CatalogItem::Upstream(record("c", 9, ready()))],
         revision: 10,
+        era: None,
     };
     catalog.offer_listing(listing, "store");
     assert_eq!(ids(&catalog), ["b", "c"]);
@@ -235,6 +236,7 @@
     CatalogChange {
         items: vec![CatalogItem::Config { text }],
         revision,
+        era: None,
     }
 }
 
@@ -244,6 +246,7 @@
     let change = CatalogChange {
         items: vec![CatalogItem::Config { text: config(4) }],
         revision: 14,
+        era: None,
     };
     let store = Arc::new(ScriptedStore {
         lists: Mutex::new(VecDeque::from([
--- a/tests/catalog_updates.rs
+++ b/tests/catalog_updates.rs
@@ -92,6 +92,7 @@
         CatalogChange {
             items: held.map(CatalogItem::Upstream).collect(),
             revision: self.revision(),
+            era: None,
         }
     }
 
@@ -104,6 +105,7 @@
         CatalogChange {
             items: events.map(CatalogItem::Upstream).collect(),
             revision: self.revision(),
+            era: None,
         }
     }
 
--- a/tests/cordons.rs
+++ b/tests/cordons.rs
@@ -56,6 +56,7 @@
         CatalogChange {
             items: items.collect(),
             revision: revision as u64,
+            era: None,
         }
     }
 
@@ -81,6 +82,7 @@
         CatalogChange {
             items: items.collect(),
             revision: revision as u64,
+            era: None,
         }
     }
 }
--- a/tests/foreign_text.rs
+++ b/tests/foreign_text.rs
@@ -126,12 +126,12 @@
     fn an_entry_that_cannot_be_read_leaves_all_others(id in ".{0,20}", json in json(), at in 4u64..9) {
         let catalog = Catalog::new(parse_config, parse_replica);
         let items = vec![record("i-a", 3, GOOD), record(&id, at, &json.to_string()), record("i-b", 3, GOOD)];
-        catalog.offer_listing(CatalogChange { items, revision: 9 }, "store");
+        catalog.offer_listing(CatalogChange { items, revision: 9, era: None }, "store");
         let known: Vec<String> = catalog.upstreams().iter().map(|it| it.id.to_string()).collect();
         prop_assert!(known.contains(&"i-b".to_owned()) || id == "i-b");
         prop_assert_eq!(catalog.version().upstreams, 9);
         let gone = UpstreamRecord { id: id.clone(), revision: 10, text: None };
-        let change = CatalogChange { items: vec![CatalogItem::Upstream(gone)], revision: 10 };
+        let change = CatalogChange { items: vec![CatalogItem::Upstream(gone)], revision: 10, era: None };
         catalog.offer_change(change, "store");
         prop_assert!(catalog.upstreams().iter().all(|it| *it.id != *id));
     }
--- a/tests/silent_store.rs
+++ b/tests/silent_store.rs
@@ -141,6 +141,7 @@
         CatalogChange {
             items: upstreams.chain([config(version)]).collect(),
             revision: version,
+            era: None,
         }
     }
 
@@ -158,6 +159,7 @@
         CatalogChange {
             items: upstreams.chain([config(version)]).collect(),
             revision: version,
+            era: None,
         }
     }
 }
@@ -180,6 +182,7 @@
                 Err(_) => CatalogChange {
                     items: Vec::new(),
                     revision: after,
+                    era: None,
                 },
             }
         };
