--- a/testbed/src/direct/mod.rs
+++ b/testbed/src/direct/mod.rs
@@ -28,7 +28,7 @@
     replica_answer::ReplicaAnswer,
     replica_answering::{CrashTiming, event},
     route_text::RouteText,
-    store::Store,
+    store::{LostWrite, Store},
     store_mode::StoreMode,
     store_port::StorePort,
 };
--- a/testbed/src/direct/store.rs
+++ b/testbed/src/direct/store.rs
@@ -5,6 +5,7 @@
         collections::BTreeMap,
         net::SocketAddr,
         sync::{Arc, Mutex},
+        time::{Duration, Instant},
     },
     tokio::sync::watch,
 };
@@ -23,6 +24,26 @@
     events: Vec<Value>,
     revision: u64,
     discarded_up_to: u64, // events up to this revision are discarded
+    era: u64,             // number of losses so far
+    hides_era: bool,      // answers do not tell the era
+    writes: Vec<Write>,   // all that are not lost, in order
+}
+
+/// A write or a deletion.
+#[derive(Clone)]
+struct Write {
+    at: Instant,
+    key: String,
+    value: Option<String>, // in base64; none if the key was deleted
+    revision: u64,
+}
+
+/// What a writer has to write again after a loss.
+#[derive(Debug, Clone)]
+pub struct LostWrite {
+    pub key: String,
+    value: Option<String>, // in base64; none if the key was deleted
+    copy_revision: u64,    // of the copy from which the store came back
 }
 
 struct Item {
@@ -30,6 +51,29 @@
     revision: u64,
 }
 
+impl State {
+    fn apply(
+        &mut self,
+        write: Write,
+    ) {
+        let (key, revision) = (&write.key, write.revision);
+        self.revision = revision;
+        match &write.value {
+            Some(value) => {
+                self.events.push(item(key, value, revision));
+                let value = value.clone();
+                self.items.insert(key.clone(), Item { value, revision });
+            }
+            None => {
+                let event = json!({"private_key": key, "revision": revision, "gone": true});
+                self.events.push(event);
+                self.items.remove(key);
+            }
+        }
+        self.writes.push(write);
+    }
+}
+
 impl Default for Store {
     fn default() -> Self {
         Self {
@@ -208,16 +252,7 @@
         &self,
         key: &str,
     ) {
-        let revision = {
-            let mut state = self.state.lock().expect("store lock");
-            state.items.remove(key);
-            state.revision += 1;
-            let revision = state.revision;
-            let event = json!({"private_key": key, "revision": revision, "gone": true});
-            state.events.push(event);
-            revision
-        };
-        self.changed.send_replace(revision);
+        self.write(key, None);
     }
 
     /// Discards the history of changes, so that older watches are answered with 410. The
@@ -228,6 +263,67 @@
         state.events.clear();
     }
 
+    /// Makes answers tell no era.
+    pub fn hide_era(&self) {
+        self.state.lock().expect("store lock").hides_era = true;
+    }
+
+    /// The era that answers tell.
+    pub(super) fn told_era(&self) -> Option<u64> {
+        let state = self.state.lock().expect("store lock");
+        (!state.hides_era).then_some(state.era)
+    }
+
+    /// Comes back from a copy of this age: later writes are lost, and their revisions are given
+    /// out again. Returns the last lost write of each key.
+    pub fn return_from_copy(
+        &self,
+        age: Duration,
+    ) -> Vec<LostWrite> {
+        let (lost, revision) = {
+            let mut state = self.state.lock().expect("store lock");
+            let copied_at = Instant::now().checked_sub(age);
+            let is_kept = |write: &Write| copied_at.is_some_and(|copied_at| write.at <= copied_at);
+            let (kept, lost): (Vec<Write>, Vec<Write>) = std::mem::take(&mut state.writes)
+                .into_iter()
+                .partition(is_kept);
+            let before = std::mem::take(&mut *state);
+            state.era = before.era + 1;
+            state.hides_era = before.hides_era;
+            for write in kept {
+                state.apply(write);
+            }
+            state.discarded_up_to = before.discarded_up_to.min(state.revision);
+            (lost, state.revision)
+        };
+        self.changed.send_replace(revision);
+        let last: BTreeMap<String, Write> = lost
+            .into_iter()
+            .map(|write| (write.key.clone(), write))
+            .collect();
+        let lost = last.into_values().map(|write| LostWrite {
+            key: write.key,
+            value: write.value,
+            copy_revision: revision,
+        });
+        lost.collect()
+    }
+
+    /// Writes a lost write again, unless its key was written since the loss.
+    pub fn write_again(
+        &self,
+        lost: LostWrite,
+    ) {
+        let is_written = {
+            let state = self.state.lock().expect("store lock");
+            let mut writes = state.writes.iter();
+            writes.any(|write| write.key == lost.key && write.revision > lost.copy_revision)
+        };
+        if !is_written {
+            self.write(&lost.key, lost.value);
+        }
+    }
+
     fn put(
         &self,
         key: &str,
@@ -243,13 +339,23 @@
         key: &str,
         bytes: &[u8],
     ) -> u64 {
-        let value = base64(bytes);
+        self.write(key, Some(base64(bytes)))
+    }
+
+    fn write(
+        &self,
+        key: &str,
+        value: Option<String>,
+    ) -> u64 {
         let revision = {
             let mut state = self.state.lock().expect("store lock");
-            state.revision += 1;
-            let revision = state.revision;
-            state.events.push(item(key, &value, revision));
-            state.items.insert(key.to_owned(), Item { value, revision });
+            let revision = state.revision + 1;
+            state.apply(Write {
+                at: Instant::now(),
+                key: key.to_owned(),
+                value,
+                revision,
+            });
             revision
         };
         self.changed.send_replace(revision);
@@ -290,14 +396,14 @@
     }
 
     /// Changes after a revision of keys that begin with `prefix`, none if some of them
-    /// may have been discarded.
+    /// may have been discarded, or if the store does not have that revision.
     pub(super) fn events(
         &self,
         prefix: &str,
         after: u64,
     ) -> Option<Vec<Value>> {
         let state = self.state.lock().expect("store lock");
-        if after < state.discarded_up_to {
+        if after < state.discarded_up_to || after > state.revision {
             return None;
         }
         let fresh = state.events.iter().filter(|event| {
--- a/testbed/src/direct/store_port.rs
+++ b/testbed/src/direct/store_port.rs
@@ -4,7 +4,12 @@
         proxy::TcpProxy,
         standin::{BoundServer, bind_server},
     },
-    rocket::{Build, Rocket, State, get, http::Status, response::status::Custom, routes},
+    rocket::{
+        Build, Request, Rocket, State, get,
+        http::Status,
+        response::{self, Responder, status::Custom},
+        routes,
+    },
     serde_json::json,
     std::{
         net::{IpAddr, SocketAddr},
@@ -23,7 +28,38 @@
 }
 
 type Mode = Arc<Mutex<StoreMode>>;
-type Answer = Custom<String>;
+
+/// An answer with the store's era, unless the store hides it.
+struct Answer {
+    inner: Custom<String>,
+    era: Option<u64>,
+}
+
+impl Answer {
+    fn new(
+        store: &Store,
+        status: Status,
+        body: String,
+    ) -> Self {
+        Self {
+            inner: Custom(status, body),
+            era: store.told_era(),
+        }
+    }
+}
+
+impl<'r> Responder<'r, 'static> for Answer {
+    fn respond_to(
+        self,
+        request: &'r Request<'_>,
+    ) -> response::Result<'static> {
+        let mut response = self.inner.respond_to(request)?;
+        if let Some(era) = self.era {
+            response.set_raw_header("Store-Era", era.to_string());
+        }
+        Ok(response)
+    }
+}
 
 impl StorePort {
     /// Serves the store on a free port.
@@ -62,12 +98,16 @@
 
 /// The answer that replaces the usual one in this mode. Never returns in
 /// [`StoreMode::Silent`].
-async fn injected_answer(mode: &Mode) -> Option<Answer> {
+async fn injected_answer(
+    store: &Store,
+    mode: &Mode,
+) -> Option<Answer> {
+    let refusal = |status| Some(Answer::new(store, status, String::new()));
     let current = *mode.lock().expect("mode lock");
     match current {
         StoreMode::Well => None,
-        StoreMode::Busy => Some(Custom(Status::ServiceUnavailable, String::new())),
-        StoreMode::Many => Some(Custom(Status::TooManyRequests, String::new())),
+        StoreMode::Busy => refusal(Status::ServiceUnavailable),
+        StoreMode::Many => refusal(Status::TooManyRequests),
         StoreMode::Silent => std::future::pending().await,
     }
 }
@@ -78,12 +118,12 @@
     store: &State<Store>,
     mode: &State<Mode>,
 ) -> Answer {
-    if let Some(refusal) = injected_answer(mode).await {
+    if let Some(refusal) = injected_answer(store, mode).await {
         return refusal;
     }
     match store.key(private_key) {
-        Some(item) => Custom(Status::Ok, item.to_string()),
-        None => Custom(Status::NotFound, String::new()),
+        Some(item) => Answer::new(store, Status::Ok, item.to_string()),
+        None => Answer::new(store, Status::NotFound, String::new()),
     }
 }
 
@@ -94,11 +134,11 @@
     store: &State<Store>,
     mode: &State<Mode>,
 ) -> Answer {
-    if let Some(refusal) = injected_answer(mode).await {
+    if let Some(refusal) = injected_answer(store, mode).await {
         return refusal;
     }
     let page = store.range(path_prefix, after_revision.unwrap_or(""));
-    Custom(Status::Ok, page.to_string())
+    Answer::new(store, Status::Ok, page.to_string())
 }
 
 #[get("/kv-watch?<path_prefix>&<after_revision>&<wait_ms>")]
@@ -109,7 +149,7 @@
     store: &State<Store>,
     mode: &State<Mode>,
 ) -> Answer {
-    if let Some(refusal) = injected_answer(mode).await {
+    if let Some(refusal) = injected_answer(store, mode).await {
         return refusal;
     }
     let mut changes = store.subscribe();
@@ -125,19 +165,23 @@
         }
     };
     let found = timeout(Duration::from_millis(wait_ms), new_events).await;
-    if let Some(refusal) = injected_answer(mode).await {
+    if let Some(refusal) = injected_answer(store, mode).await {
         return refusal;
     }
     match found {
-        Ok(None) => Custom(Status::Gone, String::new()),
+        Ok(None) => Answer::new(store, Status::Gone, String::new()),
         Ok(Some(events)) => {
             let at = events.last().and_then(|event| event["revision"].as_u64());
             let answer = json!({"events": events, "at": at});
-            Custom(Status::Ok, answer.to_string())
+            Answer::new(store, Status::Ok, answer.to_string())
         }
         Err(_) => {
             let at = store.revision().max(after_revision);
-            Custom(Status::Ok, json!({"events": [], "at": at}).to_string())
+            Answer::new(
+                store,
+                Status::Ok,
+                json!({"events": [], "at": at}).to_string(),
+            )
         }
     }
 }
