Order revisions of the store by its era

Callers' requests reached replicas 3.1 s and more after the store had confirmed that they leave, until another change raised the store's revision above the one known.

Cause: the store had come back from a copy and gave revisions out again. Routers compared them as if they only rose: readers told the highest revision ever reached, so others asked for what came after it; entries at lower revisions were taken for old; a watch that the store had grown past went on as if nothing were missing.

A revision is now the era and the store's counter in one number, ordered by the era first, in the same fields; in era 0 it is the counter as before. So every comparison of lists, watches, removals, cordons and news between routers holds, and late answers of the era before are older. A watch answered in another era is followed by a listing.

What the copy may lack stands: leaving and gone entries, later starts, slow starts and cordons until they are written again, missing entries for the grace period. Configurations go by their own version. Builds that do not know eras get the store's counters.

--- a/src/catalog/catalog.rs
+++ b/src/catalog/catalog.rs
@@ -1,8 +1,8 @@
 use {
     super::{
         AcceptedConfig, CatalogChange, CatalogItem, ConfigOrigin, CordonChange, CordonList,
-        CordonSnapshot, ParseUpstream, UpstreamEntry, UpstreamOrigin, UpstreamUpdate,
-        upstream_list::UpstreamList,
+        CordonSnapshot, EarlierCordon, EarlierWord, ParseUpstream, UpstreamEntry, UpstreamOrigin,
+        UpstreamUpdate, era_of, upstream_list::UpstreamList,
     },
     crate::{
         codes::Fault,
@@ -284,6 +284,56 @@
         }
     }
 
+    /// Ends what stood against the store's copy for long enough.
+    pub fn end_earlier_words(&self) {
+        let is_changed = {
+            let mut state = self.state.lock().expect("catalog lock");
+            let restored = state.upstreams.restore_confirmed();
+            state.cordons.remove_expired() || restored
+        };
+        if is_changed {
+            self.changed.send_modify(|_| {});
+        }
+    }
+
+    /// What stands against the store's copy, for peers that do not know it.
+    pub fn earlier_words(&self) -> (Vec<EarlierWord>, Vec<EarlierCordon>) {
+        let state = self.state.lock().expect("catalog lock");
+        (
+            state.upstreams.earlier_words(),
+            state.cordons.earlier_cordons(),
+        )
+    }
+
+    /// Applies what stands against the store's copy, as a peer tells. Ignored unless this
+    /// catalog is of the same era.
+    pub fn offer_earlier_words(
+        &self,
+        era: u64,
+        words: Vec<EarlierWord>,
+        cordons: Vec<EarlierCordon>,
+        from: &str,
+    ) {
+        let is_changed = {
+            let mut state = self.state.lock().expect("catalog lock");
+            let mut is_changed = false;
+            if era_of(state.upstreams.revision()) == era {
+                for word in words {
+                    is_changed |= state.upstreams.apply_earlier_word(word, from);
+                }
+            }
+            if era_of(state.cordons.revision()) == era {
+                for cordon in cordons {
+                    is_changed |= state.cordons.apply_earlier_cordon(cordon, from);
+                }
+            }
+            is_changed
+        };
+        if is_changed {
+            self.changed.send_modify(|_| {});
+        }
+    }
+
     fn offer_items(
         &self,
         change: CatalogChange,
--- a/src/catalog/cordon_list.rs
+++ b/src/catalog/cordon_list.rs
@@ -1,9 +1,17 @@
 use {
-    super::{Cordon, CordonSnapshot},
+    super::{Cordon, CordonSnapshot, EarlierCordon, counter_of, era_of},
     crate::codes::ResultCode,
-    std::collections::{BTreeMap, BTreeSet},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
+    tokio::time::Instant,
 };
 
+/// How long a zone stays cordoned whose cordon the store's copy lacks. The operator writes it
+/// again after the store's return; a cordon that was lifted meanwhile may leave no trace there.
+const EARLIER_CORDON_PERIOD: Duration = Duration::from_secs(30);
+
 /// Limit on the cordoned zones. A fleet has some ten zones; more names come from a faulty
 /// writer and would only take memory in each router.
 const MAX_ZONES: usize = 256;
@@ -12,8 +20,10 @@
 /// whole list, so that lifted cordons need not be remembered.
 #[derive(Debug, Default)]
 pub struct CordonList {
-    zones: BTreeMap<String, u64>, // revision of the cordon, by zone
-    revision: u64,                // store revision that the list reflects; 0 if none
+    zones: BTreeMap<String, u64>,       // revision of the cordon, by zone
+    revision: u64,                      // store revision that the list reflects; 0 if none
+    earlier: BTreeMap<String, Instant>, // zones that were cordoned in an earlier era, and until when
+    lifted: BTreeSet<String>,           // zones uncordoned in this era
 }
 
 impl CordonList {
@@ -23,7 +33,57 @@
     }
 
     pub fn zones(&self) -> BTreeSet<String> {
-        self.zones.keys().cloned().collect()
+        self.zones
+            .keys()
+            .chain(self.earlier.keys())
+            .cloned()
+            .collect()
+    }
+
+    /// The cordons of an earlier era that the store's copy lacks, for peers.
+    pub fn earlier_cordons(&self) -> Vec<EarlierCordon> {
+        let now = Instant::now();
+        let earlier = self.earlier.iter().map(|(zone, until)| EarlierCordon {
+            zone: zone.clone(),
+            remaining_ms: (*until - now).as_millis() as u32,
+        });
+        earlier.collect()
+    }
+
+    /// Applies a cordon of an earlier era, as a router that knew it tells. Returns whether the set
+    /// of cordoned zones changed.
+    pub fn apply_earlier_cordon(
+        &mut self,
+        cordon: EarlierCordon,
+        from: &str,
+    ) -> bool {
+        let zone = cordon.zone;
+        let is_known = self.zones.contains_key(&zone) || self.earlier.contains_key(&zone);
+        if is_known || self.lifted.contains(&zone) || self.earlier.len() >= MAX_ZONES {
+            return false;
+        }
+        log::warn!(
+            zone = zone.as_str(), from = from;
+            "zone cordoned before the store's loss: it gets no new work"
+        );
+        let remaining = Duration::from_millis(cordon.remaining_ms.into());
+        let until = Instant::now() + remaining.min(EARLIER_CORDON_PERIOD);
+        self.earlier.insert(zone, until);
+        true
+    }
+
+    /// Ends cordons of an earlier era that were not written again. Returns whether there were any.
+    pub fn remove_expired(&mut self) -> bool {
+        let now = Instant::now();
+        let expired = self.earlier.extract_if(.., |_, until| now >= *until);
+        let zones: Vec<String> = expired.map(|(zone, _)| zone).collect();
+        for zone in &zones {
+            log::warn!(
+                zone = zone.as_str();
+                "zone uncordoned: its cordon was not written again after the store's loss"
+            );
+        }
+        !zones.is_empty()
     }
 
     /// The whole list, for a peer.
@@ -49,18 +109,27 @@
         if snapshot.revision <= self.revision {
             return false;
         }
-        let before = std::mem::take(&mut self.zones);
-        let younger = before
-            .iter()
-            .filter(|(_, revision)| **revision > snapshot.revision)
-            .map(|(zone, revision)| (zone.clone(), *revision));
-        self.zones.extend(younger);
+        let before = self.zones();
+        if self.revision > 0 && era_of(snapshot.revision) > era_of(self.revision) {
+            self.begin_era();
+        }
+        self.zones
+            .retain(|_, revision| *revision > snapshot.revision);
         for cordon in snapshot.cordons {
             self.set(cordon, from);
         }
         self.revision = snapshot.revision;
-        log_changes(&before, &self.zones, self.revision, from);
-        before.keys().ne(self.zones.keys())
+        self.log_changes(&before, from);
+        before != self.zones()
+    }
+
+    /// The store came back from a copy, which may lack the newest cordons: all of them stand
+    /// until they are written again or lifted.
+    fn begin_era(&mut self) {
+        let until = Instant::now() + EARLIER_CORDON_PERIOD;
+        let zones = self.zones().into_iter();
+        self.earlier = zones.map(|zone| (zone, until)).collect();
+        self.lifted.clear();
     }
 
     /// Applies the changes of a watch that started at or before the revision of this list.
@@ -71,24 +140,35 @@
         revision: u64,
         from: &str,
     ) -> bool {
-        let before = self.zones.clone();
+        let before = self.zones();
         for change in changes {
             match change {
                 CordonChange::Set(cordon) if cordon.revision > self.revision => {
                     self.set(cordon, from)
                 }
                 CordonChange::Lifted(cordon) if cordon.revision > self.revision => {
-                    let is_older = |known: &u64| *known < cordon.revision;
-                    if self.zones.get(&cordon.zone).is_some_and(is_older) {
-                        self.zones.remove(&cordon.zone);
-                    }
+                    self.lift(cordon)
                 }
                 _ => {}
             }
         }
         self.revision = self.revision.max(revision);
-        log_changes(&before, &self.zones, self.revision, from);
-        before.keys().ne(self.zones.keys())
+        self.log_changes(&before, from);
+        before != self.zones()
+    }
+
+    fn lift(
+        &mut self,
+        cordon: Cordon,
+    ) {
+        let is_older = |known: &u64| *known < cordon.revision;
+        if self.zones.get(&cordon.zone).is_some_and(is_older) {
+            self.zones.remove(&cordon.zone);
+        }
+        self.earlier.remove(&cordon.zone);
+        if era_of(cordon.revision) > 0 && self.lifted.len() < MAX_ZONES {
+            self.lifted.insert(cordon.zone);
+        }
     }
 
     fn set(
@@ -104,9 +184,33 @@
             );
             return;
         }
+        self.earlier.remove(&cordon.zone);
         let known = self.zones.entry(cordon.zone).or_default();
         *known = cordon.revision.max(*known);
     }
+
+    fn log_changes(
+        &self,
+        before: &BTreeSet<String>,
+        from: &str,
+    ) {
+        let (era, at) = (era_of(self.revision), counter_of(self.revision));
+        let after = self.zones();
+        for zone in after.difference(before) {
+            let revision = self.zones.get(zone).copied().unwrap_or_default();
+            log::warn!(
+                zone = zone.as_str(), revision = counter_of(revision), era = era, at = at,
+                from = from;
+                "zone cordoned: it gets no new work"
+            );
+        }
+        for zone in before.difference(&after) {
+            log::warn!(
+                zone = zone.as_str(), era = era, at = at, from = from;
+                "zone uncordoned: it gets new work"
+            );
+        }
+    }
 }
 
 /// A change of one cordon in the store.
@@ -115,20 +219,3 @@
     Set(Cordon),
     Lifted(Cordon), // with the revision at which it was lifted
 }
-
-fn log_changes(
-    before: &BTreeMap<String, u64>,
-    after: &BTreeMap<String, u64>,
-    list_revision: u64,
-    from: &str,
-) {
-    for (zone, revision) in after.iter().filter(|(zone, _)| !before.contains_key(*zone)) {
-        log::warn!(
-            zone = zone.as_str(), revision = *revision, at = list_revision, from = from;
-            "zone cordoned: it gets no new work"
-        );
-    }
-    for zone in before.keys().filter(|zone| !after.contains_key(*zone)) {
-        log::warn!(zone = zone.as_str(), at = list_revision, from = from; "zone uncordoned: it gets new work");
-    }
-}
--- a/src/catalog/lapse_grace.rs
+++ b/src/catalog/lapse_grace.rs
@@ -28,6 +28,11 @@
         self.until = Some(now + GRACE_PERIOD);
     }
 
+    /// Ends the grace period for entries that vanish from now on.
+    pub fn end(&mut self) {
+        self.until = None;
+    }
+
     /// Records that an entry vanished. Returns whether it stays in use for now.
     pub fn defer_removal(
         &mut self,
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -10,9 +10,12 @@
 mod cordon;
 mod cordon_list;
 mod cordon_snapshot;
+mod earlier_word;
+mod earlier_words;
 mod follow_store;
 mod lapse_grace;
 mod reader_role;
+mod store_revision;
 mod upstream_entry;
 mod upstream_list;
 mod upstream_origin;
@@ -31,8 +34,10 @@
     cordon::Cordon,
     cordon_list::{CordonChange, CordonList},
     cordon_snapshot::CordonSnapshot,
+    earlier_word::{EarlierCordon, EarlierWord},
     follow_store::follow_store,
     reader_role::{AlwaysReader, ReaderRole},
+    store_revision::{StoreRevision, counter_of, era_of},
     upstream_entry::UpstreamEntry,
     upstream_list::ParseUpstream,
     upstream_origin::UpstreamOrigin,
--- /dev/null
+++ b/src/catalog/store_revision.rs
@@ -0,0 +1,45 @@
+/// Bits of a packed revision that hold the store's own counter.
+const COUNTER_BITS: u32 = 40;
+
+/// A revision of the store across its losses. A store that comes back from a copy begins
+/// another era and gives revisions of the earlier one out again, so revisions are ordered by
+/// era first.
+///
+/// Everywhere else a revision is one number, the packed form, which has the same order. In era
+/// 0 it equals the store's counter, as in builds that know no eras.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct StoreRevision {
+    pub era: u64,     // rises with each loss; 0 if the store tells none
+    pub counter: u64, // the store's own revision
+}
+
+impl StoreRevision {
+    /// The highest counter that can be packed.
+    pub const MAX_COUNTER: u64 = (1 << COUNTER_BITS) - 1;
+
+    /// The highest era that can be packed.
+    pub const MAX_ERA: u64 = u64::MAX >> COUNTER_BITS;
+
+    /// The packed form. Parts above their maximum count as the maximum.
+    pub fn pack(self) -> u64 {
+        (self.era.min(Self::MAX_ERA) << COUNTER_BITS) | self.counter.min(Self::MAX_COUNTER)
+    }
+
+    /// The parts of a packed revision.
+    pub fn unpack(packed: u64) -> Self {
+        Self {
+            era: packed >> COUNTER_BITS,
+            counter: packed & Self::MAX_COUNTER,
+        }
+    }
+}
+
+/// The era of a packed revision.
+pub fn era_of(packed: u64) -> u64 {
+    StoreRevision::unpack(packed).era
+}
+
+/// The store's own counter of a packed revision.
+pub fn counter_of(packed: u64) -> u64 {
+    StoreRevision::unpack(packed).counter
+}
--- a/src/catalog/upstream_entry.rs
+++ b/src/catalog/upstream_entry.rs
@@ -29,6 +29,23 @@
         }
     }
 
+    /// Whether this entry allows less than another one of the upstream, of which it is not known
+    /// which is newer: it is of a later start, or of the same one and says that the upstream
+    /// leaves or has just started.
+    pub fn limits_more_than(
+        &self,
+        other: &Self,
+    ) -> bool {
+        if self.started_unix_ms != other.started_unix_ms {
+            return self.started_unix_ms > other.started_unix_ms;
+        }
+        let is_leaving = |entry: &Self| entry.state == UpstreamState::Draining;
+        match (is_leaving(self), is_leaving(other)) {
+            (false, false) => self.slow_start_remaining > other.slow_start_remaining,
+            (leaving, other_leaving) => leaving && !other_leaving,
+        }
+    }
+
     /// Whether another entry is of the same incarnation of the same replica.
     pub fn is_same_start(
         &self,
--- a/src/catalog/upstream_list.rs
+++ b/src/catalog/upstream_list.rs
@@ -1,6 +1,9 @@
 use {
     super::{
-        UpstreamEntry, UpstreamOrigin, UpstreamRecord, UpstreamState, UpstreamUpdate,
+        EarlierWord, UpstreamEntry, UpstreamOrigin, UpstreamRecord, UpstreamState, UpstreamUpdate,
+        counter_of,
+        earlier_words::EarlierWords,
+        era_of,
         lapse_grace::{LapseGrace, is_mass_removal},
     },
     crate::codes::{Fault, ResultCode},
@@ -23,6 +26,7 @@
     revision: u64,                            // store revision reflected; 0 if none
     snapshot_revision: u64, // of the last snapshot; the records have all removals after it
     lapses: LapseGrace,
+    earlier: EarlierWords,
     excluded: Vec<SocketAddr>, // listening addresses of this process
 }
 
@@ -41,6 +45,7 @@
             revision: 0,
             snapshot_revision: 0,
             lapses: LapseGrace::default(),
+            earlier: EarlierWords::default(),
             excluded: Vec::new(),
         }
     }
@@ -95,7 +100,10 @@
     ) -> UpstreamUpdate {
         let is_snapshot = revision < self.snapshot_revision;
         let records = self.records.values().map(|sourced| &sourced.record);
-        let sent = records.filter(|record| match is_snapshot {
+        // A withdrawn upstream is sent as the store lists it: a peer that did not know that it
+        // was withdrawn could not use it later, since its entry may never change again.
+        let listed = records.map(|record| self.earlier.listed(&record.id).unwrap_or(record));
+        let sent = listed.filter(|record| match is_snapshot {
             true => record.text.is_some(),
             false => record.revision > revision,
         });
@@ -118,8 +126,22 @@
             revision,
             is_snapshot,
         } = update;
+        let begins_era = self.revision > 0 && era_of(revision) > era_of(self.revision);
+        if begins_era {
+            if !is_snapshot {
+                log::error!(
+                    era = era_of(revision), from = from;
+                    "changes of another era ignored: the list that they change is unknown"
+                );
+                return false;
+            }
+            self.begin_era(&mut records, revision, from);
+        }
         if is_snapshot {
-            records.extend(self.removals_by(&records, revision));
+            let listed: BTreeSet<&str> = records.iter().map(|record| &*record.id).collect();
+            self.earlier.retain_listed(&listed, revision);
+            let removals = self.removals_by(&listed, revision);
+            records.extend(removals);
         }
         if is_mass_removal(&self.entries, &records) {
             log::warn!(
@@ -133,6 +155,9 @@
             .into_iter()
             .filter(|record| self.apply_record(record, &from))
             .count();
+        if begins_era {
+            self.lapses.end();
+        }
         let has_advanced = revision > self.revision;
         self.revision = self.revision.max(revision);
         if is_snapshot {
@@ -141,14 +166,132 @@
         changed > 0 || has_advanced
     }
 
+    /// Prepares for the first listing of another era. The store came back from a copy, which
+    /// lacks its newest changes, so what this list knows may be newer than what is listed:
+    /// leaving and removals stand until the entry is written again, and upstreams that are
+    /// missing get time to write theirs.
+    fn begin_era(
+        &mut self,
+        listed: &mut [UpstreamRecord],
+        revision: u64,
+        from: &str,
+    ) {
+        log::warn!(
+            era = era_of(revision), before = era_of(self.revision), at = counter_of(revision),
+            known = counter_of(self.revision), from = from;
+            "the store came back from a copy without its newest changes"
+        );
+        let now = Instant::now();
+        self.lapses.begin(now);
+        self.earlier.clear();
+        for record in listed {
+            let Some(known) = self.records.get(&record.id) else {
+                continue;
+            };
+            let is_in_use = self.entries.contains_key(&record.id);
+            match &known.record.text {
+                None if !is_in_use => {
+                    let removal = UpstreamRecord {
+                        text: None,
+                        ..record.clone()
+                    };
+                    let listed = std::mem::replace(record, removal);
+                    self.earlier.withdraw(listed, now);
+                }
+                Some(text) if self.stands(known.record.id.as_str(), record) => {
+                    record.text = Some(text.clone());
+                    self.earlier.carry(record);
+                }
+                _ => {}
+            }
+        }
+        let is_withdrawn_before = |sourced: &SourcedRecord| sourced.record.text.is_none();
+        self.records
+            .retain(|id, sourced| !is_withdrawn_before(sourced) || self.entries.contains_key(id));
+    }
+
+    /// Whether the entry in use of an upstream stands against one from the store's copy.
+    fn stands(
+        &self,
+        id: &str,
+        listed: &UpstreamRecord,
+    ) -> bool {
+        let listed = listed.text.as_ref();
+        let listed = listed.and_then(|text| (self.parse)(id, text).ok());
+        let known = self.entries.get(id);
+        known
+            .zip(listed)
+            .is_some_and(|(known, listed)| known.limits_more_than(&listed))
+    }
+
+    /// What upstreams said in an earlier era and what stands, for routers that do not know it.
+    pub fn earlier_words(&self) -> Vec<EarlierWord> {
+        let records = |id: &str| self.records.get(id).map(|sourced| &sourced.record);
+        self.earlier.words(records, Instant::now())
+    }
+
+    /// Applies what an upstream said in an earlier era, as a router that knew it tells. Ignored
+    /// if this list knows another entry of the upstream than the one that it stands against.
+    /// Returns whether the upstreams in use changed.
+    pub fn apply_earlier_word(
+        &mut self,
+        word: EarlierWord,
+        from: &str,
+    ) -> bool {
+        let EarlierWord {
+            record,
+            remaining_ms,
+        } = word;
+        let Some(known) = self.records.get(&record.id) else {
+            return false;
+        };
+        if known.record.revision != record.revision || known.record.text.is_none() {
+            return false;
+        }
+        match (&record.text, remaining_ms) {
+            (None, Some(remaining_ms)) => {
+                let listed = known.record.clone();
+                self.earlier
+                    .withdraw_for(listed, remaining_ms, Instant::now());
+                self.lapses.remove(&record.id);
+                self.entries.remove(&record.id);
+                self.insert_record(record, &from.into());
+                true
+            }
+            (Some(text), _) => {
+                let Ok(entry) = (self.parse)(&record.id, text) else {
+                    return false;
+                };
+                let in_use = self.entries.get(&record.id);
+                if !in_use.is_some_and(|in_use| entry.limits_more_than(in_use)) {
+                    return false;
+                }
+                self.earlier.carry(&record);
+                self.store_record(&record, &from.into())
+            }
+            (None, None) => false,
+        }
+    }
+
+    /// Uses the withdrawn upstreams again whose entries the store still lists after the time in
+    /// which those of ended upstreams go. Returns whether there were any.
+    pub fn restore_confirmed(&mut self) -> bool {
+        let confirmed = self.earlier.take_confirmed(Instant::now());
+        let from: Arc<str> = "store".into();
+        let restored = confirmed
+            .iter()
+            .filter(|listed| self.store_record(listed, &from))
+            .count();
+        restored > 0
+    }
+
     /// Removal records for the upstreams up to `revision` that a snapshot of that
     /// revision does not list.
     fn removals_by(
         &self,
-        listed: &[UpstreamRecord],
+        listed: &BTreeSet<&str>,
         revision: u64,
     ) -> Vec<UpstreamRecord> {
-        let listed: BTreeSet<&str> = listed.iter().map(|record| &*record.id).collect();
         let known = self.records.values().map(|sourced| &sourced.record);
         known
             .filter(|known| {
@@ -200,32 +343,47 @@
         if record.revision <= known_revision.max(self.snapshot_revision) {
             return false;
         }
+        self.earlier.remove_older(record);
+        self.store_record(record, from)
+    }
+
+    /// Stores one record, whatever is known. An unusable entry is recorded with an empty text, so
+    /// that its revision and its removal are passed on to peers all the same. Returns whether the
+    /// upstreams in use changed.
+    fn store_record(
+        &mut self,
+        record: &UpstreamRecord,
+        from: &Arc<str>,
+    ) -> bool {
         let entry = self.parse(record, from);
-        // An unusable entry is recorded with an empty text, so that its revision and its removal
-        // are passed on to peers all the same.
-        let sourced = SourcedRecord {
-            record: UpstreamRecord {
-                text: match entry {
-                    Some(_) => record.text.clone(),
-                    None => record.text.as_ref().map(|_| String::new()),
-                },
-                ..record.clone()
-            },
-            from: from.clone(),
+        // The store's copy lists entries again that were not written again.
+        let known = self.records.get(&record.id).map(|known| &known.record);
+        let is_repeated = known.is_some_and(|known| {
+            known.text == record.text && era_of(known.revision) != era_of(record.revision)
+        });
+        let text = match entry {
+            Some(_) => record.text.clone(),
+            None => record.text.as_ref().map(|_| String::new()),
         };
-        self.records.insert(record.id.clone(), sourced);
+        let stored = UpstreamRecord {
+            text,
+            ..record.clone()
+        };
+        self.insert_record(stored, from);
         let before = self.entries.get(&record.id);
         // The remaining slow start counts from the time of receipt, so an equal entry extends
         // it and is a change.
-        let is_slow = entry
-            .as_ref()
-            .is_some_and(|entry| !entry.slow_start_remaining.is_zero());
+        let is_slow = !is_repeated
+            && entry
+                .as_ref()
+                .is_some_and(|entry| !entry.slow_start_remaining.is_zero());
         let is_same = before.map(|entry| &**entry) == entry.as_deref() && !is_slow;
         let was_ready = before.is_some_and(|entry| entry.state == UpstreamState::Ready);
         let is_removed = record.text.is_none();
         if is_removed && was_ready && self.lapses.defer_removal(&record.id, Instant::now()) {
             log::info!(
-                upstream = record.id.as_str(), revision = record.revision, from = &**from;
+                upstream = record.id.as_str(), era = era_of(record.revision),
+                revision = counter_of(record.revision), from = &**from;
                 "upstream entry lapsed: the upstream stays in use for a grace period"
             );
             return false;
@@ -233,17 +391,31 @@
         self.lapses.remove(&record.id);
         if !is_same {
             log::info!(
-                upstream = record.id.as_str(), revision = record.revision, from = &**from;
+                upstream = record.id.as_str(), era = era_of(record.revision),
+                revision = counter_of(record.revision), from = &**from;
                 "upstream {}", entry.as_ref().map_or("gone".to_owned(), |e| format!("{:?}", e.state))
             );
         }
         match entry {
+            Some(_) if is_same && is_repeated => None,
             Some(entry) => self.entries.insert(record.id.clone(), entry),
             None => self.entries.remove(&record.id),
         };
         !is_same
     }
 
+    fn insert_record(
+        &mut self,
+        record: UpstreamRecord,
+        from: &Arc<str>,
+    ) {
+        let sourced = SourcedRecord {
+            record,
+            from: from.clone(),
+        };
+        self.records.insert(sourced.record.id.clone(), sourced);
+    }
+
     /// Parses the entry of a record. Logs entries that cannot be used and returns none for
     /// them, as for removals.
     fn parse(
@@ -265,7 +437,8 @@
             Err(error) => {
                 log::error!(
                     code = error.code.number(), upstream = record.id.as_str(),
-                    revision = record.revision, from = from;
+                    era = era_of(record.revision), revision = counter_of(record.revision),
+                    from = from;
                     "upstream entry cannot be used: {error}"
                 );
                 None
--- a/src/catalog/upstream_update.rs
+++ b/src/catalog/upstream_update.rs
@@ -1,5 +1,5 @@
 use {
-    super::UpstreamRecord,
+    super::{UpstreamRecord, counter_of},
     serde::{Deserialize, Serialize},
 };
 
@@ -10,3 +10,13 @@
     pub revision: u64,     // store revision reflected after they are applied
     pub is_snapshot: bool, // a snapshot: older upstreams that are missing from it are removed
 }
+
+impl UpstreamUpdate {
+    /// Reduces the revisions to the store's own counters.
+    pub fn remove_era(&mut self) {
+        self.revision = counter_of(self.revision);
+        for record in &mut self.records {
+            record.revision = counter_of(record.revision);
+        }
+    }
+}
--- a/src/direct/exchange_choice.rs
+++ b/src/direct/exchange_choice.rs
@@ -7,6 +7,7 @@
         in_flight_guard::InFlightGuard,
     },
     crate::{
+        catalog::{counter_of, era_of},
         codes::{ErrorAnswer, ResultCode},
         ops::PROMPT_TOKENS,
         policy::{
@@ -150,6 +151,7 @@
         let fetch_from = fetch_from.map_or_else(String::new, |address| address.to_string());
         let origin = self.gateway.catalog.upstream_origin(replica);
         let share = self.share.unwrap_or_default();
+        let upstreams_at = self.gateway.catalog.version().upstreams;
         log::info!(
             request_id = self.call.request_id.as_str(),
             replica = replica,
@@ -168,8 +170,9 @@
             expected_ms = expected.as_millis() as u64,
             attempt = self.sent_attempts + self.unsent_attempts + 1,
             config = self.call.config_version,
-            upstreams_at = self.gateway.catalog.version().upstreams,
-            upstream_at = origin.as_ref().map_or(0, |origin| origin.revision),
+            era = era_of(upstreams_at),
+            upstreams_at = counter_of(upstreams_at),
+            upstream_at = origin.as_ref().map_or(0, |origin| counter_of(origin.revision)),
             upstream_from = origin.as_ref().map_or("", |origin| &*origin.from),
             upstream_lapsed = origin.as_ref().is_some_and(|origin| origin.is_lapsed),
             left_ms = self.time_left().as_millis() as u64;
--- a/src/direct/replica_call.rs
+++ b/src/direct/replica_call.rs
@@ -1,7 +1,7 @@
 use {
     super::{attempt_end::AttemptEnd, gateway::Gateway, upstream_connection::UpstreamConnection},
     crate::{
-        catalog::UpstreamEntry,
+        catalog::{UpstreamEntry, counter_of},
         ops::{REPLICA_NOTICES, Uptime},
         policy::ReplicaNotice,
     },
@@ -52,7 +52,7 @@
         service = &*replica.service,
         leaves = notice.is_leaving,
         rest_ms = notice.backoff.as_millis() as u64,
-        upstreams_at = gateway.catalog.version().upstreams;
+        upstreams_at = counter_of(gateway.catalog.version().upstreams);
         "replica said of itself"
     );
 }
--- a/src/direct/start_check.rs
+++ b/src/direct/start_check.rs
@@ -7,7 +7,7 @@
         upstream_connection::UpstreamConnection,
     },
     crate::{
-        catalog::UpstreamEntry,
+        catalog::{UpstreamEntry, counter_of},
         codes::{Fault, ResultCode},
     },
     http_body_util::Full,
@@ -54,7 +54,7 @@
     log::info!(
         replica = &*entry.id, asked = asked,
         slow_ms = remaining.map(|remaining| remaining.as_millis() as u64),
-        upstreams_at = gateway.catalog.version().upstreams;
+        upstreams_at = counter_of(gateway.catalog.version().upstreams);
         "replica reached again while the store does not answer"
     );
     match remaining.is_none() && asked {
--- a/src/peers/catch_up.rs
+++ b/src/peers/catch_up.rs
@@ -2,7 +2,11 @@
 
 use {
     super::{CatchUpTimer, PEER_SILENCE_LIMIT, PeerLink, fetch_update::fetch_update},
-    crate::{catalog::CatalogVersion, codes::Fault, policy::Moment},
+    crate::{
+        catalog::{CatalogVersion, counter_of, era_of},
+        codes::Fault,
+        policy::Moment,
+    },
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
@@ -40,7 +44,8 @@
                 self.remove_update_source();
                 log::info!(
                     code = error.code.number(), config = own_version.config,
-                    upstreams_at = own_version.upstreams;
+                    era = era_of(own_version.upstreams),
+                    upstreams_at = counter_of(own_version.upstreams);
                     "catalog update from {address} failed: {error}"
                 );
             }
@@ -81,7 +86,8 @@
         let update = fetched.catalog;
         let from = address.to_string();
         log::info!(
-            from = from.as_str(), after = own_version.upstreams, at = update.upstreams.revision,
+            from = from.as_str(), era = era_of(update.upstreams.revision),
+            after = counter_of(own_version.upstreams), at = counter_of(update.upstreams.revision),
             records = update.upstreams.records.len(), whole = update.upstreams.is_snapshot;
             "news of the upstreams taken in"
         );
--- a/src/peers/fetch_update.rs
+++ b/src/peers/fetch_update.rs
@@ -1,7 +1,7 @@
 //! Fetches from another router the parts of its catalog that are newer than this router's.
 
 use {
-    super::{CatalogUpdate, self_signed_certificate::SERVER_NAME},
+    super::{CatalogUpdate, KnowsEras, self_signed_certificate::SERVER_NAME},
     crate::{
         catalog::{CatalogVersion, CordonSnapshot},
         codes::{Fault, ResultCode},
@@ -55,7 +55,8 @@
     own_version: CatalogVersion,
 ) -> Result<FetchedUpdate, Fault> {
     let (mut send, mut recv) = connection.open_bi().await.map_err(Fault::unreachable)?;
-    let request = encode_frame(&own_version)?;
+    let mut request = encode_frame(&own_version)?;
+    request.extend(encode_frame(&KnowsEras)?);
     send.write_all(&request).await.map_err(Fault::unreachable)?;
     send.finish().map_err(Fault::unreachable)?;
     let catalog = read_frame(&mut recv)
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -24,6 +24,7 @@
 mod evidence_message;
 mod evidence_schedule;
 mod fetch_update;
+mod knows_eras;
 mod leaving_gossip;
 mod leaving_message;
 mod peer_entry;
@@ -50,6 +51,7 @@
     catch_up_timer::CatchUpTimer,
     evidence_message::EvidenceMessage,
     evidence_schedule::EvidenceSchedule,
+    knows_eras::KnowsEras,
     leaving_message::LeavingMessage,
     peer_link::{PEER_SILENCE_LIMIT, PeerLink},
     peer_message::PeerMessage,
--- a/src/peers/update_server.rs
+++ b/src/peers/update_server.rs
@@ -1,9 +1,9 @@
 //! Serves catalog updates over QUIC to routers whose catalog is older.
 
 use {
-    super::CatalogUpdate,
+    super::{CatalogUpdate, KnowsEras},
     crate::{
-        catalog::{Catalog, CatalogVersion, CordonSnapshot},
+        catalog::{Catalog, CatalogVersion, CordonSnapshot, StoreRevision, era_of},
         ops::CONTROL_BYTES,
         wire::{encode_frame, read_frame},
     },
@@ -42,19 +42,31 @@
     mut send: SendStream,
     mut recv: RecvStream,
 ) {
-    let Ok(Some(peer_version)) = read_frame::<CatalogVersion, _>(&mut recv).await else {
+    let Ok(Some(mut peer_version)) = read_frame::<CatalogVersion, _>(&mut recv).await else {
         return;
     };
+    let knows_eras = matches!(read_frame::<KnowsEras, _>(&mut recv).await, Ok(Some(_)));
     let own_version = catalog.version();
+    if !knows_eras {
+        let revision = StoreRevision {
+            era: era_of(own_version.upstreams),
+            counter: peer_version.upstreams,
+        };
+        peer_version.upstreams = revision.pack();
+    }
     let text = catalog
         .config_text()
         .filter(|_| own_version.config > peer_version.config);
     // Taken before the upstreams, so that the cordons are of no later revision than those.
-    let cordons = catalog.cordon_snapshot();
-    let update = CatalogUpdate {
+    let mut cordons = catalog.cordon_snapshot();
+    let mut update = CatalogUpdate {
         config: text.map(|text| text.to_string()),
         upstreams: catalog.upstream_update_after(peer_version.upstreams),
     };
+    if !knows_eras {
+        update.upstreams.remove_era();
+        cordons.remove_era();
+    }
     let Ok(frame) = encode_frame(&update) else {
         return;
     };
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -3,7 +3,7 @@
         OPERATOR_PREFIX, REPLICA_PREFIX, RangeJson, WatchJson, last_key, translate_all,
     },
     crate::{
-        catalog::{CatalogChange, CatalogItem, CatalogSource},
+        catalog::{CatalogChange, CatalogItem, CatalogSource, StoreRevision},
         codes::{Fault, ResultCode},
         ops::PLATFORM_CALLS,
     },
@@ -113,6 +113,9 @@
                 answer.ok_or_else(|| reply("the store answered that the range does not exist"))?;
             let page = answer.body;
             let (revision, era) = *start.get_or_insert((page.at, answer.era));
+            if answer.era != era {
+                return Err(reply("the store lost changes between two pages"));
+            }
             let last = last_key(&page.items).map(str::to_owned);
             items.extend(translate_all(page.items));
             if !page.more {
@@ -136,6 +139,10 @@
         // Read after the replicas, whose revision the watch continues from, so that no change
         // is missed between the listing and the watch.
         let operator = self.range(OPERATOR_PREFIX).await?;
+        if operator.era != replicas.era {
+            let detail = "the store lost changes between two ranges";
+            return Err(Fault::new(ResultCode::PlatformReply, detail));
+        }
         let mut listing = replicas;
         listing.items.extend(operator.items);
         Ok(listing)
@@ -166,6 +173,7 @@
 fn store_era(headers: &HeaderMap) -> Option<u64> {
     let value = headers.get(ERA_HEADER)?;
     let era = value.to_str().ok().and_then(|text| text.parse().ok());
+    let era = era.filter(|era| *era <= StoreRevision::MAX_ERA);
     if era.is_none() {
         log::error!(
             code = ResultCode::PlatformReply.number();
