Tell routers what the store's copy lacks, and read it beside builds that know no eras

Routers now tell what stands against the copy, every 0.3 s while it does, in their zone and between zones; it counts where the entry is still the one that it stands against.

Where all readers of a zone run a build that does not compare eras, the others would hear nothing of what is written after a loss. A reader says each second that it compares them; without such a word for 3.5 s a router reads the store itself.

--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -20,6 +20,8 @@
 mod catch_up;
 mod catch_up_timer;
 mod discovery;
+mod eras_gossip;
+mod eras_message;
 mod evidence_gossip;
 mod evidence_message;
 mod evidence_schedule;
@@ -49,6 +51,7 @@
     cache_events_message::CacheEventsMessage,
     catalog_update::CatalogUpdate,
     catch_up_timer::CatchUpTimer,
+    eras_message::ErasMessage,
     evidence_message::EvidenceMessage,
     evidence_schedule::EvidenceSchedule,
     knows_eras::KnowsEras,
--- a/src/peers/peer_entry.rs
+++ b/src/peers/peer_entry.rs
@@ -22,6 +22,7 @@
     pub store_unavailable_at: Option<Moment>, // the last report that said so
     pub caller_address: Option<SocketAddr>, // address for caller connections
     pub version: CatalogVersion,
+    pub read_with_eras: Option<Moment>, // last message that it reads the store and compares eras
 }
 
 impl PeerEntry {
--- a/src/peers/peer_link.rs
+++ b/src/peers/peer_link.rs
@@ -8,7 +8,7 @@
         codes::{Fault, ResultCode},
         direct::Gateway,
         ops::{CONTROL_BYTES, Uptime},
-        policy::stable_hash,
+        policy::{Moment, stable_hash},
         wire::encode_payload,
     },
     quinn::{Connection, Endpoint},
@@ -52,6 +52,7 @@
     pub suspects: SuspectTimes,                 // in the own zone, also by other routers
     pub zone_suspects: SuspectTimes,            // to other zones
     pub leaving: LeavingTimes,                  // to the own zone
+    pub eras: Option<Moment>,                   // when a message on eras was last sent
     pub evidence: EvidenceSchedule,             // to the own zone
     pub cache_event_peers: HashSet<SocketAddr>, // live when cache events were last sent
 }
--- a/src/peers/peer_message.rs
+++ b/src/peers/peer_message.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        CacheEventsMessage, EvidenceMessage, LeavingMessage, RouterContact, RouterReport,
-        SuspectsMessage, ZoneSummary,
+        CacheEventsMessage, ErasMessage, EvidenceMessage, LeavingMessage, RouterContact,
+        RouterReport, SuspectsMessage, ZoneSummary,
     },
     serde::{Deserialize, Serialize},
 };
@@ -26,6 +26,9 @@
     Evidence(EvidenceMessage),
     /// Prompt-cache events of replicas, to the own zone; evictions of shared parts, to others.
     CacheEvents(CacheEventsMessage),
+    /// That the sender compares the store's eras, and what it knows from an earlier one, to the
+    /// own zone; the latter also to others.
+    Eras(ErasMessage),
 }
 
 impl PeerMessage {
@@ -40,6 +43,7 @@
             Self::Leaving(_) => "leaving",
             Self::Evidence(_) => "evidence",
             Self::CacheEvents(_) => "kept",
+            Self::Eras(_) => "eras",
         }
     }
 }
--- a/src/peers/peer_table.rs
+++ b/src/peers/peer_table.rs
@@ -90,6 +90,31 @@
         }
     }
 
+    /// Records that a router of the own zone compares the store's eras, and whether it reads the
+    /// store.
+    pub fn record_eras(
+        &self,
+        now: Moment,
+        router: SocketAddr,
+        is_reader: bool,
+    ) {
+        if let Some(entry) = self.peers().get_mut(&router) {
+            entry.read_with_eras = is_reader.then_some(now);
+        }
+    }
+
+    /// Whether another router of the own zone that compares the store's eras said within `age`
+    /// that it reads the store.
+    pub fn has_reader_with_eras(
+        &self,
+        now: Moment,
+        age: Duration,
+    ) -> bool {
+        let peers = self.peers();
+        let mut said = peers.values().filter_map(|entry| entry.read_with_eras);
+        said.any(|at| now.saturating_sub(at) <= age)
+    }
+
     /// Adds routers that another router named. That alone does not show that they are alive.
     pub fn add_contacts(
         &self,
--- a/src/peers/receive.rs
+++ b/src/peers/receive.rs
@@ -71,6 +71,12 @@
                     self.send_datagram(datagram, "relay", &zone_routers).await;
                 }
             }
+            Ok(PeerMessage::Eras(message)) => {
+                if self.apply_eras(from, message) {
+                    let zone_routers = self.gateway.peers.own_zone_addresses();
+                    self.send_datagram(datagram, "relay", &zone_routers).await;
+                }
+            }
             Ok(PeerMessage::Ask(asker)) => self.answer_discovery(from, asker).await,
             Ok(PeerMessage::Names(contacts)) => {
                 self.gateway
--- a/src/peers/send_reports.rs
+++ b/src/peers/send_reports.rs
@@ -55,6 +55,7 @@
             self.send_reports(now, &addresses).await;
             self.send_suspects(now, &addresses).await;
             self.send_leaving(now, &addresses).await;
+            self.send_eras(now, &addresses).await;
             self.send_evidence(now, &addresses).await;
             self.send_cache_events(now, &addresses).await;
             let summaries = self.send_summaries(now).await;
@@ -143,17 +144,7 @@
         let gateway = &self.gateway;
         let placements = gateway.replica_table().take_zone_placements();
         let suspects = gateway.suspects().take_zone_updates(now);
-        let zones = gateway.peers.other_zones();
-        let yields = gateway.is_stopping() && gateway.peers.live_count(now, PEER_SILENCE_LIMIT) > 0;
-        let represented: Vec<u32> = zones
-            .into_iter()
-            .filter(|zone| {
-                !yields
-                    && gateway
-                        .peers
-                        .represents_zone_to(now, PEER_SILENCE_LIMIT, *zone)
-            })
-            .collect();
+        let represented = self.represented_zones(now);
         let mut sent = std::mem::take(&mut self.sent.lock().expect("sent lock").summaries);
         sent.retain(|zone, _| represented.contains(zone));
         if !represented.is_empty() {
@@ -175,6 +166,22 @@
         represented.len()
     }
 
+    /// The zones to which this router represents its own; none while it shuts down and others of
+    /// its zone are live.
+    fn represented_zones(
+        &self,
+        now: Moment,
+    ) -> Vec<u32> {
+        let peers = &self.gateway.peers;
+        if self.gateway.is_stopping() && peers.live_count(now, PEER_SILENCE_LIMIT) > 0 {
+            return Vec::new();
+        }
+        let zones = peers.other_zones().into_iter();
+        zones
+            .filter(|zone| peers.represents_zone_to(now, PEER_SILENCE_LIMIT, *zone))
+            .collect()
+    }
+
     async fn send_summary(
         &self,
         now: Moment,
@@ -203,6 +210,18 @@
         }
     }
 
+    /// Where messages for all zones go to which this router represents its own.
+    pub(super) fn represented_contacts(
+        &self,
+        now: Moment,
+    ) -> Vec<SocketAddr> {
+        let zones = self.represented_zones(now);
+        zones
+            .into_iter()
+            .flat_map(|zone| self.zone_contacts(now, zone))
+            .collect()
+    }
+
     /// Where messages for another zone go: to its representative, or to a few random known
     /// routers of it while the representative is unknown.
     pub(super) fn zone_contacts(
