--- a/testbed/src/direct/store.rs
+++ b/testbed/src/direct/store.rs
@@ -413,7 +413,8 @@
         Some(fresh.cloned().collect())
     }
 
-    pub(super) fn revision(&self) -> u64 {
+    /// The newest revision.
+    pub fn revision(&self) -> u64 {
         *self.changed.borrow()
     }
 
--- a/testbed/src/soak/fault.rs
+++ b/testbed/src/soak/fault.rs
@@ -24,6 +24,9 @@
     StoreDown(StoreMode),
     /// The store discards its history of changes.
     ForgetHistory,
+    /// The store is away and returns from a copy of this age. What it lost is written again
+    /// afterwards, or already before it answers, in which case it has outgrown what routers know.
+    StoreFromCopy { age_ms: u64, is_outgrown: bool },
     /// The operator publishes a configuration with one more route.
     Publish,
     /// A replica is listed as draining, keeps serving, and is replaced.
@@ -107,7 +110,7 @@
         self.interrupts(router)
             || match self {
                 Self::StoreTrouble(target, _) | Self::SilenceStore(target) => *target == router,
-                Self::StoreDown(_) | Self::SilenceAllStores => true,
+                Self::StoreDown(_) | Self::SilenceAllStores | Self::StoreFromCopy { .. } => true,
                 _ => false,
             }
     }
--- a/testbed/src/soak/fault_injection.rs
+++ b/testbed/src/soak/fault_injection.rs
@@ -51,6 +51,13 @@
                 self.store.compact();
                 Instant::now()
             }
+            Fault::StoreFromCopy {
+                age_ms,
+                is_outgrown,
+            } => {
+                let age = Duration::from_millis(age_ms);
+                self.return_store_from_copy(age, is_outgrown, lasts).await
+            }
             Fault::Publish => {
                 published = Some(self.publish());
                 Instant::now()
--- a/testbed/src/soak/operator_injection.rs
+++ b/testbed/src/soak/operator_injection.rs
@@ -1,4 +1,5 @@
-//! Operator actions on the fleet: cordoning zones and replacing router builds.
+//! Operator actions on the fleet: cordoning zones, returning the store from a copy, and replacing
+//! router builds.
 
 use {
     super::{
@@ -7,7 +8,11 @@
         fleet_under_test::{FleetUnderTest, POLL_INTERVAL},
         record::CordonSeen,
     },
-    crate::{direct::zone_name, fleet::program_path},
+    crate::{
+        direct::{StoreMode, zone_name},
+        fleet::program_path,
+    },
+    futures::future::join_all,
     std::{
         path::Path,
         time::{Duration, Instant},
@@ -18,6 +23,13 @@
 /// A returning replica is listed this long before it accepts connections.
 const LISTED_BEFORE_SERVING: Duration = Duration::from_secs(1);
 
+/// Time after the store's return within which its writers write again what it lost: about a
+/// heartbeat.
+const MAX_REWRITE_DELAY: Duration = Duration::from_millis(1500);
+
+/// A key of the store that routers ignore.
+const PADDING_KEY: &str = "other/padding";
+
 impl FleetUnderTest {
     /// Cordons a zone and uncordons it. One zone is cordoned at a time, so that others serve.
     pub(super) async fn cordon_zone(
@@ -76,6 +88,48 @@
         began
     }
 
+    /// The store answers nobody for a while and returns from a copy of this age. Its writers write
+    /// again what it lost, each with a delay of its own, or before it answers again.
+    pub(super) async fn return_store_from_copy(
+        &self,
+        age: Duration,
+        is_outgrown: bool,
+        lasts: Duration,
+    ) -> Instant {
+        let began = Instant::now();
+        self.set_stores(StoreMode::Busy);
+        sleep(lasts).await;
+        let known = self.store.revision();
+        let lost = self.store.return_from_copy(age);
+        if is_outgrown {
+            for write in lost {
+                self.store.write_again(write);
+            }
+            while self.store.revision() <= known {
+                self.store.put_bytes(PADDING_KEY, b"{}");
+            }
+            self.set_stores(StoreMode::Well);
+            return began;
+        }
+        self.set_stores(StoreMode::Well);
+        let rewrites = lost.into_iter().map(async |write| {
+            let delay = rand::random_range(Duration::ZERO..MAX_REWRITE_DELAY);
+            sleep(delay).await;
+            self.store.write_again(write);
+        });
+        join_all(rewrites).await;
+        began
+    }
+
+    fn set_stores(
+        &self,
+        mode: StoreMode,
+    ) {
+        for port in &self.ports {
+            port.set_mode(mode);
+        }
+    }
+
     /// Stops each router in turn and starts it again with the other build; then the same back
     /// to its own build.
     pub(super) async fn replace_builds(&self) -> Instant {
--- a/testbed/src/soak/operator_work.rs
+++ b/testbed/src/soak/operator_work.rs
@@ -1,5 +1,6 @@
-//! Zones that the operator cordons, replicas that return with a slow start, and routers that
-//! are replaced in series by another build, in addition to the other faults.
+//! Zones that the operator cordons, replicas that return with a slow start, a store that returns
+//! from a copy, and routers that are replaced in series by another build, in addition to the other
+//! faults.
 
 use {
     super::{fault::Fault, schedule::PlannedFault, soak_fleet::SoakFleet},
@@ -19,10 +20,20 @@
 /// Time between two rounds of replaced routers, in milliseconds.
 const ROUND_GAP_MS: Range<u64> = 500..3000;
 
+/// Time between two losses of the store, in milliseconds.
+const LOSS_GAP_MS: Range<u64> = 500..12_000;
+
+/// For how long the store is away before it returns from a copy, in milliseconds.
+const STORE_AWAY_MS: Range<u64> = 100..1500;
+
+/// Age of the copy, in milliseconds.
+const COPY_AGE_MS: Range<u64> = 500..6000;
+
 /// Combined with the seed, so that these draws are independent of the other faults.
 const CORDON_SEED: u64 = 0xc0_4d_01;
 const SLOW_RETURN_SEED: u64 = 0x51_0e_57;
 const BUILD_SEED: u64 = 0xb0_11_d5;
+const LOSS_SEED: u64 = 0x10_55_e5;
 
 /// Draws zones that are cordoned and uncordoned; the same seed gives the same zones.
 pub fn cordons(
@@ -55,6 +66,22 @@
     })
 }
 
+/// Draws returns of the store from a copy, one after the other.
+pub fn store_losses(
+    seed: u64,
+    length: Duration,
+) -> Vec<PlannedFault> {
+    let mut random = StdRng::seed_from_u64(seed ^ LOSS_SEED);
+    series_without_overlap(&mut random, LOSS_GAP_MS, length, |random| {
+        let lasts = Duration::from_millis(random.random_range(STORE_AWAY_MS));
+        let fault = Fault::StoreFromCopy {
+            age_ms: random.random_range(COPY_AGE_MS),
+            is_outgrown: random.random_bool(0.3),
+        };
+        (lasts, fault)
+    })
+}
+
 /// Draws rounds in which all routers are replaced in turn by the other build, and back.
 pub fn replaced_builds(
     seed: u64,
--- a/testbed/src/soak/soak.rs
+++ b/testbed/src/soak/soak.rs
@@ -6,7 +6,7 @@
         lateness::Lateness,
         movements::movements,
         notices::notices,
-        operator_work::{cordons, replaced_builds, slow_returns},
+        operator_work::{cordons, replaced_builds, slow_returns, store_losses},
         schedule::{PlannedFault, schedule, silences},
         soak_fleet::SoakFleet,
         soak_result::SoakResult,
@@ -57,6 +57,9 @@
     if plan.notices {
         begin(notices(seed, length, replicas));
     }
+    if plan.store_losses {
+        begin(store_losses(seed, length));
+    }
     if plan.other_build.is_some() {
         begin(replaced_builds(seed, length));
     }
--- a/testbed/src/soak/soak_fleet.rs
+++ b/testbed/src/soak/soak_fleet.rs
@@ -15,12 +15,13 @@
     pub contact: Duration, // for how long after a fault its router is excused
     pub evacuate: Duration, // from the store's confirmation until nothing reaches a cordoned zone
     pub slow_per_second: usize, // requests to a replica in its slow start; 0 is no limit
-    pub faults: bool,    // this and the next five: whether the series of this name is drawn
+    pub faults: bool,    // this and the next six: whether the series of this name is drawn
     pub silences: bool,
     pub movements: bool,
     pub cordons: bool,
     pub slow_returns: bool,
     pub notices: bool,
+    pub store_losses: bool,
     pub other_build: Option<PathBuf>, // program that replaces the routers for a time
 }
 
@@ -80,6 +81,7 @@
             cordons: work.flag("cordons")?,
             slow_returns: work.flag("slow_returns")?,
             notices: work.flag("notices")?,
+            store_losses: work.flag("store_losses")?,
             other_build: None,
         })
     }
