A list that a peer told is not confirmed before the store has answered once

Cause: such a router counted the store as answering until a call failed or 2 s had passed, so it took the list that a peer had told it for confirmed and asked no replica for its slow start. Now its list is confirmed by the store's first answer only, and after 0.3 s without one it tells its zone that it cannot read the store.

--- a/src/direct/gateway.rs
+++ b/src/direct/gateway.rs
@@ -257,9 +257,10 @@
     pub fn is_list_confirmed(&self) -> bool {
         let age = self.settings().peer_age;
         let own_reads_fail = self.is_store_unavailable();
-        !self
-            .peers
-            .is_store_unreachable(self.now(), age, own_reads_fail)
+        !self.store_reads.is_awaiting_first_answer()
+            && !self
+                .peers
+                .is_store_unreachable(self.now(), age, own_reads_fail)
     }
 
     /// Records that a configuration and an upstream list are loaded, so that requests can be
--- a/src/direct/store_read_state.rs
+++ b/src/direct/store_read_state.rs
@@ -9,6 +9,9 @@
 /// After a failed read of the store, another router of the zone should read it for this long.
 const STORE_FAILURE_PERIOD: Duration = Duration::from_secs(10);
 
+/// Time within which a store that is well answers a process for the first time, many times over.
+const FIRST_ANSWER_LIMIT: Duration = Duration::from_millis(300);
+
 /// Whether this router reads the store, and when the store last answered or failed.
 pub struct StoreReadState {
     is_reading: AtomicBool,
@@ -74,9 +77,15 @@
         self.answered.is_set() && !self.failed.is_set()
     }
 
+    /// Whether the store has yet to answer this router for the first time, which reads it: what
+    /// it knows it has from peers, and they may not have noticed yet that the store is silent.
+    pub fn is_awaiting_first_answer(&self) -> bool {
+        self.is_reader() && !self.answered.is_set()
+    }
+
     /// Whether another router should read the store: a call failed in the last
     /// `STORE_FAILURE_PERIOD`, or no answer came for longer than `apply`, also if a call is
-    /// still in progress.
+    /// still in progress. Before the first answer the limit is `FIRST_ANSWER_LIMIT`.
     pub fn is_unavailable(
         &self,
         now: Moment,
@@ -88,7 +97,11 @@
             .is_some_and(|age| age <= STORE_FAILURE_PERIOD);
         let reading_for = self.started.age(now).unwrap_or(now);
         let silent = self.answer_age(now).unwrap_or(now).min(reading_for);
-        failed || (self.is_reader() && silent > apply)
+        let limit = match self.is_awaiting_first_answer() {
+            true => apply.min(FIRST_ANSWER_LIMIT),
+            false => apply,
+        };
+        failed || (self.is_reader() && silent > limit)
     }
 }
 
--- a/testbed/tests/slow_starts.rs
+++ b/testbed/tests/slow_starts.rs
@@ -186,6 +186,23 @@
     assert!(max_in_a_second(&since) <= PER_SECOND, "{}", since.len());
 }
 
+/// Guards against a router that has just started and got no answer of the store: it took the list
+/// that a peer told it for confirmed.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_that_starts_while_the_store_is_silent_limits_a_replica_that_returns_slowly() {
+    let (mut fleet, [away, stays], proxy) = fleet_without_store().await;
+    let before = away.received().len();
+    fleet.routers[0].kill();
+    away.set_slow_until(Instant::now() + Duration::from_secs(600));
+    proxy.update_faults(|faults| faults.blocked = false);
+    stays.set_backoff(Some(600.0));
+    fleet.routers[0].restart().expect("it starts again");
+    wait_until_async("router 0 is ready", async || fleet.is_ready(0).await).await;
+    load(&fleet).await;
+    let since = away.received().split_off(before);
+    assert!(max_in_a_second(&since) <= PER_SECOND, "{}", since.len());
+}
+
 /// Connections that were lost for another reason do not keep a replica out of use.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_replica_that_did_not_restart_is_used_in_full_though_the_store_is_silent() {
--- a/tests/store_read_state.rs
+++ b/tests/store_read_state.rs
@@ -44,3 +44,18 @@
     assert!(!state.is_unavailable(ms(61_900), APPLY));
     assert!(state.is_unavailable(ms(62_100), APPLY));
 }
+
+#[test]
+fn a_store_that_does_not_answer_a_new_process_is_unavailable_soon() {
+    let state = StoreReadState::default();
+    assert!(state.is_awaiting_first_answer());
+    assert!(!state.is_unavailable(ms(200), APPLY));
+    assert!(state.is_unavailable(ms(400), APPLY));
+    state.record_call(ms(500), true);
+    assert!(!state.is_awaiting_first_answer());
+    assert!(!state.is_unavailable(ms(2400), APPLY));
+    assert!(state.set_reader(ms(2500), false));
+    let never_read = StoreReadState::default();
+    assert!(never_read.set_reader(ms(100), false));
+    assert!(!never_read.is_awaiting_first_answer());
+}
