--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -1,6 +1,7 @@
 //! The catalog of a process: the operator's configuration, the list of upstreams and the
 //! cordoned zones, read from the platform's store or received from peers. Each part has a
-//! version and never returns to an older one.
+//! version and never returns to an older one, also when the store comes back from a copy: see
+//! [`StoreRevision`].
 
 mod accepted_config;
 mod catalog;
@@ -18,6 +19,7 @@
 mod store_revision;
 mod upstream_entry;
 mod upstream_list;
+mod upstream_list_eras;
 mod upstream_origin;
 mod upstream_record;
 mod upstream_state;
--- a/src/catalog/upstream_list.rs
+++ b/src/catalog/upstream_list.rs
@@ -1,7 +1,6 @@
 use {
     super::{
-        EarlierWord, UpstreamEntry, UpstreamOrigin, UpstreamRecord, UpstreamState, UpstreamUpdate,
-        counter_of,
+        UpstreamEntry, UpstreamOrigin, UpstreamRecord, UpstreamState, UpstreamUpdate, counter_of,
         earlier_words::EarlierWords,
         era_of,
         lapse_grace::{LapseGrace, is_mass_removal},
@@ -20,20 +19,20 @@
 
 /// The upstreams, by the record of highest revision for each.
 pub struct UpstreamList {
-    parse: ParseUpstream,
-    records: BTreeMap<String, SourcedRecord>, // by id, with those of removed upstreams
-    entries: BTreeMap<String, Arc<UpstreamEntry>>, // by id, those in use
-    revision: u64,                            // store revision reflected; 0 if none
+    pub(super) parse: ParseUpstream,
+    pub(super) records: BTreeMap<String, SourcedRecord>, // by id, with those of removed upstreams
+    pub(super) entries: BTreeMap<String, Arc<UpstreamEntry>>, // by id, those in use
+    pub(super) revision: u64,                            // store revision reflected; 0 if none
     snapshot_revision: u64, // of the last snapshot; the records have all removals after it
-    lapses: LapseGrace,
-    earlier: EarlierWords,
+    pub(super) lapses: LapseGrace,
+    pub(super) earlier: EarlierWords,
     excluded: Vec<SocketAddr>, // listening addresses of this process
 }
 
 /// A record with its source.
-struct SourcedRecord {
-    record: UpstreamRecord,
-    from: Arc<str>, // "store", or a router's address
+pub(super) struct SourcedRecord {
+    pub(super) record: UpstreamRecord,
+    pub(super) from: Arc<str>, // "store", or a router's address
 }
 
 impl UpstreamList {
@@ -166,125 +165,6 @@
         changed > 0 || has_advanced
     }
 
-    /// Prepares for the first listing of another era. The store came back from a copy, which
-    /// lacks its newest changes, so what this list knows may be newer than what is listed:
-    /// leaving and removals stand until the entry is written again, and upstreams that are
-    /// missing get time to write theirs.
-    fn begin_era(
-        &mut self,
-        listed: &mut [UpstreamRecord],
-        revision: u64,
-        from: &str,
-    ) {
-        log::warn!(
-            era = era_of(revision), before = era_of(self.revision), at = counter_of(revision),
-            known = counter_of(self.revision), from = from;
-            "the store came back from a copy without its newest changes"
-        );
-        let now = Instant::now();
-        self.lapses.begin(now);
-        self.earlier.clear();
-        for record in listed {
-            let Some(known) = self.records.get(&record.id) else {
-                continue;
-            };
-            let is_in_use = self.entries.contains_key(&record.id);
-            match &known.record.text {
-                None if !is_in_use => {
-                    let removal = UpstreamRecord {
-                        text: None,
-                        ..record.clone()
-                    };
-                    let listed = std::mem::replace(record, removal);
-                    self.earlier.withdraw(listed, now);
-                }
-                Some(text) if self.stands(known.record.id.as_str(), record) => {
-                    record.text = Some(text.clone());
-                    self.earlier.carry(record);
-                }
-                _ => {}
-            }
-        }
-        let is_withdrawn_before = |sourced: &SourcedRecord| sourced.record.text.is_none();
-        self.records
-            .retain(|id, sourced| !is_withdrawn_before(sourced) || self.entries.contains_key(id));
-    }
-
-    /// Whether the entry in use of an upstream stands against one from the store's copy.
-    fn stands(
-        &self,
-        id: &str,
-        listed: &UpstreamRecord,
-    ) -> bool {
-        let listed = listed.text.as_ref();
-        let listed = listed.and_then(|text| (self.parse)(id, text).ok());
-        let known = self.entries.get(id);
-        known
-            .zip(listed)
-            .is_some_and(|(known, listed)| known.limits_more_than(&listed))
-    }
-
-    /// What upstreams said in an earlier era and what stands, for routers that do not know it.
-    pub fn earlier_words(&self) -> Vec<EarlierWord> {
-        let records = |id: &str| self.records.get(id).map(|sourced| &sourced.record);
-        self.earlier.words(records, Instant::now())
-    }
-
-    /// Applies what an upstream said in an earlier era, as a router that knew it tells. Ignored
-    /// if this list knows another entry of the upstream than the one that it stands against.
-    /// Returns whether the upstreams in use changed.
-    pub fn apply_earlier_word(
-        &mut self,
-        word: EarlierWord,
-        from: &str,
-    ) -> bool {
-        let EarlierWord {
-            record,
-            remaining_ms,
-        } = word;
-        let Some(known) = self.records.get(&record.id) else {
-            return false;
-        };
-        if known.record.revision != record.revision || known.record.text.is_none() {
-            return false;
-        }
-        match (&record.text, remaining_ms) {
-            (None, Some(remaining_ms)) => {
-                let listed = known.record.clone();
-                self.earlier
-                    .withdraw_for(listed, remaining_ms, Instant::now());
-                self.lapses.remove(&record.id);
-                self.entries.remove(&record.id);
-                self.insert_record(record, &from.into());
-                true
-            }
-            (Some(text), _) => {
-                let Ok(entry) = (self.parse)(&record.id, text) else {
-                    return false;
-                };
-                let in_use = self.entries.get(&record.id);
-                if !in_use.is_some_and(|in_use| entry.limits_more_than(in_use)) {
-                    return false;
-                }
-                self.earlier.carry(&record);
-                self.store_record(&record, &from.into())
-            }
-            (None, None) => false,
-        }
-    }
-
-    /// Uses the withdrawn upstreams again whose entries the store still lists after the time in
-    /// which those of ended upstreams go. Returns whether there were any.
-    pub fn restore_confirmed(&mut self) -> bool {
-        let confirmed = self.earlier.take_confirmed(Instant::now());
-        let from: Arc<str> = "store".into();
-        let restored = confirmed
-            .iter()
-            .filter(|listed| self.store_record(listed, &from))
-            .count();
-        restored > 0
-    }
-
     /// Removal records for the upstreams up to `revision` that a snapshot of that
     /// revision does not list.
     fn removals_by(
@@ -350,7 +230,7 @@
     /// Stores one record, whatever is known. An unusable entry is recorded with an empty text, so
     /// that its revision and its removal are passed on to peers all the same. Returns whether the
     /// upstreams in use changed.
-    fn store_record(
+    pub(super) fn store_record(
         &mut self,
         record: &UpstreamRecord,
         from: &Arc<str>,
@@ -404,7 +284,7 @@
         !is_same
     }
 
-    fn insert_record(
+    pub(super) fn insert_record(
         &mut self,
         record: UpstreamRecord,
         from: &Arc<str>,
--- a/tests/landed_messages.rs
+++ b/tests/landed_messages.rs
@@ -7,11 +7,14 @@
 
 use {
     archmast::{
-        catalog::{CatalogVersion, Cordon, CordonSnapshot, UpstreamRecord, UpstreamUpdate},
+        catalog::{
+            CatalogVersion, Cordon, CordonSnapshot, EarlierCordon, EarlierWord, UpstreamRecord,
+            UpstreamUpdate,
+        },
         codes::ResultCode,
         peers::{
-            CatalogUpdate, PeerMessage, ReportBody, RouterContact, RouterReport, SuspectsMessage,
-            ZoneSummary,
+            CatalogUpdate, ErasMessage, KnowsEras, PeerMessage, ReportBody, RouterContact,
+            RouterReport, SuspectsMessage, ZoneSummary,
         },
         policy::{
             placement::{EngineLatency, LatencyReport, Load, PartPlacement, ReplicaReport},
@@ -224,3 +227,33 @@
         assert_eq!(error.code, ResultCode::FrameMalformed);
     }
 }
+
+/// The released build refuses datagrams on eras and reads a request for an update without the
+/// frame behind it.
+#[tokio::test]
+async fn what_is_told_of_eras_leaves_the_released_messages_as_they_are() {
+    let message = PeerMessage::Eras(ErasMessage {
+        zone: 5,
+        reporter: address(1),
+        is_reader: true,
+        era: 2,
+        words: vec![EarlierWord {
+            record: update().upstreams.records[1].clone(),
+            remaining_ms: Some(900),
+        }],
+        cordons: vec![EarlierCordon {
+            zone: "z-1".to_owned(),
+            remaining_ms: 3000,
+        }],
+    });
+    let bytes = encode_payload(&message).expect("a datagram");
+    assert_eq!(decode_payload(&bytes), Ok(message));
+    let mut request = include_bytes!("messages/landed/question").to_vec();
+    request.extend(encode_frame(&KnowsEras).expect("a frame"));
+    let mut stream = request.as_slice();
+    assert_eq!(read_frame(&mut stream).await, Ok(Some(version())));
+    assert_eq!(read_frame(&mut stream).await, Ok(Some(KnowsEras)));
+    let mut alone = include_bytes!("messages/landed/question").as_slice();
+    assert_eq!(read_frame(&mut alone).await, Ok(Some(version())));
+    assert_eq!(read_frame::<KnowsEras, _>(&mut alone).await, Ok(None));
+}
--- a/tests/store_reachability.rs
+++ b/tests/store_reachability.rs
@@ -90,3 +90,18 @@
     }
     assert!(!table.is_store_unreachable(at(1150), AGE, false));
 }
+
+#[test]
+fn only_a_reader_that_compares_eras_and_said_so_lately_counts_as_one() {
+    let table = table();
+    apply_report(&table, at(100), 2, false);
+    assert!(!table.has_reader_with_eras(at(100), AGE));
+    table.record_eras(at(200), address(2), true);
+    assert!(table.has_reader_with_eras(at(1200), AGE));
+    assert!(!table.has_reader_with_eras(at(1300), AGE));
+    table.record_eras(at(1400), address(2), true);
+    table.record_eras(at(1500), address(2), false);
+    assert!(!table.has_reader_with_eras(at(1500), AGE));
+    table.record_eras(at(1600), address(3), true);
+    assert!(!table.has_reader_with_eras(at(1600), AGE), "unknown");
+}
