Name what is carried over between eras plainly; changes of another era leave cordons alone

Renames: EarlierWord and its kin are CarriedEntry, CarriedCordon, CarriedEntries. A change of another era without its listing could have set cordons; like entries it is ignored.

Traced: router 3 was busy and handed its connection on to router 2, which knew of the cordon; the test took that for router 3's own answer, and router 3 sent on by the list before, 70 ms later. The fleets of these tests hand no connections on now, so each router's own knowledge is awaited and checked; what is asserted is the same.

--- a/src/catalog/earlier_words.rs
+++ b/src/catalog/carried_entries.rs
@@ -1,5 +1,5 @@
 use {
-    super::{EarlierWord, UpstreamRecord},
+    super::{CarriedEntry, UpstreamRecord},
     std::{
         collections::{BTreeMap, BTreeSet},
         time::Duration,
@@ -12,12 +12,12 @@
 /// the store's return and for its change to arrive.
 const WITHDRAWN_PERIOD: Duration = Duration::from_secs(10);
 
-/// The upstreams whose last entry of an earlier era stands against the one that the store lists
-/// from its copy. Each ends when the entry is written again.
+/// The upstreams whose entry of an earlier era of the store takes precedence over the one that the
+/// store lists from its copy, until that is written again.
 #[derive(Debug, Default)]
-pub struct EarlierWords {
+pub struct CarriedEntries {
     withdrawn: BTreeMap<String, Withdrawn>, // gone in the earlier era, by id
-    carried: BTreeMap<String, u64>, // revisions of the records with a text of that era, by id
+    kept: BTreeMap<String, u64>, // revisions of the records with a text of that era, by id
 }
 
 /// An upstream that was gone in an earlier era.
@@ -27,13 +27,13 @@
     until: Instant,         // then it is used again if it is still listed
 }
 
-impl EarlierWords {
-    /// Forgets all of them.
+impl CarriedEntries {
+    /// Removes all.
     pub fn clear(&mut self) {
         *self = Self::default();
     }
 
-    /// Records that an upstream, which the store lists, was gone.
+    /// Records that an upstream that the store lists was gone.
     pub fn withdraw(
         &mut self,
         listed: UpstreamRecord,
@@ -42,7 +42,7 @@
         self.withdraw_until(listed, now + WITHDRAWN_PERIOD);
     }
 
-    /// The same, as a peer tells with the remaining time.
+    /// The same, with the remaining time that a peer reported.
     pub fn withdraw_for(
         &mut self,
         listed: UpstreamRecord,
@@ -60,25 +60,25 @@
     ) {
         log::info!(
             upstream = listed.id.as_str();
-            "upstream was gone before the store's loss: not used unless it stays listed"
+            "upstream was gone before the store lost changes: not used unless it stays listed"
         );
         self.withdrawn
             .insert(listed.id.clone(), Withdrawn { listed, until });
     }
 
     /// Records that the text of a record is of the earlier era.
-    pub fn carry(
+    pub fn keep(
         &mut self,
         record: &UpstreamRecord,
     ) {
         log::info!(
             upstream = record.id.as_str();
-            "entry from before the store's loss stands against the listed one"
+            "entry from before the store lost changes is kept instead of the listed one"
         );
-        self.carried.insert(record.id.clone(), record.revision);
+        self.kept.insert(record.id.clone(), record.revision);
     }
 
-    /// Ends what stands against older entries of an upstream than this one.
+    /// Removes what older entries of an upstream than this one gave rise to.
     pub fn remove_older(
         &mut self,
         record: &UpstreamRecord,
@@ -88,12 +88,12 @@
         if withdrawn.is_some_and(|withdrawn| is_older(withdrawn.listed.revision)) {
             self.withdrawn.remove(&record.id);
         }
-        if self.carried.get(&record.id).copied().is_some_and(is_older) {
-            self.carried.remove(&record.id);
+        if self.kept.get(&record.id).copied().is_some_and(is_older) {
+            self.kept.remove(&record.id);
         }
     }
 
-    /// Ends what stands against entries that a listing of this revision no longer has.
+    /// Removes the withdrawn upstreams that a listing of this revision no longer has.
     pub fn retain_listed(
         &mut self,
         listed: &BTreeSet<&str>,
@@ -122,24 +122,24 @@
         confirmed.map(|(_, withdrawn)| withdrawn.listed).collect()
     }
 
-    /// All of them for peers. `records` gives the record of an upstream.
-    pub fn words<'r>(
+    /// All of them, for peers. `records` returns the record of an upstream.
+    pub fn for_peers<'r>(
         &self,
         records: impl Fn(&str) -> Option<&'r UpstreamRecord>,
         now: Instant,
-    ) -> Vec<EarlierWord> {
-        let withdrawn = self.withdrawn.values().map(|withdrawn| EarlierWord {
+    ) -> Vec<CarriedEntry> {
+        let withdrawn = self.withdrawn.values().map(|withdrawn| CarriedEntry {
             record: UpstreamRecord {
                 text: None,
                 ..withdrawn.listed.clone()
             },
             remaining_ms: Some((withdrawn.until - now).as_millis() as u32),
         });
-        let carried = self.carried.keys().filter_map(|id| records(id));
-        let carried = carried.map(|record| EarlierWord {
+        let kept = self.kept.keys().filter_map(|id| records(id));
+        let kept = kept.map(|record| CarriedEntry {
             record: record.clone(),
             remaining_ms: None,
         });
-        withdrawn.chain(carried).collect()
+        withdrawn.chain(kept).collect()
     }
 }
--- a/src/catalog/catalog.rs
+++ b/src/catalog/catalog.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        AcceptedConfig, CatalogChange, CatalogItem, ConfigOrigin, CordonChange, CordonList,
-        CordonSnapshot, EarlierCordon, EarlierWord, ParseUpstream, UpstreamEntry, UpstreamOrigin,
+        AcceptedConfig, CarriedCordon, CarriedEntry, CatalogChange, CatalogItem, ConfigOrigin,
+        CordonChange, CordonList, CordonSnapshot, ParseUpstream, UpstreamEntry, UpstreamOrigin,
         UpstreamUpdate, era_of, upstream_list::UpstreamList,
     },
     crate::{
@@ -284,8 +284,8 @@
         }
     }
 
-    /// Ends what stood against the store's copy for long enough.
-    pub fn end_earlier_words(&self) {
+    /// Removes carried entries and cordons whose time is over.
+    pub fn expire_carried(&self) {
         let is_changed = {
             let mut state = self.state.lock().expect("catalog lock");
             let restored = state.upstreams.restore_confirmed();
@@ -296,35 +296,35 @@
         }
     }
 
-    /// What stands against the store's copy, for peers that do not know it.
-    pub fn earlier_words(&self) -> (Vec<EarlierWord>, Vec<EarlierCordon>) {
+    /// The entries and cordons carried over from an earlier era of the store, for peers.
+    pub fn carried(&self) -> (Vec<CarriedEntry>, Vec<CarriedCordon>) {
         let state = self.state.lock().expect("catalog lock");
         (
-            state.upstreams.earlier_words(),
-            state.cordons.earlier_cordons(),
+            state.upstreams.carried_entries(),
+            state.cordons.carried_cordons(),
         )
     }
 
-    /// Applies what stands against the store's copy, as a peer tells. Ignored unless this
-    /// catalog is of the same era.
-    pub fn offer_earlier_words(
+    /// Applies entries and cordons that a peer carried over from an earlier era. Ignored unless
+    /// this catalog is of the peer's era.
+    pub fn offer_carried(
         &self,
         era: u64,
-        words: Vec<EarlierWord>,
-        cordons: Vec<EarlierCordon>,
+        entries: Vec<CarriedEntry>,
+        cordons: Vec<CarriedCordon>,
         from: &str,
     ) {
         let is_changed = {
             let mut state = self.state.lock().expect("catalog lock");
             let mut is_changed = false;
             if era_of(state.upstreams.revision()) == era {
-                for word in words {
-                    is_changed |= state.upstreams.apply_earlier_word(word, from);
+                for entry in entries {
+                    is_changed |= state.upstreams.apply_carried_entry(entry, from);
                 }
             }
             if era_of(state.cordons.revision()) == era {
                 for cordon in cordons {
-                    is_changed |= state.cordons.apply_earlier_cordon(cordon, from);
+                    is_changed |= state.cordons.apply_carried_cordon(cordon, from);
                 }
             }
             is_changed
--- a/src/catalog/catalog_change.rs
+++ b/src/catalog/catalog_change.rs
@@ -13,7 +13,7 @@
 pub struct CatalogChange {
     pub items: Vec<CatalogItem>,
     pub revision: u64,    // store revision from which the next watch continues
-    pub era: Option<u64>, // of the revisions, which are not packed yet; none if the store tells none
+    pub era: Option<u64>, // of the revisions, which are not packed yet; none if not reported
 }
 
 impl CatalogChange {
--- a/src/catalog/cordon_list.rs
+++ b/src/catalog/cordon_list.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Cordon, CordonSnapshot, EarlierCordon, counter_of, era_of},
+    super::{CarriedCordon, Cordon, CordonSnapshot, counter_of, era_of},
     crate::codes::ResultCode,
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -9,8 +9,8 @@
 };
 
 /// How long a zone stays cordoned whose cordon the store's copy lacks. The operator writes it
-/// again after the store's return; a cordon that was lifted meanwhile may leave no trace there.
-const EARLIER_CORDON_PERIOD: Duration = Duration::from_secs(30);
+/// again after the store's return; one that was lifted meanwhile may leave no trace there.
+const CARRIED_CORDON_PERIOD: Duration = Duration::from_secs(30);
 
 /// Limit on the cordoned zones. A fleet has some ten zones; more names come from a faulty
 /// writer and would only take memory in each router.
@@ -22,7 +22,7 @@
 pub struct CordonList {
     zones: BTreeMap<String, u64>,       // revision of the cordon, by zone
     revision: u64,                      // store revision that the list reflects; 0 if none
-    earlier: BTreeMap<String, Instant>, // zones that were cordoned in an earlier era, and until when
+    carried: BTreeMap<String, Instant>, // zones cordoned in an earlier era, and until when
     lifted: BTreeSet<String>,           // zones uncordoned in this era
 }
 
@@ -35,52 +35,53 @@
     pub fn zones(&self) -> BTreeSet<String> {
         self.zones
             .keys()
-            .chain(self.earlier.keys())
+            .chain(self.carried.keys())
             .cloned()
             .collect()
     }
 
-    /// The cordons of an earlier era that the store's copy lacks, for peers.
-    pub fn earlier_cordons(&self) -> Vec<EarlierCordon> {
+    /// The cordons carried over from an earlier era, for peers.
+    pub fn carried_cordons(&self) -> Vec<CarriedCordon> {
         let now = Instant::now();
-        let earlier = self.earlier.iter().map(|(zone, until)| EarlierCordon {
+        let carried = self.carried.iter().map(|(zone, until)| CarriedCordon {
             zone: zone.clone(),
             remaining_ms: (*until - now).as_millis() as u32,
         });
-        earlier.collect()
+        carried.collect()
     }
 
-    /// Applies a cordon of an earlier era, as a router that knew it tells. Returns whether the set
-    /// of cordoned zones changed.
-    pub fn apply_earlier_cordon(
+    /// Applies a cordon that a peer carried over from an earlier era. Returns whether the set of
+    /// cordoned zones changed.
+    pub fn apply_carried_cordon(
         &mut self,
-        cordon: EarlierCordon,
+        cordon: CarriedCordon,
         from: &str,
     ) -> bool {
         let zone = cordon.zone;
-        let is_known = self.zones.contains_key(&zone) || self.earlier.contains_key(&zone);
-        if is_known || self.lifted.contains(&zone) || self.earlier.len() >= MAX_ZONES {
+        let is_known = self.zones.contains_key(&zone) || self.carried.contains_key(&zone);
+        if is_known || self.lifted.contains(&zone) || self.carried.len() >= MAX_ZONES {
             return false;
         }
         log::warn!(
             zone = zone.as_str(), from = from;
-            "zone cordoned before the store's loss: it gets no new work"
+            "zone cordoned before the store lost changes: it gets no new work"
         );
         let remaining = Duration::from_millis(cordon.remaining_ms.into());
-        let until = Instant::now() + remaining.min(EARLIER_CORDON_PERIOD);
-        self.earlier.insert(zone, until);
+        let until = Instant::now() + remaining.min(CARRIED_CORDON_PERIOD);
+        self.carried.insert(zone, until);
         true
     }
 
-    /// Ends cordons of an earlier era that were not written again. Returns whether there were any.
+    /// Removes the carried cordons that were not written again in time. Returns whether there were
+    /// any.
     pub fn remove_expired(&mut self) -> bool {
         let now = Instant::now();
-        let expired = self.earlier.extract_if(.., |_, until| now >= *until);
+        let expired = self.carried.extract_if(.., |_, until| now >= *until);
         let zones: Vec<String> = expired.map(|(zone, _)| zone).collect();
         for zone in &zones {
             log::warn!(
                 zone = zone.as_str();
-                "zone uncordoned: its cordon was not written again after the store's loss"
+                "zone uncordoned: its cordon was not written again after the store lost changes"
             );
         }
         !zones.is_empty()
@@ -123,12 +124,12 @@
         before != self.zones()
     }
 
-    /// The store came back from a copy, which may lack the newest cordons: all of them stand
-    /// until they are written again or lifted.
+    /// Carries all cordons over into another era: the store came back from a copy, which may lack
+    /// the newest ones. They hold until they are written again or lifted.
     fn begin_era(&mut self) {
-        let until = Instant::now() + EARLIER_CORDON_PERIOD;
+        let until = Instant::now() + CARRIED_CORDON_PERIOD;
         let zones = self.zones().into_iter();
-        self.earlier = zones.map(|zone| (zone, until)).collect();
+        self.carried = zones.map(|zone| (zone, until)).collect();
         self.lifted.clear();
     }
 
@@ -140,6 +141,13 @@
         revision: u64,
         from: &str,
     ) -> bool {
+        if self.revision > 0 && era_of(revision) > era_of(self.revision) {
+            log::error!(
+                era = era_of(revision), from = from;
+                "changes of another era ignored: the cordons that they change are unknown"
+            );
+            return false;
+        }
         let before = self.zones();
         for change in changes {
             match change {
@@ -165,7 +173,7 @@
         if self.zones.get(&cordon.zone).is_some_and(is_older) {
             self.zones.remove(&cordon.zone);
         }
-        self.earlier.remove(&cordon.zone);
+        self.carried.remove(&cordon.zone);
         if era_of(cordon.revision) > 0 && self.lifted.len() < MAX_ZONES {
             self.lifted.insert(cordon.zone);
         }
@@ -184,7 +192,7 @@
             );
             return;
         }
-        self.earlier.remove(&cordon.zone);
+        self.carried.remove(&cordon.zone);
         let known = self.zones.entry(cordon.zone).or_default();
         *known = cordon.revision.max(*known);
     }
--- a/src/catalog/follow_store.rs
+++ b/src/catalog/follow_store.rs
@@ -94,7 +94,7 @@
 async fn end_grace_periods(catalog: Weak<Catalog>) {
     while let Some(catalog) = catalog.upgrade() {
         catalog.remove_expired_lapsed();
-        catalog.end_earlier_words();
+        catalog.expire_carried();
         drop(catalog);
         sleep(GRACE_CHECK_INTERVAL).await;
     }
@@ -127,10 +127,10 @@
     };
     // The store may have grown past `counter` since its loss, and then answers as if it still had
     // the changes up to there.
-    let is_same_era = change.era.is_none_or(|told| told == era);
+    let is_same_era = change.era.is_none_or(|answered| answered == era);
     if !is_same_era || change.revision < counter {
         log::info!(
-            era = era, after = counter, told_era = change.era.unwrap_or(era), at = change.revision;
+            era = era, after = counter, listed_era = change.era.unwrap_or(era), at = change.revision;
             "store has lost changes: listing all items"
         );
         return Ok(None);
@@ -169,8 +169,8 @@
     Ok(revision)
 }
 
-/// The era of a listing. A store that tells none has lost changes if it lists an earlier revision
-/// than was `known` before the call; losses that it has outgrown by then go unnoticed.
+/// The era of a listing. A store that does not report it has lost changes if it lists a lower
+/// revision than was `known` before the call; losses that it has outgrown by then go unnoticed.
 fn era_of_listing(
     listing: &CatalogChange,
     known: StoreRevision,
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -4,6 +4,8 @@
 //! [`StoreRevision`].
 
 mod accepted_config;
+mod carried_entries;
+mod carried_entry;
 mod catalog;
 mod catalog_change;
 mod catalog_source;
@@ -11,15 +13,13 @@
 mod cordon;
 mod cordon_list;
 mod cordon_snapshot;
-mod earlier_word;
-mod earlier_words;
 mod follow_store;
 mod lapse_grace;
 mod reader_role;
 mod store_revision;
 mod upstream_entry;
 mod upstream_list;
-mod upstream_list_eras;
+mod upstream_list_carry;
 mod upstream_origin;
 mod upstream_record;
 mod upstream_state;
@@ -29,6 +29,7 @@
 
 pub use {
     accepted_config::AcceptedConfig,
+    carried_entry::{CarriedCordon, CarriedEntry},
     catalog::{Catalog, CatalogVersion},
     catalog_change::{CatalogChange, CatalogItem},
     catalog_source::CatalogSource,
@@ -36,7 +37,6 @@
     cordon::Cordon,
     cordon_list::{CordonChange, CordonList},
     cordon_snapshot::CordonSnapshot,
-    earlier_word::{EarlierCordon, EarlierWord},
     follow_store::follow_store,
     reader_role::{AlwaysReader, ReaderRole},
     store_revision::{StoreRevision, counter_of, era_of},
--- a/src/catalog/store_revision.rs
+++ b/src/catalog/store_revision.rs
@@ -1,15 +1,15 @@
 /// Bits of a packed revision that hold the store's own counter.
 const COUNTER_BITS: u32 = 40;
 
-/// A revision of the store across its losses. A store that comes back from a copy begins
-/// another era and gives revisions of the earlier one out again, so revisions are ordered by
-/// era first.
+/// A revision of the store. A store that comes back from a copy, and so has lost its newest
+/// changes, begins another era and assigns their revisions again. Revisions are therefore ordered
+/// by era first.
 ///
-/// Everywhere else a revision is one number, the packed form, which has the same order. In era
-/// 0 it equals the store's counter, as in builds that know no eras.
+/// Elsewhere a revision is a `u64` in packed form, which has the same order. In era 0 it equals the
+/// store's counter, as in builds without eras.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct StoreRevision {
-    pub era: u64,     // rises with each loss; 0 if the store tells none
+    pub era: u64,     // rises each time the store loses changes; 0 if it reports none
     pub counter: u64, // the store's own revision
 }
 
--- a/src/catalog/upstream_list.rs
+++ b/src/catalog/upstream_list.rs
@@ -1,8 +1,8 @@
 use {
     super::{
-        UpstreamEntry, UpstreamOrigin, UpstreamRecord, UpstreamState, UpstreamUpdate, counter_of,
-        earlier_words::EarlierWords,
-        era_of,
+        UpstreamEntry, UpstreamOrigin, UpstreamRecord, UpstreamState, UpstreamUpdate,
+        carried_entries::CarriedEntries,
+        counter_of, era_of,
         lapse_grace::{LapseGrace, is_mass_removal},
     },
     crate::codes::{Fault, ResultCode},
@@ -25,7 +25,7 @@
     pub(super) revision: u64,                            // store revision reflected; 0 if none
     snapshot_revision: u64, // of the last snapshot; the records have all removals after it
     pub(super) lapses: LapseGrace,
-    pub(super) earlier: EarlierWords,
+    pub(super) carried: CarriedEntries,
     excluded: Vec<SocketAddr>, // listening addresses of this process
 }
 
@@ -44,7 +44,7 @@
             revision: 0,
             snapshot_revision: 0,
             lapses: LapseGrace::default(),
-            earlier: EarlierWords::default(),
+            carried: CarriedEntries::default(),
             excluded: Vec::new(),
         }
     }
@@ -101,7 +101,7 @@
         let records = self.records.values().map(|sourced| &sourced.record);
         // A withdrawn upstream is sent as the store lists it: a peer that did not know that it
         // was withdrawn could not use it later, since its entry may never change again.
-        let listed = records.map(|record| self.earlier.listed(&record.id).unwrap_or(record));
+        let listed = records.map(|record| self.carried.listed(&record.id).unwrap_or(record));
         let sent = listed.filter(|record| match is_snapshot {
             true => record.text.is_some(),
             false => record.revision > revision,
@@ -138,7 +138,7 @@
         }
         if is_snapshot {
             let listed: BTreeSet<&str> = records.iter().map(|record| &*record.id).collect();
-            self.earlier.retain_listed(&listed, revision);
+            self.carried.retain_listed(&listed, revision);
             let removals = self.removals_by(&listed, revision);
             records.extend(removals);
         }
@@ -223,7 +223,7 @@
         if record.revision <= known_revision.max(self.snapshot_revision) {
             return false;
         }
-        self.earlier.remove_older(record);
+        self.carried.remove_older(record);
         self.store_record(record, from)
     }
 
--- a/src/catalog/upstream_list_eras.rs
+++ b/src/catalog/upstream_list_carry.rs
@@ -1,8 +1,9 @@
-//! What a list of upstreams keeps when the store comes back from a copy without its newest changes.
+//! Entries that a list of upstreams carries over when the store comes back from a copy without its
+//! newest changes.
 
 use {
     super::{
-        EarlierWord, UpstreamRecord, counter_of, era_of,
+        CarriedEntry, UpstreamRecord, counter_of, era_of,
         upstream_list::{SourcedRecord, UpstreamList},
     },
     std::sync::Arc,
@@ -12,7 +13,7 @@
 impl UpstreamList {
     /// Prepares for the first listing of another era. The store came back from a copy, which
     /// lacks its newest changes, so what this list knows may be newer than what is listed:
-    /// leaving and removals stand until the entry is written again, and upstreams that are
+    /// leaving and removals hold until the entry is written again, and upstreams that are
     /// missing get time to write theirs.
     pub(super) fn begin_era(
         &mut self,
@@ -27,7 +28,7 @@
         );
         let now = Instant::now();
         self.lapses.begin(now);
-        self.earlier.clear();
+        self.carried.clear();
         for record in listed {
             let Some(known) = self.records.get(&record.id) else {
                 continue;
@@ -40,11 +41,11 @@
                         ..record.clone()
                     };
                     let listed = std::mem::replace(record, removal);
-                    self.earlier.withdraw(listed, now);
+                    self.carried.withdraw(listed, now);
                 }
-                Some(text) if self.stands(known.record.id.as_str(), record) => {
+                Some(text) if self.takes_precedence(record) => {
                     record.text = Some(text.clone());
-                    self.earlier.carry(record);
+                    self.carried.keep(record);
                 }
                 _ => {}
             }
@@ -54,38 +55,37 @@
             .retain(|id, sourced| !is_withdrawn_before(sourced) || self.entries.contains_key(id));
     }
 
-    /// Whether the entry in use of an upstream stands against one from the store's copy.
-    fn stands(
+    /// Whether the entry in use of an upstream takes precedence over one from the store's copy.
+    fn takes_precedence(
         &self,
-        id: &str,
         listed: &UpstreamRecord,
     ) -> bool {
-        let listed = listed.text.as_ref();
-        let listed = listed.and_then(|text| (self.parse)(id, text).ok());
-        let known = self.entries.get(id);
+        let known = self.entries.get(&listed.id);
+        let text = listed.text.as_ref();
+        let listed = text.and_then(|text| (self.parse)(&listed.id, text).ok());
         known
             .zip(listed)
             .is_some_and(|(known, listed)| known.limits_more_than(&listed))
     }
 
-    /// What upstreams said in an earlier era and what stands, for routers that do not know it.
-    pub fn earlier_words(&self) -> Vec<EarlierWord> {
+    /// The entries carried over from an earlier era, for peers.
+    pub fn carried_entries(&self) -> Vec<CarriedEntry> {
         let records = |id: &str| self.records.get(id).map(|sourced| &sourced.record);
-        self.earlier.words(records, Instant::now())
+        self.carried.for_peers(records, Instant::now())
     }
 
-    /// Applies what an upstream said in an earlier era, as a router that knew it tells. Ignored
-    /// if this list knows another entry of the upstream than the one that it stands against.
-    /// Returns whether the upstreams in use changed.
-    pub fn apply_earlier_word(
+    /// Applies an entry that a peer carried over from an earlier era. Ignored if this list has
+    /// another entry of the upstream than the one that it replaces. Returns whether the upstreams
+    /// in use changed.
+    pub fn apply_carried_entry(
         &mut self,
-        word: EarlierWord,
+        carried: CarriedEntry,
         from: &str,
     ) -> bool {
-        let EarlierWord {
+        let CarriedEntry {
             record,
             remaining_ms,
-        } = word;
+        } = carried;
         let Some(known) = self.records.get(&record.id) else {
             return false;
         };
@@ -95,7 +95,7 @@
         match (&record.text, remaining_ms) {
             (None, Some(remaining_ms)) => {
                 let listed = known.record.clone();
-                self.earlier
+                self.carried
                     .withdraw_for(listed, remaining_ms, Instant::now());
                 self.lapses.remove(&record.id);
                 self.entries.remove(&record.id);
@@ -110,7 +110,7 @@
                 if !in_use.is_some_and(|in_use| entry.limits_more_than(in_use)) {
                     return false;
                 }
-                self.earlier.carry(&record);
+                self.carried.keep(&record);
                 self.store_record(&record, &from.into())
             }
             (None, None) => false,
@@ -120,7 +120,7 @@
     /// Uses the withdrawn upstreams again whose entries the store still lists after the time in
     /// which those of ended upstreams go. Returns whether there were any.
     pub fn restore_confirmed(&mut self) -> bool {
-        let confirmed = self.earlier.take_confirmed(Instant::now());
+        let confirmed = self.carried.take_confirmed(Instant::now());
         let from: Arc<str> = "store".into();
         let restored = confirmed
             .iter()
--- a/src/peers/eras_gossip.rs
+++ b/src/peers/eras_gossip.rs
@@ -1,24 +1,24 @@
-//! Tells other routers that this one compares the store's eras, and what it knows from an earlier
-//! era that the store's copy lacks. A router that has started since, or had not heard of it before
-//! the loss, would go by the copy.
+//! Reports to other routers that this one compares the store's eras, and what it carried over from
+//! an earlier era. A router that has started since, or had not learnt of a change before the store
+//! lost it, would rely on the store's copy.
 
 use {
     super::{ErasMessage, PeerLink, PeerMessage},
     crate::{
-        catalog::{EarlierCordon, EarlierWord, era_of},
+        catalog::{CarriedCordon, CarriedEntry, era_of},
         policy::Moment,
     },
     std::{net::SocketAddr, time::Duration},
 };
 
-/// Interval at which a router tells its zone that it compares eras.
+/// Interval at which a router reports to its zone that it compares eras.
 const INTERVAL: Duration = Duration::from_secs(1);
 
-/// Interval at which what is known from an earlier era is told again while it stands.
+/// Interval at which carried entries and cordons are sent again.
 const RESEND_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Entries of upstreams in one datagram, at some 300 bytes each.
-const MAX_WORDS: usize = 3;
+const MAX_ENTRIES: usize = 3;
 
 /// Cordons in one datagram, at up to 130 bytes each.
 const MAX_CORDONS: usize = 4;
@@ -31,9 +31,9 @@
         now: Moment,
         addresses: &[SocketAddr],
     ) {
-        let (words, cordons) = self.gateway.catalog.earlier_words();
-        let is_silent = words.is_empty() && cordons.is_empty();
-        let interval = match is_silent {
+        let (entries, cordons) = self.gateway.catalog.carried();
+        let is_empty = entries.is_empty() && cordons.is_empty();
+        let interval = match is_empty {
             true => INTERVAL,
             false => RESEND_INTERVAL,
         };
@@ -44,27 +44,29 @@
             }
             *last = Some(now);
         }
-        let part = |words: &[EarlierWord], cordons: &[EarlierCordon]| {
+        let part = |entries: &[CarriedEntry], cordons: &[CarriedCordon]| {
             let own = self.gateway.peers.own();
             PeerMessage::Eras(ErasMessage {
                 zone: own.zone,
                 reporter: own.address,
                 is_reader: self.gateway.store_reads.is_reader(),
                 era: era_of(self.gateway.catalog.version().upstreams),
-                words: words.to_vec(),
+                entries: entries.to_vec(),
                 cordons: cordons.to_vec(),
             })
         };
-        if is_silent {
+        if is_empty {
             return self.send(&part(&[], &[]), addresses).await;
         }
-        let words = words.chunks(MAX_WORDS).map(|words| part(words, &[]));
+        let entries = entries
+            .chunks(MAX_ENTRIES)
+            .map(|entries| part(entries, &[]));
         let cordons = cordons
             .chunks(MAX_CORDONS)
             .map(|cordons| part(&[], cordons));
         let mut receivers = self.represented_contacts(now);
         receivers.extend(addresses);
-        for message in words.chain(cordons) {
+        for message in entries.chain(cordons) {
             self.send(&message, &receivers).await;
         }
     }
@@ -86,7 +88,7 @@
         let reporter = message.reporter.to_string();
         gateway
             .catalog
-            .offer_earlier_words(message.era, message.words, message.cordons, &reporter);
+            .offer_carried(message.era, message.entries, message.cordons, &reporter);
         !is_own_zone && from == message.reporter
     }
 }
--- a/src/peers/peer_message.rs
+++ b/src/peers/peer_message.rs
@@ -26,8 +26,8 @@
     Evidence(EvidenceMessage),
     /// Prompt-cache events of replicas, to the own zone; evictions of shared parts, to others.
     CacheEvents(CacheEventsMessage),
-    /// That the sender compares the store's eras, and what it knows from an earlier one, to the
-    /// own zone; the latter also to others.
+    /// That the sender compares the store's eras, to the own zone; what it carried over from an
+    /// earlier era, also to others.
     Eras(ErasMessage),
 }
 
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -27,7 +27,7 @@
 /// A successful answer of the store.
 struct StoreAnswer<T> {
     body: T,
-    era: Option<u64>, // none if the store does not tell it
+    era: Option<u64>, // none if the store does not report it
 }
 
 /// HTTP client of the platform's store. Each call opens a new connection: a pooled one may be
@@ -169,7 +169,7 @@
     }
 }
 
-/// The era that an answer tells; none if it has no such header, or an invalid one.
+/// The era that an answer reports; none if it has no such header, or an invalid one.
 fn store_era(headers: &HeaderMap) -> Option<u64> {
     let value = headers.get(ERA_HEADER)?;
     let era = value.to_str().ok().and_then(|text| text.parse().ok());
--- a/testbed/tests/emptied_zones.rs
+++ b/testbed/tests/emptied_zones.rs
@@ -30,7 +30,8 @@
 
 /// Two routers in each of three zones, with one replica per zone that answers with its id.
 async fn fleet() -> (DirectFleet, [Replica; 3]) {
-    let fleet = DirectFleet::start_in_zones(&[2, 2, 2], "").await;
+    // A router that hands connections on answers by what its neighbour knows.
+    let fleet = DirectFleet::start_in_zones(&[2, 2, 2], "hand_on = 1.0\n").await;
     let mut replicas = Vec::new();
     for (id, zone) in [("i-a", "z"), ("i-b", "z-1"), ("i-c", "z-2")] {
         let replica = Replica::start(fleet.standins(), id, ReplicaAnswer::ok(id)).await;
--- a/testbed/tests/store_from_copy.rs
+++ b/testbed/tests/store_from_copy.rs
@@ -47,7 +47,8 @@
 
 /// Routers and one replica, which answers with its id, in each of three zones.
 async fn fleet() -> (DirectFleet, Vec<Replica>) {
-    let fleet = DirectFleet::start_in_zones(&ROUTERS, "").await;
+    // A router that hands connections on answers by what its neighbour knows.
+    let fleet = DirectFleet::start_in_zones(&ROUTERS, "hand_on = 1.0\n").await;
     let mut replicas = Vec::new();
     for (index, zone) in ZONES.into_iter().enumerate() {
         let id = format!("i-{index}");
@@ -99,22 +100,31 @@
     }
 }
 
-/// Waits until the routers know that the store has begun this era.
-async fn until_era(
+/// Waits until all routers have a log line with both texts.
+async fn until_logged(
     fleet: &DirectFleet,
-    era: u64,
+    message: &str,
+    field: &str,
 ) {
-    let began = format!(r#""era":{era},"#);
     for router in &fleet.routers {
-        wait_until("the era is known", || {
+        wait_until(message, || {
             let log = router.log_text();
             log.lines()
-                .any(|line| line.contains("the store came back") && line.contains(&began))
+                .any(|line| line.contains(message) && line.contains(field))
         })
         .await;
     }
 }
 
+/// Waits until the routers know that the store has begun this era.
+async fn until_era(
+    fleet: &DirectFleet,
+    era: u64,
+) {
+    let began = format!(r#""era":{era},"#);
+    until_logged(fleet, "the store came back", &began).await;
+}
+
 /// Publishes these versions, and waits until the routers have the last.
 async fn publish(
     fleet: &DirectFleet,
@@ -124,15 +134,8 @@
     for version in versions {
         fleet.store.publish(version, &routes());
     }
-    let accepted = format!(r#""version":{last}}}"#);
-    for router in &fleet.routers {
-        wait_until("the configuration is in force", || {
-            let log = router.log_text();
-            log.lines()
-                .any(|line| line.contains("configuration accepted") && line.contains(&accepted))
-        })
-        .await;
-    }
+    let version = format!(r#""version":{last}}}"#);
+    until_logged(fleet, "configuration accepted", &version).await;
 }
 
 /// The store is away and returns from a copy made at `copied`. Returns what it lost.
--- a/tests/landed_messages.rs
+++ b/tests/landed_messages.rs
@@ -8,7 +8,7 @@
 use {
     archmast::{
         catalog::{
-            CatalogVersion, Cordon, CordonSnapshot, EarlierCordon, EarlierWord, UpstreamRecord,
+            CarriedCordon, CarriedEntry, CatalogVersion, Cordon, CordonSnapshot, UpstreamRecord,
             UpstreamUpdate,
         },
         codes::ResultCode,
@@ -237,11 +237,11 @@
         reporter: address(1),
         is_reader: true,
         era: 2,
-        words: vec![EarlierWord {
+        entries: vec![CarriedEntry {
             record: update().upstreams.records[1].clone(),
             remaining_ms: Some(900),
         }],
-        cordons: vec![EarlierCordon {
+        cordons: vec![CarriedCordon {
             zone: "z-1".to_owned(),
             remaining_ms: 3000,
         }],
--- a/tests/store_eras.rs
+++ b/tests/store_eras.rs
@@ -166,13 +166,13 @@
     to.offer_cordons(from.cordon_snapshot(), "peer");
 }
 
-fn tell_earlier(
+fn report_carried(
     from: &Catalog,
     to: &Catalog,
     era: u64,
 ) {
-    let (words, cordons) = from.earlier_words();
-    to.offer_earlier_words(era, words, cordons, "peer");
+    let (entries, cordons) = from.carried();
+    to.offer_carried(era, entries, cordons, "peer");
 }
 
 #[test]
@@ -239,8 +239,9 @@
 #[test]
 fn changes_of_another_era_without_its_listing_are_ignored() {
     let catalog = known_catalog();
-    changes(&catalog, 2, 21, vec![gone("a", 21)]);
+    changes(&catalog, 2, 21, vec![gone("a", 21), cordon("z", 21)]);
     assert_eq!(in_use(&catalog), "abc");
+    assert_eq!(cordoned(&catalog), Vec::<String>::new());
     assert_eq!(StoreRevision::unpack(catalog.version().upstreams).era, 1);
 }
 
@@ -256,7 +257,7 @@
     );
     assert_eq!(in_use(&catalog), "Abc");
     advance(CORDON_TIME).await;
-    catalog.end_earlier_words();
+    catalog.expire_carried();
     assert_eq!(in_use(&catalog), "Abc");
     changes(&catalog, 2, 21, vec![draining("a", 21)]);
     assert_eq!(in_use(&catalog), "Abc");
@@ -294,7 +295,7 @@
     changes(&catalog, 2, 21, vec![ready("a", 21), gone("b", 22)]);
     assert_eq!(in_use(&catalog), "a");
     advance(WITHDRAWN_TIME).await;
-    catalog.end_earlier_words();
+    catalog.expire_carried();
     assert_eq!(in_use(&catalog), "ac");
 }
 
@@ -310,7 +311,7 @@
     );
     listing(&catalog, 2, 25, vec![ready("b", 11), ready("c", 20)]);
     advance(WITHDRAWN_TIME).await;
-    catalog.end_earlier_words();
+    catalog.expire_carried();
     assert_eq!(in_use(&catalog), "bc");
 }
 
@@ -377,7 +378,7 @@
     changes(&catalog, 2, 22, vec![cordon("x", 21), lifted("y", 22)]);
     assert_eq!(cordoned(&catalog), ["x", "z"]);
     advance(CORDON_TIME).await;
-    catalog.end_earlier_words();
+    catalog.expire_carried();
     assert_eq!(cordoned(&catalog), ["x"]);
     changes(&catalog, 2, 23, vec![lifted("x", 23)]);
     assert_eq!(cordoned(&catalog), Vec::<String>::new());
@@ -408,9 +409,9 @@
     let started = catalog();
     listing(&started, 2, 20, copy());
     assert_eq!(in_use(&started), "abc");
-    tell_earlier(&witness, &started, 1);
+    report_carried(&witness, &started, 1);
     assert_eq!(in_use(&started), "abc", "of another era");
-    tell_earlier(&witness, &started, 2);
+    report_carried(&witness, &started, 2);
     assert_eq!(
         (in_use(&started), cordoned(&started)),
         ("Ac".to_owned(), vec!["z".to_owned()])
@@ -421,7 +422,7 @@
         23,
         vec![ready("b", 21), lifted("z", 22), gone("a", 23)],
     );
-    tell_earlier(&witness, &started, 2);
+    report_carried(&witness, &started, 2);
     assert_eq!(in_use(&started), "bc", "what was written since counts");
     assert_eq!(cordoned(&started), Vec::<String>::new());
 }
@@ -434,11 +435,11 @@
     listing(&first, 2, 20, copy());
     listing(&second, 2, 20, copy());
     for _ in 0..40 {
-        tell_earlier(&first, &second, 2);
-        tell_earlier(&second, &first, 2);
+        report_carried(&first, &second, 2);
+        report_carried(&second, &first, 2);
         advance(Duration::from_secs(1)).await;
-        first.end_earlier_words();
-        second.end_earlier_words();
+        first.expire_carried();
+        second.expire_carried();
     }
     for router in [&first, &second] {
         assert_eq!(
