--- a/testbed/src/soak/operator_work.rs
+++ b/testbed/src/soak/operator_work.rs
@@ -21,7 +21,7 @@
 const ROUND_GAP_MS: Range<u64> = 500..3000;
 
 /// Time between two losses of the store, in milliseconds.
-const LOSS_GAP_MS: Range<u64> = 500..12_000;
+const LOSS_GAP_MS: Range<u64> = 3000..12_000;
 
 /// For how long the store is away before it returns from a copy, in milliseconds.
 const STORE_AWAY_MS: Range<u64> = 100..1500;
--- a/testbed/tests/soak.rs
+++ b/testbed/tests/soak.rs
@@ -541,12 +541,13 @@
     assert!(result.leaving > 20, "{}", result.summary());
 }
 
-/// The store returns from copies while replicas leave, zones are cordoned and routers restart. A
-/// router that compares only revisions ignores what is written afterwards.
+/// The store returns from copies while replicas leave, zones are cordoned and routers restart.
+/// Where routers compare only revisions, requests reach leaving replicas too late with this seed (68
+/// of them).
 #[tokio::test(flavor = "multi_thread")]
 async fn what_is_written_after_losses_of_the_store_is_heeded_under_faults() {
     let fleet = SoakFleet::parse(include_str!("../fleets/store-losses.ini")).expect("a fleet");
-    let result = soak(1, Duration::from_secs(20), &fleet).await;
+    let result = soak(4, Duration::from_secs(20), &fleet).await;
     assert_eq!(
         result.violations,
         Vec::<String>::new(),
