--- a/src/catalog/catalog.rs
+++ b/src/catalog/catalog.rs
@@ -166,9 +166,7 @@
             let mut state = self.state.lock().expect("catalog lock");
             state.cordons.apply_snapshot(snapshot, from)
         };
-        if is_changed {
-            self.changed.send_modify(|_| {});
-        }
+        self.notify_if(is_changed);
     }
 
     /// The records of upstreams that a peer lacks whose list reflects this store revision.
@@ -267,9 +265,7 @@
             let mut state = self.state.lock().expect("catalog lock");
             state.upstreams.remove_expired_lapsed()
         };
-        if dropped {
-            self.changed.send_modify(|_| {});
-        }
+        self.notify_if(dropped);
     }
 
     /// Removes all lapsed upstreams at once. Called after the process was suspended, so that
@@ -279,9 +275,7 @@
             let mut state = self.state.lock().expect("catalog lock");
             state.upstreams.remove_all_lapsed()
         };
-        if dropped {
-            self.changed.send_modify(|_| {});
-        }
+        self.notify_if(dropped);
     }
 
     /// Removes carried entries and cordons whose time is over.
@@ -291,9 +285,7 @@
             let restored = state.upstreams.restore_confirmed();
             state.cordons.remove_expired() || restored
         };
-        if is_changed {
-            self.changed.send_modify(|_| {});
-        }
+        self.notify_if(is_changed);
     }
 
     /// The entries and cordons carried over from an earlier era of the store, for peers.
@@ -329,6 +321,14 @@
             }
             is_changed
         };
+        self.notify_if(is_changed);
+    }
+
+    /// Notifies subscribers of a change that leaves the version as it is.
+    fn notify_if(
+        &self,
+        is_changed: bool,
+    ) {
         if is_changed {
             self.changed.send_modify(|_| {});
         }
@@ -378,9 +378,7 @@
             let mut state = self.state.lock().expect("catalog lock");
             state.cordons.apply_changes(changes, revision, from)
         };
-        if is_changed {
-            self.changed.send_modify(|_| {});
-        }
+        self.notify_if(is_changed);
     }
 
     /// Applies a configuration as [`Catalog::offer_config`] does, and logs the error if it
--- a/src/catalog/cordon_list.rs
+++ b/src/catalog/cordon_list.rs
@@ -1,5 +1,5 @@
 use {
-    super::{CarriedCordon, Cordon, CordonSnapshot, counter_of, era_of},
+    super::{CarriedCordon, Cordon, CordonSnapshot, begins_era, counter_of, era_of},
     crate::codes::ResultCode,
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -111,7 +111,7 @@
             return false;
         }
         let before = self.zones();
-        if self.revision > 0 && era_of(snapshot.revision) > era_of(self.revision) {
+        if begins_era(self.revision, snapshot.revision) {
             self.begin_era();
         }
         self.zones
@@ -141,7 +141,7 @@
         revision: u64,
         from: &str,
     ) -> bool {
-        if self.revision > 0 && era_of(revision) > era_of(self.revision) {
+        if begins_era(self.revision, revision) {
             log::error!(
                 era = era_of(revision), from = from;
                 "changes of another era ignored: the cordons that they change are unknown"
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -39,7 +39,7 @@
     cordon_snapshot::CordonSnapshot,
     follow_store::follow_store,
     reader_role::{AlwaysReader, ReaderRole},
-    store_revision::{StoreRevision, counter_of, era_of},
+    store_revision::{StoreRevision, begins_era, counter_of, era_of},
     upstream_entry::UpstreamEntry,
     upstream_list::ParseUpstream,
     upstream_origin::UpstreamOrigin,
--- a/src/catalog/store_revision.rs
+++ b/src/catalog/store_revision.rs
@@ -34,6 +34,15 @@
     }
 }
 
+/// Whether a packed revision is of a later era than the one that a list reflects; never for a list
+/// that reflects none (0).
+pub fn begins_era(
+    known: u64,
+    revision: u64,
+) -> bool {
+    known > 0 && era_of(revision) > era_of(known)
+}
+
 /// The era of a packed revision.
 pub fn era_of(packed: u64) -> u64 {
     StoreRevision::unpack(packed).era
--- a/src/catalog/upstream_list.rs
+++ b/src/catalog/upstream_list.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        UpstreamEntry, UpstreamOrigin, UpstreamRecord, UpstreamState, UpstreamUpdate,
+        UpstreamEntry, UpstreamOrigin, UpstreamRecord, UpstreamState, UpstreamUpdate, begins_era,
         carried_entries::CarriedEntries,
         counter_of, era_of,
         lapse_grace::{LapseGrace, is_mass_removal},
@@ -125,7 +125,7 @@
             revision,
             is_snapshot,
         } = update;
-        let begins_era = self.revision > 0 && era_of(revision) > era_of(self.revision);
+        let begins_era = begins_era(self.revision, revision);
         if begins_era {
             if !is_snapshot {
                 log::error!(
--- a/src/peers/receive.rs
+++ b/src/peers/receive.rs
@@ -53,28 +53,24 @@
             Ok(PeerMessage::Report(report)) => self.apply_report(from, &report),
             Ok(PeerMessage::Summary(summary)) => {
                 if self.apply_summary(&summary) && from == summary.representative {
-                    let zone_routers = self.gateway.peers.own_zone_addresses();
-                    self.send_datagram(datagram, "relay", &zone_routers).await;
+                    self.relay(datagram).await;
                 }
             }
             Ok(PeerMessage::Suspects(message)) => {
                 if self.apply_suspects(from, &message) {
-                    let zone_routers = self.gateway.peers.own_zone_addresses();
-                    self.send_datagram(datagram, "relay", &zone_routers).await;
+                    self.relay(datagram).await;
                 }
             }
             Ok(PeerMessage::Leaving(message)) => self.apply_leaving(from, &message),
             Ok(PeerMessage::Evidence(message)) => self.apply_evidence(from, &message),
             Ok(PeerMessage::CacheEvents(message)) => {
                 if self.apply_cache_events(from, &message) {
-                    let zone_routers = self.gateway.peers.own_zone_addresses();
-                    self.send_datagram(datagram, "relay", &zone_routers).await;
+                    self.relay(datagram).await;
                 }
             }
             Ok(PeerMessage::Eras(message)) => {
                 if self.apply_eras(from, message) {
-                    let zone_routers = self.gateway.peers.own_zone_addresses();
-                    self.send_datagram(datagram, "relay", &zone_routers).await;
+                    self.relay(datagram).await;
                 }
             }
             Ok(PeerMessage::Ask(asker)) => self.answer_discovery(from, asker).await,
@@ -91,6 +87,15 @@
         }
     }
 
+    /// Passes a datagram of another zone on to the routers of the own zone.
+    async fn relay(
+        &self,
+        datagram: &[u8],
+    ) {
+        let zone_routers = self.gateway.peers.own_zone_addresses();
+        self.send_datagram(datagram, "relay", &zone_routers).await;
+    }
+
     /// Applies the report of a router of the own zone, unless the datagram came from another
     /// address than the one it names.
     fn apply_report(
--- a/tests/store_eras.rs
+++ b/tests/store_eras.rs
@@ -142,6 +142,11 @@
     catalog
 }
 
+/// The upstreams as the store's copy lists them.
+fn copy() -> Vec<CatalogItem> {
+    vec![ready("a", 10), ready("b", 11), ready("c", 20)]
+}
+
 /// The ids of the upstreams in use, with those that leave in capitals.
 fn in_use(catalog: &Catalog) -> String {
     let entries = catalog.upstreams();
@@ -191,12 +196,7 @@
 #[test]
 fn a_change_below_the_revision_reached_before_the_loss_counts() {
     let catalog = known_catalog();
-    listing(
-        &catalog,
-        2,
-        20,
-        vec![ready("a", 10), ready("b", 11), ready("c", 20)],
-    );
+    listing(&catalog, 2, 20, copy());
     assert!(catalog.version().upstreams > 50);
     changes(&catalog, 2, 21, vec![draining("c", 21)]);
     assert_eq!(in_use(&catalog), "abC");
@@ -207,12 +207,7 @@
 #[test]
 fn routers_that_do_not_read_the_store_hear_of_the_era_from_those_that_do() {
     let (reader, other) = (known_catalog(), known_catalog());
-    listing(
-        &reader,
-        2,
-        20,
-        vec![ready("a", 10), ready("b", 11), ready("c", 20)],
-    );
+    listing(&reader, 2, 20, copy());
     changes(&reader, 2, 21, vec![draining("c", 21), cordon("z", 21)]);
     assert!(reader.version().is_ahead_of(other.version()));
     tell(&reader, &other);
@@ -249,12 +244,7 @@
 async fn a_leaving_that_the_copy_lacks_stands_until_the_entry_is_written_again() {
     let catalog = known_catalog();
     changes(&catalog, 1, 51, vec![draining("a", 51)]);
-    listing(
-        &catalog,
-        2,
-        20,
-        vec![ready("a", 10), ready("b", 11), ready("c", 20)],
-    );
+    listing(&catalog, 2, 20, copy());
     assert_eq!(in_use(&catalog), "Abc");
     advance(CORDON_TIME).await;
     catalog.expire_carried();
@@ -269,7 +259,6 @@
 async fn a_leaving_stands_over_two_losses_in_series() {
     let catalog = known_catalog();
     changes(&catalog, 1, 51, vec![draining("a", 51), gone("b", 52)]);
-    let copy = || vec![ready("a", 10), ready("b", 11), ready("c", 20)];
     listing(&catalog, 2, 20, copy());
     assert_eq!(in_use(&catalog), "Ac");
     listing(&catalog, 3, 20, copy());
@@ -280,7 +269,6 @@
 
 #[tokio::test(start_paused = true)]
 async fn an_upstream_that_had_gone_is_used_again_when_it_writes_or_stays_listed() {
-    let copy = || vec![ready("a", 10), ready("b", 11), ready("c", 20)];
     let catalog = known_catalog();
     changes(
         &catalog,
@@ -303,12 +291,7 @@
 async fn an_upstream_that_a_later_listing_lacks_is_not_used_again() {
     let catalog = known_catalog();
     changes(&catalog, 1, 51, vec![gone("a", 51)]);
-    listing(
-        &catalog,
-        2,
-        20,
-        vec![ready("a", 10), ready("b", 11), ready("c", 20)],
-    );
+    listing(&catalog, 2, 20, copy());
     listing(&catalog, 2, 25, vec![ready("b", 11), ready("c", 20)]);
     advance(WITHDRAWN_TIME).await;
     catalog.expire_carried();
@@ -339,12 +322,7 @@
             entry("b", 52, entry_text("ready", 1, 3000)),
         ],
     );
-    listing(
-        &catalog,
-        2,
-        20,
-        vec![ready("a", 10), ready("b", 11), ready("c", 20)],
-    );
+    listing(&catalog, 2, 20, copy());
     let entries = catalog.upstreams();
     assert_eq!(entries[0].started_unix_ms, Some(2));
     assert_eq!(entries[1].slow_start_remaining, Duration::from_secs(3));
@@ -397,7 +375,6 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_router_that_starts_after_the_loss_hears_what_the_copy_lacks() {
-    let copy = || vec![ready("a", 10), ready("b", 11), ready("c", 20)];
     let witness = known_catalog();
     changes(
         &witness,
@@ -429,7 +406,6 @@
 
 #[tokio::test(start_paused = true)]
 async fn routers_that_tell_each_other_do_not_prolong_what_stands() {
-    let copy = || vec![ready("a", 10), ready("b", 11), ready("c", 20)];
     let (first, second) = (known_catalog(), catalog());
     changes(&first, 1, 52, vec![gone("b", 51), cordon("z", 52)]);
     listing(&first, 2, 20, copy());
