--- a/testbed/src/direct/mod.rs
+++ b/testbed/src/direct/mod.rs
@@ -25,7 +25,7 @@
     forwarding_fleet::forwarding_fleet,
     received_request::ReceivedRequest,
     replica::Replica,
-    replica_answer::ReplicaAnswer,
+    replica_answer::{Framing, ReplicaAnswer},
     replica_answering::{CrashTiming, event},
     route_text::RouteText,
     store::{LostWrite, Store},
--- a/testbed/src/direct/replica_answer.rs
+++ b/testbed/src/direct/replica_answer.rs
@@ -29,11 +29,39 @@
     /// A stream that breaks off in the event after number `after`, with the connection
     /// closed. A resumed stream (with `Last-Event-ID`) is complete up to `last`.
     EventsCut { after: u32, last: u32 },
+    /// A stream of events up to number `last` in this framing, complete.
+    EventsFramed { framing: Framing, last: u32 },
+    /// A stream that ends after `part` bytes of the event after number `after`, although its
+    /// framing calls it complete. A resumed stream is complete up to `last`.
+    EventsBroken {
+        framing: Framing,
+        after: u32,
+        part: usize,
+        last: u32,
+    },
+    /// The beginning of an answer without length or chunks, whose connection is reset.
+    Reset { body: String },
     /// A stream that stops after event `after` with the connection left open. A resumed
     /// stream is complete up to `last`.
     EventsStall { after: u32, last: u32 },
 }
 
+/// How an answer says where its body ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Framing {
+    /// `Content-Length`.
+    Length,
+    /// Chunks, of which the last is empty.
+    Chunks,
+    /// Neither: the connection is closed after the body.
+    Close,
+}
+
+impl Framing {
+    /// All of them.
+    pub const ALL: [Self; 3] = [Self::Length, Self::Chunks, Self::Close];
+}
+
 impl ReplicaAnswer {
     /// A complete answer of status 200 with this body.
     pub fn ok(body: &str) -> Self {
--- a/testbed/src/direct/replica_answering.rs
+++ b/testbed/src/direct/replica_answering.rs
@@ -1,10 +1,11 @@
 //! The answers that a stand-in replica writes.
 
 use {
-    super::{ReceivedRequest, ReplicaAnswer, replica_state::ReplicaState},
+    super::{Framing, ReceivedRequest, ReplicaAnswer, replica_state::ReplicaState},
     serde_json::json,
     std::{
         io,
+        ops::RangeInclusive,
         sync::atomic::Ordering,
         time::{Duration, Instant},
     },
@@ -149,6 +150,35 @@
             write_events(out, request, last, pause).await?;
             out.write("0\r\n\r\n").await?;
         }
+        ReplicaAnswer::EventsFramed { framing, last } => {
+            let body = event_texts(first_event(request)..=last);
+            return write_framed_events(out, request, framing, &body).await;
+        }
+        ReplicaAnswer::EventsBroken {
+            framing,
+            after,
+            part,
+            last,
+        } => {
+            let first = first_event(request);
+            let body = if first > 1 {
+                event_texts(first..=last)
+            } else {
+                event_texts(first..=after) + &event(after + 1)[..part]
+            };
+            return write_framed_events(out, request, framing, &body).await;
+        }
+        ReplicaAnswer::Reset { body } => {
+            let text = format!(
+                "HTTP/1.1 200 OK\r\nArchmast-Attempt-Id: {id}\r\nArchmast-Replica-Signature: s.1\r\n\r\n{body}"
+            );
+            out.write(&text).await?;
+            // With a linger time of zero, closing the connection resets it, and what is still
+            // unsent is lost: the answer has arrived once this end has no bytes left to send.
+            tokio::time::sleep(RESET_DELAY).await;
+            out.stream.set_zero_linger()?;
+            return Ok(false);
+        }
         ReplicaAnswer::EventsCut { last, .. } | ReplicaAnswer::EventsStall { last, .. }
             if !request.header("last-event-id").is_empty() =>
         {
@@ -170,6 +200,9 @@
     Ok(true)
 }
 
+/// Time from the last byte of an answer to the reset of its connection.
+const RESET_DELAY: Duration = Duration::from_millis(150);
+
 /// Time from the start of the run to a delayed crash.
 const CRASH_DELAY: Duration = Duration::from_millis(100);
 
@@ -220,8 +253,7 @@
         request.header("archmast-expected-replica")
     );
     out.write(&head).await?;
-    let first = request.header("last-event-id").parse().unwrap_or(0) + 1;
-    for number in first..=last {
+    for number in first_event(request)..=last {
         if !pause.is_zero() {
             tokio::time::sleep(pause).await;
         }
@@ -230,6 +262,42 @@
     Ok(())
 }
 
+/// Writes a stream of events in this framing. Returns false if the connection is to be closed
+/// afterwards.
+async fn write_framed_events(
+    out: &mut AnswerWriter<'_>,
+    request: &ReceivedRequest,
+    framing: Framing,
+    body: &str,
+) -> io::Result<bool> {
+    let framing_header = match framing {
+        Framing::Length => format!("Content-Length: {}\r\n", body.len()),
+        Framing::Chunks => "Transfer-Encoding: chunked\r\n".to_owned(),
+        Framing::Close => String::new(),
+    };
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nArchmast-Attempt-Id: {}\r\nArchmast-Replica-Signature: s.{}\r\nContent-Type: text/event-stream\r\n{framing_header}\r\n",
+        request.attempt_id(),
+        request.header("archmast-expected-replica")
+    );
+    out.write(&head).await?;
+    match framing {
+        Framing::Chunks if body.is_empty() => out.write("0\r\n\r\n").await?,
+        Framing::Chunks => out.write(&(chunk(body) + "0\r\n\r\n")).await?,
+        Framing::Length | Framing::Close => out.write(body).await?,
+    }
+    Ok(framing != Framing::Close)
+}
+
+/// The number of the first event that a request asks for.
+fn first_event(request: &ReceivedRequest) -> u32 {
+    request.header("last-event-id").parse().unwrap_or(0) + 1
+}
+
+fn event_texts(numbers: RangeInclusive<u32>) -> String {
+    numbers.map(event).collect()
+}
+
 /// The text of the event with this number, as stand-in replicas write it.
 pub fn event(number: u32) -> String {
     format!("id: {number}\ndata: piece {number}\n\n")
