A stream that ends inside an event has been broken off, whatever its framing says

Callers got a stream whose replica had crashed as if it were complete: 200, framed whole, body short.

Cause: the relay took the end of the body for the end of the stream. How a body ends (its length is reached, its last chunk comes, the connection closes) was also the answer to whether all of it had come, and what was left of an event in the splitter was passed on as the rest of the stream. A crashed process closes its connections in order, so that an answer with neither length nor chunks ends like a whole one.

Now a stream that ends with anything but blank lines and comments after its last whole event ends its attempt with code 51, like a lost connection: it goes on at another replica where the route permits, and is cut visibly elsewhere; before its first event it is retried or answered with 502. Events that end in carriage returns are split too, since they would else count as broken off.

--- a/src/direct/event_splitter.rs
+++ b/src/direct/event_splitter.rs
@@ -1,5 +1,8 @@
 use bytes::{Bytes, BytesMut};
 
+/// The end of a line and a blank line, of which an event's end consists.
+const EVENT_ENDS: [&[u8]; 3] = [b"\n\n", b"\n\r\n", b"\r\r"];
+
 /// Splits a stream of server-sent events into whole events, so that a caller never gets a
 /// partial event from a replica that fails.
 #[derive(Debug, Default)]
@@ -28,6 +31,15 @@
         self.last_id.as_deref()
     }
 
+    /// Whether the bytes so far end inside an event: after the last whole one comes anything but
+    /// blank lines and comments.
+    pub fn is_inside_event(&self) -> bool {
+        let mut lines: Vec<&[u8]> = self.partial[..].split(is_line_end).collect();
+        let unended = lines.pop().unwrap_or_default();
+        let is_ignored = |line: &&[u8]| line.is_empty() || line.starts_with(b":");
+        !unended.is_empty() || !lines.iter().all(is_ignored)
+    }
+
     /// Takes the bytes after the last whole event.
     pub fn take_partial(&mut self) -> Bytes {
         self.scanned = 0;
@@ -47,7 +59,8 @@
         let mut found = None;
         for index in 0..unscanned.len() {
             let tail = &unscanned[..=index];
-            if tail.ends_with(b"\n\n") || tail.ends_with(b"\n\r\n") {
+            let ends_event = EVENT_ENDS.iter().any(|end| tail.ends_with(end));
+            if ends_event {
                 found = Some(from + index + 1);
             }
         }
@@ -59,7 +72,7 @@
         &mut self,
         events: &[u8],
     ) {
-        let lines = events.split(|byte| *byte == b'\n');
+        let lines = events.split(is_line_end);
         let id = lines
             .filter_map(|line| line.strip_prefix(b"id:"))
             .next_back()
@@ -69,3 +82,7 @@
         }
     }
 }
+
+fn is_line_end(byte: &u8) -> bool {
+    matches!(byte, b'\n' | b'\r')
+}
--- a/src/direct/events_relay.rs
+++ b/src/direct/events_relay.rs
@@ -196,7 +196,7 @@
             .map(|(entry, target)| StreamWatch::new(gateway, entry, target));
     }
 
-    /// The next whole events of the current replica; `None` if its stream ended cleanly.
+    /// The next whole events of the current replica; `None` if its stream is whole.
     async fn read_events(&mut self) -> Result<Option<Bytes>, AttemptEnd> {
         if self.is_done {
             return Ok(None);
@@ -209,6 +209,12 @@
                         return Ok(Some(events));
                     }
                 }
+                None if self.splitter.is_inside_event() => {
+                    return Err(AttemptEnd::Unknown {
+                        code: ResultCode::AnswerCut,
+                        detail: "the stream ended inside an event".to_owned(),
+                    });
+                }
                 None => {
                     self.is_done = true;
                     self.outcome = "whole";
--- a/tests/event_splitter.rs
+++ b/tests/event_splitter.rs
@@ -58,3 +58,24 @@
     splitter.push(b"id: 1\n\ndata: tail");
     assert_eq!(&splitter.take_partial()[..], b"data: tail");
 }
+
+#[test]
+fn a_stream_ends_inside_an_event_unless_only_blank_lines_and_comments_follow_the_last_one() {
+    let cases: [(&[u8], bool); 9] = [
+        (b"", false),
+        (b"id: 1\n\n", false),
+        (b"id: 1\n\n\r\n", false),
+        (b"id: 1\r\r", false),
+        (b"id: 1\n\n: idle\n", false),
+        (b"id: 1\n\n: id", true),
+        (b"id: 1\n\nid: 2", true),
+        (b"id: 1\n\nid: 2\n", true),
+        (b"id: 1\r\n\r\nid: 2\r\ndata: b\r\n", true),
+    ];
+    for (bytes, is_inside) in cases {
+        let mut splitter = EventSplitter::default();
+        splitter.push(bytes);
+        let text = String::from_utf8_lossy(bytes);
+        assert_eq!(splitter.is_inside_event(), is_inside, "{text:?}");
+    }
+}
