A stream that may change replicas does not keep the length of its first one

Callers got a stream whose first replica had given a length, and ended inside an event, with that length: what the second replica sent was left out beyond it, and the answer counted as whole.

Cause: the head of the first replica is relayed with its Content-Length, and hyper writes no more than that. The events that follow may come from another replica, and the bytes of a broken event are not relayed at all, so that no replica's length is that of the answer.

Streams of events are now framed by chunks.

--- a/src/direct/events_relay.rs
+++ b/src/direct/events_relay.rs
@@ -13,7 +13,7 @@
     bytes::Bytes,
     futures::stream,
     http_body_util::{BodyExt, StreamBody},
-    hyper::{Response, body::Frame},
+    hyper::{Response, body::Frame, header::CONTENT_LENGTH},
     std::{io, time::Duration},
 };
 
@@ -98,7 +98,9 @@
         let arrived = self.exchange().call.arrived;
         self.first_event_after = Some(gateway.now().saturating_sub(arrived));
         self.start_pause_watch();
-        let head = copy_head(&self.answer.head);
+        let mut head = copy_head(&self.answer.head);
+        // Where another replica continues the stream, it may have another length.
+        head.headers.remove(CONTENT_LENGTH);
         let pieces = stream::unfold((first, self), |(first, mut relay)| async move {
             if let Some(first) = first {
                 return Some((Ok(Frame::data(first)), (None, relay)));
