A cut answer is written as far as it came before its connection is closed

Callers of a stream that broke off right after its first events got a closed connection with no answer: neither the head nor the events that the replica had made.

Cause: hyper drops what it has not written yet when the body of an answer fails, and an answer that comes at once is read to its cut before the first write. The buffer of the connection now holds the cut back until all before it was written.

--- a/src/direct/answer_buffer.rs
+++ b/src/direct/answer_buffer.rs
@@ -11,7 +11,7 @@
             Arc, Mutex, MutexGuard,
             atomic::{AtomicU64, Ordering},
         },
-        task::{Context, Poll},
+        task::{Context, Poll, Waker},
     },
 };
 
@@ -35,6 +35,7 @@
     body: Option<ReplyBody>, // `None` once it was read to its end
     pieces: VecDeque<Piece>, // read ahead
     is_awaited: bool,        // the connection can send and waits for a piece
+    flushed: Option<Waker>,  // of the connection, which is told of a cut once all was written
 }
 
 impl AnswerBuffer {
@@ -74,14 +75,33 @@
     ) -> Poll<Option<Piece>> {
         let mut state = self.state();
         if let Some(piece) = state.pieces.pop_front() {
-            return Poll::Ready(Some(piece));
+            return self.deliver(&mut state, context, piece);
         }
         let polled = state.poll(context);
         state.is_awaited = polled.is_pending();
-        if let Poll::Ready(Some(piece)) = &polled {
-            self.add_held(length(piece));
+        match polled {
+            Poll::Ready(Some(piece)) => {
+                self.add_held(length(&piece));
+                self.deliver(&mut state, context, piece)
+            }
+            other => other,
         }
-        polled
+    }
+
+    /// Passes a piece on. The cut of an answer waits until all before it was written, since the
+    /// connection discards what it has not written when its answer is cut.
+    fn deliver(
+        &self,
+        state: &mut ReadState,
+        context: &Context<'_>,
+        piece: Piece,
+    ) -> Poll<Option<Piece>> {
+        if piece.is_ok() || self.held.own() == 0 {
+            return Poll::Ready(Some(piece));
+        }
+        state.pieces.push_front(piece);
+        state.flushed = Some(context.waker().clone());
+        Poll::Pending
     }
 
     /// Reads the answer ahead while the connection cannot send and the memory budget permits.
@@ -110,6 +130,11 @@
     ) {
         self.held.subtract(bytes as u64);
         self.record_progress();
+        if self.held.own() == 0
+            && let Some(waker) = self.state().flushed.take()
+        {
+            waker.wake();
+        }
     }
 
     /// The bytes held if the answer is to be aborted, as its caller reads nothing; `None` if
