Log the software version of a replica and the stream that a request takes up

An entry's version was read and dropped, and the line on each attempt named the replica only, so that logs could not tell at which version a stream went on. No decision depends on either yet.

--- a/src/catalog/upstream_entry.rs
+++ b/src/catalog/upstream_entry.rs
@@ -11,6 +11,7 @@
     pub id: Arc<str>,
     pub started_unix_ms: Option<u64>, // start time in Unix milliseconds; none if replicas never restart
     pub service: Arc<str>,
+    pub version: Arc<str>, // of the replica's software
     pub address: SocketAddr,
     pub zone: Arc<str>,
     pub slots: u32, // requests that it processes concurrently
--- a/src/direct/dialect.rs
+++ b/src/direct/dialect.rs
@@ -16,6 +16,7 @@
     pub not_run: HeaderName,    // set by a replica that did not run the request
     pub signature: HeaderName,  // set by a replica on its own answers
     pub last_event: HeaderName, // id of the event after which a stream resumes
+    pub resumes: HeaderName,    // id of the request that brought the first event of a stream
     pub fetch_from: HeaderName, // address of a replica that has more of the prompt cached
     pub reserved: Vec<HeaderName>, // set by the system only; removed from callers' requests
 }
--- a/src/direct/exchange_choice.rs
+++ b/src/direct/exchange_choice.rs
@@ -5,9 +5,10 @@
         attempt::AttemptTarget,
         exchange::{DEFAULT_RETRY_AFTER, Exchange},
         in_flight_guard::InFlightGuard,
+        request_reader::header_text,
     },
     crate::{
-        catalog::{counter_of, era_of},
+        catalog::{UpstreamEntry, counter_of, era_of},
         codes::{ErrorAnswer, ResultCode},
         ops::PROMPT_TOKENS,
         policy::{
@@ -86,7 +87,7 @@
                     self.gateway.early_report.notify_one();
                 }
                 self.log_sent(
-                    &replica,
+                    &entry,
                     prefill_tokens,
                     queue_ms,
                     pauses_ms,
@@ -132,7 +133,7 @@
     /// Logs a placement with the figures that it was based on.
     fn log_sent(
         &self,
-        replica: &str,
+        entry: &UpstreamEntry,
         prefill_tokens: u32,
         queue_ms: f64,
         pauses_ms: f64,
@@ -149,12 +150,14 @@
         let saved = u64::from(tokens.saturating_sub(prefill_tokens));
         metrics::counter!(PROMPT_TOKENS, "kind" => saved_kind).increment(saved);
         let fetch_from = fetch_from.map_or_else(String::new, |address| address.to_string());
-        let origin = self.gateway.catalog.upstream_origin(replica);
+        let origin = self.gateway.catalog.upstream_origin(&entry.id);
         let share = self.share.unwrap_or_default();
         let upstreams_at = self.gateway.catalog.version().upstreams;
         log::info!(
             request_id = self.call.request_id.as_str(),
-            replica = replica,
+            replica = &*entry.id,
+            version = &*entry.version,
+            resumes = header_text(&self.call.headers, &self.gateway.dialect.names.resumes),
             service = &*self.call.service,
             account = self.call.account.as_deref().unwrap_or(""),
             tokens = self.call.tokens() as u64,
--- a/src/platform/dialect.rs
+++ b/src/platform/dialect.rs
@@ -33,6 +33,7 @@
             not_run: name("archmast-not-executed"),
             signature: name("archmast-replica-signature"),
             last_event: name("last-event-id"),
+            resumes: name("resumes"),
             fetch_from: name("kv-fetch"),
             reserved: SYSTEM_HEADERS.iter().map(|text| name(text)).collect(),
         },
--- a/src/platform/replica_json.rs
+++ b/src/platform/replica_json.rs
@@ -15,8 +15,7 @@
     address: SocketAddr,
     zone: String,
     born: Option<u64>, // start time in Unix ms; missing where replicas never reuse their ids
-    #[serde(rename = "version")]
-    _version: String,
+    version: String,   // of the software
     slots: u32,
     state: String,
     cold_remaining_ms: f64,
@@ -58,6 +57,7 @@
         id: id.into(),
         started_unix_ms: entry.born,
         service: entry.service.into(),
+        version: entry.version.into(),
         address: entry.address,
         zone: entry.zone.into(),
         slots: entry.slots,
--- a/testbed/src/measure/costs.rs
+++ b/testbed/src/measure/costs.rs
@@ -149,6 +149,7 @@
             id: id.as_str().into(),
             started_unix_ms: None,
             service: "model".into(),
+            version: "v1".into(),
             address: SocketAddr::from(([127, 0, 0, 1], 9)),
             zone: format!("zone-{}", number % ZONES).into(),
             slots: 64,
--- a/tests/cached_parts.rs
+++ b/tests/cached_parts.rs
@@ -189,6 +189,7 @@
         id: "i-a".into(),
         started_unix_ms: None,
         service: "s".into(),
+        version: "v1".into(),
         address: "10.0.0.1:80".parse().expect("an address"),
         zone: "z".into(),
         slots: 8,
--- a/tests/notices.rs
+++ b/tests/notices.rs
@@ -26,6 +26,7 @@
         id: id.into(),
         started_unix_ms,
         service: "s".into(),
+        version: "v1".into(),
         address: ([127, 0, 0, 1], 9000).into(),
         zone: "z".into(),
         slots: 8,
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -60,6 +60,7 @@
         id: id.into(),
         started_unix_ms: None,
         service: "model".into(),
+        version: "v1".into(),
         address: "127.0.0.1:9".parse().expect("an address"),
         zone: zone.into(),
         slots: 8,
--- a/tests/restarted_replicas.rs
+++ b/tests/restarted_replicas.rs
@@ -41,6 +41,7 @@
         id: id.into(),
         started_unix_ms: Some(started_unix_ms),
         service: "model".into(),
+        version: "v1".into(),
         address: "127.0.0.1:9".parse().expect("an address"),
         zone: "z".into(),
         slots: 8,
--- a/tests/slow_start.rs
+++ b/tests/slow_start.rs
@@ -50,6 +50,7 @@
         id: id.into(),
         started_unix_ms: None,
         service: SERVICE.into(),
+        version: "v1".into(),
         address: "127.0.0.1:9".parse().expect("an address"),
         zone: zone.into(),
         slots: 1000,
--- a/tests/stream_pauses.rs
+++ b/tests/stream_pauses.rs
@@ -333,6 +333,7 @@
         id: index.to_string().into(),
         started_unix_ms,
         service: "model".into(),
+        version: "v1".into(),
         address: "127.0.0.1:9".parse().expect("an address"),
         zone: "z".into(),
         slots: 64,
