--- a/testbed/src/direct/client.rs
+++ b/testbed/src/direct/client.rs
@@ -167,6 +167,11 @@
         }
     }
 
+    /// The bytes that were received but are not consumed yet, as text.
+    pub fn received_text(&self) -> String {
+        String::from_utf8_lossy(&self.received).into_owned()
+    }
+
     /// Waits for the next event on the connection: true if the router closes it without
     /// sending another byte.
     pub async fn is_closed_by_router(&mut self) -> bool {
--- a/testbed/src/direct/mod.rs
+++ b/testbed/src/direct/mod.rs
@@ -10,6 +10,7 @@
 mod replica;
 mod replica_answer;
 mod replica_answering;
+mod replica_entry;
 mod replica_serving;
 mod replica_state;
 mod route_text;
@@ -26,7 +27,8 @@
     received_request::ReceivedRequest,
     replica::Replica,
     replica_answer::{Framing, ReplicaAnswer},
-    replica_answering::{CrashTiming, event},
+    replica_answering::{CrashTiming, event, event_of_version},
+    replica_entry::ReplicaEntry,
     route_text::RouteText,
     store::{LostWrite, Store},
     store_mode::StoreMode,
--- a/testbed/src/direct/replica.rs
+++ b/testbed/src/direct/replica.rs
@@ -15,6 +15,9 @@
     tokio::{net::TcpListener, sync::watch, task::JoinHandle},
 };
 
+/// Software version of replicas that were given none.
+pub(super) const DEFAULT_VERSION: &str = "v1";
+
 /// A stand-in replica that answers requests as scripted and records them.
 pub struct Replica {
     pub id: String,
@@ -57,6 +60,7 @@
             refuses_cache_requests: AtomicBool::new(false),
             extra_headers: Mutex::default(),
             slow_until: Mutex::default(),
+            version: Mutex::default(),
         });
         let task = tokio::spawn(accept(state.clone(), listener));
         Self {
@@ -188,6 +192,20 @@
         *self.state.slow_until.lock().expect("lock") = Some(until);
     }
 
+    /// Sets the version of its software, which its events tell from then on.
+    pub fn set_version(
+        &self,
+        version: &str,
+    ) {
+        *self.state.version.lock().expect("lock") = Some(version.to_owned());
+    }
+
+    /// The version of its software, as its entry in the store states it.
+    pub fn version(&self) -> String {
+        let version = self.state.version.lock().expect("lock").clone();
+        version.unwrap_or_else(|| DEFAULT_VERSION.to_owned())
+    }
+
     /// Whether it has crashed.
     pub fn has_exited(&self) -> bool {
         *self.state.exited.borrow()
--- a/testbed/src/direct/replica_answering.rs
+++ b/testbed/src/direct/replica_answering.rs
@@ -75,6 +75,7 @@
 pub(super) struct AnswerWriter<'s> {
     pub stream: &'s mut TcpStream,
     pub extra_headers: String,
+    pub version: Option<String>, // of the replica's software, told in its events if set
 }
 
 impl AnswerWriter<'_> {
@@ -257,7 +258,8 @@
         if !pause.is_zero() {
             tokio::time::sleep(pause).await;
         }
-        out.write(&chunk(&event(number))).await?;
+        let event = event_of_version(number, out.version.as_deref());
+        out.write(&chunk(&event)).await?;
     }
     Ok(())
 }
@@ -303,6 +305,17 @@
     format!("id: {number}\ndata: piece {number}\n\n")
 }
 
+/// The same as [`event`], where the event tells the version of its replica's software, if set.
+pub fn event_of_version(
+    number: u32,
+    version: Option<&str>,
+) -> String {
+    match version {
+        None => event(number),
+        Some(version) => format!("id: {number}\ndata: piece {number} of {version}\n\n"),
+    }
+}
+
 fn chunk(text: &str) -> String {
     format!("{:x}\r\n{text}\r\n", text.len())
 }
--- a/testbed/src/direct/replica_serving.rs
+++ b/testbed/src/direct/replica_serving.rs
@@ -67,6 +67,7 @@
         let mut out = AnswerWriter {
             stream,
             extra_headers: state.extra_headers.lock().expect("lock").clone(),
+            version: state.version.lock().expect("lock").clone(),
         };
         if request.target == "/v1/kv-list" {
             let delay = *state.list_delay.lock().expect("lock");
--- a/testbed/src/direct/replica_state.rs
+++ b/testbed/src/direct/replica_state.rs
@@ -32,4 +32,5 @@
     pub refuses_cache_requests: AtomicBool,  // for the cache list and cache events
     pub extra_headers: Mutex<String>,        // header lines of all answers
     pub slow_until: Mutex<Option<Instant>>,  // end of the slow start, stated in health answers
+    pub version: Mutex<Option<String>>,      // of its software, told in its events if set
 }
--- a/testbed/src/direct/store.rs
+++ b/testbed/src/direct/store.rs
@@ -1,5 +1,5 @@
 use {
-    super::{ConfigText, RouteText},
+    super::{ConfigText, ReplicaEntry, RouteText},
     serde_json::{Value, json},
     std::{
         collections::BTreeMap,
@@ -161,11 +161,18 @@
         address: SocketAddr,
         state: &str,
     ) {
-        let entry = json!({
-            "service": service, "address": address, "zone": zone, "version": "v1",
-            "slots": 8, "state": state, "cold_remaining_ms": 0, "sequence": 1,
+        self.list(&ReplicaEntry {
+            state,
+            ..ReplicaEntry::new(zone, id, service, address)
         });
-        self.put(&format!("servers/{id}"), &entry);
+    }
+
+    /// Writes the entry of a replica. Returns the entry's revision.
+    pub fn list(
+        &self,
+        entry: &ReplicaEntry<'_>,
+    ) -> u64 {
+        self.put(&format!("servers/{}", entry.id), &entry.to_json())
     }
 
     /// Writes the entry of a ready replica whose slow start lasts for this long. Returns
@@ -178,11 +185,10 @@
         address: SocketAddr,
         slow_ms: u64,
     ) -> u64 {
-        let entry = json!({
-            "service": service, "address": address, "zone": zone, "version": "v1", "slots": 8,
-            "state": "ready", "cold_remaining_ms": slow_ms, "sequence": 1,
-        });
-        self.put(&format!("servers/{id}"), &entry)
+        self.list(&ReplicaEntry {
+            slow_ms,
+            ..ReplicaEntry::new(zone, id, service, address)
+        })
     }
 
     /// Removes the slow start from the replica's entry, unless the entry was written
@@ -216,10 +222,8 @@
         service: &str,
         address: SocketAddr,
     ) {
-        let entry = json!({
-            "service": service, "address": address, "zone": zone, "version": "v1", "slots": 8,
-            "state": "ready", "cold_remaining_ms": 0, "sequence": 1, "born": born,
-        });
+        let mut entry = ReplicaEntry::new(zone, id, service, address).to_json();
+        entry["born"] = born.into();
         self.put(&format!("servers/{id}"), &entry);
     }
 
