Routers tell each other at which software version streams began

A stream may go on only at the software version that began it, also when its caller takes it up at another router, which knew nothing of it.

Gateway::record_stream_origin keeps the version by a hash of the attempt id and sends it to two routers of the zone and one of another zone, chosen by rendezvous hashing; Gateway::find_stream_origin looks in the own table, then asks the own zone, then the others. Unknown and ambiguous both count as not known. Records go to new homes when the routers change, and expire with the call.

Three new kinds of datagrams, behind the last variant of PeerMessage. Nothing calls the two functions yet.

--- a/src/direct/gateway.rs
+++ b/src/direct/gateway.rs
@@ -8,11 +8,12 @@
         catalog::{Catalog, CatalogVersion},
         conf::DirectSettings,
         ops::{AuditTrail, SUSPENSIONS, Uptime},
-        peers::{PeerTable, RouterContact, ZoneTable},
+        peers::{PeerTable, RouterContact, StreamOrigins, ZoneTable, find_stream_origin},
         policy::{
             Incarnation, Moment, SuspensionGuard, name_hash,
             placement::ReplicaTable,
             shares::{RetryWindow, ShareTracker},
+            streams::{SoftwareVersion, StreamKey},
             suspects::SuspectTracker,
         },
     },
@@ -30,7 +31,7 @@
 ///
 /// Lock order: a connection's `AnswerBuffer`, `replica_table`, `shares`, `retries`, then leaf
 /// locks, under which no other lock is taken (suspects, abandoned attempts, suspension, catalog,
-/// pool, peers). None is held across an await.
+/// pool, peers, stream origins). None is held across an await.
 pub struct Gateway {
     settings: RwLock<Arc<DirectSettings>>, // a leaf lock
     pub dialect: Dialect,
@@ -43,6 +44,7 @@
     pub(super) abandoned_attempts: AbandonedAttempts,
     pub peers: PeerTable, // the routers of the own zone, and some of others
     pub zones: ZoneTable, // the other zones
+    pub stream_origins: StreamOrigins, // software versions at which streams began
     pub processor: ProcessorState,
     pub store_reads: StoreReadState, // whether this router reads the store, and whether it answers
     pub early_report: Notify, // wakes the task that reports to peers before the regular interval
@@ -93,6 +95,7 @@
             abandoned_attempts: AbandonedAttempts::default(),
             peers: PeerTable::new(own, &settings.seeds),
             zones: ZoneTable::default(),
+            stream_origins: StreamOrigins::default(),
             processor: ProcessorState::default(),
             store_reads: StoreReadState::default(),
             early_report: Notify::new(),
@@ -178,6 +181,35 @@
         self.suspects.lock().expect("suspects lock")
     }
 
+    /// Records the software version at which the stream began that answers this attempt, before
+    /// its first event is passed on. Other routers are told in the background.
+    pub fn record_stream_origin(
+        &self,
+        attempt_id: &str,
+        version: SoftwareVersion,
+        time_left: Duration,
+    ) {
+        if !attempt_id.is_empty() {
+            let key = StreamKey::new(attempt_id);
+            self.stream_origins
+                .record(self.now(), key, version, time_left);
+        }
+    }
+
+    /// The software version at which the stream began that answered this attempt at any router.
+    /// `None` if it is not known, or not for certain, within a part of `time_left`.
+    pub async fn find_stream_origin(
+        &self,
+        attempt_id: &str,
+        time_left: Duration,
+    ) -> Option<SoftwareVersion> {
+        if attempt_id.is_empty() {
+            return None;
+        }
+        let finding = find_stream_origin(self, StreamKey::new(attempt_id), time_left).await;
+        finding.version()
+    }
+
     /// Counts a call towards the retry budget of its service.
     pub fn count_request(
         &self,
--- a/src/ops/metric_names.rs
+++ b/src/ops/metric_names.rs
@@ -66,6 +66,15 @@
 /// Event streams with a pause between two events above the target pause of their route, by
 /// `service`. A stream counts once for each replica that serves it.
 pub const STREAMS_OVER_TARGET_PAUSE: &str = "archmast_broken_pauses_total";
+/// Records of the software versions at which streams began, as held by this router.
+pub const STREAM_ORIGINS: &str = "archmast_stream_origins";
+/// Such records sent to other routers, once for each receiver.
+pub const STREAM_ORIGINS_SENT: &str = "archmast_stream_origins_sent_total";
+/// Live records that were dropped since the table was full.
+pub const STREAM_ORIGINS_DROPPED: &str = "archmast_stream_origins_dropped_total";
+/// Queries for the software version at which a stream began, by `outcome`: `found`, `unknown`,
+/// `ambiguous`, `refused` if too many were pending, `abandoned` if the caller left.
+pub const STREAM_ORIGIN_QUERIES: &str = "archmast_stream_origin_queries_total";
 /// Requests that are held back, since replicas crashed while they ran them.
 pub const HELD_REQUESTS: &str = "archmast_held_requests";
 /// Messages of other routers that could not be decoded and were dropped, by `code`. A newer build
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -40,6 +40,12 @@
 mod self_signed_certificate;
 mod send_reports;
 mod sent_reports;
+mod stream_answer_message;
+mod stream_origin_search;
+mod stream_origins;
+mod stream_origins_gossip;
+mod stream_origins_message;
+mod stream_query_message;
 mod suspects_gossip;
 mod suspects_message;
 mod update_server;
@@ -63,6 +69,11 @@
     router_contact::RouterContact,
     router_report::RouterReport,
     sent_reports::SentReports,
+    stream_answer_message::StreamAnswerMessage,
+    stream_origin_search::find_stream_origin,
+    stream_origins::StreamOrigins,
+    stream_origins_message::StreamOriginsMessage,
+    stream_query_message::{QueryScope, StreamQueryMessage},
     suspects_message::SuspectsMessage,
     zone_summary::ZoneSummary,
     zone_table::ZoneTable,
--- a/src/peers/peer_link.rs
+++ b/src/peers/peer_link.rs
@@ -90,6 +90,7 @@
         tokio::spawn(self.clone().receive());
         tokio::spawn(self.clone().discover());
         tokio::spawn(self.clone().catch_up());
+        tokio::spawn(self.clone().send_stream_messages());
         tokio::spawn(self.send_regularly());
     }
 
--- a/src/peers/peer_message.rs
+++ b/src/peers/peer_message.rs
@@ -1,7 +1,8 @@
 use {
     super::{
         CacheEventsMessage, ErasMessage, EvidenceMessage, LeavingMessage, RouterContact,
-        RouterReport, SuspectsMessage, ZoneSummary,
+        RouterReport, StreamAnswerMessage, StreamOriginsMessage, StreamQueryMessage,
+        SuspectsMessage, ZoneSummary,
     },
     serde::{Deserialize, Serialize},
 };
@@ -29,6 +30,12 @@
     /// That the sender compares the store's eras, to the own zone; what it carried over from an
     /// earlier era, also to others.
     Eras(ErasMessage),
+    /// Software versions at which streams began, to the routers that keep them.
+    StreamOrigins(StreamOriginsMessage),
+    /// Query for the version at which a stream began.
+    StreamQuery(StreamQueryMessage),
+    /// Answer to such a query.
+    StreamAnswer(StreamAnswerMessage),
 }
 
 impl PeerMessage {
@@ -44,6 +51,9 @@
             Self::Evidence(_) => "evidence",
             Self::CacheEvents(_) => "kept",
             Self::Eras(_) => "eras",
+            Self::StreamOrigins(_) => "stream_origins",
+            Self::StreamQuery(_) => "stream_query",
+            Self::StreamAnswer(_) => "stream_answer",
         }
     }
 }
--- a/src/peers/peer_table.rs
+++ b/src/peers/peer_table.rs
@@ -2,7 +2,7 @@
     super::{RouterContact, RouterReport, peer_entry::PeerEntry},
     crate::{
         catalog::CatalogVersion,
-        policy::{Moment, Neighbour},
+        policy::{Moment, Neighbour, streams::RouterProcess},
     },
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -239,6 +239,36 @@
         live.map(|(address, _)| *address).collect()
     }
 
+    /// The processes of the live routers of the own zone, besides this one.
+    pub fn live_processes(
+        &self,
+        now: Moment,
+        age: Duration,
+    ) -> Vec<RouterProcess> {
+        let peers = self.peers();
+        let live = peers.iter().filter(|(_, entry)| entry.is_live(now, age));
+        let processes = live.map(|(address, entry)| RouterProcess {
+            address: *address,
+            incarnation: entry.incarnation,
+        });
+        processes.collect()
+    }
+
+    /// The routers of a zone that were seen within `age`.
+    pub fn recent_in_zone(
+        &self,
+        now: Moment,
+        age: Duration,
+        zone: u32,
+    ) -> Vec<SocketAddr> {
+        let peers = self.peers();
+        let recent = peers.iter().filter(|(_, entry)| {
+            let seen = entry.last_seen;
+            entry.zone == Some(zone) && seen.is_some_and(|at| now.saturating_sub(at) <= age)
+        });
+        recent.map(|(address, _)| *address).collect()
+    }
+
     /// Mean processor utilisation, in percent, of the live routers of the own zone besides
     /// this one; none if there are none.
     pub fn mean_busy(
--- a/src/peers/receive.rs
+++ b/src/peers/receive.rs
@@ -73,6 +73,11 @@
                     self.relay(datagram).await;
                 }
             }
+            Ok(PeerMessage::StreamOrigins(message)) => {
+                self.apply_stream_origins(from, message).await
+            }
+            Ok(PeerMessage::StreamQuery(query)) => self.answer_stream_query(from, query).await,
+            Ok(PeerMessage::StreamAnswer(answer)) => self.apply_stream_answer(from, &answer),
             Ok(PeerMessage::Ask(asker)) => self.answer_discovery(from, asker).await,
             Ok(PeerMessage::Names(contacts)) => {
                 self.gateway
--- a/src/peers/zone_table.rs
+++ b/src/peers/zone_table.rs
@@ -89,6 +89,19 @@
         fresh.map(|entry| entry.representative)
     }
 
+    /// The zones whose last summary is at most `age` old, each with its representative.
+    pub fn representatives(
+        &self,
+        now: Moment,
+        age: Duration,
+    ) -> Vec<(u32, SocketAddr)> {
+        let zones = self.zones();
+        let fresh = zones.iter().filter(|(_, entry)| entry.is_fresh(now, age));
+        fresh
+            .map(|(zone, entry)| (*zone, entry.representative))
+            .collect()
+    }
+
     /// Number of live routers in all other zones whose last summary is at most `age` old.
     pub fn router_count(
         &self,
--- a/src/policy/direct/mod.rs
+++ b/src/policy/direct/mod.rs
@@ -6,6 +6,7 @@
 mod reporter;
 pub mod shares;
 pub mod slow_start;
+pub mod streams;
 pub mod suspects;
 
 pub use {
