Origins of streams: records follow their homes, tests of the exchange

The records, and to which homes they were sent, are plain data in policy::streams (OriginRecords). Before, a record that was sent between two rounds to homes of that moment could miss the homes of the rounds before and after; both now go by one list of homes.

--- a/src/peers/peer_table.rs
+++ b/src/peers/peer_table.rs
@@ -254,19 +254,21 @@
         processes.collect()
     }
 
-    /// The routers of a zone that were seen within `age`.
-    pub fn recent_in_zone(
+    /// The routers that were seen within `age`, by zone.
+    pub fn recent_by_zone(
         &self,
         now: Moment,
         age: Duration,
-        zone: u32,
-    ) -> Vec<SocketAddr> {
-        let peers = self.peers();
-        let recent = peers.iter().filter(|(_, entry)| {
+    ) -> BTreeMap<u32, Vec<SocketAddr>> {
+        let mut by_zone: BTreeMap<u32, Vec<SocketAddr>> = BTreeMap::new();
+        for (address, entry) in self.peers().iter() {
             let seen = entry.last_seen;
-            entry.zone == Some(zone) && seen.is_some_and(|at| now.saturating_sub(at) <= age)
-        });
-        recent.map(|(address, _)| *address).collect()
+            let is_recent = seen.is_some_and(|at| now.saturating_sub(at) <= age);
+            if let Some(zone) = entry.zone.filter(|_| is_recent) {
+                by_zone.entry(zone).or_default().push(*address);
+            }
+        }
+        by_zone
     }
 
     /// Mean processor utilisation, in percent, of the live routers of the own zone besides
--- a/src/peers/send_reports.rs
+++ b/src/peers/send_reports.rs
@@ -58,7 +58,7 @@
             self.send_eras(now, &addresses).await;
             self.send_evidence(now, &addresses).await;
             self.send_cache_events(now, &addresses).await;
-            self.update_stream_homes(now).await;
+            self.update_stream_origins(now).await;
             let summaries = self.send_summaries(now).await;
             let datagrams = (addresses.len() + summaries) as f64;
             let urgent_interval =
--- a/src/peers/stream_origin_search.rs
+++ b/src/peers/stream_origin_search.rs
@@ -6,9 +6,7 @@
     crate::{
         direct::Gateway,
         ops::STREAM_ORIGIN_QUERIES,
-        policy::streams::{
-            OriginFinding, QueryGroup, QueryId, QueryStage, StreamKey, StreamOrigin,
-        },
+        policy::streams::{OriginFinding, QueryGroup, QueryId, StreamKey, StreamOrigin},
     },
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{sync::Notify, time::timeout},
@@ -27,6 +25,29 @@
 /// A stage takes at most this fraction of the caller's remaining time.
 const MAX_TIME_FRACTION: u32 = 4;
 
+/// Whom a query asks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum QueryStage {
+    Zone,       // routers of the own zone
+    OtherZones, // one router of each other zone, on its zone's behalf
+}
+
+impl QueryStage {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Zone => "zone",
+            Self::OtherZones => "other_zones",
+        }
+    }
+
+    fn time_limit(self) -> Duration {
+        match self {
+            Self::Zone => ZONE_TIMEOUT,
+            Self::OtherZones => OTHER_ZONES_TIMEOUT,
+        }
+    }
+}
+
 /// Outcome of a search.
 struct SearchEnd {
     finding: OriginFinding,
@@ -59,7 +80,8 @@
             version: Some(version),
             remaining_ms: remaining.as_millis().try_into().unwrap_or(u32::MAX),
         };
-        gateway.stream_origins.keep(now, &origin);
+        let own = gateway.peers.own().address;
+        gateway.stream_origins.apply(now, own, &[origin]);
     }
     let source = end.source.map(|router| router.to_string());
     let ms = now.saturating_sub(begun_at).as_millis() as u64;
@@ -132,11 +154,7 @@
         stage: QueryStage,
         time_left: Duration,
     ) {
-        let limit = match stage {
-            QueryStage::Zone => ZONE_TIMEOUT,
-            QueryStage::OtherZones => OTHER_ZONES_TIMEOUT,
-        };
-        let limit = limit.min(time_left / MAX_TIME_FRACTION);
+        let limit = stage.time_limit().min(time_left / MAX_TIME_FRACTION);
         for attempt in 0..ATTEMPTS {
             self.ask(stage, attempt);
             let attempt_limit = limit / ATTEMPTS as u32;
--- a/src/peers/stream_origins.rs
+++ b/src/peers/stream_origins.rs
@@ -5,13 +5,13 @@
         policy::{
             Moment,
             streams::{
-                OriginFinding, OriginHomes, OriginQueries, OriginQuery, OriginTable, QueryId,
-                SoftwareVersion, StreamKey, StreamOrigin,
+                OriginBatches, OriginFinding, OriginHomes, OriginQueries, OriginQuery,
+                OriginRecords, QueryId, SoftwareVersion, StreamKey, StreamOrigin,
             },
         },
     },
     std::{
-        collections::{BTreeMap, BTreeSet, HashMap},
+        collections::HashMap,
         net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard},
         time::Duration,
@@ -22,9 +22,6 @@
 /// Shortest time between two log lines about dropped records.
 const DROPPED_LOG_INTERVAL: Duration = Duration::from_secs(10);
 
-/// Records by receiver, and whether the receiver passes them on in its zone.
-pub(super) type OriginBatches = BTreeMap<(SocketAddr, bool), Vec<StreamOrigin>>;
-
 /// The software versions at which streams began, as far as this router knows them, and its queries
 /// for others.
 #[derive(Debug, Default)]
@@ -35,9 +32,7 @@
 
 #[derive(Debug, Default)]
 struct OriginState {
-    table: OriginTable,
-    unsent: BTreeSet<StreamKey>, // records that are to be sent to their homes
-    homes: OriginHomes,          // to which all other records of this router were sent
+    records: OriginRecords,
     queries: OriginQueries,
     unsent_queries: Vec<(SocketAddr, StreamQueryMessage)>,
     callers: HashMap<QueryId, Arc<Notify>>, // woken when their query is settled
@@ -59,6 +54,24 @@
             }
         }
     }
+
+    fn log_dropped(
+        &mut self,
+        now: Moment,
+    ) {
+        let dropped = self.records.take_dropped();
+        metrics::counter!(STREAM_ORIGINS_DROPPED).increment(dropped);
+        self.dropped += dropped;
+        let last = self.dropped_logged_at;
+        let is_due = last.is_none_or(|at| now.saturating_sub(at) >= DROPPED_LOG_INTERVAL);
+        if self.dropped > 0 && is_due {
+            log::warn!(
+                dropped = std::mem::take(&mut self.dropped), held = self.records.len();
+                "too many streams: records of their software versions were dropped"
+            );
+            self.dropped_logged_at = Some(now);
+        }
+    }
 }
 
 impl StreamOrigins {
@@ -72,8 +85,7 @@
         time_left: Duration,
     ) {
         let mut state = self.state();
-        if state.table.record_own(now, key, version, time_left) {
-            state.unsent.insert(key);
+        if state.records.record_own(now, key, version, time_left) {
             drop(state);
             self.has_unsent.notify_one();
         }
@@ -85,12 +97,12 @@
         now: Moment,
         key: StreamKey,
     ) -> OriginFinding {
-        self.state().table.find(now, key)
+        self.state().records.find(now, key)
     }
 
     /// Number of records.
     pub fn len(&self) -> usize {
-        self.state().table.len()
+        self.state().records.len()
     }
 
     /// Whether there are no records.
@@ -112,11 +124,10 @@
     ) {
         let mut state = self.state();
         for origin in origins {
-            if state.table.apply(now, origin) {
-                state.unsent.insert(origin.key);
+            if state.records.apply(now, origin) {
                 self.has_unsent.notify_one();
             }
-            let finding = state.table.find(now, origin.key);
+            let finding = state.records.find(now, origin.key);
             if finding != OriginFinding::Unknown {
                 state.apply_finding(from, origin.key, finding, 0);
             }
@@ -134,15 +145,6 @@
         self.state().apply_finding(from, key, finding, passed_on);
     }
 
-    /// Adds a record that another router holds, without telling others of it.
-    pub(super) fn keep(
-        &self,
-        now: Moment,
-        origin: &StreamOrigin,
-    ) {
-        self.state().table.apply(now, origin);
-    }
-
     /// Waits until there is something to send.
     pub(super) async fn wait_for_unsent(&self) {
         self.has_unsent.notified().await;
@@ -152,17 +154,9 @@
     pub(super) fn take_unsent(
         &self,
         now: Moment,
-        homes: &OriginHomes,
+        homes: OriginHomes,
     ) -> OriginBatches {
-        let mut state = self.state();
-        let mut batches = OriginBatches::new();
-        for key in std::mem::take(&mut state.unsent) {
-            if let Some(origin) = state.table.origin(now, key) {
-                let receivers = (homes.in_zone(key), homes.in_other_zones(key));
-                add_to_batches(&mut batches, origin, receivers);
-            }
-        }
-        batches
+        self.state().records.take_unsent(now, homes)
     }
 
     /// Takes the queries that are to be sent.
@@ -170,27 +164,14 @@
         std::mem::take(&mut self.state().unsent_queries)
     }
 
-    /// Removes expired records, and returns those that this router has to send to routers that have
-    /// become their homes.
-    pub(super) fn update_homes(
+    /// Removes expired records, and logs that others were dropped.
+    pub(super) fn remove_expired(
         &self,
         now: Moment,
-        homes: OriginHomes,
-    ) -> OriginBatches {
+    ) {
         let mut state = self.state();
-        state.table.remove_expired(now);
+        state.records.remove_expired(now);
         state.log_dropped(now);
-        let mut batches = OriginBatches::new();
-        if homes.differs_from(&state.homes) {
-            for key in state.table.own_keys() {
-                if let Some(origin) = state.table.origin(now, key) {
-                    let receivers = homes.added_since(&state.homes, key);
-                    add_to_batches(&mut batches, origin, receivers);
-                }
-            }
-            state.homes = homes;
-        }
-        batches
     }
 
     /// Adds a query; `None` if too many are pending. The caller is woken when it is settled.
@@ -243,35 +224,3 @@
         self.state.lock().expect("stream origins lock")
     }
 }
-
-impl OriginState {
-    fn log_dropped(
-        &mut self,
-        now: Moment,
-    ) {
-        let dropped = self.table.take_dropped();
-        metrics::counter!(STREAM_ORIGINS_DROPPED).increment(dropped);
-        self.dropped += dropped;
-        let last = self.dropped_logged_at;
-        let is_due = last.is_none_or(|at| now.saturating_sub(at) >= DROPPED_LOG_INTERVAL);
-        if self.dropped > 0 && is_due {
-            log::warn!(
-                dropped = std::mem::take(&mut self.dropped), held = self.table.len();
-                "too many streams: records of their software versions were dropped"
-            );
-            self.dropped_logged_at = Some(now);
-        }
-    }
-}
-
-fn add_to_batches(
-    batches: &mut OriginBatches,
-    origin: StreamOrigin,
-    (in_zone, in_other_zones): (Vec<SocketAddr>, Vec<SocketAddr>),
-) {
-    let in_zone = in_zone.into_iter().map(|router| (router, false));
-    let in_other_zones = in_other_zones.into_iter().map(|router| (router, true));
-    for receiver in in_zone.chain(in_other_zones) {
-        batches.entry(receiver).or_default().push(origin);
-    }
-}
--- a/src/peers/stream_origins_gossip.rs
+++ b/src/peers/stream_origins_gossip.rs
@@ -4,14 +4,14 @@
 use {
     super::{
         PeerLink, PeerMessage, QueryScope, StreamAnswerMessage, StreamOriginsMessage,
-        StreamQueryMessage, peer_link::PEER_SILENCE_LIMIT, stream_origins::OriginBatches,
+        StreamQueryMessage, peer_link::PEER_SILENCE_LIMIT,
     },
     crate::{
         direct::Gateway,
         ops::{STREAM_ORIGINS, STREAM_ORIGINS_SENT},
         policy::{
             Moment,
-            streams::{OriginFinding, OriginHomes, ZoneContacts},
+            streams::{OriginBatches, OriginFinding, OriginHomes, OriginReceiver, ZoneContacts},
         },
     },
     std::{net::SocketAddr, sync::Arc, time::Duration},
@@ -35,39 +35,44 @@
             for (router, query) in self.gateway.stream_origins.take_unsent_queries() {
                 self.send(&PeerMessage::StreamQuery(query), &[router]).await;
             }
-            let now = self.gateway.now();
-            let homes = origin_homes(&self.gateway, now);
-            let batches = self.gateway.stream_origins.take_unsent(now, &homes);
-            self.send_origins(batches).await;
+            self.send_origins(self.gateway.now()).await;
             tokio::time::sleep(SEND_INTERVAL).await;
         }
     }
 
-    /// Sends this router's records to routers that have become their homes, and removes expired
-    /// ones.
-    pub(super) async fn update_stream_homes(
+    /// Removes expired records, and sends those of this router to routers that have become their
+    /// homes.
+    pub(super) async fn update_stream_origins(
         &self,
         now: Moment,
     ) {
         let origins = &self.gateway.stream_origins;
-        let homes = origin_homes(&self.gateway, now);
-        let batches = origins.update_homes(now, homes);
+        origins.remove_expired(now);
         metrics::gauge!(STREAM_ORIGINS).set(origins.len() as f64);
-        self.send_origins(batches).await;
+        self.send_origins(now).await;
     }
 
     async fn send_origins(
+        &self,
+        now: Moment,
+    ) {
+        let homes = origin_homes(&self.gateway, now);
+        let batches = self.gateway.stream_origins.take_unsent(now, homes);
+        self.send_origin_batches(batches).await;
+    }
+
+    async fn send_origin_batches(
         &self,
         batches: OriginBatches,
     ) {
-        for ((router, for_zone), origins) in batches {
+        for (receiver, origins) in batches {
             metrics::counter!(STREAM_ORIGINS_SENT).increment(origins.len() as u64);
             for part in origins.chunks(MAX_ORIGINS) {
                 let message = StreamOriginsMessage {
-                    for_zone,
+                    for_zone: receiver.for_zone,
                     origins: part.to_vec(),
                 };
-                self.send(&PeerMessage::StreamOrigins(message), &[router])
+                self.send(&PeerMessage::StreamOrigins(message), &[receiver.address])
                     .await;
             }
         }
@@ -90,10 +95,14 @@
         let mut batches = OriginBatches::new();
         for origin in message.origins {
             if let Some(home) = homes.first_home(own, origin.key) {
-                batches.entry((home, false)).or_default().push(origin);
+                let receiver = OriginReceiver {
+                    address: home,
+                    for_zone: false,
+                };
+                batches.entry(receiver).or_default().push(origin);
             }
         }
-        self.send_origins(batches).await;
+        self.send_origin_batches(batches).await;
     }
 
     /// Answers the query of another router. One on behalf of the zone is passed on to the homes of
@@ -151,8 +160,9 @@
 ) -> OriginHomes {
     let neighbours = gateway.peers.live_processes(now, PEER_SILENCE_LIMIT);
     let zones = gateway.zones.representatives(now, PEER_SILENCE_LIMIT);
+    let mut recent = gateway.peers.recent_by_zone(now, MAX_CONTACT_AGE);
     let contacts = zones.into_iter().map(|(zone, representative)| {
-        let mut routers = gateway.peers.recent_in_zone(now, MAX_CONTACT_AGE, zone);
+        let mut routers = recent.remove(&zone).unwrap_or_default();
         if !routers.contains(&representative) {
             routers.push(representative);
         }
--- a/src/policy/direct/streams/mod.rs
+++ b/src/policy/direct/streams/mod.rs
@@ -9,18 +9,30 @@
 mod origin_homes;
 mod origin_queries;
 mod origin_query;
+mod origin_receiver;
+mod origin_records;
 mod origin_table;
+mod query_group;
+mod query_id;
+mod router_process;
 mod software_version;
 mod stream_key;
 mod stream_origin;
+mod zone_contacts;
 
 pub use {
     origin_finding::OriginFinding,
-    origin_homes::{OriginHomes, RouterProcess, ZoneContacts},
-    origin_queries::{OriginQueries, QueryId},
-    origin_query::{OriginQuery, QueryGroup, QueryStage},
+    origin_homes::OriginHomes,
+    origin_queries::OriginQueries,
+    origin_query::OriginQuery,
+    origin_receiver::{OriginBatches, OriginReceiver},
+    origin_records::OriginRecords,
     origin_table::OriginTable,
+    query_group::QueryGroup,
+    query_id::QueryId,
+    router_process::RouterProcess,
     software_version::SoftwareVersion,
     stream_key::StreamKey,
     stream_origin::StreamOrigin,
+    zone_contacts::ZoneContacts,
 };
--- a/src/policy/direct/streams/origin_homes.rs
+++ b/src/policy/direct/streams/origin_homes.rs
@@ -1,10 +1,7 @@
 use {
-    super::StreamKey,
+    super::{OriginReceiver, RouterProcess, StreamKey, ZoneContacts},
     crate::policy::{mix_hashes, stable_hash},
-    std::{
-        collections::{BTreeMap, BTreeSet},
-        net::SocketAddr,
-    },
+    std::{collections::BTreeMap, net::SocketAddr},
 };
 
 /// Routers of the own zone that keep a record besides the one that began the stream.
@@ -17,20 +14,6 @@
 /// Other zones that get a record. A zone with too few homes sends it to more of them.
 const OTHER_ZONES: usize = 1;
 
-/// A router's process: after a restart it has another incarnation, and has lost its records.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct RouterProcess {
-    pub address: SocketAddr,
-    pub incarnation: u64,
-}
-
-/// The routers of another zone that were recently heard of.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
-pub struct ZoneContacts {
-    pub zone: u32, // hash of the zone's name
-    pub routers: Vec<SocketAddr>,
-}
-
 /// Which routers keep the records of streams: derived by rendezvous hashing from the live routers,
 /// so that all routers agree without negotiation.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
@@ -66,31 +49,33 @@
         }
     }
 
-    /// The routers of the own zone to which this router sends a record, in the order of homes.
-    pub fn in_zone(
+    /// The routers to which this router sends a record.
+    pub fn receivers(
         &self,
         key: StreamKey,
-    ) -> Vec<SocketAddr> {
-        self.first_neighbours(key, HOMES_IN_ZONE)
+    ) -> Vec<OriginReceiver> {
+        let homes = self.homes(key).into_iter();
+        homes.filter_map(|home| self.receiver(home, key)).collect()
     }
 
-    /// The routers of the own zone that are asked for a record.
-    pub fn asked_in_zone(
+    /// Those of them that lack the record if it was sent when `before` were the homes.
+    pub fn added_since(
         &self,
+        before: &Self,
         key: StreamKey,
-    ) -> Vec<SocketAddr> {
-        self.first_neighbours(key, ASKED_IN_ZONE)
+    ) -> Vec<OriginReceiver> {
+        let known = before.homes(key);
+        let homes = self.homes(key).into_iter();
+        let added = homes.filter(|home| !known.contains(home));
+        added.filter_map(|home| self.receiver(home, key)).collect()
     }
 
-    /// The routers of other zones to which this router sends a record.
-    pub fn in_other_zones(
+    /// The routers of the own zone that are asked for a record.
+    pub fn asked_in_zone(
         &self,
         key: StreamKey,
     ) -> Vec<SocketAddr> {
-        let zones = self.next_zones().into_iter();
-        zones
-            .filter_map(|zone| self.contact(zone, key, 0))
-            .collect()
+        self.first_neighbours(key, ASKED_IN_ZONE)
     }
 
     /// The router of the own zone that keeps a record which came from another zone, unless it is
@@ -116,26 +101,6 @@
         contacts.collect()
     }
 
-    /// The receivers of a record that lack it if it was sent when `before` were the homes: routers
-    /// of the own zone, and of others.
-    pub fn added_since(
-        &self,
-        before: &Self,
-        key: StreamKey,
-    ) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
-        let known: BTreeSet<Home> = before.homes(key).into_iter().collect();
-        let mut in_zone = Vec::new();
-        let mut in_others = Vec::new();
-        for home in self.homes(key) {
-            match home {
-                _ if known.contains(&home) => {}
-                Home::Router(router) => in_zone.push(router.address),
-                Home::Zone(zone) => in_others.extend(self.contact(zone, key, 0)),
-            }
-        }
-        (in_zone, in_others)
-    }
-
     /// Whether records may have other homes than with `before`.
     pub fn differs_from(
         &self,
@@ -148,7 +113,8 @@
         &self,
         key: StreamKey,
     ) -> Vec<Home> {
-        let routers = self.in_zone(key).into_iter().map(|address| {
+        let first = self.first_neighbours(key, HOMES_IN_ZONE).into_iter();
+        let routers = first.map(|address| {
             let incarnation = self.neighbours.get(&address).copied().unwrap_or_default();
             Home::Router(RouterProcess {
                 address,
@@ -159,6 +125,18 @@
         routers.chain(zones).collect()
     }
 
+    fn receiver(
+        &self,
+        home: Home,
+        key: StreamKey,
+    ) -> Option<OriginReceiver> {
+        let (address, for_zone) = match home {
+            Home::Router(router) => (router.address, false),
+            Home::Zone(zone) => (self.contact(zone, key, 0)?, true),
+        };
+        Some(OriginReceiver { address, for_zone })
+    }
+
     /// The zones that get this zone's records: those that follow it in the order of hashes.
     fn next_zones(&self) -> Vec<u32> {
         let missing = HOMES_IN_ZONE.saturating_sub(self.neighbours.len());
--- a/src/policy/direct/streams/origin_queries.rs
+++ b/src/policy/direct/streams/origin_queries.rs
@@ -1,5 +1,5 @@
 use {
-    super::{OriginFinding, OriginQuery, StreamKey},
+    super::{OriginFinding, OriginQuery, QueryId, StreamKey},
     std::{
         collections::{BTreeMap, HashMap},
         net::SocketAddr,
@@ -9,13 +9,6 @@
 /// Queries that may be pending at once.
 const MAX_QUERIES: usize = 1024;
 
-/// Identifies a pending query within the process.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct QueryId {
-    pub key: StreamKey,
-    number: u64,
-}
-
 /// The pending queries of a router. Several may be for the same stream; an answer counts for all
 /// of them, since the origin of a stream does not change.
 #[derive(Debug)]
--- a/src/policy/direct/streams/origin_query.rs
+++ b/src/policy/direct/streams/origin_query.rs
@@ -1,37 +1,11 @@
 use {
-    super::OriginFinding,
+    super::{OriginFinding, QueryGroup},
     std::{
         collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
     },
 };
 
-/// Whom a query asks.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum QueryStage {
-    /// Routers of the own zone.
-    Zone,
-    /// The other zones.
-    OtherZones,
-}
-
-impl QueryStage {
-    /// Its label in logs.
-    pub fn label(self) -> &'static str {
-        match self {
-            Self::Zone => "zone",
-            Self::OtherZones => "other_zones",
-        }
-    }
-}
-
-/// Routers of which one answer is enough.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum QueryGroup {
-    Router(SocketAddr), // one router of the own zone
-    Zone(u32),          // the routers of another zone that were asked on its behalf
-}
-
 /// One query for the origin of a stream: who was asked and who answered.
 ///
 /// A router that is asked on behalf of its zone may pass the query on to others of its zone, which
--- a/tests/landed_messages.rs
+++ b/tests/landed_messages.rs
@@ -13,17 +13,20 @@
         },
         codes::ResultCode,
         peers::{
-            CatalogUpdate, ErasMessage, KnowsEras, PeerMessage, ReportBody, RouterContact,
-            RouterReport, SuspectsMessage, ZoneSummary,
+            CacheEventsMessage, CatalogUpdate, ErasMessage, EvidenceMessage, KnowsEras,
+            LeavingMessage, PeerMessage, QueryScope, ReportBody, RouterContact, RouterReport,
+            StreamAnswerMessage, StreamOriginsMessage, StreamQueryMessage, SuspectsMessage,
+            ZoneSummary,
         },
         policy::{
             placement::{EngineLatency, LatencyReport, Load, PartPlacement, ReplicaReport},
             shares::AccountUsage,
+            streams::{OriginFinding, SoftwareVersion, StreamKey, StreamOrigin},
             suspects::{CrashReport, RequestDigest, SuspectReport},
         },
         wire::{decode_payload, encode_frame, encode_payload, read_frame},
     },
-    serde::{Serialize, de::DeserializeOwned},
+    serde::{Deserialize, Serialize, de::DeserializeOwned},
     std::{fmt::Debug, net::SocketAddr},
 };
 
@@ -257,3 +260,135 @@
     assert_eq!(read_frame(&mut alone).await, Ok(Some(version())));
     assert_eq!(read_frame::<KnowsEras, _>(&mut alone).await, Ok(None));
 }
+
+/// The datagrams that the released build knows.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+enum ReleasedMessage {
+    Report(RouterReport),
+    Summary(ZoneSummary),
+    Ask(RouterContact),
+    Names(Vec<RouterContact>),
+    Suspects(SuspectsMessage),
+    Leaving(LeavingMessage),
+    Evidence(EvidenceMessage),
+    CacheEvents(CacheEventsMessage),
+    Eras(ErasMessage),
+}
+
+fn eras() -> ErasMessage {
+    ErasMessage {
+        zone: 5,
+        reporter: address(1),
+        is_reader: false,
+        era: 0,
+        entries: Vec::new(),
+        cordons: Vec::new(),
+    }
+}
+
+fn stream_messages() -> Vec<PeerMessage> {
+    let key = StreamKey(0x0102_0304_0506_0708);
+    let version = SoftwareVersion(u64::MAX);
+    let origin = |version| StreamOrigin {
+        key,
+        version,
+        remaining_ms: 300,
+    };
+    let query = |scope| PeerMessage::StreamQuery(StreamQueryMessage { key, scope });
+    let answer = |finding| {
+        PeerMessage::StreamAnswer(StreamAnswerMessage {
+            key,
+            finding,
+            passed_on: 3,
+        })
+    };
+    vec![
+        PeerMessage::StreamOrigins(StreamOriginsMessage {
+            for_zone: true,
+            origins: vec![origin(Some(version)), origin(None)],
+        }),
+        query(QueryScope::Router),
+        query(QueryScope::Zone),
+        query(QueryScope::PassedOn(address(1))),
+        answer(OriginFinding::Unknown),
+        answer(OriginFinding::Known(version)),
+        answer(OriginFinding::Ambiguous),
+    ]
+}
+
+#[test]
+fn messages_on_streams_are_read_back_and_refused_by_the_released_build() {
+    for message in stream_messages() {
+        let bytes = encode_payload(&message).expect("a datagram");
+        let error = decode_payload::<ReleasedMessage>(&bytes).expect_err("refused");
+        assert_eq!(error.code, ResultCode::FrameMalformed);
+        assert_eq!(decode_payload(&bytes), Ok(message));
+    }
+}
+
+#[test]
+fn the_released_build_reads_all_other_messages_as_before() {
+    let leaving = LeavingMessage {
+        zone: 5,
+        reporter: address(1),
+        starts: vec![1, u32::MAX],
+    };
+    let cache_events = CacheEventsMessage {
+        zone: 5,
+        reporter: address(1),
+        replicas: Vec::new(),
+    };
+    let messages = [
+        (
+            PeerMessage::Leaving(leaving.clone()),
+            ReleasedMessage::Leaving(leaving),
+        ),
+        (
+            PeerMessage::CacheEvents(cache_events.clone()),
+            ReleasedMessage::CacheEvents(cache_events),
+        ),
+        (PeerMessage::Eras(eras()), ReleasedMessage::Eras(eras())),
+        (PeerMessage::Ask(router()), ReleasedMessage::Ask(router())),
+    ];
+    for (message, released) in messages {
+        let bytes = encode_payload(&message).expect("a datagram");
+        assert_eq!(encode_payload(&released).as_ref(), Ok(&bytes));
+        assert_eq!(decode_payload(&bytes), Ok(released));
+        assert_eq!(decode_payload(&bytes), Ok(message));
+    }
+}
+
+/// Routers of this build and of the next one may run side by side: these bytes stay.
+#[test]
+fn messages_on_streams_are_encoded_to_the_same_bytes_in_every_build() {
+    let hex = |message: &PeerMessage| {
+        let bytes = encode_payload(message).expect("a datagram");
+        let digits = bytes.iter().map(|byte| format!("{byte:02x}"));
+        digits.collect::<String>()
+    };
+    let encoded: Vec<String> = stream_messages().iter().map(hex).collect();
+    assert_eq!(
+        encoded,
+        [
+            "02090102080706050403020101ffffffffffffffffac02080706050403020100ac02",
+            "020a080706050403020100",
+            "020a080706050403020101",
+            "020a080706050403020102000a00000101",
+            "020b08070605040302010003",
+            "020b080706050403020101ffffffffffffffff03",
+            "020b08070605040302010203",
+        ]
+    );
+}
+
+#[test]
+fn a_message_on_streams_that_is_cut_or_too_long_is_refused() {
+    for message in stream_messages() {
+        let bytes = encode_payload(&message).expect("a datagram");
+        for length in 0..bytes.len() {
+            assert!(decode_payload::<PeerMessage>(&bytes[..length]).is_err());
+        }
+        let longer = [bytes.as_slice(), &[0]].concat();
+        assert!(decode_payload::<PeerMessage>(&longer).is_err());
+    }
+}
