--- a/src/policy/direct/streams/origin_table.rs
+++ b/src/policy/direct/streams/origin_table.rs
@@ -7,7 +7,7 @@
     },
 };
 
-/// Records in the table, at some 120 bytes each.
+/// Records in the table, at some 150 bytes each.
 const MAX_RECORDS: usize = 65_536;
 
 /// Longest life of a record. Deadlines are set by callers and may be absurdly late.
--- a/tests/stream_origins.rs
+++ b/tests/stream_origins.rs
@@ -516,6 +516,9 @@
     assert!(queries.is_empty());
 }
 
+/// A record at a router of the own zone (number, incarnation), or in another zone.
+type HeldRecord = (Option<(u16, u64)>, Option<u32>, StreamKey);
+
 fn origins() -> impl Strategy<Value = Vec<StreamOrigin>> {
     let origin =
         (0..3u64, prop::option::weighted(0.9, 0..2u64), 1..8u64).prop_map(|(stream, of, life)| {
@@ -680,7 +683,7 @@
     ) {
         let mut records = OriginRecords::default();
         let mut live: BTreeMap<u16, u64> = BTreeMap::new();
-        let mut held: BTreeSet<(Option<(u16, u64)>, Option<u32>, StreamKey)> = BTreeSet::new();
+        let mut held: BTreeSet<HeldRecord> = BTreeSet::new();
         let mut streams = Vec::new();
         for (step, (router, incarnation, begins)) in changes.iter().enumerate() {
             match incarnation {
