--- a/testbed/tests/software_versions.rs
+++ b/testbed/tests/software_versions.rs
@@ -22,7 +22,7 @@
 
 /// Events of a whole stream, and the time between two of them.
 const EVENTS: u32 = 12;
-const EVENT_PAUSE: Duration = Duration::from_millis(100);
+const EVENT_PAUSE: Duration = Duration::from_millis(200);
 
 /// The event after which a caller leaves, or is cut off, for the first time and the second.
 const FIRST_LEAVE: u32 = 4;
@@ -37,6 +37,9 @@
 /// A stream that cannot go on is refused within this time.
 const REFUSAL_LIMIT: Duration = Duration::from_secs(1);
 
+/// Longest time for which a caller heeds `Retry-After`: a third of its deadline.
+const MAX_RETRY_WAIT: Duration = Duration::from_millis(2600);
+
 /// Deadline that callers state, in milliseconds.
 const DEADLINE_MS: &str = "8000";
 
@@ -73,13 +76,20 @@
     answer.status == 503 && body["error"]["ran"] == "no"
 }
 
+/// Whether the bytes of an answer begin with a promise that the request did not run.
+fn is_refused_text(received: &str) -> bool {
+    ["HTTP/1.1 503 ", "HTTP/1.1 429 "]
+        .iter()
+        .any(|status| received.starts_with(status))
+}
+
 /// A stream as its caller sees it, over all tries.
 #[derive(Debug, Clone)]
 struct Stream {
     id: String, // attempt id of the try that brought its first event
     pieces: Vec<Piece>,
     tries: usize,
-    refusals: usize,
+    refusals: Vec<Option<u64>>, // result codes
     longest_refusal: Duration,
 }
 
@@ -96,22 +106,41 @@
         self.last() == EVENTS
     }
 
-    /// Begins a stream at a router and reads its events up to number `until`. Returns none if
-    /// it does not come so far.
+    /// Begins a stream at a router, which may refuse it for a moment, and reads its events up to
+    /// number `until`. Returns none if it does not come so far.
     async fn begin(
         fleet: &DirectFleet,
         router: usize,
         id: &str,
         until: u32,
     ) -> Option<(Self, Client)> {
-        let mut client = Client::connect(fleet.caller_addresses[router]).await.ok()?;
+        for _ in 0..MAX_TRIES {
+            match Self::begin_once(fleet, router, id, until).await {
+                Ok(begun) => return Some(begun),
+                Err(received) if is_refused_text(&received) => sleep(MAX_RETRY_WAIT).await,
+                Err(_) => return None,
+            }
+        }
+        None
+    }
+
+    /// The same in one try. Fails with what was received.
+    async fn begin_once(
+        fleet: &DirectFleet,
+        router: usize,
+        id: &str,
+        until: u32,
+    ) -> Result<(Self, Client), String> {
+        let failed = |error: std::io::Error| error.to_string();
+        let address = fleet.caller_addresses[router];
+        let mut client = Client::connect(address).await.map_err(failed)?;
         let request =
             ClientRequest::post(PATH, id, "{}").header("Archmast-Deadline-Ms", DEADLINE_MS);
-        client.send(&request.bytes()).await.ok()?;
+        client.send(&request.bytes()).await.map_err(failed)?;
         if !client.wait_for(&format!("\nid: {until}\n")).await
             || !read_past(&mut client, until).await
         {
-            return None;
+            return Err(client.received_text());
         }
         let mut begun = pieces(&client.received_text());
         begun.truncate(until as usize);
@@ -119,10 +148,10 @@
             id: id.to_owned(),
             pieces: begun,
             tries: 1,
-            refusals: 0,
+            refusals: Vec::new(),
             longest_refusal: Duration::ZERO,
         };
-        Some((stream, client))
+        Ok((stream, client))
     }
 
     /// A request that takes the stream up after its last event.
@@ -160,9 +189,9 @@
                 self.add(&answer.text(), until);
                 return;
             }
-            self.refusals += 1;
+            self.refusals.push(answer.code());
             self.longest_refusal = self.longest_refusal.max(asked.elapsed());
-            sleep(answer.retry_after().unwrap_or_default()).await;
+            sleep(answer.retry_after().unwrap_or_default().min(MAX_RETRY_WAIT)).await;
         }
     }
 
@@ -290,10 +319,10 @@
     let mixed = streams.iter().filter(|stream| stream.versions().len() > 1);
     let mixed = mixed.count();
     let whole = streams.iter().filter(|stream| stream.is_whole()).count();
-    let refusals: usize = streams.iter().map(|stream| stream.refusals).sum();
+    let refusals: Vec<_> = streams.iter().flat_map(|stream| &stream.refusals).collect();
     let longest = streams.iter().map(|stream| stream.longest_refusal).max();
     println!(
-        "{begun} streams begun, {} taken up: {whole} whole, {mixed} with events of two versions, {refusals} refusals",
+        "{begun} streams begun, {} taken up: {whole} whole, {mixed} with events of two versions, refused with {refusals:?}",
         streams.len()
     );
     assert_eq!(mixed, 0, "streams with events of two versions");
@@ -404,7 +433,7 @@
             version: "v1".to_owned(),
         }],
         tries: 1,
-        refusals: 0,
+        refusals: Vec::new(),
         longest_refusal: Duration::ZERO,
     };
     for router in 0..4 {
