A stream goes on only at the software version that began it

Cause: the choice of a replica knew no versions. It was made anew where a stream broke off inside an answer, and at any router where a caller took its stream up, which knew nothing of its beginning.

From its first event on, a stream has the version of its replica (the entry's), and only replicas of that version are eligible for it. Where the version is not known for certain it is refused as not run (75), where no replica has it too (76). A caller that names no attempt goes on only where all replicas of the route have one version.

--- a/src/catalog/upstream_entry.rs
+++ b/src/catalog/upstream_entry.rs
@@ -1,6 +1,6 @@
 use {
     super::UpstreamState,
-    crate::policy::{name_hash, stable_hash},
+    crate::policy::{name_hash, stable_hash, streams::SoftwareVersion},
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
@@ -20,6 +20,11 @@
 }
 
 impl UpstreamEntry {
+    /// The version of its software, within its service.
+    pub fn software_version(&self) -> SoftwareVersion {
+        SoftwareVersion::new(&self.service, &self.version)
+    }
+
     /// A hash of the id and the start time, which identifies this incarnation (start of the
     /// process) of the replica in messages between routers. Messages about an earlier
     /// incarnation do not match it.
--- a/src/codes/result_code.rs
+++ b/src/codes/result_code.rs
@@ -117,6 +117,8 @@
     FrameMalformed = 72, No, 0, "bytes that are no message";
     PeerRefused = 73, No, 0, "a peer without the fleet's authority or with the wrong role";
     PeerUnreachable = 74, No, 0, "no connection to a peer";
+    StreamUnknown = 75, No, 503, "it is not known at which software version the stream began";
+    NoVersion = 76, No, 503, "no replica has the software version that began the stream";
     PlatformDown = 80, No, 0, "the platform's service does not answer";
     PlatformBudget = 81, No, 0, "the platform's service refused a call over its rate";
     PlatformReply = 82, No, 0, "the platform's service sent what its protocol does not allow";
--- a/src/direct/call.rs
+++ b/src/direct/call.rs
@@ -1,7 +1,9 @@
 use {
     super::held_bytes::HeldBytes,
     crate::{
-        policy::{Moment, placement::PromptShape, suspects::RequestDigest},
+        policy::{
+            Moment, placement::PromptShape, streams::SoftwareVersion, suspects::RequestDigest,
+        },
         routing::{AllowedRegions, EngineSpec, Route},
     },
     bytes::Bytes,
@@ -26,6 +28,7 @@
     pub account: Option<Arc<str>>,
     pub regions: Option<AllowedRegions>, // regions that may serve it; all if `None`
     pub prompt: Option<PromptShape>,
+    pub began_at: Option<SoftwareVersion>, // the stream that the caller takes up
     pub config_version: u64,
     pub arrived: Moment,
     pub deadline: Moment,
--- a/src/direct/exchange_choice.rs
+++ b/src/direct/exchange_choice.rs
@@ -43,6 +43,7 @@
             share_status,
             tried: &self.tried,
             regions: call.regions.as_ref(),
+            version: self.began_at,
         };
         replica_table.refresh_estimates(now);
         let choice = replica_table.choose(now, &request);
@@ -195,6 +196,7 @@
         let code = match reason {
             RefusalReason::NoReplica => ResultCode::NoReplica,
             RefusalReason::NoRegion => ResultCode::NoRegion,
+            RefusalReason::NoVersion => ResultCode::NoVersion,
             RefusalReason::Cordoned => ResultCode::Cordoned,
             RefusalReason::Backoff => ResultCode::Resting,
             RefusalReason::NoCapacity => ResultCode::NoRoom,
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -45,6 +45,7 @@
 mod status;
 mod store_read_state;
 mod stream_watch;
+mod taken_up_stream;
 mod timeout_unless_ready;
 mod unanswered;
 mod upstream_connection;
--- a/src/direct/request_reader.rs
+++ b/src/direct/request_reader.rs
@@ -1,6 +1,10 @@
 use {
     super::{
-        call::Call, gateway::Gateway, held_bytes::HeldBytes, reply::remove_hop_by_hop_headers,
+        call::Call,
+        gateway::Gateway,
+        held_bytes::HeldBytes,
+        reply::remove_hop_by_hop_headers,
+        taken_up_stream::{pick_service, taken_up_version},
     },
     crate::{
         codes::{ErrorAnswer, ResultCode},
@@ -69,15 +73,17 @@
     let account = find_account(gateway, &table, &route, &head.headers)?;
     let held = HeldBytes::new(gateway.request_bytes.clone());
     let body = read_body(gateway, &table, &head.headers, body, &held).await?;
-    let service = route
-        .pick_service(rand::random())
-        .ok_or_else(|| ErrorAnswer::new(ResultCode::NoReplica))?
-        .clone();
     let names = &gateway.dialect.names;
     let deadline_ms: Option<f64> = header_text(&head.headers, &names.deadline_ms).parse().ok();
     let timeout = deadline_ms.map_or(route.timeout, |ms| {
         Duration::from_secs_f64(ms.clamp(0.0, 3_600_000.0) / 1000.0)
     });
+    let deadline = arrived + timeout.min(route.timeout);
+    let time_left = deadline.saturating_sub(gateway.now());
+    let began_at = taken_up_version(gateway, &route, &head.headers, time_left).await?;
+    let service = pick_service(gateway, &route, began_at)
+        .ok_or_else(|| ErrorAnswer::new(ResultCode::NoReplica))?
+        .clone();
     let details = table.service(&service);
     Ok(Call {
         request_id: header_text(&head.headers, &names.request_id).to_owned(),
@@ -89,6 +95,7 @@
             .shortest_target_latency(&service)
             .unwrap_or(route.target_latency),
         prompt: (gateway.dialect.parse_prompt)(&head.headers),
+        began_at,
         headers: forwarded_headers(gateway, head.headers, account.as_deref()),
         body,
         _body_memory: held,
@@ -97,7 +104,7 @@
         account,
         config_version: table.version,
         arrived,
-        deadline: arrived + timeout.min(route.timeout),
+        deadline,
         route,
     })
 }
--- a/src/policy/direct/placement/choosing/choice.rs
+++ b/src/policy/direct/placement/choosing/choice.rs
@@ -24,6 +24,8 @@
     NoReplica,
     /// No replica of the service is in a region in which the request may be served.
     NoRegion,
+    /// No replica of the service has the software version that began the stream.
+    NoVersion,
     /// All replicas of the service are in cordoned zones, which get no new requests.
     Cordoned,
     /// All usable replicas of the service asked for backoff.
--- a/src/policy/direct/placement/choosing/placement_request.rs
+++ b/src/policy/direct/placement/choosing/placement_request.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        policy::{placement::PromptShape, shares::ShareStatus},
+        policy::{placement::PromptShape, shares::ShareStatus, streams::SoftwareVersion},
         routing::{AllowedRegions, EngineSpec},
     },
     std::{sync::Arc, time::Duration},
@@ -18,4 +18,5 @@
     pub share_status: ShareStatus, // of its account, relative to its fair share
     pub tried: &'r [Arc<str>],    // replicas that it was sent to before
     pub regions: Option<&'r AllowedRegions>, // where it may be served; anywhere if none
+    pub version: Option<SoftwareVersion>, // that began its stream; any if none
 }
--- a/src/policy/direct/placement/replica_table/choice.rs
+++ b/src/policy/direct/placement/replica_table/choice.rs
@@ -1,7 +1,7 @@
 //! Choice of the replica for a request.
 
 use {
-    super::ReplicaTable,
+    super::{ReplicaTable, versions::has_version},
     crate::{
         catalog::UpstreamState,
         policy::{
@@ -75,6 +75,7 @@
             .filter(|view| view.entry.state == UpstreamState::Ready)
             .filter(|view| !request.tried.contains(&view.entry.id))
             .filter(|view| self.is_allowed(request.regions, &view.entry))
+            .filter(|view| has_version(request.version, &view.entry))
             .filter(|view| !self.is_cordoned(&view.entry))
             .filter(|view| self.accepts_requests(now, &view.entry))
             .filter(|view| self.slow_start_permits(now, request, view))
--- a/src/policy/direct/placement/replica_table/mod.rs
+++ b/src/policy/direct/placement/replica_table/mod.rs
@@ -13,5 +13,6 @@
 mod refusals;
 mod slow_start;
 mod table;
+mod versions;
 
 pub use table::ReplicaTable;
--- a/src/policy/direct/placement/replica_table/refusals.rs
+++ b/src/policy/direct/placement/replica_table/refusals.rs
@@ -1,7 +1,7 @@
 //! Refusals of requests, with the reason and the time after which to retry.
 
 use {
-    super::ReplicaTable,
+    super::{ReplicaTable, versions::has_version},
     crate::{
         catalog::UpstreamState,
         policy::{
@@ -30,6 +30,10 @@
 /// Time to retry after if no replica is in an allowed region, which takes a new replica.
 const NO_REGION_RETRY: Duration = Duration::from_secs(1);
 
+/// Time to retry after if no replica has the software version of a stream, which takes a new
+/// replica.
+const NO_VERSION_RETRY: Duration = Duration::from_secs(1);
+
 impl ReplicaTable {
     /// The refusal of a request for which no replica is usable.
     pub(super) fn refuse_unusable(
@@ -47,6 +51,16 @@
                 retry_after: NO_REGION_RETRY,
             };
         }
+        if request.version.is_some()
+            && !ready
+                .clone()
+                .any(|view| has_version(request.version, &view.entry))
+        {
+            return Choice::Refuse {
+                reason: RefusalReason::NoVersion,
+                retry_after: NO_VERSION_RETRY,
+            };
+        }
         let backoff = self.shortest_backoff(now, request.service);
         if let Some(backoff) = backoff.filter(|backoff| !backoff.is_zero()) {
             return Choice::Refuse {
--- a/src/routing/route.rs
+++ b/src/routing/route.rs
@@ -21,6 +21,12 @@
 }
 
 impl Route {
+    /// The services to which the route sends requests.
+    pub fn allowed_services(&self) -> impl Iterator<Item = &Arc<str>> {
+        let weighted = self.services.iter().filter(|service| service.weight > 0.0);
+        weighted.map(|service| &service.service)
+    }
+
     /// Picks a service by weight; `draw` is uniform in [0, 1).
     pub fn pick_service(
         &self,
--- a/src/routing/route_kind.rs
+++ b/src/routing/route_kind.rs
@@ -16,6 +16,11 @@
         matches!(self, Self::Idempotent | Self::Stream { resumable: true })
     }
 
+    /// Whether requests are answered with a stream of events that another replica may continue.
+    pub fn is_resumable_stream(self) -> bool {
+        matches!(self, Self::Stream { resumable: true })
+    }
+
     /// Whether requests are answered with a stream of events.
     pub fn is_stream(self) -> bool {
         matches!(self, Self::Stream { .. })
--- a/testbed/src/measure/costs.rs
+++ b/testbed/src/measure/costs.rs
@@ -134,6 +134,7 @@
         share_status: ShareStatus::Within,
         tried: &[],
         regions: None,
+        version: None,
     }
 }
 
--- a/tests/engine_pace.rs
+++ b/tests/engine_pace.rs
@@ -97,6 +97,7 @@
         target_latency: TARGET_LATENCY,
         share_status: ShareStatus::Within,
         tried: &[],
+        version: None,
     }
 }
 
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -116,6 +116,7 @@
         share_status: ShareStatus::Within,
         tried: &[],
         regions: None,
+        version: None,
     }
 }
 
@@ -801,6 +802,7 @@
         share_status: ShareStatus::Within,
         tried: &[],
         regions: None,
+        version: None,
     }
 }
 
--- a/tests/restarted_replicas.rs
+++ b/tests/restarted_replicas.rs
@@ -77,6 +77,7 @@
         share_status: ShareStatus::Within,
         tried: &[],
         regions: None,
+        version: None,
     };
     match replica_table.choose(NOW, &request) {
         Choice::Send { prefill_tokens, .. } => prefill_tokens,
--- a/tests/slow_start.rs
+++ b/tests/slow_start.rs
@@ -143,6 +143,7 @@
             share_status: ShareStatus::Within,
             tried: &[],
             regions: None,
+            version: None,
         };
         let Choice::Send { replica, .. } = router.replica_table.choose(now, &request) else {
             return None;
@@ -390,6 +391,7 @@
         share_status: ShareStatus::Within,
         tried: &[],
         regions: None,
+        version: None,
     };
     match fleet.routers[0].replica_table.choose(START, &request) {
         Choice::Refuse { retry_after, .. } => {
--- a/tests/stream_pauses.rs
+++ b/tests/stream_pauses.rs
@@ -356,6 +356,7 @@
         target_pause,
         share_status: ShareStatus::Within,
         tried: &[],
+        version: None,
     }
 }
 
