A length beside a transfer coding is no length of an answer

Callers got 300 KiB of an answer of 400 KiB, framed as complete.

Cause: where a replica sends a Content-Length beside its chunks, the chunks say how the body ends, but an answer larger than the buffer was relayed with that length, and hyper writes no more than it. The rest stayed in the count of bytes that are held for the caller's connection.

The length is now removed when the head of an answer is read (RFC 9112, 6.3).

--- a/src/direct/live_answer.rs
+++ b/src/direct/live_answer.rs
@@ -6,7 +6,11 @@
     crate::codes::ResultCode,
     bytes::Bytes,
     http_body_util::BodyExt,
-    hyper::{body::Incoming, http::response::Parts},
+    hyper::{
+        body::Incoming,
+        header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+        http::response::Parts,
+    },
     std::sync::Arc,
 };
 
@@ -24,11 +28,15 @@
     /// An answer of which only the head was read.
     pub fn new(
         gateway: Arc<Gateway>,
-        head: Parts,
+        mut head: Parts,
         body: Incoming,
         connection: UpstreamConnection,
         in_flight: InFlightGuard,
     ) -> Self {
+        // A transfer coding overrides a length, which may be wrong then.
+        if head.headers.contains_key(TRANSFER_ENCODING) {
+            head.headers.remove(CONTENT_LENGTH);
+        }
         Self {
             head,
             in_flight,
