A stream without length or chunks is not whole because its connection was closed

Callers got the events before a crash of a replica framed as complete, where it crashed between two events or before the first one: 200, four of nine events, or none.

Cause: the kernel closes the connections of a process that exits in order. Where an answer has neither length nor chunks, its end is the same as that of a whole one, and the end of an event shows nothing either.

Such a stream is now broken off if it ends before its first event, or if nothing listens at its replica's address any more: it goes on elsewhere where the route permits, and is cut or answered with 502 otherwise. The check opens the connection that the replica's next request needs anyway. A whole stream of a replica that exits right after it is taken up elsewhere, and complete, where the route permits, and cut where it does not.

--- a/src/direct/events_relay.rs
+++ b/src/direct/events_relay.rs
@@ -212,24 +212,35 @@
                     }
                 }
                 None if self.splitter.is_inside_event() => {
-                    return Err(AttemptEnd::Unknown {
-                        code: ResultCode::AnswerCut,
-                        detail: "the stream ended inside an event".to_owned(),
-                    });
+                    return Err(broken_off("the stream ended inside an event"));
                 }
-                None => {
-                    self.is_done = true;
-                    self.outcome = "whole";
-                    self.exchange_mut().record_replica_success();
-                    self.exchange().record_stream_duration();
-                    self.exchange().record_request_success();
-                    let rest = self.splitter.take_partial();
-                    return Ok((!rest.is_empty()).then_some(rest));
+                // The kernel closes the connections of a process that exits like those of whole
+                // answers.
+                None if self.answer.ends_with_connection => {
+                    if self.first_event_after.is_none() {
+                        return Err(broken_off("the stream ended before its first event"));
+                    }
+                    if self.exchange_mut().has_replica_exited().await {
+                        return Err(broken_off("the replica exited at the end of the stream"));
+                    }
+                    return Ok(self.end_whole());
                 }
+                None => return Ok(self.end_whole()),
             }
         }
     }
 
+    /// Records that the stream is whole, and returns the bytes after its last event.
+    fn end_whole(&mut self) -> Option<Bytes> {
+        self.is_done = true;
+        self.outcome = "whole";
+        self.exchange_mut().record_replica_success();
+        self.exchange().record_stream_duration();
+        self.exchange().record_request_success();
+        let rest = self.splitter.take_partial();
+        (!rest.is_empty()).then_some(rest)
+    }
+
     fn exchange(&self) -> &Exchange {
         self.exchange.as_ref().expect("exchange already taken")
     }
@@ -285,6 +296,13 @@
     }
 }
 
+fn broken_off(detail: &str) -> AttemptEnd {
+    AttemptEnd::Unknown {
+        code: ResultCode::AnswerCut,
+        detail: detail.to_owned(),
+    }
+}
+
 fn timed_out(limit: Duration) -> AttemptEnd {
     AttemptEnd::Unknown {
         code: ResultCode::UpstreamTimeout,
--- a/src/direct/exchange_end.rs
+++ b/src/direct/exchange_end.rs
@@ -42,7 +42,7 @@
     }
 
     /// Whether the process of the last attempt's replica has exited.
-    async fn has_replica_exited(&mut self) -> bool {
+    pub(super) async fn has_replica_exited(&mut self) -> bool {
         let Some(attempt) = &self.last_attempt else {
             return false;
         };
--- a/src/direct/live_answer.rs
+++ b/src/direct/live_answer.rs
@@ -7,7 +7,7 @@
     bytes::Bytes,
     http_body_util::BodyExt,
     hyper::{
-        body::Incoming,
+        body::{Body, Incoming},
         header::{CONTENT_LENGTH, TRANSFER_ENCODING},
         http::response::Parts,
     },
@@ -19,6 +19,7 @@
 pub struct LiveAnswer {
     pub head: Parts,
     pub in_flight: InFlightGuard,
+    pub ends_with_connection: bool, // the body has neither length nor chunks
     gateway: Arc<Gateway>,
     body: Incoming,
     connection: Option<UpstreamConnection>, // `None` once it is returned to the pool or closed
@@ -37,9 +38,12 @@
         if head.headers.contains_key(TRANSFER_ENCODING) {
             head.headers.remove(CONTENT_LENGTH);
         }
+        let size = body.size_hint().exact();
+        let ends_with_connection = size.is_none() && !is_chunked(&head);
         Self {
             head,
             in_flight,
+            ends_with_connection,
             gateway,
             body,
             connection: Some(connection),
@@ -87,3 +91,9 @@
         }
     }
 }
+
+fn is_chunked(head: &Parts) -> bool {
+    let codings = head.headers.get_all(TRANSFER_ENCODING).iter();
+    let last = codings.filter_map(|value| value.to_str().ok()).next_back();
+    last.is_some_and(|codings| codings.to_ascii_lowercase().trim().ends_with("chunked"))
+}
--- a/testbed/tests/answer_ends.rs
+++ b/testbed/tests/answer_ends.rs
@@ -302,7 +302,20 @@
     assert_eq!(got.text(), events(1..=LAST));
 }
 
-/// The same for an answer that is not a stream.
+/// A replica that leaves in order ends after its last answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_whole_resumable_stream_whose_replica_exits_after_it_is_complete() {
+    let fleet = raw_fleet(2, |request| match request.last_event {
+        0 => RawAnswer::unframed(&events(1..=LAST), End::Exit),
+        last => RawAnswer::unframed(&events(last + 1..=LAST), End::Close),
+    })
+    .await;
+    let got = call(&fleet, "/chat/", "id-1").await;
+    assert!(is_complete_success(&got), "{got:?}");
+    assert_eq!(got.text(), events(1..=LAST));
+}
+
+/// A crash in the middle of an answer that is not a stream.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_answer_without_length_whose_replica_exits_is_an_error_answer() {
     let fleet = raw_fleet(1, |_| RawAnswer {
