An answer without length or chunks is not whole if its replica has exited

The end of such an answer now ends its attempt with code 51 if nothing listens at the replica's address any more. Answers larger than the buffer are not checked: they are on their way already.

The test had asked for code 51 on a route that permits a repetition; with a single replica the repetition finds none and the code is 50.

--- a/src/direct/plain_relay.rs
+++ b/src/direct/plain_relay.rs
@@ -30,6 +30,12 @@
     let (buffered, is_whole) = reading
         .await
         .unwrap_or_else(|| Err(timed_out(started.timeout)))?;
+    if is_whole && answer.ends_with_connection && exchange.has_replica_exited().await {
+        return Err(AttemptEnd::Unknown {
+            code: ResultCode::AnswerCut,
+            detail: "the replica exited at the end of the answer".to_owned(),
+        });
+    }
     let status = answer.head.status;
     let is_failure = status.is_server_error();
     if !is_failure {
