A document on a streaming route is relayed as one

Callers got 502 (code 51) for a whole JSON answer of status 200 on a streaming route, in place of the answer.

Cause: since a stream that ends inside an event counts as broken off, so does a document, which has no blank line at its end. The route alone decided that an answer is a stream.

An answer whose Content-Type names another type than text/event-stream is now relayed like one of a plain route; one without a type counts as a stream as before.

--- a/src/direct/exchange.rs
+++ b/src/direct/exchange.rs
@@ -93,7 +93,9 @@
                 Ok(started) => started,
                 Err(error) => return self.unanswered(error),
             };
-            let is_events = self.call.route.kind.is_stream() && started.answer.head.status == 200;
+            let is_events = self.call.route.kind.is_stream()
+                && started.answer.head.status == 200
+                && started.answer.is_event_stream() != Some(false);
             let outcome = if is_events {
                 let relay = EventsRelay::new(self, started.answer);
                 match relay.start_reply(started.timeout).await {
--- a/src/direct/live_answer.rs
+++ b/src/direct/live_answer.rs
@@ -8,12 +8,15 @@
     http_body_util::BodyExt,
     hyper::{
         body::{Body, Incoming},
-        header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+        header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING},
         http::response::Parts,
     },
     std::sync::Arc,
 };
 
+/// The media type of a stream of events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// An answer whose head was received, with its connection. Dropping it before the end of
 /// the body closes the connection, so that the replica stops working on the request.
 pub struct LiveAnswer {
@@ -50,6 +53,13 @@
         }
     }
 
+    /// Whether its head says that it is a stream of events; `None` if it names no type.
+    pub fn is_event_stream(&self) -> Option<bool> {
+        let content_type = self.head.headers.get(CONTENT_TYPE)?;
+        let media_type = content_type.as_bytes().split(|byte| *byte == b';').next()?;
+        Some(media_type.trim_ascii().eq_ignore_ascii_case(EVENT_STREAM))
+    }
+
     /// The next bytes of the body; `None` at its end. Fails with
     /// `ResultCode::AnswerCut` if the connection is lost before.
     pub async fn next_chunk(&mut self) -> Result<Option<Bytes>, AttemptEnd> {
