A stream of events is checked for its last event on every route and with every success status

Callers got a stream that broke off inside an event framed as complete where its status was 201, or where the route was not for streams: only the relay of streams knew what the end of an event is.

An answer of the buffer's size at most that names its type as text/event-stream is now not whole if it ends inside an event.

--- a/src/direct/plain_relay.rs
+++ b/src/direct/plain_relay.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         attempt_end::AttemptEnd,
+        event_splitter::EventSplitter,
         exchange::{Exchange, StartedAnswer},
         live_answer::LiveAnswer,
         reply::{ReplyBody, copy_head, cut_error, full_body, replica_reply},
@@ -30,6 +31,12 @@
     let (buffered, is_whole) = reading
         .await
         .unwrap_or_else(|| Err(timed_out(started.timeout)))?;
+    if is_whole && answer.is_event_stream() == Some(true) && ends_inside_event(&buffered) {
+        return Err(AttemptEnd::Unknown {
+            code: ResultCode::AnswerCut,
+            detail: "the stream ended inside an event".to_owned(),
+        });
+    }
     if is_whole && answer.ends_with_connection && exchange.has_replica_exited().await {
         return Err(AttemptEnd::Unknown {
             code: ResultCode::AnswerCut,
@@ -59,6 +66,12 @@
     Ok(streamed_reply(answer, buffered, time_left))
 }
 
+fn ends_inside_event(stream: &[u8]) -> bool {
+    let mut splitter = EventSplitter::default();
+    splitter.push(stream);
+    splitter.is_inside_event()
+}
+
 fn timed_out(limit: Duration) -> AttemptEnd {
     AttemptEnd::Unknown {
         code: ResultCode::UpstreamTimeout,
