--- a/testbed/src/fleet/plan.rs
+++ b/testbed/src/fleet/plan.rs
@@ -1,10 +1,14 @@
 use {super::FleetText, crate::standin::EngineSettings, std::time::Duration};
 
+/// Requests that a framed service runs at once.
+const FRAMED_SLOTS: usize = 4;
+
 /// The stand-in upstream behind a sidecar.
 #[derive(Debug, Clone, Copy)]
 pub enum UpstreamPlan {
     Engine(EngineSettings),
     Plain { slots: usize, time: Duration },
+    Framed { slots: usize, is_model: bool },
 }
 
 impl UpstreamPlan {
@@ -12,14 +16,14 @@
     pub fn slots(&self) -> usize {
         match self {
             Self::Engine(settings) => settings.slots,
-            Self::Plain { slots, .. } => *slots,
+            Self::Plain { slots, .. } | Self::Framed { slots, .. } => *slots,
         }
     }
 
     fn kind(&self) -> &'static str {
         match self {
-            Self::Engine(_) => "model",
-            Self::Plain { .. } => "plain",
+            Self::Engine(_) | Self::Framed { is_model: true, .. } => "model",
+            Self::Plain { .. } | Self::Framed { .. } => "plain",
         }
     }
 }
@@ -90,6 +94,17 @@
         self.upstreams(count, "p", UpstreamPlan::Plain { slots, time })
     }
 
+    /// Adds `count` services whose answers are framed as the test says, with their sidecars.
+    /// They serve a group of models, or a plain one.
+    pub fn framed(
+        self,
+        count: usize,
+        is_model: bool,
+    ) -> Self {
+        let slots = FRAMED_SLOTS;
+        self.upstreams(count, "f", UpstreamPlan::Framed { slots, is_model })
+    }
+
     /// Sets a setting (`section.key`) of all routers.
     pub fn set_router(
         mut self,
--- a/testbed/src/fleet/sidecar_host.rs
+++ b/testbed/src/fleet/sidecar_host.rs
@@ -2,7 +2,7 @@
     super::{Process, SidecarPlan, UpstreamPlan},
     crate::{
         proxy::{TcpProxy, UdpProxy},
-        standin::{Engine, PlainService, RunLog},
+        standin::{Engine, FramedService, PlainService, RunLog},
     },
     std::{
         net::{IpAddr, SocketAddr},
@@ -14,6 +14,7 @@
 pub enum Upstream {
     Engine(Engine),
     Plain(PlainService),
+    Framed(FramedService),
 }
 
 impl Upstream {
@@ -27,6 +28,7 @@
             UpstreamPlan::Plain { slots, time } => {
                 Self::Plain(PlainService::start(ip, *slots, *time).await)
             }
+            UpstreamPlan::Framed { .. } => Self::Framed(FramedService::start(ip).await),
         }
     }
 
@@ -34,6 +36,7 @@
         match self {
             Self::Engine(engine) => engine.address,
             Self::Plain(service) => service.address,
+            Self::Framed(service) => service.address,
         }
     }
 
@@ -42,22 +45,31 @@
         match self {
             Self::Engine(engine) => &engine.log,
             Self::Plain(service) => &service.log,
+            Self::Framed(service) => &service.log,
         }
     }
 
-    /// The engine. Panics if it is a plain service.
+    /// The engine. Panics if it is another upstream.
     pub fn engine(&self) -> &Engine {
         match self {
             Self::Engine(engine) => engine,
-            Self::Plain(_) => panic!("the upstream is a plain service, not an engine"),
+            _ => panic!("the upstream is not an engine"),
         }
     }
 
-    /// The plain service. Panics if it is an engine.
+    /// The plain service. Panics if it is another upstream.
     pub fn plain(&self) -> &PlainService {
         match self {
             Self::Plain(service) => service,
-            Self::Engine(_) => panic!("the upstream is an engine, not a plain service"),
+            _ => panic!("the upstream is not a plain service"),
+        }
+    }
+
+    /// The service with framed answers. Panics if it is another upstream.
+    pub fn framed(&self) -> &FramedService {
+        match self {
+            Self::Framed(service) => service,
+            _ => panic!("the upstream is not a framed service"),
         }
     }
 }
--- a/testbed/src/fleet/starter.rs
+++ b/testbed/src/fleet/starter.rs
@@ -48,7 +48,13 @@
         let operator = self.loopback.free_tcp().expect("a port is free");
         let mut values =
             self.common_settings(&plan.host, &plan.zone, HostRole::Sidecar, listen, operator);
-        values.push(("upstream.address".into(), upstream_link.address.to_string()));
+        // The proxy turns a reset into a clean close, so that it is not used where the
+        // difference matters.
+        let upstream_address = match &upstream {
+            Upstream::Framed(service) => service.address,
+            _ => upstream_link.address,
+        };
+        values.push(("upstream.address".into(), upstream_address.to_string()));
         values.push(("upstream.slots".into(), plan.upstream.slots().to_string()));
         values.extend(self.plan.sidecar_settings.iter().cloned());
         let text = overlay(SidecarSettings::SHIPPED, &values);
