Forward complete events only, in the granted form

Cause: a router passed the bytes of a stream on as they came, and put the error event of a cut stream behind whatever was sent last. Callers that had got part of an event read one event made of both: 'data: pieevent: error', or a data event with the error's JSON at its end, and no error (cuts by the upstream, its silence, the sidecar's end; chat and other streams).

The router holds a partial event back until it is complete, as the direct form does, and drops it when the stream is cut, so that the error is an event of its own. Streams with a content coding are passed on as they are.

--- a/src/router/answer_body.rs
+++ b/src/router/answer_body.rs
@@ -3,10 +3,14 @@
         answer_reader::{AnswerReader, outcome},
         router::OpenRequest,
     },
-    crate::codes::ErrorAnswer,
+    crate::{
+        codes::{ErrorAnswer, ResultCode},
+        direct::EventSplitter,
+        policy::RouterExchange,
+    },
     bytes::Bytes,
     futures::{Stream, stream},
-    std::io,
+    std::{io, vec},
 };
 
 /// How a truncated answer is made visible to a caller that already has its head.
@@ -20,52 +24,115 @@
     ContentLength, // fewer bytes than the declared `Content-Length`
 }
 
+/// The largest event that is held back until it is complete.
+const MAX_EVENT_BYTES: usize = 64 << 20;
+
 /// The body of an answer whose head has been sent, partly still unread.
 pub struct PartialAnswer {
-    pub buffered: Vec<Bytes>, // chunks read before the head was sent
-    pub reader: AnswerReader,
-    pub signal: TruncationSignal,
-    pub open_request: OpenRequest,
+    buffered: vec::IntoIter<Bytes>, // chunks read before the head was sent
+    reader: AnswerReader,
+    events: Option<EventSplitter>, // if the body is a stream of events
+    held_bytes: usize,             // at most this many bytes are in `events`
+    signal: TruncationSignal,
+    open_request: OpenRequest,
+    is_ended: bool,
 }
 
-/// Streams the body of an answer; a truncated one ends with its [`TruncationSignal`].
-pub fn answer_stream(answer: PartialAnswer) -> impl Stream<Item = io::Result<Bytes>> + Send {
-    let begin = Some((
-        answer.buffered.into_iter(),
-        answer.reader,
-        answer.signal,
-        answer.open_request,
-    ));
-    stream::unfold(begin, |state| async move {
-        let (mut buffered, mut reader, signal, open_request) = state?;
-        if let Some(chunk) = buffered.next() {
-            return Some((Ok(chunk), Some((buffered, reader, signal, open_request))));
+impl PartialAnswer {
+    /// An answer that is forwarded as it arrives.
+    pub fn new(
+        buffered: Vec<Bytes>,
+        reader: AnswerReader,
+        signal: TruncationSignal,
+        open_request: OpenRequest,
+    ) -> Self {
+        Self {
+            buffered: buffered.into_iter(),
+            reader,
+            events: None,
+            held_bytes: 0,
+            signal,
+            open_request,
+            is_ended: false,
+        }
+    }
+
+    /// Forwards complete events only, so that a truncated stream ends before the partial event
+    /// and its error is an event of its own.
+    pub fn split_events(mut self) -> Self {
+        self.events = Some(EventSplitter::default());
+        self
+    }
+
+    /// Streams the body; a truncated one ends with its [`TruncationSignal`].
+    pub fn into_stream(self) -> impl Stream<Item = io::Result<Bytes>> + Send {
+        stream::unfold(self, |mut answer| async move {
+            let item = answer.next().await?;
+            Some((item, answer))
+        })
+    }
+
+    async fn next(&mut self) -> Option<io::Result<Bytes>> {
+        if let Some(chunk) = self.buffered.next() {
+            return Some(Ok(chunk));
         }
-        match reader.read_chunk().await {
-            Ok(Some(chunk)) => Some((
-                Ok(chunk.into()),
-                Some((buffered, reader, signal, open_request)),
-            )),
-            Ok(None) => None,
-            Err(state) => {
-                let (ran, code) = outcome(state);
-                log::warn!(
-                    code = code.number(),
-                    ran = ran.to_string().as_str(),
-                    request_id = open_request.request_id();
-                    "answer truncated"
-                );
-                let error = ErrorAnswer {
-                    ran,
-                    ..ErrorAnswer::new(code)
-                };
-                Some((
-                    truncation_item(signal, &error, open_request.request_id()),
-                    None,
-                ))
+        while !self.is_ended {
+            match self.reader.read_chunk().await {
+                Ok(Some(chunk)) => match self.forwardable(chunk) {
+                    Ok(Some(bytes)) => return Some(Ok(bytes)),
+                    Ok(None) => {}
+                    Err(state) => return Some(self.truncate(state)),
+                },
+                Ok(None) => {
+                    self.is_ended = true;
+                    let rest = self.events.as_mut().map(EventSplitter::take_partial);
+                    return rest.filter(|rest| !rest.is_empty()).map(Ok);
+                }
+                Err(state) => return Some(self.truncate(state)),
             }
         }
-    })
+        None
+    }
+
+    /// The bytes that can be forwarded once this chunk was read: the chunk itself, or the events
+    /// that are complete now.
+    fn forwardable(
+        &mut self,
+        chunk: Vec<u8>,
+    ) -> Result<Option<Bytes>, RouterExchange> {
+        let Some(splitter) = &mut self.events else {
+            return Ok(Some(chunk.into()));
+        };
+        let events = splitter.push(&chunk);
+        self.held_bytes = if events.is_some() {
+            chunk.len()
+        } else {
+            self.held_bytes + chunk.len()
+        };
+        if self.held_bytes > MAX_EVENT_BYTES {
+            return Err(self.reader.abort(ResultCode::AnswerTooLarge));
+        }
+        Ok(events)
+    }
+
+    fn truncate(
+        &mut self,
+        state: RouterExchange,
+    ) -> io::Result<Bytes> {
+        self.is_ended = true;
+        let (ran, code) = outcome(state);
+        log::warn!(
+            code = code.number(),
+            ran = ran.to_string().as_str(),
+            request_id = self.open_request.request_id();
+            "answer truncated"
+        );
+        let error = ErrorAnswer {
+            ran,
+            ..ErrorAnswer::new(code)
+        };
+        truncation_item(self.signal, &error, self.open_request.request_id())
+    }
 }
 
 fn truncation_item(
--- a/src/router/answer_reader.rs
+++ b/src/router/answer_reader.rs
@@ -20,6 +20,12 @@
             .is_some_and(|value| value.starts_with(b"text/event-stream"))
     }
 
+    /// Whether the body has a content coding, such as compression.
+    pub fn is_encoded(&self) -> bool {
+        self.header("content-encoding")
+            .is_some_and(|value| !value.eq_ignore_ascii_case(b"identity"))
+    }
+
     /// The body's length in bytes, if the upstream declared it.
     pub fn declared_length(&self) -> Option<u64> {
         let value = self.header("content-length")?;
--- a/src/router/caller_port.rs
+++ b/src/router/caller_port.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        answer_body::{PartialAnswer, TruncationSignal, answer_stream},
+        answer_body::{PartialAnswer, TruncationSignal},
         classify::{RawRequest, authenticate, classify},
         counted_body::CountedBody,
         request_flow::{Answer, answer_request},
@@ -186,13 +186,11 @@
         _ if is_chat => TruncationSignal::ChatEvent,
         _ => TruncationSignal::NamedEvent,
     };
-    let partial = PartialAnswer {
-        buffered: answer.buffered,
-        reader,
-        signal,
-        open_request,
-    };
-    response.streamed_body(StreamReader::new(Box::pin(answer_stream(partial))));
+    let mut partial = PartialAnswer::new(answer.buffered, reader, signal, open_request);
+    if answer.head.is_event_stream() && !answer.head.is_encoded() {
+        partial = partial.split_events();
+    }
+    response.streamed_body(StreamReader::new(Box::pin(partial.into_stream())));
     response.finalize()
 }
 
