A stream that ends inside an event is truncated, in the granted form

Cause: sidecar and router asked only how an answer ended: its length was reached, its last chunk came, or its connection was closed. Callers got a stream that its upstream broke off inside an event as complete, in all three framings, also inside the first event and over HTTP/1.0; a chat stream also where its end mark lacked the empty line that makes it an event.

Blank lines and comments after the last event are no part of one, and are passed on.

--- a/src/router/answer_body.rs
+++ b/src/router/answer_body.rs
@@ -1,10 +1,11 @@
 use {
     super::{
         answer_reader::{AnswerReader, outcome},
+        event_end::ends_inside_event,
         router::OpenRequest,
     },
     crate::{
-        codes::{ErrorAnswer, ResultCode},
+        codes::{ErrorAnswer, Ran, ResultCode},
         direct::EventSplitter,
         policy::RouterExchange,
     },
@@ -83,11 +84,7 @@
                     Ok(None) => {}
                     Err(state) => return Some(self.truncate(state)),
                 },
-                Ok(None) => {
-                    self.is_ended = true;
-                    let rest = self.events.as_mut().map(EventSplitter::take_partial);
-                    return rest.filter(|rest| !rest.is_empty()).map(Ok);
-                }
+                Ok(None) => return self.end(),
                 Err(state) => return Some(self.truncate(state)),
             }
         }
@@ -115,6 +112,19 @@
         Ok(events)
     }
 
+    /// The bytes after the last event of an answer that ended in order, if there are any. A
+    /// stream that ended inside an event is truncated: the upstream broke it off, although its
+    /// framing is complete or has no end of its own.
+    fn end(&mut self) -> Option<io::Result<Bytes>> {
+        self.is_ended = true;
+        let rest = self.events.as_mut()?.take_partial();
+        if ends_inside_event(&rest) {
+            let cut = RouterExchange::Ended(Ran::Unknown, ResultCode::AnswerCut);
+            return Some(self.truncate(cut));
+        }
+        (!rest.is_empty()).then_some(Ok(rest))
+    }
+
     fn truncate(
         &mut self,
         state: RouterExchange,
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -9,6 +9,7 @@
 mod choose_offer_host;
 mod classify;
 mod counted_body;
+mod event_end;
 mod housekeeping;
 mod link_events;
 mod request_flow;
