--- a/src/router/answer_reader.rs
+++ b/src/router/answer_reader.rs
@@ -2,7 +2,7 @@
     crate::{
         codes::{Ran, ResultCode},
         policy::{AnswerEvent, RouterExchange},
-        wire::{AnswerFrame, read_frame},
+        wire::{AnswerFrame, is_event_stream, read_frame},
     },
     quinn::RecvStream,
 };
@@ -16,8 +16,7 @@
 impl AnswerHead {
     /// Whether the body is a server-sent event stream, to be forwarded as it arrives.
     pub fn is_event_stream(&self) -> bool {
-        self.header("content-type")
-            .is_some_and(|value| value.starts_with(b"text/event-stream"))
+        self.header("content-type").is_some_and(is_event_stream)
     }
 
     /// Whether the body has a content coding, such as compression.
--- a/src/sidecar/relay.rs
+++ b/src/sidecar/relay.rs
@@ -11,7 +11,7 @@
         fleet::Group,
         platform::read_notice,
         policy::{Finished, Moment},
-        wire::{AnswerFrame, MAX_FRAME_BYTES},
+        wire::{AnswerFrame, MAX_FRAME_BYTES, is_event_stream},
     },
     bytes::Bytes,
     quinn::SendStream,
@@ -105,7 +105,7 @@
         started: Moment,
         send: &mut SendStream,
     ) -> Result<(), ResultCode> {
-        meter.set_streamed(is_event_stream(response));
+        meter.set_streamed(is_streamed(response));
         let head = AnswerFrame::Head {
             request_id: self.head.request_id.clone(),
             status: response.status().as_u16(),
@@ -168,11 +168,11 @@
     }
 }
 
-fn is_event_stream(response: &Response) -> bool {
+fn is_streamed(response: &Response) -> bool {
     response
         .headers()
         .get("content-type")
-        .is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"))
+        .is_some_and(|value| is_event_stream(value.as_bytes()))
 }
 
 fn answer_headers(response: &Response) -> Vec<(String, Vec<u8>)> {
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -8,6 +8,7 @@
 mod config_frame;
 mod control_message;
 mod envelope;
+mod media_type;
 mod request_head;
 mod stream_open;
 
@@ -19,6 +20,7 @@
     config_frame::ConfigFrame,
     control_message::ControlMessage,
     envelope::Envelope,
+    media_type::is_event_stream,
     request_head::RequestHead,
     stream_open::StreamOpen,
 };
