--- a/testbed/src/standin/framed_answer.rs
+++ b/testbed/src/standin/framed_answer.rs
@@ -1,6 +1,7 @@
 /// An answer of a [`super::FramedService`], with its framing and how its connection ends.
 #[derive(Debug, Clone)]
 pub struct FramedAnswer {
+    pub status: u16,
     pub headers: Vec<(String, String)>, // without those of the framing
     pub body: Vec<u8>,
     pub framing: AnswerFraming,
@@ -32,6 +33,7 @@
         framing: AnswerFraming,
     ) -> Self {
         Self {
+            status: 200,
             headers: vec![("Content-Type".to_owned(), content_type.to_owned())],
             body: body.into(),
             framing,
@@ -47,6 +49,15 @@
         Self::new("text/event-stream", text, framing)
     }
 
+    /// Sets the status.
+    pub fn status(
+        mut self,
+        status: u16,
+    ) -> Self {
+        self.status = status;
+        self
+    }
+
     /// Adds a header.
     pub fn header(
         mut self,
@@ -74,7 +85,7 @@
         &self,
         is_head_request: bool,
     ) -> Vec<u8> {
-        let mut text = "HTTP/1.1 200 OK\r\nConnection: close\r\n".to_owned();
+        let mut text = format!("HTTP/1.1 {} Status\r\nConnection: close\r\n", self.status);
         for (name, value) in &self.headers {
             text.push_str(&format!("{name}: {value}\r\n"));
         }
--- a/testbed/tests/answer_endings.rs
+++ b/testbed/tests/answer_endings.rs
@@ -351,6 +351,20 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_nothing_was_modified_keeps_its_declared_length() {
+    let fleet = fleet(false).await;
+    let answer = FramedAnswer::new("text/plain", "", DeclaredLength(10)).status(304);
+    let response = ask(&fleet, Method::GET, answer).await;
+    assert_eq!(response.status(), 304);
+    let declared = response.headers().get("content-length").cloned();
+    assert_eq!(declared.expect("a length"), "10");
+    let answer = FramedAnswer::new("text/plain", "", UntilClose).status(304);
+    let response = ask(&fleet, Method::GET, answer).await;
+    assert_eq!(response.status(), 304);
+    assert_eq!(response.headers().get("content-length"), None);
+}
+
 /// A message with both has the length of its chunks; the declared one is to be ignored.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_length_declared_beside_chunks_cuts_nothing() {
