Keep the declared length of answers without a body, in the granted form

Cause: a router set the length of an answer that it had read whole to the bytes it had read. For HEAD and for status 304 these are none, so that callers were told Content-Length: 0 in place of the length of the body that a GET gets, or of none.

Evidence: an_answer_to_a_head_request_keeps_its_declared_length and an_answer_that_nothing_was_modified_keeps_its_declared_length failed before and pass now.

--- a/src/router/caller_port.rs
+++ b/src/router/caller_port.rs
@@ -124,7 +124,8 @@
         let answer = answer_request(&self.router, &request).await?;
         metrics::counter!(REQUESTS, "code" => "0", "ran" => "yes").increment(1);
         let is_chat = request.model.is_some();
-        Ok(to_response(answer, is_chat, open_request))
+        let is_head_request = request.method == "HEAD";
+        Ok(to_response(answer, is_chat, is_head_request, open_request))
     }
 
     async fn read_request<'r>(
@@ -162,6 +163,7 @@
 fn to_response<'r>(
     answer: Answer,
     is_chat: bool,
+    is_head_request: bool,
     open_request: OpenRequest,
 ) -> Response<'r> {
     let mut response = Response::build();
@@ -175,7 +177,18 @@
     response.raw_header("x-request-id", open_request.request_id().to_owned());
     let Some(reader) = answer.unread else {
         let body = answer.buffered.concat();
-        response.sized_body(body.len(), CountedBody::new(body, open_request));
+        // The length that such an answer declares is the one of a body that is not sent.
+        let has_no_body = is_head_request || answer.head.status == Status::NotModified.code;
+        let length = if has_no_body {
+            answer.head.declared_length()
+        } else {
+            Some(body.len() as u64)
+        };
+        let body = CountedBody::new(body, open_request);
+        match length {
+            Some(length) => response.sized_body(length as usize, body),
+            None => response.streamed_body(body),
+        };
         return response.finalize();
     };
     let signal = match answer.head.declared_length() {
