Ignore a declared length beside chunks, in the granted form

Cause: the sidecar read such an answer by its chunks, and passed the Content-Length on too. Of an answer over 1 MiB, which is forwarded as it arrives, the router then promised that length: a caller got 10 bytes of 2 MiB as complete where 10 were declared, and a cut answer where more were declared than came. The sidecar now leaves the length out where a transfer encoding says where the body ends (RFC 9112, 6.3); the router takes the answer whole before it forwards it, as any without a length.

Evidence: a_length_declared_beside_chunks_cuts_nothing failed before and passes now; all 16 tests of answer_endings pass.

--- a/src/sidecar/relay.rs
+++ b/src/sidecar/relay.rs
@@ -175,10 +175,14 @@
         .is_some_and(|value| is_event_stream(value.as_bytes()))
 }
 
+/// The headers of an answer. A declared length beside a transfer encoding is left out: the
+/// encoding alone says where the body ends.
 fn answer_headers(response: &Response) -> Vec<(String, Vec<u8>)> {
-    response
-        .headers()
+    let headers = response.headers();
+    let is_length_void = headers.contains_key("transfer-encoding");
+    headers
         .iter()
+        .filter(|(name, _)| !is_length_void || name.as_str() != "content-length")
         .map(|(name, value)| (name.to_string(), value.as_bytes().to_vec()))
         .collect()
 }
