Tests: comments between events, an event over the bound

a_comment_between_events_is_passed_on_at_once fails since complete events only are forwarded: a comment line without an empty line after it, as streams send to keep connections alive, and events that carriage returns end wait for the next event. The event over 64 MiB passes (code 61).

--- a/testbed/tests/answer_endings.rs
+++ b/testbed/tests/answer_endings.rs
@@ -15,6 +15,7 @@
     std::{
         io::{Read, Write},
         net::TcpStream,
+        time::Duration,
     },
 };
 
@@ -26,6 +27,9 @@
 /// More than a router takes of an answer that declares no length.
 const TOO_LONG_BODY_BYTES: usize = 65 << 20;
 
+/// Bounds a failing run: far longer than events need to arrive.
+const READ_TIMEOUT: Duration = Duration::from_secs(20);
+
 async fn fleet(is_model: bool) -> Fleet {
     Fleet::start(plan(is_model)).await
 }
@@ -160,6 +164,50 @@
     }
 }
 
+/// The first `length` bytes of a body that goes on.
+async fn read_bytes(
+    response: &mut Response,
+    length: usize,
+) -> Vec<u8> {
+    let mut got = Vec::new();
+    let reading = async {
+        while got.len() < length {
+            let chunk = response.chunk().await.expect("a stream");
+            got.extend_from_slice(&chunk.expect("more events"));
+        }
+    };
+    let is_read = tokio::time::timeout(READ_TIMEOUT, reading).await.is_ok();
+    assert!(is_read, "{:?}", String::from_utf8_lossy(&got));
+    got
+}
+
+/// Comments between events keep connections alive. They are no part of an event that is held
+/// back, and nor is an event that carriage returns end.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_comment_between_events_is_passed_on_at_once() {
+    let fleet = fleet(false).await;
+    for text in [
+        format!("{EVENTS}: ping\n"),
+        format!("{EVENTS}: ping\r\n"),
+        EVENTS.replace('\n', "\r"),
+    ] {
+        let answer = FramedAnswer::events(&text, UntilClose).keep_open();
+        let mut response = ask(&fleet, Method::POST, answer).await;
+        let got = read_bytes(&mut response, text.len()).await;
+        assert_eq!(String::from_utf8_lossy(&got), text);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_event_over_the_bound_is_an_error() {
+    let fleet = fleet(false).await;
+    let mut text = String::from("data: ");
+    text.extend(std::iter::repeat_n('x', TOO_LONG_BODY_BYTES));
+    text.push_str("\n\n");
+    let got = events(&fleet, FramedAnswer::events(&text, UntilClose)).await;
+    assert_ended(&got, "", 61);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_whose_sidecar_is_killed_ends_in_an_error_event() {
     for partial in ["", "id: 3\ndata: pie"] {
@@ -167,11 +215,7 @@
         let text = format!("{EVENTS}{partial}");
         let answer = FramedAnswer::events(&text, UntilClose).keep_open();
         let mut response = ask(&fleet, Method::POST, answer).await;
-        let mut got = Vec::new();
-        while got.len() < EVENTS.len() {
-            let chunk = response.chunk().await.expect("a stream");
-            got.extend_from_slice(&chunk.expect("more events"));
-        }
+        let mut got = read_bytes(&mut response, EVENTS.len()).await;
         fleet.sidecars[0].process.kill();
         while let Some(chunk) = response.chunk().await.expect("an end in order") {
             got.extend_from_slice(&chunk);
