Hold back events only, not what stands between them, in the granted form

Cause: the router held back all bytes after the last blank line. A comment line alone, sent to keep a connection alive, reached callers with the next event only, and a stream whose lines end in carriage returns at its end.

EventBuffer knows the three line ends of the format, and holds back only lines of an event that is not complete. It replaces the splitter of the direct form here, and the separate look at the end.

--- a/src/router/answer_body.rs
+++ b/src/router/answer_body.rs
@@ -1,12 +1,11 @@
 use {
     super::{
         answer_reader::{AnswerReader, outcome},
-        event_end::ends_inside_event,
+        event_buffer::EventBuffer,
         router::OpenRequest,
     },
     crate::{
         codes::{ErrorAnswer, Ran, ResultCode},
-        direct::EventSplitter,
         policy::RouterExchange,
     },
     bytes::Bytes,
@@ -32,8 +31,7 @@
 pub struct PartialAnswer {
     buffered: vec::IntoIter<Bytes>, // chunks read before the head was sent
     reader: AnswerReader,
-    events: Option<EventSplitter>, // if the body is a stream of events
-    held_bytes: usize,             // at most this many bytes are in `events`
+    events: Option<EventBuffer>, // if the body is a stream of events
     signal: TruncationSignal,
     open_request: OpenRequest,
     is_ended: bool,
@@ -51,7 +49,6 @@
             buffered: buffered.into_iter(),
             reader,
             events: None,
-            held_bytes: 0,
             signal,
             open_request,
             is_ended: false,
@@ -61,7 +58,7 @@
     /// Forwards complete events only, so that a truncated stream ends before the partial event
     /// and its error is an event of its own.
     pub fn split_events(mut self) -> Self {
-        self.events = Some(EventSplitter::default());
+        self.events = Some(EventBuffer::default());
         self
     }
 
@@ -97,32 +94,23 @@
         &mut self,
         chunk: Vec<u8>,
     ) -> Result<Option<Bytes>, RouterExchange> {
-        let Some(splitter) = &mut self.events else {
+        let Some(events) = &mut self.events else {
             return Ok(Some(chunk.into()));
         };
-        let events = splitter.push(&chunk);
-        self.held_bytes = if events.is_some() {
-            chunk.len()
-        } else {
-            self.held_bytes + chunk.len()
-        };
-        if self.held_bytes > MAX_EVENT_BYTES {
+        let complete = events.push(&chunk);
+        if events.held_bytes() > MAX_EVENT_BYTES {
             return Err(self.reader.abort(ResultCode::AnswerTooLarge));
         }
-        Ok(events)
+        Ok(complete)
     }
 
-    /// The bytes after the last event of an answer that ended in order, if there are any. A
-    /// stream that ended inside an event is truncated: the upstream broke it off, although its
-    /// framing is complete or has no end of its own.
+    /// Ends an answer whose framing is complete or has no end of its own. A stream that ended
+    /// inside an event is truncated all the same: the upstream broke it off.
     fn end(&mut self) -> Option<io::Result<Bytes>> {
         self.is_ended = true;
-        let rest = self.events.as_mut()?.take_partial();
-        if ends_inside_event(&rest) {
-            let cut = RouterExchange::Ended(Ran::Unknown, ResultCode::AnswerCut);
-            return Some(self.truncate(cut));
-        }
-        (!rest.is_empty()).then_some(Ok(rest))
+        let is_truncated = self.events.as_ref()?.is_inside_event();
+        let cut = RouterExchange::Ended(Ran::Unknown, ResultCode::AnswerCut);
+        is_truncated.then(|| self.truncate(cut))
     }
 
     fn truncate(
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -9,7 +9,7 @@
 mod choose_offer_host;
 mod classify;
 mod counted_body;
-mod event_end;
+mod event_buffer;
 mod housekeeping;
 mod link_events;
 mod request_flow;
@@ -21,4 +21,4 @@
 mod wait_outcome;
 mod waiting_table;
 
-pub use {router::Router, serve::main};
+pub use {event_buffer::EventBuffer, router::Router, serve::main};
