A killed sidecar: the test waits for what callers received, and names each request's outcome

a_sidecar_killed_in_the_middle_of_answers_cuts_them_visibly expected each of 20 requests cut or whole, and once 2 ended with 502 (code 50, ran unknown). The test was wrong, in two ways:

- The killed sidecar also held requests that waited for a slot, in 12 of 12 traced runs two (10 attempts lost, 8 answers cut).
Their attempts end with code 50, as nothing tells the router that they did not run.
- More than 5 tokens at the engine do not show that the router has the answer's head.
With the sidecar stopped from when all slots were taken, an attempt whose engine had sent 6 tokens was lost without a head, and a third lost attempt at one router found no retry left: 502, code 50.

No caller that got a head got a 502.

The test now waits until the callers of all 16 running requests receive events, and asserts each request's outcome: what streamed from the killed sidecar is cut, what streamed from the other one is whole, and the rest, with retries enough, whole. A second test, without retries, asserts that the rest is whole or 502 with code 50 and unknown, at least one the latter, each run once at most.

--- a/testbed/src/fleet/caller.rs
+++ b/testbed/src/fleet/caller.rs
@@ -1,5 +1,5 @@
 use {
-    super::Outcome,
+    super::{Outcome, StreamingNonces},
     crate::standin::ChatBody,
     reqwest::{Client, Method, RequestBuilder, Response, retry},
     serde_json::Value,
@@ -41,6 +41,7 @@
     account: String,
     key: String,
     header: Option<(String, String)>, // added to each request
+    streaming: StreamingNonces,
 }
 
 impl Caller {
@@ -55,6 +56,7 @@
             account: account.to_owned(),
             key: super::account_key(account),
             header: None,
+            streaming: StreamingNonces::default(),
         }
     }
 
@@ -77,6 +79,15 @@
         self
     }
 
+    /// Records in `streaming` which of its chat requests receive events.
+    pub fn record_streaming(
+        mut self,
+        streaming: &StreamingNonces,
+    ) -> Self {
+        self.streaming = streaming.clone();
+        self
+    }
+
     /// A request with this caller's key and headers, to be completed and sent.
     pub fn request(
         &self,
@@ -111,7 +122,9 @@
             return read_refusal(response, started).await;
         }
         if body.stream {
-            read_stream(response, body, started).await
+            let outcome = read_stream(response, body, started, &self.streaming).await;
+            self.streaming.remove(body.nonce());
+            outcome
         } else {
             read_whole(response, body, started).await
         }
@@ -202,12 +215,16 @@
     mut response: Response,
     body: &ChatBody,
     started: Instant,
+    streaming: &StreamingNonces,
 ) -> Outcome {
     let (mut text, mut first) = (Vec::new(), None);
     loop {
         match response.chunk().await {
             Ok(Some(chunk)) => {
-                first.get_or_insert(started.elapsed());
+                if first.is_none() {
+                    first = Some(started.elapsed());
+                    streaming.insert(body.nonce());
+                }
                 text.extend_from_slice(&chunk);
             }
             Ok(None) => break,
--- a/testbed/src/fleet/mod.rs
+++ b/testbed/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 mod process;
 mod sidecar_host;
 mod starter;
+mod streaming_nonces;
 mod tcp_state;
 mod wait;
 
@@ -24,6 +25,7 @@
     plan::{FleetPlan, SidecarPlan, UpstreamPlan},
     process::{Process, program_path},
     sidecar_host::{SidecarHost, Upstream},
+    streaming_nonces::StreamingNonces,
     tcp_state::is_closed_by_peer,
     wait::{wait_until, wait_until_async},
 };
--- a/testbed/tests/whole_answers.rs
+++ b/testbed/tests/whole_answers.rs
@@ -3,7 +3,7 @@
 
 use {
     archmast_testbed::{
-        fleet::{Fleet, FleetPlan, FleetText, Outcome, nonce, wait_until},
+        fleet::{Fleet, FleetPlan, FleetText, Outcome, StreamingNonces, nonce, wait_until},
         standin::{ChatBody, EngineFault, EngineSettings},
     },
     std::{sync::Arc, time::Duration},
@@ -13,6 +13,9 @@
 /// More requests than one sidecar holds: 8 in the slots of its upstream, and at most 8 queued.
 const REQUESTS_FOR_TWO_SIDECARS: usize = 20;
 
+/// Tokens of a stream that runs for four seconds.
+const STREAMED_TOKENS: u32 = 800;
+
 fn plan() -> FleetPlan {
     let text = FleetText::default()
         .class("chat", "60 s")
@@ -123,35 +126,127 @@
     assert!(text.contains(r#""code":51,"ran":"unknown""#), "{text}");
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn a_sidecar_killed_in_the_middle_of_answers_cuts_them_visibly() {
-    let mut fleet = Fleet::start(plan()).await;
+/// What became of one request when a sidecar was killed.
+struct KilledSidecarOutcome {
+    outcome: Outcome,
+    was_streaming: bool,            // its caller had received events before
+    ran_at_killed: bool,            // it reached the upstream of the killed sidecar
+    was_complete_at_upstream: bool, // that upstream had answered it completely
+    run_count: usize,               // at all upstreams
+}
+
+/// Sends more streamed requests than one sidecar holds, and kills one as soon as the callers of
+/// all requests that run receive events. Routers may retry this fraction of the requests.
+async fn kill_sidecar_under_streams(retry_fraction: &str) -> Vec<KilledSidecarOutcome> {
+    let plan = plan().set_router("dispatch.retry_fraction", retry_fraction);
+    let mut fleet = Fleet::start(plan).await;
+    let streaming = StreamingNonces::default();
     let mut requests = JoinSet::new();
     for index in 0..REQUESTS_FOR_TWO_SIDECARS {
-        let caller = fleet.caller(index % 2, "lot-a");
+        let caller = fleet
+            .caller(index % 2, "lot-a")
+            .record_streaming(&streaming);
         requests.spawn(async move {
-            let body = ChatBody::new("drafter", "prefix", &nonce(), 400, true);
-            caller.chat(&body).await
+            let body = ChatBody::new("drafter", "prefix", &nonce(), STREAMED_TOKENS, true);
+            (body.nonce().to_owned(), caller.chat(&body).await)
         });
     }
-    // A stream without any event yet would end in an error answer instead of a visible cut.
-    wait_until("all that runs at either engine streams", || {
-        fleet.sidecars.iter().all(|sidecar| {
-            let runs = sidecar.upstream.log().runs();
-            !runs.is_empty() && runs.iter().all(|run| run.tokens > 5)
-        })
-    })
+    // Events that an upstream has sent show nothing of what the router has received.
+    wait_until(
+        "all slots are taken by requests whose callers receive events",
+        || {
+            let received = streaming.current();
+            fleet.sidecars.iter().all(|sidecar| {
+                let mut runs = sidecar.upstream.log().runs();
+                runs.retain(|run| !run.is_complete);
+                runs.len() == EngineSettings::default().slots
+                    && runs.iter().all(|run| received.contains(&run.nonce))
+            })
+        },
+    )
     .await;
+    let received = streaming.current();
     fleet.sidecars[0].process.kill();
     let outcomes = requests.join_all().await;
-    assert_none_wrong(&outcomes);
-    let cut = outcomes
-        .iter()
-        .filter(|o| **o == Outcome::Truncated)
-        .count();
-    let whole = outcomes.iter().filter(|o| o.is_complete()).count();
-    assert!(cut > 0, "{outcomes:?}");
-    assert_eq!(cut + whole, REQUESTS_FOR_TWO_SIDECARS, "{outcomes:?}");
+    let counts = fleet.runs_by_nonce();
+    let runs = fleet.sidecars[0].upstream.log().runs();
+    let outcomes = outcomes.into_iter().map(|(nonce, outcome)| {
+        let run = runs.iter().find(|run| run.nonce == nonce);
+        KilledSidecarOutcome {
+            outcome,
+            was_streaming: received.contains(&nonce),
+            ran_at_killed: run.is_some(),
+            was_complete_at_upstream: run.is_some_and(|run| run.is_complete),
+            run_count: counts.get(&nonce).copied().unwrap_or(0),
+        }
+    });
+    outcomes.collect()
+}
+
+/// Asserts that each stream that the killed sidecar relayed is cut visibly, and each that the
+/// other one relayed is whole. Returns the outcomes of the requests that did not stream yet.
+fn assert_streams_cut(requests: Vec<KilledSidecarOutcome>) -> Vec<KilledSidecarOutcome> {
+    let (streamed, others): (Vec<_>, Vec<_>) = requests
+        .into_iter()
+        .partition(|request| request.was_streaming);
+    let mut cut = 0;
+    for request in streamed {
+        let outcome = request.outcome;
+        if request.ran_at_killed && !request.was_complete_at_upstream {
+            assert_eq!(outcome, Outcome::Truncated);
+            cut += 1;
+        } else {
+            // Its end may have been on its way in the killed sidecar.
+            let is_cut_at_its_end = request.ran_at_killed && outcome == Outcome::Truncated;
+            assert!(outcome.is_complete() || is_cut_at_its_end, "{outcome:?}");
+        }
+    }
+    assert!(cut > 0, "no stream was cut");
+    others
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_sidecar_killed_in_the_middle_of_answers_cuts_them_visibly() {
+    let requests = kill_sidecar_under_streams("1").await;
+    assert_eq!(requests.len(), REQUESTS_FOR_TWO_SIDECARS);
+    for request in assert_streams_cut(requests) {
+        // It can be repeated, unless its stream began just before the sidecar was killed.
+        let is_cut = request.ran_at_killed && request.outcome == Outcome::Truncated;
+        assert!(
+            request.outcome.is_complete() || is_cut,
+            "{:?}",
+            request.outcome
+        );
+    }
+}
+
+/// A sidecar also holds requests that wait for a slot. Without a retry their routers cannot know
+/// that they did not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_a_killed_sidecar_held_without_an_answer_is_unknown_without_a_retry() {
+    let requests = kill_sidecar_under_streams("0").await;
+    let mut unknown = 0;
+    for request in assert_streams_cut(requests) {
+        match &request.outcome {
+            Outcome::Refused {
+                status: 502,
+                code: 50,
+                ran,
+                ..
+            } if ran == "unknown" => {
+                unknown += 1;
+                assert!(request.run_count <= 1, "{:?}", request.outcome);
+            }
+            outcome => {
+                let is_cut = request.ran_at_killed && *outcome == Outcome::Truncated;
+                assert!(outcome.is_complete() || is_cut, "{outcome:?}");
+            }
+        }
+    }
+    assert!(
+        unknown > 0,
+        "the killed sidecar held no request that waited"
+    );
 }
 
 #[tokio::test(flavor = "multi_thread")]
