Tests: encoded chat streams

upstreams_are_not_asked_to_encode_chat_streams fails on this code: a caller's Accept-Encoding reaches the engine. The other one passes: what an engine encodes counts as cut, whole or not.

--- a/testbed/src/standin/framed_service.rs
+++ b/testbed/src/standin/framed_service.rs
@@ -22,6 +22,7 @@
     pub address: SocketAddr,
     pub log: Arc<RunLog>,
     answer: Arc<Mutex<FramedAnswer>>,
+    last_head: Arc<Mutex<String>>, // of a request, in lower case
     task: JoinHandle<()>,
 }
 
@@ -41,13 +42,14 @@
         let log = Arc::new(RunLog::default());
         let empty = FramedAnswer::new("text/plain", "", AnswerFraming::DeclaredLength(0));
         let answer = Arc::new(Mutex::new(empty));
-        let (runs, answers) = (log.clone(), answer.clone());
+        let last_head: Arc<Mutex<String>> = Arc::default();
+        let (runs, answers, heads) = (log.clone(), answer.clone(), last_head.clone());
         let task = tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let answer = answers.lock().expect("answer lock").clone();
-                let runs = runs.clone();
+                let (runs, heads) = (runs.clone(), heads.clone());
                 tokio::spawn(async move {
-                    if let Err(error) = serve(stream, &runs, &answer).await {
+                    if let Err(error) = serve(stream, &runs, &heads, &answer).await {
                         log::debug!("connection of a framed service: {error}");
                     }
                 });
@@ -57,10 +59,16 @@
             address,
             log,
             answer,
+            last_head,
             task,
         }
     }
 
+    /// Request line and headers of the last request, in lower case.
+    pub fn last_head(&self) -> String {
+        self.last_head.lock().expect("head lock").clone()
+    }
+
     /// Sets the answer to all further requests.
     pub fn set_answer(
         &self,
@@ -74,11 +82,13 @@
 async fn serve(
     stream: TcpStream,
     log: &RunLog,
+    last_head: &Mutex<String>,
     answer: &FramedAnswer,
 ) -> io::Result<()> {
     let mut stream = BufReader::new(stream);
     let (mut is_head_request, mut length) = (false, 0);
     let (mut request_id, mut nonce) = (String::new(), String::new());
+    let mut head = String::new();
     loop {
         let mut line = String::new();
         if stream.read_line(&mut line).await? == 0 {
@@ -88,6 +98,8 @@
         if line.is_empty() {
             break;
         }
+        head.push_str(&line.to_ascii_lowercase());
+        head.push('\n');
         is_head_request |= line.starts_with("HEAD ");
         if let Some((name, value)) = line.split_once(": ") {
             match name.to_ascii_lowercase().as_str() {
@@ -98,6 +110,7 @@
             }
         }
     }
+    *last_head.lock().expect("head lock") = head;
     let mut body = vec![0; length];
     stream.read_exact(&mut body).await?;
     let number = log.start(&request_id, &nonce, "");
--- a/testbed/tests/answer_endings.rs
+++ b/testbed/tests/answer_endings.rs
@@ -326,6 +326,37 @@
     assert_eq!(got, "not a text of events");
 }
 
+/// An encoded chat stream can be searched for neither its end mark nor the tokens it cost.
+#[tokio::test(flavor = "multi_thread")]
+async fn upstreams_are_not_asked_to_encode_chat_streams() {
+    for (is_model, path) in [(true, "/v1/chat/completions"), (false, "/gate/events")] {
+        let fleet = fleet(is_model).await;
+        let upstream = fleet.sidecars[0].upstream.framed();
+        upstream.set_answer(FramedAnswer::events("data: [DONE]\n\n", Chunks));
+        let body = ChatBody::new("drafter", "prefix", &nonce(), 1, true);
+        let request = fleet.caller(0, "lot-a").request(Method::POST, path);
+        let request = request.header("Accept-Encoding", "gzip").json(&body);
+        let response = request.send().await.expect("an answer");
+        assert_eq!(response.text().await.expect("a body"), "data: [DONE]\n\n");
+        let is_asked = upstream.last_head().contains("\naccept-encoding: gzip\n");
+        assert_eq!(is_asked, !is_model, "{}", upstream.last_head());
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_chat_stream_that_its_upstream_encoded_unasked_is_no_whole_answer() {
+    let fleet = fleet(true).await;
+    let answer = FramedAnswer::events("encoded", Chunks).header("Content-Encoding", "gzip");
+    fleet.sidecars[0].upstream.framed().set_answer(answer);
+    let body = ChatBody::new("drafter", "prefix", &nonce(), 1, true);
+    let request = fleet
+        .caller(0, "lot-a")
+        .request(Method::POST, "/v1/chat/completions");
+    let response = request.json(&body).send().await.expect("an answer");
+    let text = response.text().await.expect("a body");
+    assert_chat_cut(&text, "encoded");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_answer_that_is_no_stream_is_whole_or_an_error() {
     let fleet = fleet(false).await;
