--- a/src/router/classify.rs
+++ b/src/router/classify.rs
@@ -43,6 +43,10 @@
     "x-request-id",
 ];
 
+/// Not forwarded with chat requests: sidecars search the events of chat streams for the end
+/// mark and the tokens, which a content coding would hide.
+const ACCEPT_ENCODING_HEADER: &str = "accept-encoding";
+
 /// A request as received from the caller.
 pub struct RawRequest {
     pub request_id: String,
@@ -112,7 +116,7 @@
         group: group.name.clone(),
         labels: caller_labels,
         path,
-        headers: forwarded_headers(&raw.headers),
+        headers: forwarded_headers(&raw.headers, target.model.is_some()),
         hosts,
         repeatable,
         idempotency_key,
@@ -257,12 +261,16 @@
         .map(|(_, value)| value.as_str())
 }
 
-fn forwarded_headers(headers: &[(String, String)]) -> Vec<(String, Vec<u8>)> {
+fn forwarded_headers(
+    headers: &[(String, String)],
+    is_chat: bool,
+) -> Vec<(String, Vec<u8>)> {
     headers
         .iter()
         .filter(|(name, _)| {
             let name = name.to_ascii_lowercase();
-            !UNFORWARDED_HEADERS.contains(&name.as_str()) && name != LABELS_HEADER
+            let hides_events = is_chat && name == ACCEPT_ENCODING_HEADER;
+            !UNFORWARDED_HEADERS.contains(&name.as_str()) && name != LABELS_HEADER && !hides_events
         })
         .map(|(name, value)| (name.clone(), value.as_bytes().to_vec()))
         .collect()
