A taken-up stream that lacks nothing but its end is whole without an event

A caller that has all events but not the end of a stream takes it up after the last one, and the replica's answer, without length or chunks, has no event. The check before counted it as broken off. Found by reading; that the replica has exited still does.

--- a/src/direct/events_relay.rs
+++ b/src/direct/events_relay.rs
@@ -217,7 +217,9 @@
                 // The kernel closes the connections of a process that exits like those of whole
                 // answers.
                 None if self.answer.ends_with_connection => {
-                    if self.first_event_after.is_none() {
+                    // What a caller takes up may lack nothing but its end.
+                    let takes_up = self.exchange().call.began_at.is_some();
+                    if self.first_event_after.is_none() && !takes_up {
                         return Err(broken_off("the stream ended before its first event"));
                     }
                     if self.exchange_mut().has_replica_exited().await {
