Stand-in replica that exits closes its listener before its connections

an_answer_without_length_whose_replica_exits_is_an_error_answer failed once in three plays beside 30 other tests: the stand-in closed the connection, and its listener only when another task ran, so that a router could still connect in between. It now closes them in the order of the kernel, which closes the files of a process by their numbers. What the tests ask for is unchanged.

Also a control: whole streams to callers of HTTP/1.0 end without a reset.

--- a/testbed/tests/answer_ends.rs
+++ b/testbed/tests/answer_ends.rs
@@ -121,7 +121,7 @@
 async fn serve_raw(
     stream: TcpStream,
     answer: impl Fn(&Received) -> RawAnswer,
-) -> io::Result<End> {
+) -> io::Result<(End, TcpStream)> {
     let mut stream = BufReader::new(stream);
     while let Some(request) = read_request(&mut stream).await? {
         let RawAnswer {
@@ -136,10 +136,10 @@
         );
         stream.write_all((head + &body).as_bytes()).await?;
         if end != End::KeepOpen {
-            return Ok(end);
+            return Ok((end, stream.into_inner()));
         }
     }
-    Ok(End::Close)
+    Ok((End::Close, stream.into_inner()))
 }
 
 /// Accepts connections until an answer ends with `End::Exit`.
@@ -155,7 +155,12 @@
                 connections.spawn(serve_raw(stream, answer.clone()));
             }
             Some(ended) = connections.join_next() => match ended {
-                Ok(Ok(End::Exit)) => return,
+                Ok(Ok((End::Exit, stream))) => {
+                    // The kernel closes the files of a process in the order of their numbers.
+                    drop(listener);
+                    drop(stream);
+                    return;
+                }
                 Ok(Ok(_)) => {}
                 failed => log::debug!("connection of a router: {failed:?}"),
             },
@@ -436,13 +441,8 @@
 
 // Callers
 
-/// Without chunks, only a reset of the connection shows a caller that the answer was cut.
-#[tokio::test(flavor = "multi_thread")]
-async fn a_caller_of_an_older_protocol_sees_a_reset_where_a_stream_is_cut() {
-    let fleet = raw_fleet(1, |_| {
-        RawAnswer::unframed(&(events(1..=4) + "id: 5\nda"), End::Close)
-    })
-    .await;
+/// The answer to a request of HTTP/1.0 as it was received, and whether its connection was reset.
+async fn answer_of_older_protocol(fleet: &DirectFleet) -> (String, bool) {
     let mut stream = TcpStream::connect(fleet.caller_addresses[0])
         .await
         .expect("connects");
@@ -451,10 +451,31 @@
     let mut received = Vec::new();
     let ended = timeout(PATIENCE, stream.read_to_end(&mut received)).await;
     let ended = ended.expect("the answer ends");
-    let received = String::from_utf8_lossy(&received).into_owned();
+    (
+        String::from_utf8_lossy(&received).into_owned(),
+        ended.is_err(),
+    )
+}
+
+/// Without chunks, only a reset of the connection shows a caller that the answer was cut.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_of_an_older_protocol_sees_a_reset_where_a_stream_is_cut() {
+    let fleet = raw_fleet(1, |_| {
+        RawAnswer::unframed(&(events(1..=4) + "id: 5\nda"), End::Close)
+    })
+    .await;
+    let (received, was_reset) = answer_of_older_protocol(&fleet).await;
     let has_begun = received.starts_with("HTTP/1.0 200");
     let is_framed = received.to_ascii_lowercase().contains("content-length");
-    assert!(ended.is_err() || !has_begun || is_framed, "{received:?}");
+    assert!(was_reset || !has_begun || is_framed, "{received:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_of_an_older_protocol_gets_whole_streams_without_a_reset() {
+    let fleet = raw_fleet(1, |_| RawAnswer::unframed(&events(1..=LAST), End::Close)).await;
+    let (received, was_reset) = answer_of_older_protocol(&fleet).await;
+    assert!(received.starts_with("HTTP/1.0 200"), "{received:?}");
+    assert!(received.ends_with(&events(1..=LAST)) && !was_reset);
 }
 
 /// A router whose caller does not read, with an answer of `UNREAD_EVENTS` events that was read to
