A cut answer resets the connection of an HTTP/1.0 caller

Callers of HTTP/1.0 got the beginning of a cut stream like a whole one.

Cause: without chunks, an answer without a length ends with its connection, and hyper closes that in order when an answer fails. The connection is now reset in place of closed if it ends before its answer does. A reset discards what the kernel has not sent yet.

--- a/src/direct/answer_buffer.rs
+++ b/src/direct/answer_buffer.rs
@@ -9,7 +9,7 @@
         pin::Pin,
         sync::{
             Arc, Mutex, MutexGuard,
-            atomic::{AtomicU64, Ordering},
+            atomic::{AtomicBool, AtomicU64, Ordering},
         },
         task::{Context, Poll, Waker},
     },
@@ -27,6 +27,8 @@
     gateway: Arc<Gateway>,
     held: HeldBytes, // read and not sent yet, including the connection's write buffer
     last_progress_ms: AtomicU64, // uptime when the caller last read or a backlog began
+    is_unframed: AtomicBool, // the caller's protocol knows no chunks
+    was_cut: AtomicBool,
     state: Mutex<ReadState>, // locked before all other locks: reading ahead takes them
 }
 
@@ -47,10 +49,24 @@
             gateway,
             held,
             last_progress_ms: AtomicU64::new(0),
+            is_unframed: AtomicBool::new(false),
+            was_cut: AtomicBool::new(false),
             state: Mutex::default(),
         })
     }
 
+    /// Records that the caller's protocol knows no chunks: where an answer has no length, the end
+    /// of the connection is its end.
+    pub fn set_unframed(&self) {
+        self.is_unframed.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether only a reset of the connection shows the caller that the answer is not whole.
+    pub fn must_reset(&self) -> bool {
+        let is_partial = self.was_cut.load(Ordering::Relaxed) || !self.is_finished();
+        self.is_unframed.load(Ordering::Relaxed) && is_partial
+    }
+
     /// Starts the next answer on the connection.
     pub fn start(
         &self,
@@ -76,14 +92,14 @@
     ) -> Poll<Option<Piece>> {
         let mut state = self.state();
         if let Some(piece) = state.pieces.pop_front() {
-            return Self::deliver(&mut state, context, piece);
+            return self.deliver(&mut state, context, piece);
         }
         let polled = state.poll(context);
         state.is_awaited = polled.is_pending();
         match polled {
             Poll::Ready(Some(piece)) => {
                 self.add_held(length(&piece));
-                Self::deliver(&mut state, context, piece)
+                self.deliver(&mut state, context, piece)
             }
             other => other,
         }
@@ -92,11 +108,13 @@
     /// Passes a piece on. The cut of an answer waits until all before it was written, since the
     /// connection discards what it has not written when its answer is cut.
     fn deliver(
+        &self,
         state: &mut ReadState,
         context: &Context<'_>,
         piece: Piece,
     ) -> Poll<Option<Piece>> {
         if piece.is_ok() || state.is_flushed {
+            self.was_cut.fetch_or(piece.is_err(), Ordering::Relaxed);
             return Poll::Ready(Some(piece));
         }
         state.pieces.push_front(piece);
--- a/src/direct/caller_connections.rs
+++ b/src/direct/caller_connections.rs
@@ -14,7 +14,7 @@
         codes::ResultCode,
         ops::{CONNECTIONS_FORWARDED, UNREAD_ANSWERS},
     },
-    hyper::{server::conn::http1, service::service_fn},
+    hyper::{Version, server::conn::http1, service::service_fn},
     hyper_util::rt::TokioTimer,
     std::{
         future::{Future, poll_fn},
@@ -198,6 +198,9 @@
         let gateway = self.gateway.clone();
         let (service_activity, service_buffer) = (activity.clone(), buffer.clone());
         let service = service_fn(move |request| {
+            if request.version() < Version::HTTP_11 {
+                service_buffer.set_unframed();
+            }
             let is_check = was_forwarded && is_neighbour_check(&request);
             let busy = service_activity.start_request();
             let (gateway, buffer) = (gateway.clone(), service_buffer.clone());
--- a/src/direct/caller_stream.rs
+++ b/src/direct/caller_stream.rs
@@ -18,6 +18,16 @@
     answer: Arc<AnswerBuffer>,
 }
 
+impl Drop for CallerStream {
+    fn drop(&mut self) {
+        if self.answer.must_reset()
+            && let Err(error) = self.stream.inner().set_zero_linger()
+        {
+            log::warn!("a cut answer is not reset: {error}");
+        }
+    }
+}
+
 impl CallerStream {
     /// Reports bytes written to `stream` to `answer`.
     pub fn new(
