An empty event id leaves nothing after which a stream can be resumed

Found in the review, by reading: the relay would have sent an empty Last-Event-Id, and the next replica would have begun anew. The test fails without the change.

--- a/src/direct/event_splitter.rs
+++ b/src/direct/event_splitter.rs
@@ -78,7 +78,9 @@
             .next_back()
             .and_then(|id| std::str::from_utf8(id).ok());
         if let Some(id) = id {
-            self.last_id = Some(id.trim().to_owned());
+            // An empty id resets the last one, after which a stream cannot go on.
+            let id = id.trim();
+            self.last_id = (!id.is_empty()).then(|| id.to_owned());
         }
     }
 }
--- a/tests/event_splitter.rs
+++ b/tests/event_splitter.rs
@@ -79,3 +79,10 @@
         assert_eq!(splitter.is_inside_event(), is_inside, "{text:?}");
     }
 }
+
+#[test]
+fn an_empty_id_leaves_no_event_after_which_the_stream_goes_on() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(b"id: 1\ndata: a\n\nid:\ndata: b\n\n");
+    assert_eq!(splitter.last_id(), None);
+}
