Streams' property test with more cases: no rejected inputs

With PROPTEST_CASES=10000 it ended with 'too many global rejects' after 4,485 successes; the routers are now drawn so that no input is rejected. The property is the same.

--- a/src/peers/stream_origins.rs
+++ b/src/peers/stream_origins.rs
@@ -186,7 +186,7 @@
         Some((id, caller))
     }
 
-    /// Queues messages of a query and applies what changes with them.
+    /// Changes a pending query, and queues the messages that follow from the change.
     pub(super) fn change_query(
         &self,
         id: QueryId,
--- a/tests/stream_origins.rs
+++ b/tests/stream_origins.rs
@@ -637,12 +637,14 @@
         routers in prop::collection::btree_set(1..40u16, 4..12),
         owner in any::<prop::sample::Index>(),
         asker in any::<prop::sample::Index>(),
-        changed in 1..40u16,
+        changed in any::<prop::sample::Index>(),
         stream in any::<u64>(),
     ) {
-        let all: Vec<u16> = routers.iter().copied().collect();
-        let (owner, asker) = (all[owner.index(all.len())], all[asker.index(all.len())]);
-        prop_assume!(owner != asker && changed != owner && changed != asker);
+        let mut rest: Vec<u16> = routers.iter().copied().collect();
+        let owner = rest.remove(owner.index(rest.len()));
+        let asker = rest[asker.index(rest.len())];
+        let others: Vec<u16> = (1..40).filter(|it| ![owner, asker].contains(it)).collect();
+        let changed = others[changed.index(others.len())];
         let told = neighbours_told(&zone_homes_of(owner, &routers), key(stream));
         let mut seen = routers.clone();
         let came = seen.insert(changed);
