--- a/src/peers/peer_table.rs
+++ b/src/peers/peer_table.rs
@@ -234,9 +234,8 @@
         now: Moment,
         age: Duration,
     ) -> Vec<SocketAddr> {
-        let peers = self.peers();
-        let live = peers.iter().filter(|(_, entry)| entry.is_live(now, age));
-        live.map(|(address, _)| *address).collect()
+        let live = self.live_processes(now, age).into_iter();
+        live.map(|router| router.address).collect()
     }
 
     /// The processes of the live routers of the own zone, besides this one.
