Soak of several software versions: streams keep theirs, and enough go on

Cause: a stream may go on only at the software version that began it, also over its caller's tries and while routers, replicas and links fail. No soak had replicas of several versions, nor callers that take a broken stream up.

Change: the series versions (fleets/versions.ini) replaces replicas that stream events by such of other versions beside them, forth and back, all or a part, and closes connections of callers; callers take streams up at other routers with Last-Event-Id and Resumes. Checked are events of one version over all tries, no gap or repetition in cut answers either, that at least half the share of new streams goes on where it should, and that a refusal ran nowhere. The existing check of whole answers holds for the rest of a stream too.

--- a/testbed/src/direct/client.rs
+++ b/testbed/src/direct/client.rs
@@ -1,16 +1,18 @@
 use {
     super::ClientAnswer,
-    std::{collections::HashMap, io, net::SocketAddr},
+    std::{collections::HashMap, io, net::SocketAddr, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpStream,
+        time::timeout,
     },
 };
 
 /// An HTTP client on one connection. It writes requests as given, also invalid ones.
 pub struct Client {
     stream: TcpStream,
-    received: Vec<u8>, // bytes that are not consumed yet
+    received: Vec<u8>,         // bytes that are not consumed yet
+    max_gap: Option<Duration>, // without a byte, after which the connection counts as ended
 }
 
 /// The text of a client's HTTP request.
@@ -91,9 +93,18 @@
         Ok(Self {
             stream,
             received: Vec::new(),
+            max_gap: None,
         })
     }
 
+    /// From now on, counts the connection as ended when nothing arrives for this long.
+    pub fn give_up_after(
+        &mut self,
+        gap: Duration,
+    ) {
+        self.max_gap = Some(gap);
+    }
+
     /// Its own address.
     pub fn address(&self) -> io::Result<SocketAddr> {
         self.stream.local_addr()
@@ -262,7 +273,15 @@
 
     /// Reads the next bytes. Returns false at the end of the connection.
     async fn read_more(&mut self) -> bool {
-        matches!(self.stream.read_buf(&mut self.received).await, Ok(count) if count > 0)
+        let reading = self.stream.read_buf(&mut self.received);
+        let read = match self.max_gap {
+            None => reading.await,
+            Some(gap) => match timeout(gap, reading).await {
+                Ok(read) => read,
+                Err(_) => return false,
+            },
+        };
+        matches!(read, Ok(count) if count > 0)
     }
 }
 
--- a/testbed/src/direct/mod.rs
+++ b/testbed/src/direct/mod.rs
@@ -6,6 +6,7 @@
 mod config_text;
 mod direct_fleet;
 mod forwarding_fleet;
+mod piece;
 mod received_request;
 mod replica;
 mod replica_answer;
@@ -24,6 +25,7 @@
     config_text::ConfigText,
     direct_fleet::{DirectFleet, zone_name},
     forwarding_fleet::forwarding_fleet,
+    piece::{Piece, pieces},
     received_request::ReceivedRequest,
     replica::Replica,
     replica_answer::{Framing, ReplicaAnswer},
--- a/testbed/src/soak/callers.rs
+++ b/testbed/src/soak/callers.rs
@@ -110,6 +110,7 @@
         let request = CallerRequest {
             id,
             kind,
+            resumes: None,
             router: self.router,
             sent: began,
             ended: Instant::now(),
--- a/testbed/src/soak/checks.rs
+++ b/testbed/src/soak/checks.rs
@@ -8,12 +8,14 @@
         notice_check::ignored_notices,
         record::Record,
         replica_slot::{EVENTS_PER_STREAM, PLAIN_BODY},
+        version_check::broken_streams,
         zone_check::{cordoned_zone_arrivals, slow_start_excess},
     },
-    crate::direct::{ClientAnswer, event},
+    crate::direct::{ClientAnswer, event_of_version},
     archmast::codes::ResultCode,
     std::{
         collections::HashSet,
+        iter::repeat,
         time::{Duration, Instant},
     },
 };
@@ -38,6 +40,7 @@
     violations.extend(cordoned_zone_arrivals(record));
     violations.extend(slow_start_excess(record));
     violations.extend(late_configurations(record));
+    violations.extend(broken_streams(record));
     violations.extend(
         record
             .unserved
@@ -94,12 +97,23 @@
         return Some("got a success without a signature".to_owned());
     }
     let expected = match request.kind {
-        RequestKind::Events => (1..=EVENTS_PER_STREAM).map(event).collect(),
+        RequestKind::Events => expected_events(request),
         RequestKind::Read | RequestKind::Charge => PLAIN_BODY.to_owned(),
     };
     (answer.text() != expected).then(|| format!("got {:?}", answer.text()))
 }
 
+/// The rest of the stream. Which versions made the events is checked with the whole stream.
+fn expected_events(request: &CallerRequest) -> String {
+    let pieces = request.pieces().into_iter();
+    let versions = pieces.map(|piece| piece.version).chain(repeat(None));
+    let numbers = request.last_event_before() + 1..=EVENTS_PER_STREAM;
+    numbers
+        .zip(versions)
+        .map(|(number, version)| event_of_version(number, version.as_deref()))
+        .collect()
+}
+
 /// Returns how a request was lost. While nothing but planned work went on, every request must
 /// be served, or refused by a router that stops.
 fn lost_request(
@@ -122,6 +136,10 @@
     let closed_unread = answer.status == 0 && !ran;
     let refused = NOT_RUN_STATUSES.contains(&answer.status);
     let no_fault_active = !record.spans.iter().any(|span| affecting(&span));
+    // Whether streams that are taken up go on is checked with all of them together.
+    if refused && !ran && request.resumes.is_some() {
+        return None;
+    }
     let is_allowed = served || (!no_fault_active && (closed_unread || refused));
     (!is_allowed).then(|| {
         format!(
--- a/testbed/src/soak/fault.rs
+++ b/testbed/src/soak/fault.rs
@@ -62,6 +62,11 @@
     AskForRest(usize),
     /// All replicas refuse all requests and ask for a backoff.
     AllAskForRest,
+    /// A replica of another software version starts beside one that is listed as draining, keeps
+    /// serving, and leaves.
+    ChangeVersion { replica: usize, version: u32 },
+    /// The open connections of a router's callers are closed.
+    ResetCallers(usize),
     /// Routers are stopped in turn and started with the other build, then back.
     ReplaceBuilds,
     /// A router runs the other build, from the stop before to the start after it.
@@ -80,6 +85,7 @@
                 | Self::UnlistReplica(_)
                 | Self::SayLeaving(_)
                 | Self::EmptyZone(_)
+                | Self::ChangeVersion { .. }
                 | Self::ReplaceBuilds
                 | Self::OtherBuild(_)
         )
@@ -114,4 +120,36 @@
                 _ => false,
             }
     }
+
+    /// Whether the fault breaks the open connections of the callers of `router`.
+    pub fn breaks_callers_of(
+        &self,
+        router: usize,
+    ) -> bool {
+        match self {
+            Self::SilenceCallers(target) | Self::ResetCallers(target) => *target == router,
+            _ => false,
+        }
+    }
+
+    /// Whether the fault may keep the replica in this slot from serving.
+    pub fn disturbs_replica(
+        &self,
+        slot: usize,
+    ) -> bool {
+        match self {
+            Self::DrainReplica(target)
+            | Self::UnlistReplica(target)
+            | Self::CrashReplica(target)
+            | Self::SpoilAnswers(target)
+            | Self::SlowLink(target)
+            | Self::CutLink(target)
+            | Self::ResetLink(target)
+            | Self::SilenceReplica(target)
+            | Self::SayLeaving(target)
+            | Self::AskForRest(target) => *target == slot,
+            Self::AllAskForRest | Self::SlowReturn(_) | Self::EmptyZone(_) => true,
+            _ => false,
+        }
+    }
 }
--- a/testbed/src/soak/fault_injection.rs
+++ b/testbed/src/soak/fault_injection.rs
@@ -89,6 +89,10 @@
             Fault::SayLeaving(slot) => self.announce_leaving(slot).await,
             Fault::AskForRest(slot) => self.request_backoff(slot, lasts).await,
             Fault::AllAskForRest => self.request_backoff_of_all(lasts).await,
+            Fault::ChangeVersion { replica, version } => {
+                self.change_version(replica, version).await
+            }
+            Fault::ResetCallers(router) => self.reset_callers(router),
             Fault::ReplaceBuilds => self.replace_builds().await,
             // Injected as a part of `ReplaceBuilds`.
             Fault::OtherBuild(_) => Instant::now(),
--- a/testbed/src/soak/fleet_under_test.rs
+++ b/testbed/src/soak/fleet_under_test.rs
@@ -3,10 +3,11 @@
         caller_request::RequestKind,
         checks::{starved_refusals, violations},
         drain_check::late_arrivals,
-        record::{Arrival, ChangeSeen, Record, ReplicaSeen, StartSeen},
+        record::{Arrival, ChangeSeen, Record, ReplicaSeen, StartSeen, VersionSeen},
         replica_slot::ReplicaSlot,
         soak_fleet::SoakFleet,
         soak_result::SoakResult,
+        version_check::stream_counts,
     },
     crate::{
         direct::{
@@ -58,9 +59,9 @@
     callers: Vec<SocketAddr>, // where the routers themselves listen
     pub(super) slots: Vec<AsyncMutex<ReplicaSlot>>,
     pub record: Mutex<Record>,
-    proxies: Vec<TcpProxy>,               // between callers and each router
+    pub(super) proxies: Vec<TcpProxy>, // between callers and each router
     pub(super) cordoning: AsyncMutex<()>, // held while a zone is cordoned
-    newest: Mutex<u64>,                   // version of the latest configuration
+    newest: Mutex<u64>,                // version of the latest configuration
     retired: Mutex<Vec<RetiredReplica>>,
 }
 
@@ -78,10 +79,17 @@
         fleet: &mut DirectFleet,
     ) -> Self {
         let ip = fleet.standins();
-        let mut slots = Vec::new();
+        let (mut slots, mut versions) = (Vec::new(), Vec::new());
         for (number, service) in plan.services().into_iter().enumerate() {
             let zone = zone_name(number % plan.zones);
-            let slot = ReplicaSlot::start(number, service, zone, ip, &fleet.store).await;
+            let slot = ReplicaSlot::start(number, service, zone, &plan, ip, &fleet.store).await;
+            if service == RequestKind::Events.service() {
+                versions.push(VersionSeen {
+                    slot: number,
+                    version: slot.replica.version(),
+                    from: Instant::now(),
+                });
+            }
             slots.push(AsyncMutex::new(slot));
         }
         let routers = std::mem::take(&mut fleet.routers);
@@ -100,6 +108,7 @@
             newest: Mutex::default(),
             record: Mutex::new(Record {
                 fleet: plan.clone(),
+                versions,
                 ..Record::default()
             }),
             fleet: plan,
@@ -190,10 +199,20 @@
                 gone
             }
         };
+        self.retain(slot.service, slot.zone.clone(), replica);
+    }
+
+    /// Retains a replica that is gone for the checks.
+    pub(super) fn retain(
+        &self,
+        service: &'static str,
+        zone: String,
+        replica: Replica,
+    ) {
         let mut retired = self.retired.lock().expect("retired lock");
         retired.push(RetiredReplica {
-            service: slot.service,
-            zone: slot.zone.clone(),
+            service,
+            zone,
             replica,
         });
     }
@@ -303,6 +322,7 @@
             lateness: record.lateness,
             starved: record.starvation.max_wait(),
             starved_refusals: starved_refusals(&record),
+            streams: stream_counts(&record),
             valid: record.lateness <= record.fleet.drain.mul_f64(MAX_LATENESS_SHARE),
             logs,
         }
--- a/testbed/src/soak/mod.rs
+++ b/testbed/src/soak/mod.rs
@@ -28,10 +28,14 @@
 mod soak_fleet;
 mod soak_result;
 mod starvation;
+mod stream_callers;
+mod version_check;
+mod version_injection;
+mod versions;
 mod zone_check;
 
 pub use {
-    caller_request::{CallerRequest, RequestKind},
+    caller_request::{CallerRequest, RequestKind, Resumption},
     checks::violations,
     crash_run::{MAX_LATE_ARRIVALS, crash_run},
     crash_run_result::CrashRunResult,
@@ -45,7 +49,7 @@
     operator_work::{cordons, replaced_builds, slow_returns},
     record::{
         Arrival, ChangeSeen, CordonSeen, DrainSeen, Notice, NoticeSeen, Record, ReplicaSeen,
-        StartSeen,
+        StartSeen, VersionSeen,
     },
     replica_slot::{EVENTS_PER_STREAM, PLAIN_BODY},
     schedule::{PlannedFault, schedule, silences},
@@ -53,4 +57,6 @@
     soak_fleet::SoakFleet,
     soak_result::SoakResult,
     starvation::Starvation,
+    version_check::StreamCounts,
+    versions::{caller_resets, versions},
 };
--- a/testbed/src/soak/record.rs
+++ b/testbed/src/soak/record.rs
@@ -79,6 +79,14 @@
     pub arrivals: Vec<(Arrival, bool)>, // and whether each ran
 }
 
+/// A change of the software version that serves in a slot for replicas.
+#[derive(Debug, Clone)]
+pub struct VersionSeen {
+    pub slot: usize,
+    pub version: String,
+    pub from: Instant, // when its replica was listed, and the previous one as draining
+}
+
 /// All requests that reached one replica.
 #[derive(Debug, Clone)]
 pub struct ReplicaSeen {
@@ -98,6 +106,7 @@
     pub cordons: Vec<CordonSeen>,
     pub starts: Vec<StartSeen>,
     pub notices: Vec<NoticeSeen>,
+    pub versions: Vec<VersionSeen>,               // in order of time
     pub replicas: Vec<ReplicaSeen>,               // all of the run
     pub runs: HashMap<String, Vec<&'static str>>, // services that ran a request, by its id
     pub sent: HashMap<(String, String), usize>,   // router that sent it, by request and replica
--- a/testbed/src/soak/soak.rs
+++ b/testbed/src/soak/soak.rs
@@ -11,6 +11,8 @@
         soak_fleet::SoakFleet,
         soak_result::SoakResult,
         starvation::StarvationWatch,
+        stream_callers::StreamCallers,
+        versions::{caller_resets, versions},
     },
     crate::direct::DirectFleet,
     std::{sync::Arc, time::Duration},
@@ -34,6 +36,9 @@
             .await;
     }
     let callers = Callers::start(seed, &fleet_under_test.caller_addresses(), plan.callers);
+    let stream_callers = plan
+        .versions
+        .then(|| StreamCallers::start(seed, &fleet_under_test.caller_addresses(), plan.callers));
     let lateness = Lateness::start();
     let starvation = StarvationWatch::start(fleet_under_test.clone());
     let mut work = JoinSet::new();
@@ -60,12 +65,19 @@
     if plan.store_losses {
         begin(store_losses(seed, length));
     }
+    if plan.versions {
+        begin(versions(seed, length, plan));
+        begin(caller_resets(seed, length, routers));
+    }
     if plan.other_build.is_some() {
         begin(replaced_builds(seed, length));
     }
     work.join_all().await;
     fleet_under_test.await_recovery().await;
-    let requests = callers.end().await;
+    let mut requests = callers.end().await;
+    if let Some(callers) = stream_callers {
+        requests.extend(callers.end().await);
+    }
     {
         let mut record = fleet_under_test.record.lock().expect("record lock");
         record.requests = requests;
--- a/testbed/src/soak/soak_fleet.rs
+++ b/testbed/src/soak/soak_fleet.rs
@@ -11,17 +11,19 @@
     pub callers: usize,         // of each router
     pub plain: usize,           // replicas of the plain service
     pub events: usize,          // replicas of the service that streams events
+    pub event_pause: Duration,  // between two events of a stream
     pub drain: Duration, // from the store's confirmation until nothing reaches a leaving replica
     pub contact: Duration, // for how long after a fault its router is excused
     pub evacuate: Duration, // from the store's confirmation until nothing reaches a cordoned zone
     pub slow_per_second: usize, // requests to a replica in its slow start; 0 is no limit
-    pub faults: bool,    // this and the next six: whether the series of this name is drawn
+    pub faults: bool,    // this and the next seven: whether the series of this name is drawn
     pub silences: bool,
     pub movements: bool,
     pub cordons: bool,
     pub slow_returns: bool,
     pub notices: bool,
     pub store_losses: bool,
+    pub versions: bool,
     pub other_build: Option<PathBuf>, // program that replaces the routers for a time
 }
 
@@ -36,6 +38,10 @@
 const BOUND_RANGE: std::ops::RangeInclusive<Duration> =
     Duration::from_millis(100)..=Duration::from_secs(60);
 
+/// Range of the pause between two events.
+const EVENT_PAUSE_RANGE: std::ops::RangeInclusive<Duration> =
+    Duration::from_millis(1)..=Duration::from_secs(1);
+
 impl SoakFleet {
     /// The default fleet file, with comments.
     pub const SHIPPED: &str = include_str!("../../fleets/small.ini");
@@ -71,6 +77,7 @@
             callers: routers.number("callers", 1..=100)?,
             plain: replicas.number("plain", 1..=MAX_REPLICAS)?,
             events: replicas.number("events", 1..=MAX_REPLICAS)?,
+            event_pause: replicas.duration("event_pause", EVENT_PAUSE_RANGE)?,
             drain: bounds.duration("drain", BOUND_RANGE)?,
             contact: bounds.duration("contact", BOUND_RANGE)?,
             evacuate: bounds.duration("evacuate", BOUND_RANGE)?,
@@ -82,6 +89,7 @@
             slow_returns: work.flag("slow_returns")?,
             notices: work.flag("notices")?,
             store_losses: work.flag("store_losses")?,
+            versions: work.flag("versions")?,
             other_build: None,
         })
     }
--- a/testbed/src/soak/soak_result.rs
+++ b/testbed/src/soak/soak_result.rs
@@ -1,4 +1,7 @@
-use std::{collections::BTreeMap, time::Duration};
+use {
+    super::version_check::StreamCounts,
+    std::{collections::BTreeMap, time::Duration},
+};
 
 /// Outcome of one run.
 #[derive(Debug)]
@@ -13,6 +16,7 @@
     pub lateness: Duration,             // longest scheduling delay of the harness
     pub starved: Duration,              // longest wait of a router for a processor
     pub starved_refusals: usize,        // requests that routers refused for lack of processor
+    pub streams: StreamCounts,
     pub valid: bool, // the harness was late by little enough for its times to be trusted
     pub logs: Vec<(String, String)>, // file name and text of each router's log
 }
@@ -28,7 +32,7 @@
         format!(
             "seed {}: {} faults, answers {}, {} replicas left ({} requests in time, {} excused), \
              harness late by {} ms{}, \
-             routers without a processor for {} ms ({} refusals), broken {}",
+             routers without a processor for {} ms ({} refusals){}, broken {}",
             self.seed,
             self.faults.len(),
             statuses.join(", "),
@@ -39,6 +43,7 @@
             if self.valid { "" } else { " (not valid)" },
             self.starved.as_millis(),
             self.starved_refusals,
+            self.streams,
             self.violations.len()
         )
     }
--- a/testbed/tests/soak.rs
+++ b/testbed/tests/soak.rs
@@ -3,12 +3,12 @@
 use {
     archmast::codes::ResultCode,
     archmast_testbed::{
-        direct::{ClientAnswer, StoreMode, event},
+        direct::{ClientAnswer, StoreMode, event, event_of_version},
         soak::{
             Arrival, CallerRequest, ChangeSeen, CordonSeen, DrainSeen, EVENTS_PER_STREAM, Fault,
             FaultSpan, Notice, NoticeSeen, PLAIN_BODY, PlannedFault, Record, ReplicaSeen,
-            RequestKind, SoakFleet, StartSeen, Starvation, late_arrivals, movements, schedule,
-            silences, soak, violations,
+            RequestKind, Resumption, SoakFleet, StartSeen, Starvation, VersionSeen, caller_resets,
+            late_arrivals, movements, schedule, silences, soak, versions, violations,
         },
     },
     std::{
@@ -46,6 +46,7 @@
     let request = CallerRequest {
         id: "a".to_owned(),
         kind,
+        resumes: None,
         router: 0,
         sent: now,
         ended: now,
@@ -556,3 +557,268 @@
     );
     assert!(result.leaving > 5, "{}", result.summary());
 }
+
+/// A request for a stream, `sent_ms` after `start` at this router, whose answer holds these events
+/// of one version.
+fn stream_request(
+    id: &str,
+    start: Instant,
+    sent_ms: u64,
+    router: usize,
+    resumes: Option<(&str, u32)>,
+    events: (std::ops::RangeInclusive<u32>, &str),
+) -> CallerRequest {
+    let (numbers, version) = events;
+    let is_complete = *numbers.end() == EVENTS_PER_STREAM;
+    let body: String = numbers
+        .map(|number| event_of_version(number, Some(version)))
+        .collect();
+    let sent = start + Duration::from_millis(sent_ms);
+    CallerRequest {
+        id: id.to_owned(),
+        kind: RequestKind::Events,
+        resumes: resumes.map(|(stream, last_event)| Resumption {
+            stream: stream.to_owned(),
+            last_event,
+        }),
+        router,
+        sent,
+        ended: sent,
+        answer: Some(ClientAnswer {
+            is_complete,
+            ..answer(200, id, &body)
+        }),
+    }
+}
+
+/// `count` streams that break after event 4 and are taken up at router 1, ten seconds after two
+/// replicas of version v1 and one of v2 were listed. The last `mixed` go on at v2, and the
+/// `refused` ones before them are refused.
+fn taken_up(
+    count: usize,
+    mixed: usize,
+    refused: usize,
+) -> Record {
+    let listed = Instant::now();
+    let start = listed + Duration::from_secs(10);
+    let mut record = Record::default();
+    for (slot, version) in ["v1", "v1", "v2"].into_iter().enumerate() {
+        record.versions.push(VersionSeen {
+            slot,
+            version: version.to_owned(),
+            from: listed,
+        });
+    }
+    // The caller's connection breaks at router 0.
+    record.spans.push(FaultSpan {
+        fault: Fault::ResetCallers(0),
+        began: start,
+        ended: start,
+    });
+    for number in 0..count {
+        let (first, second) = (format!("a{number}"), format!("b{number}"));
+        let begun = stream_request(&first, start, 0, 0, None, (1..=4, "v1"));
+        let version = if number + mixed < count { "v1" } else { "v2" };
+        let resumes = Some((&*first, 4));
+        let rest = 5..=EVENTS_PER_STREAM;
+        let mut resumed = stream_request(&second, start, 100, 1, resumes, (rest, version));
+        if (count - mixed - refused..count - mixed).contains(&number) {
+            resumed.answer = Some(answer(503, &second, ""));
+        } else {
+            record.runs.insert(second, vec!["events"]);
+        }
+        record.runs.insert(first, vec!["events"]);
+        record.requests.extend([begun, resumed]);
+    }
+    // New streams at a router without a fault begin.
+    for number in 0..count {
+        let id = format!("n{number}");
+        let whole = (1..=EVENTS_PER_STREAM, "v1");
+        let request = stream_request(&id, start, 0, 1, None, whole);
+        record.requests.push(request);
+        record.runs.insert(id, vec!["events"]);
+    }
+    record
+}
+
+#[test]
+fn streams_with_events_of_two_versions_are_found() {
+    assert_eq!(violations(&taken_up(20, 0, 0)), Vec::<String>::new());
+    assert_eq!(violations(&taken_up(20, 2, 0)), Vec::<String>::new());
+    let found = violations(&taken_up(20, 3, 0));
+    assert_eq!(found.len(), 3, "{found:?}");
+    assert!(found.iter().all(|text| text.starts_with("order")));
+    // Also inside one answer, and at routers with a fault.
+    let mut inside = taken_up(0, 0, 0);
+    let start = Instant::now();
+    for id in ["a", "b", "c"] {
+        let mut request = stream_request(id, start, 0, 0, None, (1..=4, "v1"));
+        let rest = (5..=EVENTS_PER_STREAM).map(|number| event_of_version(number, Some("v2")));
+        let answer = request.answer.as_mut().expect("an answer");
+        answer.body.extend(rest.collect::<String>().into_bytes());
+        answer.is_complete = true;
+        inside.requests.push(request);
+        inside.runs.insert(id.to_owned(), vec!["events"]);
+    }
+    let found = violations(&during(inside, Fault::KillAllRouters));
+    assert_eq!(found.len(), 3, "{found:?}");
+    assert!(found.iter().all(|text| text.starts_with("order")));
+}
+
+#[test]
+fn streams_that_do_not_go_on_are_found_while_their_version_serves() {
+    assert_eq!(violations(&taken_up(20, 0, 10)), Vec::<String>::new());
+    assert_violation(&taken_up(20, 0, 11), "lost");
+    assert_violation(&taken_up(12, 0, 7), "lost");
+    assert_eq!(violations(&taken_up(11, 0, 11)), Vec::<String>::new());
+    // A refusal is expected while a single replica of the version serves.
+    for change in [
+        ("v2", Duration::from_secs(10)), // begins while the streams are taken up
+        ("v2", Duration::from_secs(5)),
+        ("v1", Duration::from_millis(9500)), // its replica was just listed
+    ] {
+        let mut record = taken_up(20, 0, 20);
+        let from = record.versions[0].from + change.1;
+        let version = change.0.to_owned();
+        let slot = 0;
+        record.versions.push(VersionSeen {
+            slot,
+            version,
+            from,
+        });
+        assert_eq!(violations(&record), Vec::<String>::new(), "{change:?}");
+    }
+    // Faults of the router, the store or a replica, shortly before, excuse it.
+    for (fault, is_excused) in [
+        (Fault::FreezeRouter(1), true),
+        (Fault::FreezeRouter(0), false),
+        (Fault::KillAllRouters, true),
+        (Fault::ResetCallers(1), true),
+        (Fault::StoreDown(StoreMode::Silent), true),
+        (Fault::CrashReplica(0), true),
+        (Fault::CrashReplica(2), false),
+        (Fault::Publish, false),
+    ] {
+        let mut record = taken_up(20, 0, 20);
+        let at = record.requests[0].sent - Duration::from_secs(1);
+        record.spans.push(FaultSpan {
+            fault,
+            began: at,
+            ended: at,
+        });
+        let found = violations(&record);
+        assert_eq!(found.is_empty(), is_excused, "{fault:?}: {found:?}");
+    }
+}
+
+#[test]
+fn a_stream_that_all_routers_forgot_need_not_go_on() {
+    for (fault, is_excused) in [
+        (Fault::KillAllRouters, true),
+        (Fault::KillRouter(0), false),
+        (Fault::KillRouters { first: 0, count: 5 }, false),
+    ] {
+        let mut record = taken_up(12, 0, 12);
+        let begun = record.requests[0].sent;
+        for request in record.requests.iter_mut().filter(|r| r.resumes.is_some()) {
+            request.sent = begun + Duration::from_secs(6);
+            request.ended = request.sent;
+        }
+        record.spans.push(FaultSpan {
+            fault,
+            began: begun + Duration::from_secs(1),
+            ended: begun + Duration::from_secs(2),
+        });
+        let found = violations(&record);
+        assert_eq!(found.is_empty(), is_excused, "{fault:?}: {found:?}");
+    }
+}
+
+#[test]
+fn a_stream_that_is_refused_repeatedly_counts_once() {
+    let mut record = taken_up(20, 0, 10);
+    let resumed =
+        |request: &&CallerRequest| request.resumes.is_some() && request.status() == Some(503);
+    let again: Vec<CallerRequest> = record.requests.iter().filter(resumed).cloned().collect();
+    record.requests.extend(again);
+    assert_eq!(violations(&record), Vec::<String>::new());
+    let refused = record.requests.iter().find(resumed).expect("a refusal");
+    let mut later = refused.clone();
+    // The same caller is cut off again, and refused after another event.
+    let resumes = later.resumes.as_mut().expect("it takes a stream up");
+    resumes.last_event += 1;
+    record.requests.push(later);
+    assert_violation(&record, "lost");
+}
+
+#[test]
+fn gaps_and_repetitions_in_a_stream_are_found_also_where_it_is_cut() {
+    let start = Instant::now();
+    for (events, is_sound) in [(1..=4, true), (2..=4, false)] {
+        let mut record = taken_up(0, 0, 0);
+        let request = stream_request("a", start, 0, 0, None, (events, "v1"));
+        record.requests.push(request);
+        record.runs.insert("a".to_owned(), vec!["events"]);
+        let found = violations(&during(record, Fault::KillRouter(0)));
+        assert_eq!(found.is_empty(), is_sound, "{found:?}");
+    }
+    for (events, is_sound) in [(5..=8, true), (4..=8, false), (6..=8, false)] {
+        let mut record = taken_up(0, 0, 0);
+        let begun = stream_request("a", start, 0, 0, None, (1..=4, "v1"));
+        let resumes = Some(("a", 4));
+        let resumed = stream_request("b", start, 100, 1, resumes, (events, "v1"));
+        record.requests.extend([begun, resumed]);
+        for id in ["a", "b"] {
+            record.runs.insert(id.to_owned(), vec!["events"]);
+        }
+        let found = violations(&during(record, Fault::KillAllRouters));
+        assert_eq!(found.is_empty(), is_sound, "{found:?}");
+    }
+}
+
+#[test]
+fn a_refused_stream_that_ran_is_found() {
+    let mut record = taken_up(1, 0, 1);
+    record.runs.insert("b0".to_owned(), vec!["events"]);
+    assert_violation(&record, "refused");
+}
+
+#[test]
+fn the_same_seed_draws_the_same_versions() {
+    let length = Duration::from_secs(60);
+    let fleet = SoakFleet::parse(include_str!("../fleets/versions.ini")).expect("a fleet");
+    let drawn = versions(7, length, &fleet);
+    assert_eq!(drawn, versions(7, length, &fleet));
+    assert_ne!(drawn, versions(8, length, &fleet));
+    let changes = drawn.iter().map(|planned| match planned.fault {
+        Fault::ChangeVersion { replica, version } => (replica, version),
+        other => panic!("{other:?}"),
+    });
+    let changes: Vec<(usize, u32)> = changes.collect();
+    let events = fleet.plain..fleet.plain + fleet.events;
+    assert!(changes.iter().all(|(slot, _)| events.contains(slot)));
+    // Rollouts and rollbacks.
+    let mut steps = changes.windows(2);
+    assert!(steps.clone().any(|pair| pair[1].1 > pair[0].1));
+    assert!(steps.any(|pair| pair[1].1 < pair[0].1));
+    let resets = caller_resets(7, length, fleet.routers());
+    assert_eq!(resets, caller_resets(7, length, fleet.routers()));
+    assert!(resets.len() > 50, "{}", resets.len());
+}
+
+/// Replicas of several versions replace each other while routers, replicas, links and the
+/// connections of callers fail. Where routers do not heed the version, streams hold events of two
+/// versions with this seed (11 to 15 of them in four runs).
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_keep_their_software_version_under_faults() {
+    let fleet = SoakFleet::parse(include_str!("../fleets/versions.ini")).expect("a fleet");
+    let result = soak(4, Duration::from_secs(10), &fleet).await;
+    assert_eq!(
+        result.violations,
+        Vec::<String>::new(),
+        "{}",
+        result.summary()
+    );
+    // Enough of them for a judgement on how many go on.
+    assert!(result.streams.expected >= 12, "{}", result.summary());
+}
--- a/testbed/tests/software_versions.rs
+++ b/testbed/tests/software_versions.rs
@@ -6,8 +6,8 @@
 use {
     archmast_testbed::{
         direct::{
-            Client, ClientAnswer, ClientRequest, DirectFleet, Replica, ReplicaAnswer, ReplicaEntry,
-            RouteText, zone_name,
+            Client, ClientAnswer, ClientRequest, DirectFleet, Piece, Replica, ReplicaAnswer,
+            ReplicaEntry, RouteText, pieces, zone_name,
         },
         fleet::wait_until,
     },
@@ -49,27 +49,6 @@
 const PATH: &str = "/chat/";
 const BOTH: &[&str] = &["v1", "v2"];
 
-/// An event as its caller got it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-struct Piece {
-    number: u32,
-    version: String,
-}
-
-/// The whole events in the bytes of an answer, in order. Chunk sizes stand between events only.
-fn pieces(text: &str) -> Vec<Piece> {
-    let lines: Vec<&str> = text.lines().collect();
-    let events = lines.windows(3).filter_map(|lines| {
-        let number = lines[0].strip_prefix("id: ")?.parse().ok()?;
-        let (_, version) = lines[1].strip_prefix("data: piece ")?.split_once(" of ")?;
-        lines[2].is_empty().then(|| Piece {
-            number,
-            version: version.to_owned(),
-        })
-    });
-    events.collect()
-}
-
 /// Whether an answer promises that the request did not run.
 fn is_refused(answer: &ClientAnswer) -> bool {
     let body: serde_json::Value = serde_json::from_slice(&answer.body).unwrap_or_default();
@@ -99,7 +78,10 @@
     }
 
     fn versions(&self) -> BTreeSet<&str> {
-        self.pieces.iter().map(|piece| &*piece.version).collect()
+        let versions = self.pieces.iter();
+        versions
+            .map(|piece| piece.version.as_deref().expect("replicas tell it"))
+            .collect()
     }
 
     fn is_whole(&self) -> bool {
@@ -430,7 +412,7 @@
         id: "unheard-of".to_owned(),
         pieces: vec![Piece {
             number: FIRST_LEAVE,
-            version: "v1".to_owned(),
+            version: Some("v1".to_owned()),
         }],
         tries: 1,
         refusals: Vec::new(),
@@ -448,7 +430,7 @@
     let (mut stream, client) = begun.expect("a stream begins");
     drop(client);
     let version = stream.pieces[0].version.clone();
-    let of_version = |replica: &&Replica| replica.version() == version;
+    let of_version = |replica: &&Replica| Some(replica.version()) == version;
     let per_zone = replicas.len() / 2;
     for (number, replica) in replicas.iter().enumerate() {
         if of_version(&replica) {
@@ -491,7 +473,8 @@
         assert!(numbers.eq(1..=pieces.len() as u32), "{}", answer.text());
         let is_last = pieces.len() as u32 == EVENTS;
         assert_eq!(answer.is_complete, is_last, "{}", answer.text());
-        let versions = pieces.into_iter().map(|piece| piece.version).collect();
+        let versions = pieces.into_iter().filter_map(|piece| piece.version);
+        let versions: BTreeSet<String> = versions.collect();
         let (all, whole) = counts.entry(versions).or_insert((0, 0));
         *all += 1;
         *whole += usize::from(answer.is_complete);
