The version at which a stream goes on stands in one file

Moved out of exchange.rs, and the file renamed from taken_up_stream.rs, since it now also records where a stream began. No change of behaviour.

--- a/src/direct/exchange.rs
+++ b/src/direct/exchange.rs
@@ -2,8 +2,7 @@
     super::{
         attempt::send_call, attempt_end::AttemptEnd, call::Call, events_relay::EventsRelay,
         gateway::Gateway, live_answer::LiveAnswer, plain_relay::plain_reply, reply::ReplyBody,
-        request_reader::header_text, sent_attempt::SentAttempt, unanswered::Unanswered,
-        wait_while_alive::wait_while_alive,
+        sent_attempt::SentAttempt, unanswered::Unanswered, wait_while_alive::wait_while_alive,
     },
     crate::{
         codes::{ErrorAnswer, ResultCode},
@@ -33,10 +32,6 @@
 /// Minimum wait for the first event of a stream before another replica is tried.
 const MIN_FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(900);
 
-/// The origin of a stream is kept for at least this long: a caller may wait for longer than the
-/// route's time-out, and take its stream up until then.
-const MIN_ORIGIN_RETENTION: Duration = Duration::from_secs(60);
-
 /// Processes one call: sends it to one replica after another until one answers.
 pub struct Exchange {
     pub gateway: Arc<Gateway>,
@@ -226,40 +221,6 @@
         }
     }
 
-    /// Records that an event of the last attempt arrived completely. From its first event on, a
-    /// stream goes on at the software version of its replica only.
-    pub fn record_event(&mut self) {
-        let now = self.gateway.now();
-        let Some(attempt) = self
-            .last_attempt
-            .as_mut()
-            .filter(|attempt| attempt.first_event_at.is_none())
-        else {
-            return;
-        };
-        attempt.first_event_at = Some(now);
-        let version = attempt.entry.software_version();
-        self.began_at = Some(version);
-        if self.call.route.kind.is_resumable_stream() {
-            self.record_origin(version);
-        }
-    }
-
-    /// Records where the stream began, under this request and under the one that it takes up.
-    fn record_origin(
-        &self,
-        version: SoftwareVersion,
-    ) {
-        let names = &self.gateway.dialect.names;
-        let taken_up = header_text(&self.call.headers, &names.resumes);
-        let time_left = self.call.time_left(self.gateway.now());
-        let kept_for = time_left.max(MIN_ORIGIN_RETENTION);
-        for request_id in [self.call.request_id.as_str(), taken_up] {
-            self.gateway
-                .record_stream_origin(request_id, version, kept_for);
-        }
-    }
-
     /// Whether the call cannot be sent again if the next attempt gets no answer.
     fn is_last_attempt(&self) -> bool {
         let route = &self.call.route;
--- a/src/direct/request_reader.rs
+++ b/src/direct/request_reader.rs
@@ -4,7 +4,7 @@
         gateway::Gateway,
         held_bytes::HeldBytes,
         reply::remove_hop_by_hop_headers,
-        taken_up_stream::{pick_service, taken_up_version},
+        stream_version::{pick_service, taken_up_version},
     },
     crate::{
         codes::{ErrorAnswer, ResultCode},
