Only news counts as upstreams vanishing at once

What callers may see: requests to an upstream for up to 1.8 s after it has gone, in no outage of the store. Found by a random case of who_has_come_to_a_revision_knows_what_the_store_held_then, whose saved case failed on too.

Cause, traced by the case: a watch's answer that has been overtaken names eight removals of two upstreams, both of which have come back since. The check for a mass removal counted the records, not the upstreams, and also those that apply_record ignores as old: 8 of 15 entries. It began the grace period, in which the next true removal was deferred.

Now upstreams are counted whose newest record among the news is a removal. The saved case fails before and holds, as do 20,000 random cases, and 44 tests of the catalog, the store's eras and messages.

--- a/src/catalog/lapse_grace.rs
+++ b/src/catalog/lapse_grace.rs
@@ -1,5 +1,5 @@
 use {
-    super::{UpstreamEntry, UpstreamRecord},
+    super::UpstreamEntry,
     std::{collections::BTreeMap, sync::Arc, time::Duration},
     tokio::time::Instant,
 };
@@ -70,14 +70,12 @@
     }
 }
 
-/// Whether records remove more than half of the entries, and more than one, at once. No
-/// planned work does that; leases that expired during an outage of the store do.
-pub fn is_mass_removal(
+/// Whether more than half of the entries, and more than one, vanish at once. No planned work does
+/// that; leases that expired during an outage of the store do.
+pub fn is_mass_removal<'r>(
     entries: &BTreeMap<String, Arc<UpstreamEntry>>,
-    records: &[UpstreamRecord],
+    removed: impl Iterator<Item = &'r str>,
 ) -> bool {
-    let removals = records.iter().filter(|record| record.text.is_none());
-    let known = removals.filter(|record| entries.contains_key(&record.id));
-    let count = known.count();
+    let count = removed.filter(|id| entries.contains_key(*id)).count();
     count > 1 && count * 2 > entries.len()
 }
--- a/src/catalog/upstream_list.rs
+++ b/src/catalog/upstream_list.rs
@@ -142,7 +142,7 @@
             let removals = self.removals_by(&listed, revision);
             records.extend(removals);
         }
-        if is_mass_removal(&self.entries, &records) {
+        if is_mass_removal(&self.entries, self.removed_by(&records)) {
             log::warn!(
                 from = from;
                 "most upstream entries vanished at once: their leases expired"
@@ -165,6 +165,20 @@
         changed > 0 || has_advanced
     }
 
+    /// The upstreams that these records remove: those whose newest record is a removal that is
+    /// news. An answer that was overtaken names removals that have long been applied, also of
+    /// upstreams that have come back since.
+    fn removed_by<'r>(
+        &self,
+        records: &'r [UpstreamRecord],
+    ) -> impl Iterator<Item = &'r str> + use<'r> {
+        let news = records.iter().filter(|record| self.is_news(record));
+        let newest: BTreeMap<&str, &UpstreamRecord> =
+            news.map(|record| (&*record.id, record)).collect();
+        let removals = newest.into_values().filter(|record| record.text.is_none());
+        removals.map(|record| &*record.id)
+    }
+
     /// Removal records for the upstreams up to `revision` that a snapshot of that
     /// revision does not list.
     fn removals_by(
@@ -215,18 +229,25 @@
         record: &UpstreamRecord,
         from: &Arc<str>,
     ) -> bool {
-        // Records up to the last snapshot are ignored even for unknown upstreams: the snapshot
-        // contains everything written before it. An answer of the store that is overtaken by
-        // the snapshot would otherwise restore a removed upstream for good.
-        let known = self.records.get(&record.id);
-        let known_revision = known.map_or(0, |known| known.record.revision);
-        if record.revision <= known_revision.max(self.snapshot_revision) {
+        if !self.is_news(record) {
             return false;
         }
         self.carried.remove_older(record);
         self.store_record(record, from)
     }
 
+    /// Whether a record is newer than what is known. Records up to the last snapshot are not, even
+    /// of unknown upstreams: the snapshot contains everything written before it. An answer of the
+    /// store that is overtaken by the snapshot would otherwise restore a removed upstream for good.
+    fn is_news(
+        &self,
+        record: &UpstreamRecord,
+    ) -> bool {
+        let known = self.records.get(&record.id);
+        let known_revision = known.map_or(0, |known| known.record.revision);
+        record.revision > known_revision.max(self.snapshot_revision)
+    }
+
     /// Stores one record, whatever is known. An unusable entry is recorded with an empty text, so
     /// that its revision and its removal are passed on to peers all the same. Returns whether the
     /// upstreams in use changed.
