--- a/src/direct/call.rs
+++ b/src/direct/call.rs
@@ -28,7 +28,7 @@
     pub account: Option<Arc<str>>,
     pub regions: Option<AllowedRegions>, // regions that may serve it; all if `None`
     pub prompt: Option<PromptShape>,
-    pub began_at: Option<SoftwareVersion>, // the stream that the caller takes up
+    pub stream_version: Option<SoftwareVersion>, // of the stream that the caller takes up
     pub config_version: u64,
     pub arrived: Moment,
     pub deadline: Moment,
--- a/src/direct/events_relay.rs
+++ b/src/direct/events_relay.rs
@@ -218,7 +218,7 @@
                 // answers.
                 None if self.answer.ends_with_connection => {
                     // What a caller takes up may lack nothing but its end.
-                    let takes_up = self.exchange().call.began_at.is_some();
+                    let takes_up = self.exchange().call.stream_version.is_some();
                     if self.first_event_after.is_none() && !takes_up {
                         return Err(broken_off("the stream ended before its first event"));
                     }
--- a/src/direct/exchange.rs
+++ b/src/direct/exchange.rs
@@ -45,7 +45,7 @@
     pub(super) last_attempt: Option<SentAttempt>,
     pub(super) crashes: u32, // attempts during which the replica crashed
     pub(super) checked_at_crashes: Option<u32>, // `crashes` when `check_suspect` last ran
-    pub(super) began_at: Option<SoftwareVersion>, // the stream, also if the caller takes it up
+    pub(super) stream_version: Option<SoftwareVersion>, // once the stream has begun, here or elsewhere
     failure: Option<Response<ReplyBody>>, // a replica's error answer, if no attempt succeeds
 }
 
@@ -61,7 +61,7 @@
         gateway: Arc<Gateway>,
         call: Arc<Call>,
     ) -> Self {
-        let began_at = call.began_at;
+        let stream_version = call.stream_version;
         Self {
             gateway,
             call,
@@ -74,7 +74,7 @@
             last_attempt: None,
             crashes: 0,
             checked_at_crashes: None,
-            began_at,
+            stream_version,
             failure: None,
         }
     }
--- a/src/direct/exchange_choice.rs
+++ b/src/direct/exchange_choice.rs
@@ -43,7 +43,7 @@
             share_status,
             tried: &self.tried,
             regions: call.regions.as_ref(),
-            version: self.began_at,
+            version: self.stream_version,
         };
         replica_table.refresh_estimates(now);
         let choice = replica_table.choose(now, &request);
--- a/src/direct/request_reader.rs
+++ b/src/direct/request_reader.rs
@@ -80,8 +80,8 @@
     });
     let deadline = arrived + timeout.min(route.timeout);
     let time_left = deadline.saturating_sub(gateway.now());
-    let began_at = taken_up_version(gateway, &route, &head.headers, time_left).await?;
-    let service = pick_service(gateway, &route, began_at)
+    let stream_version = taken_up_version(gateway, &route, &head.headers, time_left).await?;
+    let service = pick_service(gateway, &route, stream_version)
         .ok_or_else(|| ErrorAnswer::new(ResultCode::NoReplica))?
         .clone();
     let details = table.service(&service);
@@ -95,7 +95,7 @@
             .shortest_target_latency(&service)
             .unwrap_or(route.target_latency),
         prompt: (gateway.dialect.parse_prompt)(&head.headers),
-        began_at,
+        stream_version,
         headers: forwarded_headers(gateway, head.headers, account.as_deref()),
         body,
         _body_memory: held,
--- a/src/direct/stream_version.rs
+++ b/src/direct/stream_version.rs
@@ -74,7 +74,7 @@
         };
         attempt.first_event_at = Some(now);
         let version = attempt.entry.software_version();
-        self.began_at = Some(version);
+        self.stream_version = Some(version);
         if self.call.route.kind.is_resumable_stream() {
             self.record_origin(version);
         }
--- a/testbed/tests/software_versions.rs
+++ b/testbed/tests/software_versions.rs
@@ -1,7 +1,6 @@
 //! Replicas of several software versions serve one service. A stream goes on only at the version
 //! that began it, inside one answer and when its caller takes it up at another router; otherwise
-//! it is cut, or refused as not run. Where routers did not heed the version, 21 and 36 of 60
-//! streams that callers took up elsewhere went on at another version.
+//! it is cut, or refused as not run.
 
 use {
     archmast_testbed::{
