--- a/src/direct/call.rs
+++ b/src/direct/call.rs
@@ -11,6 +11,9 @@
     std::{sync::Arc, time::Duration},
 };
 
+/// Prompt parts that are logged of one request.
+const MAX_LOGGED_PARTS: usize = 32;
+
 /// A caller's request, read completely, with the route and service that it was matched to.
 #[derive(Debug)]
 pub struct Call {
@@ -50,6 +53,16 @@
         RequestDigest::new(self.method.as_str(), &target, account, &self.body)
     }
 
+    /// The ids of its prompt's parts, for logs; empty without a prompt.
+    pub fn part_ids(&self) -> String {
+        let parts = self.prompt.iter().flat_map(|prompt| &prompt.parts);
+        let ids: Vec<String> = parts
+            .take(MAX_LOGGED_PARTS)
+            .map(|part| format!("{:x}", part.id))
+            .collect();
+        ids.join(",")
+    }
+
     /// The cost that the account is charged, in tokens; an output token counts twice. Zero
     /// for requests without a prompt.
     pub fn tokens(&self) -> f32 {
--- a/src/direct/exchange_end.rs
+++ b/src/direct/exchange_end.rs
@@ -66,6 +66,7 @@
         log::info!(
             request_id = self.call.request_id.as_str(),
             request = self.call.digest().to_string().as_str(),
+            parts = if has_exited { self.call.part_ids() } else { String::new() }.as_str(),
             code = end.code().number(),
             replica = self.tried.last().map_or("", |id| id),
             replica_ended = has_exited,
