--- a/src/conf/direct_settings.rs
+++ b/src/conf/direct_settings.rs
@@ -5,7 +5,7 @@
         codes::ResultCode,
         policy::{
             memory::MemoryBudget, placement::PlacementSettings, slow_start::SlowStartBounds,
-            suspects::RequestDigest,
+            suspects::SuspectDigest,
         },
     },
     std::{
@@ -71,7 +71,7 @@
     /// Time over which requests and retries are counted.
     pub retry_window: Duration,
     /// Requests that are never held back.
-    pub never_held: BTreeSet<RequestDigest>,
+    pub never_held: BTreeSet<SuspectDigest>,
     /// Time from the stop signal until the process is killed.
     pub grace: Duration,
     /// Time from the stop signal until requests are refused.
@@ -195,12 +195,12 @@
     pairs.collect()
 }
 
-fn never_held(file: &SettingsFile) -> Result<BTreeSet<RequestDigest>, ConfError> {
+fn never_held(file: &SettingsFile) -> Result<BTreeSet<SuspectDigest>, ConfError> {
     let section = file.section("suspects")?;
     let items = section.list("let_through").into_iter();
     let digests = items.map(|item| {
         item.parse().map_err(|()| {
-            let detail = format!("\"{item}\" is not a request's digest of 16 hexadecimal digits");
+            let detail = format!("\"{item}\" is not a digest of 16 hexadecimal digits");
             section.fault(ResultCode::BadValue, "let_through", &detail)
         })
     });
--- a/src/ctl/held.rs
+++ b/src/ctl/held.rs
@@ -9,7 +9,7 @@
     std::collections::BTreeMap,
 };
 
-/// A request that is held back, and the routers that hold it back.
+/// A request or part of prompts that is held back, and the routers that hold it back.
 #[derive(Debug, Serialize)]
 struct HeldBack {
     #[serde(flatten)]
@@ -17,7 +17,7 @@
     routers: Vec<String>,
 }
 
-/// The requests that routers hold back, since replicas crashed while they ran them.
+/// The requests and parts of prompts that routers hold back, since replicas crashed while they ran them.
 pub async fn held(
     reader: &FleetReader,
     as_json: bool,
@@ -27,7 +27,8 @@
         return Ok(json(&held));
     }
     let head = [
-        "request",
+        "digest",
+        "what",
         "account",
         "ended",
         "last",
@@ -37,6 +38,7 @@
     let rows = held.iter().map(|HeldBack { held, routers }| {
         vec![
             held.request.clone(),
+            held.kind.clone(),
             held.account.clone(),
             held.ends.to_string(),
             format!("{} s ago", held.since_ms / 1000),
--- a/src/direct/call.rs
+++ b/src/direct/call.rs
@@ -2,7 +2,7 @@
     super::held_bytes::HeldBytes,
     crate::{
         policy::{
-            Moment, placement::PromptShape, streams::SoftwareVersion, suspects::RequestDigest,
+            Moment, placement::PromptShape, streams::SoftwareVersion, suspects::SuspectDigest,
         },
         routing::{AllowedRegions, EngineSpec, Route},
     },
@@ -11,8 +11,8 @@
     std::{sync::Arc, time::Duration},
 };
 
-/// Prompt parts that are logged of one request.
-const MAX_LOGGED_PARTS: usize = 32;
+/// Parts of one prompt that may be suspected of crashing replicas, and that are logged.
+const MAX_SUSPECT_PARTS: usize = 32;
 
 /// A caller's request, read completely, with the route and service that it was matched to.
 #[derive(Debug)]
@@ -47,17 +47,30 @@
     }
 
     /// Identifies requests of equal method, target, account and body, whatever their ids.
-    pub fn digest(&self) -> RequestDigest {
+    pub fn digest(&self) -> SuspectDigest {
         let account = self.account.as_deref().unwrap_or("");
         let target = self.target.to_string();
-        RequestDigest::new(self.method.as_str(), &target, account, &self.body)
+        SuspectDigest::of_request(self.method.as_str(), &target, account, &self.body)
+    }
+
+    /// The digests of its prompt's parts without the last one, which is its own; empty without a
+    /// prompt.
+    pub fn part_digests(&self) -> Vec<SuspectDigest> {
+        let parts = self.prompt.as_ref().map_or(&[][..], |prompt| &prompt.parts);
+        let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        let digests = shared.iter().take(MAX_SUSPECT_PARTS);
+        let digests = digests.map(|part| SuspectDigest::of_part(&self.service, part.id));
+        let mut digests: Vec<SuspectDigest> = digests.collect();
+        digests.sort_unstable();
+        digests.dedup();
+        digests
     }
 
     /// The ids of its prompt's parts, for logs; empty without a prompt.
     pub fn part_ids(&self) -> String {
         let parts = self.prompt.iter().flat_map(|prompt| &prompt.parts);
         let ids: Vec<String> = parts
-            .take(MAX_LOGGED_PARTS)
+            .take(MAX_SUSPECT_PARTS)
             .map(|part| format!("{:x}", part.id))
             .collect();
         ids.join(",")
--- a/src/direct/events_relay.rs
+++ b/src/direct/events_relay.rs
@@ -238,7 +238,7 @@
         self.outcome = "whole";
         self.exchange_mut().record_replica_success();
         self.exchange().record_stream_duration();
-        self.exchange().record_request_success();
+        self.exchange_mut().record_request_success();
         let rest = self.splitter.take_partial();
         (!rest.is_empty()).then_some(rest)
     }
--- a/src/direct/exchange.rs
+++ b/src/direct/exchange.rs
@@ -43,8 +43,7 @@
     pub(super) charged_tokens: f32,  // zero until the account is charged
     pub(super) share: Option<AccountShare>, // of the account, at the last placement
     pub(super) last_attempt: Option<SentAttempt>,
-    pub(super) crashes: u32, // attempts during which the replica crashed
-    pub(super) checked_at_crashes: Option<u32>, // `crashes` when `check_suspect` last ran
+    pub(super) checked_at: Option<u32>, // `sent_attempts` when `check_suspect` last ran
     pub(super) stream_version: Option<SoftwareVersion>, // once the stream has begun, here or elsewhere
     failure: Option<Response<ReplyBody>>, // a replica's error answer, if no attempt succeeds
 }
@@ -72,8 +71,7 @@
             charged_tokens: 0.0,
             share: None,
             last_attempt: None,
-            crashes: 0,
-            checked_at_crashes: None,
+            checked_at: None,
             stream_version,
             failure: None,
         }
@@ -135,7 +133,7 @@
         last_event: Option<&str>,
     ) -> Result<StartedAnswer, ErrorAnswer> {
         loop {
-            self.check_suspect()?;
+            self.check_suspect().await?;
             let (target, expected) = self.choose_replica()?;
             let replica = target.entry.id.clone();
             let limit = self.attempt_timeout(expected);
--- a/src/direct/exchange_suspects.rs
+++ b/src/direct/exchange_suspects.rs
@@ -1,5 +1,5 @@
-//! Requests during which replicas crash: records the crashes, and refuses calls whose request
-//! is held back because of them.
+//! Requests and parts of prompts during which replicas crash: records the crashes, and refuses
+//! calls that are held back because of them.
 
 use {
     super::{
@@ -12,66 +12,120 @@
         codes::{ErrorAnswer, ResultCode},
         policy::{
             Moment, name_hash,
-            suspects::{CrashedAttempt, Hold, RequestDigest},
+            suspects::{
+                CrashedAttempt, Hold, SuspectDigest, SuspectKind, TrialClaim, Verdict, has_survived,
+            },
         },
     },
     std::{sync::Arc, time::Duration},
 };
 
 impl Exchange {
-    /// Refuses the call while its request is held back, as replicas crashed while they ran it
-    /// for this router or others. Checked before the first attempt and after each crash, not
-    /// between: a request that was let through as a trial may be sent to another replica.
-    pub(super) fn check_suspect(&mut self) -> Result<(), ErrorAnswer> {
-        if self.checked_at_crashes == Some(self.crashes) {
+    /// Refuses the call while its request, or a part of its prompt, is held back, as replicas
+    /// crashed while they ran it for this router or others. Checked before the first attempt and
+    /// again once an attempt was sent: a trial is sent to one replica only.
+    pub(super) async fn check_suspect(&mut self) -> Result<(), ErrorAnswer> {
+        if self.checked_at == Some(self.sent_attempts) {
             return Ok(());
         }
-        self.checked_at_crashes = Some(self.crashes);
-        let now = self.gateway.now();
-        let mut suspects = self.gateway.suspects();
-        if !suspects.has_holds() {
+        self.checked_at = Some(self.sent_attempts);
+        if !self.gateway.suspects().has_holds() {
             return Ok(());
         }
         let request = self.call.digest();
-        let Some(remaining) = suspects.hold_remaining(now, request) else {
-            return Ok(());
-        };
-        drop(suspects);
+        let parts = self.call.part_digests();
+        loop {
+            let may_claim = self.gateway.is_connected();
+            let now = self.gateway.now();
+            let verdict = {
+                let mut suspects = self.gateway.suspects();
+                suspects.check(now, request, &parts, may_claim, rand::random())
+            };
+            let claim = match verdict {
+                Verdict::Free => return Ok(()),
+                Verdict::Held(time) => {
+                    self.log_check("request is held back", Some(time));
+                    return Err(self.held_back(time));
+                }
+                Verdict::Claimed(claim) => claim,
+            };
+            self.gateway.early_report.notify_one();
+            tokio::time::sleep(TrialClaim::WAIT).await;
+            if self.gateway.suspects().is_claim_standing(&claim) {
+                self.log_check("request is sent as a trial after a hold", None);
+                return Ok(());
+            }
+        }
+    }
+
+    fn log_check(
+        &self,
+        message: &str,
+        remaining: Option<Duration>,
+    ) {
         log::info!(
             request_id = self.call.request_id.as_str(),
-            request = request.to_string().as_str(),
-            left_ms = remaining.as_millis() as u64;
-            "request is held back"
+            request = self.call.digest().to_string().as_str(),
+            parts = self.call.part_ids().as_str(),
+            left_ms = remaining.map(|time| time.as_millis() as u64);
+            "{message}"
         );
-        Err(self.held_back(remaining))
     }
 
     /// Records that the replica of the last attempt crashed while it ran the request. Returns
-    /// whether the request is held back from now on.
+    /// whether the request, or a part of its prompt, is held back from now on.
     pub(super) fn record_crash(&mut self) -> bool {
         let Some(attempt) = &self.last_attempt else {
             return false;
         };
         let interrupted = attempt.interrupted(self.gateway.now());
-        match self.gateway.record_interrupted(&interrupted) {
-            None => false,
-            Some(is_held_back) => {
-                self.crashes += 1;
-                is_held_back
-            }
-        }
+        self.gateway.record_interrupted(&interrupted)
     }
 
     /// Records that a replica answered the request completely and with a success.
-    pub(super) fn record_request_success(&self) {
+    pub(super) fn record_request_success(&mut self) {
         let request = self.call.digest();
+        self.record_answered(SuspectKind::Request, &[request]);
+        self.record_parts_answered();
+    }
+
+    /// Records, for a stream that goes on, that its replica lives on after it has begun to answer.
+    pub(super) fn record_survival(&mut self) {
+        let first = self.last_attempt.as_ref().and_then(|it| it.first_event_at);
+        if first.is_some_and(|first| has_survived(first, self.gateway.now())) {
+            self.record_parts_answered();
+        }
+    }
+
+    /// Records once for each attempt that its replica did not crash on the parts of the prompt.
+    fn record_parts_answered(&mut self) {
+        let attempt = self.last_attempt.as_mut();
+        if attempt.is_some_and(|attempt| !std::mem::replace(&mut attempt.has_survived, true)) {
+            self.record_answered(SuspectKind::Part, &self.call.part_digests());
+        }
+    }
+
+    fn record_answered(
+        &self,
+        kind: SuspectKind,
+        digests: &[SuspectDigest],
+    ) {
         let now = self.gateway.now();
-        let is_cleared = self.gateway.suspects().record_answered(now, request);
-        if is_cleared {
+        let mut suspects = self.gateway.suspects();
+        let tracker = suspects.tracker(kind);
+        let cleared: Vec<SuspectDigest> = digests
+            .iter()
+            .copied()
+            .filter(|digest| tracker.record_answered(now, *digest))
+            .collect();
+        drop(suspects);
+        for digest in cleared {
+            self.gateway.early_report.notify_one();
             log::info!(
                 request_id = self.call.request_id.as_str(),
-                request = request.to_string().as_str();
-                "what spoke against a request is no longer counted: it was answered"
+                what = kind.name(),
+                digest = digest.to_string().as_str();
+                "what spoke against a request or part is no longer counted: it was answered"
             );
         }
     }
@@ -99,12 +153,12 @@
 
 impl Gateway {
     /// Records that a replica exited while it ran the request, which counts against the request
-    /// unless the exit was planned. Returns whether the request is held back from now on; `None`
-    /// if the exit was planned.
+    /// and the parts of its prompt unless the exit was planned. Returns whether the request, or
+    /// one of the parts, is held back from now on.
     pub(super) fn record_interrupted(
         &self,
         attempt: &InterruptedAttempt,
-    ) -> Option<bool> {
+    ) -> bool {
         let now = self.now();
         let was_planned = {
             let mut replica_table = self.replica_table();
@@ -113,7 +167,7 @@
             replica_table.is_leaving(now, &attempt.entry)
         };
         if was_planned {
-            return None;
+            return false;
         }
         let replica = attempt.entry.start_hash();
         let crash = CrashedAttempt::observed(
@@ -123,30 +177,35 @@
             attempt.first_event_at,
             attempt.interrupted_at,
         );
-        let request = attempt.call.digest();
-        let account = attempt.call.account.as_deref().map_or(0, name_hash);
-        let hold = self.suspects().record_crash(now, request, account, crash);
+        let call = &attempt.call;
+        let account = call.account.as_deref().map_or(0, name_hash);
+        let (request, parts) = (call.digest(), call.part_digests());
+        let holds = self
+            .suspects()
+            .record_crash(now, request, &parts, account, crash);
         self.early_report.notify_one();
-        if let Some(hold) = &hold {
-            log_held_back(now, request, hold, &attempt.call.request_id, "here");
+        for (digest, hold, is_new) in &holds {
+            if *is_new {
+                log_held_back(now, *digest, hold, &call.request_id, "here");
+            }
         }
-        Some(hold.is_some())
+        !holds.is_empty()
     }
 }
 
-/// Logs that a request is held back from now on. `from` is `here`, or the address of the peer
-/// that reported the crash.
+/// Logs that a request or part is held back from now on. `from` is `here`, or the address of the
+/// peer that reported the crash.
 pub fn log_held_back(
     now: Moment,
-    request: RequestDigest,
+    digest: SuspectDigest,
     hold: &Hold,
     request_id: &str,
     from: &str,
 ) {
     log::warn!(
-        request_id = request_id, request = request.to_string().as_str(), ends = hold.crashes,
-        last_end_ms = hold.since.ago_ms(now),
-        for_ms = hold.until.remaining(now).as_millis() as u64, from = from;
-        "request held back: replicas ended under it"
+        request_id = request_id, what = hold.kind.name(), digest = digest.to_string().as_str(),
+        ends = hold.crashes, last_end_ms = hold.since.ago_ms(now),
+        for_ms = hold.remaining(now).as_millis() as u64, from = from;
+        "{} held back: replicas ended under it", hold.kind.name()
     );
 }
--- a/src/direct/gateway.rs
+++ b/src/direct/gateway.rs
@@ -8,13 +8,18 @@
         catalog::{Catalog, CatalogVersion},
         conf::DirectSettings,
         ops::{AuditTrail, SUSPENSIONS, Uptime},
-        peers::{PeerTable, RouterContact, StreamOrigins, ZoneTable, find_stream_origin},
+        peers::{
+            PEER_SILENCE_LIMIT, PeerTable, RouterContact, StreamOrigins, ZoneTable,
+            find_stream_origin,
+        },
         policy::{
             Incarnation, Moment, SuspensionGuard, name_hash,
             placement::ReplicaTable,
             shares::{RetryWindow, ShareTracker},
+            slow_start::ZoneRouters,
+            stable_hash,
             streams::{SoftwareVersion, StreamKey},
-            suspects::SuspectTracker,
+            suspects::Suspects,
         },
     },
     std::{
@@ -53,7 +58,7 @@
     replica_table: Mutex<ReplicaTable>,
     shares: Mutex<ShareTracker>,
     retries: Mutex<RetryWindow>,
-    suspects: Mutex<SuspectTracker>,    // a leaf lock
+    suspects: Mutex<Suspects>,          // a leaf lock
     suspension: Mutex<SuspensionGuard>, // a leaf lock
     stopping: AtomicBool,
     refusing: AtomicBool,          // stopping, and refuses requests
@@ -104,7 +109,7 @@
             replica_table: Mutex::new(replica_table),
             shares: Mutex::new(ShareTracker::new(settings.share_window, settings.peer_age)),
             retries: Mutex::new(retries),
-            suspects: Mutex::new(SuspectTracker::new(settings.never_held.clone())),
+            suspects: Mutex::new(Suspects::new(settings.never_held.clone())),
             stopping: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
             placement_started: AtomicBool::new(false),
@@ -176,11 +181,37 @@
         self.shares.lock().expect("shares lock")
     }
 
-    /// Requests during which replicas crashed.
-    pub fn suspects(&self) -> MutexGuard<'_, SuspectTracker> {
+    /// Requests, and parts of prompts, during which replicas crashed.
+    pub fn suspects(&self) -> MutexGuard<'_, Suspects> {
         self.suspects.lock().expect("suspects lock")
     }
 
+    /// Whether this router gets reports of more than half of its zone's routers and of more than
+    /// half of the zones, and so would hear of what others in the fleet claim.
+    pub(super) fn is_connected(&self) -> bool {
+        let now = self.now();
+        let live = self.zones.representatives(now, PEER_SILENCE_LIMIT).len();
+        let known = self.peers.other_zones().len().max(live);
+        (live + 1) * 2 > known + 1 && self.zone_routers(now).is_connected(now)
+    }
+
+    /// The routers of the own zone, among which one is chosen to send to each replica that has
+    /// just started.
+    pub fn zone_routers(
+        &self,
+        now: Moment,
+    ) -> ZoneRouters {
+        let live = self.peers.live_addresses(now, PEER_SILENCE_LIMIT);
+        let live_hashes = live.iter().map(stable_hash).collect();
+        let known = self.peers.live_count(now, self.settings().peer_retention);
+        ZoneRouters::new(
+            now,
+            stable_hash(&self.peers.own().address),
+            live_hashes,
+            known,
+        )
+    }
+
     /// Records the software version at which the stream began that answers this attempt, before
     /// its first event is passed on. Other routers are told in the background.
     pub fn record_stream_origin(
--- a/src/direct/sent_attempt.rs
+++ b/src/direct/sent_attempt.rs
@@ -15,6 +15,7 @@
     pub expected: Duration, // estimated time to the answer, or to its first event
     pub queue_wait: Duration, // of `expected`, behind earlier requests
     pub first_event_at: Option<Moment>, // when the first whole event arrived
+    pub has_survived: bool, // its replica is known to live on after it began to answer
     gateway: Arc<Gateway>,
     call: Arc<Call>,
     is_finished: bool, // at the replica
@@ -44,6 +45,7 @@
             expected,
             queue_wait,
             first_event_at: None,
+            has_survived: false,
             gateway,
             call,
             is_finished: false,
--- a/src/direct/status.rs
+++ b/src/direct/status.rs
@@ -9,7 +9,7 @@
             PeerStatus, ProcessStatus, REVISION, RUNNING_REQUESTS, SHARE_DIVIDED_TOKENS,
             SHARE_LEVEL_TOKENS, SLOW_REPLICAS, STORE_AGE, StatusSource,
         },
-        policy::Incarnation,
+        policy::{Incarnation, suspects::SuspectKind},
     },
     std::{collections::BTreeMap, sync::atomic::Ordering},
 };
@@ -108,7 +108,7 @@
         }
     }
 
-    /// The requests that this router holds back.
+    /// The requests and parts of prompts that this router holds back.
     fn held_status(&self) -> Vec<HeldStatus> {
         let now = self.now();
         let table = self.catalog.config();
@@ -118,13 +118,14 @@
                 .and_then(|table| table.account_by_hash(account));
             known.map_or_else(|| account.to_string(), |name| name.to_string())
         };
-        let held = self.suspects().held_requests(now);
-        let held = held.into_iter().map(|held| HeldStatus {
-            request: held.request.to_string(),
+        let held = SuspectKind::ALL.map(|kind| self.suspects().tracker(kind).held(now));
+        let held = held.into_iter().flatten().map(|held| HeldStatus {
+            kind: held.hold.kind.name().to_owned(),
+            request: held.digest.to_string(),
             account: name(held.account),
             ends: held.hold.crashes,
             since_ms: held.hold.since.ago_ms(now).into(),
-            left_ms: held.hold.until.remaining(now).as_millis() as u64,
+            left_ms: held.hold.remaining(now).as_millis() as u64,
         });
         held.collect()
     }
--- a/src/direct/stream_version.rs
+++ b/src/direct/stream_version.rs
@@ -64,6 +64,7 @@
     /// Records that an event of the last attempt arrived completely. From its first event on, a
     /// stream goes on at the software version of its replica only.
     pub fn record_event(&mut self) {
+        self.record_survival();
         let now = self.gateway.now();
         let Some(attempt) = self
             .last_attempt
--- a/src/ops/process_status.rs
+++ b/src/ops/process_status.rs
@@ -75,10 +75,13 @@
     pub waiting: u64, // requests
 }
 
-/// A request that a router holds back, since replicas crashed while they ran it.
+/// A request or part of prompts that a router holds back, since replicas crashed while they ran it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeldStatus {
-    /// Digest of the request.
+    /// `request` or `part`; empty from earlier builds, which know requests only.
+    #[serde(default)]
+    pub kind: String,
+    /// Digest of the request or part.
     pub request: String,
     /// Name of the account, or its hash if the router's configuration does not have it.
     pub account: String,
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -46,6 +46,7 @@
 mod stream_origins_gossip;
 mod stream_origins_message;
 mod stream_query_message;
+mod suspect_trials_message;
 mod suspects_gossip;
 mod suspects_message;
 mod update_server;
@@ -74,6 +75,7 @@
     stream_origins::StreamOrigins,
     stream_origins_message::StreamOriginsMessage,
     stream_query_message::{QueryScope, StreamQueryMessage},
+    suspect_trials_message::SuspectTrialsMessage,
     suspects_message::SuspectsMessage,
     zone_summary::ZoneSummary,
     zone_table::ZoneTable,
--- a/src/peers/peer_link.rs
+++ b/src/peers/peer_link.rs
@@ -2,7 +2,7 @@
     super::{
         EvidenceSchedule, PeerMessage, SentReports, ZoneTable, fetch_update::connect,
         leaving_gossip::LeavingTimes, self_signed_certificate::quic_configs,
-        suspects_gossip::SuspectTimes, update_server::serve_updates,
+        suspects_gossip::SentSuspects, update_server::serve_updates,
     },
     crate::{
         codes::{Fault, ResultCode},
@@ -49,8 +49,8 @@
 pub(super) struct SentState {
     pub own_zone: SentReports,                  // reports to the own zone
     pub summaries: HashMap<u32, SentReports>,   // by zone that this router represents its own to
-    pub suspects: SuspectTimes,                 // in the own zone, also by other routers
-    pub zone_suspects: SuspectTimes,            // to other zones
+    pub suspects: SentSuspects,                 // in the own zone, also by other routers
+    pub zone_suspects: SentSuspects,            // to other zones
     pub leaving: LeavingTimes,                  // to the own zone
     pub eras: Option<Moment>,                   // when a message on eras was last sent
     pub evidence: EvidenceSchedule,             // to the own zone
--- a/src/peers/peer_message.rs
+++ b/src/peers/peer_message.rs
@@ -2,7 +2,7 @@
     super::{
         CacheEventsMessage, ErasMessage, EvidenceMessage, LeavingMessage, RouterContact,
         RouterReport, StreamAnswerMessage, StreamOriginsMessage, StreamQueryMessage,
-        SuspectsMessage, ZoneSummary,
+        SuspectTrialsMessage, SuspectsMessage, ZoneSummary,
     },
     serde::{Deserialize, Serialize},
 };
@@ -36,6 +36,10 @@
     StreamQuery(StreamQueryMessage),
     /// Answer to such a query.
     StreamAnswer(StreamAnswerMessage),
+    /// Parts of prompts that may have crashed replicas, to the own zone and to others.
+    SuspectParts(SuspectsMessage),
+    /// Trials of requests or parts that were held back, to the own zone and to others.
+    SuspectTrials(SuspectTrialsMessage),
 }
 
 impl PeerMessage {
@@ -54,6 +58,8 @@
             Self::StreamOrigins(_) => "stream_origins",
             Self::StreamQuery(_) => "stream_query",
             Self::StreamAnswer(_) => "stream_answer",
+            Self::SuspectParts(_) => "suspect_parts",
+            Self::SuspectTrials(_) => "suspect_trials",
         }
     }
 }
--- a/src/peers/receive.rs
+++ b/src/peers/receive.rs
@@ -8,7 +8,7 @@
     crate::{
         catalog::CatalogVersion,
         ops::MESSAGES_REFUSED,
-        policy::{Moment, Reporter, ReporterScope, mix_hashes, stable_hash},
+        policy::{Moment, Reporter, ReporterScope, mix_hashes, stable_hash, suspects::SuspectKind},
         wire::decode_payload,
     },
     std::{net::SocketAddr, sync::Arc, time::Duration},
@@ -57,7 +57,17 @@
                 }
             }
             Ok(PeerMessage::Suspects(message)) => {
-                if self.apply_suspects(from, &message) {
+                if self.apply_suspects(from, SuspectKind::Request, &message) {
+                    self.relay(datagram).await;
+                }
+            }
+            Ok(PeerMessage::SuspectTrials(message)) => {
+                if self.apply_trials(from, &message) {
+                    self.relay(datagram).await;
+                }
+            }
+            Ok(PeerMessage::SuspectParts(message)) => {
+                if self.apply_suspects(from, SuspectKind::Part, &message) {
                     self.relay(datagram).await;
                 }
             }
--- a/src/peers/send_reports.rs
+++ b/src/peers/send_reports.rs
@@ -10,8 +10,7 @@
         policy::{
             Moment,
             placement::{FleetSize, PartPlacement},
-            slow_start::ZoneRouters,
-            stable_hash,
+            suspects::SuspectTracker,
         },
     },
     std::{net::SocketAddr, sync::Arc, time::Duration},
@@ -87,7 +86,7 @@
             in_zone: self.gateway.peers.live_count(now, removal_age) + 1,
             total: self.gateway.router_count(),
         };
-        let routers = self.zone_routers(now);
+        let routers = self.gateway.zone_routers(now);
         let mut replica_table = self.gateway.replica_table();
         replica_table.set_reporting(interval, fleet);
         replica_table.set_zone_routers(routers);
@@ -96,19 +95,6 @@
         self.gateway.shares().set_peer_age(max_report_age);
     }
 
-    /// The routers of the own zone, among which one is chosen to send to each replica that
-    /// has just started.
-    fn zone_routers(
-        &self,
-        now: Moment,
-    ) -> ZoneRouters {
-        let peers = &self.gateway.peers;
-        let live = peers.live_addresses(now, PEER_SILENCE_LIMIT);
-        let live_hashes = live.iter().map(stable_hash).collect();
-        let known = peers.live_count(now, self.gateway.settings().peer_retention);
-        ZoneRouters::new(now, stable_hash(&peers.own().address), live_hashes, known)
-    }
-
     async fn send_reports(
         &self,
         now: Moment,
@@ -144,23 +130,22 @@
     ) -> usize {
         let gateway = &self.gateway;
         let placements = gateway.replica_table().take_zone_placements();
-        let suspects = gateway.suspects().take_zone_updates(now);
         let represented = self.represented_zones(now);
+        let suspects = self.take_zone_suspects(now, !represented.is_empty());
+        let trials = self.take_trials(now, SuspectTracker::take_zone_trials);
         let mut sent = std::mem::take(&mut self.sent.lock().expect("sent lock").summaries);
         sent.retain(|zone, _| represented.contains(zone));
         if !represented.is_empty() {
             let all = self.zone_body(now, placements);
-            let mut times = std::mem::take(&mut self.sent.lock().expect("sent lock").zone_suspects);
-            let suspects = self.with_refresh(now, suspects, &mut times);
-            self.sent.lock().expect("sent lock").zone_suspects = times;
             for zone in &represented {
                 let sent = sent.entry(*zone).or_default();
                 let body = self.due_entries(now, sent, all.clone());
                 self.send_summary(now, *zone, body).await;
-                if !suspects.is_empty() {
-                    let contacts = self.zone_contacts(now, *zone);
-                    self.send_suspect_reports(suspects.clone(), &contacts).await;
+                let contacts = self.zone_contacts(now, *zone);
+                for (kind, reports) in &suspects {
+                    self.send_suspect_reports(*kind, reports, &contacts).await;
                 }
+                self.send_trials(&trials, &contacts).await;
             }
         }
         self.sent.lock().expect("sent lock").summaries = sent;
--- a/src/peers/suspects_gossip.rs
+++ b/src/peers/suspects_gossip.rs
@@ -1,29 +1,63 @@
-//! Exchanges requests that are suspected of crashing replicas.
+//! Exchanges requests and parts of prompts that are suspected of crashing replicas.
 
 use {
-    super::{PeerLink, PeerMessage, SuspectsMessage},
+    super::{PeerLink, PeerMessage, SuspectTrialsMessage, SuspectsMessage},
     crate::{
         direct::log_held_back,
         policy::{
             Moment, ReporterScope,
-            suspects::{RequestDigest, SuspectReport},
+            suspects::{SuspectDigest, SuspectKind, SuspectReport, SuspectTracker, TrialReport},
         },
     },
     std::{collections::HashMap, net::SocketAddr, time::Duration},
 };
 
-/// Requests in one datagram. At up to 120 bytes each it stays below some 1,200 bytes.
+/// Crashes in one datagram. At some 18 bytes each, and 14 for each request or part, it stays below
+/// some 1,200 bytes.
+const MAX_CRASHES: usize = 48;
+
+/// Requests or parts in one datagram.
 const MAX_REPORTS: usize = 8;
 
-/// A request that is or was held back is sent again when no router of the zone has sent it for
+/// Trials in one datagram, at up to 21 bytes each.
+const MAX_TRIALS: usize = 32;
+
+/// What is or was held back is sent again when no router of the zone has sent it for
 /// this long, so that a router that has just started learns of it soon.
 const RESEND_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Requests that are sent again in one round.
+/// Requests or parts that are sent again in one round.
 const MAX_RESENT: usize = 32;
 
-/// When each request was last sent, or received from a router of the own zone.
-pub(super) type SuspectTimes = HashMap<RequestDigest, Moment>;
+/// When each was last sent, or received from a router of the own zone.
+type SuspectTimes = HashMap<SuspectDigest, Moment>;
+
+/// The same by kind.
+#[derive(Default)]
+pub(super) struct SentSuspects {
+    requests: SuspectTimes,
+    parts: SuspectTimes,
+}
+
+impl SentSuspects {
+    fn extend(
+        &mut self,
+        other: Self,
+    ) {
+        self.requests.extend(other.requests);
+        self.parts.extend(other.parts);
+    }
+
+    fn of(
+        &mut self,
+        kind: SuspectKind,
+    ) -> &mut SuspectTimes {
+        match kind {
+            SuspectKind::Request => &mut self.requests,
+            SuspectKind::Part => &mut self.parts,
+        }
+    }
+}
 
 impl PeerLink {
     /// Sends new suspicions to the routers of the own zone, and older ones that are due to be
@@ -33,54 +67,130 @@
         now: Moment,
         addresses: &[SocketAddr],
     ) {
-        let new_reports = self.gateway.suspects().take_local_updates(now);
         let mut times = std::mem::take(&mut self.sent.lock().expect("sent lock").suspects);
-        let reports = self.with_refresh(now, new_reports, &mut times);
+        let reports = self.due_reports(now, &mut times, SuspectTracker::take_local_updates);
         self.sent.lock().expect("sent lock").suspects.extend(times);
-        self.send_suspect_reports(reports, addresses).await;
+        for (kind, reports) in reports {
+            self.send_suspect_reports(kind, &reports, addresses).await;
+        }
+        let trials = self.take_trials(now, SuspectTracker::take_local_trials);
+        self.send_trials(&trials, addresses).await;
     }
 
-    /// Adds to new reports those on requests that are or were held back and are due to be sent
-    /// again. `times` says when each was last sent, and is updated.
-    pub(super) fn with_refresh(
+    /// The trials that `take` returns, of requests and of parts.
+    pub(super) fn take_trials(
         &self,
         now: Moment,
-        new_reports: Vec<SuspectReport>,
-        times: &mut SuspectTimes,
-    ) -> Vec<SuspectReport> {
-        let suspects = self.gateway.suspects();
-        let lasting = suspects.requests_with_hold();
-        times.retain(|request, _| lasting.contains(request));
-        let mut reports = new_reports;
-        for report in &reports {
-            times.insert(report.request, now);
+        take: fn(&mut SuspectTracker, Moment) -> Vec<TrialReport>,
+    ) -> Vec<TrialReport> {
+        let mut suspects = self.gateway.suspects();
+        let trials = SuspectKind::ALL.map(|kind| take(suspects.tracker(kind), now));
+        trials.into_iter().flatten().collect()
+    }
+
+    pub(super) async fn send_trials(
+        &self,
+        trials: &[TrialReport],
+        addresses: &[SocketAddr],
+    ) {
+        let own = self.gateway.peers.own();
+        for part in trials.chunks(MAX_TRIALS) {
+            let message = SuspectTrialsMessage {
+                zone: own.zone,
+                reporter: own.address,
+                trials: part.to_vec(),
+            };
+            let message = PeerMessage::SuspectTrials(message);
+            self.send(&message, addresses).await;
+        }
+    }
+
+    /// Applies the trials that another router claims. Returns whether the message is to be relayed
+    /// within the own zone.
+    pub(super) fn apply_trials(
+        &self,
+        from: SocketAddr,
+        message: &SuspectTrialsMessage,
+    ) -> bool {
+        let now = self.gateway.now();
+        let (scope, is_relayed) = self.scope_of(from, message.zone, message.reporter);
+        let mut suspects = self.gateway.suspects();
+        for trial in &message.trials {
+            let tracker = suspects.tracker(trial.kind);
+            tracker.apply_trial(now, scope, trial);
+        }
+        drop(suspects);
+        if scope == ReporterScope::Router {
+            // Other zones wait no longer for a claim than `TrialClaim::WAIT`.
+            self.gateway.early_report.notify_one();
         }
-        let is_due = |request: &&RequestDigest| {
-            let sent = times.get(*request);
-            sent.is_none_or(|at| now.saturating_sub(*at) >= RESEND_INTERVAL)
-        };
-        let due = lasting.iter().filter(is_due).take(MAX_RESENT);
-        let due: Vec<RequestDigest> = due.copied().collect();
-        for request in &due {
-            times.insert(*request, now);
+        is_relayed
+    }
+
+    /// Whether a message speaks for one router of the own zone or for another zone, and whether it
+    /// is to be relayed within the own zone, as it came directly from its author in another zone.
+    fn scope_of(
+        &self,
+        from: SocketAddr,
+        zone: u32,
+        reporter: SocketAddr,
+    ) -> (ReporterScope, bool) {
+        match zone == self.gateway.peers.own().zone {
+            true => (ReporterScope::Router, false),
+            false => (ReporterScope::Zone, from == reporter),
+        }
+    }
+
+    /// The suspicions for the zones to which this router represents its own, if any. What is new is
+    /// dropped if there are none, as another router sends it.
+    pub(super) fn take_zone_suspects(
+        &self,
+        now: Moment,
+        represents_zone: bool,
+    ) -> Vec<(SuspectKind, Vec<SuspectReport>)> {
+        let mut times = std::mem::take(&mut self.sent.lock().expect("sent lock").zone_suspects);
+        let reports = self.due_reports(now, &mut times, SuspectTracker::take_zone_updates);
+        if !represents_zone {
+            return Vec::new();
         }
-        reports.extend(suspects.reports_for(now, &due));
+        self.sent.lock().expect("sent lock").zone_suspects = times;
         reports
     }
 
+    /// The updates that `take` returns, and what is due to be sent again.
+    fn due_reports(
+        &self,
+        now: Moment,
+        times: &mut SentSuspects,
+        take: fn(&mut SuspectTracker, Moment) -> Vec<SuspectReport>,
+    ) -> Vec<(SuspectKind, Vec<SuspectReport>)> {
+        let mut suspects = self.gateway.suspects();
+        let reports = SuspectKind::ALL.map(|kind| {
+            let tracker = suspects.tracker(kind);
+            let updates = take(tracker, now);
+            (kind, with_refresh(tracker, now, updates, times.of(kind)))
+        });
+        reports.into()
+    }
+
     pub(super) async fn send_suspect_reports(
         &self,
-        reports: Vec<SuspectReport>,
+        kind: SuspectKind,
+        reports: &[SuspectReport],
         addresses: &[SocketAddr],
     ) {
         let own = self.gateway.peers.own();
-        for part in reports.chunks(MAX_REPORTS) {
+        for part in datagram_parts(reports) {
             let message = SuspectsMessage {
                 zone: own.zone,
                 reporter: own.address,
                 reports: part.to_vec(),
             };
-            self.send(&PeerMessage::Suspects(message), addresses).await;
+            let message = match kind {
+                SuspectKind::Request => PeerMessage::Suspects(message),
+                SuspectKind::Part => PeerMessage::SuspectParts(message),
+            };
+            self.send(&message, addresses).await;
         }
     }
 
@@ -89,27 +199,68 @@
     pub(super) fn apply_suspects(
         &self,
         from: SocketAddr,
+        kind: SuspectKind,
         message: &SuspectsMessage,
     ) -> bool {
         let now = self.gateway.now();
-        let is_own_zone = message.zone == self.gateway.peers.own().zone;
-        let scope = match is_own_zone {
-            true => ReporterScope::Router,
-            false => ReporterScope::Zone,
-        };
-        let held = self
-            .gateway
-            .suspects()
-            .apply_reports(now, scope, &message.reports);
-        for (request, hold) in held {
-            log_held_back(now, request, &hold, "", &message.reporter.to_string());
+        let (scope, is_relayed) = self.scope_of(from, message.zone, message.reporter);
+        let held =
+            self.gateway
+                .suspects()
+                .tracker(kind)
+                .apply_reports(now, scope, &message.reports);
+        for (digest, hold) in held {
+            log_held_back(now, digest, &hold, "", &message.reporter.to_string());
         }
-        if is_own_zone {
+        if scope == ReporterScope::Router {
             let mut sent = self.sent.lock().expect("sent lock");
-            for report in &message.reports {
-                sent.suspects.insert(report.request, now);
-            }
+            let times = sent.suspects.of(kind);
+            times.extend(message.reports.iter().map(|report| (report.digest, now)));
         }
-        !is_own_zone && from == message.reporter
+        is_relayed
+    }
+}
+
+/// Adds to new reports those on what is or was held back and is due to be sent again. `times`
+/// says when each was last sent, and is updated.
+fn with_refresh(
+    tracker: &SuspectTracker,
+    now: Moment,
+    new_reports: Vec<SuspectReport>,
+    times: &mut SuspectTimes,
+) -> Vec<SuspectReport> {
+    let lasting = tracker.with_hold();
+    times.retain(|digest, _| lasting.contains(digest));
+    let mut reports = new_reports;
+    for report in &reports {
+        times.insert(report.digest, now);
+    }
+    let is_due = |digest: &&SuspectDigest| {
+        let sent = times.get(*digest);
+        sent.is_none_or(|at| now.saturating_sub(*at) >= RESEND_INTERVAL)
+    };
+    let due = lasting.iter().filter(is_due).take(MAX_RESENT);
+    let due: Vec<SuspectDigest> = due.copied().collect();
+    for digest in &due {
+        times.insert(*digest, now);
+    }
+    reports.extend(tracker.reports_for(now, &due));
+    reports
+}
+
+/// Splits reports into what one datagram holds.
+fn datagram_parts(reports: &[SuspectReport]) -> Vec<&[SuspectReport]> {
+    let mut parts = Vec::new();
+    let mut rest = reports;
+    while !rest.is_empty() {
+        let mut crashes = 0;
+        let fitting = rest.iter().take(MAX_REPORTS).take_while(|report| {
+            crashes += report.crashes.len();
+            crashes <= MAX_CRASHES
+        });
+        let (part, later) = rest.split_at(fitting.count().max(1));
+        parts.push(part);
+        rest = later;
     }
+    parts
 }
--- a/src/peers/suspects_message.rs
+++ b/src/peers/suspects_message.rs
@@ -4,7 +4,7 @@
     std::net::SocketAddr,
 };
 
-/// Datagram with requests that one router suspects of crashing replicas.
+/// Datagram with requests, or parts of prompts, that one router suspects of crashing replicas.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectsMessage {
     pub zone: u32,            // hash of the zone's name
--- a/src/policy/direct/slow_start/zone_routers.rs
+++ b/src/policy/direct/slow_start/zone_routers.rs
@@ -46,9 +46,26 @@
         now: Moment,
         replica: u64,
     ) -> bool {
-        let is_majority =
-            (self.neighbours.len() + 1) * 2 > self.known.max(self.neighbours.len()) + 1;
-        is_majority && self.is_highest_ranked(now, replica)
+        self.is_majority() && self.is_highest_ranked(now, replica)
+    }
+
+    /// Whether this router knows its zone and gets reports of more than half of its routers.
+    pub fn is_connected(
+        &self,
+        now: Moment,
+    ) -> bool {
+        self.is_valid(now) && self.is_majority()
+    }
+
+    fn is_majority(&self) -> bool {
+        (self.neighbours.len() + 1) * 2 > self.known.max(self.neighbours.len()) + 1
+    }
+
+    fn is_valid(
+        &self,
+        now: Moment,
+    ) -> bool {
+        now >= MIN_UPTIME && now.saturating_sub(self.as_of) <= MAX_VIEW_AGE
     }
 
     /// Whether this router ranks highest for a replica of its zone among the routers that
@@ -58,12 +75,11 @@
         now: Moment,
         replica: u64,
     ) -> bool {
-        let is_valid = now >= MIN_UPTIME && now.saturating_sub(self.as_of) <= MAX_VIEW_AGE;
         let weight = mix_hashes(self.own, replica);
         let mut others = self
             .neighbours
             .iter()
             .map(|other| mix_hashes(*other, replica));
-        is_valid && !others.any(|other| other > weight)
+        self.is_valid(now) && !others.any(|other| other > weight)
     }
 }
--- a/src/policy/direct/suspects/mod.rs
+++ b/src/policy/direct/suspects/mod.rs
@@ -1,24 +1,37 @@
-//! Requests during which replicas crashed: which these are, and how long each is held back.
+//! Requests, and parts of prompts, during which replicas crashed: which these are, and how long
+//! each is held back.
 //!
-//! A request is recognised by its digest, whatever its request id. Each attempt at it that was
-//! running when its replica crashed, at any router, is evidence against it. Routers exchange this
-//! evidence, and a complete answer at any router clears the request for a while.
+//! A request is recognised by its digest, whatever its request id, and a part by its id, whatever
+//! else a prompt holds. Each attempt that was running when its replica crashed, at any router, is
+//! evidence against its request and, if the replica had not lived on after the answer began,
+//! against the parts of its prompt. Routers exchange this evidence. An answer at any router clears
+//! its request and parts of earlier crashes; it speaks for a request for a while after it as well.
+//! After a hold one router of the fleet tries whether it is over.
 
-mod answered_requests;
 mod crashed_attempt;
 mod hold;
-mod request_digest;
+mod last_answers;
 mod signed_moment;
 mod suspect;
+mod suspect_digest;
+mod suspect_kind;
 mod suspect_report;
 mod suspect_tracker;
+mod suspects;
 mod tracker_reports;
+mod trial;
+mod update_queue;
+mod verdict;
 
 pub use {
-    crashed_attempt::CrashedAttempt,
+    crashed_attempt::{CrashedAttempt, has_survived},
     hold::Hold,
-    request_digest::RequestDigest,
     signed_moment::SignedMoment,
+    suspect_digest::SuspectDigest,
+    suspect_kind::SuspectKind,
     suspect_report::{CrashReport, SuspectReport},
-    suspect_tracker::{HeldRequest, SuspectTracker},
+    suspect_tracker::{HeldSuspect, RecordedCrash, SuspectTracker},
+    suspects::Suspects,
+    trial::{Trial, TrialClaim, TrialReport},
+    verdict::Verdict,
 };
--- a/src/policy/direct/suspects/request_digest.rs
+++ b/src/policy/direct/suspects/suspect_digest.rs
@@ -7,14 +7,15 @@
 /// Length of the text form.
 const HEX_DIGITS: usize = 16;
 
-/// Identifies equal requests, whatever their request ids: a hash of method, path and query, client
-/// account and body. It is the same at every router.
+/// Identifies a request, or a part of prompts, during which replicas crashed. It is the same at
+/// every router.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct RequestDigest(pub u64);
+pub struct SuspectDigest(pub u64);
 
-impl RequestDigest {
-    /// The digest of a request whose body was read completely.
-    pub fn new(
+impl SuspectDigest {
+    /// The digest of a request whose body was read completely. Equal requests have the same one,
+    /// whatever their request ids.
+    pub fn of_request(
         method: &str,
         target: &str,
         account: &str,
@@ -22,9 +23,17 @@
     ) -> Self {
         Self(stable_hash(&(method, target, account, body)))
     }
+
+    /// The digest of a part of the prompts that replicas of a service get, whoever sends it.
+    pub fn of_part(
+        service: &str,
+        part: u64,
+    ) -> Self {
+        Self(stable_hash(&(service, part)))
+    }
 }
 
-impl FromStr for RequestDigest {
+impl FromStr for SuspectDigest {
     type Err = ();
 
     /// Parses the 16 hexadecimal digits that logs show.
@@ -35,7 +44,7 @@
     }
 }
 
-impl fmt::Display for RequestDigest {
+impl fmt::Display for SuspectDigest {
     fn fmt(
         &self,
         f: &mut fmt::Formatter,
--- a/src/policy/direct/suspects/suspect_report.rs
+++ b/src/policy/direct/suspects/suspect_report.rs
@@ -1,15 +1,15 @@
 use {
-    super::{CrashedAttempt, RequestDigest, SignedMoment},
+    super::{CrashedAttempt, SignedMoment, SuspectDigest},
     crate::policy::Moment,
     serde::{Deserialize, Serialize},
 };
 
-/// What a router knows of a request during which replicas crashed, as sent to other routers. These
-/// messages may be merged in any order and more than once.
+/// What a router knows of a request or part of prompts during which replicas crashed, as sent to
+/// other routers. These messages may be merged in any order and more than once.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectReport {
-    pub request: RequestDigest,
-    pub account: u32, // hash of its name
+    pub digest: SuspectDigest,
+    pub account: u32, // hash of the name of the account that sent it first
     pub crashes: Vec<CrashReport>,
 }
 
@@ -20,7 +20,7 @@
     pub replica: u32,        // hash of the replica's id and start time
     pub started_ago_ms: u32, // how long ago the request was sent to the replica
     pub crashed_ago_ms: u32, // how long ago the replica crashed
-    pub is_early: bool,
+    pub is_strong: bool,
     pub is_cleared: bool,
 }
 
@@ -35,7 +35,7 @@
             replica: crash.replica,
             started_ago_ms: crash.started_at.ago_ms(now),
             crashed_ago_ms: crash.crashed_at.ago_ms(now),
-            is_early: crash.is_early,
+            is_strong: crash.is_strong,
             is_cleared: crash.is_cleared,
         }
     }
@@ -50,7 +50,7 @@
             replica: self.replica,
             started_at: SignedMoment::before(now, self.started_ago_ms),
             crashed_at: SignedMoment::before(now, self.crashed_ago_ms),
-            is_early: self.is_early,
+            is_strong: self.is_strong,
             is_cleared: self.is_cleared,
         }
     }
--- a/src/policy/direct/suspects/suspect_tracker.rs
+++ b/src/policy/direct/suspects/suspect_tracker.rs
@@ -1,6 +1,7 @@
 use {
     super::{
-        CrashedAttempt, Hold, RequestDigest, answered_requests::AnsweredRequests, suspect::Suspect,
+        CrashedAttempt, Hold, SuspectDigest, SuspectKind, Trial, TrialClaim, Verdict,
+        last_answers::LastAnswers, suspect::Suspect, update_queue::UpdateQueue,
     },
     crate::policy::Moment,
     std::{
@@ -9,123 +10,216 @@
     },
 };
 
-/// Requests that are remembered, in all and for one client account, at some 300 bytes each.
-const MAX_REQUESTS: usize = 4096;
+/// Requests, or parts, that are remembered, in all and for one client account, at up to 600
+/// bytes each.
+const MAX_SUSPECTS: usize = 4096;
 const MAX_PER_ACCOUNT: usize = 512;
 
-/// How long a request is remembered after the last crash of a replica that was running it.
+/// How long one is remembered after the last crash of a replica that was running it.
 const RETENTION: Duration = Duration::from_secs(600);
-/// The same for a request whose crashes were enough for a hold.
+/// The same for one whose crashes were enough for a hold.
 const HELD_RETENTION: Duration = Duration::from_secs(3600);
 
-/// A request that is held back, as operators are shown it.
+/// How long an answer counts for what was answered: crashes that follow clear a request, as it may
+/// happen to run at two replicas in a row as they crash, and are weak evidence against a part.
+const ANSWER_VALIDITY: Duration = Duration::from_secs(60);
+
+/// A request or part that is held back, as operators are shown it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct HeldRequest {
-    pub request: RequestDigest,
-    pub account: u32, // hash of its name
+pub struct HeldSuspect {
+    pub digest: SuspectDigest,
+    pub account: u32, // hash of the name of the account that sent it first
     pub hold: Hold,
 }
 
-/// The requests during which replicas crashed, at any router.
+/// What recording a crash led to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RecordedCrash {
+    pub hold: Option<Hold>, // of the request or part, if any
+    pub is_new: bool,       // the crash was not known
+}
+
+/// The requests, or the parts of prompts, during which replicas crashed, at any router.
 #[derive(Debug, Default)]
 pub struct SuspectTracker {
-    pub(super) suspects: HashMap<RequestDigest, Suspect>,
-    pub(super) updates: BTreeMap<RequestDigest, u8>, // of this router, with remaining sends
-    pub(super) zone_updates: BTreeMap<RequestDigest, u8>, // of this zone, with remaining sends
-    pub(super) with_hold: BTreeSet<RequestDigest>,   // with enough crashes for a hold
-    answered: AnsweredRequests,                      // at this router
-    exempt: BTreeSet<RequestDigest>,                 // never held back, as the operator set
+    pub(super) kind: SuspectKind,
+    pub(super) suspects: HashMap<SuspectDigest, Suspect>,
+    pub(super) updates: UpdateQueue, // crashes and answers at this router
+    pub(super) zone_updates: UpdateQueue, // the same at the routers of this zone
+    pub(super) trial_updates: UpdateQueue, // trials that this router claims
+    pub(super) zone_trial_updates: UpdateQueue, // the same of the routers of this zone
+    pub(super) with_hold: BTreeSet<SuspectDigest>, // with enough crashes for a hold
+    pub(super) answers: LastAnswers, // at this router
+    exempt: BTreeSet<SuspectDigest>, // never held back, as the operator set
 }
 
 impl SuspectTracker {
-    /// Creates a tracker without crashes. Requests in `exempt` are never held back.
-    pub fn new(exempt: BTreeSet<RequestDigest>) -> Self {
+    /// Creates a tracker without crashes.
+    pub fn new(kind: SuspectKind) -> Self {
         Self {
-            exempt,
+            kind,
             ..Self::default()
         }
     }
 
-    /// Sets the requests that are never held back, by the operator's choice.
+    /// Sets what is never held back, by the operator's choice.
     pub fn set_exempt(
         &mut self,
-        requests: BTreeSet<RequestDigest>,
+        digests: BTreeSet<SuspectDigest>,
     ) {
-        self.exempt = requests;
+        self.exempt = digests;
+    }
+
+    /// Whether any crash counts against this one.
+    pub(super) fn is_suspected(
+        &self,
+        digest: SuspectDigest,
+    ) -> bool {
+        let suspect = self.suspects.get(&digest);
+        suspect.is_some_and(Suspect::is_suspected)
     }
 
-    /// Whether any request may be held back.
+    /// Whether anything may be held back.
     pub fn has_holds(&self) -> bool {
         !self.with_hold.is_empty()
     }
 
-    /// Records that a replica crashed while it ran a request of this router. Returns the hold
-    /// that follows, if any.
+    /// Records that a replica crashed while it ran a request of this router.
     pub fn record_crash(
         &mut self,
         now: Moment,
-        request: RequestDigest,
+        digest: SuspectDigest,
         account: u32,
         mut crash: CrashedAttempt,
-    ) -> Option<Hold> {
-        crash.is_cleared |= self.answered.is_answered(now, request);
-        self.evict_for(account, request);
-        let suspect = self.suspects.entry(request);
+    ) -> RecordedCrash {
+        let was_answered = self.answers.is_recent(now, digest, ANSWER_VALIDITY);
+        match self.kind {
+            SuspectKind::Request => crash.is_cleared |= was_answered,
+            SuspectKind::Part => {
+                crash.is_strong &= !was_answered || self.with_hold.contains(&digest);
+                crash.is_cleared |= self.answers.is_answered_since(digest, crash.crashed_at);
+            }
+        }
+        self.evict_for(account, digest);
+        let suspect = self.suspects.entry(digest);
         let suspect = suspect.or_insert_with(|| Suspect::new(account));
-        suspect.record(crash);
-        self.queue_update(request);
-        self.refresh_hold(request)
+        let is_new = suspect.record(crash);
+        if is_new {
+            self.queue_update(digest);
+        }
+        let hold = self.refresh_hold(digest);
+        RecordedCrash { hold, is_new }
     }
 
-    /// How long a request is still held back; `None` lets it through. The first one after a hold
-    /// is a trial, and others with the same digest wait for its end.
-    pub fn hold_remaining(
+    /// Whether a request may be sent, given its digest or those of the parts of its prompt. After
+    /// a hold one request of the fleet is a trial, and others wait for its outcome; `may_claim`
+    /// says whether this router may claim it, and `key` is the random key of such a claim. A
+    /// request with several parts that are held back waits longer, so that requests with one of
+    /// them are tried first.
+    pub fn check(
         &mut self,
         now: Moment,
-        request: RequestDigest,
-    ) -> Option<Duration> {
-        let suspect = self.suspects.get_mut(&request)?;
-        let hold = suspect.hold()?;
-        if self.exempt.contains(&request) {
-            return None;
+        digests: &[SuspectDigest],
+        may_claim: bool,
+        key: u32,
+    ) -> Verdict {
+        let mut held = self.holds(digests);
+        if held.len() > 1 {
+            held.iter_mut().for_each(|(_, hold)| *hold = hold.longer());
         }
-        let remaining = hold.remaining(now, suspect.trial);
-        if remaining.is_none() {
-            suspect.trial = Some(now);
+        let waits = held.iter().map(|(digest, hold)| {
+            let trial = self.suspects.get(digest).and_then(|it| it.trial);
+            let trial_left = trial.map_or(Duration::ZERO, |it| it.remaining(now, self.kind));
+            hold.remaining(now).max(trial_left)
+        });
+        match waits.max() {
+            None => Verdict::Free,
+            Some(wait) if !wait.is_zero() => Verdict::Held(wait),
+            Some(_) if !may_claim => Verdict::Held(self.kind.trial_time()),
+            Some(_) => Verdict::Claimed(self.claim(now, &held, key)),
         }
-        remaining
     }
 
-    /// Records that a request got a complete answer. Returns whether crashes had counted
-    /// against it.
+    /// The holds of those that are not exempt.
+    fn holds(
+        &self,
+        digests: &[SuspectDigest],
+    ) -> Vec<(SuspectDigest, Hold)> {
+        let held = digests.iter().filter_map(|digest| {
+            let suspect = self.suspects.get(digest)?;
+            let is_exempt = self.exempt.contains(digest);
+            let hold = suspect.hold(self.kind).filter(|_| !is_exempt)?;
+            Some((*digest, hold))
+        });
+        held.collect()
+    }
+
+    fn claim(
+        &mut self,
+        now: Moment,
+        held: &[(SuspectDigest, Hold)],
+        key: u32,
+    ) -> TrialClaim {
+        let mut claim = TrialClaim::default();
+        let claimed_at = now.into();
+        for (digest, _) in held {
+            if let Some(suspect) = self.suspects.get_mut(digest) {
+                suspect.record_trial(now, self.kind, Trial { key, claimed_at });
+                claim.trials.push((self.kind, *digest, key));
+                self.trial_updates.push(*digest);
+                self.zone_trial_updates.push(*digest);
+            }
+        }
+        claim
+    }
+
+    /// Whether a trial that this router claimed still stands: no other router has claimed it with
+    /// a lower key, no replica has crashed since, and no answer has come.
+    pub(super) fn is_claim_standing(
+        &self,
+        digest: SuspectDigest,
+        key: u32,
+    ) -> bool {
+        let trial = self.suspects.get(&digest).and_then(|it| it.trial);
+        trial.is_some_and(|trial| trial.key == key)
+    }
+
+    /// Records that a request was answered, or that a part was: a replica lived on after it had
+    /// begun to answer. Returns whether so much had counted against it that others are told.
     pub fn record_answered(
         &mut self,
         now: Moment,
-        request: RequestDigest,
+        digest: SuspectDigest,
     ) -> bool {
-        self.answered.record(now, request);
-        let suspect = self.suspects.get_mut(&request);
-        let is_cleared = suspect.is_some_and(Suspect::clear);
-        if is_cleared {
-            self.refresh_hold(request);
-            self.queue_update(request);
+        self.answers.record(now, digest);
+        let Some(suspect) = self.suspects.get_mut(&digest) else {
+            return false;
+        };
+        let is_told = suspect.clear() >= self.least_told();
+        self.refresh_hold(digest);
+        if is_told {
+            self.queue_update(digest);
         }
-        is_cleared
+        is_told
+    }
+
+    /// The number of uncleared crashes from which on others are told that they are cleared: one
+    /// fewer than a hold follows from. With fewer it would make no difference to them.
+    pub(super) fn least_told(&self) -> usize {
+        self.kind.least_crashes() - 1
     }
 
-    /// The requests that are held back now, without the exempt ones.
-    pub fn held_requests(
+    /// What is held back now, without what is exempt.
+    pub fn held(
         &self,
         now: Moment,
-    ) -> Vec<HeldRequest> {
-        let held = self.with_hold.iter().filter_map(|request| {
-            let suspect = self.suspects.get(request)?;
-            let hold = suspect
-                .hold()
-                .filter(|hold| hold.remaining(now, None).is_some())?;
-            let is_held = !self.exempt.contains(request);
-            is_held.then_some(HeldRequest {
-                request: *request,
+    ) -> Vec<HeldSuspect> {
+        let held = self.with_hold.iter().filter_map(|digest| {
+            let suspect = self.suspects.get(digest)?;
+            let hold = suspect.hold(self.kind)?;
+            let is_held = !hold.remaining(now).is_zero() && !self.exempt.contains(digest);
+            is_held.then_some(HeldSuspect {
+                digest: *digest,
                 account: suspect.account,
                 hold,
             })
@@ -133,14 +227,14 @@
         held.collect()
     }
 
-    /// Removes requests whose retention time is over.
+    /// Removes what is past its retention time.
     pub fn remove_expired(
         &mut self,
         now: Moment,
     ) {
         let with_hold = &self.with_hold;
-        self.suspects.retain(|request, suspect| {
-            let retention = match with_hold.contains(request) {
+        self.suspects.retain(|digest, suspect| {
+            let retention = match with_hold.contains(digest) {
                 true => HELD_RETENTION,
                 false => RETENTION,
             };
@@ -151,32 +245,32 @@
                 .is_zero()
         });
         let known = &self.suspects;
-        self.with_hold.retain(|request| known.contains_key(request));
+        self.with_hold.retain(|digest| known.contains_key(digest));
     }
 
-    /// Computes a request's hold anew after a change, and returns it.
+    /// Computes a hold anew after a change, and returns it.
     pub(super) fn refresh_hold(
         &mut self,
-        request: RequestDigest,
+        digest: SuspectDigest,
     ) -> Option<Hold> {
-        let suspect = self.suspects.get(&request)?;
-        let hold = suspect.hold();
+        let suspect = self.suspects.get(&digest)?;
+        let hold = suspect.hold(self.kind);
         match hold {
-            Some(_) => self.with_hold.insert(request),
-            None => self.with_hold.remove(&request),
+            Some(_) => self.with_hold.insert(digest),
+            None => self.with_hold.remove(&digest),
         };
         hold
     }
 
-    /// Evicts a request if there is no place for one more of this account: one of its own if
-    /// it is at its limit, else one of the account that has the most. The request with the
-    /// least evidence against it goes first.
+    /// Evicts a suspect if there is no place for one more of this account: one of its own if
+    /// it is at its limit, else one of the account that has the most. The one with the least
+    /// evidence against it goes first.
     pub(super) fn evict_for(
         &mut self,
         account: u32,
-        request: RequestDigest,
+        digest: SuspectDigest,
     ) {
-        if self.suspects.contains_key(&request) || self.suspects.len() < MAX_PER_ACCOUNT {
+        if self.suspects.contains_key(&digest) || self.suspects.len() < MAX_PER_ACCOUNT {
             return;
         }
         let mut counts: BTreeMap<u32, usize> = BTreeMap::new();
@@ -186,22 +280,22 @@
         let most = counts.iter().max_by_key(|(_, count)| **count);
         let full = match most {
             _ if counts.get(&account) >= Some(&MAX_PER_ACCOUNT) => account,
-            Some((most, _)) if self.suspects.len() >= MAX_REQUESTS => *most,
+            Some((most, _)) if self.suspects.len() >= MAX_SUSPECTS => *most,
             _ => return,
         };
         let of_account = self.suspects.iter().filter(|(_, it)| it.account == full);
-        let least = of_account.min_by_key(|(request, suspect)| {
-            let crashes = suspect.hold().map_or(0, |hold| hold.crashes);
+        let least = of_account.min_by_key(|(digest, suspect)| {
+            let crashes = suspect.hold(self.kind).map_or(0, |hold| hold.crashes);
             (
                 crashes,
                 suspect.is_suspected(),
                 suspect.last_crash(),
-                **request,
+                **digest,
             )
         });
-        if let Some(request) = least.map(|(request, _)| *request) {
-            self.suspects.remove(&request);
-            self.with_hold.remove(&request);
+        if let Some(digest) = least.map(|(digest, _)| *digest) {
+            self.suspects.remove(&digest);
+            self.with_hold.remove(&digest);
         }
     }
 }
--- a/src/policy/direct/suspects/tracker_reports.rs
+++ b/src/policy/direct/suspects/tracker_reports.rs
@@ -1,39 +1,36 @@
-//! Exchange between routers of the evidence against requests.
+//! Exchange between routers of the evidence against requests or parts of prompts.
 
 use {
-    super::{CrashReport, Hold, RequestDigest, SuspectReport, SuspectTracker, suspect::Suspect},
+    super::{
+        CrashReport, CrashedAttempt, Hold, SignedMoment, SuspectDigest, SuspectKind, SuspectReport,
+        SuspectTracker, Trial, TrialReport, suspect::Suspect,
+    },
     crate::policy::{Moment, ReporterScope},
-    std::collections::{BTreeMap, BTreeSet},
+    std::collections::BTreeSet,
 };
 
-/// How often each update is sent, as a datagram may be lost.
-const SENDS_PER_UPDATE: u8 = 2;
-
-/// Requests on which updates are sent at once, in some four datagrams.
-const MAX_UPDATES_AT_ONCE: usize = 32;
-
 impl SuspectTracker {
-    /// Queues an update on a request of which this router got new evidence, for the routers of
-    /// this zone and for other zones.
+    /// Queues an update on what this router got new evidence of, for the routers of this zone and
+    /// for other zones.
     pub(super) fn queue_update(
         &mut self,
-        request: RequestDigest,
+        digest: SuspectDigest,
     ) {
-        self.updates.insert(request, SENDS_PER_UPDATE);
-        self.zone_updates.insert(request, SENDS_PER_UPDATE);
+        self.updates.push(digest);
+        self.zone_updates.push(digest);
     }
 
-    /// Applies reports of other routers. Returns the requests that are held back because of
-    /// them and were not before, or are held back for more crashes than before.
+    /// Applies reports of other routers. Returns what is held back because of them and was not
+    /// before, or is held back for more crashes than before.
     pub fn apply_reports(
         &mut self,
         now: Moment,
         scope: ReporterScope,
         reports: &[SuspectReport],
-    ) -> Vec<(RequestDigest, Hold)> {
+    ) -> Vec<(SuspectDigest, Hold)> {
         let newly_held = reports.iter().filter_map(|report| {
             let hold = self.apply_one(now, scope, report)?;
-            Some((report.request, hold))
+            Some((report.digest, hold))
         });
         newly_held.collect()
     }
@@ -44,32 +41,52 @@
         scope: ReporterScope,
         report: &SuspectReport,
     ) -> Option<Hold> {
-        self.evict_for(report.account, report.request);
-        let suspect = self.suspects.entry(report.request);
+        let received = report.crashes.iter().map(|crash| crash.received_at(now));
+        let crashes: Vec<CrashedAttempt> = received
+            .map(|crash| CrashedAttempt {
+                is_cleared: crash.is_cleared || self.is_answered_since(report.digest, &crash),
+                ..crash
+            })
+            .collect();
+        self.evict_for(report.account, report.digest);
+        let suspect = self.suspects.entry(report.digest);
         let suspect = suspect.or_insert_with(|| Suspect::new(report.account));
-        let before = suspect.hold();
-        let is_cleared_here = report
-            .crashes
+        let before = suspect.hold(self.kind);
+        let added = crashes
             .iter()
-            .any(|crash| suspect.has_cleared(crash.key, crash.is_cleared));
-        let crashes = report.crashes.iter().map(|crash| crash.received_at(now));
-        let added = crashes.filter(|crash| suspect.record(*crash)).count();
-        let hold = self.refresh_hold(report.request);
-        if is_cleared_here {
-            self.queue_update(report.request);
+            .filter(|crash| suspect.record(**crash))
+            .count();
+        let counted_there = report.crashes.iter().filter(|crash| !crash.is_cleared);
+        let is_cleared_here = counted_there
+            .clone()
+            .any(|crash| suspect.has_cleared(crash.key));
+        let counted_there = counted_there.count();
+        let hold = self.refresh_hold(report.digest);
+        if is_cleared_here && counted_there >= self.least_told() {
+            self.queue_update(report.digest);
         }
         if added > 0 && scope == ReporterScope::Router {
-            self.zone_updates.insert(report.request, SENDS_PER_UPDATE);
+            self.zone_updates.push(report.digest);
         }
         hold.filter(|hold| before.is_none_or(|before| before.crashes < hold.crashes))
     }
 
+    /// Whether this router knows that a replica lived on under a part after a crash that another
+    /// router counts.
+    fn is_answered_since(
+        &self,
+        part: SuspectDigest,
+        crash: &CrashedAttempt,
+    ) -> bool {
+        self.kind == SuspectKind::Part && self.answers.is_answered_since(part, crash.crashed_at)
+    }
+
     /// The next updates to send to the routers of this zone: evidence of this router.
     pub fn take_local_updates(
         &mut self,
         now: Moment,
     ) -> Vec<SuspectReport> {
-        let due = take_due(&mut self.updates);
+        let due = self.updates.take_due();
         self.reports_for(now, &due)
     }
 
@@ -78,26 +95,79 @@
         &mut self,
         now: Moment,
     ) -> Vec<SuspectReport> {
-        let due = take_due(&mut self.zone_updates);
+        let due = self.zone_updates.take_due();
         self.reports_for(now, &due)
     }
 
-    /// The requests that are held back or were. They are sent repeatedly, for routers that
-    /// have just started.
-    pub fn requests_with_hold(&self) -> &BTreeSet<RequestDigest> {
+    /// Applies a trial that another router claims.
+    pub fn apply_trial(
+        &mut self,
+        now: Moment,
+        scope: ReporterScope,
+        report: &TrialReport,
+    ) {
+        let Some(suspect) = self.suspects.get_mut(&report.digest) else {
+            return;
+        };
+        let trial = Trial {
+            key: report.key,
+            claimed_at: SignedMoment::before(now, report.claimed_ago_ms),
+        };
+        if suspect.record_trial(now, self.kind, trial) && scope == ReporterScope::Router {
+            self.zone_trial_updates.push(report.digest);
+        }
+    }
+
+    /// The trials that this router claims, to be sent to the routers of this zone.
+    pub fn take_local_trials(
+        &mut self,
+        now: Moment,
+    ) -> Vec<TrialReport> {
+        let due = self.trial_updates.take_due();
+        self.trial_reports(now, &due)
+    }
+
+    /// The trials that routers of this zone claim, to be sent to other zones.
+    pub fn take_zone_trials(
+        &mut self,
+        now: Moment,
+    ) -> Vec<TrialReport> {
+        let due = self.zone_trial_updates.take_due();
+        self.trial_reports(now, &due)
+    }
+
+    fn trial_reports(
+        &self,
+        now: Moment,
+        digests: &[SuspectDigest],
+    ) -> Vec<TrialReport> {
+        let known = digests.iter().filter_map(|digest| {
+            let trial = self.suspects.get(digest)?.trial?;
+            Some(TrialReport {
+                kind: self.kind,
+                digest: *digest,
+                key: trial.key,
+                claimed_ago_ms: trial.claimed_at.ago_ms(now),
+            })
+        });
+        known.collect()
+    }
+
+    /// What is held back or was. It is sent repeatedly, for routers that have just started.
+    pub fn with_hold(&self) -> &BTreeSet<SuspectDigest> {
         &self.with_hold
     }
 
-    /// What is known of these requests, to be sent to other routers.
+    /// What is known of these, to be sent to other routers.
     pub fn reports_for(
         &self,
         now: Moment,
-        requests: &[RequestDigest],
+        digests: &[SuspectDigest],
     ) -> Vec<SuspectReport> {
-        let known = requests.iter().filter_map(|request| {
-            let suspect = self.suspects.get(request)?;
+        let known = digests.iter().filter_map(|digest| {
+            let suspect = self.suspects.get(digest)?;
             Some(SuspectReport {
-                request: *request,
+                digest: *digest,
                 account: suspect.account,
                 crashes: suspect
                     .crashes
@@ -109,15 +179,3 @@
         known.collect()
     }
 }
-
-/// The next requests to send updates on, each with one send fewer remaining from now on.
-fn take_due(updates: &mut BTreeMap<RequestDigest, u8>) -> Vec<RequestDigest> {
-    let due: Vec<RequestDigest> = updates.keys().copied().take(MAX_UPDATES_AT_ONCE).collect();
-    for request in &due {
-        if let Some(remaining) = updates.get_mut(request) {
-            *remaining -= 1;
-        }
-    }
-    updates.retain(|_, remaining| *remaining > 0);
-    due
-}
--- a/tests/landed_messages.rs
+++ b/tests/landed_messages.rs
@@ -22,7 +22,7 @@
             placement::{EngineLatency, LatencyReport, Load, PartPlacement, ReplicaReport},
             shares::AccountUsage,
             streams::{OriginFinding, SoftwareVersion, StreamKey, StreamOrigin},
-            suspects::{CrashReport, RequestDigest, SuspectReport},
+            suspects::{CrashReport, SuspectDigest, SuspectReport},
         },
         wire::{decode_payload, encode_frame, encode_payload, read_frame},
     },
@@ -121,14 +121,14 @@
         replica: 12,
         started_ago_ms: 2000,
         crashed_ago_ms: 1000,
-        is_early: true,
+        is_strong: true,
         is_cleared: false,
     };
     PeerMessage::Suspects(SuspectsMessage {
         zone: 5,
         reporter: address(1),
         reports: vec![SuspectReport {
-            request: RequestDigest::new("POST", "/a/b", "lot", b"body"),
+            digest: SuspectDigest::of_request("POST", "/a/b", "lot", b"body"),
             account: 13,
             crashes: vec![crash],
         }],
--- a/tests/suspects.rs
+++ b/tests/suspects.rs
@@ -4,13 +4,15 @@
 use {
     archmast::policy::{
         Moment, ReporterScope,
-        suspects::{CrashReport, CrashedAttempt, RequestDigest, SuspectReport, SuspectTracker},
+        suspects::{
+            CrashReport, CrashedAttempt, SuspectDigest, SuspectReport, SuspectTracker, Verdict,
+        },
     },
     proptest::prelude::*,
     std::{collections::BTreeSet, time::Duration},
 };
 
-const REQUEST: RequestDigest = RequestDigest(7);
+const REQUEST: SuspectDigest = SuspectDigest(7);
 const ACCOUNT: u32 = 3;
 
 /// Long after any answer.
@@ -43,23 +45,32 @@
     tracker
 }
 
+/// The remaining time of a request's hold at a router that is alone; `None` if it is let through.
+fn remaining(
+    tracker: &mut SuspectTracker,
+    now: Moment,
+    request: SuspectDigest,
+) -> Option<Duration> {
+    match tracker.check(now, &[request], true, 1) {
+        Verdict::Free | Verdict::Claimed(_) => None,
+        Verdict::Held(time) => Some(time),
+    }
+}
+
 fn is_held(
     tracker: &SuspectTracker,
     now: Moment,
 ) -> bool {
-    tracker
-        .held_requests(now)
-        .iter()
-        .any(|held| held.request == REQUEST)
+    tracker.held(now).iter().any(|held| held.digest == REQUEST)
 }
 
 #[test]
 fn one_crash_holds_nothing_back_and_a_second_one_does() {
     let mut one = tracker(&[(0, 500)]);
-    assert_eq!(one.hold_remaining(ms(600), REQUEST), None);
+    assert_eq!(remaining(&mut one, ms(600), REQUEST), None);
     let mut two = tracker(&[(0, 500), (600, 900)]);
-    assert_eq!(two.hold_remaining(ms(1000), REQUEST), Some(ms(14_900)));
-    assert_eq!(two.hold_remaining(ms(1000), RequestDigest(8)), None);
+    assert_eq!(remaining(&mut two, ms(1000), REQUEST), Some(ms(14_900)));
+    assert_eq!(remaining(&mut two, ms(1000), SuspectDigest(8)), None);
 }
 
 #[test]
@@ -134,8 +145,8 @@
 #[test]
 fn after_the_hold_one_attempt_is_let_through_and_the_next_crash_holds_for_longer() {
     let mut tracker = tracker(&[(0, 500), (600, 900)]);
-    assert_eq!(tracker.hold_remaining(ms(15_900), REQUEST), None);
-    let others = tracker.hold_remaining(ms(15_950), REQUEST);
+    assert_eq!(remaining(&mut tracker, ms(15_900), REQUEST), None);
+    let others = remaining(&mut tracker, ms(15_950), REQUEST);
     assert_eq!(
         others,
         Some(ms(9950)),
@@ -143,12 +154,12 @@
     );
     tracker.record_crash(NOW, REQUEST, ACCOUNT, attempt(10, 15_900, 16_200));
     assert_eq!(
-        tracker.hold_remaining(ms(16_200), REQUEST),
+        remaining(&mut tracker, ms(16_200), REQUEST),
         Some(ms(120_000))
     );
     tracker.record_crash(NOW, REQUEST, ACCOUNT, attempt(11, 139_000, 140_000));
     assert_eq!(
-        tracker.hold_remaining(ms(140_000), REQUEST),
+        remaining(&mut tracker, ms(140_000), REQUEST),
         Some(ms(600_000))
     );
 }
@@ -157,10 +168,10 @@
 fn an_exempt_request_is_not_held_back() {
     let mut tracker = tracker(&[(0, 500), (600, 900)]);
     tracker.set_exempt(BTreeSet::from([REQUEST]));
-    assert_eq!(tracker.hold_remaining(ms(1000), REQUEST), None);
+    assert_eq!(remaining(&mut tracker, ms(1000), REQUEST), None);
     assert!(!is_held(&tracker, ms(1000)));
     tracker.set_exempt(BTreeSet::new());
-    assert!(tracker.hold_remaining(ms(1000), REQUEST).is_some());
+    assert!(remaining(&mut tracker, ms(1000), REQUEST).is_some());
 }
 
 #[test]
@@ -168,11 +179,11 @@
     let mut tracker = tracker(&[(0, 500), (600, 900)]);
     for number in 0..20_000u64 {
         let now = 1000 + number;
-        let request = RequestDigest(1000 + number);
+        let request = SuspectDigest(1000 + number);
         tracker.record_crash(NOW, request, 99, attempt(number as u32, now - 100, now));
     }
     assert!(is_held(&tracker, ms(14_000)));
-    let flood: Vec<RequestDigest> = (1000..21_000).map(RequestDigest).collect();
+    let flood: Vec<SuspectDigest> = (1000..21_000).map(SuspectDigest).collect();
     let updates = tracker.reports_for(ms(21_000), &flood);
     assert!(updates.len() <= 512, "{} reports", updates.len());
 }
@@ -181,13 +192,13 @@
 fn a_request_is_removed_after_its_time() {
     let mut tracker = tracker(&[(0, 500), (600, 900)]);
     let hour = 3_600_000;
-    tracker.record_crash(NOW, RequestDigest(8), ACCOUNT, attempt(10, hour - 10, hour));
+    tracker.record_crash(NOW, SuspectDigest(8), ACCOUNT, attempt(10, hour - 10, hour));
     tracker.remove_expired(ms(hour));
     assert_eq!(tracker.reports_for(ms(hour), &[REQUEST]).len(), 1);
     let later = hour + 2000;
     tracker.record_crash(
         NOW,
-        RequestDigest(9),
+        SuspectDigest(9),
         ACCOUNT,
         attempt(11, later - 10, later),
     );
@@ -209,7 +220,7 @@
         &reports(&[(0, 50_500), (50_600, 50_900)]),
     );
     assert_eq!(held.len(), 1);
-    assert_eq!(started.hold_remaining(ms(5), REQUEST), Some(ms(5900)));
+    assert_eq!(remaining(&mut started, ms(5), REQUEST), Some(ms(5900)));
 }
 
 #[test]
@@ -220,7 +231,7 @@
         assert_eq!(tracker.take_zone_updates(ms(1000)).len(), 1);
     }
     assert_eq!(tracker.take_local_updates(ms(1000)).len(), 0);
-    assert_eq!(tracker.requests_with_hold(), &BTreeSet::from([REQUEST]));
+    assert_eq!(tracker.with_hold(), &BTreeSet::from([REQUEST]));
     let reports = tracker.reports_for(ms(1000), &[REQUEST]);
     let mut other = SuspectTracker::default();
     assert_eq!(
@@ -268,11 +279,11 @@
         replica: key / 2,
         started_ago_ms: 10_000 - 1000 * key,
         crashed_ago_ms: 9500 - 1000 * key,
-        is_early: key % 3 > 0,
+        is_strong: key % 3 > 0,
         is_cleared,
     });
     let report = prop::collection::vec(crash, 0..4).prop_map(|crashes| SuspectReport {
-        request: REQUEST,
+        digest: REQUEST,
         account: ACCOUNT,
         crashes,
     });
@@ -298,7 +309,7 @@
         for report in rotated.chain(reports.iter().rev()) {
             other.apply_reports(now, ReporterScope::Zone, std::slice::from_ref(report));
         }
-        prop_assert_eq!(one.held_requests(now), other.held_requests(now));
+        prop_assert_eq!(one.held(now), other.held(now));
         prop_assert_eq!(one.reports_for(now, &[REQUEST]), other.reports_for(now, &[REQUEST]));
     }
 }
