Suspects in a table with sizes by account; whole answers in the runs of crashes

A crash with many attempts at one router adds some hundred parts, and each new one counted all suspects by account: 4096 steps each once an account is at its limit. The table keeps the sizes; the one that goes is found without computing holds.

--- a/src/policy/direct/suspects/mod.rs
+++ b/src/policy/direct/suspects/mod.rs
@@ -16,6 +16,7 @@
 mod suspect_digest;
 mod suspect_kind;
 mod suspect_report;
+mod suspect_table;
 mod suspect_tracker;
 mod suspects;
 mod tracker_reports;
--- a/src/policy/direct/suspects/suspect.rs
+++ b/src/policy/direct/suspects/suspect.rs
@@ -112,9 +112,10 @@
         known.is_some_and(|known| known.is_cleared)
     }
 
-    /// Whether any crash counts against it.
-    pub fn is_suspected(&self) -> bool {
-        self.crashes.iter().any(|crash| !crash.is_cleared)
+    /// Number of crashes that are not cleared.
+    pub fn counted_crashes(&self) -> usize {
+        let counted = self.crashes.iter().filter(|crash| !crash.is_cleared);
+        counted.count()
     }
 
     /// When the last replica crashed while running it.
--- a/src/policy/direct/suspects/suspect_tracker.rs
+++ b/src/policy/direct/suspects/suspect_tracker.rs
@@ -1,20 +1,12 @@
 use {
     super::{
         CrashedAttempt, Hold, SuspectDigest, SuspectKind, Trial, TrialClaim, Verdict,
-        last_answers::LastAnswers, suspect::Suspect, update_queue::UpdateQueue,
+        last_answers::LastAnswers, suspect_table::SuspectTable, update_queue::UpdateQueue,
     },
     crate::policy::Moment,
-    std::{
-        collections::{BTreeMap, BTreeSet, HashMap},
-        time::Duration,
-    },
+    std::{collections::BTreeSet, time::Duration},
 };
 
-/// Requests, or parts, that are remembered, in all and for one client account, at up to 600
-/// bytes each.
-const MAX_SUSPECTS: usize = 4096;
-const MAX_PER_ACCOUNT: usize = 512;
-
 /// How long one is remembered after the last crash of a replica that was running it.
 const RETENTION: Duration = Duration::from_secs(600);
 /// The same for one whose crashes were enough for a hold.
@@ -43,7 +35,7 @@
 #[derive(Debug, Default)]
 pub struct SuspectTracker {
     pub(super) kind: SuspectKind,
-    pub(super) suspects: HashMap<SuspectDigest, Suspect>,
+    pub(super) suspects: SuspectTable,
     pub(super) updates: UpdateQueue, // crashes and answers at this router
     pub(super) zone_updates: UpdateQueue, // the same at the routers of this zone
     pub(super) trial_updates: UpdateQueue, // trials that this router claims
@@ -75,8 +67,8 @@
         &self,
         digest: SuspectDigest,
     ) -> bool {
-        let suspect = self.suspects.get(&digest);
-        suspect.is_some_and(Suspect::is_suspected)
+        let suspect = self.suspects.get(digest);
+        suspect.is_some_and(|suspect| suspect.counted_crashes() > 0)
     }
 
     /// Whether anything may be held back.
@@ -100,9 +92,9 @@
                 crash.is_cleared |= self.answers.is_answered_since(digest, crash.crashed_at);
             }
         }
-        self.evict_for(account, digest);
-        let suspect = self.suspects.entry(digest);
-        let suspect = suspect.or_insert_with(|| Suspect::new(account));
+        let suspect = self
+            .suspects
+            .get_or_insert(account, digest, &self.with_hold);
         let is_new = suspect.record(crash);
         if is_new {
             self.queue_update(digest);
@@ -128,7 +120,7 @@
             held.iter_mut().for_each(|(_, hold)| *hold = hold.longer());
         }
         let waits = held.iter().map(|(digest, hold)| {
-            let trial = self.suspects.get(digest).and_then(|it| it.trial);
+            let trial = self.suspects.get(*digest).and_then(|it| it.trial);
             let trial_left = trial.map_or(Duration::ZERO, |it| it.remaining(now, self.kind));
             hold.remaining(now).max(trial_left)
         });
@@ -146,7 +138,7 @@
         digests: &[SuspectDigest],
     ) -> Vec<(SuspectDigest, Hold)> {
         let held = digests.iter().filter_map(|digest| {
-            let suspect = self.suspects.get(digest)?;
+            let suspect = self.suspects.get(*digest)?;
             let is_exempt = self.exempt.contains(digest);
             let hold = suspect.hold(self.kind).filter(|_| !is_exempt)?;
             Some((*digest, hold))
@@ -163,7 +155,7 @@
         let mut claim = TrialClaim::default();
         let claimed_at = now.into();
         for (digest, _) in held {
-            if let Some(suspect) = self.suspects.get_mut(digest) {
+            if let Some(suspect) = self.suspects.get_mut(*digest) {
                 suspect.record_trial(now, self.kind, Trial { key, claimed_at });
                 claim.trials.push((self.kind, *digest, key));
                 self.trial_updates.push(*digest);
@@ -180,7 +172,7 @@
         digest: SuspectDigest,
         key: u32,
     ) -> bool {
-        let trial = self.suspects.get(&digest).and_then(|it| it.trial);
+        let trial = self.suspects.get(digest).and_then(|it| it.trial);
         trial.is_some_and(|trial| trial.key == key)
     }
 
@@ -192,7 +184,7 @@
         digest: SuspectDigest,
     ) -> bool {
         self.answers.record(now, digest);
-        let Some(suspect) = self.suspects.get_mut(&digest) else {
+        let Some(suspect) = self.suspects.get_mut(digest) else {
             return false;
         };
         let is_told = suspect.clear() >= self.least_told();
@@ -215,7 +207,7 @@
         now: Moment,
     ) -> Vec<HeldSuspect> {
         let held = self.with_hold.iter().filter_map(|digest| {
-            let suspect = self.suspects.get(digest)?;
+            let suspect = self.suspects.get(*digest)?;
             let hold = suspect.hold(self.kind)?;
             let is_held = !hold.remaining(now).is_zero() && !self.exempt.contains(digest);
             is_held.then_some(HeldSuspect {
@@ -234,7 +226,7 @@
     ) {
         let with_hold = &self.with_hold;
         self.suspects.retain(|digest, suspect| {
-            let retention = match with_hold.contains(digest) {
+            let retention = match with_hold.contains(&digest) {
                 true => HELD_RETENTION,
                 false => RETENTION,
             };
@@ -244,8 +236,8 @@
                 .remaining(now)
                 .is_zero()
         });
-        let known = &self.suspects;
-        self.with_hold.retain(|digest| known.contains_key(digest));
+        self.with_hold
+            .retain(|digest| self.suspects.get(*digest).is_some());
     }
 
     /// Computes a hold anew after a change, and returns it.
@@ -253,7 +245,7 @@
         &mut self,
         digest: SuspectDigest,
     ) -> Option<Hold> {
-        let suspect = self.suspects.get(&digest)?;
+        let suspect = self.suspects.get(digest)?;
         let hold = suspect.hold(self.kind);
         match hold {
             Some(_) => self.with_hold.insert(digest),
@@ -261,41 +253,4 @@
         };
         hold
     }
-
-    /// Evicts a suspect if there is no place for one more of this account: one of its own if
-    /// it is at its limit, else one of the account that has the most. The one with the least
-    /// evidence against it goes first.
-    pub(super) fn evict_for(
-        &mut self,
-        account: u32,
-        digest: SuspectDigest,
-    ) {
-        if self.suspects.contains_key(&digest) || self.suspects.len() < MAX_PER_ACCOUNT {
-            return;
-        }
-        let mut counts: BTreeMap<u32, usize> = BTreeMap::new();
-        for suspect in self.suspects.values() {
-            *counts.entry(suspect.account).or_default() += 1;
-        }
-        let most = counts.iter().max_by_key(|(_, count)| **count);
-        let full = match most {
-            _ if counts.get(&account) >= Some(&MAX_PER_ACCOUNT) => account,
-            Some((most, _)) if self.suspects.len() >= MAX_SUSPECTS => *most,
-            _ => return,
-        };
-        let of_account = self.suspects.iter().filter(|(_, it)| it.account == full);
-        let least = of_account.min_by_key(|(digest, suspect)| {
-            let crashes = suspect.hold(self.kind).map_or(0, |hold| hold.crashes);
-            (
-                crashes,
-                suspect.is_suspected(),
-                suspect.last_crash(),
-                **digest,
-            )
-        });
-        if let Some(digest) = least.map(|(digest, _)| *digest) {
-            self.suspects.remove(&digest);
-            self.with_hold.remove(&digest);
-        }
-    }
 }
--- a/src/policy/direct/suspects/tracker_reports.rs
+++ b/src/policy/direct/suspects/tracker_reports.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         CrashReport, CrashedAttempt, Hold, SignedMoment, SuspectDigest, SuspectKind, SuspectReport,
-        SuspectTracker, Trial, TrialReport, suspect::Suspect,
+        SuspectTracker, Trial, TrialReport,
     },
     crate::policy::{Moment, ReporterScope},
     std::collections::BTreeSet,
@@ -48,9 +48,9 @@
                 ..crash
             })
             .collect();
-        self.evict_for(report.account, report.digest);
-        let suspect = self.suspects.entry(report.digest);
-        let suspect = suspect.or_insert_with(|| Suspect::new(report.account));
+        let suspect = self
+            .suspects
+            .get_or_insert(report.account, report.digest, &self.with_hold);
         let before = suspect.hold(self.kind);
         let added = crashes
             .iter()
@@ -106,7 +106,7 @@
         scope: ReporterScope,
         report: &TrialReport,
     ) {
-        let Some(suspect) = self.suspects.get_mut(&report.digest) else {
+        let Some(suspect) = self.suspects.get_mut(report.digest) else {
             return;
         };
         let trial = Trial {
@@ -142,7 +142,7 @@
         digests: &[SuspectDigest],
     ) -> Vec<TrialReport> {
         let known = digests.iter().filter_map(|digest| {
-            let trial = self.suspects.get(digest)?.trial?;
+            let trial = self.suspects.get(*digest)?.trial?;
             Some(TrialReport {
                 kind: self.kind,
                 digest: *digest,
@@ -165,7 +165,7 @@
         digests: &[SuspectDigest],
     ) -> Vec<SuspectReport> {
         let known = digests.iter().filter_map(|digest| {
-            let suspect = self.suspects.get(digest)?;
+            let suspect = self.suspects.get(*digest)?;
             Some(SuspectReport {
                 digest: *digest,
                 account: suspect.account,
--- a/testbed/src/command/ending.rs
+++ b/testbed/src/command/ending.rs
@@ -5,8 +5,8 @@
     std::{process::ExitCode, time::Duration},
 };
 
-/// The exit code when the request or part reached more replicas than is allowed, or too few
-/// harmless requests were served.
+/// The exit code when the request or part reached more replicas than is allowed, too few
+/// harmless requests were served, or answers lacked a part.
 const EXIT_FAILED: u8 = 1;
 
 /// Runs every scenario of a request or part of prompts that crashes replicas, for each of some
@@ -27,7 +27,8 @@
             println!("{}", result.summary());
             let serves_too_few =
                 result.bound_from.is_some() && result.late_served_share() < MIN_SERVED_SHARE;
-            if result.late_arrivals > MAX_LATE_ARRIVALS || serves_too_few {
+            if result.late_arrivals > MAX_LATE_ARRIVALS || serves_too_few || result.truncated() > 0
+            {
                 exit = ExitCode::from(EXIT_FAILED);
             }
         }
--- a/testbed/src/direct/replica_answer.rs
+++ b/testbed/src/direct/replica_answer.rs
@@ -31,6 +31,12 @@
     EventsCut { after: u32, last: u32 },
     /// A stream of events up to number `last` in this framing, complete.
     EventsFramed { framing: Framing, last: u32 },
+    /// The same with `pause` before each event.
+    EventsPaced {
+        framing: Framing,
+        last: u32,
+        pause: Duration,
+    },
     /// A stream that ends after `part` bytes of the event after number `after`, although its
     /// framing calls it complete. A resumed stream is complete up to `last`.
     EventsBroken {
--- a/testbed/src/direct/replica_answering.rs
+++ b/testbed/src/direct/replica_answering.rs
@@ -155,6 +155,11 @@
             let body = event_texts(first_event(request)..=last);
             return write_framed_events(out, request, framing, &body).await;
         }
+        ReplicaAnswer::EventsPaced {
+            framing,
+            last,
+            pause,
+        } => return write_paced_events(out, request, framing, last, pause).await,
         ReplicaAnswer::EventsBroken {
             framing,
             after,
@@ -301,6 +306,30 @@
     Ok(framing != Framing::Close)
 }
 
+/// The same with a pause before each event.
+async fn write_paced_events(
+    out: &mut AnswerWriter<'_>,
+    request: &ReceivedRequest,
+    framing: Framing,
+    last: u32,
+    pause: Duration,
+) -> io::Result<bool> {
+    let numbers = first_event(request)..=last;
+    let length = event_texts(numbers.clone()).len();
+    out.write(&events_head(request, framing, length)).await?;
+    for number in numbers {
+        tokio::time::sleep(pause).await;
+        match framing {
+            Framing::Chunks => out.write(&chunk(&event(number))).await?,
+            Framing::Length | Framing::Close => out.write(&event(number)).await?,
+        }
+    }
+    if framing == Framing::Chunks {
+        out.write("0\r\n\r\n").await?;
+    }
+    Ok(framing != Framing::Close)
+}
+
 /// The head of a stream of events in this framing, whose length is stated if the framing does so.
 fn events_head(
     request: &ReceivedRequest,
--- a/testbed/src/soak/crash_run.rs
+++ b/testbed/src/soak/crash_run.rs
@@ -5,7 +5,7 @@
     },
     crate::direct::{
         Client, ClientAnswer, CrashTiming, DirectFleet, Framing, Replica, ReplicaAnswer, RouteText,
-        zone_name,
+        event, zone_name,
     },
     rand::{Rng, SeedableRng, rngs::StdRng},
     std::{
@@ -124,9 +124,10 @@
             stop.subscribe(),
         ));
     }
-    let seen = replace_crashed(&mut fleet, scenario, seed, length, running).await;
+    let (seen, running) = replace_crashed(&mut fleet, scenario, seed, length, running).await;
     stop.send_replace(true);
     work.join_all().await;
+    drop(running);
     let harmless = outcomes.lock().expect("outcomes lock").clone();
     let known_at = seen.nth_crash(scenario.crashes_until_known());
     let last_bound = known_at.or(seen.crashes.iter().max().copied());
@@ -193,7 +194,8 @@
         generation: usize,
     ) -> Self {
         let default_answer = match scenario.has_prompts() {
-            true => ReplicaAnswer::Events {
+            true => ReplicaAnswer::EventsPaced {
+                framing: framing_of(number),
                 last: EVENTS,
                 pause: EVENT_PAUSE,
             },
@@ -242,18 +244,24 @@
     replica: &Replica,
     number: usize,
 ) {
-    let framing = Framing::ALL[number % Framing::ALL.len()];
+    let framing = framing_of(number);
     replica.crash_on_with(FATAL_PART, CrashTiming::InAnswer { framing });
 }
 
-/// Restarts crashed replicas, and kills routers where the scenario does so, for `length`.
+/// How the replica with this number frames its streams.
+fn framing_of(number: usize) -> Framing {
+    Framing::ALL[number % Framing::ALL.len()]
+}
+
+/// Restarts crashed replicas, and kills routers where the scenario does so, for `length`. Returns
+/// what was seen, and the replicas that run at the end.
 async fn replace_crashed(
     fleet: &mut DirectFleet,
     scenario: CrashScenario,
     seed: u64,
     length: Duration,
     mut running: Vec<PlacedReplica>,
-) -> Seen {
+) -> (Seen, Vec<PlacedReplica>) {
     let mut random = StdRng::seed_from_u64(seed ^ 1);
     let began = Instant::now();
     let mut seen = Seen::default();
@@ -324,7 +332,7 @@
     for placed in running.iter().chain(crashed) {
         seen.record(&placed.replica);
     }
-    seen
+    (seen, running)
 }
 
 /// What became of the harmless requests.
@@ -353,12 +361,17 @@
                 let request = harmless_request(self.scenario, &mut self.random, progress);
                 let sent = Instant::now();
                 let answer = timeout(ANSWER_TIMEOUT, client.call(&request)).await.ok();
-                let was_served = answer.as_ref().is_some_and(ClientAnswer::is_whole_success);
+                let is_success = answer.as_ref().is_some_and(ClientAnswer::is_whole_success);
+                let has_all = answer.as_ref().is_some_and(|it| self.has_all_events(it));
                 let outcome = HarmlessOutcome {
                     sent,
-                    was_served,
-                    was_held: answer.is_some_and(|answer| answer.code() == Some(44)),
+                    was_served: is_success && has_all,
+                    was_truncated: is_success && !has_all,
+                    was_held: answer.as_ref().is_some_and(|it| it.code() == Some(44)),
                 };
+                if !outcome.was_served {
+                    log::debug!("harmless request not served: {answer:?}");
+                }
                 self.outcomes.lock().expect("outcomes lock").push(outcome);
             }
             sleep(Duration::from_millis(self.random.random_range(DELAY_MS))).await;
@@ -366,6 +379,17 @@
     }
 }
 
+impl HarmlessCaller {
+    /// Whether an answer has each event of its stream once; true for one that is no stream.
+    fn has_all_events(
+        &self,
+        answer: &ClientAnswer,
+    ) -> bool {
+        let events: String = (1..=EVENTS).map(event).collect();
+        !self.scenario.has_prompts() || answer.text() == events
+    }
+}
+
 /// Sends the fatal request, or requests with the fatal part, each under a new id.
 async fn send_fatal(
     scenario: CrashScenario,
--- a/testbed/src/soak/crash_run_result.rs
+++ b/testbed/src/soak/crash_run_result.rs
@@ -4,8 +4,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct HarmlessOutcome {
     pub sent: Instant,
-    pub was_served: bool, // completely, by the first attempt of its caller
-    pub was_held: bool,   // a router held it back
+    pub was_served: bool,    // completely, by the first attempt of its caller
+    pub was_truncated: bool, // it looked complete, but lacked a part
+    pub was_held: bool,      // a router held it back
 }
 
 /// Outcome of a run in which a request, or a part of prompts, crashes the replicas that run it.
@@ -26,6 +27,11 @@
         self.harmless.iter().filter(|it| it.was_held).count()
     }
 
+    /// Number of answers that looked complete and were not.
+    pub fn truncated(&self) -> usize {
+        self.harmless.iter().filter(|it| it.was_truncated).count()
+    }
+
     /// The share of the harmless requests that were served, of all.
     pub fn served_share(&self) -> f64 {
         served_share(self.harmless.iter())
@@ -41,7 +47,7 @@
     /// One line for the terminal.
     pub fn summary(&self) -> String {
         format!(
-            "{:?} seed {}: {} ended, {} sent, {} sent late; {} harmless, served {:.3}, late {:.3}, held back {}",
+            "{:?} seed {}: {} ended, {} sent, {} sent late; {} harmless, served {:.3}, late {:.3}, held back {}, truncated {}",
             self.scenario,
             self.seed,
             self.crashed,
@@ -50,7 +56,8 @@
             self.harmless.len(),
             self.served_share(),
             self.late_served_share(),
-            self.held_back()
+            self.held_back(),
+            self.truncated()
         )
     }
 }
--- a/testbed/tests/parts_that_crash_replicas.rs
+++ b/testbed/tests/parts_that_crash_replicas.rs
@@ -12,12 +12,13 @@
 
 const LENGTH: Duration = Duration::from_secs(20);
 
-/// Runs a scenario, and checks that harmless requests are served.
+/// Runs a scenario, and checks that harmless requests are served, and with whole answers.
 async fn run(
     scenario: CrashScenario,
     seed: u64,
 ) -> CrashRunResult {
     let result = crash_run(scenario, seed, LENGTH).await;
+    assert_eq!(result.truncated(), 0, "{}", result.summary());
     assert!(
         result.late_served_share() >= MIN_SERVED_SHARE,
         "{}",
