--- a/src/direct/exchange_suspects.rs
+++ b/src/direct/exchange_suspects.rs
@@ -184,10 +184,8 @@
             .suspects()
             .record_crash(now, request, &parts, account, crash);
         self.early_report.notify_one();
-        for (digest, hold, is_new) in &holds {
-            if *is_new {
-                log_held_back(now, *digest, hold, &call.request_id, "here");
-            }
+        for held in holds.iter().filter(|held| held.is_new_crash) {
+            log_held_back(now, held.digest, &held.hold, &call.request_id, "here");
         }
         !holds.is_empty()
     }
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -46,6 +46,7 @@
 mod stream_origins_gossip;
 mod stream_origins_message;
 mod stream_query_message;
+mod suspect_trials_gossip;
 mod suspect_trials_message;
 mod suspects_gossip;
 mod suspects_message;
--- a/src/peers/suspects_gossip.rs
+++ b/src/peers/suspects_gossip.rs
@@ -1,12 +1,12 @@
 //! Exchanges requests and parts of prompts that are suspected of crashing replicas.
 
 use {
-    super::{PeerLink, PeerMessage, SuspectTrialsMessage, SuspectsMessage},
+    super::{PeerLink, PeerMessage, SuspectsMessage},
     crate::{
         direct::log_held_back,
         policy::{
             Moment, ReporterScope,
-            suspects::{SuspectDigest, SuspectKind, SuspectReport, SuspectTracker, TrialReport},
+            suspects::{SuspectDigest, SuspectKind, SuspectReport, SuspectTracker},
         },
     },
     std::{collections::HashMap, net::SocketAddr, time::Duration},
@@ -19,9 +19,6 @@
 /// Requests or parts in one datagram.
 const MAX_REPORTS: usize = 8;
 
-/// Trials in one datagram, at up to 21 bytes each.
-const MAX_TRIALS: usize = 32;
-
 /// What is or was held back is sent again when no router of the zone has sent it for
 /// this long, so that a router that has just started learns of it soon.
 const RESEND_INTERVAL: Duration = Duration::from_secs(1);
@@ -77,59 +74,9 @@
         self.send_trials(&trials, addresses).await;
     }
 
-    /// The trials that `take` returns, of requests and of parts.
-    pub(super) fn take_trials(
-        &self,
-        now: Moment,
-        take: fn(&mut SuspectTracker, Moment) -> Vec<TrialReport>,
-    ) -> Vec<TrialReport> {
-        let mut suspects = self.gateway.suspects();
-        let trials = SuspectKind::ALL.map(|kind| take(suspects.tracker(kind), now));
-        trials.into_iter().flatten().collect()
-    }
-
-    pub(super) async fn send_trials(
-        &self,
-        trials: &[TrialReport],
-        addresses: &[SocketAddr],
-    ) {
-        let own = self.gateway.peers.own();
-        for part in trials.chunks(MAX_TRIALS) {
-            let message = SuspectTrialsMessage {
-                zone: own.zone,
-                reporter: own.address,
-                trials: part.to_vec(),
-            };
-            let message = PeerMessage::SuspectTrials(message);
-            self.send(&message, addresses).await;
-        }
-    }
-
-    /// Applies the trials that another router claims. Returns whether the message is to be relayed
-    /// within the own zone.
-    pub(super) fn apply_trials(
-        &self,
-        from: SocketAddr,
-        message: &SuspectTrialsMessage,
-    ) -> bool {
-        let now = self.gateway.now();
-        let (scope, is_relayed) = self.scope_of(from, message.zone, message.reporter);
-        let mut suspects = self.gateway.suspects();
-        for trial in &message.trials {
-            let tracker = suspects.tracker(trial.kind);
-            tracker.apply_trial(now, scope, trial);
-        }
-        drop(suspects);
-        if scope == ReporterScope::Router {
-            // Other zones wait no longer for a claim than `TrialClaim::WAIT`.
-            self.gateway.early_report.notify_one();
-        }
-        is_relayed
-    }
-
     /// Whether a message speaks for one router of the own zone or for another zone, and whether it
     /// is to be relayed within the own zone, as it came directly from its author in another zone.
-    fn scope_of(
+    pub(super) fn scope_of(
         &self,
         from: SocketAddr,
         zone: u32,
--- a/src/policy/direct/suspects/mod.rs
+++ b/src/policy/direct/suspects/mod.rs
@@ -31,7 +31,7 @@
     suspect_digest::SuspectDigest,
     suspect_kind::SuspectKind,
     suspect_report::{CrashReport, SuspectReport},
-    suspect_tracker::{HeldSuspect, RecordedCrash, SuspectTracker},
+    suspect_tracker::{CrashHold, HeldSuspect, SuspectTracker},
     suspects::Suspects,
     trial::{Trial, TrialClaim, TrialReport},
     verdict::Verdict,
--- a/src/policy/direct/suspects/suspect_tracker.rs
+++ b/src/policy/direct/suspects/suspect_tracker.rs
@@ -24,11 +24,12 @@
     pub hold: Hold,
 }
 
-/// What recording a crash led to.
+/// A hold that a recorded crash leads to, or that was there before it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct RecordedCrash {
-    pub hold: Option<Hold>, // of the request or part, if any
-    pub is_new: bool,       // the crash was not known
+pub struct CrashHold {
+    pub digest: SuspectDigest,
+    pub hold: Hold,
+    pub is_new_crash: bool, // no other attempt, here or elsewhere, had shown it
 }
 
 /// The requests, or the parts of prompts, during which replicas crashed, at any router.
@@ -76,14 +77,15 @@
         !self.with_hold.is_empty()
     }
 
-    /// Records that a replica crashed while it ran a request of this router.
+    /// Records that a replica crashed while it ran a request of this router. Returns the hold of
+    /// the request or part, if any.
     pub fn record_crash(
         &mut self,
         now: Moment,
         digest: SuspectDigest,
         account: u32,
         mut crash: CrashedAttempt,
-    ) -> RecordedCrash {
+    ) -> Option<CrashHold> {
         let was_answered = self.answers.is_recent(now, digest, ANSWER_VALIDITY);
         match self.kind {
             SuspectKind::Request => crash.is_cleared |= was_answered,
@@ -95,12 +97,16 @@
         let suspect = self
             .suspects
             .get_or_insert(account, digest, &self.with_hold);
-        let is_new = suspect.record(crash);
-        if is_new {
+        let is_new_crash = suspect.record(crash);
+        if is_new_crash {
             self.queue_update(digest);
         }
-        let hold = self.refresh_hold(digest);
-        RecordedCrash { hold, is_new }
+        let hold = self.refresh_hold(digest)?;
+        Some(CrashHold {
+            digest,
+            hold,
+            is_new_crash,
+        })
     }
 
     /// Whether a request may be sent, given its digest or those of the parts of its prompt. After
--- a/src/policy/direct/suspects/suspects.rs
+++ b/src/policy/direct/suspects/suspects.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        CrashedAttempt, Hold, SuspectDigest, SuspectKind, SuspectTracker, TrialClaim, Verdict,
+        CrashHold, CrashedAttempt, SuspectDigest, SuspectKind, SuspectTracker, TrialClaim, Verdict,
     },
     crate::policy::Moment,
     std::collections::BTreeSet,
@@ -86,7 +86,7 @@
 
     /// Records that a replica crashed while it ran a request of this router with these parts in
     /// its prompt. Where the request itself is suspected, this says less about its parts. Returns
-    /// the holds that follow, and for each whether the crash is new.
+    /// the holds of the request and the parts.
     pub fn record_crash(
         &mut self,
         now: Moment,
@@ -94,7 +94,7 @@
         parts: &[SuspectDigest],
         account: u32,
         crash: CrashedAttempt,
-    ) -> Vec<(SuspectDigest, Hold, bool)> {
+    ) -> Vec<CrashHold> {
         let is_repeat = self.requests.is_suspected(request);
         let against_part = crash.against_part().map(|crash| CrashedAttempt {
             is_strong: crash.is_strong && !is_repeat,
@@ -103,12 +103,10 @@
         let mut holds = Vec::new();
         if let Some(crash) = against_part {
             for part in parts {
-                let recorded = self.parts.record_crash(now, *part, account, crash);
-                holds.extend(recorded.hold.map(|hold| (*part, hold, recorded.is_new)));
+                holds.extend(self.parts.record_crash(now, *part, account, crash));
             }
         }
-        let recorded = self.requests.record_crash(now, request, account, crash);
-        holds.extend(recorded.hold.map(|hold| (request, hold, recorded.is_new)));
+        holds.extend(self.requests.record_crash(now, request, account, crash));
         holds
     }
 
