--- a/testbed/src/direct/replica.rs
+++ b/testbed/src/direct/replica.rs
@@ -54,6 +54,7 @@
             total_connections: AtomicUsize::new(0),
             crash_trigger: Mutex::default(),
             exited: watch::Sender::new(false),
+            listener_closed: watch::Sender::new(false),
             close_one_in: AtomicUsize::new(0),
             runs: AtomicUsize::new(0),
             backoff_seconds: Mutex::default(),
--- a/testbed/src/direct/replica_serving.rs
+++ b/testbed/src/direct/replica_serving.rs
@@ -20,7 +20,8 @@
     },
 };
 
-/// Accepts connections until the replica crashes.
+/// Accepts connections until the replica crashes. Its connections are closed after its listener,
+/// as the kernel does for a process that exits.
 pub(super) async fn accept(
     state: Arc<ReplicaState>,
     listener: TcpListener,
@@ -29,7 +30,7 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = exited.wait_for(|exited| *exited) => return,
+            _ = exited.wait_for(|exited| *exited) => break,
         };
         let Ok((stream, _)) = accepted else {
             return;
@@ -39,6 +40,8 @@
         }
         tokio::spawn(serve(state.clone(), stream));
     }
+    drop(listener);
+    state.listener_closed.send_replace(true);
 }
 
 async fn serve(
@@ -47,10 +50,10 @@
 ) {
     state.open_connections.fetch_add(1, Ordering::SeqCst);
     state.total_connections.fetch_add(1, Ordering::SeqCst);
-    let mut exited = state.exited.subscribe();
+    let mut listener_closed = state.listener_closed.subscribe();
     let outcome = tokio::select! {
         outcome = serve_requests(&state, &mut stream) => outcome,
-        _ = exited.wait_for(|exited| *exited) => Ok(()),
+        _ = listener_closed.wait_for(|closed| *closed) => Ok(()),
     };
     state.open_connections.fetch_sub(1, Ordering::SeqCst);
     if let Err(error) = outcome {
@@ -112,7 +115,7 @@
         });
         if let Some((_, timing)) = trigger {
             crash(state, &mut out, &request, timing).await;
-            return Ok(());
+            return std::future::pending().await;
         }
         let run = state.runs.fetch_add(1, Ordering::SeqCst) + 1;
         let close_one_in = state.close_one_in.load(Ordering::SeqCst);
--- a/testbed/src/direct/replica_state.rs
+++ b/testbed/src/direct/replica_state.rs
@@ -26,11 +26,12 @@
     pub total_connections: AtomicUsize, // opened since the start
     pub crash_trigger: Mutex<Option<(String, CrashTiming)>>, // text of a request that crashes it
     pub exited: watch::Sender<bool>,
-    pub close_one_in: AtomicUsize,           // requests; 0 is none
-    pub runs: AtomicUsize,                   // requests that it started to run
-    pub backoff_seconds: Mutex<Option<f64>>, // if set, all requests are refused with Retry-After
-    pub refuses_cache_requests: AtomicBool,  // for the cache list and cache events
-    pub extra_headers: Mutex<String>,        // header lines of all answers
-    pub slow_until: Mutex<Option<Instant>>,  // end of the slow start, stated in health answers
-    pub version: Mutex<Option<String>>,      // of its software, told in its events if set
+    pub listener_closed: watch::Sender<bool>, // after it exited
+    pub close_one_in: AtomicUsize,            // requests; 0 is none
+    pub runs: AtomicUsize,                    // requests that it started to run
+    pub backoff_seconds: Mutex<Option<f64>>,  // if set, all requests are refused with Retry-After
+    pub refuses_cache_requests: AtomicBool,   // for the cache list and cache events
+    pub extra_headers: Mutex<String>,         // header lines of all answers
+    pub slow_until: Mutex<Option<Instant>>,   // end of the slow start, stated in health answers
+    pub version: Mutex<Option<String>>,       // of its software, told in its events if set
 }
