An attempt at a silent replica is given up only for a successor that is certain

What callers saw: streams cut 1.3 s after their last event, and 502 or 504 instead of first events and plain answers, while a sound replica was silent for a second or two and would have gone on within the caller's time.

Cause: a time-out ended the attempt for good before it was known whether another one may follow. Whether the retry budget, the route's attempts, the replicas and the time allow one was looked at afterwards, and where they did not, the caller's answer ended.

Change: when a replica is silent, the next attempt is reserved first (`successor.rs`): taken from the retry budget, its replica chosen, at first one that is not silent itself. Without a successor the silent replica is waited for, up to the deadline, and a successor is looked for again each 250 ms. With one, the silent attempt stays open until the successor answers, or has not refused within 250 ms; a successor that refuses or closes costs nothing. Heads, first events, later events and plain answers take the same way.

Why it holds the other promises: the overlap is shorter than the 400 ms for which two replicas may work on one request; each further attempt still takes from the budget and counts towards the route's attempts; a stream goes on after its last event at one replica only. A replica that is gone for good costs no more time than before where another can take over at once.

--- a/src/direct/attempt_end.rs
+++ b/src/direct/attempt_end.rs
@@ -20,6 +20,17 @@
 }
 
 impl AttemptEnd {
+    /// The end of an attempt whose replica did not send `awaited` in time.
+    pub fn timed_out(
+        awaited: &str,
+        waited: Duration,
+    ) -> Self {
+        Self::Unknown {
+            code: ResultCode::UpstreamTimeout,
+            detail: format!("no {awaited} in {} ms", waited.as_millis()),
+        }
+    }
+
     /// The result code that the caller gets.
     pub fn code(&self) -> ResultCode {
         match self {
--- a/src/direct/events_relay.rs
+++ b/src/direct/events_relay.rs
@@ -2,14 +2,19 @@
     super::{
         attempt_end::AttemptEnd,
         event_splitter::EventSplitter,
-        exchange::Exchange,
+        exchange::{Exchange, NoReply, StartedAnswer},
         live_answer::LiveAnswer,
         reply::{ReplyBody, copy_head, cut_error, replica_reply},
         stream_watch::StreamWatch,
+        successor::{SUCCESSOR_INTERVAL, Waited},
         timeout_unless_ready::timeout_unless_ready,
         wait_while_alive::wait_while_alive,
     },
-    crate::{codes::ResultCode, ops::STREAMS},
+    crate::{
+        codes::{ErrorAnswer, ResultCode},
+        ops::STREAMS,
+        policy::Moment,
+    },
     bytes::Bytes,
     futures::stream,
     http_body_util::{BodyExt, StreamBody},
@@ -23,6 +28,9 @@
 /// The target pause where the route sets none.
 const DEFAULT_TARGET_PAUSE: Duration = Duration::from_millis(200);
 
+/// The next whole events of a replica; `None` if its stream is whole.
+type ReadEvents = Result<Option<Bytes>, AttemptEnd>;
+
 /// Relays a stream of events to a caller, and resumes it at another replica if one fails.
 pub struct EventsRelay {
     exchange: Option<Exchange>, // `None` once it is returned by `start_reply`
@@ -76,22 +84,30 @@
     }
 
     /// Waits for the first event, then returns a response that streams it and all later ones.
-    /// Returns the exchange if no event arrives.
+    /// Returns the exchange if no event arrives, or another replica answers.
     pub async fn start_reply(
         mut self,
         limit: Duration,
-    ) -> Result<Response<ReplyBody>, (Exchange, AttemptEnd)> {
+    ) -> Result<Response<ReplyBody>, (Exchange, NoReply)> {
         let gateway = self.exchange().gateway.clone();
         let replica = self.answer.in_flight.replica().clone();
         let time_left = self.exchange().time_left();
         let first =
             wait_while_alive(&gateway, &replica, limit, time_left, self.read_events()).await;
-        let first = first.unwrap_or_else(|| Err(timed_out(limit)));
+        let first = match first {
+            Some(first) => first.map_err(NoReply::Ended),
+            None => match self.outwait(gateway.now()).await {
+                Ok(Waited::Output(first)) => first.map_err(NoReply::Ended),
+                Ok(Waited::Replaced(started)) => Err(NoReply::Replaced(started)),
+                Ok(Waited::Deadline) => Err(NoReply::Ended(timed_out(limit))),
+                Err(error) => Err(NoReply::Unanswered(error)),
+            },
+        };
         let first = match first {
             Ok(first) => first,
-            Err(end) => {
+            Err(none) => {
                 let exchange = self.exchange.take().expect("exchange taken twice");
-                return Err((exchange, end));
+                return Err((exchange, none));
             }
         };
         self.answer.in_flight.record_first_token();
@@ -115,42 +131,91 @@
     /// The next events for the caller, resuming the stream if its replica fails; `None` at the
     /// end.
     async fn next_events(&mut self) -> Option<Result<Bytes, io::Error>> {
-        loop {
-            if self.is_done {
-                return None;
-            }
+        while !self.is_done {
+            let since = self.exchange().gateway.now();
             let time_left = self.exchange().time_left();
             let limit = if self.may_resume() {
                 self.resume_timeout().min(time_left)
             } else {
                 time_left
             };
-            match self.read_events_within(limit).await {
+            let output = match self.read_events_within(limit, since).await {
+                Some(output) => output,
+                None => match self.outwait(since).await {
+                    Ok(Waited::Output(output)) => output,
+                    Ok(Waited::Deadline) => Err(timed_out(limit)),
+                    Ok(Waited::Replaced(started)) => {
+                        self.go_on(*started);
+                        continue;
+                    }
+                    Err(error) => return Some(Err(self.cut(cut_error(error.code)))),
+                },
+            };
+            match output {
                 Ok(Some(events)) => {
                     if std::mem::take(&mut self.has_resumed) {
                         self.answer.in_flight.record_first_token();
                     }
+                    self.exchange_mut().waiting_on_since = None;
                     return Some(Ok(events));
                 }
                 Ok(None) => return None,
                 Err(end) => {
                     if let Err(error) = self.resume(&end).await {
-                        self.is_done = true;
-                        self.outcome = "cut";
-                        return Some(Err(error));
+                        return Some(Err(self.cut(error)));
                     }
                 }
             }
         }
+        None
+    }
+
+    /// Records that the stream ends before it is whole.
+    fn cut(
+        &mut self,
+        error: io::Error,
+    ) -> io::Error {
+        self.is_done = true;
+        self.outcome = "cut";
+        error
+    }
+
+    /// Waits for events of a replica that has been silent since `since`, or for the answer of a
+    /// successor.
+    async fn outwait(
+        &mut self,
+        since: Moment,
+    ) -> Result<Waited<ReadEvents>, ErrorAnswer> {
+        let last = self.splitter.last_id().map(str::to_owned);
+        loop {
+            let time_left = self.exchange().time_left();
+            if time_left.is_zero() {
+                return Ok(Waited::Deadline);
+            }
+            let may_replace = self.first_event_after.is_none() || self.may_resume();
+            let exchange = self.exchange.as_mut().expect("exchange already taken");
+            if may_replace && exchange.reserve_successor() {
+                let give_up = || self.answer.close();
+                let started = exchange.ask_successor(since, last.as_deref(), give_up);
+                if let Some(started) = started.await? {
+                    return Ok(Waited::Replaced(Box::new(started)));
+                }
+            }
+            let limit = SUCCESSOR_INTERVAL.min(time_left);
+            if let Some(output) = self.read_events_within(limit, since).await {
+                return Ok(Waited::Output(output));
+            }
+        }
     }
 
-    /// The next whole events, awaited up to `limit`. Pauses are measured only while waiting for
-    /// the replica, so that a caller that reads slowly adds none.
+    /// The next whole events, awaited up to `limit`; `None` on time-out. Pauses are measured only
+    /// while waiting for the replica, here since `since`, so that a caller that reads slowly adds
+    /// none.
     async fn read_events_within(
         &mut self,
         limit: Duration,
-    ) -> Result<Option<Bytes>, AttemptEnd> {
-        let since = self.exchange().gateway.now();
+        since: Moment,
+    ) -> Option<ReadEvents> {
         // Taken out for the wait: if this future is dropped, the watch is dropped with it and
         // reports what it measured.
         let mut watch = self.pause_watch.take();
@@ -160,15 +225,13 @@
             tokio::pin!(events);
             let first = target_pause.unwrap_or(limit).min(limit);
             match (timeout_unless_ready(first, &mut events).await, &mut watch) {
-                (Some(outcome), _) => outcome,
+                (Some(outcome), _) => Some(outcome),
                 (None, Some(watch)) if first < limit => {
                     watch.record_overrun();
                     let remaining = limit.saturating_sub(first);
-                    timeout_unless_ready(remaining, &mut events)
-                        .await
-                        .unwrap_or_else(|| Err(timed_out(limit)))
+                    timeout_unless_ready(remaining, &mut events).await
                 }
-                (None, _) => Err(timed_out(limit)),
+                (None, _) => None,
             }
         };
         if self.first_event_after.is_some() {
@@ -176,8 +239,10 @@
             self.longest_pause = self.longest_pause.max(waited);
         }
         match (&outcome, &mut watch) {
-            (Ok(Some(_)), Some(watch)) => watch.record_event(since),
-            (Ok(Some(_)), None) => self.start_pause_watch(),
+            (Some(Ok(Some(_))), Some(watch)) => watch.record_event(since),
+            (Some(Ok(Some(_))), None) if self.first_event_after.is_some() => {
+                self.start_pause_watch();
+            }
             _ => {}
         }
         self.pause_watch = self.pause_watch.take().or(watch);
@@ -199,7 +264,7 @@
     }
 
     /// The next whole events of the current replica; `None` if its stream is whole.
-    async fn read_events(&mut self) -> Result<Option<Bytes>, AttemptEnd> {
+    async fn read_events(&mut self) -> ReadEvents {
         if self.is_done {
             return Ok(None);
         }
@@ -266,7 +331,8 @@
         (target_pause * 5).max(MIN_RESUME_TIMEOUT)
     }
 
-    /// Resumes the stream at another replica after the last whole event.
+    /// Resumes the stream at another replica after the last whole event, as its attempt has
+    /// ended.
     async fn resume(
         &mut self,
         end: &AttemptEnd,
@@ -281,20 +347,22 @@
         }
         // The connection is closed first, so that no two replicas work on one request.
         self.answer.close();
-        self.pause_watch = None;
-        self.splitter.discard_partial();
         let last = self.splitter.last_id().map(str::to_owned);
-        let started = self.exchange_mut().start_answer(last.as_deref()).await;
+        let started = self.exchange_mut().continue_answer(last.as_deref()).await;
         let started = started.map_err(|error| cut_error(error.code))?;
-        if started.answer.head.status != 200 {
-            return Err(cut_error(format!(
-                "replica resumed the stream with status {}",
-                started.answer.head.status
-            )));
-        }
+        self.go_on(started);
+        Ok(())
+    }
+
+    /// Goes on with the answer of another replica.
+    fn go_on(
+        &mut self,
+        started: StartedAnswer,
+    ) {
+        self.pause_watch = None;
+        self.splitter.discard_partial();
         self.answer = started.answer;
         self.has_resumed = true;
-        Ok(())
     }
 }
 
@@ -306,8 +374,5 @@
 }
 
 fn timed_out(limit: Duration) -> AttemptEnd {
-    AttemptEnd::Unknown {
-        code: ResultCode::UpstreamTimeout,
-        detail: format!("no event in {} ms", limit.as_millis()),
-    }
+    AttemptEnd::timed_out("event", limit)
 }
--- a/src/direct/exchange.rs
+++ b/src/direct/exchange.rs
@@ -1,15 +1,24 @@
 use {
     super::{
-        attempt::send_call, attempt_end::AttemptEnd, call::Call, events_relay::EventsRelay,
-        gateway::Gateway, live_answer::LiveAnswer, plain_relay::plain_reply, reply::ReplyBody,
-        sent_attempt::SentAttempt, unanswered::Unanswered, wait_while_alive::wait_while_alive,
+        attempt::{AttemptTarget, send_call},
+        attempt_end::AttemptEnd,
+        call::Call,
+        events_relay::EventsRelay,
+        gateway::Gateway,
+        live_answer::LiveAnswer,
+        plain_relay::plain_reply,
+        reply::ReplyBody,
+        sent_attempt::SentAttempt,
+        successor::Waited,
+        unanswered::Unanswered,
+        wait_while_alive::wait_while_alive,
     },
     crate::{
-        codes::{ErrorAnswer, ResultCode},
-        policy::{shares::AccountShare, streams::SoftwareVersion},
+        codes::ErrorAnswer,
+        policy::{Moment, shares::AccountShare, streams::SoftwareVersion},
     },
     hyper::Response,
-    std::{sync::Arc, time::Duration},
+    std::{pin::pin, sync::Arc, time::Duration},
 };
 
 /// Attempts that fail before a byte is sent do not count towards the route's attempts, and
@@ -39,13 +48,16 @@
     pub(super) tried: Vec<Arc<str>>, // ids of the replicas chosen so far
     pub(super) sent_attempts: u32,   // of which at least a byte was sent
     pub(super) unsent_attempts: u32, // that failed before
+    pub(super) is_sending: bool,     // an attempt is in neither count yet
     pub(super) may_have_run: bool,   // the outcome of some attempt is unknown
     pub(super) charged_tokens: f32,  // zero until the account is charged
     pub(super) share: Option<AccountShare>, // of the account, at the last placement
     pub(super) last_attempt: Option<SentAttempt>,
+    pub(super) successor: Option<(AttemptTarget, Duration)>, // the next attempt, and its duration
     pub(super) checked_at: Option<u32>, // `sent_attempts` when `check_suspect` last ran
     pub(super) stream_version: Option<SoftwareVersion>, // once the stream has begun, here or elsewhere
-    failure: Option<Response<ReplyBody>>, // a replica's error answer, if no attempt succeeds
+    pub(super) waiting_on_since: Option<Moment>, // its replica is silent and has no successor
+    failure: Option<Response<ReplyBody>>,        // a replica's error answer, if no attempt succeeds
 }
 
 /// An answer whose head was received, and the time that remains for its body.
@@ -54,6 +66,13 @@
     pub timeout: Duration, // until the first event, or the whole plain answer
 }
 
+/// Why an attempt led to no reply.
+pub enum NoReply {
+    Ended(AttemptEnd),
+    Replaced(Box<StartedAnswer>), // by the answer of its successor
+    Unanswered(ErrorAnswer),      // its successors failed too
+}
+
 impl Exchange {
     /// An exchange for a call that was not sent yet.
     pub fn new(
@@ -67,12 +86,15 @@
             tried: Vec::new(),
             sent_attempts: 0,
             unsent_attempts: 0,
+            is_sending: false,
             may_have_run: false,
             charged_tokens: 0.0,
             share: None,
             last_attempt: None,
+            successor: None,
             checked_at: None,
             stream_version,
+            waiting_on_since: None,
             failure: None,
         }
     }
@@ -81,31 +103,40 @@
     pub async fn run(mut self) -> Result<Response<ReplyBody>, Unanswered> {
         self.gateway.count_request(&self.call.service);
         self.record_requested_tokens();
+        let mut next = None;
         loop {
-            let started = match self.start_answer(None).await {
+            let started = match next.take() {
+                Some(started) => Ok(started),
+                None => self.start_answer(None).await,
+            };
+            let started = match started {
                 Ok(started) => started,
                 Err(error) => return self.unanswered(error),
             };
             let is_events = self.call.route.kind.is_stream()
                 && started.answer.head.status == 200
                 && started.answer.is_event_stream() != Some(false);
-            let outcome = if is_events {
+            let reply = if is_events {
                 let relay = EventsRelay::new(self, started.answer);
                 match relay.start_reply(started.timeout).await {
                     Ok(response) => return Ok(response),
-                    Err((exchange, end)) => {
+                    Err((exchange, none)) => {
                         self = exchange;
-                        end
+                        Err(none)
                     }
                 }
             } else {
-                match plain_reply(&mut self, started).await {
-                    Ok(response) => return Ok(response),
-                    Err(end) => end,
-                }
+                plain_reply(&mut self, started).await
             };
-            if let Err(error) = self.end_attempt(&outcome).await {
-                return self.unanswered(error);
+            match reply {
+                Ok(response) => return Ok(response),
+                Err(NoReply::Replaced(started)) => next = Some(*started),
+                Err(NoReply::Unanswered(error)) => return self.unanswered(error),
+                Err(NoReply::Ended(end)) => {
+                    if let Err(error) = self.end_attempt(&end).await {
+                        return self.unanswered(error);
+                    }
+                }
             }
         }
     }
@@ -133,47 +164,70 @@
         last_event: Option<&str>,
     ) -> Result<StartedAnswer, ErrorAnswer> {
         loop {
-            self.check_suspect().await?;
+            if self.successor.is_none() {
+                self.check_suspect().await?;
+            }
             let (target, expected) = self.choose_replica()?;
-            let replica = target.entry.id.clone();
-            let limit = self.attempt_timeout(expected);
-            let max_idle = match self.is_last_attempt() {
-                true => MAX_IDLE_FOR_LAST_ATTEMPT,
-                false => Duration::MAX,
-            };
-            let sent_at = self.gateway.now();
-            self.last_attempt = Some(SentAttempt::new(
-                self.gateway.clone(),
-                self.call.clone(),
-                target.entry.clone(),
-                expected,
-                target.queue_wait,
-            ));
-            let sending = send_call(&self.gateway, &self.call, target, max_idle, last_event);
-            let waited =
-                wait_while_alive(&self.gateway, &replica, limit, self.time_left(), sending);
-            let outcome = waited.await.unwrap_or_else(|| {
-                Err(AttemptEnd::Unknown {
-                    code: ResultCode::UpstreamTimeout,
-                    detail: format!("no answer in {} ms", limit.as_millis()),
-                })
-            });
-            self.count_attempt(&replica, &outcome);
-            match outcome {
-                Ok(answer) => {
-                    let spent = self.gateway.now().saturating_sub(sent_at);
-                    let timeout = limit.saturating_sub(spent);
-                    return Ok(StartedAnswer { answer, timeout });
-                }
-                Err(end) => self.end_attempt(&end).await?,
+            match self.attempt(target, expected, last_event).await {
+                Ok(started) => return Ok(started),
+                Err(NoReply::Replaced(started)) => return Ok(*started),
+                Err(NoReply::Unanswered(error)) => return Err(error),
+                Err(NoReply::Ended(end)) => self.end_attempt(&end).await?,
             }
         }
     }
 
+    /// Sends the call to one replica and waits for the head of its answer.
+    async fn attempt(
+        &mut self,
+        target: AttemptTarget,
+        expected: Duration,
+        last_event: Option<&str>,
+    ) -> Result<StartedAnswer, NoReply> {
+        let replica = target.entry.id.clone();
+        let limit = self.attempt_timeout(expected);
+        let max_idle = match self.is_last_attempt() {
+            true => MAX_IDLE_FOR_LAST_ATTEMPT,
+            false => Duration::MAX,
+        };
+        let sent_at = self.gateway.now();
+        self.last_attempt = Some(SentAttempt::new(
+            self.gateway.clone(),
+            self.call.clone(),
+            target.entry.clone(),
+            expected,
+            target.queue_wait,
+        ));
+        self.is_sending = true;
+        let (gateway, call) = (self.gateway.clone(), self.call.clone());
+        let sending = send_call(&gateway, &call, target, max_idle, last_event);
+        let mut sending = pin!(Some(sending));
+        let time_left = self.time_left();
+        let head = sending.as_mut().as_pin_mut().expect("just set");
+        let outcome = wait_while_alive(&gateway, &replica, limit, time_left, head).await;
+        let outcome = match outcome {
+            Some(outcome) => outcome,
+            None => match self.await_silent(sending, sent_at, last_event).await {
+                Ok(Waited::Output(outcome)) => outcome,
+                Ok(Waited::Deadline) => {
+                    let waited = gateway.now().saturating_sub(sent_at);
+                    Err(AttemptEnd::timed_out("answer", waited))
+                }
+                Ok(Waited::Replaced(started)) => return Err(NoReply::Replaced(started)),
+                Err(error) => return Err(NoReply::Unanswered(error)),
+            },
+        };
+        self.count_attempt(&replica, &outcome);
+        let answer = outcome.map_err(NoReply::Ended)?;
+        let spent = gateway.now().saturating_sub(sent_at);
+        let timeout = limit.saturating_sub(spent);
+        Ok(StartedAnswer { answer, timeout })
+    }
+
     /// Whether the call may be sent again after an attempt with unknown outcome.
     pub fn may_repeat(&self) -> bool {
         self.call.route.kind.may_repeat()
-            && self.sent_attempts < self.call.route.max_attempts
+            && self.sent_attempts + u32::from(self.is_sending) < self.call.route.max_attempts
             && self.time_left() > MIN_ATTEMPT_TIME
     }
 
@@ -219,6 +273,12 @@
         }
     }
 
+    /// The id of the last attempt's replica.
+    pub(super) fn last_replica(&self) -> &str {
+        let attempt = self.last_attempt.as_ref();
+        attempt.map_or("", |attempt| &attempt.entry.id)
+    }
+
     /// Whether the call cannot be sent again if the next attempt gets no answer.
     fn is_last_attempt(&self) -> bool {
         let route = &self.call.route;
@@ -249,6 +309,9 @@
         replica: &str,
         outcome: &Result<T, AttemptEnd>,
     ) {
+        if !std::mem::take(&mut self.is_sending) {
+            return; // counted when its successor was asked
+        }
         if matches!(
             outcome,
             Err(AttemptEnd::NotSent { .. } | AttemptEnd::Withheld)
--- a/src/direct/exchange_choice.rs
+++ b/src/direct/exchange_choice.rs
@@ -12,12 +12,12 @@
         codes::{ErrorAnswer, ResultCode},
         ops::PROMPT_TOKENS,
         policy::{
-            Moment, name_hash,
+            name_hash,
             placement::{Choice, PlacementRequest, PromptShape, RefusalReason, SentPrompt},
             shares::{AccountShare, ShareStatus},
         },
     },
-    std::{net::SocketAddr, time::Duration},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
 /// Requests with at least this many prefill tokens are reported to peers immediately: what
@@ -25,8 +25,27 @@
 const URGENT_PREFILL_TOKENS: u32 = 1000;
 
 impl Exchange {
-    /// Chooses a replica and adds the call to its load. Returns the expected duration with it.
+    /// The successor if one is reserved, or a replica that is chosen now. Returns the expected
+    /// duration with it.
     pub(super) fn choose_replica(&mut self) -> Result<(AttemptTarget, Duration), ErrorAnswer> {
+        if let Some(successor) = self.successor.take() {
+            return Ok(successor);
+        }
+        self.place(&self.tried.clone())
+            .map_err(|(reason, retry_after)| {
+                self.record_refusal(reason);
+                let retry_after = retry_after.max(self.gateway.min_retry_after());
+                self.refusal(reason, retry_after)
+            })
+    }
+
+    /// Chooses a replica that is not among `excluded`, adds the call to its load and charges it
+    /// to its account. Returns the expected duration with it, or why there is no replica and how
+    /// long the caller should wait.
+    pub(super) fn place(
+        &mut self,
+        excluded: &[Arc<str>],
+    ) -> Result<(AttemptTarget, Duration), (RefusalReason, Duration)> {
         let now = self.gateway.now();
         let call = self.call.clone();
         self.share = self.account_share();
@@ -41,22 +60,16 @@
             target_latency: call.shortest_target_latency,
             target_pause: call.route.target_pause,
             share_status,
-            tried: &self.tried,
+            tried: excluded,
             regions: call.regions.as_ref(),
             version: self.stream_version,
         };
         replica_table.refresh_estimates(now);
-        let choice = replica_table.choose(now, &request);
-        self.record_placement(now, &choice, share_status);
-        match choice {
+        match replica_table.choose(now, &request) {
             Choice::Refuse {
                 reason,
                 retry_after,
-            } => {
-                drop(replica_table);
-                let retry_after = retry_after.max(self.gateway.min_retry_after());
-                Err(self.refusal(reason, retry_after))
-            }
+            } => Err((reason, retry_after)),
             Choice::Send {
                 replica,
                 prefill_tokens,
@@ -82,8 +95,9 @@
                 let fetch_from = source.map(|view| view.entry.address);
                 drop(replica_table);
                 let (Some(id), Some(entry)) = (id, entry) else {
-                    return Err(self.refusal(RefusalReason::NoReplica, DEFAULT_RETRY_AFTER));
+                    return Err((RefusalReason::NoReplica, DEFAULT_RETRY_AFTER));
                 };
+                self.record_placement(true);
                 if prefill_tokens >= URGENT_PREFILL_TOKENS {
                     self.gateway.early_report.notify_one();
                 }
@@ -111,23 +125,27 @@
         }
     }
 
+    fn record_refusal(
+        &self,
+        reason: RefusalReason,
+    ) {
+        if reason == RefusalReason::NoCapacity {
+            self.record_placement(false);
+        }
+    }
+
     /// Records whether a prompt was placed or refused for lack of capacity, for the estimate
     /// of the replicas' total throughput. Requests of accounts over their share do not count.
     fn record_placement(
         &self,
-        now: Moment,
-        choice: &Choice,
-        share_status: ShareStatus,
+        is_placed: bool,
     ) {
-        if self.call.prompt.is_none() || matches!(share_status, ShareStatus::Over { .. }) {
-            return;
-        }
-        match choice {
-            Choice::Send { .. } => self.gateway.shares().record_placement(now, true),
-            Choice::Refuse { reason, .. } if *reason == RefusalReason::NoCapacity => {
-                self.gateway.shares().record_placement(now, false);
-            }
-            Choice::Refuse { .. } => {}
+        let is_over = self
+            .share
+            .is_some_and(|share| matches!(share.status, ShareStatus::Over { .. }));
+        if self.call.prompt.is_some() && !is_over {
+            let now = self.gateway.now();
+            self.gateway.shares().record_placement(now, is_placed);
         }
     }
 
@@ -172,7 +190,7 @@
             pauses_ms = pauses_ms as u64,
             fetch_from = fetch_from.as_str(),
             expected_ms = expected.as_millis() as u64,
-            attempt = self.sent_attempts + self.unsent_attempts + 1,
+            attempt = self.tried.len() as u64 + 1,
             config = self.call.config_version,
             era = era_of(upstreams_at),
             upstreams_at = counter_of(upstreams_at),
--- a/src/direct/exchange_end.rs
+++ b/src/direct/exchange_end.rs
@@ -32,7 +32,10 @@
         self.may_have_run |= !end.did_not_run();
         let has_exited = end.is_connection_lost() && self.has_replica_exited().await;
         let is_held_back = has_exited && self.record_crash();
-        let tries_again = !is_held_back && self.tries_again(end);
+        if is_held_back {
+            self.successor = None;
+        }
+        let tries_again = self.successor.is_some() || !is_held_back && self.tries_again(end);
         self.log_end(end, has_exited, tries_again);
         if tries_again {
             return Ok(());
@@ -68,7 +71,7 @@
             request = self.call.digest().to_string().as_str(),
             parts = if has_exited { self.call.part_ids() } else { String::new() }.as_str(),
             code = end.code().number(),
-            replica = self.tried.last().map_or("", |id| id),
+            replica = self.last_replica(),
             replica_ended = has_exited,
             sent_ms = attempt.map(|attempt| age(attempt.sent_at)),
             first_event_ms = attempt.and_then(|attempt| attempt.first_event_at).map(age),
@@ -96,7 +99,7 @@
         }
     }
 
-    fn take_retry(
+    pub(super) fn take_retry(
         &self,
         reason: &'static str,
     ) -> bool {
--- a/src/direct/exchange_suspects.rs
+++ b/src/direct/exchange_suspects.rs
@@ -58,6 +58,19 @@
         }
     }
 
+    /// Whether the call's request, or a part of its prompt, is held back. It is not sent as a
+    /// trial.
+    pub(super) fn is_suspect(&self) -> bool {
+        let mut suspects = self.gateway.suspects();
+        if !suspects.has_holds() {
+            return false;
+        }
+        let (request, parts) = (self.call.digest(), self.call.part_digests());
+        let now = self.gateway.now();
+        let verdict = suspects.check(now, request, &parts, false, rand::random());
+        !matches!(verdict, Verdict::Free)
+    }
+
     fn log_check(
         &self,
         message: &str,
--- a/src/direct/gateway.rs
+++ b/src/direct/gateway.rs
@@ -250,6 +250,16 @@
         retries.record_request(self.now(), service);
     }
 
+    /// Whether the service's budget has a retry left.
+    pub fn has_retry(
+        &self,
+        service: &str,
+    ) -> bool {
+        let routers = self.router_count();
+        let mut retries = self.retries.lock().expect("retries lock");
+        retries.has_retry(self.now(), service, routers)
+    }
+
     /// Takes a retry from the service's budget. Returns false if the budget is used up.
     pub fn take_retry(
         &self,
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -46,6 +46,7 @@
 mod store_read_state;
 mod stream_version;
 mod stream_watch;
+mod successor;
 mod timeout_unless_ready;
 mod unanswered;
 mod upstream_connection;
--- a/src/direct/plain_relay.rs
+++ b/src/direct/plain_relay.rs
@@ -2,9 +2,10 @@
     super::{
         attempt_end::AttemptEnd,
         event_splitter::EventSplitter,
-        exchange::{Exchange, StartedAnswer},
+        exchange::{Exchange, NoReply, StartedAnswer},
         live_answer::LiveAnswer,
         reply::{ReplyBody, copy_head, cut_error, full_body, replica_reply},
+        successor::Waited,
         timeout_unless_ready::timeout_unless_ready,
     },
     crate::codes::ResultCode,
@@ -12,7 +13,7 @@
     futures::stream,
     http_body_util::{BodyExt, StreamBody},
     hyper::{Response, body::Frame, header::CONTENT_LENGTH},
-    std::{io, time::Duration},
+    std::{io, pin::pin, time::Duration},
     tokio::time::Instant,
 };
 
@@ -25,23 +26,31 @@
 pub async fn plain_reply(
     exchange: &mut Exchange,
     started: StartedAnswer,
-) -> Result<Response<ReplyBody>, AttemptEnd> {
-    let mut answer = started.answer;
-    let reading = timeout_unless_ready(started.timeout, read_buffered(&mut answer));
-    let (buffered, is_whole) = reading
-        .await
-        .unwrap_or_else(|| Err(timed_out(started.timeout)))?;
+) -> Result<Response<ReplyBody>, NoReply> {
+    let since = exchange.gateway.now();
+    let mut reading = pin!(Some(read_buffered(started.answer)));
+    let body = reading.as_mut().as_pin_mut().expect("just set");
+    let outcome = match timeout_unless_ready(started.timeout, body).await {
+        Some(outcome) => outcome,
+        None => match exchange.await_silent(reading, since, None).await {
+            Ok(Waited::Output(outcome)) => outcome,
+            Ok(Waited::Deadline) => Err(AttemptEnd::timed_out("whole answer", started.timeout)),
+            Ok(Waited::Replaced(started)) => return Err(NoReply::Replaced(started)),
+            Err(error) => return Err(NoReply::Unanswered(error)),
+        },
+    };
+    let (answer, buffered, is_whole) = outcome.map_err(NoReply::Ended)?;
     if is_whole && answer.is_event_stream() == Some(true) && ends_inside_event(&buffered) {
-        return Err(AttemptEnd::Unknown {
+        return Err(NoReply::Ended(AttemptEnd::Unknown {
             code: ResultCode::AnswerCut,
             detail: "the stream ended inside an event".to_owned(),
-        });
+        }));
     }
     if is_whole && answer.ends_with_connection && exchange.has_replica_exited().await {
-        return Err(AttemptEnd::Unknown {
+        return Err(NoReply::Ended(AttemptEnd::Unknown {
             code: ResultCode::AnswerCut,
             detail: "the replica exited at the end of the answer".to_owned(),
-        });
+        }));
     }
     let status = answer.head.status;
     let is_failure = status.is_server_error();
@@ -58,9 +67,9 @@
             return Ok(reply);
         }
         exchange.set_failure(reply);
-        return Err(AttemptEnd::Failed {
+        return Err(NoReply::Ended(AttemptEnd::Failed {
             status: status.as_u16(),
-        });
+        }));
     }
     let time_left = exchange.time_left();
     Ok(streamed_reply(answer, buffered, time_left))
@@ -72,24 +81,17 @@
     splitter.is_inside_event()
 }
 
-fn timed_out(limit: Duration) -> AttemptEnd {
-    AttemptEnd::Unknown {
-        code: ResultCode::UpstreamTimeout,
-        detail: format!("no whole answer in {} ms", limit.as_millis()),
-    }
-}
-
-/// Reads an answer to its end, or until it exceeds the buffer. Returns the bytes and whether
-/// they are the whole answer.
-async fn read_buffered(answer: &mut LiveAnswer) -> Result<(Bytes, bool), AttemptEnd> {
+/// Reads an answer to its end, or until it exceeds the buffer. Returns it with the bytes, and
+/// whether they are the whole answer.
+async fn read_buffered(mut answer: LiveAnswer) -> Result<(LiveAnswer, Bytes, bool), AttemptEnd> {
     let mut buffered = BytesMut::new();
     while buffered.len() <= MAX_BUFFERED_ANSWER_BYTES {
         match answer.next_chunk().await? {
             Some(chunk) => buffered.extend_from_slice(&chunk),
-            None => return Ok((buffered.freeze(), true)),
+            None => return Ok((answer, buffered.freeze(), true)),
         }
     }
-    Ok((buffered.freeze(), false))
+    Ok((answer, buffered.freeze(), false))
 }
 
 /// Streams an answer that exceeds the buffer to the caller, until `time_left` is over.
--- a/src/policy/direct/placement/replica_table/outcomes.rs
+++ b/src/policy/direct/placement/replica_table/outcomes.rs
@@ -9,7 +9,7 @@
             placement::{CachedPart, PlainRun, PrefixCache, ReplicaView},
         },
     },
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
 };
 
 /// Longest expected time between the exit of a replica's process and its restart under the same
@@ -42,6 +42,19 @@
         view.is_some_and(|view| now.saturating_sub(view.last_answer) <= age)
     }
 
+    /// The replicas that answered nothing within `age`, although requests of this router are in
+    /// flight there.
+    pub fn silent_replicas(
+        &self,
+        now: Moment,
+        age: Duration,
+    ) -> Vec<Arc<str>> {
+        let views = self.replicas.values();
+        let silent = views
+            .filter(|view| view.own_load.running > 0 && now.saturating_sub(view.last_answer) > age);
+        silent.map(|view| view.entry.id.clone()).collect()
+    }
+
     /// Whether a replica is about to stop: it is not listed as ready any more, or announced in
     /// an answer that it leaves.
     pub fn is_leaving(
--- a/src/policy/direct/shares/retry_window.rs
+++ b/src/policy/direct/shares/retry_window.rs
@@ -58,8 +58,8 @@
         drop_old(&mut counts.requests, now, window);
     }
 
-    /// Takes a retry if the limit leaves one for this router, one of `routers` in the fleet.
-    pub fn try_take_retry(
+    /// Whether the limit leaves a retry for this router, one of `routers` in the fleet.
+    pub fn has_retry(
         &mut self,
         now: Moment,
         service: &str,
@@ -71,11 +71,21 @@
         drop_old(&mut counts.requests, now, window);
         drop_old(&mut counts.retries, now, window);
         let allowed = ratio * counts.requests.len() as f64 + extra;
-        if counts.retries.len() as f64 + 1.0 > allowed {
-            return false;
+        counts.retries.len() as f64 + 1.0 <= allowed
+    }
+
+    /// Takes a retry if there is one, see [`Self::has_retry`].
+    pub fn try_take_retry(
+        &mut self,
+        now: Moment,
+        service: &str,
+        routers: usize,
+    ) -> bool {
+        let has_retry = self.has_retry(now, service, routers);
+        if has_retry {
+            self.counts(service).retries.push_back(now);
         }
-        counts.retries.push_back(now);
-        true
+        has_retry
     }
 
     fn counts(
