A deadline that is no number ends no connection

A caller that sent `Archmast-Deadline-Ms: nan` got its connection closed, with neither an answer nor a refusal: "nan" parses as a number, `clamp` keeps it, and `Duration::from_secs_f64` panics, which ends the task that serves the connection.

The test sends eight odd deadlines to a real router. Before: no answer to the first ("nan").

--- a/src/direct/request_reader.rs
+++ b/src/direct/request_reader.rs
@@ -75,6 +75,7 @@
     let body = read_body(gateway, &table, &head.headers, body, &held).await?;
     let names = &gateway.dialect.names;
     let deadline_ms: Option<f64> = header_text(&head.headers, &names.deadline_ms).parse().ok();
+    let deadline_ms = deadline_ms.filter(|ms| !ms.is_nan());
     let timeout = deadline_ms.map_or(route.timeout, |ms| {
         Duration::from_secs_f64(ms.clamp(0.0, 3_600_000.0) / 1000.0)
     });
