Shares: no panic where less than a token was allocated

`FairAllocation::status` took the logarithm of allocated tokens over the bound, which is at least one token. Where the bound and the allocation are both below a token, that is negative, and `Duration::mul_f32` panics. It happens under the lock of the share tracker, which is poisoned by it: from then on each request of an account panics too, and every caller sees its connection closed without an answer, while the router stays ready.

It needs requests of a few tokens, of which nearly all are refused: one token allocated, a twentieth of a window ago, and two accounts that want more. It was found by reading; no run with real processes has shown it.

The factor is at least one now, so that the wait is zero at least.

The test failed before with "cannot convert float seconds to Duration: value is negative". 13 of 13 tests of fair_shares pass.

--- a/src/policy/direct/shares/fair_allocation.rs
+++ b/src/policy/direct/shares/fair_allocation.rs
@@ -77,7 +77,7 @@
     ) -> ShareStatus {
         let bound = self.fair_level * TOLERANCE;
         if usage.allocated > bound && recent_ratio >= MIN_RECENT_RATIO {
-            let factor = usage.allocated / bound.max(1.0);
+            let factor = (usage.allocated / bound.max(1.0)).max(1.0);
             let wait = self.window.mul_f32(factor.ln());
             return ShareStatus::Over { wait, factor };
         }
--- a/tests/fair_shares.rs
+++ b/tests/fair_shares.rs
@@ -46,6 +46,21 @@
     assert!(wait_if_over(&mut tracker, now, big).is_some());
 }
 
+/// Guards against a panic while the tracker is locked, after which no request is answered.
+#[test]
+fn accounts_have_shares_where_less_than_a_token_was_allocated() {
+    let (first, second) = (name_hash("first"), name_hash("second"));
+    let mut tracker = ShareTracker::new(WINDOW, AGE);
+    let now = Duration::from_secs(10);
+    tracker.record_requested(now, first, 3.0);
+    tracker.record_allocated(now, first, 1.0);
+    let now = now + WINDOW / 20;
+    tracker.record_requested(now, first, 3.0);
+    tracker.record_requested(now, second, 2.0);
+    assert_eq!(wait_if_over(&mut tracker, now, first), Some(Duration::ZERO));
+    assert_eq!(wait_if_over(&mut tracker, now, second), None);
+}
+
 #[test]
 fn the_capacity_divided_follows_the_rate_of_placed_requests() {
     let mut tracker = ShareTracker::new(WINDOW, AGE);
