A refusal by the head keeps the connection for the next request

A router refuses many requests by their heads: no route, an unknown key, a configuration that is not there yet, a router that stops, lags or stood still. If the body had not come in whole, hyper dropped it and closed the connection after the refusal, without `Connection: close` in it. Callers saw the next request on that connection go without an answer; and since bytes of theirs were unread, the kernel reset the connection, which may also destroy a refusal on its way.

The rest of the body is now read and discarded while the refusal is sent, at most as many bytes as the limit on bodies and for at most the time-out of bodies, so the refusal is not delayed and the connection carries the next request. Where the end of the body may never come (a body over its limit, late or broken, or one that awaits `100 Continue`) the refusal announces the close.

Evidence: a caller sends 300, 4,000, 20,000 or 50,000 bytes of a request with a body of 60 KiB to a path without a route, reads the 404, sends the rest and then the next request. Before: the 404 had no `Connection: close`, and the next request got no answer; the refusal of a body that awaits `100 Continue` did not announce its close either.

--- a/src/direct/caller_port.rs
+++ b/src/direct/caller_port.rs
@@ -3,6 +3,7 @@
         call::Call,
         exchange::Exchange,
         gateway::Gateway,
+        refused_body::RefusedBody,
         reply::{ReplyBody, error_reply},
         request_reader::{header_text, read_call},
         unanswered::Unanswered,
@@ -15,7 +16,7 @@
     hyper::{
         Request, Response,
         body::Incoming,
-        header::{CONNECTION, HeaderValue},
+        header::{CONNECTION, EXPECT, HeaderValue},
     },
     std::{convert::Infallible, sync::Arc},
 };
@@ -29,14 +30,20 @@
 ) -> Result<Response<ReplyBody>, Infallible> {
     let arrived = gateway.now();
     let request_id = header_text(request.headers(), &gateway.dialect.names.request_id).to_owned();
-    let mut response = match read_call(&gateway, request, arrived).await {
+    let (head, mut body) = request.into_parts();
+    let awaits_continue = head.headers.contains_key(EXPECT);
+    let mut is_body_abandoned = false;
+    let mut response = match read_call(&gateway, head, &mut body, arrived).await {
         Err(error) => {
             log_refused(&gateway, &request_id, &error, arrived);
+            let body = RefusedBody::new(body, awaits_continue, error.code);
+            is_body_abandoned = body.is_abandoned();
+            body.discard(&gateway);
             error_reply(&gateway, &error, &request_id)
         }
         Ok(call) => answer_call(&gateway, Arc::new(call)).await,
     };
-    if closes_connection || gateway.closes_connections() {
+    if closes_connection || is_body_abandoned || gateway.closes_connections() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -33,6 +33,7 @@
 mod processor_state;
 mod processor_watch;
 mod ready_port;
+mod refused_body;
 mod replica_call;
 mod replica_query;
 mod reply;
--- a/src/direct/request_reader.rs
+++ b/src/direct/request_reader.rs
@@ -14,7 +14,7 @@
     bytes::Bytes,
     http_body_util::{BodyExt, LengthLimitError, Limited},
     hyper::{
-        HeaderMap, Request, Uri,
+        HeaderMap, Uri,
         body::{Body, Incoming},
         header::{CONTENT_LENGTH, EXPECT, HOST, HeaderName, HeaderValue},
         http::request::Parts,
@@ -37,7 +37,7 @@
 const BODIES_HELD_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Time-out for reading a body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+pub(super) const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// The text of a header; empty if it is missing or not plain ASCII.
 pub fn header_text<'h>(
@@ -49,10 +49,11 @@
 }
 
 /// Reads a caller's request completely and determines its route, account and service. Returns
-/// the error for the caller if it is refused.
+/// the error for the caller if it is refused; its body may be unread then.
 pub async fn read_call(
     gateway: &Gateway,
-    request: Request<Incoming>,
+    head: Parts,
+    body: &mut Incoming,
     arrived: Moment,
 ) -> Result<Call, ErrorAnswer> {
     if gateway.is_refusing() {
@@ -67,7 +68,6 @@
     let table = gateway.catalog.config().ok_or_else(|| {
         ErrorAnswer::new(ResultCode::NoConfiguration).retry_after(NO_CONFIG_RETRY_AFTER)
     })?;
-    let (head, body) = request.into_parts();
     check_size(&table, &head)?;
     let route = find_route(&table, &head)?;
     let account = find_account(gateway, &table, &route, &head.headers)?;
@@ -158,7 +158,7 @@
     gateway: &Gateway,
     table: &RoutingTable,
     headers: &HeaderMap,
-    body: Incoming,
+    body: &mut Incoming,
     held: &HeldBytes,
 ) -> Result<Bytes, ErrorAnswer> {
     let max_bytes = table.limits.max_body_bytes;
@@ -178,7 +178,7 @@
 
 /// Reads a body to its end, as long as the memory budget permits.
 async fn read_within_budget(
-    mut body: Limited<Incoming>,
+    mut body: Limited<&mut Incoming>,
     budget: MemoryBudget,
     held: &HeldBytes,
 ) -> Result<Bytes, ErrorAnswer> {
--- a/testbed/tests/whole_requests.rs
+++ b/testbed/tests/whole_requests.rs
@@ -1,10 +1,19 @@
 //! Requests that are whole, and unusual in some other way, get an answer that their caller can
 //! read, and so does the next request on the same connection.
 
-use archmast_testbed::direct::{
-    Client, ClientRequest, DirectFleet, Replica, ReplicaAnswer, RouteText,
+use {
+    archmast_testbed::direct::{
+        Client, ClientRequest, DirectFleet, Replica, ReplicaAnswer, RouteText,
+    },
+    std::time::Duration,
 };
 
+/// Rest between the pieces of a body: longer than a router takes to refuse a request by its head.
+const PIECE_REST: Duration = Duration::from_millis(100);
+
+/// More than a router reads of a connection at once.
+const LARGE_BODY: usize = 60 << 10;
+
 async fn fleet() -> (DirectFleet, [Replica; 2]) {
     let read = RouteText::new("/read/", "s", "idempotent");
     DirectFleet::with_two_replicas(ReplicaAnswer::ok("whole"), &[read]).await
@@ -21,3 +30,45 @@
         assert!(answer.status != 0 && answer.is_complete, "{deadline}");
     }
 }
+
+/// Guards against a connection that closes unannounced, as the refused request's body was still on
+/// the way.
+#[tokio::test(flavor = "multi_thread")]
+async fn after_a_refusal_by_the_head_the_connection_carries_the_next_request() {
+    let (fleet, _replicas) = fleet().await;
+    let body = "x".repeat(LARGE_BODY);
+    for (number, first_piece) in [300, 4_000, 20_000, 50_000].into_iter().enumerate() {
+        let mut client = Client::connect(fleet.caller_addresses[0])
+            .await
+            .expect("a connection");
+        let refused = ClientRequest::post("/gone/", &format!("refused-{number}"), &body).bytes();
+        let (first, rest) = refused.split_at(first_piece);
+        client.send(first).await.expect("sent");
+        assert!(client.wait_for("404").await, "{first_piece}");
+        tokio::time::sleep(PIECE_REST).await;
+        let sent = client.send(rest).await;
+        let answer = client.answer().await;
+        assert!(answer.status == 404 && answer.is_complete);
+        assert_eq!(answer.header("connection"), "");
+        assert!(sent.is_ok(), "{first_piece}: {sent:?}");
+        let next = ClientRequest::post("/read/", &format!("next-{number}"), "{}");
+        let answer = client.call(&next).await;
+        assert!(answer.is_whole_success(), "{first_piece}: {answer:?}");
+    }
+}
+
+/// Guards against taking the next request on a connection for a body that its caller did not send.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refusal_of_a_body_that_awaits_100_continue_announces_the_close() {
+    let (fleet, _replicas) = fleet().await;
+    let request = ClientRequest::post("/gone/", "refused", "{}").header("Expect", "100-continue");
+    let bytes = request.bytes();
+    let mut client = Client::connect(fleet.caller_addresses[0])
+        .await
+        .expect("a connection");
+    client.send(&bytes[..bytes.len() - 2]).await.expect("sent");
+    let answer = client.answer().await;
+    assert!(answer.status == 404 && answer.is_complete);
+    assert_eq!(answer.header("connection"), "close");
+    assert!(client.is_closed_by_router().await);
+}
