Tests: two series that end requests, failing

Both fail on this commit.

While too many are open the idle limit is 300 ms, so each stream that takes longer ends with its connection. `Connection: close` does not announce it, as `Gateway::set_crowded` is only called when a connection opens or closes.

--- a/testbed/tests/changes_in_series.rs
+++ b/testbed/tests/changes_in_series.rs
@@ -547,6 +547,14 @@
     config["limits"]["idle_timeout_ms"] = json!(random.random_range(4_000..15_000));
 }
 
+fn change_idle_limit_to_less_than_a_stream(
+    config: &mut Value,
+    _version: u64,
+    random: &mut StdRng,
+) {
+    config["limits"]["idle_timeout_ms"] = json!(random.random_range(1_000..2_000));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn routes_that_move_between_services_end_no_request() {
     Series::start(11).await.publish(move_routes).await;
@@ -590,6 +598,14 @@
     Series::start(18).await.publish(change_idle_limit).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_idle_limit_shorter_than_streams_ends_no_request() {
+    Series::start(19)
+        .await
+        .publish(change_idle_limit_to_less_than_a_stream)
+        .await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn all_these_changes_together_end_no_request() {
     let all = |config: &mut Value, version: u64, random: &mut StdRng| {
@@ -619,6 +635,12 @@
     Series::start(21).await.change_settings(lines).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn settings_that_allow_fewer_connections_than_are_open_end_no_request() {
+    let lines = ["most_busy = 1.0\nmax_connections = 4", "most_busy = 1.0"];
+    Series::start(22).await.change_settings(lines).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn replicas_that_drain_and_are_removed_end_no_request() {
     Series::start(23).await.replace_replicas(true).await;
