Tests: a head that a new configuration allows, failing

The read buffer of a caller's connection gets its bound when the connection is accepted (`CallerConnections::serve`, `max_buf_size`): twice the `max_header_bytes` in force then, 16 KiB at least, or 32 KiB before there is a configuration. Where a later version allows larger heads, hyper refuses them on older connections with a 431 of its own, without the request's id and without a line in the log, and closes the connection; new connections serve the same request.

--- a/testbed/tests/whole_requests.rs
+++ b/testbed/tests/whole_requests.rs
@@ -2,9 +2,13 @@
 //! read, and so does the next request on the same connection.
 
 use {
-    archmast_testbed::direct::{
-        Client, ClientRequest, DirectFleet, Replica, ReplicaAnswer, RouteText,
+    archmast_testbed::{
+        direct::{
+            Client, ClientRequest, ConfigText, DirectFleet, Replica, ReplicaAnswer, RouteText,
+        },
+        fleet::wait_until_async,
     },
+    serde_json::json,
     std::time::Duration,
 };
 
@@ -72,3 +76,33 @@
     assert_eq!(answer.header("connection"), "close");
     assert!(client.is_closed_by_router().await);
 }
+
+/// Guards against refusing, on connections that are older than a configuration, heads that it
+/// allows.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_head_that_a_new_configuration_allows_is_read_on_an_older_connection() {
+    const LARGE_HEAD: usize = 40 << 10;
+    let (fleet, _replicas) = fleet().await;
+    let mut older = Client::connect(fleet.caller_addresses[0])
+        .await
+        .expect("a connection");
+    let plain = ClientRequest::post("/read/", "before", "{}");
+    assert!(older.call(&plain).await.is_whole_success());
+    let read = RouteText::new("/read/", "s", "idempotent");
+    let mut config = ConfigText::new(2, &[read]).to_json();
+    config["limits"]["max_header_bytes"] = json!(64 << 10);
+    fleet
+        .store
+        .put_bytes("op/config", config.to_string().as_bytes());
+    let large = |id: &str| {
+        ClientRequest::post("/read/", id, "{}").header("X-Large", &"x".repeat(LARGE_HEAD))
+    };
+    wait_until_async("the new limit is in force", async || {
+        Client::call_once(fleet.caller_addresses[0], &large("probe"))
+            .await
+            .is_whole_success()
+    })
+    .await;
+    let answer = older.call(&large("after")).await;
+    assert!(answer.is_whole_success(), "{answer:?}");
+}
