The product's own form lives on when SIGHUP comes

SIGHUP had its default action in routers and sidecars of the product's own form: it ended the process, with all answers and waiting requests that it held. The direct form takes the signal over and reads its settings again; here nobody had.

--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -3,6 +3,7 @@
 
 mod background;
 mod config_store;
+mod hangup;
 mod host_store;
 mod node;
 mod peer_config;
@@ -13,6 +14,7 @@
 pub use {
     background::{confirm_readiness, start_watches, stop_signal},
     config_store::ConfigStore,
+    hangup::ignore_hangups,
     host_store::HostStore,
     node::Node,
     peer_config::{fetch_from_peer, serve_config},
--- a/src/router/serve.rs
+++ b/src/router/serve.rs
@@ -12,8 +12,8 @@
         keys::Identity,
         link::{DialSet, Link},
         node::{
-            BLOCKING_THREADS, Node, StartError, confirm_readiness, run_process, start_watches,
-            stop_signal,
+            BLOCKING_THREADS, Node, StartError, confirm_readiness, ignore_hangups, run_process,
+            start_watches, stop_signal,
         },
         ops::OperatorPort,
         wire::ControlMessage,
@@ -47,6 +47,8 @@
 
 async fn run(settings: RouterSettings) -> Result<(), Report<StartError>> {
     let failed = || StartError(ResultCode::StartFailed);
+    // Before anything listens: nothing may depend on the process while the signal ends it.
+    ignore_hangups().change_context_lazy(failed)?;
     let identity = Identity::read(&settings.link).change_context_lazy(failed)?;
     let node = Arc::new(Node::new(
         HostRole::Router,
--- a/src/sidecar/serve.rs
+++ b/src/sidecar/serve.rs
@@ -12,8 +12,8 @@
         keys::Identity,
         link::{DialSet, Link},
         node::{
-            BLOCKING_THREADS, Node, StartError, confirm_readiness, run_process, start_watches,
-            stop_signal,
+            BLOCKING_THREADS, Node, StartError, confirm_readiness, ignore_hangups, run_process,
+            start_watches, stop_signal,
         },
         ops::OperatorPort,
     },
@@ -46,6 +46,8 @@
 
 async fn run(settings: SidecarSettings) -> Result<(), Report<StartError>> {
     let failed = || StartError(ResultCode::StartFailed);
+    // Before anything listens: nothing may depend on the process while the signal ends it.
+    ignore_hangups().change_context_lazy(failed)?;
     let identity = Identity::read(&settings.link).change_context_lazy(failed)?;
     let upstream = UpstreamClient::new(settings.upstream, settings.silence_limit)
         .change_context_lazy(failed)?;
--- a/testbed/tests/answers_beside_changes.rs
+++ b/testbed/tests/answers_beside_changes.rs
@@ -27,6 +27,12 @@
 /// Idle time-out of the connections between routers and sidecars: shorter than a stream.
 const IDLE_TIMEOUT: &str = "2 s";
 
+/// Rest of a caller that got no whole answer.
+const RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// Time between two signals.
+const SIGNAL_INTERVAL: Duration = Duration::from_millis(300);
+
 /// What callers got, by kind of request and outcome.
 type Counts = BTreeMap<(&'static str, String), usize>;
 
@@ -105,6 +111,9 @@
             } => format!("{status} code {code}, ran: {ran}"),
             other => format!("{other:?}"),
         };
+        if outcome != "complete" {
+            tokio::time::sleep(RETRY_DELAY).await;
+        }
         *counts
             .lock()
             .expect("lock")
@@ -183,3 +192,24 @@
     let changes = publish_series(&fleet, change);
     check_answers(&fleet, TOKENS, changes).await;
 }
+
+/// Guards against SIGHUP ending the process, with all that it was answering.
+#[tokio::test(flavor = "multi_thread")]
+async fn signals_that_settings_have_changed_end_no_answer() {
+    const TOKENS: u32 = 100;
+    let fleet = Fleet::start(plan(Duration::from_millis(10))).await;
+    let signals = async {
+        let began = Instant::now();
+        let routers = fleet.routers.iter().map(|router| &router.process);
+        let sidecars = fleet.sidecars.iter().map(|sidecar| &sidecar.process);
+        let processes: Vec<_> = routers.chain(sidecars).collect();
+        let mut signals = 0;
+        while began.elapsed() < SERIES_TIME {
+            tokio::time::sleep(SIGNAL_INTERVAL).await;
+            processes[signals % processes.len()].signal_reload();
+            signals += 1;
+        }
+        signals
+    };
+    check_answers(&fleet, TOKENS, signals).await;
+}
