REFUSED: an answer without the request's id on a kept connection answers nothing

Callers got 503 ("did not run") for requests that ran: a replica sent its refusal of the router's own query for cached parts twice, and the second one arrived where the answer to the next request on the connection was due. It carries no id, as the query has none, and check_answer_head took any refusal without an id for a promise. A 500 without an id was relayed as the request's own answer, a surplus Retry-After held the replica's later requests back, and a request without an id took any surplus answer.

All requests to replicas go through call_replica, which now checks the echoed id before anything of the answer is used, the replica's notices included: the id of the request, or none on a connection on which nothing was sent before. PROTOCOL.md: every answer carries the id back, and the id shows which is the surplus one. Its example of a refusal carries no id; on a new connection there is nothing else that it could answer, so that it stays a promise there. A request without an id gets a new connection.

The query for cached parts uses a connection of its own, as the one for cache events did. Of the router's own calls only the health check after a silence of the store still shares a connection with a request, as it has to ask the process that the request goes to; an answer with an id is not taken for its own. hyper ends a connection on which bytes arrive while nothing is asked, but its task may not have run when the connection is taken: the pool looks at the socket first.

The stand-in replica's 421 carries the id, as PROTOCOL.md says of every answer.

--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -26,8 +26,9 @@
 }
 
 /// Sends a call to a replica and waits for the head of the answer. Uses a connection that was
-/// idle for at most `max_idle`, or a new one. A resumed stream continues after the event with id
-/// `last_event`.
+/// idle for at most `max_idle`, or a new one; always a new one for a call without an id, as only
+/// the id tells its answer from surplus answers to earlier requests. A resumed stream continues
+/// after the event with id `last_event`.
 pub async fn send_call(
     gateway: &Arc<Gateway>,
     call: &Call,
@@ -36,6 +37,10 @@
     last_event: Option<&str>,
 ) -> Result<LiveAnswer, AttemptEnd> {
     let max_open = (call.max_connections / gateway.router_count()).max(1);
+    let max_idle = match call.request_id.is_empty() {
+        true => Duration::ZERO,
+        false => max_idle,
+    };
     let mut connection = gateway.pool.take(&target.entry, max_open, max_idle).await?;
     check_slow_start(gateway, &target.entry, &mut connection).await?;
     if !target.in_flight.may_be_sent(&target.entry) {
@@ -85,20 +90,14 @@
     Ok(request)
 }
 
-/// Rejects refusals, statuses that callers would misread, and answers that are not proven to
-/// be this replica's answer to this request.
+/// Rejects refusals, statuses that callers would misread, and successes without proof that they
+/// are this replica's own.
 fn check_answer_head(
     gateway: &Gateway,
     call: &Call,
     head: &Parts,
 ) -> Result<(), AttemptEnd> {
     let names = &gateway.dialect.names;
-    let echoed = header_text(&head.headers, &names.request_id);
-    let unknown = |code, detail: String| AttemptEnd::Unknown { code, detail };
-    if !call.request_id.is_empty() && echoed != call.request_id && !echoed.is_empty() {
-        let detail = format!("answer to {echoed}");
-        return Err(unknown(ResultCode::AnswerMismatch, detail));
-    }
     if head.headers.contains_key(&names.not_run) || head.status == 421 {
         return Err(AttemptEnd::Refused {
             status: head.status.as_u16(),
@@ -114,12 +113,12 @@
     }
     let is_proven = head.headers.contains_key(&names.signature)
         && !head.headers.contains_key(CONTENT_ENCODING)
-        && (echoed == call.request_id);
+        && header_text(&head.headers, &names.request_id) == call.request_id;
     if head.status.is_success() && !is_proven {
-        return Err(unknown(
-            ResultCode::AnswerUnproved,
-            "missing signature or request id, or encoded body".to_owned(),
-        ));
+        return Err(AttemptEnd::Unknown {
+            code: ResultCode::AnswerUnproved,
+            detail: "missing signature or request id, or encoded body".to_owned(),
+        });
     }
     Ok(())
 }
--- a/src/direct/cache_follow.rs
+++ b/src/direct/cache_follow.rs
@@ -162,7 +162,8 @@
 ) -> Result<CacheEventBatch, Fault> {
     let calls = gateway.dialect.cache;
     let next = gateway.replica_table().cache_cursor(entry).next;
-    let mut connection = match idle.take().filter(UpstreamConnection::is_usable) {
+    let is_free = |kept: &UpstreamConnection| kept.is_usable() && kept.is_quiet();
+    let mut connection = match idle.take().filter(is_free) {
         Some(connection) => connection,
         None => {
             let opened = UpstreamConnection::open(entry.address, Arc::default()).await;
--- a/src/direct/cache_survey.rs
+++ b/src/direct/cache_survey.rs
@@ -2,6 +2,7 @@
     super::{
         gateway::Gateway,
         replica_query::{model_replicas, send_query},
+        upstream_connection::UpstreamConnection,
     },
     crate::{
         catalog::UpstreamEntry,
@@ -125,20 +126,18 @@
         .apply_cached_parts(entry, parts, memory);
 }
 
-/// Queries all cached parts of a replica. Fails with `ResultCode::PeerUnreachable` if it was not
+/// Queries all cached parts of a replica, on a connection of its own: a surplus answer would arrive
+/// where a caller's request waits for one. Fails with `ResultCode::PeerUnreachable` if it was not
 /// reached, with `PlatformReply` if it refused or its answer is invalid.
 async fn query_parts(
     gateway: &Gateway,
     entry: &UpstreamEntry,
 ) -> Result<Vec<CachedPart>, Fault> {
     let calls = gateway.dialect.cache;
-    let mut connection = gateway
-        .pool
-        .take(entry, MAX_CONCURRENT_QUERIES, Duration::MAX)
+    let mut connection = UpstreamConnection::open(entry.address, Arc::default())
         .await
-        .map_err(|end| Fault::unreachable(format!("{end:?}")))?;
+        .map_err(Fault::unreachable)?;
     let answer = send_query(gateway, entry, &mut connection, (calls.list_request)()).await?;
-    gateway.pool.give_back(&entry.id, connection);
     if !answer.status().is_success() {
         return Err(Fault::new(ResultCode::PlatformReply, answer.status()));
     }
--- a/src/direct/replica_call.rs
+++ b/src/direct/replica_call.rs
@@ -1,7 +1,11 @@
 use {
-    super::{attempt_end::AttemptEnd, gateway::Gateway, upstream_connection::UpstreamConnection},
+    super::{
+        attempt_end::AttemptEnd, gateway::Gateway, request_reader::header_text,
+        upstream_connection::UpstreamConnection,
+    },
     crate::{
         catalog::{UpstreamEntry, counter_of},
+        codes::ResultCode,
         ops::{REPLICA_NOTICES, Uptime},
         policy::ReplicaNotice,
     },
@@ -11,20 +15,50 @@
 };
 
 /// Sends a request to a replica and waits for the head of the answer. All requests to
-/// replicas go through here, so that a replica's notice about itself is recorded before the
-/// answer is used.
+/// replicas go through here, so that no answer to another request is used, and a replica's notice
+/// about itself is recorded before its answer is used. Fails with `ResultCode::AnswerMismatch` or
+/// `AnswerUnproved` if the answer is not shown to be the one to this request.
 pub async fn call_replica(
     gateway: &Gateway,
     replica: &UpstreamEntry,
     connection: &mut UpstreamConnection,
     request: Request<Full<Bytes>>,
 ) -> Result<Response<Incoming>, AttemptEnd> {
+    let id_header = &gateway.dialect.names.request_id;
+    let request_id = header_text(request.headers(), id_header).to_owned();
+    let is_first = connection.is_unused();
     let response = connection.send(request).await?;
+    check_request_id(
+        &request_id,
+        header_text(response.headers(), id_header),
+        is_first,
+    )?;
     let notice = (gateway.dialect.parse_notice)(response.status(), response.headers());
     apply_notice(gateway, replica, notice);
     Ok(response)
 }
 
+/// Checks that an answer echoes the id of the request, or none if the request has none. On a
+/// connection that carried other requests, an answer without an id may be a surplus one to any of
+/// them; on a new one there is nothing else that it could answer.
+fn check_request_id(
+    request_id: &str,
+    echoed: &str,
+    is_first: bool, // on its connection
+) -> Result<(), AttemptEnd> {
+    if echoed == request_id || (echoed.is_empty() && is_first) {
+        return Ok(());
+    }
+    let (code, detail) = match echoed {
+        "" => (
+            ResultCode::AnswerUnproved,
+            "answer without a request id on a kept connection".to_owned(),
+        ),
+        other => (ResultCode::AnswerMismatch, format!("answer to {other}")),
+    };
+    Err(AttemptEnd::Unknown { code, detail })
+}
+
 fn apply_notice(
     gateway: &Gateway,
     replica: &UpstreamEntry,
--- a/src/direct/upstream_connection.rs
+++ b/src/direct/upstream_connection.rs
@@ -10,8 +10,10 @@
         header::{CONNECTION, HeaderMap},
     },
     hyper_util::rt::TokioIo,
+    socket2::{SockRef, Socket},
     std::{
         io,
+        mem::MaybeUninit,
         net::SocketAddr,
         sync::{
             Arc,
@@ -34,10 +36,12 @@
 /// One connection to one replica. Dropping it closes it immediately.
 pub struct UpstreamConnection {
     sender: SendRequest<Full<Bytes>>,
+    socket: Socket, // a second handle to the connection's socket
     task: AbortHandle,
     open: Arc<AtomicUsize>, // number of connections to the replica
     idle_since: Instant,
     keep_alive: Duration, // maximum idle time
+    is_unused: bool,      // no request was sent on it
     is_closing: bool,     // the replica announced `Connection: close`
 }
 
@@ -58,6 +62,7 @@
         let count_guard = OpenCountGuard(Some(open));
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
         configure_outgoing_socket(&stream);
+        let socket = SockRef::from(&stream).try_clone()?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
@@ -68,10 +73,12 @@
         });
         Ok(Self {
             sender,
+            socket,
             task: task.abort_handle(),
             open: count_guard.into_count(),
             idle_since: Instant::now(),
             keep_alive: DEFAULT_KEEP_ALIVE,
+            is_unused: true,
             is_closing: false,
         })
     }
@@ -82,6 +89,7 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, AttemptEnd> {
+        self.is_unused = false;
         match self.sender.try_send_request(request).await {
             Ok(response) => {
                 self.read_keep_alive(response.headers());
@@ -102,11 +110,25 @@
         }
     }
 
-    /// Whether another request can be sent on the connection now.
+    /// Whether no request was sent on the connection yet.
+    pub fn is_unused(&self) -> bool {
+        self.is_unused
+    }
+
+    /// Whether another request can be sent on the connection now, as far as is known without
+    /// reading from it.
     pub fn is_usable(&self) -> bool {
         self.sender.is_ready() && self.idle_time() < self.keep_alive
     }
 
+    /// Whether nothing arrived on the idle connection, neither bytes nor its end. The connection's
+    /// task closes it then, but may not have run since.
+    pub fn is_quiet(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        let peeked = self.socket.peek(&mut byte);
+        peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+    }
+
     /// Time since the last answer, or since the connection was opened.
     pub fn idle_time(&self) -> Duration {
         self.idle_since.elapsed()
--- a/src/direct/upstream_pool.rs
+++ b/src/direct/upstream_pool.rs
@@ -51,10 +51,16 @@
                 if !connection.is_usable() {
                     continue;
                 }
-                if connection.idle_time() <= max_idle {
+                if connection.idle_time() > max_idle {
+                    break; // the others were idle for even longer
+                }
+                if connection.is_quiet() {
                     return Ok(connection);
                 }
-                break; // the others were idle for even longer
+                log::debug!(
+                    replica = &*entry.id;
+                    "kept connection closed, as bytes or its end arrived on it"
+                );
             }
             connections.prepare_opening()
         };
--- a/testbed/src/direct/replica_serving.rs
+++ b/testbed/src/direct/replica_serving.rs
@@ -90,7 +90,8 @@
         let id = state.id.lock().expect("lock").clone();
         if request.header("archmast-expected-replica") != id {
             let text = format!(
-                "HTTP/1.1 421 Misdirected Request\r\nArchmast-Replica-Id: {id}\r\nContent-Length: 0\r\n\r\n"
+                "HTTP/1.1 421 Misdirected Request\r\nArchmast-Replica-Id: {id}\r\nArchmast-Attempt-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                request.attempt_id()
             );
             out.write(&text).await?;
             continue;
