Log why the router closed a caller's connection

Callers saw connections closed, and nothing in the logs or metrics told which of them the router had closed, why, and whether a request was on its way.

`connection closed` names the reason, the time since the last byte in either direction, whether an answer was still being written, the bytes in the socket and those read behind the last request's head, and that request's id: up to 20 lines a second, with a count of those left out, and a metric by reason. The bytes in the socket are read with FIONREAD when the socket is dropped. The service loop of one connection moves to a file of its own. When connections are closed stays as it was.

--- a/src/direct/caller_body.rs
+++ b/src/direct/caller_body.rs
@@ -1,5 +1,5 @@
 use {
-    super::{answer_buffer::AnswerBuffer, reply::ReplyBody},
+    super::{answer_buffer::AnswerBuffer, connection_activity::AnswerGuard, reply::ReplyBody},
     bytes::Bytes,
     hyper::body::{Body, Frame, SizeHint},
     std::{
@@ -12,22 +12,29 @@
 
 /// The body of the answer that hyper writes to a caller's connection, read from that
 /// connection's buffer.
-pub struct CallerBody(Arc<AnswerBuffer>);
+pub struct CallerBody {
+    buffer: Arc<AnswerBuffer>,
+    _in_progress: AnswerGuard,
+}
 
 impl CallerBody {
-    /// Starts the connection's next answer.
+    /// Starts the connection's next answer. Its request is in progress until the end.
     pub fn new(
         buffer: Arc<AnswerBuffer>,
         body: ReplyBody,
+        in_progress: AnswerGuard,
     ) -> Self {
         buffer.start(body);
-        Self(buffer)
+        Self {
+            buffer,
+            _in_progress: in_progress,
+        }
     }
 }
 
 impl Drop for CallerBody {
     fn drop(&mut self) {
-        self.0.clear();
+        self.buffer.clear();
     }
 }
 
@@ -39,14 +46,14 @@
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        self.0.poll_piece(context)
+        self.buffer.poll_piece(context)
     }
 
     fn is_end_stream(&self) -> bool {
-        self.0.is_finished()
+        self.buffer.is_finished()
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.0.size()
+        self.buffer.size()
     }
 }
--- a/src/direct/caller_connections.rs
+++ b/src/direct/caller_connections.rs
@@ -1,28 +1,11 @@
 use {
     super::{
-        answer_buffer::AnswerBuffer,
-        caller_body::CallerBody,
-        caller_port::answer_caller,
-        caller_stream::CallerStream,
-        connection_activity::ConnectionActivity,
-        gateway::Gateway,
-        neighbour_connection::{answer_neighbour_check, connect_to_neighbour, is_neighbour_check},
-        neighbour_relay::NeighbourRelay,
+        caller_connection::CallerConnection, close_log::CloseLog, gateway::Gateway,
+        neighbour_connection::connect_to_neighbour, neighbour_relay::NeighbourRelay,
         sockets::configure_caller_socket,
     },
-    crate::{
-        codes::ResultCode,
-        ops::{CONNECTIONS_FORWARDED, UNREAD_ANSWERS},
-    },
-    hyper::{Version, server::conn::http1, service::service_fn},
-    hyper_util::rt::TokioTimer,
-    std::{
-        future::{Future, poll_fn},
-        io,
-        net::{IpAddr, SocketAddr},
-        sync::Arc,
-        time::Duration,
-    },
+    crate::ops::CONNECTIONS_FORWARDED,
+    std::{io, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         io::Interest,
         net::{TcpListener, TcpSocket, TcpStream},
@@ -34,9 +17,6 @@
 /// Length of the queue of connections that wait to be accepted.
 const ACCEPT_BACKLOG: u32 = 1024;
 
-/// How often a connection checks whether it should be closed.
-const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
-
 /// How long a connection that is to be forwarded may take to send its first bytes. Later it is
 /// served here.
 const FIRST_BYTES_TIMEOUT: Duration = Duration::from_millis(500);
@@ -49,6 +29,7 @@
     gateway: Arc<Gateway>,
     open_count: watch::Sender<usize>,
     closing: watch::Sender<bool>, // idle connections close now, busy ones after their answer
+    pub(super) close_log: CloseLog,
 }
 
 impl CallerConnections {
@@ -58,6 +39,7 @@
             gateway,
             open_count: watch::Sender::new(0),
             closing: watch::Sender::new(false),
+            close_log: CloseLog::default(),
         })
     }
 
@@ -100,9 +82,19 @@
         }
     }
 
+    /// Number of open connections.
+    pub fn open_count(&self) -> usize {
+        *self.open_count.borrow()
+    }
+
+    /// Becomes true when idle connections are to be closed.
+    pub(super) fn closing(&self) -> watch::Receiver<bool> {
+        self.closing.subscribe()
+    }
+
     /// Whether more connections are open than `max_connections`.
-    fn is_crowded(&self) -> bool {
-        *self.open_count.borrow() > self.gateway.settings().max_connections
+    pub(super) fn is_crowded(&self) -> bool {
+        self.open_count() > self.gateway.settings().max_connections
     }
 
     /// The neighbour that a new connection is forwarded to, if any. Connections stay here while
@@ -134,6 +126,17 @@
         }
     }
 
+    async fn serve(
+        self: &Arc<Self>,
+        stream: TcpStream,
+        from: SocketAddr,
+        was_forwarded: bool,
+    ) {
+        CallerConnection::new(self.gateway.clone(), self.clone(), from, was_forwarded)
+            .serve(stream)
+            .await;
+    }
+
     /// Forwards a connection to a neighbour and relays it until its end. Returns the connection
     /// if it is to be served here, since this router has time or no neighbour answers.
     async fn forward(
@@ -183,106 +186,6 @@
         }
         None
     }
-
-    /// Serves a connection. A connection that another router forwards is closed after its
-    /// answer once that router is stopping, as its exit would cut off a later answer.
-    async fn serve(
-        self: &Arc<Self>,
-        stream: TcpStream,
-        from: SocketAddr,
-        was_forwarded: bool,
-    ) {
-        let forwarding_router = was_forwarded.then(|| from.ip());
-        let activity = Arc::new(ConnectionActivity::new(&self.gateway));
-        let buffer = AnswerBuffer::new(self.gateway.clone());
-        let gateway = self.gateway.clone();
-        let (service_activity, service_buffer) = (activity.clone(), buffer.clone());
-        let service = service_fn(move |request| {
-            if request.version() < Version::HTTP_11 {
-                service_buffer.set_unframed();
-            }
-            let is_check = was_forwarded && is_neighbour_check(&request);
-            let busy = service_activity.start_request();
-            let (gateway, buffer) = (gateway.clone(), service_buffer.clone());
-            let closes_after_answer = is_stopping(&gateway, forwarding_router);
-            // Boxed, so that an idle connection does not reserve memory for this future.
-            Box::pin(async move {
-                if is_check {
-                    let answer = answer_neighbour_check(&gateway);
-                    return Ok(answer.map(|body| CallerBody::new(buffer, body)));
-                }
-                let answer = answer_caller(gateway, request, closes_after_answer).await;
-                drop(busy);
-                answer.map(|response| response.map(|body| CallerBody::new(buffer, body)))
-            })
-        });
-        let limits = self.gateway.catalog.config().map(|table| table.limits);
-        let limits = limits.unwrap_or_default();
-        let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(None)
-            .max_buf_size(limits.max_header_bytes.max(8192) * 2)
-            .serve_connection(CallerStream::new(stream, buffer.clone()), service);
-        tokio::pin!(connection);
-        let mut closing = self.closing.subscribe();
-        let mut is_closing = false;
-        loop {
-            let driven = poll_fn(|context| {
-                let ended = connection.as_mut().poll(context);
-                if ended.is_pending() {
-                    buffer.read_ahead(context);
-                }
-                ended
-            });
-            tokio::select! {
-                ended = driven => {
-                    if let Err(error) = ended {
-                        log::debug!("connection of a caller: {error}");
-                    }
-                    return;
-                }
-                changed = closing.wait_for(|closing| *closing), if !is_closing => {
-                    if changed.is_err() {
-                        return;
-                    }
-                    is_closing = true;
-                    connection.as_mut().graceful_shutdown();
-                }
-                () = tokio::time::sleep(IDLE_CHECK_INTERVAL) => {
-                    if let Some(held_bytes) = buffer.aborted_bytes() {
-                        return log_unread(from, held_bytes);
-                    }
-                    let is_idle = activity.is_idle_too_long(self.is_crowded());
-                    if !is_closing && (is_idle || is_stopping(&self.gateway, forwarding_router)) {
-                        is_closing = true;
-                        connection.as_mut().graceful_shutdown();
-                    }
-                }
-            }
-        }
-    }
-}
-
-/// Counts and logs an answer that is aborted, as its caller does not read it.
-fn log_unread(
-    from: SocketAddr,
-    held_bytes: u64,
-) {
-    metrics::counter!(UNREAD_ANSWERS).increment(1);
-    log::info!(
-        caller = from.to_string().as_str(),
-        code = ResultCode::AnswerUnread.number(),
-        held_bytes = held_bytes;
-        "answer given up: {}", ResultCode::AnswerUnread.meaning()
-    );
-}
-
-/// Whether the router that forwards a connection here is stopping.
-fn is_stopping(
-    gateway: &Gateway,
-    forwarding_router: Option<IpAddr>,
-) -> bool {
-    forwarding_router.is_some_and(|address| gateway.peers.is_leaving(address))
 }
 
 /// Counts a connection as open until it is dropped.
--- a/src/direct/caller_stream.rs
+++ b/src/direct/caller_stream.rs
@@ -1,42 +1,50 @@
 use {
-    super::answer_buffer::AnswerBuffer,
-    hyper::rt::{Read, ReadBufCursor, Write},
-    hyper_util::rt::TokioIo,
+    super::{answer_buffer::AnswerBuffer, connection_activity::ConnectionActivity},
     std::{
         io::{self, IoSlice},
         pin::Pin,
         sync::Arc,
         task::{Context, Poll},
     },
-    tokio::net::TcpStream,
+    tokio::{
+        io::{AsyncRead, AsyncWrite, ReadBuf},
+        net::TcpStream,
+    },
 };
 
 /// A caller's connection that reports the bytes written to it, and when all were, to the answer
-/// buffer.
+/// buffer, and what is read and written to the connection's activity.
 pub struct CallerStream {
-    stream: TokioIo<TcpStream>,
+    stream: TcpStream,
     answer: Arc<AnswerBuffer>,
+    activity: Arc<ConnectionActivity>,
 }
 
 impl Drop for CallerStream {
     fn drop(&mut self) {
         if self.answer.must_reset()
-            && let Err(error) = self.stream.inner().set_zero_linger()
+            && let Err(error) = self.stream.set_zero_linger()
         {
             log::warn!("a cut answer is not reset: {error}");
         }
+        match rustix::io::ioctl_fionread(&self.stream) {
+            Ok(bytes) => self.activity.record_unread(bytes as usize),
+            Err(error) => log::debug!("unread bytes are not known: {error}"),
+        }
     }
 }
 
 impl CallerStream {
-    /// Reports bytes written to `stream` to `answer`.
+    /// Reports bytes written to `stream` to `answer`, and all transfers to `activity`.
     pub fn new(
         stream: TcpStream,
         answer: Arc<AnswerBuffer>,
+        activity: Arc<ConnectionActivity>,
     ) -> Self {
         Self {
-            stream: TokioIo::new(stream),
+            stream,
             answer,
+            activity,
         }
     }
 
@@ -44,24 +52,36 @@
         &self,
         written: Poll<io::Result<usize>>,
     ) -> Poll<io::Result<usize>> {
-        if let Poll::Ready(Ok(bytes)) = &written {
-            self.answer.record_written(*bytes);
+        match &written {
+            Poll::Ready(Ok(bytes)) => {
+                self.answer.record_written(*bytes);
+                self.activity.record_written();
+            }
+            Poll::Ready(Err(_)) => self.activity.record_failure(),
+            Poll::Pending => {}
         }
         written
     }
 }
 
-impl Read for CallerStream {
+impl AsyncRead for CallerStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
-        buffer: ReadBufCursor<'_>,
+        buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        match &read {
+            Poll::Ready(Ok(())) => self.activity.record_read(buffer.filled().len() - before),
+            Poll::Ready(Err(_)) => self.activity.record_failure(),
+            Poll::Pending => {}
+        }
+        read
     }
 }
 
-impl Write for CallerStream {
+impl AsyncWrite for CallerStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -92,6 +112,7 @@
         let flushed = Pin::new(&mut self.stream).poll_flush(context);
         if let Poll::Ready(Ok(())) = &flushed {
             self.answer.record_flushed();
+            self.activity.record_flushed();
         }
         flushed
     }
--- /dev/null
+++ b/src/direct/close_reason.rs
@@ -0,0 +1,42 @@
+/// Why the router closed a connection of a caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CloseReason {
+    /// No request came for longer than the idle time-out.
+    Idle,
+    /// More connections than `max_connections` are open.
+    Crowded,
+    /// This router stops.
+    Stopping,
+    /// The router that forwards the connection stops.
+    ForwarderStopping,
+    /// The answer had `Connection: close`.
+    Announced,
+    /// The caller asked for it, or its protocol has no persistent connections.
+    Requested,
+    /// The caller did not read its answer.
+    UnreadAnswer,
+    /// The answer broke off.
+    CutAnswer,
+    /// The caller's bytes are no HTTP request.
+    BadRequest,
+    /// The request was answered before all of its body was read.
+    UnreadBody,
+}
+
+impl CloseReason {
+    /// The name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Idle => "idle",
+            Self::Crowded => "crowded",
+            Self::Stopping => "stopping",
+            Self::ForwarderStopping => "forwarder_stopping",
+            Self::Announced => "announced",
+            Self::Requested => "requested",
+            Self::UnreadAnswer => "unread_answer",
+            Self::CutAnswer => "cut_answer",
+            Self::BadRequest => "bad_request",
+            Self::UnreadBody => "unread_body",
+        }
+    }
+}
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -110,6 +110,9 @@
     accepting.abort();
     connections.close_idle();
     let in_time = tokio::time::timeout_at(deadline, connections.all_closed()).await;
-    log::info!(all_answered = in_time.is_ok(); "router stopped");
+    log::info!(
+        all_answered = in_time.is_ok(), open_connections = connections.open_count();
+        "router stopped"
+    );
     Ok(())
 }
--- a/src/ops/metric_names.rs
+++ b/src/ops/metric_names.rs
@@ -53,6 +53,8 @@
 /// Answers that were cut off since their callers did not read them (`ResultCode::AnswerUnread`,
 /// 48).
 pub const UNREAD_ANSWERS: &str = "archmast_unread_answers_total";
+/// Connections of callers that this router closed, by `reason`.
+pub const CONNECTIONS_CLOSED: &str = "archmast_connections_closed_total";
 /// Replicas whose prompt caches this router follows.
 pub const FOLLOWED_CACHES: &str = "archmast_kept_followed_replicas";
 /// Calls for the cache events of followed replicas, by `outcome`: `answered`, `failed`.
