Keep a caller's connection open while it is in use

Callers that sent a request right after a long stream, or in parts, found their connection closed without an answer and without notice.

A connection counted as busy only until the head of its answer was ready, and from the head of a request on. A stream older than `idle_timeout_ms`, or one that its caller read late, was idle from its first byte: the router asked hyper for a graceful shutdown in the middle, and hyper closed at the stream's end without ever having announced it. That shutdown also drops what hyper has read of the next request, and does nothing to a connection whose first head came in part, which was then held without limit.

Now a request is in progress until its answer's last byte is written, and the idle time counts from the last byte in either direction. A head that came in part is in use for `header_timeout_ms` (then `late_head`), a body for its own time-out. A connection at rest that is to be closed is taken out of hyper with what hyper had read; if that, or the socket, holds bytes, it is served on and the next answer announces the close.

--- a/src/direct/caller_body.rs
+++ b/src/direct/caller_body.rs
@@ -1,5 +1,5 @@
 use {
-    super::{answer_buffer::AnswerBuffer, connection_activity::AnswerGuard, reply::ReplyBody},
+    super::{answer_buffer::AnswerBuffer, connection_activity::RequestGuard, reply::ReplyBody},
     bytes::Bytes,
     hyper::body::{Body, Frame, SizeHint},
     std::{
@@ -14,7 +14,7 @@
 /// connection's buffer.
 pub struct CallerBody {
     buffer: Arc<AnswerBuffer>,
-    _in_progress: AnswerGuard,
+    _in_progress: RequestGuard,
 }
 
 impl CallerBody {
@@ -22,7 +22,7 @@
     pub fn new(
         buffer: Arc<AnswerBuffer>,
         body: ReplyBody,
-        in_progress: AnswerGuard,
+        in_progress: RequestGuard,
     ) -> Self {
         buffer.start(body);
         Self {
--- a/src/direct/caller_connection.rs
+++ b/src/direct/caller_connection.rs
@@ -12,18 +12,23 @@
         request_reader::header_text,
     },
     crate::{codes::ResultCode, ops::UNREAD_ANSWERS},
-    hyper::{Version, header::CONNECTION, server::conn::http1, service::service_fn},
+    hyper::{
+        Request, Response, Version, body::Incoming, header::CONNECTION, server::conn::http1,
+        service::service_fn,
+    },
     hyper_util::rt::{TokioIo, TokioTimer},
     std::{
+        convert::Infallible,
         future::{Future, poll_fn},
         net::{IpAddr, SocketAddr},
+        pin::Pin,
         sync::{
             Arc,
             atomic::{AtomicBool, Ordering},
         },
         time::Duration,
     },
-    tokio::net::TcpStream,
+    tokio::{io::AsyncWriteExt, net::TcpStream},
 };
 
 /// How often a connection checks whether it should be closed.
@@ -37,6 +42,17 @@
     forwarding_router: Option<IpAddr>, // that forwards the connection here
     activity: Arc<ConnectionActivity>,
     buffer: Arc<AnswerBuffer>,
+    announces_close: AtomicBool,    // in the next answer
+    is_close_announced: AtomicBool, // in the last answer
+    is_close_requested: AtomicBool, // in the last request
+}
+
+/// The end of serving requests on a connection.
+enum ServeEnd {
+    /// The connection is closed; by this router, if there is a reason.
+    Closed(Option<CloseReason>),
+    /// The connection is not in use and should be closed.
+    Rest(CloseReason, CallerStream),
 }
 
 impl CallerConnection {
@@ -54,6 +70,9 @@
             connections,
             from,
             forwarding_router: was_forwarded.then(|| from.ip()),
+            announces_close: AtomicBool::new(false),
+            is_close_announced: AtomicBool::new(false),
+            is_close_requested: AtomicBool::new(false),
         }
     }
 
@@ -70,112 +89,152 @@
     }
 
     /// Serves the connection to its end. Returns why this router closed it, or `None` if the
-    /// caller did. A connection that another router forwards is closed after its answer once
-    /// that router is stopping, as its exit would cut off a later answer.
+    /// caller did. Before a connection is closed, what has come in meanwhile is served, with an
+    /// answer that announces the close.
     async fn serve_requests(
         &self,
         stream: TcpStream,
     ) -> Option<CloseReason> {
-        let (gateway, buffer) = (self.gateway.clone(), self.buffer.clone());
-        let (activity, forwarding_router) = (self.activity.clone(), self.forwarding_router);
-        let announced = Arc::new(AtomicBool::new(false));
-        let requested = Arc::new(AtomicBool::new(false));
-        let (announces, requests) = (announced.clone(), requested.clone());
-        let service = service_fn(move |request| {
-            if request.version() < Version::HTTP_11 {
-                buffer.set_unframed();
-            }
-            let asks_to_close = request.version() < Version::HTTP_11
-                || header_text(request.headers(), &CONNECTION).eq_ignore_ascii_case("close");
-            requests.store(asks_to_close, Ordering::Relaxed);
-            let is_check = forwarding_router.is_some() && is_neighbour_check(&request);
-            let id = header_text(request.headers(), &gateway.dialect.names.request_id);
-            let (busy, answering) = activity.start_request(id);
-            let (gateway, buffer) = (gateway.clone(), buffer.clone());
-            let announces = announces.clone();
-            let closes_after_answer = is_stopping(&gateway, forwarding_router);
-            // Boxed, so that an idle connection does not reserve memory for this future.
-            Box::pin(async move {
-                if is_check {
-                    let answer = answer_neighbour_check(&gateway);
-                    return Ok(answer.map(|body| CallerBody::new(buffer, body, answering)));
+        let mut stream = CallerStream::new(stream, self.buffer.clone(), self.activity.clone());
+        loop {
+            let (reason, mut rested) = match self.serve_until_rest(stream).await {
+                ServeEnd::Closed(reason) => return reason,
+                ServeEnd::Rest(reason, rested) => (reason, rested),
+            };
+            if reason == CloseReason::LateHead || !rested.has_bytes() {
+                if let Err(error) = rested.shutdown().await {
+                    log::debug!("connection of a caller: {error}");
                 }
-                let answer = answer_caller(gateway, request, closes_after_answer).await;
-                drop(busy);
-                answer.map(|response| {
-                    let closes = response.headers().contains_key(CONNECTION);
-                    announces.store(closes, Ordering::Relaxed);
-                    response.map(|body| CallerBody::new(buffer, body, answering))
-                })
-            })
-        });
+                return Some(reason);
+            }
+            self.announces_close.store(true, Ordering::Relaxed);
+            stream = rested;
+        }
+    }
+
+    /// Serves requests until the connection is closed, or should be and is not in use.
+    async fn serve_until_rest(
+        &self,
+        stream: CallerStream,
+    ) -> ServeEnd {
+        let service = service_fn(|request| self.answer(request));
         let limits = self.gateway.catalog.config().map(|table| table.limits);
         let limits = limits.unwrap_or_default();
-        let stream = CallerStream::new(stream, self.buffer.clone(), self.activity.clone());
-        let connection = http1::Builder::new()
+        let mut connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(None)
             .max_buf_size(limits.max_header_bytes.max(8192) * 2)
             .serve_connection(TokioIo::new(stream), service);
-        tokio::pin!(connection);
         let mut closing = self.connections.closing();
-        let mut close_reason = None;
         loop {
+            let is_closing = *closing.borrow();
             let driven = poll_fn(|context| {
-                let ended = connection.as_mut().poll(context);
+                let ended = Pin::new(&mut connection).poll(context);
                 if ended.is_pending() {
                     self.buffer.read_ahead(context);
                 }
                 ended
             });
             tokio::select! {
-                ended = driven => {
-                    if let Err(error) = &ended {
-                        log::debug!("connection of a caller: {error}");
-                    }
-                    return match ended {
-                        Err(error) if error.is_user() => Some(CloseReason::CutAnswer),
-                        Err(error) if error.is_parse() => Some(CloseReason::BadRequest),
-                        Err(_) => None,
-                        Ok(()) if self.activity.was_closed_by_caller() => None,
-                        Ok(()) if announced.load(Ordering::Relaxed) => Some(CloseReason::Announced),
-                        Ok(()) if requested.load(Ordering::Relaxed) => Some(CloseReason::Requested),
-                        Ok(()) => Some(close_reason.unwrap_or(CloseReason::UnreadBody)),
-                    };
-                }
-                changed = closing.wait_for(|closing| *closing), if close_reason.is_none() => {
+                ended = driven => return ServeEnd::Closed(self.reason_of(ended)),
+                changed = closing.changed(), if !is_closing => {
                     if changed.is_err() {
-                        return None;
+                        return ServeEnd::Closed(None);
                     }
-                    close_reason = Some(CloseReason::Stopping);
-                    connection.as_mut().graceful_shutdown();
                 }
                 () = tokio::time::sleep(IDLE_CHECK_INTERVAL) => {
                     if let Some(held_bytes) = self.buffer.aborted_bytes() {
                         log_unread(self.from, held_bytes);
-                        return Some(CloseReason::UnreadAnswer);
-                    }
-                    if close_reason.is_none() {
-                        close_reason = self.close_reason();
-                        if close_reason.is_some() {
-                            connection.as_mut().graceful_shutdown();
-                        }
+                        return ServeEnd::Closed(Some(CloseReason::UnreadAnswer));
                     }
                 }
             }
+            if let Some(reason) = self.close_reason(*closing.borrow()) {
+                let parts = connection.into_parts();
+                let mut stream = parts.io.into_inner();
+                stream.unread(parts.read_buf);
+                return ServeEnd::Rest(reason, stream);
+            }
         }
     }
 
-    /// Why the connection should be closed, if it should be.
-    fn close_reason(&self) -> Option<CloseReason> {
-        let is_crowded = self.connections.is_crowded();
-        if is_stopping(&self.gateway, self.forwarding_router) {
-            return Some(CloseReason::ForwarderStopping);
+    /// Answers one request.
+    fn answer(
+        &self,
+        request: Request<Incoming>,
+    ) -> Pin<Box<impl Future<Output = Result<Response<CallerBody>, Infallible>> + use<'_>>> {
+        let closes = header_text(request.headers(), &CONNECTION).eq_ignore_ascii_case("close");
+        let is_old = request.version() < Version::HTTP_11;
+        self.is_close_requested
+            .store(closes || is_old, Ordering::Relaxed);
+        if is_old {
+            self.buffer.set_unframed();
         }
-        let is_idle = self.activity.is_idle_too_long(is_crowded);
-        is_idle.then_some(match is_crowded {
-            true => CloseReason::Crowded,
-            false => CloseReason::Idle,
+        let id = header_text(request.headers(), &self.gateway.dialect.names.request_id);
+        let in_progress = self.activity.start_request(id);
+        // Boxed, so that an idle connection does not reserve memory for this future.
+        Box::pin(async move {
+            let buffer = self.buffer.clone();
+            if self.forwarding_router.is_some() && is_neighbour_check(&request) {
+                let answer = answer_neighbour_check(&self.gateway);
+                return Ok(answer.map(|body| CallerBody::new(buffer, body, in_progress)));
+            }
+            let closes =
+                self.announces_close.load(Ordering::Relaxed) || self.is_forwarder_stopping();
+            let response = answer_caller(self.gateway.clone(), request, closes).await?;
+            let is_announced = response.headers().contains_key(CONNECTION);
+            self.is_close_announced
+                .store(is_announced, Ordering::Relaxed);
+            Ok(response.map(|body| CallerBody::new(buffer, body, in_progress)))
+        })
+    }
+
+    /// Why the connection should be closed now, if it should be. While this router stops, or the
+    /// one that forwards the connection, it is closed as soon as it is not in use.
+    fn close_reason(
+        &self,
+        is_closing: bool,
+    ) -> Option<CloseReason> {
+        if !self.activity.is_in_use() {
+            if is_closing {
+                return Some(CloseReason::Stopping);
+            }
+            if self.is_forwarder_stopping() {
+                return Some(CloseReason::ForwarderStopping);
+            }
+        }
+        self.activity.close_reason(self.connections.is_crowded())
+    }
+
+    /// Whether the router that forwards the connection here is stopping: its exit would cut off
+    /// a later answer.
+    fn is_forwarder_stopping(&self) -> bool {
+        self.forwarding_router
+            .is_some_and(|address| self.gateway.peers.is_leaving(address))
+    }
+
+    /// Why this router closed a connection that ended so; `None` if it did not.
+    fn reason_of(
+        &self,
+        ended: hyper::Result<()>,
+    ) -> Option<CloseReason> {
+        if let Err(error) = ended {
+            log::debug!("connection of a caller: {error}");
+            return match () {
+                () if error.is_user() => Some(CloseReason::CutAnswer),
+                () if error.is_parse() => Some(CloseReason::BadRequest),
+                () => None,
+            };
+        }
+        if self.activity.was_closed_by_caller() {
+            return None;
+        }
+        if self.is_close_announced.load(Ordering::Relaxed) {
+            return Some(CloseReason::Announced);
+        }
+        Some(match self.is_close_requested.load(Ordering::Relaxed) {
+            true => CloseReason::Requested,
+            false => CloseReason::UnreadBody,
         })
     }
 }
@@ -193,11 +252,3 @@
         "answer given up: {}", ResultCode::AnswerUnread.meaning()
     );
 }
-
-/// Whether the router that forwards a connection here is stopping.
-fn is_stopping(
-    gateway: &Gateway,
-    forwarding_router: Option<IpAddr>,
-) -> bool {
-    forwarding_router.is_some_and(|address| gateway.peers.is_leaving(address))
-}
--- a/src/direct/caller_stream.rs
+++ b/src/direct/caller_stream.rs
@@ -1,5 +1,6 @@
 use {
     super::{answer_buffer::AnswerBuffer, connection_activity::ConnectionActivity},
+    bytes::{Buf, Bytes},
     std::{
         io::{self, IoSlice},
         pin::Pin,
@@ -16,6 +17,7 @@
 /// buffer, and what is read and written to the connection's activity.
 pub struct CallerStream {
     stream: TcpStream,
+    unread: Bytes, // read from the stream, and to be read again
     answer: Arc<AnswerBuffer>,
     activity: Arc<ConnectionActivity>,
 }
@@ -43,11 +45,26 @@
     ) -> Self {
         Self {
             stream,
+            unread: Bytes::new(),
             answer,
             activity,
         }
     }
 
+    /// Makes bytes that were read from the stream be read again before all others.
+    pub fn unread(
+        &mut self,
+        bytes: Bytes,
+    ) {
+        self.unread = bytes;
+    }
+
+    /// Whether bytes can be read now.
+    pub fn has_bytes(&self) -> bool {
+        let in_socket = rustix::io::ioctl_fionread(&self.stream);
+        !self.unread.is_empty() || in_socket.is_ok_and(|bytes| bytes > 0)
+    }
+
     fn record(
         &self,
         written: Poll<io::Result<usize>>,
@@ -70,6 +87,13 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if !self.unread.is_empty() {
+            let length = self.unread.len().min(buffer.remaining());
+            buffer.put_slice(&self.unread[..length]);
+            self.unread.advance(length);
+            self.activity.record_read(length);
+            return Poll::Ready(Ok(()));
+        }
         let before = buffer.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(context, buffer);
         match &read {
--- a/src/direct/close_reason.rs
+++ b/src/direct/close_reason.rs
@@ -3,6 +3,8 @@
 pub enum CloseReason {
     /// No request came for longer than the idle time-out.
     Idle,
+    /// The head of a request did not come to its end within the header time-out.
+    LateHead,
     /// More connections than `max_connections` are open.
     Crowded,
     /// This router stops.
@@ -28,6 +30,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::Idle => "idle",
+            Self::LateHead => "late_head",
             Self::Crowded => "crowded",
             Self::Stopping => "stopping",
             Self::ForwarderStopping => "forwarder_stopping",
--- a/src/direct/connection_activity.rs
+++ b/src/direct/connection_activity.rs
@@ -1,5 +1,5 @@
 use {
-    super::gateway::Gateway,
+    super::{close_reason::CloseReason, gateway::Gateway},
     std::{
         sync::{
             Arc, Mutex,
@@ -15,37 +15,26 @@
 /// Bytes of a request id that are kept for the log.
 const MAX_LOGGED_ID_BYTES: usize = 64;
 
-/// Tracks whether a connection is busy, and when it last was.
+/// Tracks whether a connection is in use, and when it last was.
 pub struct ConnectionActivity {
     gateway: Arc<Gateway>,
-    requests: AtomicUsize,     // read, and whose answer has not begun
-    answers: AtomicUsize,      // read, and whose answer has not ended
-    last_busy_ms: AtomicUsize, // since the process started
-    last_byte_ms: AtomicUsize, // since the process started; read or written
-    unparsed: AtomicUsize,     // bytes read since the last head of a request
-    unread: AtomicUsize,       // bytes in the socket when it was closed
-    is_flushed: AtomicBool,    // all of the last answer was written
+    requests: AtomicUsize,      // whose answer has not ended
+    last_byte_ms: AtomicUsize,  // since the process started; read or written
+    part_since_ms: AtomicUsize, // when the head that is being read began; 0 if none is
+    unparsed: AtomicUsize,      // bytes read since the last head of a request
+    unread: AtomicUsize,        // bytes in the socket when it was closed
+    is_flushed: AtomicBool,     // all of the last answer was written
     closed_by_caller: AtomicBool,
     last_request_id: Mutex<String>, // a leaf lock
 }
 
-/// Counts a request without an answer until it is dropped.
-pub struct BusyGuard(Arc<ConnectionActivity>);
-
-impl Drop for BusyGuard {
-    fn drop(&mut self) {
-        self.0.touch();
-        self.0.requests.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Counts a request as in progress until it is dropped.
-pub struct AnswerGuard(Arc<ConnectionActivity>);
+pub struct RequestGuard(Arc<ConnectionActivity>);
 
-impl Drop for AnswerGuard {
+impl Drop for RequestGuard {
     fn drop(&mut self) {
         self.0.is_flushed.store(false, Ordering::Relaxed);
-        self.0.answers.fetch_sub(1, Ordering::Relaxed);
+        self.0.requests.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
@@ -56,9 +45,8 @@
         Self {
             gateway: gateway.clone(),
             requests: AtomicUsize::new(0),
-            answers: AtomicUsize::new(0),
-            last_busy_ms: AtomicUsize::new(now),
             last_byte_ms: AtomicUsize::new(now),
+            part_since_ms: AtomicUsize::new(0),
             unparsed: AtomicUsize::new(0),
             unread: AtomicUsize::new(0),
             is_flushed: AtomicBool::new(true),
@@ -67,21 +55,20 @@
         }
     }
 
-    /// Records a request whose head was read. It is busy until the first guard is dropped, and
-    /// in progress until the second is.
+    /// Records a request whose head was read. It is in progress until the guard is dropped and
+    /// all was written.
     pub fn start_request(
         self: &Arc<Self>,
         request_id: &str,
-    ) -> (BusyGuard, AnswerGuard) {
+    ) -> RequestGuard {
         let mut last_id = self.last_request_id.lock().expect("request id lock");
         last_id.clear();
         last_id.extend(request_id.chars().take(MAX_LOGGED_ID_BYTES));
         drop(last_id);
         self.unparsed.store(0, Ordering::Relaxed);
-        self.touch();
+        self.part_since_ms.store(0, Ordering::Relaxed);
         self.requests.fetch_add(1, Ordering::Relaxed);
-        self.answers.fetch_add(1, Ordering::Relaxed);
-        (BusyGuard(self.clone()), AnswerGuard(self.clone()))
+        RequestGuard(self.clone())
     }
 
     /// Records bytes read; none if the caller closed the connection.
@@ -94,6 +81,10 @@
         }
         self.unparsed.fetch_add(bytes, Ordering::Relaxed);
         self.record_byte();
+        if !self.is_in_progress() && self.part_since_ms.load(Ordering::Relaxed) == 0 {
+            let since = self.now_ms().max(1);
+            self.part_since_ms.store(since, Ordering::Relaxed);
+        }
     }
 
     /// Records that bytes were written.
@@ -126,7 +117,12 @@
 
     /// Whether an answer is awaited, or not written to its end.
     pub fn is_in_progress(&self) -> bool {
-        self.answers.load(Ordering::Relaxed) > 0 || !self.is_flushed.load(Ordering::Relaxed)
+        self.requests.load(Ordering::Relaxed) > 0 || !self.is_flushed.load(Ordering::Relaxed)
+    }
+
+    /// Whether an answer is not written to its end, or the head of a request not read to its end.
+    pub fn is_in_use(&self) -> bool {
+        self.is_in_progress() || self.part_since_ms.load(Ordering::Relaxed) > 0
     }
 
     /// Milliseconds since the last byte was read or written.
@@ -162,31 +158,36 @@
         self.gateway.now().as_millis() as usize
     }
 
-    fn touch(&self) {
-        self.last_busy_ms.store(self.now_ms(), Ordering::Relaxed);
-    }
-
     fn record_byte(&self) {
         self.last_byte_ms.store(self.now_ms(), Ordering::Relaxed);
     }
 
-    /// Whether the connection has been idle for longer than the configured time-out, or than
-    /// `CROWDED_IDLE_TIMEOUT` if `crowded`.
-    pub fn is_idle_too_long(
+    /// Why a connection that is not in use should be closed now, if it should be: it was idle for
+    /// longer than the configured time-out, or than `CROWDED_IDLE_TIMEOUT` if `crowded`, or the
+    /// head of a request is late.
+    pub fn close_reason(
         &self,
         crowded: bool,
-    ) -> bool {
+    ) -> Option<CloseReason> {
+        if self.is_in_progress() {
+            return None;
+        }
         let limits = self.gateway.catalog.config().map(|table| table.limits);
-        let configured = limits.unwrap_or_default().idle_timeout;
-        let timeout = if crowded {
-            CROWDED_IDLE_TIMEOUT
-        } else {
-            configured
+        let limits = limits.unwrap_or_default();
+        if let Some(head_age) = self.head_age() {
+            return (head_age > limits.header_timeout).then_some(CloseReason::LateHead);
+        }
+        let idle = Duration::from_millis(self.idle_ms());
+        if crowded && idle > CROWDED_IDLE_TIMEOUT {
+            return Some(CloseReason::Crowded);
         }
-        .as_millis() as usize;
-        let idle = self
-            .now_ms()
-            .saturating_sub(self.last_busy_ms.load(Ordering::Relaxed));
-        self.requests.load(Ordering::Relaxed) == 0 && idle > timeout
+        (idle > limits.idle_timeout).then_some(CloseReason::Idle)
+    }
+
+    /// Time since the first byte of a head that is being read.
+    fn head_age(&self) -> Option<Duration> {
+        let since = self.part_since_ms.load(Ordering::Relaxed);
+        let age = self.now_ms().saturating_sub(since) as u64;
+        (since > 0).then(|| Duration::from_millis(age))
     }
 }
--- a/testbed/tests/idle_connections.rs
+++ b/testbed/tests/idle_connections.rs
@@ -311,6 +311,31 @@
     assert_eq!(counts.answered, 1, "{counts:?}");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_come_while_the_router_stands_still_are_answered() {
+    let (fleet, _replicas) = fleet(1_000, paced_stream(), "").await;
+    let mut clients = Vec::new();
+    for _ in 0..CALLERS {
+        let mut client = connect(&fleet).await;
+        assert!(client.call(&plain("first")).await.is_whole_success());
+        clients.push(client);
+    }
+    fleet.routers[0].freeze();
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    for client in &mut clients {
+        let request = plain("second").bytes();
+        client.send(&request).await.expect("is sent");
+    }
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    fleet.routers[0].thaw();
+    let mut answered = 0;
+    for client in &mut clients {
+        let answer = client.answer().await;
+        answered += u64::from(answer.is_complete && [200, 503].contains(&answer.status));
+    }
+    assert_eq!(answered, CALLERS);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn connections_at_rest_stay_open_while_others_crowd_the_router() {
     let (fleet, _replicas) = fleet(3_000, paced_stream(), "max_connections = 10\n").await;
