Hold no shorter idle time-out against callers that follow the longer one

Callers that rested for up to four fifths of the idle time-out that they knew found their connection closed once a configuration had made it shorter.

The router judged every connection by the newest configuration, from the moment at which it took it in. Now a time-out that was replaced by a shorter one counts until it has passed since callers know of the change (`[catalog] apply`), for a minute and that notice at most; the longest that a caller may follow applies.

--- a/src/direct/caller_connection.rs
+++ b/src/direct/caller_connection.rs
@@ -203,7 +203,9 @@
                 return Some(CloseReason::ForwarderStopping);
             }
         }
-        self.activity.close_reason(self.connections.is_crowded())
+        let idle_timeout = self.connections.idle_timeout();
+        self.activity
+            .close_reason(idle_timeout, self.connections.is_crowded())
     }
 
     /// Whether the router that forwards the connection here is stopping: its exit would cut off
--- a/src/direct/caller_connections.rs
+++ b/src/direct/caller_connections.rs
@@ -1,10 +1,10 @@
 use {
     super::{
         caller_connection::CallerConnection, close_log::CloseLog, gateway::Gateway,
-        neighbour_connection::connect_to_neighbour, neighbour_relay::NeighbourRelay,
-        sockets::configure_caller_socket,
+        idle_limit::IdleLimit, neighbour_connection::connect_to_neighbour,
+        neighbour_relay::NeighbourRelay, sockets::configure_caller_socket,
     },
-    crate::ops::CONNECTIONS_FORWARDED,
+    crate::{ops::CONNECTIONS_FORWARDED, routing::RequestLimits},
     std::{io, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         io::Interest,
@@ -29,6 +29,7 @@
     gateway: Arc<Gateway>,
     open_count: watch::Sender<usize>,
     closing: watch::Sender<bool>, // idle connections close now, busy ones after their answer
+    idle_limit: IdleLimit,
     pub(super) close_log: CloseLog,
 }
 
@@ -39,6 +40,7 @@
             gateway,
             open_count: watch::Sender::new(0),
             closing: watch::Sender::new(false),
+            idle_limit: IdleLimit::default(),
             close_log: CloseLog::default(),
         })
     }
@@ -51,6 +53,27 @@
         socket.listen(ACCEPT_BACKLOG)
     }
 
+    /// Takes the idle time-out from each configuration.
+    pub async fn follow_idle_timeout(self: Arc<Self>) {
+        let mut changes = self.gateway.catalog.subscribe();
+        loop {
+            if let Some(table) = self.gateway.catalog.config() {
+                let notice = self.gateway.settings().store_pacing.apply;
+                let now = self.gateway.now();
+                self.idle_limit.set(now, table.limits.idle_timeout, notice);
+            }
+            if changes.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// The longest idle time-out that callers may follow.
+    pub(super) fn idle_timeout(&self) -> Duration {
+        let timeout = self.idle_limit.longest(self.gateway.now());
+        timeout.unwrap_or_else(|| RequestLimits::default().idle_timeout)
+    }
+
     /// Accepts connections until the task is aborted.
     pub async fn accept(
         self: Arc<Self>,
--- a/src/direct/connection_activity.rs
+++ b/src/direct/connection_activity.rs
@@ -163,10 +163,11 @@
     }
 
     /// Why a connection that is not in use should be closed now, if it should be: it was idle for
-    /// longer than the configured time-out, or than `CROWDED_IDLE_TIMEOUT` if `crowded`, or the
-    /// head of a request is late.
+    /// longer than `idle_timeout`, or than `CROWDED_IDLE_TIMEOUT` if `crowded`, or the head of a
+    /// request is late.
     pub fn close_reason(
         &self,
+        idle_timeout: Duration,
         crowded: bool,
     ) -> Option<CloseReason> {
         if self.is_in_progress() {
@@ -181,7 +182,7 @@
         if crowded && idle > CROWDED_IDLE_TIMEOUT {
             return Some(CloseReason::Crowded);
         }
-        (idle > limits.idle_timeout).then_some(CloseReason::Idle)
+        (idle > idle_timeout).then_some(CloseReason::Idle)
     }
 
     /// Time since the first byte of a head that is being read.
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -28,6 +28,7 @@
 mod gateway;
 mod gateway_tasks;
 mod held_bytes;
+mod idle_limit;
 mod in_flight_guard;
 mod live_answer;
 mod neighbour_connection;
@@ -62,6 +63,7 @@
     event_splitter::EventSplitter,
     exchange_suspects::log_held_back,
     gateway::Gateway,
+    idle_limit::IdleLimit,
     serve::main,
     store_read_state::StoreReadState,
     upstream_pool::UpstreamPool,
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -66,6 +66,7 @@
         .await
         .change_context_lazy(failed)?;
     let connections = CallerConnections::new(gateway.clone());
+    tokio::spawn(connections.clone().follow_idle_timeout());
     let reader_role = Arc::new(ZoneReaderRole::new(gateway.clone()));
     tokio::spawn(follow_store(catalog, store, reader_role, pace));
     tokio::spawn(gateway.clone().follow_catalog());
