--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -10,9 +10,12 @@
 mod cache_survey;
 mod call;
 mod caller_body;
+mod caller_connection;
 mod caller_connections;
 mod caller_port;
 mod caller_stream;
+mod close_log;
+mod close_reason;
 mod connection_activity;
 mod dialect;
 mod event_splitter;
@@ -25,6 +28,7 @@
 mod gateway;
 mod gateway_tasks;
 mod held_bytes;
+mod idle_limit;
 mod in_flight_guard;
 mod live_answer;
 mod neighbour_connection;
@@ -61,6 +65,7 @@
     event_splitter::EventSplitter,
     exchange_suspects::log_held_back,
     gateway::Gateway,
+    idle_limit::IdleLimit,
     serve::main,
     store_read_state::StoreReadState,
     upstream_pool::UpstreamPool,
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -66,6 +66,7 @@
         .await
         .change_context_lazy(failed)?;
     let connections = CallerConnections::new(gateway.clone());
+    tokio::spawn(connections.clone().follow_idle_timeout());
     let reader_role = Arc::new(ZoneReaderRole::new(gateway.clone()));
     tokio::spawn(follow_store(catalog, store, reader_role, pace));
     tokio::spawn(gateway.clone().follow_catalog());
@@ -110,6 +111,9 @@
     accepting.abort();
     connections.close_idle();
     let in_time = tokio::time::timeout_at(deadline, connections.all_closed()).await;
-    log::info!(all_answered = in_time.is_ok(); "router stopped");
+    log::info!(
+        all_answered = in_time.is_ok(), open_connections = connections.open_count();
+        "router stopped"
+    );
     Ok(())
 }
