Known red: a stop cuts streams that pause on connections that were handed on

A router that gets SIGTERM closes a connection that it relays to a neighbour when nothing passed for 2.5 s and the answer has begun.

--- a/testbed/src/direct/replica_answer.rs
+++ b/testbed/src/direct/replica_answer.rs
@@ -26,6 +26,12 @@
     /// A stream of events up to number `last`, with `pause` before each. It starts
     /// after the event in `Last-Event-ID`.
     Events { last: u32, pause: Duration },
+    /// A stream of events up to number `last` that pauses once, after number `after`.
+    EventsPausing {
+        after: u32,
+        pause: Duration,
+        last: u32,
+    },
     /// A stream that breaks off in the event after number `after`, with the connection
     /// closed. A resumed stream (with `Last-Event-ID`) is complete up to `last`.
     EventsCut { after: u32, last: u32 },
--- a/testbed/src/direct/replica_answering.rs
+++ b/testbed/src/direct/replica_answering.rs
@@ -151,6 +151,14 @@
             write_events(out, request, last, pause).await?;
             out.write("0\r\n\r\n").await?;
         }
+        ReplicaAnswer::EventsPausing { after, pause, last } => {
+            write_events(out, request, after, Duration::ZERO).await?;
+            tokio::time::sleep(pause).await;
+            for number in after + 1..=last {
+                out.write(&chunk(&event(number))).await?;
+            }
+            out.write("0\r\n\r\n").await?;
+        }
         ReplicaAnswer::EventsFramed { framing, last } => {
             let body = event_texts(first_event(request)..=last);
             return write_framed_events(out, request, framing, &body).await;
--- a/testbed/tests/handing_on.rs
+++ b/testbed/tests/handing_on.rs
@@ -4,12 +4,15 @@
 
 use {
     archmast_testbed::{
-        direct::{Client, ClientRequest, ReplicaAnswer, forwarding_fleet},
+        direct::{Client, ClientRequest, ReplicaAnswer, RouteText, forwarding_fleet},
         fleet::{is_closed_by_peer, wait_until, wait_until_async},
     },
     std::time::Duration,
 };
 
+/// A pause within a stream, longer than any time after which a router looks at a silent connection.
+const LONG_PAUSE: Duration = Duration::from_millis(4500);
+
 #[tokio::test(flavor = "multi_thread")]
 async fn connections_of_a_busy_router_are_forwarded_to_its_neighbour_only_once() {
     let (fleet, replica) = forwarding_fleet().await;
@@ -84,6 +87,39 @@
     .await;
 }
 
+/// Guards against streams that are taken for idle connections at a stop, as they pause.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_cuts_no_forwarded_stream_that_pauses() {
+    let (mut fleet, replica) = forwarding_fleet().await;
+    let digest = RouteText {
+        resumable: false,
+        ..RouteText::new("/digest/", "s", "streaming")
+    };
+    fleet.store.publish(2, &[digest]);
+    fleet.wait_until_served(0, "/plain/", 404).await;
+    fleet.wait_until_served(1, "/plain/", 404).await;
+    replica.set_default_answer(ReplicaAnswer::EventsPausing {
+        after: 2,
+        pause: LONG_PAUSE,
+        last: 3,
+    });
+    let mut client = Client::connect(fleet.caller_addresses[0])
+        .await
+        .expect("connected");
+    let request = ClientRequest::post("/digest/", "stream-1", "prompt");
+    client.send(&request.bytes()).await.expect("sent");
+    assert!(client.wait_for("piece 2").await);
+    wait_until("the neighbour sent it", || fleet.was_sent_by(1, "stream-1")).await;
+    fleet.routers[0].terminate();
+    let answer = client.answer().await;
+    assert!(answer.is_whole_success(), "{}", answer.text());
+    assert!(answer.text().contains("piece 3"));
+    wait_until("the router exits, as the connection is idle", || {
+        fleet.routers[0].exit_status().is_some()
+    })
+    .await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_forwarded_request_is_cancelled_when_its_caller_disconnects() {
     let (fleet, replica) = forwarding_fleet().await;
