One request's error no longer completes another's answer on a handed-on connection

What callers saw: a caller whose connection a busy router had handed on sent its next request before an answer had ended. The neighbour was killed, and 100 bytes of the router's own 502 became the end of the first answer's body.

Cause: the relay took "the caller sent something and nothing came since" for "no answer has begun". On a connection with several requests in flight that is wrong, and nothing in the relay knew where an answer ends.

The relay follows the framing of what passes: heads (httparse, which hyper brought in already) and the lengths and chunks of bodies, HEAD, 204, 304, interim heads and several requests in flight. CallerWriter owns the only write half of the caller's connection. It gives it up for an answer of the router only while one is awaited and nothing of it was received, so that a second writer cannot be written down. An answer with neither length nor chunks whose neighbour is killed is cut by a reset: the linger time is zero while such an answer is in part, which also holds when the router in between is killed. What cannot be followed counts as in progress until its connection ends.

--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -28,11 +28,14 @@
 mod in_flight_guard;
 mod live_answer;
 mod neighbour_connection;
+mod neighbour_probe;
 mod neighbour_relay;
 mod plain_relay;
+mod probe_outcome;
 mod processor_state;
 mod processor_watch;
 mod ready_port;
+mod relay;
 mod replica_call;
 mod replica_query;
 mod reply;
@@ -59,6 +62,8 @@
     event_splitter::EventSplitter,
     exchange_suspects::log_held_back,
     gateway::Gateway,
+    neighbour_relay::NeighbourRelay,
+    relay::{AnswerEnd, ExchangeFollower, Progress},
     serve::main,
     store_read_state::StoreReadState,
     upstream_pool::UpstreamPool,
--- a/src/direct/neighbour_connection.rs
+++ b/src/direct/neighbour_connection.rs
@@ -50,6 +50,21 @@
     stream: TcpStream,
     neighbour: SocketAddr,
 ) -> io::Result<TcpStream> {
+    let (head, stream) = ask_neighbour(stream, neighbour).await?;
+    // Builds without this check answer that no route has this target.
+    let serves = head.status.is_success() || head.status == StatusCode::NOT_FOUND;
+    if !serves || head.headers.contains_key(CONNECTION) {
+        let detail = format!("the neighbour refuses: {}", head.status);
+        return Err(io::Error::other(detail));
+    }
+    Ok(stream)
+}
+
+/// Sends the check on a new connection. Returns the head of the answer, and the connection.
+pub(super) async fn ask_neighbour(
+    stream: TcpStream,
+    neighbour: SocketAddr,
+) -> io::Result<(Parts, TcpStream)> {
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (mut sender, connection) = handshake.map_err(io::Error::other)?;
     let request = Request::builder()
@@ -66,14 +81,8 @@
     };
     let (answered, ended) = tokio::join!(exchange, connection.without_shutdown());
     let head = answered.map_err(io::Error::other)?;
-    // Builds without this check answer that no route has this target.
-    let serves = head.status.is_success() || head.status == StatusCode::NOT_FOUND;
-    if !serves || head.headers.contains_key(CONNECTION) {
-        let detail = format!("the neighbour refuses: {}", head.status);
-        return Err(io::Error::other(detail));
-    }
     let socket = ended.map_err(io::Error::other)?.io;
-    Ok(socket.into_inner())
+    Ok((head, socket.into_inner()))
 }
 
 /// Whether a request is the check of another router.
--- /dev/null
+++ b/src/direct/neighbour_probe.rs
@@ -0,0 +1,43 @@
+//! Whether the process of a neighbour that sent nothing for a while still runs.
+
+use {
+    super::{
+        neighbour_connection::ask_neighbour, probe_outcome::ProbeOutcome,
+        sockets::configure_outgoing_socket,
+    },
+    std::{io, net::SocketAddr, time::Duration},
+    tokio::{net::TcpSocket, time::timeout},
+};
+
+/// Time-out of a probe for connecting and, separately, for the answer: far more than a running
+/// process needs, also one that is short of processor time.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Asks a neighbour on a new connection for a sign of life: any answer to the check.
+pub async fn probe_neighbour(
+    own_address: SocketAddr,
+    neighbour: SocketAddr,
+) -> ProbeOutcome {
+    let connecting = async {
+        let socket = TcpSocket::new_v4()?;
+        socket.bind(SocketAddr::new(own_address.ip(), 0))?;
+        timeout(PROBE_TIMEOUT, socket.connect(neighbour)).await?
+    };
+    let outcome: io::Result<()> = async {
+        let stream = connecting.await?;
+        configure_outgoing_socket(&stream);
+        timeout(PROBE_TIMEOUT, ask_neighbour(stream, neighbour)).await??;
+        Ok(())
+    }
+    .await;
+    match outcome {
+        Ok(()) => ProbeOutcome::Answered,
+        Err(error) => {
+            log::info!(neighbour = neighbour.to_string().as_str(); "neighbour does not answer: {error}");
+            match error.kind() {
+                io::ErrorKind::ConnectionRefused => ProbeOutcome::Refused,
+                _ => ProbeOutcome::Silent,
+            }
+        }
+    }
+}
--- a/src/direct/neighbour_relay.rs
+++ b/src/direct/neighbour_relay.rs
@@ -6,21 +6,22 @@
 
 use {
     super::{
-        caller_port::count_error, gateway::Gateway, neighbour_connection::connect_to_neighbour,
+        caller_port::count_error,
+        gateway::Gateway,
+        neighbour_connection::connect_to_neighbour,
+        neighbour_probe::probe_neighbour,
+        probe_outcome::ProbeOutcome,
+        relay::{CallerWriter, CloseCause, Progress, RelayBuffer, Step},
     },
     crate::codes::{ErrorAnswer, ResultCode},
-    std::{io, net::SocketAddr, ops::Range, time::Duration},
+    std::{io, net::SocketAddr, os::fd::AsFd, time::Duration},
     tokio::{
-        io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt},
         net::TcpStream,
         sync::watch,
-        time::{Instant, sleep},
+        time::{Instant, MissedTickBehavior, interval},
     },
 };
 
-/// Size of the relay buffer for each direction.
-const BUFFER_BYTES: usize = 8 * 1024;
-
 /// While the router stops, a connection without traffic for this long counts as idle: longer
 /// than the pauses within streams.
 const STOPPING_IDLE_TIMEOUT: Duration = Duration::from_millis(2500);
@@ -36,7 +37,6 @@
 pub struct NeighbourRelay<'g> {
     gateway: &'g Gateway,
     neighbour: SocketAddr, // where it accepts callers
-    awaits_answer: bool,   // no byte of the answer to the caller's last bytes arrived
     silent_since: Instant, // the neighbour's last bytes, or a later request
     last_traffic: Instant, // in either direction
 }
@@ -51,7 +51,6 @@
         Self {
             gateway,
             neighbour,
-            awaits_answer: false,
             silent_since: now,
             last_traffic: now,
         }
@@ -65,69 +64,110 @@
         mut connection: TcpStream,
         mut closing: watch::Receiver<bool>,
     ) -> io::Result<()> {
-        let (mut caller_read, mut caller_write) = caller.split();
+        let address = caller.peer_addr()?;
+        let (mut caller_read, caller_write) = caller.split();
         let (mut neighbour_read, mut neighbour_write) = connection.split();
-        let (mut requests, mut answers) = (Buffer::default(), Buffer::default());
+        let mut requests = RelayBuffer::default();
+        let mut answers = CallerWriter::new(caller_write);
         let mut takes_requests = true;
-        loop {
+        let mut checks = interval(CHECK_INTERVAL);
+        checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let cause = loop {
             let is_closing = *closing.borrow();
             tokio::select! {
-                step = requests.advance(&mut caller_read, &mut neighbour_write), if takes_requests => {
+                step = requests.advance(&mut caller_read, &mut neighbour_write),
+                    if takes_requests && answers.has_room() =>
+                {
+                    self.last_traffic = Instant::now();
                     match step {
-                        Step::Received => self.record_request(),
-                        Step::Sent => self.last_traffic = Instant::now(),
-                        Step::SourceClosed => return Ok(()),
+                        Step::Received => {
+                            if !answers.progress().awaits_answer() {
+                                self.silent_since = self.last_traffic;
+                            }
+                            answers.follow_request(requests.unsent());
+                        }
+                        Step::Sent => {}
+                        Step::SourceClosed | Step::SourceFailed => break CloseCause::CallerClosed,
                         // It may have answered before it closed.
                         Step::TargetClosed => takes_requests = false,
                     }
                 }
-                step = answers.advance(&mut neighbour_read, &mut caller_write) => match step {
-                    Step::Received => self.record_answer(),
-                    Step::Sent => self.last_traffic = Instant::now(),
-                    Step::SourceClosed => break,
-                    Step::TargetClosed => return Ok(()),
+                step = answers.advance(&mut neighbour_read) => match step {
+                    Step::Received => {
+                        self.last_traffic = Instant::now();
+                        self.silent_since = self.last_traffic;
+                        if answers.has_unasked_bytes() && answers.is_flushed() {
+                            break CloseCause::UnaskedBytes;
+                        }
+                    }
+                    Step::Sent => {
+                        self.last_traffic = Instant::now();
+                        if answers.has_unasked_bytes() && answers.is_flushed() {
+                            break CloseCause::UnaskedBytes;
+                        }
+                    }
+                    Step::SourceClosed => break CloseCause::NeighbourClosed,
+                    Step::SourceFailed => break CloseCause::NeighbourFailed,
+                    Step::TargetClosed => break CloseCause::CallerClosed,
                 },
                 changed = closing.changed(), if !is_closing => {
                     if changed.is_err() {
-                        return Ok(());
+                        break CloseCause::Stopping;
                     }
                 }
-                () = sleep(CHECK_INTERVAL) => {
-                    let is_idle = !self.awaits_answer
+                _ = checks.tick() => {
+                    let is_idle = !answers.progress().awaits_answer()
                         && self.last_traffic.elapsed() >= STOPPING_IDLE_TIMEOUT;
                     if is_closing && is_idle {
-                        return Ok(());
+                        break CloseCause::Stopping;
                     }
                     // An answer that has begun is delivered whenever the neighbour resumes.
-                    if self.awaits_answer && !self.is_neighbour_running().await {
-                        break;
+                    let awaits_answer = answers.is_flushed() && answers.progress().awaits_answer();
+                    if awaits_answer && !self.is_neighbour_running().await {
+                        break CloseCause::NeighbourSilent;
                     }
                 }
             }
-        }
-        self.log_lost_neighbour();
-        if self.awaits_answer {
-            let error = ErrorAnswer::new(ResultCode::OutcomeUnknown);
-            count_error(&error);
-            caller_write
-                .write_all(error_response(&error).as_bytes())
-                .await?;
-        }
-        Ok(())
+        };
+        let unread = unread_bytes(&caller_read) + requests.unsent().len() as u64;
+        self.log_end(address, cause, answers.progress(), unread);
+        self.end(cause, answers).await
     }
 
-    fn record_request(&mut self) {
-        self.last_traffic = Instant::now();
-        if !self.awaits_answer {
-            self.awaits_answer = true;
-            self.silent_since = self.last_traffic;
+    /// Ends what the neighbour left unfinished. An answer in part is left as it is.
+    async fn end(
+        &self,
+        cause: CloseCause,
+        answers: CallerWriter<'_>,
+    ) -> io::Result<()> {
+        match cause {
+            CloseCause::CallerClosed | CloseCause::UnaskedBytes | CloseCause::Stopping => {}
+            _ if answers.progress().awaits_answer() => {
+                let error = ErrorAnswer::new(ResultCode::OutcomeUnknown);
+                if let Some(answer) = answers.into_own_answer() {
+                    count_error(&error);
+                    answer.send(&error).await?;
+                }
+            }
+            CloseCause::NeighbourClosed
+                if answers.progress().may_end_by_close() && self.has_closed_in_order().await =>
+            {
+                answers.end_in_order();
+            }
+            _ => {}
         }
+        Ok(())
     }
 
-    fn record_answer(&mut self) {
-        self.last_traffic = Instant::now();
-        self.awaits_answer = false;
-        self.silent_since = self.last_traffic;
+    /// Whether the neighbour closed its connection by its own decision: the kernel closes those of
+    /// a killed process in the same way, but its listener too. A router that stops closes its
+    /// listener as well, and resets what it does not finish.
+    async fn has_closed_in_order(&self) -> bool {
+        if self.gateway.peers.is_leaving(self.neighbour.ip()) {
+            return true;
+        }
+        let own_address = self.gateway.settings().caller_listen;
+        probe_neighbour(own_address, self.neighbour).await == ProbeOutcome::Answered
     }
 
     /// Whether the neighbour's process is running: anything came from it lately, or it answers
@@ -157,80 +197,39 @@
         }
     }
 
-    fn log_lost_neighbour(&self) {
+    fn log_end(
+        &self,
+        caller: SocketAddr,
+        cause: CloseCause,
+        progress: Progress,
+        unread_bytes: u64,
+    ) {
+        if cause == CloseCause::CallerClosed && progress == Progress::Idle {
+            return;
+        }
+        let is_lost = !matches!(
+            cause,
+            CloseCause::CallerClosed | CloseCause::UnaskedBytes | CloseCause::Stopping
+        );
+        let code = (is_lost && progress.awaits_answer()).then_some(ResultCode::OutcomeUnknown);
         log::info!(
+            caller = caller.to_string().as_str(),
             neighbour = self.neighbour.to_string().as_str(),
+            cause = cause.name(),
+            in_progress = progress.name(),
+            idle_ms = self.last_traffic.elapsed().as_millis() as u64,
             silent_ms = self.silent_since.elapsed().as_millis() as u64,
-            code = self.awaits_answer.then(|| ResultCode::OutcomeUnknown.number());
-            "connection that was handed on ended at the neighbour"
+            unread_bytes = unread_bytes,
+            code = code.map(ResultCode::number);
+            "connection that was handed on ended"
         );
     }
 }
 
-/// What happened next in one direction of a relay.
-enum Step {
-    Received,
-    Sent,
-    SourceClosed,
-    TargetClosed,
-}
-
-/// Bytes that were received on one connection and not sent on the other yet.
-struct Buffer {
-    bytes: Vec<u8>,
-    unsent: Range<usize>,
-}
-
-impl Default for Buffer {
-    fn default() -> Self {
-        Self {
-            bytes: vec![0; BUFFER_BYTES],
-            unsent: 0..0,
-        }
-    }
-}
-
-impl Buffer {
-    /// Sends what is left of the last bytes, or receives the next ones. Nothing is lost if the
-    /// future is dropped.
-    async fn advance(
-        &mut self,
-        source: &mut (impl AsyncRead + Unpin),
-        target: &mut (impl AsyncWrite + Unpin),
-    ) -> Step {
-        if self.unsent.is_empty() {
-            return match source.read(&mut self.bytes).await {
-                Ok(0) => Step::SourceClosed,
-                Ok(count) => {
-                    self.unsent = 0..count;
-                    Step::Received
-                }
-                Err(error) => {
-                    log::debug!("connection that was handed on: {error}");
-                    Step::SourceClosed
-                }
-            };
-        }
-        match target.write(&self.bytes[self.unsent.clone()]).await {
-            Ok(0) => Step::TargetClosed,
-            Ok(count) => {
-                self.unsent.start += count;
-                Step::Sent
-            }
-            Err(error) => {
-                log::debug!("connection that was handed on: {error}");
-                Step::TargetClosed
-            }
-        }
-    }
-}
-
-/// The text of an error answer, after which the connection is closed.
-fn error_response(error: &ErrorAnswer) -> String {
-    let body = error.to_json("");
-    format!(
-        "HTTP/1.1 {} Bad Gateway\r\ncontent-type: application/json\r\ncontent-length: {}\r\nconnection: close\r\n\r\n{body}",
-        error.status(),
-        body.len(),
-    )
+/// The bytes that a connection has received and that were not read.
+fn unread_bytes(socket: impl AsRef<TcpStream>) -> u64 {
+    rustix::io::ioctl_fionread(socket.as_ref().as_fd()).unwrap_or_else(|error| {
+        log::debug!("connection that was handed on: {error}");
+        0
+    })
 }
--- /dev/null
+++ b/tests/relayed_connections.rs
@@ -0,0 +1,277 @@
+//! A caller whose connection is relayed to a neighbour reads the bytes of the neighbour's answers,
+//! and an answer of the router itself only where none of the neighbour's has begun.
+
+mod relayed;
+
+use {
+    archmast::{
+        catalog::Catalog,
+        conf::{DirectSettings, IniDocument},
+        direct::{AnswerEnd, Gateway, NeighbourRelay, Progress},
+        platform::{dialect, parse_config, parse_replica},
+    },
+    proptest::prelude::*,
+    relayed::{Conversation, any_conversation},
+    std::{io, sync::Arc, time::Duration},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream},
+        runtime::Builder,
+        sync::watch,
+        task::JoinHandle,
+        time::{sleep, timeout},
+    },
+};
+
+const SETTINGS: &str = "\
+[process]
+host = r1
+zone = z
+[callers]
+listen = 127.0.0.1:1
+[ready]
+listen = 127.0.0.1:2
+[operator]
+listen = 127.0.0.1:3
+[peers]
+listen = 127.0.0.1:4
+news = 127.0.0.1:5
+[catalog]
+address = 127.0.0.1:6
+";
+
+const GET: &[u8] = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n";
+const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+
+/// The answer to a probe of a router that runs and refuses callers.
+const REFUSAL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n";
+
+/// The beginning and the end of an answer of the router itself.
+const OWN_ANSWER: &[u8] = b"HTTP/1.1 502 Bad Gateway\r\n";
+const JSON_END: &[u8] = b"}";
+
+/// How long a test waits for what does not come.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Both ends of a relayed connection.
+struct Relayed {
+    caller: TcpStream,
+    neighbour: TcpStream,
+    listener: TcpListener, // the neighbour's, to which probes come
+    _closing: watch::Sender<bool>,
+    _relay: JoinHandle<io::Result<()>>,
+}
+
+/// A connection, as seen by the process that opened it and the one that accepted it.
+async fn connected(listener: &TcpListener) -> (TcpStream, TcpStream) {
+    let address = listener.local_addr().expect("an address");
+    let (opened, accepted) = tokio::join!(TcpStream::connect(address), listener.accept());
+    let (opened, accepted) = (opened.expect("connects"), accepted.expect("accepts").0);
+    for stream in [&opened, &accepted] {
+        stream.set_nodelay(true).expect("a socket option");
+    }
+    (opened, accepted)
+}
+
+async fn listener() -> TcpListener {
+    let listener = TcpListener::bind("127.0.0.1:0").await;
+    listener.expect("a free port")
+}
+
+impl Relayed {
+    async fn start() -> Self {
+        let document = IniDocument::parse("direct.ini", SETTINGS).expect("settings");
+        let settings = DirectSettings::from_document(document).expect("settings");
+        let catalog = Arc::new(Catalog::new(parse_config, parse_replica));
+        let gateway = Gateway::new(settings, dialect(), catalog);
+        let (caller, accepted) = connected(&listener().await).await;
+        let listener = listener().await;
+        let (opened, neighbour) = connected(&listener).await;
+        let address = listener.local_addr().expect("an address");
+        let (closing, is_closing) = watch::channel(false);
+        let relay = tokio::spawn(async move {
+            let relay = NeighbourRelay::new(&gateway, address);
+            relay.run(accepted, opened, is_closing).await
+        });
+        Self {
+            caller,
+            neighbour,
+            listener,
+            _closing: closing,
+            _relay: relay,
+        }
+    }
+
+    /// Passes a request on, up to the neighbour.
+    async fn request(
+        &mut self,
+        bytes: &[u8],
+    ) {
+        self.caller.write_all(bytes).await.expect("sent");
+        let mut received = vec![0; bytes.len()];
+        let reading = self.neighbour.read_exact(&mut received);
+        let read = timeout(PATIENCE, reading).await.expect("relayed");
+        read.expect("received");
+        assert_eq!(received, bytes);
+    }
+
+    /// Passes an answer on, up to the caller.
+    async fn answer(
+        &mut self,
+        bytes: &[u8],
+    ) {
+        self.neighbour.write_all(bytes).await.expect("sent");
+        let mut received = vec![0; bytes.len()];
+        let reading = self.caller.read_exact(&mut received);
+        let read = timeout(PATIENCE, reading).await.expect("relayed");
+        read.expect("received");
+        assert_eq!(received, bytes);
+    }
+
+    /// Answers the neighbour's probes from now on as a router that refuses callers, after a delay.
+    async fn refuse_probes(
+        &mut self,
+        delay: Duration,
+    ) -> JoinHandle<()> {
+        let probed = std::mem::replace(&mut self.listener, listener().await);
+        tokio::spawn(refuse_probes(probed, delay))
+    }
+
+    /// What the caller reads until its connection ends, and whether that is reset.
+    async fn read_to_end(mut self) -> (Vec<u8>, bool) {
+        let mut received = Vec::new();
+        let reading = self.caller.read_to_end(&mut received);
+        let ended = timeout(PATIENCE, reading).await.expect("an end");
+        (received, ended.is_err())
+    }
+
+    /// Ends the neighbour's process: the kernel closes its listener, and then its connections.
+    async fn kill_neighbour(self) -> (Vec<u8>, bool) {
+        let Self {
+            mut caller,
+            neighbour,
+            listener,
+            _closing,
+            _relay,
+        } = self;
+        drop(listener);
+        drop(neighbour);
+        let mut received = Vec::new();
+        let reading = caller.read_to_end(&mut received);
+        let ended = timeout(PATIENCE, reading).await.expect("an end");
+        (received, ended.is_err())
+    }
+}
+
+/// Answers probes as a router that refuses callers, after a delay.
+async fn refuse_probes(
+    listener: TcpListener,
+    delay: Duration,
+) {
+    while let Ok((mut stream, _)) = listener.accept().await {
+        tokio::spawn(async move {
+            let mut request = [0; 1024];
+            if stream.read(&mut request).await.is_ok() {
+                sleep(delay).await;
+                let sent = stream.write_all(REFUSAL).await;
+                log::debug!("answer to a probe: {sent:?}");
+            }
+        });
+    }
+}
+
+// A neighbour that ends
+
+/// Guards against the beginning of an answer that reads as the whole.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_ends_with_the_connection_is_reset_when_its_neighbour_is_killed() {
+    let mut relayed = Relayed::start().await;
+    relayed.request(GET).await;
+    relayed
+        .answer(b"HTTP/1.1 200 OK\r\n\r\nthe first half")
+        .await;
+    assert_eq!(relayed.kill_neighbour().await, (Vec::new(), true));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_ends_with_the_connection_is_whole_when_its_neighbour_ends_it() {
+    let mut relayed = Relayed::start().await;
+    relayed.request(GET).await;
+    relayed.answer(b"HTTP/1.1 200 OK\r\n\r\nall of it").await;
+    let probes = relayed.refuse_probes(Duration::ZERO).await;
+    relayed.neighbour.shutdown().await.expect("closed");
+    assert_eq!(relayed.read_to_end().await, (Vec::new(), false));
+    probes.abort();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bytes_that_answer_no_request_are_not_passed_on() {
+    let mut relayed = Relayed::start().await;
+    relayed.request(GET).await;
+    let surplus = [ANSWER, ANSWER].concat();
+    relayed.neighbour.write_all(&surplus).await.expect("sent");
+    assert_eq!(relayed.read_to_end().await, (ANSWER.to_vec(), false));
+}
+
+/// The end of a drawn play.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    NeighbourKilled,
+    NeighbourClosed,
+}
+
+/// One play: bytes of requests and answers in turns, then the end.
+async fn play(
+    conversation: Conversation,
+    steps: Vec<(bool, usize)>,
+    end: End,
+) -> Result<(), TestCaseError> {
+    let mut relayed = Relayed::start().await;
+    let (mut requested, mut answered) = (0, 0);
+    for (is_request, count) in steps {
+        if is_request {
+            let stop = conversation.requests.len().min(requested + count);
+            let bytes = &conversation.requests[requested..stop];
+            relayed.request(bytes).await;
+            requested = stop;
+        } else {
+            let stop = conversation.answerable(requested).min(answered + count);
+            relayed.answer(&conversation.answers[answered..stop]).await;
+            answered = stop;
+        }
+    }
+    let progress = conversation.progress(requested, answered);
+    let (received, is_reset) = match end {
+        End::NeighbourKilled => relayed.kill_neighbour().await,
+        End::NeighbourClosed => {
+            let probes = relayed.refuse_probes(Duration::ZERO).await;
+            relayed.neighbour.shutdown().await.expect("closed");
+            let ended = relayed.read_to_end().await;
+            probes.abort();
+            ended
+        }
+    };
+    // A reset is never taken for an end, and its answer may have any framing.
+    let must_reset = progress == Progress::AnswerInPart(AnswerEnd::Close);
+    prop_assert_eq!(is_reset, must_reset && end == End::NeighbourKilled);
+    match progress.awaits_answer() {
+        true => prop_assert!(received.starts_with(OWN_ANSWER) && received.ends_with(JSON_END)),
+        false => prop_assert_eq!(received, Vec::<u8>::new(), "{:?}", progress),
+    }
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(400))]
+
+    #[test]
+    fn each_byte_that_a_caller_reads_belongs_to_the_answer_whose_turn_it_is(
+        exchanges in any_conversation(),
+        steps in prop::collection::vec((any::<bool>(), 1usize..90), 1..40),
+        end in prop_oneof![Just(End::NeighbourKilled), Just(End::NeighbourClosed)],
+    ) {
+        let runtime = Builder::new_multi_thread().worker_threads(2).enable_all().build();
+        let conversation = Conversation::new(&exchanges);
+        runtime.expect("a runtime").block_on(play(conversation, steps, end))?;
+    }
+}
