A silent neighbour is asked whether it runs, not whether it takes callers

What callers saw: a request whose answer was awaited for more than 2.5 s got 502 (outcome unknown) although the neighbour and the replica were at work on it, if no report of the neighbour had come lately and it was stopping, lagging for a moment, or took more than 100 ms to answer.

Cause: whether the neighbour's process runs was judged by the check that a neighbour must pass to be handed new connections. A refusal, a closed listener and a late answer all counted as a suspended process, and one failure was enough.

A probe of its own now asks for a sign of life: any answer counts, and so does a refused connection, as the relayed one is still open. They run beside the relay, which no longer stands still meanwhile.

Before: two of the four new plays failed, with a neighbour that answers probes with 503 (at once, or after 300 ms) and with one that accepts nothing: 502 instead of the answer.

--- a/src/direct/neighbour_relay.rs
+++ b/src/direct/neighbour_relay.rs
@@ -8,12 +8,12 @@
     super::{
         caller_port::count_error,
         gateway::Gateway,
-        neighbour_connection::connect_to_neighbour,
         neighbour_probe::probe_neighbour,
         probe_outcome::ProbeOutcome,
         relay::{CallerWriter, CloseCause, Progress, RelayBuffer, Step},
     },
     crate::codes::{ErrorAnswer, ResultCode},
+    futures::future::BoxFuture,
     std::{io, net::SocketAddr, os::fd::AsFd, time::Duration},
     tokio::{
         net::TcpStream,
@@ -26,10 +26,14 @@
 /// than the pauses within streams.
 const STOPPING_IDLE_TIMEOUT: Duration = Duration::from_millis(2500);
 
-/// A neighbour from which nothing came for this long must show that it is still running, or it
-/// counts as suspended: as long as the kernel takes to notice a host that has vanished.
+/// A neighbour that owes an answer and sent nothing for this long must show that it is still
+/// running: as long as the kernel takes to notice a host that has vanished.
 const SILENCE_LIMIT: Duration = Duration::from_millis(2500);
 
+/// Number of probes in a row without any answer after which a neighbour counts as suspended: a
+/// process that is short of processor time may miss one.
+const MAX_FAILED_PROBES: u32 = 3;
+
 /// How often a connection is checked for a silent neighbour, and for the end of this router.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -37,8 +41,9 @@
 pub struct NeighbourRelay<'g> {
     gateway: &'g Gateway,
     neighbour: SocketAddr, // where it accepts callers
-    silent_since: Instant, // the neighbour's last bytes, or a later request
+    silent_since: Instant, // the neighbour's last sign of life, or a later request
     last_traffic: Instant, // in either direction
+    failed_probes: u32,    // in a row
 }
 
 impl<'g> NeighbourRelay<'g> {
@@ -53,6 +58,7 @@
             neighbour,
             silent_since: now,
             last_traffic: now,
+            failed_probes: 0,
         }
     }
 
@@ -70,6 +76,7 @@
         let mut requests = RelayBuffer::default();
         let mut answers = CallerWriter::new(caller_write);
         let mut takes_requests = true;
+        let mut probe: Option<BoxFuture<'static, ProbeOutcome>> = None;
         let mut checks = interval(CHECK_INTERVAL);
         checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let cause = loop {
@@ -95,7 +102,8 @@
                 step = answers.advance(&mut neighbour_read) => match step {
                     Step::Received => {
                         self.last_traffic = Instant::now();
-                        self.silent_since = self.last_traffic;
+                        self.record_sign_of_life();
+                        probe = None;
                         if answers.has_unasked_bytes() && answers.is_flushed() {
                             break CloseCause::UnaskedBytes;
                         }
@@ -115,6 +123,13 @@
                         break CloseCause::Stopping;
                     }
                 }
+                outcome = async { probe.as_mut().expect("a probe").await }, if probe.is_some() => {
+                    probe = None;
+                    self.record_probe(outcome);
+                    if self.failed_probes >= MAX_FAILED_PROBES {
+                        break CloseCause::NeighbourSilent;
+                    }
+                }
                 _ = checks.tick() => {
                     let is_idle = !answers.progress().awaits_answer()
                         && self.last_traffic.elapsed() >= STOPPING_IDLE_TIMEOUT;
@@ -123,8 +138,9 @@
                     }
                     // An answer that has begun is delivered whenever the neighbour resumes.
                     let awaits_answer = answers.is_flushed() && answers.progress().awaits_answer();
-                    if awaits_answer && !self.is_neighbour_running().await {
-                        break CloseCause::NeighbourSilent;
+                    if awaits_answer && probe.is_none() && self.is_neighbour_silent() {
+                        let own_address = self.gateway.settings().caller_listen;
+                        probe = Some(Box::pin(probe_neighbour(own_address, self.neighbour)));
                     }
                 }
             }
@@ -170,30 +186,35 @@
         probe_neighbour(own_address, self.neighbour).await == ProbeOutcome::Answered
     }
 
-    /// Whether the neighbour's process is running: anything came from it lately, or it answers
-    /// on a new connection. The connection itself shows nothing, since the kernel keeps it open.
-    async fn is_neighbour_running(&mut self) -> bool {
+    fn record_sign_of_life(&mut self) {
+        self.silent_since = Instant::now();
+        self.failed_probes = 0;
+    }
+
+    /// Whether nothing shows that the neighbour's process runs: neither bytes on this connection,
+    /// which the kernel would keep open for it, nor a report.
+    fn is_neighbour_silent(&mut self) -> bool {
         if self.silent_since.elapsed() < SILENCE_LIMIT {
-            return true;
+            return false;
         }
         let settings = self.gateway.settings();
         let now = self.gateway.now();
-        let has_reported =
-            self.gateway
-                .peers
-                .has_recent_report(now, settings.peer_age, self.neighbour);
+        let peers = &self.gateway.peers;
+        let has_reported = peers.has_recent_report(now, settings.peer_age, self.neighbour);
         if has_reported {
-            return true;
+            self.failed_probes = 0;
         }
-        match connect_to_neighbour(settings.caller_listen, self.neighbour).await {
-            Ok(_) => {
-                self.silent_since = Instant::now();
-                true
-            }
-            Err(error) => {
-                log::info!(neighbour = self.neighbour.to_string().as_str(); "neighbour does not answer: {error}");
-                false
-            }
+        !has_reported
+    }
+
+    fn record_probe(
+        &mut self,
+        outcome: ProbeOutcome,
+    ) {
+        match outcome {
+            // Its listener is closed, as it is stopping: the kernel has not closed its connections.
+            ProbeOutcome::Answered | ProbeOutcome::Refused => self.record_sign_of_life(),
+            ProbeOutcome::Silent => self.failed_probes += 1,
         }
     }
 
--- a/tests/relayed_connections.rs
+++ b/tests/relayed_connections.rs
@@ -50,6 +50,10 @@
 const OWN_ANSWER: &[u8] = b"HTTP/1.1 502 Bad Gateway\r\n";
 const JSON_END: &[u8] = b"}";
 
+/// More than a router waits before it asks a silent neighbour for a sign of life, and before it
+/// takes a neighbour that gives none for suspended.
+const LONG_SILENCE: Duration = Duration::from_secs(7);
+
 /// How long a test waits for what does not come.
 const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -180,6 +184,48 @@
     }
 }
 
+// A silent neighbour
+
+/// Guards against a sound neighbour that counts as suspended, as it refuses callers or is slow.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_is_awaited_while_the_neighbour_answers_probes_in_any_way() {
+    for delay in [0, 300] {
+        let mut relayed = Relayed::start().await;
+        relayed.request(GET).await;
+        let probes = relayed.refuse_probes(Duration::from_millis(delay)).await;
+        sleep(LONG_SILENCE).await;
+        relayed.answer(ANSWER).await;
+        probes.abort();
+    }
+}
+
+/// Guards against a neighbour that counts as suspended, as it stops and accepts nothing any more.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_is_awaited_while_a_neighbour_that_accepts_nothing_keeps_the_connection() {
+    let mut relayed = Relayed::start().await;
+    relayed.request(GET).await;
+    drop(std::mem::replace(&mut relayed.listener, listener().await));
+    sleep(LONG_SILENCE).await;
+    relayed.answer(ANSWER).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_in_part_is_awaited_however_long_the_neighbour_is_silent() {
+    let mut relayed = Relayed::start().await;
+    relayed.request(GET).await;
+    relayed.answer(&ANSWER[..10]).await;
+    sleep(LONG_SILENCE).await;
+    relayed.answer(&ANSWER[10..]).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_neighbour_that_answers_no_probe_is_given_up() {
+    let mut relayed = Relayed::start().await;
+    relayed.request(GET).await;
+    let (received, _) = relayed.read_to_end().await;
+    assert!(received.starts_with(OWN_ANSWER));
+}
+
 // A neighbour that ends
 
 /// Guards against the beginning of an answer that reads as the whole.
