A stop closes a handed-on connection only when nothing is in progress on it

What callers saw: streams that pause for more than 2.5 s were cut when the router that had handed their connections on got SIGTERM, with the neighbour and the replica at work and most of the grace left.

Cause: STOPPING_IDLE_TIMEOUT. A connection counted as idle when nothing had passed for 2.5 s and the first byte of an answer was there.

What is in progress is now known by the framing. A stopping router closes a handed-on connection when each request that has begun has its whole answer, all of it was written, and nothing passed for 0.5 s, after one more look at the socket; idle connections thus end sooner than before. All others have what the grace leaves.

--- a/src/direct/neighbour_relay.rs
+++ b/src/direct/neighbour_relay.rs
@@ -22,9 +22,9 @@
     },
 };
 
-/// While the router stops, a connection without traffic for this long counts as idle: longer
-/// than the pauses within streams.
-const STOPPING_IDLE_TIMEOUT: Duration = Duration::from_millis(2500);
+/// While the router stops, how long a connection must have been idle before it is closed: a caller
+/// may send its next request right after an answer.
+const STOPPING_IDLE_TIME: Duration = Duration::from_millis(500);
 
 /// A neighbour that owes an answer and sent nothing for this long must show that it is still
 /// running: as long as the kernel takes to notice a host that has vanished.
@@ -131,9 +131,12 @@
                     }
                 }
                 _ = checks.tick() => {
-                    let is_idle = !answers.progress().awaits_answer()
-                        && self.last_traffic.elapsed() >= STOPPING_IDLE_TIMEOUT;
-                    if is_closing && is_idle {
+                    let is_at_rest = requests.unsent().is_empty() && answers.is_flushed();
+                    let is_idle = is_at_rest
+                        && answers.progress() == Progress::Idle
+                        && self.last_traffic.elapsed() >= STOPPING_IDLE_TIME;
+                    // A request may have arrived that was not read yet.
+                    if is_closing && is_idle && unread_bytes(&caller_read) == 0 {
                         break CloseCause::Stopping;
                     }
                     // An answer that has begun is delivered whenever the neighbour resumes.
--- a/tests/relayed_connections.rs
+++ b/tests/relayed_connections.rs
@@ -62,8 +62,8 @@
     caller: TcpStream,
     neighbour: TcpStream,
     listener: TcpListener, // the neighbour's, to which probes come
-    _closing: watch::Sender<bool>,
-    _relay: JoinHandle<io::Result<()>>,
+    closing: watch::Sender<bool>,
+    relay: JoinHandle<io::Result<()>>,
 }
 
 /// A connection, as seen by the process that opened it and the one that accepted it.
@@ -101,8 +101,8 @@
             caller,
             neighbour,
             listener,
-            _closing: closing,
-            _relay: relay,
+            closing,
+            relay,
         }
     }
 
@@ -155,8 +155,8 @@
             mut caller,
             neighbour,
             listener,
-            _closing,
-            _relay,
+            closing: _closing,
+            relay: _relay,
         } = self;
         drop(listener);
         drop(neighbour);
@@ -259,11 +259,108 @@
     assert_eq!(relayed.read_to_end().await, (ANSWER.to_vec(), false));
 }
 
+// A stop
+
+/// Whether a connection ends some time after the router began to stop.
+async fn has_ended_after_stop(relayed: &Relayed) -> bool {
+    relayed.closing.send_replace(true);
+    sleep(Duration::from_millis(3500)).await;
+    relayed.relay.is_finished()
+}
+
+/// Guards against requests and answers in progress that count as idle, as they pause.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_closes_no_connection_on_which_a_request_or_an_answer_is_in_part() {
+    let post: &[u8] = b"POST / HTTP/1.1\r\ncontent-length: 4\r\n\r\nab";
+    let cases: [(&[u8], &[u8]); 5] = [
+        (b"GET / HT", b""),
+        (post, b""),
+        (GET, b""),
+        (GET, &ANSWER[..10]),
+        (GET, b"HTTP/1.1 200 OK\r\n\r\nthe first half"),
+    ];
+    let mut plays = tokio::task::JoinSet::new();
+    for (request, answer) in cases {
+        plays.spawn(async move {
+            let mut relayed = Relayed::start().await;
+            let probes = relayed.refuse_probes(Duration::ZERO).await;
+            relayed.request(request).await;
+            relayed.answer(answer).await;
+            let text = String::from_utf8_lossy(&[request, answer].concat()).into_owned();
+            assert!(!has_ended_after_stop(&relayed).await, "{text}");
+            probes.abort();
+        });
+    }
+    while let Some(played) = plays.join_next().await {
+        played.expect("a play");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_closes_idle_connections_soon() {
+    for answers in [0, 1, 3] {
+        let mut relayed = Relayed::start().await;
+        for _ in 0..answers {
+            relayed.request(GET).await;
+            relayed.answer(ANSWER).await;
+        }
+        assert!(has_ended_after_stop(&relayed).await);
+        assert_eq!(relayed.read_to_end().await, (Vec::new(), false));
+    }
+}
+
+/// The router is stopped at once, with the answer not read by its caller.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_waits_until_a_whole_answer_was_written() {
+    let mut relayed = Relayed::start().await;
+    relayed.request(GET).await;
+    const LENGTH: usize = 16 << 20;
+    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {LENGTH}\r\n\r\n");
+    let answer = [head.as_bytes(), &vec![b'b'; LENGTH]].concat();
+    let (mut neighbour, expected) = (relayed.neighbour, answer.len());
+    let writing = tokio::spawn(async move {
+        neighbour.write_all(&answer).await.expect("sent");
+        neighbour
+    });
+    relayed.closing.send_replace(true);
+    sleep(Duration::from_secs(2)).await;
+    let mut received = Vec::new();
+    let reading = relayed.caller.read_to_end(&mut received);
+    timeout(PATIENCE, reading)
+        .await
+        .expect("an end")
+        .expect("no reset");
+    assert_eq!(received.len(), expected);
+    drop(writing.await);
+}
+
+/// Guards against a request that arrived and is not read before its connection is closed. The
+/// whole process stands still while the connection becomes idle and the request arrives.
+#[tokio::test]
+async fn a_stop_passes_a_request_on_that_arrives_right_before_the_close() {
+    for _ in 0..6 {
+        let mut relayed = Relayed::start().await;
+        relayed.request(GET).await;
+        relayed.answer(ANSWER).await;
+        relayed.closing.send_replace(true);
+        sleep(Duration::from_millis(100)).await;
+        std::thread::sleep(Duration::from_secs(1));
+        relayed.caller.try_write(GET).expect("sent");
+        let mut received = vec![0; GET.len()];
+        let reading = relayed.neighbour.read_exact(&mut received);
+        let read = timeout(PATIENCE, reading).await.expect("relayed");
+        read.expect("received");
+        relayed.answer(ANSWER).await;
+        assert_eq!(relayed.read_to_end().await, (Vec::new(), false));
+    }
+}
+
 /// The end of a drawn play.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum End {
     NeighbourKilled,
     NeighbourClosed,
+    Stop,
 }
 
 /// One play: bytes of requests and answers in turns, then the end.
@@ -287,6 +384,7 @@
         }
     }
     let progress = conversation.progress(requested, answered);
+    let may_stop = progress == Progress::Idle;
     let (received, is_reset) = match end {
         End::NeighbourKilled => relayed.kill_neighbour().await,
         End::NeighbourClosed => {
@@ -296,6 +394,11 @@
             probes.abort();
             ended
         }
+        End::Stop if may_stop => {
+            relayed.closing.send_replace(true);
+            relayed.read_to_end().await
+        }
+        End::Stop => return Ok(()),
     };
     // A reset is never taken for an end, and its answer may have any framing.
     let must_reset = progress == Progress::AnswerInPart(AnswerEnd::Close);
@@ -314,7 +417,9 @@
     fn each_byte_that_a_caller_reads_belongs_to_the_answer_whose_turn_it_is(
         exchanges in any_conversation(),
         steps in prop::collection::vec((any::<bool>(), 1usize..90), 1..40),
-        end in prop_oneof![Just(End::NeighbourKilled), Just(End::NeighbourClosed)],
+        end in prop_oneof![
+            6 => Just(End::NeighbourKilled), 6 => Just(End::NeighbourClosed), 1 => Just(End::Stop)
+        ],
     ) {
         let runtime = Builder::new_multi_thread().worker_threads(2).enable_all().build();
         let conversation = Conversation::new(&exchanges);
