--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -32,12 +32,15 @@
 mod in_flight_guard;
 mod live_answer;
 mod neighbour_connection;
+mod neighbour_probe;
 mod neighbour_relay;
 mod plain_relay;
+mod probe_outcome;
 mod processor_state;
 mod processor_watch;
 mod ready_port;
 mod refused_body;
+mod relay;
 mod replica_call;
 mod replica_query;
 mod reply;
@@ -66,6 +69,8 @@
     exchange_suspects::log_held_back,
     gateway::Gateway,
     idle_limit::IdleLimit,
+    neighbour_relay::NeighbourRelay,
+    relay::{AnswerEnd, ExchangeFollower, Progress},
     serve::main,
     store_read_state::StoreReadState,
     upstream_pool::UpstreamPool,
