A suspended neighbour is given up as early as before

A request that waits at a suspended neighbour got 502 after about 5 s, since three probes of half a second each came after a silence of 2.5 s: longer than many routes' time-outs. They begin after 1 s now, so that the caller gets 502 after 2.5 to 3.3 s, as before the probes. Reports of the neighbour still count first, so that few probes are sent.

--- a/src/direct/neighbour_relay.rs
+++ b/src/direct/neighbour_relay.rs
@@ -27,8 +27,9 @@
 const STOPPING_IDLE_TIME: Duration = Duration::from_millis(500);
 
 /// A neighbour that owes an answer and sent nothing for this long must show that it is still
-/// running: as long as the kernel takes to notice a host that has vanished.
-const SILENCE_LIMIT: Duration = Duration::from_millis(2500);
+/// running. With the probes that follow, a suspended one is given up about as soon as the kernel
+/// notices a host that has vanished.
+const SILENCE_LIMIT: Duration = Duration::from_secs(1);
 
 /// Number of probes in a row without any answer after which a neighbour counts as suspended: a
 /// process that is short of processor time may miss one.
