Tests: a router answers after requests of a token were refused

The panic under the lock of the shares, with real processes: one router, one replica, two accounts with requests of one token; one is served, then the replica asks for rest and all others are refused.

--- a/testbed/tests/whole_requests.rs
+++ b/testbed/tests/whole_requests.rs
@@ -15,6 +15,12 @@
 /// Rest between the pieces of a body: longer than a router takes to refuse a request by its head.
 const PIECE_REST: Duration = Duration::from_millis(100);
 
+/// Backoff that a replica asks for while it refuses all requests.
+const BACKOFF_SECONDS: f64 = 0.2;
+
+/// Requests of each account meanwhile.
+const REFUSED_REQUESTS: usize = 15;
+
 /// More than a router reads of a connection at once.
 const LARGE_BODY: usize = 60 << 10;
 
@@ -35,6 +41,50 @@
     }
 }
 
+/// Guards against a panic under the lock of the shares, after which no request was answered.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_of_a_token_are_answered_after_nearly_all_were_refused() {
+    let fleet = DirectFleet::start(1, "").await;
+    let replica = fleet
+        .start_replica("i-a", "s", ReplicaAnswer::ok("whole"))
+        .await;
+    let read = RouteText::new("/read/", "s", "idempotent");
+    let mut config = ConfigText {
+        service_fields: json!({"engine": {"slots": 8, "kv_capacity_tokens": 100_000}}),
+        ..ConfigText::new(1, &[read])
+    }
+    .to_json();
+    config["tenants"] = json!([
+        {"name": "lot", "api_keys": ["key-1"]},
+        {"name": "lot-2", "api_keys": ["key-2"]},
+    ]);
+    fleet
+        .store
+        .put_bytes("op/config", config.to_string().as_bytes());
+    fleet.wait_until_served(0, "/read/", 200).await;
+    let ask = async |id: &str, key: &str| {
+        let request = ClientRequest::post("/read/", id, "{}")
+            .header("Archmast-Credential", key)
+            .header("Archmast-Prefix-Hash", "ab:1")
+            .header("Archmast-Token-Count", "1,0");
+        Client::call_once(fleet.caller_addresses[0], &request).await
+    };
+    assert!(ask("first", "key-1").await.is_whole_success());
+    replica.set_backoff(Some(BACKOFF_SECONDS));
+    for number in 0..REFUSED_REQUESTS {
+        for key in ["key-1", "key-2"] {
+            let answer = ask(&format!("{key}-{number}"), key).await;
+            let is_refusal = [429, 503].contains(&answer.status);
+            assert!(is_refusal && answer.is_complete, "{number}: {answer:?}");
+        }
+    }
+    replica.set_backoff(None);
+    wait_until_async("the replica is used again", async || {
+        ask("last", "key-1").await.is_whole_success()
+    })
+    .await;
+}
+
 /// Guards against a connection that closes unannounced, as the refused request's body was still on
 /// the way.
 #[tokio::test(flavor = "multi_thread")]
