Tests: the series check that their changes come into force

A series whose versions no router took, or whose settings no router read again, would show nothing. More than half of the versions have to answer requests, and more than half of the signals to be followed by settings that are in force again.

--- a/testbed/tests/changes_in_series.rs
+++ b/testbed/tests/changes_in_series.rs
@@ -8,12 +8,12 @@
             Client, ClientAnswer, ClientRequest, ConfigText, DirectFleet, Framing, Replica,
             ReplicaAnswer, RouteText, event,
         },
-        fleet::wait_until,
+        fleet::{Process, wait_until},
     },
     rand::{Rng, SeedableRng, rngs::StdRng},
     serde_json::{Value, json},
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
         sync::{Arc, Mutex},
         time::{Duration, Instant},
@@ -176,6 +176,8 @@
                 .store
                 .put_bytes("op/config", config.to_string().as_bytes());
         }
+        let used = self.versions_used();
+        assert!(used * 2 > version as usize, "{used} of {version} versions");
         self.end(&format!("{} versions", version - 1)).await;
     }
 
@@ -200,6 +202,8 @@
             self.fleet.routers[router].signal_reload();
             changes += 1;
         }
+        let reloads: usize = self.count_log_lines("settings in force again");
+        assert!(reloads * 2 > changes, "{reloads} of {changes} settings");
         self.end(&format!("{changes} signals")).await;
     }
 
@@ -241,6 +245,26 @@
         self.end(&format!("{changes} replicas replaced")).await;
     }
 
+    /// The number of versions of the configuration by which requests were answered.
+    fn versions_used(&self) -> usize {
+        let logs = self.fleet.routers.iter().map(Process::log_text);
+        let versions = logs.flat_map(|log| {
+            let lines = log.lines().filter(|line| line.contains("answer begins"));
+            let lines = lines.filter_map(|line| serde_json::from_str::<Value>(line).ok());
+            let versions = lines.filter_map(|line| line["config"].as_u64());
+            versions.collect::<Vec<_>>()
+        });
+        versions.collect::<BTreeSet<_>>().len()
+    }
+
+    fn count_log_lines(
+        &self,
+        text: &str,
+    ) -> usize {
+        let logs = self.fleet.routers.iter().map(Process::log_text);
+        logs.map(|log| log.matches(text).count()).sum()
+    }
+
     /// Ends the callers after their last answers and checks what they saw.
     async fn end(
         mut self,
