Close connections some time after an answer that did not announce it

Callers whose streams outlasted a stop, or the stop of the router that had forwarded their connection, lost the request that they sent next.

The head of such a stream was written before the stop and could not announce the close; the connection was closed right after the last byte, as the request that followed was on its way. Now a connection that is closed before its idle time-out for such a reason stays open until 400 ms have passed since its last byte, and what comes is refused (at a stop) or answered, with `Connection: close`. During the stop connections are checked each 50 ms instead of 500 ms. The grace period bounds the stop as before; idle connections are closed at once.

--- a/src/direct/caller_connection.rs
+++ b/src/direct/caller_connection.rs
@@ -34,6 +34,13 @@
 /// How often a connection checks whether it should be closed.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// The same while this router stops.
+const STOPPING_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// How long a connection stays open after its last byte when it must be closed early: its last
+/// answer did not announce that, and the caller may have sent the next request already.
+const UNANNOUNCED_CLOSE_DELAY: Duration = Duration::from_millis(400);
+
 /// A caller's connection whose requests are answered here.
 pub struct CallerConnection {
     gateway: Arc<Gateway>,
@@ -128,6 +135,10 @@
         let mut closing = self.connections.closing();
         loop {
             let is_closing = *closing.borrow();
+            let check_interval = match is_closing {
+                true => STOPPING_CHECK_INTERVAL,
+                false => IDLE_CHECK_INTERVAL,
+            };
             let driven = poll_fn(|context| {
                 let ended = Pin::new(&mut connection).poll(context);
                 if ended.is_pending() {
@@ -142,7 +153,7 @@
                         return ServeEnd::Closed(None);
                     }
                 }
-                () = tokio::time::sleep(IDLE_CHECK_INTERVAL) => {
+                () = tokio::time::sleep(check_interval) => {
                     if let Some(held_bytes) = self.buffer.aborted_bytes() {
                         log_unread(self.from, held_bytes);
                         return ServeEnd::Closed(Some(CloseReason::UnreadAnswer));
@@ -190,12 +201,13 @@
     }
 
     /// Why the connection should be closed now, if it should be. While this router stops, or the
-    /// one that forwards the connection, it is closed as soon as it is not in use.
+    /// one that forwards the connection, it is closed soon after it was in use.
     fn close_reason(
         &self,
         is_closing: bool,
     ) -> Option<CloseReason> {
-        if !self.activity.is_in_use() {
+        let idle = Duration::from_millis(self.activity.idle_ms());
+        if !self.activity.is_in_use() && idle >= UNANNOUNCED_CLOSE_DELAY {
             if is_closing {
                 return Some(CloseReason::Stopping);
             }
--- a/testbed/tests/idle_connections.rs
+++ b/testbed/tests/idle_connections.rs
@@ -5,6 +5,7 @@
     archmast_testbed::{
         direct::{
             Client, ClientRequest, ConfigText, DirectFleet, Replica, ReplicaAnswer, RouteText,
+            forwarding_fleet,
         },
         fleet::wait_until,
     },
@@ -383,6 +384,37 @@
     .await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_after_forwarded_streams_that_outlast_a_stop_are_answered() {
+    let (fleet, replica) = forwarding_fleet().await;
+    fleet.keep_connections(1).await;
+    replica.set_default_answer(ReplicaAnswer::Events {
+        last: 16,
+        pause: Duration::from_millis(130),
+    });
+    let mut callers = JoinSet::new();
+    for caller in 0..CALLERS {
+        let mut client = connect(&fleet).await;
+        callers.spawn(async move {
+            let stream = ClientRequest::post("/chat/", &format!("s-{caller}"), "{}");
+            let answer = client.call(&stream).await;
+            assert!(answer.is_whole_success(), "{answer:?}");
+            let mut counts = Counts::default();
+            if answer.header("connection") != "close" {
+                let rest = Duration::from_millis(caller % 11);
+                let request = plain(&format!("p-{caller}"));
+                counts.send_after(&mut client, rest, &request).await;
+            }
+            counts
+        });
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    fleet.routers[0].terminate();
+    let counts = Counts::sum(callers.join_all().await);
+    assert!(counts.answered > 0, "{counts:?}");
+    assert_eq!((counts.lost, counts.not_sent), (0, 0), "{counts:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stop_does_not_wait_for_idle_callers() {
     let (mut fleet, _replicas) = fleet(15_000, paced_stream(), "").await;
