--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -18,6 +18,7 @@
 mod close_reason;
 mod connection_activity;
 mod dialect;
+mod event_assembler;
 mod event_splitter;
 mod events_relay;
 mod exchange;
