Keep rested connections open while a router is merely crowded

Callers that rested for more than 0.3 s found their connection closed while more than `max_connections` were open.

`max_connections` protects memory (about 15 KB a connection) and descriptors. Neither is short right above it: answers announce the close from there on, which brings the number down without a loss, and what stays is bounded by the idle time-out. Idle connections are now closed early only beyond twice `max_connections`, or beyond three quarters of the process's descriptors if that is less (but never below `max_connections`), since a router without descriptors or memory fails the requests of all callers. The socket is still looked at before such a close.

--- a/src/direct/caller_connection.rs
+++ b/src/direct/caller_connection.rs
@@ -217,7 +217,7 @@
         }
         let idle_timeout = self.connections.idle_timeout();
         self.activity
-            .close_reason(idle_timeout, self.connections.is_crowded())
+            .close_reason(idle_timeout, self.connections.is_overcrowded())
     }
 
     /// Whether the router that forwards the connection here is stopping: its exit would cut off
--- a/src/direct/caller_connections.rs
+++ b/src/direct/caller_connections.rs
@@ -5,6 +5,7 @@
         neighbour_relay::NeighbourRelay, sockets::configure_caller_socket,
     },
     crate::{ops::CONNECTIONS_FORWARDED, routing::RequestLimits},
+    rustix::process::{Resource, getrlimit},
     std::{io, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         io::Interest,
@@ -24,12 +25,20 @@
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// Open connections, in multiples of `max_connections`, beyond which idle ones are closed early.
+const CROWDED_FACTOR: usize = 2;
+
+/// The part of the process's file descriptors that callers' connections may take before idle ones
+/// are closed early. Most of the others are for connections to replicas.
+const CALLER_DESCRIPTOR_SHARE: f64 = 0.75;
+
 /// Accepts, serves and closes the connections of callers.
 pub struct CallerConnections {
     gateway: Arc<Gateway>,
     open_count: watch::Sender<usize>,
     closing: watch::Sender<bool>, // idle connections close now, busy ones after their answer
     idle_limit: IdleLimit,
+    descriptor_limit: usize, // connections that the process's descriptors suffice for
     pub(super) close_log: CloseLog,
 }
 
@@ -41,6 +50,7 @@
             open_count: watch::Sender::new(0),
             closing: watch::Sender::new(false),
             idle_limit: IdleLimit::default(),
+            descriptor_limit: descriptor_limit(),
             close_log: CloseLog::default(),
         })
     }
@@ -115,11 +125,19 @@
         self.closing.subscribe()
     }
 
-    /// Whether more connections are open than `max_connections`.
-    pub(super) fn is_crowded(&self) -> bool {
+    /// Whether more connections are open than `max_connections`: answers then close theirs.
+    fn is_crowded(&self) -> bool {
         self.open_count() > self.gateway.settings().max_connections
     }
 
+    /// Whether so many connections are open that idle ones must be closed before their time-out:
+    /// many more than `max_connections`, or so many that descriptors run short.
+    pub(super) fn is_overcrowded(&self) -> bool {
+        let max_connections = self.gateway.settings().max_connections;
+        let bearable = (max_connections * CROWDED_FACTOR).min(self.descriptor_limit);
+        self.open_count() > bearable.max(max_connections)
+    }
+
     /// The neighbour that a new connection is forwarded to, if any. Connections stay here while
     /// this router lags, as they have already waited for its processor, and while it refuses
     /// requests before it stops.
@@ -211,6 +229,14 @@
     }
 }
 
+/// The number of callers' connections that the process's file descriptors suffice for.
+fn descriptor_limit() -> usize {
+    let descriptors = getrlimit(Resource::Nofile).current;
+    descriptors.map_or(usize::MAX, |count| {
+        (count as f64 * CALLER_DESCRIPTOR_SHARE) as usize
+    })
+}
+
 /// Counts a connection as open until it is dropped.
 struct CountedConnection(Arc<CallerConnections>);
 
--- a/src/direct/close_reason.rs
+++ b/src/direct/close_reason.rs
@@ -5,7 +5,7 @@
     Idle,
     /// The head of a request did not come to its end within the header time-out.
     LateHead,
-    /// More connections than `max_connections` are open.
+    /// Far too many connections are open.
     Crowded,
     /// This router stops.
     Stopping,
--- a/src/direct/connection_activity.rs
+++ b/src/direct/connection_activity.rs
@@ -9,7 +9,7 @@
     },
 };
 
-/// Idle time-out while more connections are open than `max_connections`.
+/// Idle time-out while far too many connections are open.
 const CROWDED_IDLE_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Bytes of a request id that are kept for the log.
@@ -163,12 +163,12 @@
     }
 
     /// Why a connection that is not in use should be closed now, if it should be: it was idle for
-    /// longer than `idle_timeout`, or than `CROWDED_IDLE_TIMEOUT` if `crowded`, or the head of a
-    /// request is late.
+    /// longer than `idle_timeout`, or than `CROWDED_IDLE_TIMEOUT` if `overcrowded`, or the head
+    /// of a request is late.
     pub fn close_reason(
         &self,
         idle_timeout: Duration,
-        crowded: bool,
+        overcrowded: bool,
     ) -> Option<CloseReason> {
         if self.is_in_progress() {
             return None;
@@ -179,7 +179,7 @@
             return (head_age > limits.header_timeout).then_some(CloseReason::LateHead);
         }
         let idle = Duration::from_millis(self.idle_ms());
-        if crowded && idle > CROWDED_IDLE_TIMEOUT {
+        if overcrowded && idle > CROWDED_IDLE_TIMEOUT {
             return Some(CloseReason::Crowded);
         }
         (idle > idle_timeout).then_some(CloseReason::Idle)
--- a/testbed/tests/idle_connections.rs
+++ b/testbed/tests/idle_connections.rs
@@ -434,3 +434,15 @@
     let took = stopped.elapsed();
     assert!(took < Duration::from_millis(1_500), "{took:?}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn idle_connections_are_closed_early_when_far_too_many_are_open() {
+    let (fleet, _replicas) = fleet(15_000, paced_stream(), "max_connections = 10\n").await;
+    let mut clients = Vec::new();
+    for _ in 0..21 {
+        clients.push(connect(&fleet).await);
+    }
+    let opened = Instant::now();
+    assert!(clients[0].is_closed_by_router().await);
+    assert!(opened.elapsed() < Duration::from_millis(2_500));
+}
