Tests: replicas that write nothing for a second or two and go on

Cause: callers saw streams cut 1.3 s after their last event, and errors instead of first events and plain answers, while a sound replica was silent and would have gone on within their time. No stand-in was ever silent without being gone.

Change: a stand-in replica can pause: whatever it writes, in any framing, health and cache answers included, waits until the pause is over. Its connections stay open, runs in progress stay, and new requests are taken afterwards. A run ends as soon as its connection is closed, and the stand-in tells for how long it worked on each request, so that tests see two replicas at work on one.

--- a/testbed/src/direct/mod.rs
+++ b/testbed/src/direct/mod.rs
@@ -12,9 +12,11 @@
 mod replica_answer;
 mod replica_answering;
 mod replica_entry;
+mod replica_run;
 mod replica_serving;
 mod replica_state;
 mod route_text;
+mod run_guard;
 mod store;
 mod store_mode;
 mod store_port;
@@ -31,6 +33,7 @@
     replica_answer::{Framing, ReplicaAnswer},
     replica_answering::{CrashTiming, event, event_of_version},
     replica_entry::ReplicaEntry,
+    replica_run::ReplicaRun,
     route_text::RouteText,
     store::{LostWrite, Store},
     store_mode::StoreMode,
--- a/testbed/src/direct/replica.rs
+++ b/testbed/src/direct/replica.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        ReceivedRequest, ReplicaAnswer, replica_answering::CrashTiming, replica_serving::accept,
-        replica_state::ReplicaState,
+        ReceivedRequest, ReplicaAnswer, ReplicaRun, replica_answering::CrashTiming,
+        replica_serving::accept, replica_state::ReplicaState,
     },
     serde_json::json,
     std::{
@@ -62,6 +62,8 @@
             extra_headers: Mutex::default(),
             slow_until: Mutex::default(),
             version: Mutex::default(),
+            paused_until: Mutex::default(),
+            run_times: Mutex::default(),
         });
         let task = tokio::spawn(accept(state.clone(), listener));
         Self {
@@ -170,6 +172,18 @@
         self.state.exited.send_replace(true);
     }
 
+    /// Writes nothing for this long, with its connections left open, and then goes on where it
+    /// stopped. Runs in progress stay, and new requests are taken after the pause. A run whose
+    /// connection is closed ends, also during the pause.
+    pub fn pause_for(
+        &self,
+        time: Duration,
+    ) {
+        let until = Instant::now() + time;
+        let mut paused_until = self.state.paused_until.lock().expect("lock");
+        *paused_until = (*paused_until).max(Some(until));
+    }
+
     /// Closes the connection on one in `count` of the requests instead of answering; 0
     /// is none.
     pub fn close_one_in(
@@ -231,6 +245,11 @@
         self.state.received.lock().expect("lock").clone()
     }
 
+    /// The times for which it worked on requests, refused ones excepted.
+    pub fn run_times(&self) -> Vec<ReplicaRun> {
+        self.state.run_times.lock().expect("lock").clone()
+    }
+
     /// How many requests with this attempt id it received.
     pub fn received_count(
         &self,
--- a/testbed/src/direct/replica_answering.rs
+++ b/testbed/src/direct/replica_answering.rs
@@ -12,7 +12,7 @@
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpStream,
-        time::timeout,
+        time::{sleep, timeout},
     },
 };
 
@@ -73,18 +73,21 @@
 
 /// Writes answers on a connection, adding header lines to each of them.
 pub(super) struct AnswerWriter<'s> {
+    pub state: &'s ReplicaState,
     pub stream: &'s mut TcpStream,
     pub extra_headers: String,
     pub version: Option<String>, // of the replica's software, told in its events if set
 }
 
 impl AnswerWriter<'_> {
-    /// Writes an answer or a part of one. Text that begins with a status line gets the
-    /// extra headers.
+    /// Writes an answer or a part of one, after the replica's pause if there is one. Text that
+    /// begins with a status line gets the extra headers.
     pub(super) async fn write(
         &mut self,
         text: &str,
     ) -> io::Result<()> {
+        let state = self.state;
+        self.wait_unless_closed(state.wait_while_paused()).await?;
         if let Some((status, rest)) = text.split_once("\r\n")
             && status.starts_with("HTTP/1.1 ")
         {
@@ -93,6 +96,34 @@
         }
         self.stream.write_all(text.as_bytes()).await
     }
+
+    /// Works for this long on the next part of an answer.
+    async fn work_for(
+        &self,
+        time: Duration,
+    ) -> io::Result<()> {
+        self.wait_unless_closed(sleep(time)).await
+    }
+
+    /// Waits for `awaited`. Fails as soon as the router closes the connection.
+    async fn wait_unless_closed(
+        &self,
+        awaited: impl Future<Output = ()>,
+    ) -> io::Result<()> {
+        tokio::select! {
+            biased;
+            () = awaited => Ok(()),
+            () = wait_until_closed(self.stream) => Err(io::ErrorKind::ConnectionAborted.into()),
+        }
+    }
+}
+
+/// Returns when the router has closed the connection.
+async fn wait_until_closed(stream: &TcpStream) {
+    if matches!(stream.peek(&mut [0]).await, Ok(count) if count > 0) {
+        // The end of the connection cannot be seen before these bytes are read.
+        std::future::pending().await
+    }
 }
 
 /// Answers one request. Returns false if the connection is to be closed afterwards.
@@ -109,7 +140,7 @@
         ReplicaAnswer::Slow { body, after } => {
             let mut byte = [0];
             tokio::select! {
-                () = tokio::time::sleep(after) => out.write(&signed_answer(id, 200, &body)).await?,
+                () = sleep(after) => out.write(&signed_answer(id, 200, &body)).await?,
                 _ = out.stream.read(&mut byte) => return Ok(false),
             }
         }
@@ -181,7 +212,7 @@
             out.write(&text).await?;
             // With a linger time of zero, closing the connection resets it, and what is still
             // unsent is lost: the answer has arrived once this end has no bytes left to send.
-            tokio::time::sleep(RESET_DELAY).await;
+            sleep(RESET_DELAY).await;
             out.stream.set_zero_linger()?;
             return Ok(false);
         }
@@ -259,7 +290,7 @@
         }
     }
     if timing != CrashTiming::Immediate {
-        tokio::time::sleep(CRASH_DELAY).await;
+        sleep(CRASH_DELAY).await;
     }
     state.exited.send_replace(true);
 }
@@ -280,7 +311,7 @@
     out.write(&head).await?;
     for number in first_event(request)..=last {
         if !pause.is_zero() {
-            tokio::time::sleep(pause).await;
+            out.work_for(pause).await?;
         }
         let event = event_of_version(number, out.version.as_deref());
         out.write(&chunk(&event)).await?;
@@ -318,7 +349,7 @@
     let length = event_texts(numbers.clone()).len();
     out.write(&events_head(request, framing, length)).await?;
     for number in numbers {
-        tokio::time::sleep(pause).await;
+        out.work_for(pause).await?;
         match framing {
             Framing::Chunks => out.write(&chunk(&event(number))).await?,
             Framing::Length | Framing::Close => out.write(&event(number)).await?,
--- a/testbed/src/direct/replica_serving.rs
+++ b/testbed/src/direct/replica_serving.rs
@@ -67,7 +67,9 @@
 ) -> io::Result<()> {
     let mut buffer = Vec::new();
     while let Some(request) = read_request(stream, &mut buffer).await? {
+        state.wait_while_paused().await;
         let mut out = AnswerWriter {
+            state,
             stream,
             extra_headers: state.extra_headers.lock().expect("lock").clone(),
             version: state.version.lock().expect("lock").clone(),
@@ -109,6 +111,7 @@
             .await?;
             continue;
         }
+        let _run = state.begin_run(&request);
         let trigger = state.crash_trigger.lock().expect("lock").clone();
         let trigger = trigger.filter(|(text, _)| {
             request.text().contains(text) || request.header("archmast-prefix-hash").contains(text)
--- a/testbed/src/direct/replica_state.rs
+++ b/testbed/src/direct/replica_state.rs
@@ -1,5 +1,8 @@
 use {
-    super::{ReceivedRequest, ReplicaAnswer, replica_answering::CrashTiming},
+    super::{
+        ReceivedRequest, ReplicaAnswer, ReplicaRun, replica_answering::CrashTiming,
+        run_guard::RunGuard,
+    },
     serde_json::Value,
     std::{
         collections::VecDeque,
@@ -9,7 +12,7 @@
         },
         time::{Duration, Instant},
     },
-    tokio::sync::watch,
+    tokio::{sync::watch, time::sleep_until},
 };
 
 /// The state of a stand-in replica: its script and faults, and what it received.
@@ -34,4 +37,36 @@
     pub extra_headers: Mutex<String>,         // header lines of all answers
     pub slow_until: Mutex<Option<Instant>>,   // end of the slow start, stated in health answers
     pub version: Mutex<Option<String>>,       // of its software, told in its events if set
+    pub paused_until: Mutex<Option<Instant>>, // nothing is written before
+    pub run_times: Mutex<Vec<ReplicaRun>>,    // of the requests that it took, in order
+}
+
+impl ReplicaState {
+    /// Waits for the end of the pause, if there is one.
+    pub async fn wait_while_paused(&self) {
+        loop {
+            let until = *self.paused_until.lock().expect("lock");
+            let Some(until) = until.filter(|until| *until > Instant::now()) else {
+                return;
+            };
+            sleep_until(until.into()).await;
+        }
+    }
+
+    /// Records that it works on a request until the returned guard is dropped.
+    pub fn begin_run(
+        &self,
+        request: &ReceivedRequest,
+    ) -> RunGuard<'_> {
+        let mut run_times = self.run_times.lock().expect("lock");
+        run_times.push(ReplicaRun {
+            request_id: request.attempt_id().to_owned(),
+            began: Instant::now(),
+            ended: None,
+        });
+        RunGuard {
+            state: self,
+            index: run_times.len() - 1,
+        }
+    }
 }
