Tests: a silent stream beside a full replica, and the pausing stand-in itself

Cause: the directed cases lacked a second replica that has no room, and nothing held what the stand-in does while it pauses.

Change: a case in which the route's service takes one connection a replica and the other one is taken; and a test of the stand-in: health, cache and new requests and the rest of a stream come after the pause, on the connections that were open before.

--- a/testbed/tests/silent_replicas.rs
+++ b/testbed/tests/silent_replicas.rs
@@ -4,14 +4,15 @@
 use {
     archmast_testbed::{
         direct::{
-            Client, ClientAnswer, ClientRequest, DirectFleet, Framing, Replica, ReplicaAnswer,
-            ReplicaRun, RouteText, event,
+            Client, ClientAnswer, ClientRequest, ConfigText, DirectFleet, Framing, Replica,
+            ReplicaAnswer, ReplicaRun, RouteText, event,
         },
         fleet::{wait_until, wait_until_async},
     },
     futures::future::join_all,
+    serde_json::json,
     std::{
-        net::SocketAddr,
+        net::{IpAddr, SocketAddr},
         ops::RangeInclusive,
         sync::{Arc, Mutex},
         time::{Duration, Instant},
@@ -274,6 +275,31 @@
     play_silent_streams(Successor::Closes).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_stream_goes_on_while_the_other_replica_has_no_room() {
+    let (fleet, replicas) = fleet("", 2, paced_events(Framing::Chunks)).await;
+    fleet.store.publish_config(&ConfigText {
+        service_fields: json!({"max_connections": 1}),
+        ..ConfigText::new(2, &[RouteText::new("/few/", "s", "streaming")])
+    });
+    let router = fleet.caller_addresses[0];
+    fleet.wait_until_served(0, "/few/", 200).await;
+    let long = ReplicaAnswer::Events {
+        last: 40,
+        pause: EVENT_PAUSE,
+    };
+    replicas.iter().for_each(|r| r.push_answer(long.clone()));
+    let first = request("/few/", "first", DEADLINE_MS);
+    let (mut first, full) = begin_stream(router, &replicas, &first, "first").await;
+    replicas[1 - full].clear_script();
+    let silent = request("/few/", "silent", DEADLINE_MS);
+    let (mut silent, worker) = begin_stream(router, &replicas, &silent, "silent").await;
+    assert_ne!(worker, full);
+    replicas[worker].pause_for(PAUSES[1]);
+    assert_whole_stream(&silent.answer().await, &replicas, "silent");
+    assert!(first.answer().await.is_whole_success());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_silent_stream_that_runs_once_goes_on() {
     let cases = Framing::ALL.into_iter().zip(PAUSES);
@@ -436,6 +462,55 @@
     assert!(fleet.is_ready(0).await);
 }
 
+/// The stand-in itself.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_pausing_replica_writes_nothing_and_then_goes_on() {
+    const PAUSE: Duration = Duration::from_millis(600);
+    let ip = IpAddr::from([127, 0, 0, 1]);
+    let replica = Replica::start(ip, "i-0", paced_events(Framing::Chunks)).await;
+    let stream = request("/chat/", "id-1", DEADLINE_MS).header("Archmast-Expected-Replica", "i-0");
+    let mut amid = Client::connect(replica.address)
+        .await
+        .expect("a connection");
+    amid.send(&stream.bytes()).await.expect("sent");
+    assert!(amid.wait_for("piece 2").await);
+    replica.pause_for(PAUSE);
+    let since = Instant::now();
+    let others = ["/health", "/v1/kv-list", "/chat/"].map(|path| {
+        let request = ClientRequest::get(path, "id-2");
+        let request = request.header("Archmast-Expected-Replica", "i-0");
+        let address = replica.address;
+        async move {
+            let mut client = Client::connect(address).await.expect("a connection");
+            client.send(&request.bytes()).await.expect("sent");
+            assert!(client.wait_for("HTTP/1.1 200").await);
+            assert!(since.elapsed() >= PAUSE);
+            client.answer().await
+        }
+    });
+    let goes_on = async {
+        assert!(amid.wait_for("piece 4").await);
+        assert!(since.elapsed() >= PAUSE);
+        amid.answer().await
+    };
+    let (others, amid) = tokio::join!(join_all(others), goes_on);
+    assert!(
+        others.iter().all(ClientAnswer::is_whole_success),
+        "{others:?}"
+    );
+    assert!(amid.is_whole_success());
+    assert_eq!(amid.text(), events(1..=LAST));
+    assert_eq!(replica.total_connections(), 4);
+    let has_ended = |run: &ReplicaRun| run.ended.is_some();
+    wait_until("all runs have ended", || {
+        replica.run_times().iter().all(has_ended)
+    })
+    .await;
+    let runs = replica.run_times();
+    assert_eq!(runs.len(), 2);
+    assert!(runs[0].began < since && runs[1].began >= since + PAUSE);
+}
+
 /// Which replicas fall silent together.
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Silence {
