--- a/testbed/src/direct/config_text.rs
+++ b/testbed/src/direct/config_text.rs
@@ -1,6 +1,7 @@
 use {
     super::RouteText,
     serde_json::{Value, json},
+    std::collections::BTreeSet,
 };
 
 /// The operator's configuration as JSON text, for the host `app.example` and the client
@@ -35,7 +36,13 @@
         let services: Vec<Value> = self
             .routes
             .iter()
-            .map(|route| self.service(route))
+            .flat_map(|route| {
+                let further = route.split.iter().map(|(service, _)| *service);
+                std::iter::once(route.service).chain(further)
+            })
+            .collect::<BTreeSet<&str>>()
+            .into_iter()
+            .map(|name| self.service(name))
             .collect();
         let routes: Vec<Value> = self.routes.iter().map(route_json).collect();
         json!({
@@ -48,10 +55,10 @@
 
     fn service(
         &self,
-        route: &RouteText,
+        name: &str,
     ) -> Value {
         let mut service = json!({
-            "name": route.service, "health_path": "/health", "max_connections": 100,
+            "name": name, "health_path": "/health", "max_connections": 100,
             "protocol": "h1",
         });
         for (name, value) in self.service_fields.as_object().into_iter().flatten() {
@@ -62,6 +69,10 @@
 }
 
 fn route_json(route: &RouteText) -> Value {
+    let parts = route.split.iter().filter(|(_, weight)| *weight > 0);
+    let split: Vec<Value> = parts
+        .map(|(service, weight)| json!({"service": service, "weight": weight}))
+        .collect();
     json!({
         "name": format!("r{}", route.prefix.replace('/', "-")),
         "host": "app.example", "path_prefix": route.prefix,
@@ -69,6 +80,6 @@
         "timeout_ms": route.timeout_ms, "target_latency_ms": 500,
         "priority": 1, "max_attempts": route.attempts,
         "public": route.public, "resumable": route.resumable,
-        "allowed_regions": route.regions,
+        "allowed_regions": route.regions, "traffic_split": split,
     })
 }
