--- a/testbed/src/soak/config_series.rs
+++ b/testbed/src/soak/config_series.rs
@@ -72,7 +72,7 @@
         }
         _ => {
             let ms = *IDLE_TIMEOUTS_MS.choose(random).expect("not empty");
-            ConfigChange::IdleTimeout { ms }
+            ConfigChange::IdleTimeout { ms: ms.into() }
         }
     }
 }
