--- a/testbed/src/soak/fleet_under_test.rs
+++ b/testbed/src/soak/fleet_under_test.rs
@@ -12,7 +12,9 @@
         version_check::stream_counts,
     },
     crate::{
-        direct::{Client, ClientRequest, DirectFleet, Replica, Store, StorePort, zone_name},
+        direct::{
+            Client, ClientAnswer, ClientRequest, DirectFleet, Replica, Store, StorePort, zone_name,
+        },
         fleet::Process,
         proxy::TcpProxy,
     },
@@ -248,7 +250,7 @@
         newest: &str,
     ) {
         let until = Instant::now() + RECOVERY_LIMIT;
-        while probe(address, newest).await != 200 {
+        while probe(address, newest).await.status != 200 {
             if Instant::now() > until {
                 self.record_unserved(format!("router {router} lacks the newest route {newest}"));
                 break;
@@ -256,12 +258,15 @@
             sleep(POLL_INTERVAL).await;
         }
         for path in [RequestKind::Read.path(), RequestKind::Events.path()] {
-            let mut statuses = stream::iter(0..PROBES_PER_ROUTE)
+            let mut answers = stream::iter(0..PROBES_PER_ROUTE)
                 .map(|_| probe(address, path))
                 .buffer_unordered(self.probes_at_once());
-            while let Some(status) = statuses.next().await {
-                if status != 200 {
-                    self.record_unserved(format!("router {router} answers {path} with {status}"));
+            while let Some(answer) = answers.next().await {
+                if answer.status != 200 {
+                    let (status, code) = (answer.status, answer.code());
+                    self.record_unserved(format!(
+                        "router {router} answers {path} with {status} (code {code:?})"
+                    ));
                 }
             }
         }
@@ -354,10 +359,8 @@
 async fn probe(
     address: SocketAddr,
     path: &str,
-) -> u16 {
-    Client::call_once(address, &ClientRequest::post(path, "probe", "{}"))
-        .await
-        .status
+) -> ClientAnswer {
+    Client::call_once(address, &ClientRequest::post(path, "probe", "{}")).await
 }
 
 /// Whether a router knows the route, whatever status the request gets.
