LOST: an event that does not end takes no memory without a bound

A replica that sends bytes that end no event took a router from 13 MB over the 110 MB of its host within seconds; the platform ended it with everybody's requests. EventSplitter held what came after the last whole event, however much that was.

EventAssembler holds at most 256 KiB of an event that is not whole, counts it in the memory budget of answers (archmast_held_bytes), and ends the stream, it alone, with code 61, counted in archmast_oversized_events_total and logged by `attempt ended`: an error answer before the first event, resumed elsewhere where the route permits it, else a visible cut. Beyond 16 KiB a part must also fit into the budget, so that many such streams together stay within it, while parts of usual events are held whatever slow callers hold.

Connections to replicas read ahead 64 KiB at most, instead of hyper's 400 KB; that bounds the head of an answer as well. Ids of events that are longer than 256 bytes resume no stream, as they are sent in a header and logged; an unexpected request id is logged to 64 bytes.

--- a/src/direct/event_splitter.rs
+++ b/src/direct/event_splitter.rs
@@ -3,6 +3,9 @@
 /// The end of a line and a blank line, of which an event's end consists.
 const EVENT_ENDS: [&[u8]; 3] = [b"\n\n", b"\n\r\n", b"\r\r"];
 
+/// The longest event id by which a stream is resumed: ids are sent in a header and logged.
+const MAX_ID_BYTES: usize = 256;
+
 /// Splits a stream of server-sent events into whole events, so that a caller never gets a
 /// partial event from a replica that fails.
 #[derive(Debug, Default)]
@@ -26,7 +29,7 @@
         Some(events)
     }
 
-    /// The id of the last whole event.
+    /// The id of the last whole event; `None` if it cannot be used to resume the stream.
     pub fn last_id(&self) -> Option<&str> {
         self.last_id.as_deref()
     }
@@ -40,6 +43,11 @@
         !unended.is_empty() || !lines.iter().all(is_ignored)
     }
 
+    /// The number of bytes after the last whole event.
+    pub fn partial_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Takes the bytes after the last whole event.
     pub fn take_partial(&mut self) -> Bytes {
         self.scanned = 0;
@@ -80,7 +88,8 @@
         if let Some(id) = id {
             // An empty id resets the last one, after which a stream cannot go on.
             let id = id.trim();
-            self.last_id = (!id.is_empty()).then(|| id.to_owned());
+            let is_usable = (1..=MAX_ID_BYTES).contains(&id.len());
+            self.last_id = is_usable.then(|| id.to_owned());
         }
     }
 }
--- a/src/direct/events_relay.rs
+++ b/src/direct/events_relay.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         attempt_end::AttemptEnd,
-        event_splitter::EventSplitter,
+        event_assembler::EventAssembler,
         exchange::Exchange,
         live_answer::LiveAnswer,
         reply::{ReplyBody, copy_head, cut_error, replica_reply},
@@ -27,7 +27,7 @@
 pub struct EventsRelay {
     exchange: Option<Exchange>, // `None` once it is returned by `start_reply`
     answer: LiveAnswer,
-    splitter: EventSplitter,
+    events: EventAssembler,
     is_done: bool,
     has_resumed: bool, // at another replica, without an event since
     first_event_after: Option<Duration>, // time from the call's arrival to its first event
@@ -46,7 +46,7 @@
         log::info!(
             request_id = exchange.call.request_id.as_str(),
             replica = &**self.answer.in_flight.replica(),
-            last_event = self.splitter.last_id().unwrap_or(""),
+            last_event = self.events.last_id().unwrap_or(""),
             how = self.outcome,
             first_ms = self.first_event_after.unwrap_or(took).as_millis() as u64,
             longest_pause_ms = self.longest_pause.as_millis() as u64,
@@ -62,10 +62,11 @@
         exchange: Exchange,
         answer: LiveAnswer,
     ) -> Self {
+        let events = EventAssembler::new(exchange.gateway.clone());
         Self {
             exchange: Some(exchange),
             answer,
-            splitter: EventSplitter::default(),
+            events,
             is_done: false,
             has_resumed: false,
             first_event_after: None,
@@ -206,12 +207,12 @@
         loop {
             match self.answer.next_chunk().await? {
                 Some(chunk) => {
-                    if let Some(events) = self.splitter.push(&chunk) {
+                    if let Some(events) = self.events.push(&chunk)? {
                         self.exchange_mut().record_event();
                         return Ok(Some(events));
                     }
                 }
-                None if self.splitter.is_inside_event() => {
+                None if self.events.is_inside_event() => {
                     return Err(broken_off("the stream ended inside an event"));
                 }
                 // The kernel closes the connections of a process that exits like those of whole
@@ -239,7 +240,7 @@
         self.exchange_mut().record_replica_success();
         self.exchange().record_stream_duration();
         self.exchange_mut().record_request_success();
-        let rest = self.splitter.take_partial();
+        let rest = self.events.take_partial();
         (!rest.is_empty()).then_some(rest)
     }
 
@@ -252,7 +253,7 @@
     }
 
     fn may_resume(&self) -> bool {
-        self.exchange().may_repeat() && self.splitter.last_id().is_some()
+        self.exchange().may_repeat() && self.events.last_id().is_some()
     }
 
     /// How long to wait for an event before the stream is resumed at another replica.
@@ -282,8 +283,8 @@
         // The connection is closed first, so that no two replicas work on one request.
         self.answer.close();
         self.pause_watch = None;
-        self.splitter.discard_partial();
-        let last = self.splitter.last_id().map(str::to_owned);
+        self.events.discard_partial();
+        let last = self.events.last_id().map(str::to_owned);
         let started = self.exchange_mut().start_answer(last.as_deref()).await;
         let started = started.map_err(|error| cut_error(error.code))?;
         if started.answer.head.status != 200 {
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -15,6 +15,7 @@
 mod caller_stream;
 mod connection_activity;
 mod dialect;
+mod event_assembler;
 mod event_splitter;
 mod events_relay;
 mod exchange;
--- a/src/direct/replica_call.rs
+++ b/src/direct/replica_call.rs
@@ -14,6 +14,9 @@
     hyper::{Request, Response, body::Incoming},
 };
 
+/// How much of an unexpected request id is logged.
+const MAX_SHOWN_ID_BYTES: usize = 64;
+
 /// Sends a request to a replica and waits for the head of the answer. All requests to
 /// replicas go through here, so that no answer to another request is used, and a replica's notice
 /// about itself is recorded before its answer is used. Fails with `ResultCode::AnswerMismatch` or
@@ -54,7 +57,10 @@
             ResultCode::AnswerUnproved,
             "answer without a request id on a kept connection".to_owned(),
         ),
-        other => (ResultCode::AnswerMismatch, format!("answer to {other}")),
+        other => {
+            let shown = &other[..other.len().min(MAX_SHOWN_ID_BYTES)];
+            (ResultCode::AnswerMismatch, format!("answer to {shown}"))
+        }
     };
     Err(AttemptEnd::Unknown { code, detail })
 }
--- a/src/direct/upstream_connection.rs
+++ b/src/direct/upstream_connection.rs
@@ -33,6 +33,10 @@
 /// How long an idle connection is kept if the replica sends no `Keep-Alive` time-out.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(8);
 
+/// Limit for what is read ahead on a connection, and for the head of an answer. The default of
+/// 400 KB a connection is more than small hosts have for all of them.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
+
 /// One connection to one replica. Dropping it closes it immediately.
 pub struct UpstreamConnection {
     sender: SendRequest<Full<Bytes>>,
@@ -63,7 +67,9 @@
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
         configure_outgoing_socket(&stream);
         let socket = SockRef::from(&stream).try_clone()?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
--- a/src/ops/metric_names.rs
+++ b/src/ops/metric_names.rs
@@ -63,6 +63,9 @@
 /// Event streams that ended, by `how`: `whole` for complete ones, `cut` for incomplete ones,
 /// `left` if the caller disconnected.
 pub const STREAMS: &str = "archmast_streams_total";
+/// Event streams of replicas that were ended, as an event in them exceeded what may be held of one
+/// that is not whole (`ResultCode::AnswerTooLarge`, 61).
+pub const OVERSIZED_EVENTS: &str = "archmast_oversized_events_total";
 /// Event streams with a pause between two events above the target pause of their route, by
 /// `service`. A stream counts once for each replica that serves it.
 pub const STREAMS_OVER_TARGET_PAUSE: &str = "archmast_broken_pauses_total";
--- a/src/policy/direct/memory/mod.rs
+++ b/src/policy/direct/memory/mod.rs
@@ -2,6 +2,11 @@
 //! each request or answer, and when an answer over its limit is aborted.
 
 mod memory_budget;
+mod partial_event;
 mod unread_answer;
 
-pub use {memory_budget::MemoryBudget, unread_answer::must_abort_answer};
+pub use {
+    memory_budget::MemoryBudget,
+    partial_event::{MAX_EVENT_BYTES, permits_partial_event},
+    unread_answer::must_abort_answer,
+};
--- a/tests/event_splitter.rs
+++ b/tests/event_splitter.rs
@@ -86,3 +86,14 @@
     splitter.push(b"id: 1\ndata: a\n\nid:\ndata: b\n\n");
     assert_eq!(splitter.last_id(), None);
 }
+
+#[test]
+fn an_id_that_is_too_long_for_a_header_resumes_no_stream() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(b"id: 1\n\n");
+    let id = "9".repeat(100_000);
+    splitter.push(format!("id: {id}\ndata: a\n\n").as_bytes());
+    assert_eq!(splitter.last_id(), None);
+    splitter.push(b"id: 3\n\n");
+    assert_eq!(splitter.last_id(), Some("3"));
+}
--- a/tests/memory_budget.rs
+++ b/tests/memory_budget.rs
@@ -1,7 +1,9 @@
 //! How much memory a router may hold for slow callers, and which answers it aborts.
 
 use {
-    archmast::policy::memory::{MemoryBudget, must_abort_answer},
+    archmast::policy::memory::{
+        MAX_EVENT_BYTES, MemoryBudget, must_abort_answer, permits_partial_event,
+    },
     std::time::Duration,
 };
 
@@ -71,3 +73,29 @@
     assert!(!budget.permits(4_000 * KB, 23_000 * KB));
     assert!(budget.permits(300 * KB, 29_000 * KB));
 }
+
+#[test]
+fn a_part_of_an_event_is_held_up_to_its_bound() {
+    assert!(permits_partial_event(BUDGET, MAX_EVENT_BYTES, 0));
+    assert!(!permits_partial_event(BUDGET, MAX_EVENT_BYTES + 1, 0));
+}
+
+#[test]
+fn parts_of_events_of_many_streams_stay_within_the_budget() {
+    const STREAMS: u64 = 1_000;
+    let mut total = 0;
+    for _ in 0..STREAMS {
+        let own = (1..=MAX_EVENT_BYTES / KB).map(|part| part * KB);
+        let held = own
+            .take_while(|own| permits_partial_event(BUDGET, *own, total))
+            .last();
+        total += held.unwrap_or(0);
+    }
+    let uncounted = STREAMS * (16 << 10);
+    assert!(total <= BUDGET.total + uncounted, "{total}");
+}
+
+#[test]
+fn slow_callers_end_no_stream_whose_events_arrive_in_parts() {
+    assert!(permits_partial_event(BUDGET, 4 * KB, BUDGET.total));
+}
