--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -53,6 +53,7 @@
     check_answer_head(gateway, call, &head)?;
     Ok(LiveAnswer::new(
         gateway.clone(),
+        target.entry,
         head,
         body,
         connection,
--- a/src/direct/live_answer.rs
+++ b/src/direct/live_answer.rs
@@ -3,7 +3,7 @@
         attempt_end::AttemptEnd, gateway::Gateway, in_flight_guard::InFlightGuard,
         upstream_connection::UpstreamConnection,
     },
-    crate::codes::ResultCode,
+    crate::{catalog::UpstreamEntry, codes::ResultCode},
     bytes::Bytes,
     http_body_util::BodyExt,
     hyper::{
@@ -24,6 +24,7 @@
     pub in_flight: InFlightGuard,
     pub ends_with_connection: bool, // the body has neither length nor chunks
     gateway: Arc<Gateway>,
+    replica: Arc<UpstreamEntry>,
     body: Incoming,
     connection: Option<UpstreamConnection>, // `None` once it is returned to the pool or closed
 }
@@ -32,6 +33,7 @@
     /// An answer of which only the head was read.
     pub fn new(
         gateway: Arc<Gateway>,
+        replica: Arc<UpstreamEntry>,
         mut head: Parts,
         body: Incoming,
         connection: UpstreamConnection,
@@ -48,6 +50,7 @@
             in_flight,
             ends_with_connection,
             gateway,
+            replica,
             body,
             connection: Some(connection),
         }
@@ -87,6 +90,15 @@
         }
     }
 
+    /// Whether the process of its replica has exited.
+    pub async fn has_replica_exited(&self) -> bool {
+        let gateway = &self.gateway;
+        gateway
+            .exit_checks
+            .has_exited(&gateway.pool, &self.replica)
+            .await
+    }
+
     /// Closes the connection, so that the replica stops working on the request.
     pub fn close(&mut self) {
         self.connection = None;
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -16,6 +16,7 @@
 mod connection_activity;
 mod dialect;
 mod event_assembler;
+mod event_end;
 mod event_splitter;
 mod events_relay;
 mod exchange;
@@ -52,11 +53,13 @@
 mod upstream_connection;
 mod upstream_pool;
 mod wait_while_alive;
+mod whole_answer;
 mod zone_reader_role;
 
 pub use {
     cache_protocol::CacheProtocol,
     dialect::{Dialect, HeaderNames},
+    event_end::EventEnd,
     event_splitter::EventSplitter,
     exchange_suspects::log_held_back,
     gateway::Gateway,
--- a/src/direct/plain_relay.rs
+++ b/src/direct/plain_relay.rs
@@ -1,11 +1,13 @@
 use {
     super::{
         attempt_end::AttemptEnd,
+        event_end::EventEnd,
         event_splitter::EventSplitter,
         exchange::{Exchange, StartedAnswer},
         live_answer::LiveAnswer,
         reply::{ReplyBody, copy_head, cut_error, full_body, replica_reply},
         timeout_unless_ready::timeout_unless_ready,
+        whole_answer::check_whole,
     },
     crate::codes::ResultCode,
     bytes::{Bytes, BytesMut},
@@ -104,22 +106,44 @@
         .get(CONTENT_LENGTH)
         .and_then(|value| value.to_str().ok()?.parse().ok());
     let deadline = Instant::now() + time_left;
+    let event_end = (answer.is_event_stream() == Some(true)).then(EventEnd::default);
     let pieces = stream::unfold(
-        (Some(buffered), answer),
-        move |(first, mut answer)| async move {
-            if let Some(first) = first {
-                return Some((Ok(Frame::data(first)), (None, answer)));
-            }
-            let limit = deadline.saturating_duration_since(Instant::now());
-            let next = timeout_unless_ready(limit, answer.next_chunk()).await;
+        (Some(buffered), event_end, answer),
+        move |(first, mut event_end, mut answer)| async move {
+            let next = match first {
+                Some(first) => Some(Ok(Some(first))),
+                None => {
+                    let limit = deadline.saturating_duration_since(Instant::now());
+                    timeout_unless_ready(limit, next_of_whole(&mut answer, event_end)).await
+                }
+            };
             let piece: Result<_, io::Error> = match next {
-                Some(Ok(Some(chunk))) => Ok(Frame::data(chunk)),
+                Some(Ok(Some(chunk))) => {
+                    if let Some(event_end) = &mut event_end {
+                        event_end.push(&chunk);
+                    }
+                    Ok(Frame::data(chunk))
+                }
                 Some(Ok(None)) => return None,
                 Some(Err(end)) => Err(cut_error(format!("{end:?}"))),
                 None => Err(cut_error("deadline exceeded")),
             };
-            Some((piece, (None, answer)))
+            Some((piece, (None, event_end, answer)))
         },
     );
     replica_reply(head, StreamBody::new(pieces).boxed_unsync(), length)
 }
+
+/// The next bytes of an answer; `None` at its end if it is whole. `event_end` is that of the bytes
+/// so far if it is a stream of events.
+async fn next_of_whole(
+    answer: &mut LiveAnswer,
+    event_end: Option<EventEnd>,
+) -> Result<Option<Bytes>, AttemptEnd> {
+    let chunk = answer.next_chunk().await?;
+    if chunk.is_none() {
+        let is_inside_event = event_end.is_some_and(|end| end.is_inside_event());
+        check_whole(answer, is_inside_event).await?;
+    }
+    Ok(chunk)
+}
--- a/testbed/tests/answer_ends.rs
+++ b/testbed/tests/answer_ends.rs
@@ -24,6 +24,9 @@
 /// More than a router buffers of an answer before it relays the beginning.
 const LONG_BODY_BYTES: usize = 400 << 10;
 
+/// Events of which the text is longer than `LONG_BODY_BYTES`.
+const LONG_STREAM_EVENTS: u32 = 20_000;
+
 /// Less than `LONG_BODY_BYTES`, and more than the buffer.
 const WRONG_LENGTH: usize = 300 << 10;
 
@@ -336,6 +339,52 @@
     assert_eq!((got.status, got.code()), (502, Some(51)), "{got:?}");
 }
 
+/// The caller has the beginning already.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_long_answer_without_length_whose_replica_exits_is_cut_visibly() {
+    let fleet = raw_fleet(1, |_| RawAnswer {
+        headers: String::new(),
+        status: 200,
+        body: "b".repeat(LONG_BODY_BYTES),
+        end: End::Exit,
+    })
+    .await;
+    let got = call(&fleet, "/charge/", "id-1").await;
+    assert!(got.status == 200 && !got.is_complete, "{}", got.status);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_long_answer_without_length_whose_replica_lives_on_is_whole() {
+    let fleet = raw_fleet(1, |_| RawAnswer {
+        headers: String::new(),
+        status: 200,
+        body: "b".repeat(LONG_BODY_BYTES),
+        end: End::Close,
+    })
+    .await;
+    let got = call(&fleet, "/charge/", "id-1").await;
+    assert!(is_complete_success(&got), "{}", got.status);
+    assert_eq!(got.body.len(), LONG_BODY_BYTES);
+}
+
+/// A plain route whose replica answers with events, more than a router buffers.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_long_stream_on_a_plain_route_that_ends_inside_an_event_is_cut_visibly() {
+    for (rest, is_whole) in [("data: half", false), ("", true)] {
+        let text = events(1..=LONG_STREAM_EVENTS) + rest;
+        assert!(text.len() > LONG_BODY_BYTES);
+        let fleet = raw_fleet(1, move |_| RawAnswer {
+            headers: "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n".to_owned(),
+            status: 200,
+            body: chunk(&text) + "0\r\n\r\n",
+            end: End::KeepOpen,
+        })
+        .await;
+        let got = call(&fleet, "/charge/", "id-1").await;
+        assert_eq!((got.status, got.is_complete), (200, is_whole), "{rest}");
+    }
+}
+
 /// The head of a stream, and then the end of the connection.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_without_length_that_ends_before_its_first_event_is_an_error_answer() {
--- a/tests/event_splitter.rs
+++ b/tests/event_splitter.rs
@@ -1,6 +1,9 @@
 //! Streams are forwarded in complete events, however their bytes arrive.
 
-use {archmast::direct::EventSplitter, proptest::prelude::*};
+use {
+    archmast::direct::{EventEnd, EventSplitter},
+    proptest::prelude::*,
+};
 
 fn stream(
     events: usize,
@@ -97,3 +100,21 @@
     splitter.push(b"id: 3\n\n");
     assert_eq!(splitter.last_id(), Some("3"));
 }
+
+proptest! {
+    /// What holds no bytes finds the same end as what holds them.
+    #[test]
+    fn the_end_of_a_stream_is_found_without_its_bytes(
+        tokens in prop::collection::vec(0usize..3, 0..24),
+        line_end in prop::sample::select(vec!["\n", "\r\n", "\r"]),
+        cut in 1usize..5,
+    ) {
+        let text: String = tokens.iter().map(|token| ["a", ":", line_end][*token]).collect();
+        let (mut splitter, mut end) = (EventSplitter::default(), EventEnd::default());
+        for piece in text.as_bytes().chunks(cut) {
+            splitter.push(piece);
+            end.push(piece);
+        }
+        prop_assert_eq!(end.is_inside_event(), splitter.is_inside_event(), "{:?}", text);
+    }
+}
