--- a/testbed/tests/endless_events.rs
+++ b/testbed/tests/endless_events.rs
@@ -217,5 +217,5 @@
         assert!(!answer.is_whole_success(), "{}", answer.status);
     }
     let grown = after.saturating_sub(before);
-    assert!(grown < 24 << 20, "memory grew by {grown} bytes");
+    assert!(grown < 16 << 20, "memory grew by {grown} bytes");
 }
