Announce the close behind a body that is not read

Callers whose request was refused before its body had come in (no route, wrong key, a router that is busy, stops or is not confirmed) lost the answer, or the next request on that connection.

hyper closes a connection behind a body that its service drops. The answer did not say so; and as the rest of the body lay in the socket, closing it reset the connection, which may take the answer from the caller, and with a 503 the promise that the request did not run. Such an answer now has `Connection: close`, and what the caller still sends is read and discarded until it closes, for half a second at most.

--- a/src/direct/caller_connection.rs
+++ b/src/direct/caller_connection.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         answer_buffer::AnswerBuffer,
+        body_unread::BodyUnread,
         caller_body::CallerBody,
         caller_connections::CallerConnections,
         caller_port::answer_caller,
@@ -28,7 +29,7 @@
         },
         time::Duration,
     },
-    tokio::{io::AsyncWriteExt, net::TcpStream},
+    tokio::{io::AsyncWriteExt, net::TcpStream, time::timeout},
 };
 
 /// How often a connection checks whether it should be closed.
@@ -41,6 +42,9 @@
 /// answer did not announce that, and the caller may have sent the next request already.
 const UNANNOUNCED_CLOSE_DELAY: Duration = Duration::from_millis(400);
 
+/// How long the rest of a body that is not read may come in before the connection is closed.
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// A caller's connection whose requests are answered here.
 pub struct CallerConnection {
     gateway: Arc<Gateway>,
@@ -52,6 +56,7 @@
     announces_close: AtomicBool,    // in the next answer
     is_close_announced: AtomicBool, // in the last answer
     is_close_requested: AtomicBool, // in the last request
+    is_body_unread: AtomicBool,     // of the last request
 }
 
 /// The end of serving requests on a connection.
@@ -80,6 +85,7 @@
             announces_close: AtomicBool::new(false),
             is_close_announced: AtomicBool::new(false),
             is_close_requested: AtomicBool::new(false),
+            is_body_unread: AtomicBool::new(false),
         }
     }
 
@@ -147,7 +153,16 @@
                 ended
             });
             tokio::select! {
-                ended = driven => return ServeEnd::Closed(self.reason_of(ended)),
+                ended = driven => {
+                    let reason = self.reason_of(ended);
+                    if reason == Some(CloseReason::UnreadBody) {
+                        let mut stream = connection.into_parts().io.into_inner();
+                        if timeout(DRAIN_TIMEOUT, stream.drain()).await.is_err() {
+                            log::debug!("the caller did not close its connection");
+                        }
+                    }
+                    return ServeEnd::Closed(reason);
+                }
                 changed = closing.changed(), if !is_closing => {
                     if changed.is_err() {
                         return ServeEnd::Closed(None);
@@ -196,6 +211,8 @@
             let is_announced = response.headers().contains_key(CONNECTION);
             self.is_close_announced
                 .store(is_announced, Ordering::Relaxed);
+            let is_body_unread = response.extensions().get::<BodyUnread>().is_some();
+            self.is_body_unread.store(is_body_unread, Ordering::Relaxed);
             Ok(response.map(|body| CallerBody::new(buffer, body, in_progress)))
         })
     }
@@ -243,6 +260,9 @@
         if self.activity.was_closed_by_caller() {
             return None;
         }
+        if self.is_body_unread.load(Ordering::Relaxed) {
+            return Some(CloseReason::UnreadBody);
+        }
         if self.is_close_announced.load(Ordering::Relaxed) {
             return Some(CloseReason::Announced);
         }
--- a/src/direct/caller_port.rs
+++ b/src/direct/caller_port.rs
@@ -1,5 +1,6 @@
 use {
     super::{
+        body_unread::BodyUnread,
         call::Call,
         exchange::Exchange,
         gateway::Gateway,
@@ -14,7 +15,7 @@
     },
     hyper::{
         Request, Response,
-        body::Incoming,
+        body::{Body, Incoming},
         header::{CONNECTION, HeaderValue},
     },
     std::{convert::Infallible, sync::Arc},
@@ -29,14 +30,21 @@
 ) -> Result<Response<ReplyBody>, Infallible> {
     let arrived = gateway.now();
     let request_id = header_text(request.headers(), &gateway.dialect.names.request_id).to_owned();
+    let has_body = !request.body().is_end_stream();
     let mut response = match read_call(&gateway, request, arrived).await {
         Err(error) => {
             log_refused(&gateway, &request_id, &error, arrived);
-            error_reply(&gateway, &error, &request_id)
+            let mut reply = error_reply(&gateway, &error, &request_id);
+            if has_body {
+                reply.extensions_mut().insert(BodyUnread);
+            }
+            reply
         }
         Ok(call) => answer_call(&gateway, Arc::new(call)).await,
     };
-    if closes_connection || gateway.closes_connections() {
+    let is_body_unread = response.extensions().get::<BodyUnread>().is_some();
+    // The connection cannot be used behind a body that is not read.
+    if closes_connection || is_body_unread || gateway.closes_connections() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
--- a/src/direct/caller_stream.rs
+++ b/src/direct/caller_stream.rs
@@ -8,11 +8,14 @@
         task::{Context, Poll},
     },
     tokio::{
-        io::{AsyncRead, AsyncWrite, ReadBuf},
+        io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf},
         net::TcpStream,
     },
 };
 
+/// Size of the buffer for bytes that are discarded.
+const DRAIN_BUFFER_BYTES: usize = 4096;
+
 /// A caller's connection that reports the bytes written to it, and when all were, to the answer
 /// buffer, and what is read and written to the connection's activity.
 pub struct CallerStream {
@@ -59,6 +62,13 @@
         self.unread = bytes;
     }
 
+    /// Reads and discards what the caller still sends, until it closes the connection: closing it
+    /// before would reset it, and the caller may lose the answer.
+    pub async fn drain(&mut self) {
+        let mut discarded = [0; DRAIN_BUFFER_BYTES];
+        while let Ok(1..) = self.stream.read(&mut discarded).await {}
+    }
+
     /// Whether bytes can be read now.
     pub fn has_bytes(&self) -> bool {
         let in_socket = rustix::io::ioctl_fionread(&self.stream);
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -5,6 +5,7 @@
 mod answer_buffer;
 mod attempt;
 mod attempt_end;
+mod body_unread;
 mod cache_follow;
 mod cache_protocol;
 mod cache_survey;
--- a/testbed/tests/idle_connections.rs
+++ b/testbed/tests/idle_connections.rs
@@ -446,3 +446,24 @@
     assert!(clients[0].is_closed_by_router().await);
     assert!(opened.elapsed() < Duration::from_millis(2_500));
 }
+
+/// Guards against a close without notice after an answer that comes before its request's body was
+/// read.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_after_a_refused_one_with_a_long_body_are_answered() {
+    let (fleet, _replicas) = fleet(15_000, paced_stream(), "").await;
+    let body = "x".repeat(60_000);
+    let mut lost = 0;
+    for number in 0..CALLERS {
+        let mut client = connect(&fleet).await;
+        let refused = ClientRequest::post("/none/", &format!("r-{number}"), &body);
+        let answer = client.call(&refused).await;
+        if (answer.status, answer.is_complete) != (404, true) {
+            lost += 1;
+        } else if answer.header("connection") != "close" {
+            let answer = client.call(&plain(&format!("n-{number}"))).await;
+            lost += u32::from(!answer.is_whole_success());
+        }
+    }
+    assert_eq!(lost, 0);
+}
