Tests: the streams of one silent replica, and replicas silent in turn

What callers see: where several streams wait for a replica that is silent for good, one goes on at an idle replica after 1.51 s and the other five 0.26 s later.

Cause, as read: silent_replicas() counts a replica with a request in flight as silent when its last answer is older than 600 ms. An idle replica is that as soon as the first stream is sent to it, and the others find no successor.

--- a/testbed/tests/silence_review.rs
+++ b/testbed/tests/silence_review.rs
@@ -1,15 +1,17 @@
-//! Successors of silent replicas that fail only after the silent replica's attempt was given up.
+//! Successors of silent replicas: some fail late, some are silent too, some callers leave meanwhile.
 
 use {
     archmast_testbed::{
         direct::{
-            Client, ClientRequest, DirectFleet, Framing, Replica, ReplicaAnswer, RouteText, event,
+            Client, ClientRequest, DirectFleet, Framing, Replica, ReplicaAnswer, ReplicaRun,
+            RouteText, event,
         },
         fleet::wait_until,
     },
+    futures::future::join_all,
     std::{
         net::{IpAddr, SocketAddr},
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::{
         net::{TcpListener, TcpSocket, TcpStream},
@@ -77,8 +79,13 @@
         let id = format!("i-{number}");
         replicas.push(fleet.start_replica(&id, "s", answer.clone()).await);
     }
+    let long = RouteText {
+        attempts: 3,
+        ..RouteText::new("/three/", "s", "streaming")
+    };
     let routes = [
         RouteText::new("/chat/", "s", "streaming"),
+        long,
         RouteText::new("/read/", "s", "idempotent"),
     ];
     fleet.store.publish(1, &routes);
@@ -100,10 +107,18 @@
 async fn begin_stream(
     fleet: &DirectFleet,
     id: &str,
+) -> Client {
+    begin_stream_on(fleet, "/chat/", id).await
+}
+
+async fn begin_stream_on(
+    fleet: &DirectFleet,
+    path: &str,
+    id: &str,
 ) -> Client {
     let router = fleet.caller_addresses[0];
     let mut client = Client::connect(router).await.expect("a connection");
-    let request = request("/chat/", id, 7500);
+    let request = request(path, id, 7500);
     client.send(&request.bytes()).await.expect("sent");
     assert!(client.wait_for("piece 2").await, "{id}");
     client
@@ -199,3 +214,87 @@
         answer.text()
     );
 }
+
+/// An idle replica that was just sent one of the streams is not silent.
+#[tokio::test(flavor = "multi_thread")]
+async fn all_streams_of_a_replica_that_is_silent_for_good_are_resumed_soon() {
+    const STREAMS: usize = 6;
+    let (fleet, replicas) = fleet(1, paced_events()).await;
+    let ids: Vec<String> = (0..STREAMS).map(|number| format!("id-{number}")).collect();
+    let mut clients = join_all(ids.iter().map(|id| begin_stream(&fleet, id))).await;
+    replicas[0].pause_for(FOR_GOOD);
+    let since = Instant::now();
+    let _other = fleet.start_replica("i-1", "s", paced_events()).await;
+    let next = clients.iter_mut().map(async |client| {
+        assert!(client.wait_for("piece 4").await);
+        since.elapsed()
+    });
+    let took = join_all(next).await;
+    let limit = SILENCE_LIMIT + Duration::from_millis(400);
+    let log = fleet.routers[0].log_text();
+    let waits = log.matches("has no successor: NoReplica").count();
+    assert!(
+        took.iter().all(|time| *time <= limit),
+        "{took:?}, {waits} found no successor at first"
+    );
+}
+
+/// Times for which the replicas worked on a request.
+fn runs(
+    replicas: &[Replica],
+    id: &str,
+) -> Vec<ReplicaRun> {
+    let runs = replicas.iter().flat_map(Replica::run_times);
+    runs.filter(|run| run.request_id == id).collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_replica_works_on_for_a_caller_that_leaves_while_a_successor_is_asked() {
+    let (fleet, replicas) = fleet(2, paced_events()).await;
+    let client = begin_stream(&fleet, "id-1").await;
+    let worker = worker(&replicas, "id-1").await;
+    replicas[worker].pause_for(FOR_GOOD);
+    replicas[1 - worker].set_default_answer(ReplicaAnswer::Silent);
+    wait_until("the successor has the request", || {
+        replicas[1 - worker].received_count("id-1") > 0
+    })
+    .await;
+    drop(client);
+    let left = Instant::now();
+    wait_until("no replica works on the request", || {
+        runs(&replicas, "id-1")
+            .iter()
+            .all(|run| run.ended.is_some())
+    })
+    .await;
+    assert!(
+        left.elapsed() < Duration::from_millis(500),
+        "{:?}",
+        left.elapsed()
+    );
+}
+
+/// Two replicas may work on one request for 400 ms.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_two_of_three_replicas_that_fall_silent_in_turn_work_on_a_stream_for_long() {
+    const MAX_OVERLAP: Duration = Duration::from_millis(400);
+    let (fleet, replicas) = fleet(3, paced_events()).await;
+    let mut client = begin_stream_on(&fleet, "/three/", "id-1").await;
+    let first = worker(&replicas, "id-1").await;
+    replicas[first].pause_for(FOR_GOOD);
+    let others = || (0..3).filter(|other| *other != first);
+    let find = || others().find(|other| replicas[*other].received_count("id-1") > 0);
+    wait_until("a successor has the request", || find().is_some()).await;
+    let second = find().expect("one was found");
+    replicas[second].pause_for(FOR_GOOD);
+    assert_whole_stream(&fleet, &mut client).await;
+    let runs = runs(&replicas, "id-1");
+    assert_eq!(runs.len(), 3, "{runs:?}");
+    for (index, one) in runs.iter().enumerate() {
+        for other in &runs[..index] {
+            let until = one.ended.expect("ended").min(other.ended.expect("ended"));
+            let overlap = until.saturating_duration_since(one.began.max(other.began));
+            assert!(overlap <= MAX_OVERLAP, "{overlap:?}");
+        }
+    }
+}
