A silent replica is listened to while its successor is asked

Callers saw streams cut though their replica had gone on, and requests refused as "did not run" that a silent replica had taken.

The two attempts are polled side by side now (`SilentAttempt`), with one loop for heads, first events, later events and plain answers. What the silent replica sends first wins, and the successor is withdrawn; if its connection is lost the successor is kept. The overlap of 250 ms counts from the moment at which the successor's request is written. An attempt that may be given up counts as one that may have run. A replica is silent if a request has been in flight there for longer than it has answered nothing; silent ones are avoided while there are others.

--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -14,7 +14,14 @@
         header::{CONTENT_ENCODING, HeaderValue, RETRY_AFTER},
         http::response::Parts,
     },
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
 };
 
 /// The replica chosen for an attempt, and the guard that counts the request in its load.
@@ -28,13 +35,15 @@
 /// Sends a call to a replica and waits for the head of the answer. Uses a connection that was
 /// idle for at most `max_idle`, or a new one; always a new one for a call without an id, as only
 /// the id tells its answer from surplus answers to earlier requests. A resumed stream continues
-/// after the event with id `last_event`.
+/// after the event with id `last_event`. `written_at` is set to the uptime in milliseconds when the
+/// request is written.
 pub async fn send_call(
     gateway: &Arc<Gateway>,
     call: &Call,
     target: AttemptTarget,
     max_idle: Duration,
     last_event: Option<&str>,
+    written_at: &AtomicU64,
 ) -> Result<LiveAnswer, AttemptEnd> {
     let max_open = (call.max_connections / gateway.router_count()).max(1);
     let max_idle = match call.request_id.is_empty() {
@@ -48,6 +57,7 @@
         return Err(AttemptEnd::Withheld);
     }
     let request = build_request(gateway, call, &target, last_event)?;
+    written_at.store(gateway.now().as_millis() as u64, Ordering::Relaxed);
     let response = call_replica(gateway, &target.entry, &mut connection, request).await?;
     let (head, body) = response.into_parts();
     check_answer_head(gateway, call, &head)?;
--- a/src/direct/events_relay.rs
+++ b/src/direct/events_relay.rs
@@ -36,6 +36,7 @@
     exchange: Option<Exchange>, // `None` once it is returned by `start_reply`
     answer: LiveAnswer,
     events: EventAssembler,
+    arrived: Option<Result<Option<Bytes>, AttemptEnd>>, // read while a successor was asked
     is_done: bool,
     has_resumed: bool, // at another replica, without an event since
     first_event_after: Option<Duration>, // time from the call's arrival to its first event
@@ -75,6 +76,7 @@
             exchange: Some(exchange),
             answer,
             events,
+            arrived: None,
             is_done: false,
             has_resumed: false,
             first_event_after: None,
@@ -93,22 +95,26 @@
         let gateway = self.exchange().gateway.clone();
         let replica = self.answer.in_flight.replica().clone();
         let time_left = self.exchange().time_left();
-        let first =
+        let since = gateway.now();
+        let mut waited =
             wait_while_alive(&gateway, &replica, limit, time_left, self.read_events()).await;
-        let first = match first {
-            Some(first) => first.map_err(NoReply::Ended),
-            None => match self.outwait(gateway.now()).await {
-                Ok(Waited::Output(first)) => first.map_err(NoReply::Ended),
-                Ok(Waited::Replaced(started)) => Err(NoReply::Replaced(started)),
-                Ok(Waited::Deadline) => Err(NoReply::Ended(timed_out(limit))),
-                Err(error) => Err(NoReply::Unanswered(error)),
-            },
+        let first = loop {
+            if let Some(first) = waited {
+                break first.map_err(NoReply::Ended);
+            }
+            match self.await_silent(since).await {
+                Ok(Waited::Output(chunk)) => self.arrived = Some(chunk),
+                Ok(Waited::Replaced(started)) => break Err(NoReply::Replaced(started)),
+                Ok(Waited::Deadline) => break Err(NoReply::Ended(self.timed_out(since))),
+                Err(error) => break Err(NoReply::Unanswered(error)),
+            }
+            waited = timeout_unless_ready(SUCCESSOR_INTERVAL, self.read_events()).await;
         };
         let first = match first {
             Ok(first) => first,
-            Err(none) => {
+            Err(no_reply) => {
                 let exchange = self.exchange.take().expect("exchange taken twice");
-                return Err((exchange, none));
+                return Err((exchange, no_reply));
             }
         };
         self.answer.in_flight.record_first_token();
@@ -132,8 +138,8 @@
     /// The next events for the caller, resuming the stream if its replica fails; `None` at the
     /// end.
     async fn next_events(&mut self) -> Option<Result<Bytes, io::Error>> {
+        let mut since = self.exchange().gateway.now();
         while !self.is_done {
-            let since = self.exchange().gateway.now();
             let time_left = self.exchange().time_left();
             let limit = if self.may_resume() {
                 self.resume_timeout().min(time_left)
@@ -142,11 +148,15 @@
             };
             let output = match self.read_events_within(limit, since).await {
                 Some(output) => output,
-                None => match self.outwait(since).await {
-                    Ok(Waited::Output(output)) => output,
-                    Ok(Waited::Deadline) => Err(timed_out(limit)),
+                None => match self.await_silent(since).await {
+                    Ok(Waited::Output(chunk)) => {
+                        self.arrived = Some(chunk);
+                        continue;
+                    }
+                    Ok(Waited::Deadline) => Err(self.timed_out(since)),
                     Ok(Waited::Replaced(started)) => {
                         self.go_on(*started);
+                        since = self.exchange().gateway.now();
                         continue;
                     }
                     Err(error) => return Some(Err(self.cut(cut_error(error.code)))),
@@ -157,7 +167,7 @@
                     if std::mem::take(&mut self.has_resumed) {
                         self.answer.in_flight.record_first_token();
                     }
-                    self.exchange_mut().waiting_on_since = None;
+                    self.exchange_mut().no_successor_since = None;
                     return Some(Ok(events));
                 }
                 Ok(None) => return None,
@@ -165,6 +175,7 @@
                     if let Err(error) = self.resume(&end).await {
                         return Some(Err(self.cut(error)));
                     }
+                    since = self.exchange().gateway.now();
                 }
             }
         }
@@ -181,32 +192,25 @@
         error
     }
 
-    /// Waits for events of a replica that has been silent since `since`, or for the answer of a
+    /// Waits for bytes of a replica that has been silent since `since`, or for the answer of a
     /// successor.
-    async fn outwait(
+    async fn await_silent(
         &mut self,
         since: Moment,
-    ) -> Result<Waited<ReadEvents>, ErrorAnswer> {
+    ) -> Result<Waited<Result<Option<Bytes>, AttemptEnd>>, ErrorAnswer> {
         let last = self.events.last_id().map(str::to_owned);
-        loop {
-            let time_left = self.exchange().time_left();
-            if time_left.is_zero() {
-                return Ok(Waited::Deadline);
-            }
-            let may_replace = self.first_event_after.is_none() || self.may_resume();
-            let exchange = self.exchange.as_mut().expect("exchange already taken");
-            if may_replace && exchange.reserve_successor() {
-                let give_up = || self.answer.close();
-                let started = exchange.ask_successor(since, last.as_deref(), give_up);
-                if let Some(started) = started.await? {
-                    return Ok(Waited::Replaced(Box::new(started)));
-                }
-            }
-            let limit = SUCCESSOR_INTERVAL.min(time_left);
-            if let Some(output) = self.read_events_within(limit, since).await {
-                return Ok(Waited::Output(output));
-            }
-        }
+        let exchange = self.exchange.as_mut().expect("exchange already taken");
+        exchange
+            .await_silent(&mut self.answer, since, last.as_deref())
+            .await
+    }
+
+    fn timed_out(
+        &self,
+        since: Moment,
+    ) -> AttemptEnd {
+        let silence = self.exchange().gateway.now().saturating_sub(since);
+        AttemptEnd::timed_out("event", silence)
     }
 
     /// The next whole events, awaited up to `limit`; `None` on time-out. Pauses are measured only
@@ -270,7 +274,11 @@
             return Ok(None);
         }
         loop {
-            match self.answer.next_chunk().await? {
+            let chunk = match self.arrived.take() {
+                Some(chunk) => chunk,
+                None => self.answer.next_chunk().await,
+            };
+            match chunk? {
                 Some(chunk) => {
                     if let Some(events) = self.events.push(&chunk)? {
                         self.exchange_mut().record_event();
@@ -363,6 +371,7 @@
         self.pause_watch = None;
         self.events.discard_partial();
         self.answer = started.answer;
+        self.arrived = None;
         self.has_resumed = true;
     }
 }
@@ -373,7 +382,3 @@
         detail: detail.to_owned(),
     }
 }
-
-fn timed_out(limit: Duration) -> AttemptEnd {
-    AttemptEnd::timed_out("event", limit)
-}
--- a/src/direct/exchange.rs
+++ b/src/direct/exchange.rs
@@ -18,7 +18,14 @@
         policy::{Moment, shares::AccountShare, streams::SoftwareVersion},
     },
     hyper::Response,
-    std::{pin::pin, sync::Arc, time::Duration},
+    std::{
+        pin::pin,
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
 };
 
 /// Attempts that fail before a byte is sent do not count towards the route's attempts, and
@@ -49,6 +56,7 @@
     pub(super) sent_attempts: u32,   // of which at least a byte was sent
     pub(super) unsent_attempts: u32, // that failed before
     pub(super) is_sending: bool,     // an attempt is in neither count yet
+    pub(super) written_at: Arc<AtomicU64>, // uptime in ms when it was written; 0 if it was not
     pub(super) may_have_run: bool,   // the outcome of some attempt is unknown
     pub(super) charged_tokens: f32,  // zero until the account is charged
     pub(super) share: Option<AccountShare>, // of the account, at the last placement
@@ -56,8 +64,8 @@
     pub(super) successor: Option<(AttemptTarget, Duration)>, // the next attempt, and its duration
     pub(super) checked_at: Option<u32>, // `sent_attempts` when `check_suspect` last ran
     pub(super) stream_version: Option<SoftwareVersion>, // once the stream has begun, here or elsewhere
-    pub(super) waiting_on_since: Option<Moment>, // its replica is silent and has no successor
-    failure: Option<Response<ReplyBody>>,        // a replica's error answer, if no attempt succeeds
+    pub(super) no_successor_since: Option<Moment>, // its replica is silent and has no successor
+    failure: Option<Response<ReplyBody>>, // a replica's error answer, if no attempt succeeds
 }
 
 /// An answer whose head was received, and the time that remains for its body.
@@ -87,6 +95,7 @@
             sent_attempts: 0,
             unsent_attempts: 0,
             is_sending: false,
+            written_at: Arc::default(),
             may_have_run: false,
             charged_tokens: 0.0,
             share: None,
@@ -94,7 +103,7 @@
             successor: None,
             checked_at: None,
             stream_version,
-            waiting_on_since: None,
+            no_successor_since: None,
             failure: None,
         }
     }
@@ -199,15 +208,17 @@
             target.queue_wait,
         ));
         self.is_sending = true;
+        self.written_at.store(0, Ordering::Relaxed);
         let (gateway, call) = (self.gateway.clone(), self.call.clone());
-        let sending = send_call(&gateway, &call, target, max_idle, last_event);
+        let written_at = self.written_at.clone();
+        let sending = send_call(&gateway, &call, target, max_idle, last_event, &written_at);
         let mut sending = pin!(Some(sending));
         let time_left = self.time_left();
         let head = sending.as_mut().as_pin_mut().expect("just set");
         let outcome = wait_while_alive(&gateway, &replica, limit, time_left, head).await;
         let outcome = match outcome {
             Some(outcome) => outcome,
-            None => match self.await_silent(sending, sent_at, last_event).await {
+            None => match self.await_silent(&mut sending, sent_at, last_event).await {
                 Ok(Waited::Output(outcome)) => outcome,
                 Ok(Waited::Deadline) => {
                     let waited = gateway.now().saturating_sub(sent_at);
--- a/src/direct/exchange_end.rs
+++ b/src/direct/exchange_end.rs
@@ -32,10 +32,7 @@
         self.may_have_run |= !end.did_not_run();
         let has_exited = end.is_connection_lost() && self.has_replica_exited().await;
         let is_held_back = has_exited && self.record_crash();
-        if is_held_back {
-            self.successor = None;
-        }
-        let tries_again = self.successor.is_some() || !is_held_back && self.tries_again(end);
+        let tries_again = !is_held_back && self.tries_again(end);
         self.log_end(end, has_exited, tries_again);
         if tries_again {
             return Ok(());
--- a/src/direct/live_answer.rs
+++ b/src/direct/live_answer.rs
@@ -5,13 +5,17 @@
     },
     crate::{catalog::UpstreamEntry, codes::ResultCode},
     bytes::Bytes,
-    http_body_util::BodyExt,
     hyper::{
         body::{Body, Incoming},
         header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING},
         http::response::Parts,
     },
-    std::sync::Arc,
+    std::{
+        future::poll_fn,
+        pin::Pin,
+        sync::Arc,
+        task::{Context, Poll, ready},
+    },
 };
 
 /// The media type of a stream of events.
@@ -66,25 +70,33 @@
     /// The next bytes of the body; `None` at its end. Fails with
     /// `ResultCode::AnswerCut` if the connection is lost before.
     pub async fn next_chunk(&mut self) -> Result<Option<Bytes>, AttemptEnd> {
+        poll_fn(|context| self.poll_chunk(context)).await
+    }
+
+    /// The same as [`Self::next_chunk`], polled.
+    pub fn poll_chunk(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Result<Option<Bytes>, AttemptEnd>> {
         loop {
-            match self.body.frame().await {
+            match ready!(Pin::new(&mut self.body).poll_frame(context)) {
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
                         self.gateway
                             .replica_table()
                             .record_answer(self.gateway.now(), self.in_flight.replica());
-                        return Ok(Some(data));
+                        return Poll::Ready(Ok(Some(data)));
                     }
                 }
                 Some(Err(error)) => {
-                    return Err(AttemptEnd::Unknown {
+                    return Poll::Ready(Err(AttemptEnd::Unknown {
                         code: ResultCode::AnswerCut,
                         detail: error.to_string(),
-                    });
+                    }));
                 }
                 None => {
                     self.return_connection();
-                    return Ok(None);
+                    return Poll::Ready(Ok(None));
                 }
             }
         }
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -50,6 +50,7 @@
 mod sent_attempt;
 mod serve;
 mod settings_watch;
+mod silent_attempt;
 mod sockets;
 mod start_check;
 mod status;
--- a/src/direct/plain_relay.rs
+++ b/src/direct/plain_relay.rs
@@ -10,7 +10,6 @@
         timeout_unless_ready::timeout_unless_ready,
         whole_answer::check_whole,
     },
-    crate::codes::ResultCode,
     bytes::{Bytes, BytesMut},
     futures::stream,
     http_body_util::{BodyExt, StreamBody},
@@ -34,25 +33,22 @@
     let body = reading.as_mut().as_pin_mut().expect("just set");
     let outcome = match timeout_unless_ready(started.timeout, body).await {
         Some(outcome) => outcome,
-        None => match exchange.await_silent(reading, since, None).await {
+        None => match exchange.await_silent(&mut reading, since, None).await {
             Ok(Waited::Output(outcome)) => outcome,
-            Ok(Waited::Deadline) => Err(AttemptEnd::timed_out("whole answer", started.timeout)),
+            Ok(Waited::Deadline) => {
+                let waited = exchange.gateway.now().saturating_sub(since);
+                Err(AttemptEnd::timed_out("whole answer", waited))
+            }
             Ok(Waited::Replaced(started)) => return Err(NoReply::Replaced(started)),
             Err(error) => return Err(NoReply::Unanswered(error)),
         },
     };
     let (answer, buffered, is_whole) = outcome.map_err(NoReply::Ended)?;
-    if is_whole && answer.is_event_stream() == Some(true) && ends_inside_event(&buffered) {
-        return Err(NoReply::Ended(AttemptEnd::Unknown {
-            code: ResultCode::AnswerCut,
-            detail: "the stream ended inside an event".to_owned(),
-        }));
-    }
-    if is_whole && answer.ends_with_connection && exchange.has_replica_exited().await {
-        return Err(NoReply::Ended(AttemptEnd::Unknown {
-            code: ResultCode::AnswerCut,
-            detail: "the replica exited at the end of the answer".to_owned(),
-        }));
+    if is_whole {
+        let is_events = answer.is_event_stream() == Some(true);
+        let is_inside_event = is_events && ends_inside_event(&buffered);
+        let checked = check_whole(&answer, is_inside_event).await;
+        checked.map_err(NoReply::Ended)?;
     }
     let status = answer.head.status;
     let is_failure = status.is_server_error();
--- a/src/direct/successor.rs
+++ b/src/direct/successor.rs
@@ -6,12 +6,18 @@
         attempt_end::AttemptEnd,
         exchange::{Exchange, StartedAnswer},
         sent_attempt::SentAttempt,
+        silent_attempt::SilentAttempt,
         timeout_unless_ready::timeout_unless_ready,
     },
     crate::{codes::ErrorAnswer, policy::Moment},
     futures::future::BoxFuture,
     hyper::StatusCode,
-    std::{pin::Pin, time::Duration},
+    std::{
+        future::poll_fn,
+        sync::{Arc, atomic::Ordering},
+        time::Duration,
+    },
+    tokio::time::sleep,
 };
 
 /// How often a successor is looked for while a replica is silent.
@@ -21,6 +27,9 @@
 /// on one request for longer than 400 ms.
 const MAX_OVERLAP: Duration = Duration::from_millis(250);
 
+/// How often it is checked whether the overlap is over.
+const OVERLAP_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// A replica with requests in flight that answered nothing for this long counts as silent too.
 const SUCCESSOR_SILENCE: Duration = Duration::from_millis(600);
 
@@ -44,27 +53,32 @@
     Deadline,
 }
 
+/// How an attempt at a silent replica and its successor went side by side.
+enum Overlap<T> {
+    Successor(Result<Box<StartedAnswer>, ErrorAnswer>),
+    Silent(Result<T, AttemptEnd>),
+    Expired,
+}
+
 impl Exchange {
     /// Waits for what the replica of the last attempt sends, which has been silent since `since`, or
     /// for the answer of a successor, at most until the deadline. A successor continues after the
-    /// event with id `last_event`. `awaited` is dropped when the replica is given up.
-    pub(super) async fn await_silent<T>(
+    /// event with id `last_event`.
+    pub(super) async fn await_silent<S: SilentAttempt>(
         &mut self,
-        mut awaited: Pin<&mut Option<impl Future<Output = T>>>,
+        silent: &mut S,
         since: Moment,
         last_event: Option<&str>,
-    ) -> Result<Waited<T>, ErrorAnswer> {
+    ) -> Result<Waited<Result<S::Output, AttemptEnd>>, ErrorAnswer> {
         while !self.time_left().is_zero() {
             if self.reserve_successor() {
-                let give_up = || awaited.set(None);
-                if let Some(started) = self.ask_successor(since, last_event, give_up).await? {
-                    return Ok(Waited::Replaced(Box::new(started)));
+                let asked = self.ask_successor(silent, since, last_event).await?;
+                if let Some(waited) = asked {
+                    return Ok(waited);
                 }
             }
             let limit = SUCCESSOR_INTERVAL.min(self.time_left());
-            let Some(output) = awaited.as_mut().as_pin_mut() else {
-                break;
-            };
+            let output = poll_fn(|context| silent.poll_output(context));
             if let Some(output) = timeout_unless_ready(limit, output).await {
                 return Ok(Waited::Output(output));
             }
@@ -74,33 +88,74 @@
 
     /// Sends the call, for a stream what follows the event with id `last_event`, to the reserved
     /// successor of a replica that has been silent since `since`. The attempt at the silent one
-    /// goes on beside it; `give_up` ends it when the successor answers, or has not refused within
-    /// `MAX_OVERLAP`. `None` if the successor failed before that, and the attempt at the silent
-    /// replica is the last one again.
-    pub(super) async fn ask_successor(
+    /// goes on beside it, until the successor answers or has not refused within `MAX_OVERLAP`. If
+    /// the silent one goes on before that, the successor is given up. `None` if the successor
+    /// failed, and the silent attempt is the last one again.
+    async fn ask_successor<S: SilentAttempt>(
         &mut self,
+        silent: &mut S,
         since: Moment,
         last_event: Option<&str>,
-        give_up: impl FnOnce(),
-    ) -> Result<Option<StartedAnswer>, ErrorAnswer> {
+    ) -> Result<Option<Waited<Result<S::Output, AttemptEnd>>>, ErrorAnswer> {
         self.sent_attempts += u32::from(std::mem::take(&mut self.is_sending));
+        self.may_have_run = true;
+        self.written_at.store(0, Ordering::Relaxed);
         self.record_silence(since);
-        let silent = self.last_attempt.take();
+        let attempt = self.last_attempt.take();
+        let (gateway, written_at) = (self.gateway.clone(), self.written_at.clone());
+        let has_expired = || {
+            let written_at = written_at.load(Ordering::Relaxed);
+            let overlap = gateway
+                .now()
+                .saturating_sub(Moment::from_millis(written_at));
+            written_at > 0 && overlap >= MAX_OVERLAP
+        };
         let mut starting = self.start_successor(last_event);
-        match timeout_unless_ready(MAX_OVERLAP, &mut starting).await {
-            Some(Ok(started)) => {
-                give_up();
-                Ok(Some(started))
+        let overlap = loop {
+            // What has arrived is looked at once more, as timers fire before sockets are read.
+            let is_last_look = has_expired();
+            tokio::select! {
+                biased;
+                started = &mut starting => break Overlap::Successor(started.map(Box::new)),
+                output = poll_fn(|context| silent.poll_output(context)) => {
+                    break Overlap::Silent(output);
+                }
+                () = sleep(OVERLAP_CHECK_INTERVAL) => if is_last_look {
+                    break Overlap::Expired;
+                }
+            }
+        };
+        match overlap {
+            Overlap::Successor(Ok(started)) => {
+                silent.give_up();
+                Ok(Some(Waited::Replaced(started)))
             }
-            Some(Err(_)) => {
+            Overlap::Successor(Err(_)) => {
                 drop(starting);
-                self.return_to(silent);
+                self.return_to(attempt, "failed");
                 Ok(None)
             }
-            None => {
-                give_up();
-                drop(silent);
-                starting.await.map(Some)
+            Overlap::Silent(Ok(output)) => {
+                drop(starting);
+                self.count_withdrawn();
+                self.return_to(attempt, "is not needed");
+                Ok(Some(Waited::Output(Ok(output))))
+            }
+            Overlap::Silent(Err(_)) | Overlap::Expired => {
+                silent.give_up();
+                drop(attempt);
+                let started = starting.await?;
+                Ok(Some(Waited::Replaced(Box::new(started))))
+            }
+        }
+    }
+
+    /// Counts an attempt whose outcome is not awaited.
+    fn count_withdrawn(&mut self) {
+        if std::mem::take(&mut self.is_sending) {
+            match self.written_at.load(Ordering::Relaxed) {
+                0 => self.unsent_attempts += 1,
+                _ => self.sent_attempts += 1,
             }
         }
     }
@@ -140,11 +195,11 @@
     /// a replica, at first only one that is not silent itself. Returns false if there is none now.
     pub(super) fn reserve_successor(&mut self) -> bool {
         let Err(reason) = self.find_successor() else {
-            self.waiting_on_since = None;
+            self.no_successor_since = None;
             return true;
         };
-        if self.waiting_on_since.is_none() {
-            self.waiting_on_since = Some(self.gateway.now());
+        if self.no_successor_since.is_none() {
+            self.no_successor_since = Some(self.gateway.now());
             log::info!(
                 request_id = self.call.request_id.as_str(),
                 replica = self.last_replica(),
@@ -178,10 +233,11 @@
         );
     }
 
-    /// Goes back to an attempt at a silent replica, as its successor failed.
+    /// Goes back to an attempt at a silent replica.
     fn return_to(
         &mut self,
         attempt: Option<SentAttempt>,
+        outcome: &str, // of the successor
     ) {
         self.last_attempt = attempt;
         self.charge_account();
@@ -189,7 +245,7 @@
             request_id = self.call.request_id.as_str(),
             replica = self.last_replica(),
             sent = self.sent_attempts;
-            "the successor of a silent replica failed"
+            "the successor of a silent replica {outcome}"
         );
     }
 
@@ -203,14 +259,22 @@
         if self.is_suspect() {
             return Err(NoSuccessor::HeldBack);
         }
-        let mut excluded = self.tried.clone();
         let now = self.gateway.now();
-        let waited = self.waiting_on_since.map(|since| now.saturating_sub(since));
-        if waited.is_none_or(|waited| waited < SILENT_SUCCESSOR_DELAY) {
-            let replica_table = self.gateway.replica_table();
-            excluded.extend(replica_table.silent_replicas(now, SUCCESSOR_SILENCE));
-        }
-        let successor = self.place(&excluded).map_err(|_| NoSuccessor::NoReplica)?;
+        let silent = self
+            .gateway
+            .replica_table()
+            .silent_replicas(now, SUCCESSOR_SILENCE);
+        let tried = self.tried.clone();
+        let excluded: Vec<Arc<str>> = tried.iter().cloned().chain(silent).collect();
+        let waited = self
+            .no_successor_since
+            .map(|since| now.saturating_sub(since));
+        let may_be_silent = waited.is_some_and(|waited| waited >= SILENT_SUCCESSOR_DELAY);
+        let placed = match self.place(&excluded) {
+            Err(_) if may_be_silent => self.place(&tried),
+            placed => placed,
+        };
+        let successor = placed.map_err(|_| NoSuccessor::NoReplica)?;
         if !self.take_retry("silent") {
             return Err(NoSuccessor::NoRetryLeft);
         }
--- a/src/policy/direct/placement/replica_table/outcomes.rs
+++ b/src/policy/direct/placement/replica_table/outcomes.rs
@@ -9,7 +9,7 @@
             placement::{CachedPart, PlainRun, PrefixCache, ReplicaView},
         },
     },
-    std::{sync::Arc, time::Duration},
+    std::{collections::BTreeSet, sync::Arc, time::Duration},
 };
 
 /// Longest expected time between the exit of a replica's process and its restart under the same
@@ -42,17 +42,18 @@
         view.is_some_and(|view| now.saturating_sub(view.last_answer) <= age)
     }
 
-    /// The replicas that answered nothing within `age`, although requests of this router are in
-    /// flight there.
+    /// The replicas that answered nothing within `age`, although a request of this router has been
+    /// in flight there for longer.
     pub fn silent_replicas(
         &self,
         now: Moment,
         age: Duration,
-    ) -> Vec<Arc<str>> {
-        let views = self.replicas.values();
-        let silent = views
-            .filter(|view| view.own_load.running > 0 && now.saturating_sub(view.last_answer) > age);
-        silent.map(|view| view.entry.id.clone()).collect()
+    ) -> BTreeSet<Arc<str>> {
+        let requests = self.in_flight.values();
+        let overdue = requests.filter(|request| now.saturating_sub(request.sent) > age);
+        let replicas = overdue.map(|request| &request.replica);
+        let silent = replicas.filter(|replica| !self.is_alive(now, replica, age));
+        silent.cloned().collect()
     }
 
     /// Whether a replica is about to stop: it is not listed as ready any more, or announced in
