Refusals name their account, and connections why they stay

A router short of processor time refused 1,800 requests of a zone in six seconds without telling whose they were, and why it handed nothing on was told only where a check of a neighbour had failed.

Refusals before a call exists are logged with route, account and tokens as the head tells them. No decision changes.

--- a/src/direct/call.rs
+++ b/src/direct/call.rs
@@ -76,12 +76,16 @@
         ids.join(",")
     }
 
-    /// The cost that the account is charged, in tokens; an output token counts twice. Zero
-    /// for requests without a prompt.
+    /// The cost that the account is charged, in tokens.
     pub fn tokens(&self) -> f32 {
-        let prompt = self.prompt.as_ref();
-        prompt.map_or(0.0, |prompt| {
-            (prompt.tokens() + 2 * prompt.output_tokens) as f32
-        })
+        cost(self.prompt.as_ref())
     }
 }
+
+/// What a request with this prompt costs its account, in tokens; an output token counts twice. Zero
+/// without a prompt.
+pub(super) fn cost(prompt: Option<&PromptShape>) -> f32 {
+    prompt.map_or(0.0, |prompt| {
+        (prompt.tokens() + 2 * prompt.output_tokens) as f32
+    })
+}
--- a/src/direct/caller_connections.rs
+++ b/src/direct/caller_connections.rs
@@ -1,10 +1,10 @@
 use {
     super::{
-        caller_connection::CallerConnection, close_log::CloseLog, gateway::Gateway,
-        idle_limit::IdleLimit, neighbour_connection::connect_to_neighbour,
+        caller_connection::CallerConnection, close_log::CloseLog, forwarding_log::Forwarding,
+        gateway::Gateway, idle_limit::IdleLimit, neighbour_connection::connect_to_neighbour,
         neighbour_relay::NeighbourRelay, sockets::configure_caller_socket,
     },
-    crate::{ops::CONNECTIONS_FORWARDED, routing::RequestLimits},
+    crate::routing::RequestLimits,
     rustix::process::{Resource, getrlimit},
     std::{io, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
@@ -138,16 +138,22 @@
         self.open_count() > bearable.max(max_connections)
     }
 
-    /// The neighbour that a new connection is forwarded to, if any. Connections stay here while
-    /// this router lags, as they have already waited for its processor, and while it refuses
-    /// requests before it stops.
-    fn neighbour_for_new_connection(&self) -> Option<SocketAddr> {
+    /// The neighbour that a new connection is forwarded to, or why it stays here. It stays while
+    /// this router lags, as it has already waited for its processor, and while it refuses requests
+    /// before it stops.
+    fn neighbour_for_new_connection(&self) -> Result<SocketAddr, Forwarding> {
         let gateway = &self.gateway;
-        let stays = gateway.processor.is_lagging() || gateway.is_refusing();
-        gateway
-            .processor
-            .draw_neighbour(rand::random())
-            .filter(|_| !stays)
+        if gateway.is_refusing() {
+            return Err(Forwarding::Refusing);
+        }
+        if gateway.processor.is_lagging() {
+            return Err(Forwarding::Lagging);
+        }
+        let drawn = gateway.processor.draw_neighbour(rand::random());
+        drawn.ok_or_else(|| match gateway.processor.is_over_forwarding_share() {
+            true => Forwarding::NoNeighbour,
+            false => Forwarding::NotBusy,
+        })
     }
 
     async fn serve_or_forward(
@@ -162,7 +168,8 @@
         if self.gateway.peers.is_neighbour(from.ip()) {
             return self.serve(stream, from, true).await;
         }
-        if let Some(stream) = self.forward(stream, from).await {
+        if let Err((stream, kept)) = self.forward(stream, from).await {
+            self.gateway.forwarding_log.record(kept);
             self.serve(stream, from, false).await;
         }
     }
@@ -178,23 +185,24 @@
             .await;
     }
 
-    /// Forwards a connection to a neighbour and relays it until its end. Returns the connection
-    /// if it is to be served here, since this router has time or no neighbour answers.
+    /// Forwards a connection to a neighbour and relays it until its end. Fails with the connection
+    /// if it is to be served here, and why.
     async fn forward(
         &self,
         stream: TcpStream,
         from: SocketAddr,
-    ) -> Option<TcpStream> {
-        if self.neighbour_for_new_connection().is_none() {
-            return Some(stream);
+    ) -> Result<(), (TcpStream, Forwarding)> {
+        if let Err(kept) = self.neighbour_for_new_connection() {
+            return Err((stream, kept));
         }
         // The neighbour is checked right before the caller's first bytes are passed on.
         let first_bytes = stream.ready(Interest::READABLE);
         if timeout(FIRST_BYTES_TIMEOUT, first_bytes).await.is_err() {
-            return Some(stream);
+            return Err((stream, Forwarding::Silent));
         }
-        let Some(neighbour) = self.neighbour_for_new_connection() else {
-            return Some(stream);
+        let neighbour = match self.neighbour_for_new_connection() {
+            Ok(neighbour) => neighbour,
+            Err(kept) => return Err((stream, kept)),
         };
         let own_address = self.gateway.settings().caller_listen;
         let started = self.gateway.now();
@@ -205,16 +213,16 @@
                     neighbour = neighbour.to_string().as_str();
                     "connection not handed on: {error}"
                 );
-                return Some(stream);
+                return Err((stream, Forwarding::CheckFailed));
             }
         };
         let connect_ms = (self.gateway.now() - started).as_millis() as u64;
         // A request whose caller disconnected while it waited here must not be run.
-        let ready = stream.ready(Interest::READABLE).await.ok()?;
-        if ready.is_read_closed() {
-            return None;
+        let ready = stream.ready(Interest::READABLE).await;
+        if ready.is_err() || ready.is_ok_and(|ready| ready.is_read_closed()) {
+            return Ok(());
         }
-        metrics::counter!(CONNECTIONS_FORWARDED).increment(1);
+        self.gateway.forwarding_log.record(Forwarding::Forwarded);
         log::info!(
             caller = from.to_string().as_str(), neighbour = neighbour.to_string().as_str(),
             connect_ms = connect_ms;
@@ -225,7 +233,7 @@
         if let Err(error) = Box::pin(relaying).await {
             log::debug!("connection that was handed on: {error}");
         }
-        None
+        Ok(())
     }
 }
 
--- a/src/direct/caller_port.rs
+++ b/src/direct/caller_port.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         call::Call,
+        call_origin::CallOrigin,
         exchange::Exchange,
         gateway::Gateway,
         refused_body::RefusedBody,
@@ -33,7 +34,13 @@
     let answered = catch_panic(answer(&gateway, request, &request_id, arrived)).await;
     let (mut response, is_body_abandoned) = answered.unwrap_or_else(|| {
         let error = ErrorAnswer::new(ResultCode::OutcomeUnknown);
-        log_refused(&gateway, &request_id, &error, arrived);
+        log_refused(
+            &gateway,
+            &request_id,
+            &CallOrigin::default(),
+            &error,
+            arrived,
+        );
         (error_reply(&gateway, &error, &request_id), true)
     });
     if closes_connection || is_body_abandoned || gateway.closes_connections() {
@@ -50,11 +57,12 @@
     request_id: &str,
     arrived: Moment,
 ) -> (Response<ReplyBody>, bool) {
-    let (head, mut body) = request.into_parts();
+    let (mut head, mut body) = request.into_parts();
     let awaits_continue = head.headers.contains_key(EXPECT);
-    match read_call(gateway, head, &mut body, arrived).await {
+    match read_call(gateway, &mut head, &mut body, arrived).await {
         Err(error) => {
-            log_refused(gateway, request_id, &error, arrived);
+            let origin = CallOrigin::of(gateway, &head);
+            log_refused(gateway, request_id, &origin, &error, arrived);
             let body = RefusedBody::new(body, awaits_continue, error.code);
             let is_abandoned = body.is_abandoned();
             body.discard(gateway);
@@ -87,6 +95,9 @@
     status: u16,
 ) {
     let took = gateway.now().saturating_sub(call.arrived);
+    gateway
+        .account_log
+        .record(call.account.as_ref(), call.tokens(), None);
     metrics::counter!(REQUESTS, "code" => "0", "ran" => "yes").increment(1);
     metrics::histogram!(ANSWER_SECONDS, "route" => call.route.name.clone())
         .record(took.as_secs_f64());
@@ -111,10 +122,19 @@
 fn log_refused(
     gateway: &Gateway,
     request_id: &str,
+    origin: &CallOrigin,
     error: &ErrorAnswer,
     arrived: Moment,
 ) {
     count_error(error);
+    let CallOrigin {
+        route,
+        account,
+        tokens,
+    } = origin;
+    gateway
+        .account_log
+        .record(account.as_ref(), *tokens, Some(error.code));
     if matches!(
         error.code,
         ResultCode::NoRoute | ResultCode::UnknownCallerKey
@@ -123,6 +143,9 @@
     }
     log::info!(
         request_id = request_id,
+        route = route.as_ref().map_or("", |route| &route.name),
+        account = account.as_deref().unwrap_or(""),
+        tokens = *tokens as u64,
         config = gateway.catalog.version().config,
         code = error.code.number(),
         ran = error.ran.to_string().as_str(),
@@ -140,6 +163,9 @@
     share: &AccountShare,
 ) {
     count_error(error);
+    gateway
+        .account_log
+        .record(call.account.as_ref(), call.tokens(), Some(error.code));
     log::info!(
         request_id = call.request_id.as_str(),
         route = call.route.name.as_str(),
--- a/src/direct/gateway_tasks.rs
+++ b/src/direct/gateway_tasks.rs
@@ -105,13 +105,16 @@
         limits.collect()
     }
 
-    /// Once a second: closes unusable connections, removes old suspects and logs changed paces.
+    /// Once a second: closes unusable connections, removes old suspects, and logs changed paces,
+    /// refusals by account and what became of connections.
     pub async fn run_cleanup(self: Arc<Self>) {
         loop {
             tokio::time::sleep(Duration::from_secs(1)).await;
             self.pool.close_unusable();
             self.suspects().remove_expired(self.now());
             self.log_paces();
+            self.account_log.write_line();
+            self.forwarding_log.write_line();
         }
     }
 
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -2,6 +2,7 @@
 //! replica chosen by the placement policy, and relays the answer.
 
 mod abandoned_attempts;
+mod account_log;
 mod answer_buffer;
 mod attempt;
 mod attempt_end;
@@ -9,6 +10,7 @@
 mod cache_protocol;
 mod cache_survey;
 mod call;
+mod call_origin;
 mod caller_body;
 mod caller_connection;
 mod caller_connections;
@@ -27,6 +29,7 @@
 mod exchange_end;
 mod exchange_suspects;
 mod exit_checks;
+mod forwarding_log;
 mod gateway;
 mod gateway_tasks;
 mod held_bytes;
--- a/src/direct/processor_state.rs
+++ b/src/direct/processor_state.rs
@@ -23,10 +23,11 @@
 /// Whether this process gets enough processor time, and the measures taken if not.
 #[derive(Default)]
 pub struct ProcessorState {
-    lag_ms: AtomicU64,                  // delay of timers
-    busy_percent: AtomicU8,             // share of time with work for the processor
-    paused: AtomicBool,                 // not ready for callers, as processor time is short
-    neighbours: RwLock<Vec<Neighbour>>, // that connections are forwarded to; a leaf lock
+    lag_ms: AtomicU64,                    // delay of timers
+    busy_percent: AtomicU8,               // share of time with work for the processor
+    paused: AtomicBool,                   // not ready for callers, as processor time is short
+    is_over_forwarding_share: AtomicBool, // busy enough to forward connections
+    neighbours: RwLock<Vec<Neighbour>>,   // that connections are forwarded to; a leaf lock
 }
 
 impl ProcessorState {
@@ -87,6 +88,20 @@
         self.paused.load(Ordering::Relaxed)
     }
 
+    /// Sets whether the router is so busy that connections are forwarded if there is a neighbour.
+    pub fn set_over_forwarding_share(
+        &self,
+        is_over: bool,
+    ) {
+        self.is_over_forwarding_share
+            .store(is_over, Ordering::Relaxed);
+    }
+
+    /// Whether the router is so busy that connections are forwarded if there is a neighbour.
+    pub fn is_over_forwarding_share(&self) -> bool {
+        self.is_over_forwarding_share.load(Ordering::Relaxed)
+    }
+
     /// Sets the neighbours that connections are forwarded to; none if `neighbours` is empty.
     /// Returns whether forwarding started or stopped.
     pub fn set_neighbours(
--- a/src/direct/processor_watch.rs
+++ b/src/direct/processor_watch.rs
@@ -107,7 +107,9 @@
         if settings.forward_busy_share < 1.0 && own_busy >= settings.forward_busy_share {
             self.forwarding_until = now + MIN_FORWARDING_TIME;
         }
-        let neighbours = if now < self.forwarding_until {
+        let is_over = now < self.forwarding_until;
+        self.gateway.processor.set_over_forwarding_share(is_over);
+        let neighbours = if is_over {
             let max_busy = (own_busy / MIN_BUSY_RATIO).max(IDLE_BUSY_SHARE);
             self.gateway
                 .peers
--- a/src/direct/request_reader.rs
+++ b/src/direct/request_reader.rs
@@ -49,10 +49,11 @@
 }
 
 /// Reads a caller's request completely and determines its route, account and service. Returns
-/// the error for the caller if it is refused; its body may be unread then.
+/// the error for the caller if it is refused; its head is left as it is, and its body may be unread
+/// then.
 pub async fn read_call(
     gateway: &Gateway,
-    head: Parts,
+    head: &mut Parts,
     body: &mut Incoming,
     arrived: Moment,
 ) -> Result<Call, ErrorAnswer> {
@@ -68,8 +69,8 @@
     let table = gateway.catalog.config().ok_or_else(|| {
         ErrorAnswer::new(ResultCode::NoConfiguration).retry_after(NO_CONFIG_RETRY_AFTER)
     })?;
-    check_size(&table, &head)?;
-    let route = find_route(&table, &head)?;
+    check_size(&table, head)?;
+    let route = find_route(&table, head)?;
     let account = find_account(gateway, &table, &route, &head.headers)?;
     let held = HeldBytes::new(gateway.request_bytes.clone());
     let body = read_body(gateway, &table, &head.headers, body, &held).await?;
@@ -88,7 +89,7 @@
     let details = table.service(&service);
     Ok(Call {
         request_id: header_text(&head.headers, &names.request_id).to_owned(),
-        method: head.method,
+        method: head.method.clone(),
         target: path_and_query(&head.uri),
         engine: details.and_then(|service| service.engine),
         max_connections: details.map_or(1, |service| service.max_connections),
@@ -97,7 +98,11 @@
             .unwrap_or(route.target_latency),
         prompt: (gateway.dialect.parse_prompt)(&head.headers),
         stream_version,
-        headers: forwarded_headers(gateway, head.headers, account.as_deref()),
+        headers: forwarded_headers(
+            gateway,
+            std::mem::take(&mut head.headers),
+            account.as_deref(),
+        ),
         body,
         _body_memory: held,
         service,
@@ -128,7 +133,7 @@
     Ok(())
 }
 
-fn find_route(
+pub(super) fn find_route(
     table: &RoutingTable,
     head: &Parts,
 ) -> Result<Arc<Route>, ErrorAnswer> {
--- a/src/ops/metric_names.rs
+++ b/src/ops/metric_names.rs
@@ -12,6 +12,8 @@
 pub const CONTROL_BYTES: &str = "archmast_control_bytes_total";
 /// Connections of callers that were forwarded to a router of the same zone, which had CPU to spare.
 pub const CONNECTIONS_FORWARDED: &str = "archmast_connections_handed_on_total";
+/// New connections of callers that were not forwarded, by `why`.
+pub const CONNECTIONS_KEPT: &str = "archmast_connections_kept_total";
 /// Requests sent again, by `why` the attempt before failed.
 pub const RETRIES: &str = "archmast_retries_total";
 /// Revision of the configuration in force.
