--- a/testbed/src/direct/config_text.rs
+++ b/testbed/src/direct/config_text.rs
@@ -9,7 +9,8 @@
 pub struct ConfigText<'c> {
     pub version: u64,
     pub routes: &'c [RouteText],
-    pub keys: &'c [&'c str],   // API keys of the account
+    pub keys: &'c [&'c str],                     // API keys of the account
+    pub more_accounts: &'c [(&'c str, &'c str)], // name and API key
     pub service_fields: Value, // JSON object of fields that are added to each service
     pub max_body: usize,       // bytes of a request's body
     pub idle_timeout_ms: u64,  // of a connection between requests
@@ -25,6 +26,7 @@
             version,
             routes,
             keys: &["key-1"],
+            more_accounts: &[],
             service_fields: json!({}),
             max_body: 64 << 10,
             idle_timeout_ms: 15_000,
@@ -45,11 +47,14 @@
             .map(|name| self.service(name))
             .collect();
         let routes: Vec<Value> = self.routes.iter().map(route_json).collect();
+        let mut accounts = vec![json!({"name": "lot", "api_keys": self.keys})];
+        let more = self.more_accounts.iter();
+        accounts.extend(more.map(|(name, key)| json!({"name": name, "api_keys": [key]})));
         json!({
             "version": self.version, "routes": routes, "services": services,
             "limits": {"max_header_bytes": 8192, "max_body_bytes": self.max_body,
                        "header_timeout_ms": 3000, "idle_timeout_ms": self.idle_timeout_ms},
-            "tenants": [{"name": "lot", "api_keys": self.keys}],
+            "tenants": accounts,
         })
     }
 
--- a/testbed/src/fleet/mod.rs
+++ b/testbed/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 mod starter;
 mod streaming_nonces;
 mod tcp_state;
+mod throttle;
 mod wait;
 
 pub use {
@@ -27,5 +28,6 @@
     sidecar_host::{SidecarHost, Upstream},
     streaming_nonces::StreamingNonces,
     tcp_state::is_closed_by_peer,
+    throttle::Throttle,
     wait::{wait_until, wait_until_async},
 };
--- a/testbed/src/fleet/process.rs
+++ b/testbed/src/fleet/process.rs
@@ -102,12 +102,17 @@
 
     /// Sends SIGSTOP, which suspends the process.
     pub fn freeze(&self) {
-        self.signal(Signal::STOP);
+        self.signals().freeze();
     }
 
     /// Sends SIGCONT, which resumes the process.
     pub fn thaw(&self) {
-        self.signal(Signal::CONT);
+        self.signals().thaw();
+    }
+
+    /// Suspends and resumes the process from elsewhere. It must not outlive the process.
+    pub(super) fn signals(&self) -> ProcessSignals {
+        ProcessSignals(self.child.id())
     }
 
     /// Its exit status, none while it runs.
@@ -124,7 +129,30 @@
         &self,
         signal: Signal,
     ) {
-        let pid = Pid::from_raw(self.child.id() as i32).expect("a started process has a number");
+        self.signals().send(signal);
+    }
+}
+
+/// Sends signals to a started process.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ProcessSignals(u32);
+
+impl ProcessSignals {
+    /// Sends SIGSTOP, which suspends the process.
+    pub(super) fn freeze(self) {
+        self.send(Signal::STOP);
+    }
+
+    /// Sends SIGCONT, which resumes the process.
+    pub(super) fn thaw(self) {
+        self.send(Signal::CONT);
+    }
+
+    fn send(
+        self,
+        signal: Signal,
+    ) {
+        let pid = Pid::from_raw(self.0 as i32).expect("a started process has a number");
         if let Err(error) = kill_process(pid, signal) {
             log::debug!("signal not sent: {error}");
         }
