A router that lags hands connections on

What callers saw: at hosts of 0.09 core every request of an account refused with code 43 for seconds, while neighbours had most of their processor time to spare.

Cause: a router whose timers were late handed nothing on. Each refusal took the time of a connection of its own, so that the refusals kept the timers late. Just before, checks of neighbours timed out by the router's own lateness.

Evidence: 391 connections handed on, then 394 and 869 kept in a second as the host lagged; checks failed 27 and 90 times.

Now connections are handed on while the router lags. A neighbour that answered a check within 250 ms, or whose report came within that time to a router that lags, is not checked; where a check times out, a report that came meanwhile shows that the delay is the router's own. Relays look for a silent neighbour only while an answer is awaited: a thousand kept connections woke the process 2,000 times a second.

--- a/src/direct/caller_connections.rs
+++ b/src/direct/caller_connections.rs
@@ -139,16 +139,12 @@
     }
 
     /// The neighbour that a new connection is forwarded to, or why it stays here. It stays while
-    /// this router lags, as it has already waited for its processor, and while it refuses requests
-    /// before it stops.
+    /// this router refuses requests before it stops.
     fn neighbour_for_new_connection(&self) -> Result<SocketAddr, Forwarding> {
         let gateway = &self.gateway;
         if gateway.is_refusing() {
             return Err(Forwarding::Refusing);
         }
-        if gateway.processor.is_lagging() {
-            return Err(Forwarding::Lagging);
-        }
         let drawn = gateway.processor.draw_neighbour(rand::random());
         drawn.ok_or_else(|| match gateway.processor.is_over_forwarding_share() {
             true => Forwarding::NoNeighbour,
@@ -204,9 +200,8 @@
             Ok(neighbour) => neighbour,
             Err(kept) => return Err((stream, kept)),
         };
-        let own_address = self.gateway.settings().caller_listen;
         let started = self.gateway.now();
-        let connection = match connect_to_neighbour(own_address, neighbour).await {
+        let connection = match connect_to_neighbour(&self.gateway, neighbour).await {
             Ok(connection) => connection,
             Err(error) => {
                 log::info!(
--- a/src/direct/forwarding_log.rs
+++ b/src/direct/forwarding_log.rs
@@ -12,8 +12,6 @@
     NotBusy,
     /// It stays, as no neighbour has processor time to spare.
     NoNeighbour,
-    /// It stays, as this router lags.
-    Lagging,
     /// It stays, as this router refuses requests before it stops.
     Refusing,
     /// It stays, as its caller sent nothing in time.
@@ -23,11 +21,10 @@
 }
 
 impl Forwarding {
-    const ALL: [Self; 7] = [
+    const ALL: [Self; 6] = [
         Self::Forwarded,
         Self::NotBusy,
         Self::NoNeighbour,
-        Self::Lagging,
         Self::Refusing,
         Self::Silent,
         Self::CheckFailed,
@@ -39,7 +36,6 @@
             Self::Forwarded => "handed_on",
             Self::NotBusy => "not_busy",
             Self::NoNeighbour => "no_neighbour",
-            Self::Lagging => "lagging",
             Self::Refusing => "refusing",
             Self::Silent => "silent",
             Self::CheckFailed => "check_failed",
--- a/src/direct/gateway.rs
+++ b/src/direct/gateway.rs
@@ -1,8 +1,9 @@
 use {
     super::{
         abandoned_attempts::AbandonedAttempts, account_log::AccountLog, dialect::Dialect,
-        exit_checks::ExitChecks, forwarding_log::ForwardingLog, processor_state::ProcessorState,
-        store_read_state::StoreReadState, upstream_pool::UpstreamPool,
+        exit_checks::ExitChecks, forwarding_log::ForwardingLog, neighbour_checks::NeighbourChecks,
+        processor_state::ProcessorState, store_read_state::StoreReadState,
+        upstream_pool::UpstreamPool,
     },
     crate::{
         catalog::{Catalog, CatalogVersion},
@@ -36,7 +37,8 @@
 /// The shared state of a router in the direct form.
 ///
 /// Lock order: a connection's `AnswerBuffer`, `replica_table`, `shares`, `retries`, then leaf
-/// locks, under which no other lock is taken (account log, suspects, abandoned attempts, suspension, catalog,
+/// locks, under which no other lock is taken (account log, neighbour checks,
+/// suspects, abandoned attempts, suspension, catalog,
 /// pool, peers, stream origins). None is held across an await.
 pub struct Gateway {
     settings: RwLock<Arc<DirectSettings>>, // a leaf lock
@@ -55,6 +57,7 @@
     pub store_reads: StoreReadState, // whether this router reads the store, and whether it answers
     pub early_report: Notify, // wakes the task that reports to peers before the regular interval
     pub(super) account_log: AccountLog,
+    pub(super) neighbour_checks: NeighbourChecks,
     pub(super) forwarding_log: ForwardingLog,
     pub(super) answer_bytes: Arc<AtomicU64>, // buffered answers
     pub(super) request_bytes: Arc<AtomicU64>, // buffered request bodies
@@ -109,6 +112,7 @@
             store_reads: StoreReadState::default(),
             early_report: Notify::new(),
             account_log: AccountLog::default(),
+            neighbour_checks: NeighbourChecks::default(),
             forwarding_log: ForwardingLog::default(),
             answer_bytes: Arc::default(),
             request_bytes: Arc::default(),
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -36,6 +36,7 @@
 mod idle_limit;
 mod in_flight_guard;
 mod live_answer;
+mod neighbour_checks;
 mod neighbour_connection;
 mod neighbour_probe;
 mod neighbour_relay;
--- a/src/direct/neighbour_connection.rs
+++ b/src/direct/neighbour_connection.rs
@@ -28,21 +28,62 @@
 /// hundred round trips inside a zone.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Time-out for connecting to a neighbour that is not checked: a router that lags may look at the
+/// connection this late.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Target of the check, a request `OPTIONS *`, which no route serves.
 const CHECK_TARGET: &str = "*";
 
 /// Connects to a neighbour from this router's own address, by which the neighbour sees that the
-/// connection was forwarded already, and checks that it serves callers. Fails if it does not
-/// answer in time, or refuses requests.
+/// connection was forwarded already, and checks that it serves callers if it did not show that
+/// lately. Fails if it does not answer in time, or refuses requests.
 pub async fn connect_to_neighbour(
+    gateway: &Gateway,
+    neighbour: SocketAddr,
+) -> io::Result<TcpStream> {
+    let own_address = gateway.settings().caller_listen;
+    let checks = &gateway.neighbour_checks;
+    if checks.is_dispensable(gateway, neighbour) {
+        return open_connection(own_address, neighbour, CONNECT_TIMEOUT).await;
+    }
+    let started = gateway.now();
+    match open_checked(own_address, neighbour).await {
+        Ok(stream) => {
+            checks.record(gateway.now(), neighbour);
+            Ok(stream)
+        }
+        // A neighbour that reported meanwhile runs: this router was late itself.
+        Err(error) if error.kind() == io::ErrorKind::TimedOut => {
+            let now = gateway.now();
+            let waited = now.saturating_sub(started);
+            match gateway.peers.has_recent_report(now, waited, neighbour) {
+                true => open_connection(own_address, neighbour, CONNECT_TIMEOUT).await,
+                false => Err(error),
+            }
+        }
+        Err(error) => Err(error),
+    }
+}
+
+async fn open_checked(
     own_address: SocketAddr,
     neighbour: SocketAddr,
+) -> io::Result<TcpStream> {
+    let stream = open_connection(own_address, neighbour, CHECK_TIMEOUT).await?;
+    timeout(CHECK_TIMEOUT, check(stream, neighbour)).await?
+}
+
+async fn open_connection(
+    own_address: SocketAddr,
+    neighbour: SocketAddr,
+    limit: Duration,
 ) -> io::Result<TcpStream> {
     let socket = TcpSocket::new_v4()?;
     socket.bind(SocketAddr::new(own_address.ip(), 0))?;
-    let stream = timeout(CHECK_TIMEOUT, socket.connect(neighbour)).await??;
+    let stream = timeout(limit, socket.connect(neighbour)).await??;
     configure_outgoing_socket(&stream);
-    timeout(CHECK_TIMEOUT, check(stream, neighbour)).await?
+    Ok(stream)
 }
 
 /// Sends the check on a new connection and returns the connection after a good answer.
--- a/src/direct/neighbour_relay.rs
+++ b/src/direct/neighbour_relay.rs
@@ -131,7 +131,7 @@
                         break CloseCause::NeighbourSilent;
                     }
                 }
-                _ = checks.tick() => {
+                _ = checks.tick(), if is_closing || answers.progress().awaits_answer() => {
                     let is_at_rest = requests.unsent().is_empty() && answers.is_flushed();
                     let is_idle = is_at_rest
                         && answers.progress() == Progress::Idle
--- a/src/direct/processor_watch.rs
+++ b/src/direct/processor_watch.rs
@@ -104,7 +104,9 @@
     ) {
         let settings = self.gateway.settings();
         let own_busy = self.short_term_busy.share();
-        if settings.forward_busy_share < 1.0 && own_busy >= settings.forward_busy_share {
+        let is_short =
+            self.gateway.processor.is_lagging() || own_busy >= settings.forward_busy_share;
+        if settings.forward_busy_share < 1.0 && is_short {
             self.forwarding_until = now + MIN_FORWARDING_TIME;
         }
         let is_over = now < self.forwarding_until;
