A router that lags refuses by what accounts get

What callers saw: where no neighbour has processor time to spare, an account whose connections reach a router that lags got nothing, whatever its share.

Cause: the refusal for want of processor time came before the account was read.

Now the account is read first, and an account that is served less than MAX_LAG / lag of what the best served one gets over the fleet is not refused, at the least one below half of it, up to a lag of 500 ms. Requests without a route, a known key or within the size limits are told so also by a router that lags.

Each request that is taken raises what its account gets at once, and each that is refused lets it fall: the guard opens by itself.

--- a/src/direct/processor_state.rs
+++ b/src/direct/processor_state.rs
@@ -1,5 +1,5 @@
 use {
-    crate::policy::{Neighbour, choose_neighbour},
+    crate::policy::{MAX_LAG, Neighbour, choose_neighbour},
     std::{
         net::SocketAddr,
         sync::{
@@ -10,11 +10,6 @@
     },
 };
 
-/// A process whose timers fire later than this refuses requests, as it would relay them late
-/// and place them by outdated figures. A fifth of the shortest usual target latency (300 ms),
-/// so that refusals come quickly.
-const MAX_LAG: Duration = Duration::from_millis(60);
-
 /// Retry-After of a router that is short of processor time. The load balancer checks once a
 /// second and removes a router after two failed checks; callers that return earlier reach the
 /// same router again and add to its load.
@@ -31,9 +26,14 @@
 }
 
 impl ProcessorState {
-    /// Whether timers are so late that requests are refused.
+    /// The delay of timers.
+    pub fn lag(&self) -> Duration {
+        Duration::from_millis(self.lag_ms.load(Ordering::Relaxed))
+    }
+
+    /// Whether timers are so late that requests may be refused.
     pub fn is_lagging(&self) -> bool {
-        self.lag_ms.load(Ordering::Relaxed) > MAX_LAG.as_millis() as u64
+        self.lag() > MAX_LAG
     }
 
     /// The least Retry-After for refused callers: zero unless the router lags or is busy for more
--- a/src/direct/request_reader.rs
+++ b/src/direct/request_reader.rs
@@ -8,7 +8,7 @@
     },
     crate::{
         codes::{ErrorAnswer, ResultCode},
-        policy::{Moment, memory::MemoryBudget},
+        policy::{Moment, admits_despite_lag, memory::MemoryBudget, name_hash},
         routing::{Route, RoutingTable},
     },
     bytes::Bytes,
@@ -63,15 +63,13 @@
     if gateway.is_unconfirmed() {
         return Err(ErrorAnswer::new(ResultCode::Unconfirmed).retry_after(UNCONFIRMED_RETRY_AFTER));
     }
-    if gateway.processor.is_lagging() {
-        return Err(ErrorAnswer::new(ResultCode::RouterBusy).retry_after(gateway.min_retry_after()));
-    }
     let table = gateway.catalog.config().ok_or_else(|| {
         ErrorAnswer::new(ResultCode::NoConfiguration).retry_after(NO_CONFIG_RETRY_AFTER)
     })?;
     check_size(&table, head)?;
     let route = find_route(&table, head)?;
     let account = find_account(gateway, &table, &route, &head.headers)?;
+    check_lag(gateway, account.as_deref())?;
     let held = HeldBytes::new(gateway.request_bytes.clone());
     let body = read_body(gateway, &table, &head.headers, body, &held).await?;
     let names = &gateway.dialect.names;
@@ -159,6 +157,28 @@
     Ok(account)
 }
 
+/// Refuses a request for want of processor time, unless its account is served much less than
+/// others.
+fn check_lag(
+    gateway: &Gateway,
+    account: Option<&str>,
+) -> Result<(), ErrorAnswer> {
+    if !gateway.processor.is_lagging() {
+        return Ok(());
+    }
+    let fraction = account.map_or(1.0, |account| {
+        let now = gateway.now();
+        gateway.shares().served_fraction(now, name_hash(account))
+    });
+    match admits_despite_lag(gateway.processor.lag(), fraction) {
+        true => Ok(()),
+        false => {
+            let error = ErrorAnswer::new(ResultCode::RouterBusy);
+            Err(error.retry_after(gateway.min_retry_after()))
+        }
+    }
+}
+
 async fn read_body(
     gateway: &Gateway,
     table: &RoutingTable,
--- a/src/policy/direct/shares/share_tracker.rs
+++ b/src/policy/direct/shares/share_tracker.rs
@@ -214,6 +214,21 @@
         sum
     }
 
+    /// What an account is allocated over the fleet, as a part of what the account with most is. Zero
+    /// if nobody is allocated anything.
+    pub fn served_fraction(
+        &mut self,
+        now: Moment,
+        account: u32,
+    ) -> f32 {
+        self.decay(now);
+        let usage = self.fleet_usage(now);
+        let most = usage.values().map(|usage| usage.allocated);
+        let most = most.fold(0.0, f32::max);
+        let own = usage.get(&account).map_or(0.0, |usage| usage.allocated);
+        if most > 0.0 { own / most } else { 0.0 }
+    }
+
     /// The usage of each account in this zone.
     pub fn zone_usage(
         &mut self,
