What a router refuses before it is a call counts as requested

What callers saw: an account that was refused at its routers passed for content: at 5.8 s it was believed to have asked for 1.17 million tokens where it had asked for 8.5.

Cause: the tokens of a request counted once an exchange began; refusals for want of processor or memory, at a stop, after a suspension and without confirmation came before.

Now each refusal that asks the caller to come back counts, whoever makes it; one method records both.

what_a_router_refuses_before_it_is_a_call_counts_as_requested failed before (0 accounts, 1 expected).

--- a/src/direct/caller_port.rs
+++ b/src/direct/caller_port.rs
@@ -62,6 +62,9 @@
     match read_call(gateway, &mut head, &mut body, arrived).await {
         Err(error) => {
             let origin = CallOrigin::of(gateway, &head);
+            if error.retry_after.is_some() {
+                gateway.record_requested(origin.account.as_deref(), origin.tokens);
+            }
             log_refused(gateway, request_id, &origin, &error, arrived);
             let body = RefusedBody::new(body, awaits_continue, error.code);
             let is_abandoned = body.is_abandoned();
--- a/src/direct/exchange.rs
+++ b/src/direct/exchange.rs
@@ -111,7 +111,8 @@
     /// Sends the call until it is answered or no attempt is left.
     pub async fn run(mut self) -> Result<Response<ReplyBody>, Unanswered> {
         self.gateway.count_request(&self.call.service);
-        self.record_requested_tokens();
+        self.gateway
+            .record_requested(self.call.account.as_deref(), self.call.tokens());
         let mut next = None;
         loop {
             let started = match next.take() {
--- a/src/direct/exchange_choice.rs
+++ b/src/direct/exchange_choice.rs
@@ -227,16 +227,6 @@
         self.call.account.as_deref().map(name_hash)
     }
 
-    /// Adds the call's tokens to those that its account requested.
-    pub(super) fn record_requested_tokens(&self) {
-        if let Some(account) = self.account() {
-            let now = self.gateway.now();
-            self.gateway
-                .shares()
-                .record_requested(now, account, self.call.tokens());
-        }
-    }
-
     fn account_share(&self) -> Option<AccountShare> {
         let account = self.account()?;
         let now = self.gateway.now();
--- a/src/direct/gateway.rs
+++ b/src/direct/gateway.rs
@@ -252,6 +252,20 @@
         finding.version()
     }
 
+    /// Adds a request's tokens to those that its account requested: all that the account is to come
+    /// back with, wherever it is refused, is part of what it asks of the fleet.
+    pub(super) fn record_requested(
+        &self,
+        account: Option<&str>,
+        tokens: f32,
+    ) {
+        if let Some(account) = account {
+            let now = self.now();
+            self.shares()
+                .record_requested(now, name_hash(account), tokens);
+        }
+    }
+
     /// Counts a call towards the retry budget of its service.
     pub fn count_request(
         &self,
--- a/testbed/src/direct/direct_fleet.rs
+++ b/testbed/src/direct/direct_fleet.rs
@@ -14,8 +14,9 @@
     pub store_ports: Vec<StorePort>, // each router has its own
     pub routers: Vec<Process>,
     pub caller_addresses: Vec<SocketAddr>, // HTTP addresses for callers
-    pub ready_addresses: Vec<SocketAddr>,  // addresses of the readiness check
-    pub settings: Vec<PathBuf>,            // settings files
+    pub operator_addresses: Vec<SocketAddr>,
+    pub ready_addresses: Vec<SocketAddr>, // addresses of the readiness check
+    pub settings: Vec<PathBuf>,           // settings files
     loopback: Loopback,
     _folder: Folder,
 }
@@ -78,6 +79,7 @@
             store_ports: Vec::new(),
             routers: Vec::new(),
             caller_addresses: Vec::new(),
+            operator_addresses: Vec::new(),
             ready_addresses: Vec::new(),
             settings: Vec::new(),
             loopback,
@@ -104,6 +106,7 @@
             fleet.routers.push(process.expect("the router starts"));
             fleet.store_ports.push(port);
             fleet.caller_addresses.push(callers);
+            fleet.operator_addresses.push(operator);
             fleet.ready_addresses.push(ready);
             fleet.settings.push(settings);
         }
