Bytes of a replica without an end are read within bounds

What callers saw: a replica that sends bytes without an end, in a head or a body, kept its request for as long as the caller stayed, and took the time of others: a sound request beside four such answers was not answered.

Causes: interim heads (100 Continue) may precede an answer's head without a bound; and what is ready is delivered also after the deadline, which is always so where more keeps coming, for plain answers and for streams.

Now 256 KiB may come before the head of an answer; then the connection is closed and the outcome unknown. After the deadline only what had arrived by then is passed on. Both are counted.

endless_bytes: nine kinds of bytes, four requests at a time, a replica that always has more.

Test: the reading of a process's memory is shared with endless_events.

--- a/src/direct/events_relay.rs
+++ b/src/direct/events_relay.rs
@@ -3,6 +3,7 @@
         attempt_end::AttemptEnd,
         event_assembler::EventAssembler,
         exchange::{Exchange, NoReply, StartedAnswer},
+        late_bytes::LateBytes,
         live_answer::LiveAnswer,
         reply::{ReplyBody, copy_head, cut_error, replica_reply},
         stream_watch::StreamWatch,
@@ -38,6 +39,7 @@
     events: EventAssembler,
     arrived: Option<Result<Option<Bytes>, AttemptEnd>>, // read while a successor was asked
     is_done: bool,
+    late: LateBytes,
     has_resumed: bool, // at another replica, without an event since
     first_event_after: Option<Duration>, // time from the call's arrival to its first event
     longest_pause: Duration, // between events, while the replica was waited for
@@ -78,6 +80,7 @@
             events,
             arrived: None,
             is_done: false,
+            late: LateBytes::default(),
             has_resumed: false,
             first_event_after: None,
             longest_pause: Duration::ZERO,
@@ -163,6 +166,9 @@
                 },
             };
             match output {
+                Ok(Some(events)) if time_left.is_zero() && !self.admit_late(events.len()) => {
+                    return Some(Err(self.cut(cut_error("deadline exceeded"))));
+                }
                 Ok(Some(events)) => {
                     if std::mem::take(&mut self.has_resumed) {
                         self.answer.in_flight.record_first_token();
@@ -182,6 +188,13 @@
         None
     }
 
+    fn admit_late(
+        &mut self,
+        bytes: usize,
+    ) -> bool {
+        self.late.admit(&self.answer, bytes)
+    }
+
     /// Records that the stream ends before it is whole.
     fn cut(
         &mut self,
--- a/src/direct/live_answer.rs
+++ b/src/direct/live_answer.rs
@@ -111,6 +111,12 @@
             .await
     }
 
+    /// Bytes of it that have arrived and may not have been read yet.
+    pub fn arrived_bytes(&self) -> usize {
+        let connection = self.connection.as_ref();
+        connection.map_or(0, UpstreamConnection::arrived_bytes)
+    }
+
     /// Closes the connection, so that the replica stops working on the request.
     pub fn close(&mut self) {
         self.connection = None;
--- a/src/direct/plain_relay.rs
+++ b/src/direct/plain_relay.rs
@@ -4,6 +4,7 @@
         event_end::EventEnd,
         event_splitter::EventSplitter,
         exchange::{Exchange, NoReply, StartedAnswer},
+        late_bytes::LateBytes,
         live_answer::LiveAnswer,
         reply::{ReplyBody, copy_head, cut_error, full_body, replica_reply},
         successor::Waited,
@@ -106,8 +107,8 @@
     let deadline = Instant::now() + time_left;
     let event_end = (answer.is_event_stream() == Some(true)).then(EventEnd::default);
     let pieces = stream::unfold(
-        (Some(buffered), event_end, answer),
-        move |(first, mut event_end, mut answer)| async move {
+        (Some(buffered), event_end, LateBytes::default(), answer),
+        move |(first, mut event_end, mut late, mut answer)| async move {
             let next = match first {
                 Some(first) => Some(Ok(Some(first))),
                 None => {
@@ -116,6 +117,11 @@
                 }
             };
             let piece: Result<_, io::Error> = match next {
+                Some(Ok(Some(chunk)))
+                    if Instant::now() >= deadline && !late.admit(&answer, chunk.len()) =>
+                {
+                    Err(cut_error("deadline exceeded"))
+                }
                 Some(Ok(Some(chunk))) => {
                     if let Some(event_end) = &mut event_end {
                         event_end.push(&chunk);
@@ -126,7 +132,7 @@
                 Some(Err(end)) => Err(cut_error(format!("{end:?}"))),
                 None => Err(cut_error("deadline exceeded")),
             };
-            Some((piece, (None, event_end, answer)))
+            Some((piece, (None, event_end, late, answer)))
         },
     );
     replica_reply(head, StreamBody::new(pieces).boxed_unsync(), length)
--- a/src/direct/upstream_connection.rs
+++ b/src/direct/upstream_connection.rs
@@ -1,5 +1,9 @@
 use {
-    super::{attempt_end::AttemptEnd, sockets::configure_outgoing_socket},
+    super::{
+        attempt_end::AttemptEnd,
+        head_limit_stream::{HeadLimit, HeadLimitStream},
+        sockets::configure_outgoing_socket,
+    },
     crate::codes::ResultCode,
     bytes::Bytes,
     http_body_util::Full,
@@ -37,11 +41,16 @@
 /// 400 KB a connection is more than small hosts have for all of them.
 const MAX_BUFFER_BYTES: usize = 64 << 10;
 
+/// Limit for what is read before the head of an answer, with the interim heads that may precede it
+/// and what is read ahead of its body.
+const MAX_HEAD_BYTES: usize = 4 * MAX_BUFFER_BYTES;
+
 /// One connection to one replica. Dropping it closes it immediately.
 pub struct UpstreamConnection {
     sender: SendRequest<Full<Bytes>>,
     socket: Socket, // a second handle to the connection's socket
     task: AbortHandle,
+    head_limit: HeadLimit,
     open: Arc<AtomicUsize>, // number of connections to the replica
     idle_since: Instant,
     keep_alive: Duration, // maximum idle time
@@ -67,9 +76,13 @@
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
         configure_outgoing_socket(&stream);
         let socket = SockRef::from(&stream).try_clone()?;
+        let head_limit = HeadLimit::unlimited();
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(HeadLimitStream::new(
+                stream,
+                head_limit.clone(),
+            )))
             .await
             .map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
@@ -81,6 +94,7 @@
             sender,
             socket,
             task: task.abort_handle(),
+            head_limit,
             open: count_guard.into_count(),
             idle_since: Instant::now(),
             keep_alive: DEFAULT_KEEP_ALIVE,
@@ -96,7 +110,10 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, AttemptEnd> {
         self.is_unused = false;
-        match self.sender.try_send_request(request).await {
+        self.head_limit.begin_head(MAX_HEAD_BYTES);
+        let sent = self.sender.try_send_request(request).await;
+        self.head_limit.end_head();
+        match sent {
             Ok(response) => {
                 self.read_keep_alive(response.headers());
                 Ok(response)
@@ -135,6 +152,15 @@
         peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Bytes that have arrived and may not have been read yet.
+    pub fn arrived_bytes(&self) -> usize {
+        let in_socket = rustix::io::ioctl_fionread(&self.socket).unwrap_or_else(|error| {
+            log::debug!("connection to a replica: {error}");
+            0
+        });
+        in_socket as usize + MAX_BUFFER_BYTES
+    }
+
     /// Time since the last answer, or since the connection was opened.
     pub fn idle_time(&self) -> Duration {
         self.idle_since.elapsed()
--- a/src/ops/metric_names.rs
+++ b/src/ops/metric_names.rs
@@ -57,6 +57,10 @@
 /// Answers that were cut off since their callers did not read them (`ResultCode::AnswerUnread`,
 /// 48).
 pub const UNREAD_ANSWERS: &str = "archmast_unread_answers_total";
+/// Connections to replicas that were closed as too many bytes came before the head of an answer.
+pub const OVERSIZED_HEADS: &str = "archmast_oversized_heads_total";
+/// Answers that were cut off at their deadline while their replica went on sending.
+pub const ENDLESS_ANSWERS: &str = "archmast_endless_answers_total";
 /// Connections of callers that this router closed, by `reason`.
 pub const CONNECTIONS_CLOSED: &str = "archmast_connections_closed_total";
 /// Replicas whose prompt caches this router follows.
--- a/testbed/src/fleet/mod.rs
+++ b/testbed/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 mod outcome;
 mod plan;
 mod process;
+mod resident_bytes;
 mod sidecar_host;
 mod starter;
 mod streaming_nonces;
@@ -25,6 +26,7 @@
     outcome::Outcome,
     plan::{FleetPlan, SidecarPlan, UpstreamPlan},
     process::{Process, program_path},
+    resident_bytes::resident_bytes,
     sidecar_host::{SidecarHost, Upstream},
     streaming_nonces::StreamingNonces,
     tcp_state::is_closed_by_peer,
--- a/testbed/tests/endless_events.rs
+++ b/testbed/tests/endless_events.rs
@@ -4,7 +4,7 @@
 use {
     archmast_testbed::{
         direct::{Client, ClientRequest, DirectFleet, ReplicaAnswer, RouteText, event},
-        fleet::wait_until,
+        fleet::{resident_bytes, wait_until},
     },
     std::{
         io,
@@ -180,16 +180,6 @@
     }
 }
 
-/// Resident memory of a process, in bytes.
-fn resident_bytes(process: u32) -> usize {
-    let status = std::fs::read_to_string(format!("/proc/{process}/status"));
-    let status = status.expect("a running process");
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-    let kilobytes = line.and_then(|line| line.trim().strip_suffix(" kB"));
-    let kilobytes: usize = kilobytes.expect("a size").parse().expect("a number");
-    kilobytes << 10
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn many_spoilt_streams_take_no_memory_without_bound_and_end_no_other() {
     let (fleet, _) = start(0).await;
