Comments and blank lines of an upstream without an end end its stream

The product's own form: a stream of nothing but comments or blank lines went on for as long as its caller stayed, and kept router and sidecar busy.

--- a/src/router/answer_body.rs
+++ b/src/router/answer_body.rs
@@ -27,6 +27,10 @@
 /// The largest event that is held back until it is complete.
 const MAX_EVENT_BYTES: usize = 64 << 20;
 
+/// The most comments and blank lines between two events of a stream, in bytes: upstreams send some
+/// to keep a connection open, a faulty one sends them without an end.
+const MAX_BYTES_BETWEEN_EVENTS: usize = 1 << 20;
+
 /// The body of an answer whose head has been sent, partly still unread.
 pub struct PartialAnswer {
     buffered: vec::IntoIter<Bytes>, // chunks read before the head was sent
@@ -98,7 +102,8 @@
             return Ok(Some(chunk.into()));
         };
         let complete = events.push(&chunk);
-        if events.held_bytes() > MAX_EVENT_BYTES {
+        let is_endless = events.bytes_between_events() > MAX_BYTES_BETWEEN_EVENTS;
+        if is_endless || events.held_bytes() > MAX_EVENT_BYTES {
             return Err(self.reader.abort(ResultCode::AnswerTooLarge));
         }
         Ok(complete)
--- a/src/router/event_buffer.rs
+++ b/src/router/event_buffer.rs
@@ -6,9 +6,10 @@
 #[derive(Debug, Default)]
 pub struct EventBuffer {
     held: BytesMut,
-    scanned: usize,    // bytes of `held` that were searched for line ends
-    line_start: usize, // where the last line in `held` begins
-    has_field: bool,   // the last event has a line that is no comment
+    scanned: usize,        // bytes of `held` that were searched for line ends
+    line_start: usize,     // where the last line in `held` begins
+    has_field: bool,       // the last event has a line that is no comment
+    between_events: usize, // bytes of comments and blank lines since the last event
     after_carriage_return: bool,
 }
 
@@ -40,6 +41,11 @@
         (boundary > 0).then(|| self.held.split_to(boundary).freeze())
     }
 
+    /// The number of bytes of comments and blank lines since the last event.
+    pub fn bytes_between_events(&self) -> usize {
+        self.between_events
+    }
+
     /// The number of bytes that are held back.
     pub fn held_bytes(&self) -> usize {
         self.held.len()
@@ -52,11 +58,17 @@
 
     /// Takes account of the line whose end was scanned last.
     fn end_line(&mut self) {
+        let was_inside_event = self.has_field;
         let line = &self.held[self.line_start..self.scanned - 1];
         self.has_field = match line.first() {
             None => false,
             Some(b':') => self.has_field,
             Some(_) => true,
         };
+        if self.has_field {
+            self.between_events = 0;
+        } else if !was_inside_event {
+            self.between_events += self.scanned - self.line_start;
+        }
     }
 }
--- a/testbed/src/standin/framed_answer.rs
+++ b/testbed/src/standin/framed_answer.rs
@@ -15,6 +15,7 @@
     Chunks,
     ChunksWithoutLast, // the last chunk is not sent
     UntilClose,        // neither a length nor chunks
+    NoHead,            // the body alone
 }
 
 /// What becomes of the connection after an answer.
@@ -23,6 +24,7 @@
     Close,
     Reset,
     StaysOpen, // until the other side closes it
+    Repeats,   // sends the body again and again until the other side closes it
 }
 
 impl FramedAnswer {
@@ -80,11 +82,20 @@
         self
     }
 
+    /// Sends the body again and again.
+    pub fn repeat(mut self) -> Self {
+        self.end = ConnectionEnd::Repeats;
+        self
+    }
+
     /// The answer's bytes, without a body if `is_head_request`.
     pub(super) fn bytes(
         &self,
         is_head_request: bool,
     ) -> Vec<u8> {
+        if self.framing == AnswerFraming::NoHead {
+            return self.body.clone();
+        }
         let mut text = format!("HTTP/1.1 {} Status\r\nConnection: close\r\n", self.status);
         for (name, value) in &self.headers {
             text.push_str(&format!("{name}: {value}\r\n"));
@@ -96,7 +107,7 @@
             AnswerFraming::Chunks | AnswerFraming::ChunksWithoutLast => {
                 text.push_str("Transfer-Encoding: chunked\r\n");
             }
-            AnswerFraming::UntilClose => {}
+            AnswerFraming::UntilClose | AnswerFraming::NoHead => {}
         }
         text.push_str("\r\n");
         let mut bytes = text.into_bytes();
--- a/testbed/src/standin/framed_service.rs
+++ b/testbed/src/standin/framed_service.rs
@@ -124,6 +124,9 @@
             // With a linger time of zero, dropping the connection resets it.
             stream.set_zero_linger()
         }
+        ConnectionEnd::Repeats => loop {
+            stream.write_all(&answer.body).await?;
+        },
         ConnectionEnd::StaysOpen => {
             let mut rest = Vec::new();
             stream.read_to_end(&mut rest).await.map(|_| ())
--- a/tests/event_buffer.rs
+++ b/tests/event_buffer.rs
@@ -100,3 +100,16 @@
     assert_eq!(buffer.push(b"data: a\n: ping\n"), None);
     assert!(buffer.push(b"\n").is_some());
 }
+
+#[test]
+fn bytes_between_events_are_counted_from_the_last_event_on() {
+    let mut buffer = EventBuffer::default();
+    buffer.push(b": a\n\n\r\n");
+    assert_eq!(buffer.bytes_between_events(), 6);
+    buffer.push(b"data: piece\n");
+    assert_eq!(buffer.bytes_between_events(), 0);
+    buffer.push(b"\n");
+    assert_eq!(buffer.bytes_between_events(), 0);
+    buffer.push(b": a\n");
+    assert_eq!(buffer.bytes_between_events(), 4);
+}
