--- a/src/direct/neighbour_connection.rs
+++ b/src/direct/neighbour_connection.rs
@@ -74,7 +74,8 @@
     timeout(CHECK_TIMEOUT, check(stream, neighbour)).await?
 }
 
-async fn open_connection(
+/// Opens a connection to a neighbour from this router's own address.
+pub(super) async fn open_connection(
     own_address: SocketAddr,
     neighbour: SocketAddr,
     limit: Duration,
--- a/src/direct/neighbour_probe.rs
+++ b/src/direct/neighbour_probe.rs
@@ -2,11 +2,11 @@
 
 use {
     super::{
-        neighbour_connection::ask_neighbour, probe_outcome::ProbeOutcome,
-        sockets::configure_outgoing_socket,
+        neighbour_connection::{ask_neighbour, open_connection},
+        probe_outcome::ProbeOutcome,
     },
     std::{io, net::SocketAddr, time::Duration},
-    tokio::{net::TcpSocket, time::timeout},
+    tokio::time::timeout,
 };
 
 /// Time-out of a probe for connecting and, separately, for the answer: far more than a running
@@ -18,14 +18,8 @@
     own_address: SocketAddr,
     neighbour: SocketAddr,
 ) -> ProbeOutcome {
-    let connecting = async {
-        let socket = TcpSocket::new_v4()?;
-        socket.bind(SocketAddr::new(own_address.ip(), 0))?;
-        timeout(PROBE_TIMEOUT, socket.connect(neighbour)).await?
-    };
     let outcome: io::Result<()> = async {
-        let stream = connecting.await?;
-        configure_outgoing_socket(&stream);
+        let stream = open_connection(own_address, neighbour, PROBE_TIMEOUT).await?;
         timeout(PROBE_TIMEOUT, ask_neighbour(stream, neighbour)).await??;
         Ok(())
     }
