Raw replicas of tests read requests in one place

endless_bytes and endless_events read heads and bodies alike; their checks, bytes and bounds are unchanged.

--- a/testbed/src/direct/mod.rs
+++ b/testbed/src/direct/mod.rs
@@ -7,6 +7,7 @@
 mod direct_fleet;
 mod forwarding_fleet;
 mod piece;
+mod raw_request;
 mod received_request;
 mod replica;
 mod replica_answer;
@@ -28,6 +29,7 @@
     direct_fleet::{DirectFleet, zone_name},
     forwarding_fleet::forwarding_fleet,
     piece::{Piece, pieces},
+    raw_request::RawRequest,
     received_request::ReceivedRequest,
     replica::Replica,
     replica_answer::{Framing, ReplicaAnswer},
--- a/testbed/tests/endless_bytes.rs
+++ b/testbed/tests/endless_bytes.rs
@@ -3,7 +3,7 @@
 
 use {
     archmast_testbed::{
-        direct::{Client, ClientRequest, DirectFleet, ReplicaAnswer, RouteText},
+        direct::{Client, ClientRequest, DirectFleet, RawRequest, ReplicaAnswer, RouteText},
         fleet::{resident_bytes, wait_until, wait_until_async},
     },
     std::{
@@ -16,7 +16,7 @@
         time::{Duration, Instant},
     },
     tokio::{
-        io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader},
+        io::{AsyncReadExt, AsyncWriteExt, BufReader},
         net::{TcpListener, TcpStream},
         task::JoinSet,
         time::timeout,
@@ -107,20 +107,10 @@
     sent: Arc<AtomicUsize>,
 ) -> io::Result<()> {
     let mut stream = BufReader::new(stream);
-    let (mut id, mut length) = (String::new(), 0);
-    loop {
-        let mut line = String::new();
-        if stream.read_line(&mut line).await? == 0 {
-            return Ok(());
-        }
-        match line.trim_end().split_once(": ") {
-            Some(("archmast-attempt-id", value)) => value.clone_into(&mut id),
-            Some(("content-length", value)) => length = value.parse().unwrap_or(0),
-            None if line.trim_end().is_empty() => break,
-            _ => {}
-        }
-    }
-    stream.read_exact(&mut vec![0; length]).await?;
+    let Some(request) = RawRequest::read(&mut stream).await? else {
+        return Ok(());
+    };
+    let id = request.id;
     let id_line = format!("HTTP/1.1 200 OK\r\nArchmast-Attempt-Id: {id}\r\n");
     let start = garbage.start.replace("HTTP/1.1 200 OK\r\n", &id_line);
     stream.write_all(start.as_bytes()).await?;
--- a/testbed/tests/endless_events.rs
+++ b/testbed/tests/endless_events.rs
@@ -3,7 +3,7 @@
 
 use {
     archmast_testbed::{
-        direct::{Client, ClientRequest, DirectFleet, ReplicaAnswer, RouteText, event},
+        direct::{Client, ClientRequest, DirectFleet, RawRequest, ReplicaAnswer, RouteText, event},
         fleet::{resident_bytes, wait_until},
     },
     std::{
@@ -15,7 +15,7 @@
         time::Duration,
     },
     tokio::{
-        io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader},
+        io::{AsyncWriteExt, BufReader},
         net::{TcpListener, TcpStream},
         task::JoinSet,
     },
@@ -53,27 +53,16 @@
     sent: Arc<AtomicUsize>,
 ) -> io::Result<()> {
     let mut stream = BufReader::new(stream);
-    let (mut id, mut last_event, mut length) = (String::new(), 0, 0);
-    loop {
-        let mut line = String::new();
-        if stream.read_line(&mut line).await? == 0 {
-            return Ok(());
-        }
-        match line.trim_end().split_once(": ") {
-            Some(("archmast-attempt-id", value)) => value.clone_into(&mut id),
-            Some(("last-event-id", value)) => last_event = value.parse().unwrap_or(0),
-            Some(("content-length", value)) => length = value.parse().unwrap_or(0),
-            None if line.trim_end().is_empty() => break,
-            _ => {}
-        }
-    }
-    stream.read_exact(&mut vec![0; length]).await?;
+    let Some(request) = RawRequest::read(&mut stream).await? else {
+        return Ok(());
+    };
+    let id = request.id;
     let head = format!(
         "HTTP/1.1 200 OK\r\nArchmast-Attempt-Id: {id}\r\nArchmast-Replica-Signature: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
     );
     stream.write_all(head.as_bytes()).await?;
-    if last_event > 0 {
-        let rest = chunk(&events(last_event + 1, LAST)) + "0\r\n\r\n";
+    if request.last_event > 0 {
+        let rest = chunk(&events(request.last_event + 1, LAST)) + "0\r\n\r\n";
         return stream.write_all(rest.as_bytes()).await;
     }
     if whole > 0 {
