The end of the limit on a head is not undone by a read beside it

Cause: the bytes read were counted by a load and a store, on the connection's task; the end of the limit, set in between by the task that sent the request, was overwritten, and the limit went on into the body.

Now both are one atomic step.

--- a/src/direct/head_limit_stream.rs
+++ b/src/direct/head_limit_stream.rs
@@ -15,8 +15,7 @@
     },
 };
 
-/// The number of bytes that may be read from a connection until `unlimited` or `begin_head` is
-/// called.
+/// The number of bytes that may be read from a connection until `end_head` or `begin_head` is called.
 #[derive(Debug, Clone)]
 pub struct HeadLimit(Arc<AtomicUsize>);
 
@@ -44,15 +43,19 @@
         &self,
         bytes: usize,
     ) -> io::Result<()> {
-        let left = self.0.load(Ordering::Relaxed);
-        if left == usize::MAX {
-            return Ok(());
-        }
-        let rest = left.checked_sub(bytes).ok_or_else(|| {
+        // One step, so that the end of the limit in between is not undone.
+        let counted = self
+            .0
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |left| {
+                (left != usize::MAX).then(|| left.saturating_sub(bytes))
+            });
+        if counted.is_ok_and(|left| left < bytes) {
             metrics::counter!(OVERSIZED_HEADS).increment(1);
-            io::Error::new(io::ErrorKind::InvalidData, "too many bytes before a head")
-        })?;
-        self.0.store(rest, Ordering::Relaxed);
+            return Err(io::Error::new(
+                io::ErrorKind::InvalidData,
+                "too many bytes before a head",
+            ));
+        }
         Ok(())
     }
 }
