Failing tests of clients that do not keep to the limits

What callers saw: a crowd of such clients ends a router, and all others lose their requests; and the rest of a refused body is run as requests that nobody sent.

The tests start the system's own processes on loopback addresses, with the memory of a small host in their settings, and check that the process lives, that its resident memory and what arrived unread stay within that host, that descriptors are left, and that a request inside the limits is answered beside the crowd and after it. Crowds and bounds are fixed here; the bounds are the host's. Tests that count memory run one at a time.

--- a/testbed/src/direct/config_text.rs
+++ b/testbed/src/direct/config_text.rs
@@ -12,6 +12,7 @@
     pub keys: &'c [&'c str],                     // API keys of the account
     pub more_accounts: &'c [(&'c str, &'c str)], // name and API key
     pub service_fields: Value, // JSON object of fields that are added to each service
+    pub max_head: usize,       // bytes of a request's head
     pub max_body: usize,       // bytes of a request's body
     pub idle_timeout_ms: u64,  // of a connection between requests
 }
@@ -28,6 +29,7 @@
             keys: &["key-1"],
             more_accounts: &[],
             service_fields: json!({}),
+            max_head: 8 << 10,
             max_body: 64 << 10,
             idle_timeout_ms: 15_000,
         }
@@ -52,7 +54,7 @@
         accounts.extend(more.map(|(name, key)| json!({"name": name, "api_keys": [key]})));
         json!({
             "version": self.version, "routes": routes, "services": services,
-            "limits": {"max_header_bytes": 8192, "max_body_bytes": self.max_body,
+            "limits": {"max_header_bytes": self.max_head, "max_body_bytes": self.max_body,
                        "header_timeout_ms": 3000, "idle_timeout_ms": self.idle_timeout_ms},
             "tenants": accounts,
         })
--- a/testbed/src/direct/forwarding_fleet.rs
+++ b/testbed/src/direct/forwarding_fleet.rs
@@ -5,7 +5,12 @@
 
 /// Two routers that forward all connections of their callers to each other, and a replica.
 pub async fn forwarding_fleet() -> (DirectFleet, Replica) {
-    let fleet = DirectFleet::start(2, "hand_on = 0.0\n").await;
+    forwarding_fleet_with("").await
+}
+
+/// The same, with `settings` added behind the section `[callers]` of both routers.
+pub async fn forwarding_fleet_with(settings: &str) -> (DirectFleet, Replica) {
+    let fleet = DirectFleet::start(2, &format!("hand_on = 0.0\n{settings}")).await;
     let replica = fleet
         .start_replica("i-a", "s", ReplicaAnswer::ok("answer"))
         .await;
--- a/testbed/src/direct/mod.rs
+++ b/testbed/src/direct/mod.rs
@@ -27,7 +27,7 @@
     client_answer::ClientAnswer,
     config_text::ConfigText,
     direct_fleet::{DirectFleet, zone_name},
-    forwarding_fleet::forwarding_fleet,
+    forwarding_fleet::{forwarding_fleet, forwarding_fleet_with},
     piece::{Piece, pieces},
     raw_request::RawRequest,
     received_request::ReceivedRequest,
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod report;
 pub mod soak;
 pub mod standin;
+pub mod unruly;
