--- a/src/codes/result_code.rs
+++ b/src/codes/result_code.rs
@@ -119,6 +119,7 @@
     PeerUnreachable = 74, No, 0, "no connection to a peer";
     StreamUnknown = 75, No, 503, "it is not known at which software version the stream began";
     NoVersion = 76, No, 503, "no replica has the software version that began the stream";
+    CallersFull = 77, No, 503, "callers take all of the router's memory or descriptors that they may";
     PlatformDown = 80, No, 0, "the platform's service does not answer";
     PlatformBudget = 81, No, 0, "the platform's service refused a call over its rate";
     PlatformReply = 82, No, 0, "the platform's service sent what its protocol does not allow";
--- a/src/conf/direct_settings.rs
+++ b/src/conf/direct_settings.rs
@@ -32,6 +32,8 @@
     pub answer_memory: MemoryBudget,
     /// Memory for bodies of requests.
     pub request_memory: MemoryBudget,
+    /// Memory in bytes for all that callers decide on: answers, bodies, and their connections.
+    pub caller_memory: u64,
     /// Busy fraction of the CPU, 0 to 1, above which the router reports itself as not ready.
     pub max_busy_share: f64,
     /// Busy fraction of the CPU, 0 to 1, above which new connections of callers are forwarded to
@@ -79,12 +81,15 @@
 }
 
 /// The process's memory limit divided by these is the budget for one answer, for all answers, and
-/// for all bodies of requests. Most of the memory is left to connections, replicas and the
-/// configuration.
+/// for all bodies of requests.
 const ANSWER_DIVISOR: u64 = 128;
 const ALL_ANSWERS_DIVISOR: u64 = 8;
 const REQUESTS_DIVISOR: u64 = 4;
 
+/// Eighths of the memory limit for answers, bodies and connections of callers together. The rest is
+/// for the program, replicas and the configuration.
+const CALLER_EIGHTHS: u64 = 5;
+
 impl DirectSettings {
     /// The default settings file, with comments. `--print-defaults` prints it.
     pub const SHIPPED: &'static str = include_str!("../../conf/direct.ini");
@@ -143,6 +148,7 @@
                 per_connection: memory / REQUESTS_DIVISOR,
                 total: memory / REQUESTS_DIVISOR,
             },
+            caller_memory: memory / 8 * CALLER_EIGHTHS,
             max_busy_share: callers.number("most_busy", 0.01..=1.0)?,
             forward_busy_share: callers.number("hand_on", 0.0..=1.0)?,
             ready_listen: ready.parsed("listen", "an IP:port")?,
--- a/src/direct/answer_buffer.rs
+++ b/src/direct/answer_buffer.rs
@@ -1,7 +1,13 @@
 use {
-    super::{gateway::Gateway, held_bytes::HeldBytes, reply::ReplyBody},
-    crate::policy::{Moment, memory::must_abort_answer},
-    bytes::Bytes,
+    super::{gateway::Gateway, reply::ReplyBody},
+    crate::{
+        callers::HeldBytes,
+        policy::{
+            Moment,
+            memory::{MAX_UNREAD_TIME, must_abort_answer},
+        },
+    },
+    bytes::{Bytes, BytesMut},
     hyper::body::{Body, Frame, SizeHint},
     std::{
         collections::VecDeque,
@@ -17,6 +23,12 @@
 
 type Piece = Result<Frame<Bytes>, io::Error>;
 
+/// Shorter pieces that are read ahead are joined: each would take far more than its bytes.
+const MIN_PIECE_BYTES: usize = 1 << 10;
+
+/// The size of the blocks into which they are joined.
+const JOINED_BYTES: usize = 4 << 10;
+
 /// The part of the current answer on a caller's connection that was read from the replica and
 /// not yet written to the caller.
 ///
@@ -36,6 +48,7 @@
 struct ReadState {
     body: Option<ReplyBody>,   // `None` once it was read to its end
     pieces: VecDeque<Piece>,   // read ahead
+    joined: BytesMut,          // short pieces behind them
     is_awaited: bool,          // the connection can send and waits for a piece
     cut_waiter: Option<Waker>, // of the connection, while a cut waits until all was written
     is_flushed: bool,          // all before the waiting cut was written
@@ -81,7 +94,7 @@
     /// Discards what is left of the answer, at its end or when it is aborted.
     pub fn clear(&self) {
         let discarded = std::mem::take(&mut *self.state());
-        let unsent: u64 = discarded.pieces.iter().map(length).sum();
+        let unsent = discarded.held_bytes();
         self.held.subtract(unsent);
     }
 
@@ -91,7 +104,7 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Piece>> {
         let mut state = self.state();
-        if let Some(piece) = state.pieces.pop_front() {
+        if let Some(piece) = state.pop() {
             return self.deliver(&mut state, context, piece);
         }
         let polled = state.poll(context);
@@ -137,7 +150,7 @@
                 return;
             };
             self.add_held(length(&piece));
-            state.pieces.push_back(piece);
+            state.push(piece);
         }
     }
 
@@ -174,17 +187,24 @@
         must_abort_answer(budget, own, self.held.others(), stalled).then_some(own)
     }
 
+    /// Whether the caller has taken nothing of its answer for so long that it may lose it.
+    pub fn is_unread(&self) -> bool {
+        let last_progress = Moment::from_millis(self.last_progress_ms.load(Ordering::Relaxed));
+        let stalled = self.gateway.now().saturating_sub(last_progress);
+        self.held.own() > 0 && stalled >= MAX_UNREAD_TIME
+    }
+
     /// Whether the connection took all pieces of the answer.
     pub fn is_finished(&self) -> bool {
         let state = self.state();
         let is_over = state.body.as_ref().is_none_or(Body::is_end_stream);
-        is_over && state.pieces.is_empty()
+        is_over && state.pieces.is_empty() && state.joined.is_empty()
     }
 
     /// The size of the remaining answer, if known.
     pub fn size(&self) -> SizeHint {
         let state = self.state();
-        let read_ahead: u64 = state.pieces.iter().map(length).sum();
+        let read_ahead = state.held_bytes();
         let body = state.body.as_ref();
         let rest = body.map_or(Some(0), |body| body.size_hint().exact());
         rest.map_or_else(SizeHint::default, |rest| {
@@ -212,6 +232,44 @@
 }
 
 impl ReadState {
+    /// Appends a piece that is read ahead.
+    fn push(
+        &mut self,
+        piece: Piece,
+    ) {
+        let data = piece.as_ref().ok().and_then(Frame::data_ref);
+        let short = data.filter(|data| data.len() < MIN_PIECE_BYTES);
+        let room = self.joined.capacity() - self.joined.len();
+        if short.is_none_or(|data| data.len() > room) {
+            let joined = std::mem::take(&mut self.joined);
+            if !joined.is_empty() {
+                self.pieces.push_back(Ok(Frame::data(joined.freeze())));
+            }
+        }
+        match short {
+            Some(data) => {
+                if self.joined.capacity() == 0 {
+                    self.joined.reserve(JOINED_BYTES);
+                }
+                self.joined.extend_from_slice(data);
+            }
+            None => self.pieces.push_back(piece),
+        }
+    }
+
+    /// Takes the first piece that was read ahead.
+    fn pop(&mut self) -> Option<Piece> {
+        self.pieces.pop_front().or_else(|| {
+            let joined = std::mem::take(&mut self.joined);
+            (!joined.is_empty()).then(|| Ok(Frame::data(joined.freeze())))
+        })
+    }
+
+    /// The bytes that were read ahead.
+    fn held_bytes(&self) -> u64 {
+        self.pieces.iter().map(length).sum::<u64>() + self.joined.len() as u64
+    }
+
     fn poll(
         &mut self,
         context: &mut Context<'_>,
--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -6,9 +6,10 @@
         live_answer::LiveAnswer, replica_call::call_replica, request_reader::header_text,
         start_check::check_slow_start,
     },
-    crate::{catalog::UpstreamEntry, codes::ResultCode, policy::parse_retry_after},
-    bytes::Bytes,
-    http_body_util::Full,
+    crate::{
+        callers::RequestBodyReader, catalog::UpstreamEntry, codes::ResultCode,
+        policy::parse_retry_after,
+    },
     hyper::{
         Request,
         header::{CONTENT_ENCODING, HeaderValue, RETRY_AFTER},
@@ -76,12 +77,12 @@
     call: &Call,
     target: &AttemptTarget,
     last_event: Option<&str>,
-) -> Result<Request<Full<Bytes>>, AttemptEnd> {
+) -> Result<Request<RequestBodyReader>, AttemptEnd> {
     let names = &gateway.dialect.names;
     let not_sent = |error: &dyn std::fmt::Display| AttemptEnd::NotSent {
         detail: error.to_string(),
     };
-    let mut request = Request::new(Full::new(call.body.clone()));
+    let mut request = Request::new(call.body.reader());
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.target.clone();
     let headers = request.headers_mut();
--- a/src/direct/cache_protocol.rs
+++ b/src/direct/cache_protocol.rs
@@ -1,10 +1,9 @@
 use {
     crate::{
+        callers::RequestBodyReader,
         codes::Fault,
         policy::placement::{CacheEventBatch, CachedPart},
     },
-    bytes::Bytes,
-    http_body_util::Full,
     hyper::Request,
     std::time::Duration,
 };
@@ -13,12 +12,12 @@
 #[derive(Debug, Clone, Copy)]
 pub struct CacheProtocol {
     /// Builds the request for all cached parts, without its `Host` header.
-    pub list_request: fn() -> Request<Full<Bytes>>,
+    pub list_request: fn() -> Request<RequestBodyReader>,
     /// Parses the answer. Fails with `ResultCode::PlatformReply`.
     pub parse_list: fn(&[u8]) -> Result<Vec<CachedPart>, Fault>,
     /// Builds the long-polling request for cache events from a number on, which the replica
     /// answers at the first event or after the given time; without its `Host` header.
-    pub events_request: fn(u64, Duration) -> Request<Full<Bytes>>,
+    pub events_request: fn(u64, Duration) -> Request<RequestBodyReader>,
     /// Parses the answer to a request for events from that number on. Fails with
     /// `ResultCode::PlatformReply`.
     pub parse_events: fn(u64, &[u8]) -> Result<CacheEventBatch, Fault>,
--- a/src/direct/call.rs
+++ b/src/direct/call.rs
@@ -1,12 +1,11 @@
 use {
-    super::held_bytes::HeldBytes,
     crate::{
+        callers::{HeldBytes, RequestBody},
         policy::{
             Moment, placement::PromptShape, streams::SoftwareVersion, suspects::SuspectDigest,
         },
         routing::{AllowedRegions, EngineSpec, Route},
     },
-    bytes::Bytes,
     hyper::{HeaderMap, Method, Uri},
     std::{sync::Arc, time::Duration},
 };
@@ -21,7 +20,7 @@
     pub method: Method,
     pub target: Uri,        // path and query
     pub headers: HeaderMap, // those that replicas get
-    pub body: Bytes,
+    pub body: RequestBody,
     pub _body_memory: HeldBytes, // counted until the call is over, as the body may be sent again
     pub route: Arc<Route>,
     pub service: Arc<str>,
--- a/src/direct/caller_connection.rs
+++ b/src/direct/caller_connection.rs
@@ -11,9 +11,12 @@
         neighbour_connection::{answer_neighbour_check, is_neighbour_check},
         request_reader::header_text,
     },
-    crate::{codes::ResultCode, ops::UNREAD_ANSWERS},
+    crate::{callers::CallerSlot, codes::ResultCode, ops::UNREAD_ANSWERS},
     hyper::{
-        Request, Response, Version, body::Incoming, header::CONNECTION, server::conn::http1,
+        Request, Response, Version,
+        body::{Body, Incoming},
+        header::CONNECTION,
+        server::conn::http1,
         service::service_fn,
     },
     hyper_util::rt::{TokioIo, TokioTimer},
@@ -73,11 +76,12 @@
     pub fn new(
         gateway: Arc<Gateway>,
         connections: Arc<CallerConnections>,
+        slot: Arc<CallerSlot>,
         from: SocketAddr,
         was_forwarded: bool,
     ) -> Self {
         Self {
-            activity: Arc::new(ConnectionActivity::new(&gateway)),
+            activity: Arc::new(ConnectionActivity::new(&gateway, slot)),
             buffer: AnswerBuffer::new(gateway.clone()),
             gateway,
             connections,
@@ -102,8 +106,8 @@
     }
 
     /// Serves the connection to its end. Returns why this router closed it, or `None` if the
-    /// caller did. Before a connection is closed, what has come in meanwhile is served, with an
-    /// answer that announces the close.
+    /// caller did. Before a connection is closed, requests that have come in meanwhile are served,
+    /// with an answer that announces the close.
     async fn serve_requests(
         &self,
         stream: TcpStream,
@@ -169,6 +173,8 @@
                     }
                 }
                 () = tokio::time::sleep(check_interval) => {
+                    let slot = self.activity.connection().slot();
+                    slot.set_answer_unread(self.buffer.is_unread());
                     if let Some(held_bytes) = self.buffer.aborted_bytes() {
                         log_unread(self.from, held_bytes);
                         return ServeEnd::Closed(Some(CloseReason::UnreadAnswer));
@@ -203,7 +209,11 @@
             self.buffer.set_unframed();
         }
         let id = header_text(request.headers(), &self.gateway.dialect.names.request_id);
-        let in_progress = self.activity.start_request(id);
+        let (in_progress, progress) = self.activity.start_request(
+            id,
+            request.headers().len(),
+            !request.body().is_end_stream(),
+        );
         // Boxed, so that an idle connection does not reserve memory for this future.
         Box::pin(async move {
             let buffer = self.buffer.clone();
@@ -213,7 +223,7 @@
             }
             let closes =
                 self.announces_close.load(Ordering::Relaxed) || self.is_forwarder_stopping();
-            let response = answer_caller(self.gateway.clone(), request, closes).await?;
+            let response = answer_caller(self.gateway.clone(), request, progress, closes).await?;
             let is_announced = response.headers().contains_key(CONNECTION);
             self.is_close_announced
                 .store(is_announced, Ordering::Relaxed);
--- a/src/direct/caller_connections.rs
+++ b/src/direct/caller_connections.rs
@@ -1,23 +1,24 @@
 use {
     super::{
-        caller_connection::CallerConnection, close_log::CloseLog, forwarding_log::Forwarding,
-        gateway::Gateway, idle_limit::IdleLimit, neighbour_connection::connect_to_neighbour,
-        neighbour_relay::NeighbourRelay, sockets::configure_caller_socket,
+        caller_connection::CallerConnection, close_log::CloseLog, close_reason::CloseReason,
+        forwarding_log::Forwarding, gateway::Gateway, idle_limit::IdleLimit,
+        neighbour_connection::connect_to_neighbour, neighbour_relay::NeighbourRelay,
+        sockets::configure_caller_socket,
     },
-    crate::routing::RequestLimits,
-    rustix::process::{Resource, getrlimit},
-    std::{io, net::SocketAddr, sync::Arc, time::Duration},
+    crate::{
+        callers::{CallerSlot, descriptor_limit},
+        ops::CONNECTIONS_CLOSED,
+        routing::RequestLimits,
+    },
+    std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         io::Interest,
-        net::{TcpListener, TcpSocket, TcpStream},
+        net::{TcpListener, TcpStream},
         sync::watch,
         time::timeout,
     },
 };
 
-/// Length of the queue of connections that wait to be accepted.
-const ACCEPT_BACKLOG: u32 = 1024;
-
 /// How long a connection that is to be forwarded may take to send its first bytes. Later it is
 /// served here.
 const FIRST_BYTES_TIMEOUT: Duration = Duration::from_millis(500);
@@ -28,10 +29,6 @@
 /// Open connections, in multiples of `max_connections`, beyond which idle ones are closed early.
 const CROWDED_FACTOR: usize = 2;
 
-/// The part of the process's file descriptors that callers' connections may take before idle ones
-/// are closed early. Most of the others are for connections to replicas.
-const CALLER_DESCRIPTOR_SHARE: f64 = 0.75;
-
 /// Accepts, serves and closes the connections of callers.
 pub struct CallerConnections {
     gateway: Arc<Gateway>,
@@ -55,14 +52,6 @@
         })
     }
 
-    /// Binds the address on which callers connect.
-    pub fn bind(address: SocketAddr) -> io::Result<TcpListener> {
-        let socket = TcpSocket::new_v4()?;
-        socket.set_reuseaddr(true)?;
-        socket.bind(address)?;
-        socket.listen(ACCEPT_BACKLOG)
-    }
-
     /// Takes the idle time-out from each configuration.
     pub async fn follow_idle_timeout(self: Arc<Self>) {
         let mut changes = self.gateway.catalog.subscribe();
@@ -92,7 +81,9 @@
         loop {
             match listener.accept().await {
                 Ok((stream, from)) => {
-                    tokio::spawn(self.clone().serve_or_forward(stream, from));
+                    if let Some(slot) = self.gateway.callers.open().await {
+                        tokio::spawn(self.clone().serve_while_open(stream, from, slot));
+                    }
                 }
                 Err(error) => {
                     log::warn!("cannot accept a caller's connection: {error}");
@@ -152,21 +143,38 @@
         })
     }
 
-    async fn serve_or_forward(
+    /// Serves a connection until it ends, or must make room for others.
+    async fn serve_while_open(
         self: Arc<Self>,
         stream: TcpStream,
         from: SocketAddr,
+        slot: Arc<CallerSlot>,
+    ) {
+        tokio::select! {
+            () = self.serve_or_forward(stream, from, &slot) => {}
+            () = slot.closed() => {
+                let reason = CloseReason::NoRoom.name();
+                metrics::counter!(CONNECTIONS_CLOSED, "reason" => reason).increment(1);
+            }
+        }
+    }
+
+    async fn serve_or_forward(
+        self: &Arc<Self>,
+        stream: TcpStream,
+        from: SocketAddr,
+        slot: &Arc<CallerSlot>,
     ) {
         configure_caller_socket(&stream);
         self.open_count.send_modify(|count| *count += 1);
         self.gateway.set_crowded(self.is_crowded());
         let _counted = CountedConnection(self.clone());
         if self.gateway.peers.is_neighbour(from.ip()) {
-            return self.serve(stream, from, true).await;
+            return self.serve(stream, from, slot, true).await;
         }
-        if let Err((stream, kept)) = self.forward(stream, from).await {
+        if let Err((stream, kept)) = self.forward(stream, from, slot).await {
             self.gateway.forwarding_log.record(kept);
-            self.serve(stream, from, false).await;
+            self.serve(stream, from, slot, false).await;
         }
     }
 
@@ -174,11 +182,19 @@
         self: &Arc<Self>,
         stream: TcpStream,
         from: SocketAddr,
+        slot: &Arc<CallerSlot>,
         was_forwarded: bool,
     ) {
-        CallerConnection::new(self.gateway.clone(), self.clone(), from, was_forwarded)
-            .serve(stream)
-            .await;
+        let slot = slot.clone();
+        CallerConnection::new(
+            self.gateway.clone(),
+            self.clone(),
+            slot,
+            from,
+            was_forwarded,
+        )
+        .serve(stream)
+        .await;
     }
 
     /// Forwards a connection to a neighbour and relays it until its end. Fails with the connection
@@ -187,6 +203,7 @@
         &self,
         stream: TcpStream,
         from: SocketAddr,
+        slot: &CallerSlot,
     ) -> Result<(), (TcpStream, Forwarding)> {
         if let Err(kept) = self.neighbour_for_new_connection() {
             return Err((stream, kept));
@@ -223,7 +240,7 @@
             connect_ms = connect_ms;
             "connection handed on"
         );
-        let relay = NeighbourRelay::new(&self.gateway, neighbour);
+        let relay = NeighbourRelay::new(&self.gateway, slot, neighbour);
         let relaying = relay.run(stream, connection, self.closing.subscribe());
         if let Err(error) = Box::pin(relaying).await {
             log::debug!("connection that was handed on: {error}");
@@ -232,14 +249,6 @@
     }
 }
 
-/// The number of callers' connections that the process's file descriptors suffice for.
-fn descriptor_limit() -> usize {
-    let descriptors = getrlimit(Resource::Nofile).current;
-    descriptors.map_or(usize::MAX, |count| {
-        (count as f64 * CALLER_DESCRIPTOR_SHARE) as usize
-    })
-}
-
 /// Counts a connection as open until it is dropped.
 struct CountedConnection(Arc<CallerConnections>);
 
--- a/src/direct/caller_port.rs
+++ b/src/direct/caller_port.rs
@@ -10,6 +10,7 @@
         unanswered::Unanswered,
     },
     crate::{
+        callers::BodyProgress,
         codes::{ErrorAnswer, ResultCode},
         ops::{ANSWER_SECONDS, REQUESTS, catch_panic},
         policy::{Moment, shares::AccountShare},
@@ -27,12 +28,13 @@
 pub async fn answer_caller(
     gateway: Arc<Gateway>,
     request: Request<Incoming>,
+    progress: BodyProgress,
     closes_connection: bool,
 ) -> Result<Response<ReplyBody>, Infallible> {
     let arrived = gateway.now();
     let request_id = header_text(request.headers(), &gateway.dialect.names.request_id).to_owned();
-    let answered = catch_panic(answer(&gateway, request, &request_id, arrived)).await;
-    let (mut response, is_body_abandoned) = answered.unwrap_or_else(|| {
+    let answered = catch_panic(answer(&gateway, request, progress, &request_id, arrived)).await;
+    let (mut response, closes) = answered.unwrap_or_else(|| {
         let error = ErrorAnswer::new(ResultCode::OutcomeUnknown);
         log_refused(
             &gateway,
@@ -43,23 +45,24 @@
         );
         (error_reply(&gateway, &error, &request_id), true)
     });
-    if closes_connection || is_body_abandoned || gateway.closes_connections() {
+    if closes_connection || closes || gateway.closes_connections() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
     Ok(response)
 }
 
-/// Reads a request and answers it. The flag tells whether the end of its body may never be read.
+/// Reads a request and answers it. The flag tells whether the answer must close the connection.
 async fn answer(
     gateway: &Arc<Gateway>,
     request: Request<Incoming>,
+    progress: BodyProgress,
     request_id: &str,
     arrived: Moment,
 ) -> (Response<ReplyBody>, bool) {
     let (mut head, mut body) = request.into_parts();
     let awaits_continue = head.headers.contains_key(EXPECT);
-    match read_call(gateway, &mut head, &mut body, arrived).await {
+    match read_call(gateway, &mut head, &mut body, &progress, arrived).await {
         Err(error) => {
             let origin = CallOrigin::of(gateway, &head);
             if error.retry_after.is_some() {
@@ -67,11 +70,18 @@
             }
             log_refused(gateway, request_id, &origin, &error, arrived);
             let body = RefusedBody::new(body, awaits_continue, error.code);
-            let is_abandoned = body.is_abandoned();
-            body.discard(gateway);
-            (error_reply(gateway, &error, request_id), is_abandoned)
+            // Elsewhere there may be room.
+            let is_full = error.code == ResultCode::CallersFull;
+            let closes = is_full || body.is_abandoned();
+            body.discard(gateway, progress);
+            (error_reply(gateway, &error, request_id), closes)
+        }
+        Ok(call) => {
+            progress.record_end();
+            progress.record_sending();
+            // Boxed, so that a request whose body is awaited does not reserve memory for this future.
+            (Box::pin(answer_call(gateway, Arc::new(call))).await, false)
         }
-        Ok(call) => (answer_call(gateway, Arc::new(call)).await, false),
     }
 }
 
--- a/src/direct/caller_stream.rs
+++ b/src/direct/caller_stream.rs
@@ -1,5 +1,8 @@
 use {
-    super::{answer_buffer::AnswerBuffer, connection_activity::ConnectionActivity},
+    super::{
+        answer_buffer::AnswerBuffer, connection_activity::ConnectionActivity, sockets::unread_bytes,
+    },
+    crate::callers::{BoundedRead, ReadBytes},
     bytes::{Buf, Bytes},
     std::{
         io::{self, IoSlice},
@@ -18,6 +21,7 @@
 pub struct CallerStream {
     stream: TcpStream,
     unread: Bytes, // read from the stream, and to be read again
+    bounded: BoundedRead,
     answer: Arc<AnswerBuffer>,
     activity: Arc<ConnectionActivity>,
 }
@@ -29,10 +33,8 @@
         {
             log::warn!("a cut answer is not reset: {error}");
         }
-        match rustix::io::ioctl_fionread(&self.stream) {
-            Ok(bytes) => self.activity.record_unread(bytes as usize),
-            Err(error) => log::debug!("unread bytes are not known: {error}"),
-        }
+        self.activity
+            .record_unread(unread_bytes(&self.stream) as usize);
     }
 }
 
@@ -46,6 +48,7 @@
         Self {
             stream,
             unread: Bytes::new(),
+            bounded: BoundedRead::default(),
             answer,
             activity,
         }
@@ -61,8 +64,7 @@
 
     /// Whether bytes can be read now.
     pub fn has_bytes(&self) -> bool {
-        let in_socket = rustix::io::ioctl_fionread(&self.stream);
-        !self.unread.is_empty() || in_socket.is_ok_and(|bytes| bytes > 0)
+        !self.unread.is_empty() || unread_bytes(&self.stream) > 0
     }
 
     fn record(
@@ -87,21 +89,29 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        if !self.unread.is_empty() {
-            let length = self.unread.len().min(buffer.remaining());
-            buffer.put_slice(&self.unread[..length]);
-            self.unread.advance(length);
-            self.activity.record_read(length);
+        let this = &mut *self;
+        let connection = this.activity.connection();
+        if !this.unread.is_empty() {
+            let count = this.unread.len().min(buffer.remaining());
+            buffer.put_slice(&this.unread[..count]);
+            this.unread.advance(count);
+            let is_head = connection.record_read(count, buffer.remaining());
+            this.activity.record_read(ReadBytes { count, is_head });
             return Poll::Ready(Ok(()));
         }
-        let before = buffer.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
-        match &read {
-            Poll::Ready(Ok(())) => self.activity.record_read(buffer.filled().len() - before),
-            Poll::Ready(Err(_)) => self.activity.record_failure(),
-            Poll::Pending => {}
-        }
-        read
+        let read = this
+            .bounded
+            .poll(&mut this.stream, connection, context, buffer);
+        read.map(|read| match read {
+            Ok(read) => {
+                this.activity.record_read(read);
+                Ok(())
+            }
+            Err(error) => {
+                this.activity.record_failure();
+                Err(error)
+            }
+        })
     }
 }
 
@@ -135,6 +145,9 @@
         // The connection is flushed once the buffer of its writer is empty.
         let flushed = Pin::new(&mut self.stream).poll_flush(context);
         if let Poll::Ready(Ok(())) = &flushed {
+            let this = &mut *self;
+            let connection = this.activity.connection();
+            this.bounded.end_long_body(&this.stream, connection);
             self.answer.record_flushed();
             self.activity.record_flushed();
         }
--- a/src/direct/close_reason.rs
+++ b/src/direct/close_reason.rs
@@ -7,6 +7,8 @@
     LateHead,
     /// Far too many connections are open.
     Crowded,
+    /// Memory or descriptors for callers ran out.
+    NoRoom,
     /// This router stops.
     Stopping,
     /// The router that forwards the connection stops.
@@ -32,6 +34,7 @@
             Self::Idle => "idle",
             Self::LateHead => "late_head",
             Self::Crowded => "crowded",
+            Self::NoRoom => "no_room",
             Self::Stopping => "stopping",
             Self::ForwarderStopping => "forwarder_stopping",
             Self::Announced => "announced",
--- a/src/direct/connection_activity.rs
+++ b/src/direct/connection_activity.rs
@@ -1,5 +1,6 @@
 use {
     super::{close_reason::CloseReason, gateway::Gateway},
+    crate::callers::{BodyProgress, CallerSlot, ConnectionUse, ReadBytes},
     std::{
         sync::{
             Arc, Mutex,
@@ -18,10 +19,10 @@
 /// Tracks whether a connection is in use, and when it last was.
 pub struct ConnectionActivity {
     gateway: Arc<Gateway>,
+    connection: Arc<ConnectionUse>,
     requests: AtomicUsize,      // whose answer has not ended
     last_byte_ms: AtomicUsize,  // since the process started; read or written
     part_since_ms: AtomicUsize, // when the head that is being read began; 0 if none is
-    unparsed: AtomicUsize,      // bytes read since the last head of a request
     unread: AtomicUsize,        // bytes in the socket when it was closed
     is_flushed: AtomicBool,     // all of the last answer was written
     closed_by_caller: AtomicBool,
@@ -40,14 +41,17 @@
 
 impl ConnectionActivity {
     /// A connection that was just opened.
-    pub fn new(gateway: &Arc<Gateway>) -> Self {
+    pub fn new(
+        gateway: &Arc<Gateway>,
+        slot: Arc<CallerSlot>,
+    ) -> Self {
         let now = gateway.now().as_millis() as usize;
         Self {
             gateway: gateway.clone(),
+            connection: ConnectionUse::new(slot),
             requests: AtomicUsize::new(0),
             last_byte_ms: AtomicUsize::new(now),
             part_since_ms: AtomicUsize::new(0),
-            unparsed: AtomicUsize::new(0),
             unread: AtomicUsize::new(0),
             is_flushed: AtomicBool::new(true),
             closed_by_caller: AtomicBool::new(false),
@@ -60,28 +64,39 @@
     pub fn start_request(
         self: &Arc<Self>,
         request_id: &str,
-    ) -> RequestGuard {
+        header_count: usize,
+        has_body: bool,
+    ) -> (RequestGuard, BodyProgress) {
         let mut last_id = self.last_request_id.lock().expect("request id lock");
         last_id.clear();
         last_id.extend(request_id.chars().take(MAX_LOGGED_ID_BYTES));
         drop(last_id);
-        self.unparsed.store(0, Ordering::Relaxed);
         self.part_since_ms.store(0, Ordering::Relaxed);
         self.requests.fetch_add(1, Ordering::Relaxed);
-        RequestGuard(self.clone())
+        let progress = self.connection.start_request(header_count, has_body);
+        (RequestGuard(self.clone()), progress)
+    }
+
+    /// What the connection is used for.
+    pub fn connection(&self) -> &ConnectionUse {
+        &self.connection
+    }
+
+    /// Whether the last request's body has not come to its end: what comes next is part of it.
+    pub fn is_body_due(&self) -> bool {
+        self.connection.is_body_due()
     }
 
     /// Records bytes read; none if the caller closed the connection.
     pub fn record_read(
         &self,
-        bytes: usize,
+        read: ReadBytes,
     ) {
-        if bytes == 0 {
+        if read.count == 0 {
             return self.record_failure();
         }
-        self.unparsed.fetch_add(bytes, Ordering::Relaxed);
         self.record_byte();
-        if !self.is_in_progress() && self.part_since_ms.load(Ordering::Relaxed) == 0 {
+        if read.is_head && self.part_since_ms.load(Ordering::Relaxed) == 0 {
             let since = self.now_ms().max(1);
             self.part_since_ms.store(since, Ordering::Relaxed);
         }
@@ -94,7 +109,10 @@
 
     /// Records that all bytes of answers up to now were written.
     pub fn record_flushed(&self) {
-        self.is_flushed.store(true, Ordering::Relaxed);
+        let was_flushed = self.is_flushed.swap(true, Ordering::Relaxed);
+        if !was_flushed && !self.is_in_progress() {
+            self.connection.end_request();
+        }
     }
 
     /// Records that the connection ended without this router's doing.
@@ -138,7 +156,7 @@
 
     /// Bytes read since the last head of a request: of its body, or of the next request.
     pub fn unparsed_bytes(&self) -> usize {
-        self.unparsed.load(Ordering::Relaxed)
+        self.connection.bytes_since_head()
     }
 
     /// The id of the last request, cut if it is long; empty if there was none.
--- a/src/direct/event_assembler.rs
+++ b/src/direct/event_assembler.rs
@@ -1,9 +1,9 @@
 use {
-    super::{
-        attempt_end::AttemptEnd, event_splitter::EventSplitter, gateway::Gateway,
-        held_bytes::HeldBytes,
+    super::{attempt_end::AttemptEnd, event_splitter::EventSplitter, gateway::Gateway},
+    crate::{
+        callers::HeldBytes, codes::ResultCode, ops::OVERSIZED_EVENTS,
+        policy::memory::permits_partial_event,
     },
-    crate::{codes::ResultCode, ops::OVERSIZED_EVENTS, policy::memory::permits_partial_event},
     bytes::Bytes,
     std::sync::Arc,
 };
--- a/src/direct/gateway.rs
+++ b/src/direct/gateway.rs
@@ -6,6 +6,7 @@
         upstream_pool::UpstreamPool,
     },
     crate::{
+        callers::CallerLedger,
         catalog::{Catalog, CatalogVersion},
         conf::DirectSettings,
         ops::{AuditTrail, SUSPENSIONS, Uptime},
@@ -59,6 +60,7 @@
     pub(super) account_log: AccountLog,
     pub(super) neighbour_checks: NeighbourChecks,
     pub(super) forwarding_log: ForwardingLog,
+    pub callers: Arc<CallerLedger>, // what callers' connections take
     pub(super) answer_bytes: Arc<AtomicU64>, // buffered answers
     pub(super) request_bytes: Arc<AtomicU64>, // buffered request bodies
     replica_table: Mutex<ReplicaTable>,
@@ -90,6 +92,11 @@
             address: settings.peer_listen,
             zone: name_hash(&settings.process.zone),
         };
+        let (answer_bytes, request_bytes) = (Arc::<AtomicU64>::default(), Arc::default());
+        let callers = CallerLedger::new(
+            settings.caller_memory,
+            vec![answer_bytes.clone(), Arc::clone(&request_bytes)],
+        );
         let mut replica_table = ReplicaTable::new(settings.placement);
         replica_table.set_regions(settings.regions.clone());
         Self {
@@ -114,8 +121,9 @@
             account_log: AccountLog::default(),
             neighbour_checks: NeighbourChecks::default(),
             forwarding_log: ForwardingLog::default(),
-            answer_bytes: Arc::default(),
-            request_bytes: Arc::default(),
+            callers,
+            answer_bytes,
+            request_bytes,
             replica_table: Mutex::new(replica_table),
             shares: Mutex::new(ShareTracker::new(settings.share_window, settings.peer_age)),
             retries: Mutex::new(retries),
@@ -150,6 +158,7 @@
         );
         self.suspects().set_exempt(settings.never_held.clone());
         self.peers.add_seeds(&settings.seeds);
+        self.callers.set_max_bytes(settings.caller_memory);
         *self.settings.write().expect("settings lock") = Arc::new(settings);
     }
 
--- a/src/direct/gateway_tasks.rs
+++ b/src/direct/gateway_tasks.rs
@@ -115,6 +115,7 @@
             self.log_paces();
             self.account_log.write_line();
             self.forwarding_log.write_line();
+            self.callers.report();
         }
     }
 
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -33,7 +33,6 @@
 mod gateway;
 mod gateway_tasks;
 mod head_limit_stream;
-mod held_bytes;
 mod idle_limit;
 mod in_flight_guard;
 mod late_bytes;
--- a/src/direct/neighbour_connection.rs
+++ b/src/direct/neighbour_connection.rs
@@ -137,6 +137,7 @@
     let refuses = gateway.is_stopping()
         || gateway.is_unconfirmed()
         || gateway.processor.is_lagging()
+        || !gateway.callers.has_room()
         || !gateway.version_in_use().is_complete();
     let mut response = Response::new(full_body(Bytes::new()));
     *response.status_mut() = match refuses {
--- a/src/direct/neighbour_relay.rs
+++ b/src/direct/neighbour_relay.rs
@@ -11,10 +11,15 @@
         neighbour_probe::probe_neighbour,
         probe_outcome::ProbeOutcome,
         relay::{CallerWriter, CloseCause, Progress, RelayBuffer, Step},
+        sockets::unread_bytes,
+    },
+    crate::{
+        callers::CallerSlot,
+        codes::{ErrorAnswer, ResultCode},
+        policy::{callers::Phase, memory::MAX_UNREAD_TIME},
     },
-    crate::codes::{ErrorAnswer, ResultCode},
     futures::future::BoxFuture,
-    std::{io, net::SocketAddr, os::fd::AsFd, time::Duration},
+    std::{io, net::SocketAddr, time::Duration},
     tokio::{
         net::TcpStream,
         sync::watch,
@@ -38,9 +43,16 @@
 /// How often a connection is checked for a silent neighbour, and for the end of this router.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// What relaying takes: its buffers and those of the second connection.
+const RELAY_BYTES: u64 = 24 << 10;
+
+/// The descriptors of the caller's connection and of the one to the neighbour.
+const RELAY_DESCRIPTORS: usize = 2;
+
 /// A caller's connection that is relayed to a neighbour.
 pub struct NeighbourRelay<'g> {
     gateway: &'g Gateway,
+    slot: &'g CallerSlot,
     neighbour: SocketAddr, // where it accepts callers
     silent_since: Instant, // the neighbour's last sign of life, or a later request
     last_traffic: Instant, // in either direction
@@ -51,11 +63,15 @@
     /// A relay that begins with a request of the caller.
     pub fn new(
         gateway: &'g Gateway,
+        slot: &'g CallerSlot,
         neighbour: SocketAddr,
     ) -> Self {
         let now = Instant::now();
+        slot.set_request(RELAY_BYTES);
+        slot.set_descriptors(RELAY_DESCRIPTORS);
         Self {
             gateway,
+            slot,
             neighbour,
             silent_since: now,
             last_traffic: now,
@@ -82,6 +98,7 @@
         checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let cause = loop {
             let is_closing = *closing.borrow();
+            self.slot.set_phase(phase(answers.progress()));
             tokio::select! {
                 step = requests.advance(&mut caller_read, &mut neighbour_write),
                     if takes_requests && answers.has_room() =>
@@ -131,13 +148,21 @@
                         break CloseCause::NeighbourSilent;
                     }
                 }
-                _ = checks.tick(), if is_closing || answers.progress().awaits_answer() => {
+                _ = checks.tick(), if is_closing || answers.progress() != Progress::Idle => {
+                    if answers.progress() != Progress::RequestInPart
+                        && unread_bytes(caller_read.as_ref()) > 0
+                    {
+                        self.slot.set_sent_more();
+                    }
+                    self.slot.set_answer_unread(
+                        !answers.is_flushed() && self.last_traffic.elapsed() >= MAX_UNREAD_TIME,
+                    );
                     let is_at_rest = requests.unsent().is_empty() && answers.is_flushed();
                     let is_idle = is_at_rest
                         && answers.progress() == Progress::Idle
                         && self.last_traffic.elapsed() >= STOPPING_IDLE_TIME;
                     // A request may have arrived that was not read yet.
-                    if is_closing && is_idle && unread_bytes(&caller_read) == 0 {
+                    if is_closing && is_idle && unread_bytes(caller_read.as_ref()) == 0 {
                         break CloseCause::Stopping;
                     }
                     // An answer that has begun is delivered whenever the neighbour resumes.
@@ -149,7 +174,7 @@
                 }
             }
         };
-        let unread = unread_bytes(&caller_read) + requests.unsent().len() as u64;
+        let unread = unread_bytes(caller_read.as_ref()) + requests.unsent().len() as u64;
         self.log_end(address, cause, answers.progress(), unread);
         self.end(cause, answers).await
     }
@@ -251,10 +276,11 @@
     }
 }
 
-/// The bytes that a connection has received and that were not read.
-fn unread_bytes(socket: impl AsRef<TcpStream>) -> u64 {
-    rustix::io::ioctl_fionread(socket.as_ref().as_fd()).unwrap_or_else(|error| {
-        log::debug!("connection that was handed on: {error}");
-        0
-    })
+/// What a caller's connection is in the middle of.
+fn phase(progress: Progress) -> Phase {
+    match progress {
+        Progress::Idle => Phase::Idle,
+        Progress::RequestInPart => Phase::Receiving,
+        Progress::AnswerAwaited | Progress::AnswerInPart(_) | Progress::Unknown => Phase::Answering,
+    }
 }
--- a/src/direct/refused_body.rs
+++ b/src/direct/refused_body.rs
@@ -1,6 +1,6 @@
 use {
     super::{gateway::Gateway, request_reader::BODY_TIMEOUT},
-    crate::codes::ResultCode,
+    crate::{callers::BodyProgress, codes::ResultCode},
     http_body_util::BodyExt,
     hyper::body::{Body, Incoming},
     tokio::time::timeout,
@@ -36,7 +36,10 @@
     pub fn is_abandoned(&self) -> bool {
         let is_at_fault = matches!(
             self.code,
-            ResultCode::BodyTooLarge | ResultCode::BodyLate | ResultCode::BadBody
+            ResultCode::BodyTooLarge
+                | ResultCode::BodyLate
+                | ResultCode::BadBody
+                | ResultCode::CallersFull
         );
         self.rest.is_some() && (self.awaits_continue || is_at_fault)
     }
@@ -45,33 +48,44 @@
     pub fn discard(
         self,
         gateway: &Gateway,
+        progress: BodyProgress,
     ) {
+        if self.rest.is_none() {
+            return progress.record_end();
+        }
+        progress.record_refusal();
         let limits = gateway.catalog.config().map(|table| table.limits);
         let max_bytes = limits.unwrap_or_default().max_body_bytes;
         let Some(rest) = self.rest.filter(|_| !self.awaits_continue) else {
             return;
         };
         tokio::spawn(async move {
-            if timeout(BODY_TIMEOUT, read_up_to(max_bytes, rest))
-                .await
-                .is_err()
-            {
-                log::debug!("the body of a refused request did not come");
+            match timeout(BODY_TIMEOUT, read_up_to(max_bytes, rest, &progress)).await {
+                Ok(true) => progress.record_end(),
+                Ok(false) => {}
+                Err(_) => log::debug!("the body of a refused request did not come"),
             }
         });
     }
 }
 
+/// Returns whether the body came to its end.
 async fn read_up_to(
     max_bytes: usize,
     mut body: Incoming,
-) {
+    progress: &BodyProgress,
+) -> bool {
     let mut bytes = 0;
     while bytes <= max_bytes {
         match body.frame().await {
             Some(Ok(frame)) => bytes += frame.data_ref().map_or(0, |data| data.len()),
-            Some(Err(error)) => return log::debug!("the body of a refused request: {error}"),
-            None => return,
+            Some(Err(error)) => {
+                log::debug!("the body of a refused request: {error}");
+                return false;
+            }
+            None => return true,
         }
+        progress.record_piece();
     }
+    false
 }
--- a/src/direct/replica_call.rs
+++ b/src/direct/replica_call.rs
@@ -4,13 +4,12 @@
         upstream_connection::UpstreamConnection,
     },
     crate::{
+        callers::RequestBodyReader,
         catalog::{UpstreamEntry, counter_of},
         codes::ResultCode,
         ops::{REPLICA_NOTICES, Uptime},
         policy::ReplicaNotice,
     },
-    bytes::Bytes,
-    http_body_util::Full,
     hyper::{Request, Response, body::Incoming},
 };
 
@@ -25,7 +24,7 @@
     gateway: &Gateway,
     replica: &UpstreamEntry,
     connection: &mut UpstreamConnection,
-    request: Request<Full<Bytes>>,
+    request: Request<RequestBodyReader>,
 ) -> Result<Response<Incoming>, AttemptEnd> {
     let id_header = &gateway.dialect.names.request_id;
     let request_id = header_text(request.headers(), id_header).to_owned();
--- a/src/direct/replica_query.rs
+++ b/src/direct/replica_query.rs
@@ -4,9 +4,9 @@
     super::{
         gateway::Gateway, replica_call::call_replica, upstream_connection::UpstreamConnection,
     },
-    crate::{catalog::UpstreamEntry, codes::Fault},
+    crate::{callers::RequestBodyReader, catalog::UpstreamEntry, codes::Fault},
     bytes::Bytes,
-    http_body_util::{BodyExt, Full, Limited},
+    http_body_util::{BodyExt, Limited},
     hyper::{
         Request, Response,
         header::{HOST, HeaderValue},
@@ -36,7 +36,7 @@
     gateway: &Gateway,
     entry: &UpstreamEntry,
     connection: &mut UpstreamConnection,
-    mut request: Request<Full<Bytes>>,
+    mut request: Request<RequestBodyReader>,
 ) -> Result<Response<Bytes>, Fault> {
     let host = HeaderValue::from_str(&entry.address.to_string()).map_err(Fault::unreachable)?;
     request.headers_mut().insert(HOST, host);
--- a/src/direct/request_reader.rs
+++ b/src/direct/request_reader.rs
@@ -2,16 +2,17 @@
     super::{
         call::Call,
         gateway::Gateway,
-        held_bytes::HeldBytes,
         reply::remove_hop_by_hop_headers,
         stream_version::{pick_service, taken_up_version},
     },
     crate::{
+        callers::{BodyCollector, BodyProgress, HeldBytes, RequestBody},
         codes::{ErrorAnswer, ResultCode},
-        policy::{Moment, admits_despite_lag, memory::MemoryBudget, name_hash},
+        policy::{
+            Moment, admits_despite_lag, memory::MemoryBudget, name_hash, placement::PromptPart,
+        },
         routing::{Route, RoutingTable},
     },
-    bytes::Bytes,
     http_body_util::{BodyExt, LengthLimitError, Limited},
     hyper::{
         HeaderMap, Uri,
@@ -55,6 +56,7 @@
     gateway: &Gateway,
     head: &mut Parts,
     body: &mut Incoming,
+    progress: &BodyProgress,
     arrived: Moment,
 ) -> Result<Call, ErrorAnswer> {
     if gateway.is_refusing() {
@@ -70,8 +72,16 @@
     let route = find_route(&table, head)?;
     let account = find_account(gateway, &table, &route, &head.headers)?;
     check_lag(gateway, account.as_deref())?;
+    if !progress.admits_request() {
+        return Err(callers_full());
+    }
     let held = HeldBytes::new(gateway.request_bytes.clone());
-    let body = read_body(gateway, &table, &head.headers, body, &held).await?;
+    let reading = BodyReading {
+        budget: gateway.settings().request_memory,
+        progress,
+        held: &held,
+    };
+    let body = read_body(&table, &head.headers, body, reading).await?;
     let names = &gateway.dialect.names;
     let deadline_ms: Option<f64> = header_text(&head.headers, &names.deadline_ms).parse().ok();
     let deadline_ms = deadline_ms.filter(|ms| !ms.is_nan());
@@ -85,6 +95,9 @@
         .ok_or_else(|| ErrorAnswer::new(ResultCode::NoReplica))?
         .clone();
     let details = table.service(&service);
+    let prompt = (gateway.dialect.parse_prompt)(&head.headers);
+    let parts = prompt.as_ref().map_or(0, |prompt| prompt.parts.capacity());
+    progress.record_request(parts * size_of::<PromptPart>());
     Ok(Call {
         request_id: header_text(&head.headers, &names.request_id).to_owned(),
         method: head.method.clone(),
@@ -94,7 +107,7 @@
         shortest_target_latency: table
             .shortest_target_latency(&service)
             .unwrap_or(route.target_latency),
-        prompt: (gateway.dialect.parse_prompt)(&head.headers),
+        prompt,
         stream_version,
         headers: forwarded_headers(
             gateway,
@@ -179,52 +192,74 @@
     }
 }
 
+/// What a body that is read counts toward.
+struct BodyReading<'r> {
+    budget: MemoryBudget,
+    progress: &'r BodyProgress,
+    held: &'r HeldBytes,
+}
+
+impl BodyReading<'_> {
+    /// Counts memory that the body takes. Fails if there is none left for it.
+    fn take(
+        &self,
+        bytes: usize,
+    ) -> Result<(), ErrorAnswer> {
+        self.progress.record_piece();
+        if bytes == 0 {
+            return Ok(());
+        }
+        self.held.add(bytes as u64);
+        if !self.budget.permits(self.held.own(), self.held.others()) {
+            let error = ErrorAnswer::new(ResultCode::BodiesHeld);
+            return Err(error.retry_after(BODIES_HELD_RETRY_AFTER));
+        }
+        match self.progress.record_held(self.held.own()) {
+            true => Ok(()),
+            false => Err(callers_full()),
+        }
+    }
+}
+
+fn callers_full() -> ErrorAnswer {
+    ErrorAnswer::new(ResultCode::CallersFull).retry_after(BODIES_HELD_RETRY_AFTER)
+}
+
 async fn read_body(
-    gateway: &Gateway,
     table: &RoutingTable,
     headers: &HeaderMap,
     body: &mut Incoming,
-    held: &HeldBytes,
-) -> Result<Bytes, ErrorAnswer> {
+    reading: BodyReading<'_>,
+) -> Result<RequestBody, ErrorAnswer> {
     let max_bytes = table.limits.max_body_bytes;
     let declared: Option<u64> = header_text(headers, &CONTENT_LENGTH).parse().ok();
     if declared.is_some_and(|length| length > max_bytes as u64) {
         return Err(ErrorAnswer::new(ResultCode::BodyTooLarge));
     }
     if body.is_end_stream() {
-        return Ok(Bytes::new());
+        return Ok(RequestBody::default());
     }
-    let budget = gateway.settings().request_memory;
-    let reading = read_within_budget(Limited::new(body, max_bytes), budget, held);
+    let reading = read_within_budget(Limited::new(body, max_bytes), reading);
     tokio::time::timeout(BODY_TIMEOUT, reading)
         .await
         .unwrap_or_else(|_| Err(ErrorAnswer::new(ResultCode::BodyLate)))
 }
 
-/// Reads a body to its end, as long as the memory budget permits.
+/// Reads a body to its end, as long as memory permits.
 async fn read_within_budget(
     mut body: Limited<&mut Incoming>,
-    budget: MemoryBudget,
-    held: &HeldBytes,
-) -> Result<Bytes, ErrorAnswer> {
-    let mut pieces = Vec::new();
+    reading: BodyReading<'_>,
+) -> Result<RequestBody, ErrorAnswer> {
+    let mut collector = BodyCollector::default();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| body_error(&*error))?;
         let Ok(piece) = frame.into_data() else {
             continue;
         };
-        held.add(piece.len() as u64);
-        if !budget.permits(held.own(), held.others()) {
-            return Err(
-                ErrorAnswer::new(ResultCode::BodiesHeld).retry_after(BODIES_HELD_RETRY_AFTER)
-            );
-        }
-        pieces.push(piece);
+        let due = body.size_hint().upper().unwrap_or(u64::MAX) as usize;
+        reading.take(collector.push(&piece, due))?;
     }
-    Ok(match pieces.len() {
-        1 => pieces.swap_remove(0),
-        _ => pieces.concat().into(),
-    })
+    Ok(collector.finish())
 }
 
 fn body_error(error: &(dyn std::error::Error + Send + Sync + 'static)) -> ErrorAnswer {
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -5,6 +5,7 @@
         ready_port::ready_server, settings_watch::watch_settings, zone_reader_role::ZoneReaderRole,
     },
     crate::{
+        callers::bind_callers,
         catalog::{Catalog, follow_store},
         codes::ResultCode,
         conf::DirectSettings,
@@ -61,7 +62,7 @@
     let link = PeerLink::bind(gateway.clone())
         .await
         .change_context_lazy(failed)?;
-    let listener = CallerConnections::bind(settings.caller_listen).change_context_lazy(failed)?;
+    let listener = bind_callers(settings.caller_listen).change_context_lazy(failed)?;
     let ready = ready_server(gateway.clone())
         .await
         .change_context_lazy(failed)?;
--- a/src/direct/sockets.rs
+++ b/src/direct/sockets.rs
@@ -2,7 +2,7 @@
 
 use {
     socket2::{SockRef, TcpKeepalive},
-    std::time::Duration,
+    std::{os::fd::AsFd, time::Duration},
     tokio::net::TcpStream,
 };
 
@@ -33,6 +33,14 @@
     configure(stream, CALLER_USER_TIMEOUT);
 }
 
+/// The bytes that a connection has received and that were not read.
+pub fn unread_bytes(socket: &impl AsFd) -> u64 {
+    rustix::io::ioctl_fionread(socket).unwrap_or_else(|error| {
+        log::debug!("unread bytes are not known: {error}");
+        0
+    })
+}
+
 fn configure(
     stream: &TcpStream,
     user_timeout: Duration,
--- a/src/direct/start_check.rs
+++ b/src/direct/start_check.rs
@@ -7,10 +7,10 @@
         upstream_connection::UpstreamConnection,
     },
     crate::{
+        callers::RequestBodyReader,
         catalog::{UpstreamEntry, counter_of},
         codes::{Fault, ResultCode},
     },
-    http_body_util::Full,
     hyper::{Request, StatusCode},
     std::time::Duration,
     tokio::time::timeout,
@@ -100,7 +100,7 @@
     connection: &mut UpstreamConnection,
     path: &str,
 ) -> Result<Duration, Fault> {
-    let mut request = Request::new(Full::default());
+    let mut request = Request::new(RequestBodyReader::default());
     *request.uri_mut() = path.parse().map_err(Fault::unreachable)?;
     let answer = send_query(gateway, entry, connection, request).await?;
     if answer.status() != StatusCode::OK {
--- a/src/direct/upstream_connection.rs
+++ b/src/direct/upstream_connection.rs
@@ -4,9 +4,7 @@
         head_limit_stream::{HeadLimit, HeadLimitStream},
         sockets::configure_outgoing_socket,
     },
-    crate::codes::ResultCode,
-    bytes::Bytes,
-    http_body_util::Full,
+    crate::{callers::RequestBodyReader, codes::ResultCode},
     hyper::{
         Request, Response,
         body::Incoming,
@@ -47,7 +45,7 @@
 
 /// One connection to one replica. Dropping it closes it immediately.
 pub struct UpstreamConnection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<RequestBodyReader>,
     socket: Socket, // a second handle to the connection's socket
     task: AbortHandle,
     head_limit: HeadLimit,
@@ -107,7 +105,7 @@
     /// byte was sent from those with unknown outcome.
     pub async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<RequestBodyReader>,
     ) -> Result<Response<Incoming>, AttemptEnd> {
         self.is_unused = false;
         self.head_limit.begin_head(MAX_HEAD_BYTES);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,9 +6,12 @@
 //! ([`router`], [`sidecar`], [`link`], [`wire`], [`node`], [`directory`]) a sidecar beside each
 //! upstream grants its capacity to requests that wait at routers.
 //!
+//! Both count what their callers' connections take of a host in [`callers`].
+//!
 //! All decisions are made in [`policy`] and [`fleet`], which do no I/O and take time and randomness
 //! as arguments. The other modules do the I/O around them.
 
+pub mod callers;
 pub mod catalog;
 pub mod codes;
 pub mod conf;
--- a/src/ops/metric_names.rs
+++ b/src/ops/metric_names.rs
@@ -103,3 +103,13 @@
 pub const UNUSABLE_ENTRIES: &str = "archmast_unusable_entries";
 /// 1 after an invalid configuration was received, until a newer valid one comes into force; else 0.
 pub const CONFIG_REFUSED: &str = "archmast_configuration_refused";
+/// Connections of callers that were closed, since memory or descriptors for callers ran out, by
+/// `phase`: what they were in the middle of.
+pub const CALLERS_CLOSED: &str = "archmast_callers_closed_total";
+/// Connections (`what` is `connection`) and requests (`request`) of callers that were refused, since
+/// memory or descriptors for callers ran out.
+pub const CALLERS_REFUSED: &str = "archmast_callers_refused_total";
+/// Bytes that connections of callers take, and may take, by `what`: `taken`, `limit`.
+pub const CALLER_BYTES: &str = "archmast_caller_bytes";
+/// File descriptors that callers take, and may take, by `what`: `taken`, `limit`.
+pub const CALLER_DESCRIPTORS: &str = "archmast_caller_descriptors";
--- a/src/platform/cache_json.rs
+++ b/src/platform/cache_json.rs
@@ -1,6 +1,7 @@
 use {
     super::prompt_headers::part_id,
     crate::{
+        callers::RequestBodyReader,
         codes::{Fault, ResultCode},
         direct::CacheProtocol,
         policy::{
@@ -8,8 +9,6 @@
             placement::{CacheEvent, CacheEventBatch, CachedPart},
         },
     },
-    bytes::Bytes,
-    http_body_util::Full,
     hyper::{
         Request, Uri,
         header::{HeaderName, HeaderValue},
@@ -47,8 +46,8 @@
     events: Vec<(u64, String, Value, String, u32, Value)>,
 }
 
-fn list_call() -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::default());
+fn list_call() -> Request<RequestBodyReader> {
+    let mut request = Request::new(RequestBodyReader::default());
     *request.uri_mut() = Uri::from_static("/v1/kv-list");
     request
 }
@@ -65,9 +64,9 @@
 fn events_call(
     from: u64,
     wait: Duration,
-) -> Request<Full<Bytes>> {
+) -> Request<RequestBodyReader> {
     let since = from.saturating_sub(1);
-    let mut request = Request::new(Full::default());
+    let mut request = Request::new(RequestBodyReader::default());
     let target = format!("/v1/kv-events?since={since}");
     *request.uri_mut() = Uri::try_from(target).expect("a path with a number");
     let wait_ms = HeaderValue::from(wait.as_millis() as u64);
--- a/src/policy/direct/memory/mod.rs
+++ b/src/policy/direct/memory/mod.rs
@@ -8,5 +8,5 @@
 pub use {
     memory_budget::MemoryBudget,
     partial_event::{MAX_EVENT_BYTES, permits_partial_event},
-    unread_answer::must_abort_answer,
+    unread_answer::{MAX_UNREAD_TIME, must_abort_answer},
 };
--- a/src/policy/direct/suspects/suspect_digest.rs
+++ b/src/policy/direct/suspects/suspect_digest.rs
@@ -1,7 +1,7 @@
 use {
     crate::policy::stable_hash,
     serde::{Deserialize, Serialize},
-    std::{fmt, str::FromStr},
+    std::{fmt, hash::Hash, str::FromStr},
 };
 
 /// Length of the text form.
@@ -14,12 +14,12 @@
 
 impl SuspectDigest {
     /// The digest of a request whose body was read completely. Equal requests have the same one,
-    /// whatever their request ids.
+    /// whatever their request ids. The body hashes as a slice of its bytes does.
     pub fn of_request(
         method: &str,
         target: &str,
         account: &str,
-        body: &[u8],
+        body: &(impl Hash + ?Sized),
     ) -> Self {
         Self(stable_hash(&(method, target, account, body)))
     }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -5,6 +5,7 @@
 //! routers that send requests to replicas themselves; `granted` serves routers and sidecars,
 //! where sidecars grant their upstream's capacity. The other modules serve both.
 
+pub mod callers;
 mod clock;
 mod direct;
 mod granted;
