The rest of a refused body is never read as requests

What callers saw: requests that nobody sent were run (UNASKED): the text of a request in a body that was refused by its head, after its caller paused.

Cause: a connection that should be closed, or whose buffer is too short for longer heads, is taken out of hyper when it is not in use. That was told from heads and answers; a body that is still due was unknown there, and what came next was served as a request.

Change: one place, ConnectionUse, knows whether a body is due: from a head that announces one until its end was read, by the number of the request. Such a connection is not taken out for longer heads, and one that is to be closed is closed; its bytes start no head either.

--- a/src/direct/caller_connection.rs
+++ b/src/direct/caller_connection.rs
@@ -122,7 +122,8 @@
                 }
                 ServeEnd::Rest(reason, rested) => (reason, rested),
             };
-            if reason == CloseReason::LateHead || !rested.has_bytes() {
+            let is_request = reason != CloseReason::LateHead && !self.activity.is_body_due();
+            if !is_request || !rested.has_bytes() {
                 if let Err(error) = rested.shutdown().await {
                     log::debug!("connection of a caller: {error}");
                 }
@@ -182,8 +183,10 @@
                 }
             }
             let reason = self.close_reason(*closing.borrow());
-            let is_buffer_too_short =
-                *max_head.borrow() > served_head && !self.activity.is_in_progress();
+            // What follows a body that is still due can only be read by the reader of that body.
+            let is_between_requests =
+                !self.activity.is_in_progress() && !self.activity.is_body_due();
+            let is_buffer_too_short = *max_head.borrow() > served_head && is_between_requests;
             if reason.is_some() || is_buffer_too_short {
                 let parts = connection.into_parts();
                 let mut stream = parts.io.into_inner();
