The product's own form counts what callers take, and asks for their key first

What callers saw: 150 callers without any key took a router to 383 MB; heads of 300 KB without an end, and connections, were not bounded; a body that does not come kept a router from stopping.

Cause: bodies were read whole before the key was looked at, without a sum over callers; Rocket bounds neither heads nor connections, and offers no place to do so; a request counted as open from its head on.

Change: hyper serves callers, with the ledger of the direct form: [callers] memory and [waiting] max_bytes together are what callers may take. The key is looked at before the body; the rest of a refused body is read and discarded. A request counts as open once its body is there. Of a chat body only the text of the first message is kept while it is looked at, not the parsed values of all. New settings max_head (128 KiB) and memory (40 MB).

--- a/src/conf/router_settings.rs
+++ b/src/conf/router_settings.rs
@@ -17,6 +17,10 @@
     pub caller_listen: SocketAddr,
     /// Largest body of a request, in bytes.
     pub max_body: u64,
+    /// Largest head of a request, in bytes.
+    pub max_head: usize,
+    /// Memory in bytes for all that callers decide on.
+    pub caller_memory: u64,
     /// Most queued requests, of all accounts.
     pub max_requests: usize,
     /// Most bytes of all queued requests.
@@ -70,6 +74,7 @@
         let dispatch = file.section("dispatch")?;
         let keeper = file.section("keeper")?;
         let second = Duration::from_secs(1);
+        let max_bytes = waiting.size("max_bytes", 1..=64 << 30)?;
         Ok(Self {
             process: ProcessSettings::read(file)?,
             link: LinkSettings::read(file)?,
@@ -78,7 +83,9 @@
             caller_listen: callers.parsed("listen", "an IP:port")?,
             max_body: callers.size("max_body", 1..=64 << 20)?,
             max_requests: waiting.number("max_requests", 1..=10_000_000)?,
-            max_bytes: waiting.size("max_bytes", 1..=64 << 30)?,
+            max_head: callers.size("max_head", 8 << 10..=16 << 20)? as usize,
+            caller_memory: max_bytes + callers.size("memory", 1 << 20..=64 << 30)?,
+            max_bytes,
             max_per_account: waiting.number("max_per_account", 1..=10_000_000)?,
             refuse_early: waiting.flag("refuse_early")?,
             demand_interval: dispatch.duration("demand_interval", second / 1000..=second)?,
--- a/src/router/answer_body.rs
+++ b/src/router/answer_body.rs
@@ -15,8 +15,7 @@
 
 /// How a truncated answer is made visible to a caller that already has its head.
 ///
-/// The HTTP library ends a chunked body cleanly even when its source fails, so the
-/// transfer encoding alone does not show that the answer is incomplete.
+/// Callers of streams know an error as an event; a connection that breaks off tells them less.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum TruncationSignal {
     ChatEvent,     // a data event with an error object, as in the chat-completions API
--- a/src/router/classify.rs
+++ b/src/router/classify.rs
@@ -9,9 +9,12 @@
         policy::{HostSet, PrefixHash, rendezvous},
     },
     bytes::Bytes,
-    serde::Deserialize,
-    serde_json::Value,
-    std::{sync::Arc, time::Duration},
+    serde::{
+        Deserialize, Deserializer,
+        de::{IgnoredAny, SeqAccess, Visitor},
+    },
+    serde_json::value::RawValue,
+    std::{fmt, sync::Arc, time::Duration},
 };
 
 /// The path of the chat-completions API.
@@ -58,9 +61,44 @@
 }
 
 #[derive(Deserialize)]
-struct ChatBody {
+struct ChatBody<'b> {
     model: String,
-    messages: Vec<Value>,
+    #[serde(borrow)]
+    messages: Messages<'b>,
+}
+
+/// The messages of a chat, of which only the first is looked at, as its text. As parsed values they
+/// would take many times the memory of their text.
+struct Messages<'b> {
+    first: Option<&'b RawValue>,
+}
+
+impl<'de: 'b, 'b> Deserialize<'de> for Messages<'b> {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_seq(MessagesVisitor)
+    }
+}
+
+struct MessagesVisitor;
+
+impl<'de> Visitor<'de> for MessagesVisitor {
+    type Value = Messages<'de>;
+
+    fn expecting(
+        &self,
+        f: &mut fmt::Formatter,
+    ) -> fmt::Result {
+        f.write_str("a list of messages")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(
+        self,
+        mut messages: A,
+    ) -> Result<Messages<'de>, A::Error> {
+        let first = messages.next_element()?;
+        while messages.next_element::<IgnoredAny>()?.is_some() {}
+        Ok(Messages { first })
+    }
 }
 
 /// What a request addresses, according to its path and, for chat, its body.
@@ -155,7 +193,7 @@
             prefix: None,
         });
     }
-    let body: ChatBody = serde_json::from_slice(&raw.body).map_err(|error| {
+    let body: ChatBody<'_> = serde_json::from_slice(&raw.body).map_err(|error| {
         ErrorAnswer::new(ResultCode::BadBody).detail(format!("cannot read the body: {error}"))
     })?;
     let group = config.group_of_model(&body.model).ok_or_else(|| {
@@ -170,14 +208,14 @@
 }
 
 fn prefix_hash(
-    body: &ChatBody,
+    body: &ChatBody<'_>,
     prefix_bytes: usize,
 ) -> PrefixHash {
     let mut hasher = crc32fast::Hasher::new();
     hasher.update(body.model.as_bytes());
-    if let Some(first) = body.messages.first() {
-        let text = first.to_string();
-        hasher.update(&text.as_bytes()[..text.len().min(prefix_bytes)]);
+    if let Some(first) = body.messages.first {
+        let text = first.get().as_bytes();
+        hasher.update(&text[..text.len().min(prefix_bytes)]);
     }
     hasher.finalize()
 }
--- a/src/router/housekeeping.rs
+++ b/src/router/housekeeping.rs
@@ -17,6 +17,9 @@
 /// How often the fleet totals of idle accounts are dropped.
 const IDLE_ACCOUNT_SWEEP_INTERVAL: Duration = Duration::from_secs(10);
 
+/// How often what callers take is reported.
+const CALLER_REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Expires waiting requests, keeps the right sidecars connected, drops idle accounts, and
 /// recovers after the process was suspended.
 pub async fn run_housekeeping(
@@ -28,6 +31,7 @@
     let mut subset = SidecarSubset::new(router.settings.initial_sidecars);
     let mut lists = router.node.hosts.subscribe();
     let mut last_sweep = router.node.now();
+    let mut last_report = last_sweep;
     let mut ticks = tokio::time::interval(HOUSEKEEPING_INTERVAL);
     loop {
         ticks.tick().await;
@@ -48,6 +52,10 @@
             lists.borrow_and_update();
             dials.set(dial_targets(&router, &hosts, &subset));
         }
+        if now.saturating_sub(last_report) > CALLER_REPORT_INTERVAL {
+            last_report = now;
+            router.callers.report();
+        }
         if now.saturating_sub(last_sweep) > IDLE_ACCOUNT_SWEEP_INTERVAL {
             last_sweep = now;
             router
--- a/src/router/router.rs
+++ b/src/router/router.rs
@@ -4,6 +4,7 @@
         waiting_table::WaitingTable,
     },
     crate::{
+        callers::CallerLedger,
         conf::RouterSettings,
         link::{Link, Peer},
         node::Node,
@@ -30,6 +31,8 @@
 pub struct Router {
     pub node: Arc<Node>,
     pub settings: RouterSettings,
+    pub callers: Arc<CallerLedger>, // what callers' connections take
+    pub(super) body_bytes: Arc<AtomicU64>, // of requests that are not answered yet
     pub(super) waiting: Mutex<WaitingTable>,
     pub(super) sidecars: Mutex<HashMap<Arc<str>, SidecarView>>, // connected sidecars, by host
     pub(super) aggregator: Mutex<TotalsAggregator>,
@@ -72,9 +75,13 @@
             per_account: settings.max_per_account,
             refuse_early: settings.refuse_early,
         };
+        let body_bytes = Arc::<AtomicU64>::default();
+        let callers = CallerLedger::new(settings.caller_memory, vec![body_bytes.clone()]);
         let queue = RequestQueue::new(bounds, settings.prefix_slack);
         Self {
             node,
+            callers,
+            body_bytes,
             waiting: Mutex::new(WaitingTable::new(queue)),
             sidecars: Mutex::default(),
             aggregator: Mutex::new(TotalsAggregator::new(
--- a/src/router/serve.rs
+++ b/src/router/serve.rs
@@ -1,11 +1,12 @@
 use {
     super::{
         announce_demand::announce_demand,
-        caller_port::caller_server,
+        caller_server::CallerServer,
         housekeeping::{announce_config_changes, run_housekeeping},
         router::Router,
     },
     crate::{
+        callers::bind_callers,
         codes::ResultCode,
         conf::RouterSettings,
         fleet::HostRole,
@@ -76,26 +77,20 @@
         settings.operator.listen,
         router.clone(),
     ));
-    let server = caller_server(router.clone())
-        .await
-        .change_context_lazy(failed)?;
-    let shutdown = server.shutdown();
-    let callers = tokio::spawn(server.launch());
+    let listener = bind_callers(settings.caller_listen).change_context_lazy(failed)?;
+    let callers = CallerServer::new(router.clone());
+    let accepting = tokio::spawn(callers.clone().accept(listener));
     log::info!(
         callers = settings.caller_listen.to_string().as_str(),
         link = settings.link.listen.to_string().as_str(),
         operator = settings.operator.listen.to_string().as_str();
         "router started"
     );
-    tokio::pin!(callers);
     tokio::select! {
         () = stop_signal() => {}
         ended = operator => {
             ended.change_context_lazy(failed)?.change_context_lazy(failed)?;
         }
-        ended = &mut callers => {
-            ended.change_context_lazy(failed)?.change_context_lazy(failed)?;
-        }
     }
     // The readiness check fails first while requests are still accepted, because the load
     // balancer notices with a delay of up to `balancer_lag`.
@@ -105,11 +100,8 @@
     router.refuse_new_requests();
     router.wait_until_all_answered().await;
     log::info!("all open requests are answered");
-    shutdown.notify();
-    callers
-        .await
-        .change_context_lazy(failed)?
-        .change_context_lazy(failed)?;
+    accepting.abort();
+    callers.stop().await;
     log::info!("router stopped");
     link.close().await;
     Ok(())
