Only as many connections are closed as room is needed for

What callers saw: a router that needed room for one connection closed up to a 64th of its descriptors' number, 234 of them, ordinary ones at rest included.

Cause: the room to be freed beyond the need was asked for in descriptors also where only memory was short.

Change: for what is short only. With fewer closed, the counts had to be nearer to what is taken: buffers beyond the usual count four times, a body in chunks 16 KB for its trailers, a long body up to 88 KB for its socket but no more than is due, and blocks of bodies are not larger than an eighth of what has come.

--- a/src/callers/caller_socket.rs
+++ b/src/callers/caller_socket.rs
@@ -14,8 +14,9 @@
 /// The most that the kernel keeps of bytes of one connection that were not read.
 pub const MAX_UNREAD_BYTES: u64 = 13 << 10;
 
-/// How much more that is while a long body is read.
-pub const MAX_UNREAD_OF_LONG_BODY: u64 = 44 << 10;
+/// How much more that is while a long body is read, and as much again: a connection that is closed
+/// for room is replaced before its socket is gone.
+pub const MAX_UNREAD_OF_LONG_BODY: u64 = 2 * (44 << 10);
 
 /// Length of the queue of connections that wait to be accepted.
 const ACCEPT_BACKLOG: u32 = 1024;
--- a/src/callers/connection_use.rs
+++ b/src/callers/connection_use.rs
@@ -1,6 +1,7 @@
 use {
     super::{caller_slot::CallerSlot, caller_socket::MAX_UNREAD_OF_LONG_BODY},
     crate::policy::callers::Phase,
+    hyper::body::{Body, Incoming},
     std::sync::{
         Arc,
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
@@ -10,6 +11,10 @@
 /// Memory of the buffers that each connection has, which are counted as part of it.
 const USUAL_BUFFER_BYTES: usize = 8 << 10;
 
+/// What a buffer beyond the usual ones takes, in multiples of its size: one that grows leaves smaller
+/// ones behind, which may be of no use to others.
+const GROWN_BUFFER_FACTOR: u64 = 4;
+
 /// What a request in progress takes besides its head and body.
 const REQUEST_BYTES: usize = 16 << 10;
 
@@ -17,18 +22,45 @@
 /// is sent on.
 const HEADER_BYTES: usize = 256;
 
-/// A body of which as much was read is a long one.
+/// A body of this size is a long one.
 const LONG_BODY_BYTES: usize = 16 << 10;
 
 /// The descriptors of a connection whose request is sent on.
 const DESCRIPTORS_WHILE_SENDING: usize = 2;
 
+/// What the trailers of a body in chunks may take.
+const TRAILER_BYTES: usize = 16 << 10;
+
+/// How the end of a request's body is told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyFraming {
+    /// There is no body.
+    Empty,
+    /// By its length in bytes.
+    Length(u64),
+    /// By the last of its chunks.
+    Chunks,
+}
+
+impl BodyFraming {
+    /// The framing of a body of which nothing was read.
+    pub fn of(body: &Incoming) -> Self {
+        match body.size_hint().exact() {
+            _ if body.is_end_stream() => Self::Empty,
+            Some(length) => Self::Length(length),
+            None => Self::Chunks,
+        }
+    }
+}
+
 /// Follows the requests on a caller's connection, and records in its slot what they take.
 pub struct ConnectionUse {
     slot: Arc<CallerSlot>,
     number: AtomicU64,          // of the last request
     is_in_progress: AtomicBool, // the last request's answer has not ended
     is_body_due: AtomicBool,    // the last request's body has not come to its end
+    is_long_body: AtomicBool,   // its socket keeps as much as for a long body
+    declared: AtomicUsize,      // length of the last request's body; 0 if it is not known
     since_head: AtomicUsize,    // bytes read since the last head
     unprocessed: AtomicUsize,   // bytes read since the last head or piece of a body
 }
@@ -48,6 +80,8 @@
             number: AtomicU64::new(0),
             is_in_progress: AtomicBool::new(false),
             is_body_due: AtomicBool::new(false),
+            is_long_body: AtomicBool::new(false),
+            declared: AtomicUsize::new(0),
             since_head: AtomicUsize::new(0),
             unprocessed: AtomicUsize::new(0),
         })
@@ -68,8 +102,8 @@
         self.since_head.fetch_add(bytes, Ordering::Relaxed);
         let unprocessed = self.unprocessed.fetch_add(bytes, Ordering::Relaxed) + bytes;
         let buffered = (unprocessed + spare_bytes).saturating_sub(USUAL_BUFFER_BYTES);
-        // A buffer that grows leaves a smaller one behind, which may be of no use to others.
-        self.slot.set_buffered(2 * buffered as u64);
+        self.slot
+            .set_buffered(GROWN_BUFFER_FACTOR * buffered as u64);
         match (
             self.is_in_progress.load(Ordering::Relaxed),
             self.is_body_due(),
@@ -85,8 +119,9 @@
     pub fn start_request(
         self: &Arc<Self>,
         header_count: usize,
-        has_body: bool,
+        body: BodyFraming,
     ) -> BodyProgress {
+        let has_body = body != BodyFraming::Empty;
         let number = self.number.fetch_add(1, Ordering::Relaxed) + 1;
         self.is_in_progress.store(true, Ordering::Relaxed);
         self.is_body_due.store(has_body, Ordering::Relaxed);
@@ -97,7 +132,13 @@
             true => Phase::Receiving,
             false => Phase::Answering,
         });
-        let request = REQUEST_BYTES + 2 * head_bytes + HEADER_BYTES * header_count;
+        let (declared, trailers) = match body {
+            BodyFraming::Empty => (0, 0),
+            BodyFraming::Length(length) => (length as usize, 0),
+            BodyFraming::Chunks => (0, TRAILER_BYTES),
+        };
+        self.declared.store(declared, Ordering::Relaxed);
+        let request = REQUEST_BYTES + 2 * head_bytes + HEADER_BYTES * header_count + trailers;
         self.slot.set_request(request as u64);
         BodyProgress {
             connection: self.clone(),
@@ -120,20 +161,24 @@
         self.is_body_due.load(Ordering::Relaxed)
     }
 
-    /// Whether so much of a body was read, and more is due, that more should be read at once.
+    /// Whether a body is due that is long by its declared length, or by what was read of it, so that
+    /// more should be read at once.
     pub fn is_long_body_due(&self) -> bool {
-        self.is_body_due() && self.since_head.load(Ordering::Relaxed) >= LONG_BODY_BYTES
+        let known = self.since_head.load(Ordering::Relaxed);
+        let known = known.max(self.declared.load(Ordering::Relaxed));
+        self.is_body_due() && known >= LONG_BODY_BYTES
     }
 
-    /// Records whether the socket keeps as much as for a long body.
+    /// Records whether the socket keeps as much as for a long body. How much that may be is known
+    /// with the next piece of the body.
     pub fn record_long_body(
         &self,
         is_long: bool,
     ) {
-        self.slot.set_unread(match is_long {
-            true => MAX_UNREAD_OF_LONG_BODY,
-            false => 0,
-        });
+        self.is_long_body.store(is_long, Ordering::Relaxed);
+        if !is_long {
+            self.slot.set_unread(0);
+        }
     }
 
     /// Bytes read since the last head: of a body, or of the next request.
@@ -143,10 +188,17 @@
 }
 
 impl BodyProgress {
-    /// Records that what was read so far is processed.
-    pub fn record_piece(&self) {
+    /// Records that what was read so far is processed, and that at most `due` bytes follow.
+    pub fn record_piece(
+        &self,
+        due: u64,
+    ) {
         self.connection.unprocessed.store(0, Ordering::Relaxed);
         self.connection.slot.set_buffered(0);
+        if self.connection.is_long_body.load(Ordering::Relaxed) {
+            let unread = due.min(MAX_UNREAD_OF_LONG_BODY);
+            self.connection.slot.set_unread(unread);
+        }
     }
 
     /// Records what the pieces take that were read so far. Returns whether there is room for them.
--- a/src/callers/ledger.rs
+++ b/src/callers/ledger.rs
@@ -142,14 +142,14 @@
         if now < self.next_search_ms.load(Ordering::Relaxed) {
             return false;
         }
-        let spare = Usage {
-            bytes: self.limits().bytes / FREED_DIVISOR,
-            descriptors: self.max_descriptors / FREED_DIVISOR as usize,
-        };
-        self.evict(Usage {
-            bytes: excess.bytes + spare.bytes,
-            descriptors: excess.descriptors + spare.descriptors,
-        });
+        let mut freed = excess;
+        if excess.bytes > 0 {
+            freed.bytes += self.limits().bytes / FREED_DIVISOR;
+        }
+        if excess.descriptors > 0 {
+            freed.descriptors += self.max_descriptors / FREED_DIVISOR as usize;
+        }
+        self.evict(freed);
         let has_room = self.excess().is_none();
         if !has_room {
             let next = now + SEARCH_PAUSE.as_millis() as u64;
--- a/src/callers/mod.rs
+++ b/src/callers/mod.rs
@@ -14,7 +14,7 @@
     bounded_read::{BoundedRead, ReadBytes},
     caller_slot::CallerSlot,
     caller_socket::bind_callers,
-    connection_use::{BodyProgress, ConnectionUse},
+    connection_use::{BodyFraming, BodyProgress, ConnectionUse},
     held_bytes::HeldBytes,
     ledger::{CallerLedger, descriptor_limit},
     request_body::{BodyCollector, RequestBody, RequestBodyReader},
--- a/src/callers/request_body.rs
+++ b/src/callers/request_body.rs
@@ -14,6 +14,9 @@
 const MIN_BLOCK_BYTES: usize = 2 << 10;
 const MAX_BLOCK_BYTES: usize = 64 << 10;
 
+/// A block is at most this part of what has come before.
+const GROWTH_DIVISOR: usize = 8;
+
 /// What a block takes besides its bytes.
 const BLOCK_OVERHEAD: usize = 64;
 
@@ -49,7 +52,7 @@
                 // At most what is due, and not much more than has come: an announced length costs
                 // its caller nothing.
                 let due = piece.len().saturating_add(still_due);
-                let wanted = due.min(self.length.max(MIN_BLOCK_BYTES));
+                let wanted = due.min((self.length / GROWTH_DIVISOR).max(MIN_BLOCK_BYTES));
                 taken += self
                     .start_block(wanted.clamp(piece.len().min(MAX_BLOCK_BYTES), MAX_BLOCK_BYTES));
                 continue;
--- a/src/direct/caller_connection.rs
+++ b/src/direct/caller_connection.rs
@@ -11,12 +11,13 @@
         neighbour_connection::{answer_neighbour_check, is_neighbour_check},
         request_reader::header_text,
     },
-    crate::{callers::CallerSlot, codes::ResultCode, ops::UNREAD_ANSWERS},
+    crate::{
+        callers::{BodyFraming, CallerSlot},
+        codes::ResultCode,
+        ops::UNREAD_ANSWERS,
+    },
     hyper::{
-        Request, Response, Version,
-        body::{Body, Incoming},
-        header::CONNECTION,
-        server::conn::http1,
+        Request, Response, Version, body::Incoming, header::CONNECTION, server::conn::http1,
         service::service_fn,
     },
     hyper_util::rt::{TokioIo, TokioTimer},
@@ -215,7 +216,7 @@
         let (in_progress, progress) = self.activity.start_request(
             id,
             request.headers().len(),
-            !request.body().is_end_stream(),
+            BodyFraming::of(request.body()),
         );
         // Boxed, so that an idle connection does not reserve memory for this future.
         Box::pin(async move {
--- a/src/direct/connection_activity.rs
+++ b/src/direct/connection_activity.rs
@@ -1,6 +1,6 @@
 use {
     super::{close_reason::CloseReason, gateway::Gateway},
-    crate::callers::{BodyProgress, CallerSlot, ConnectionUse, ReadBytes},
+    crate::callers::{BodyFraming, BodyProgress, CallerSlot, ConnectionUse, ReadBytes},
     std::{
         sync::{
             Arc, Mutex,
@@ -65,7 +65,7 @@
         self: &Arc<Self>,
         request_id: &str,
         header_count: usize,
-        has_body: bool,
+        body: BodyFraming,
     ) -> (RequestGuard, BodyProgress) {
         let mut last_id = self.last_request_id.lock().expect("request id lock");
         last_id.clear();
@@ -73,7 +73,7 @@
         drop(last_id);
         self.part_since_ms.store(0, Ordering::Relaxed);
         self.requests.fetch_add(1, Ordering::Relaxed);
-        let progress = self.connection.start_request(header_count, has_body);
+        let progress = self.connection.start_request(header_count, body);
         (RequestGuard(self.clone()), progress)
     }
 
--- a/src/direct/refused_body.rs
+++ b/src/direct/refused_body.rs
@@ -85,7 +85,7 @@
             }
             None => return true,
         }
-        progress.record_piece();
+        progress.record_piece(body.size_hint().upper().unwrap_or(u64::MAX));
     }
     false
 }
--- a/src/direct/request_reader.rs
+++ b/src/direct/request_reader.rs
@@ -204,17 +204,19 @@
     fn take(
         &self,
         bytes: usize,
+        due: u64, // at most
     ) -> Result<(), ErrorAnswer> {
-        self.progress.record_piece();
+        self.progress.record_piece(due);
         if bytes == 0 {
             return Ok(());
         }
         self.held.add(bytes as u64);
-        if !self.budget.permits(self.held.own(), self.held.others()) {
+        let (own, others) = (self.held.own(), self.held.others());
+        if !self.budget.permits(own, others) {
             let error = ErrorAnswer::new(ResultCode::BodiesHeld);
             return Err(error.retry_after(BODIES_HELD_RETRY_AFTER));
         }
-        match self.progress.record_held(self.held.own()) {
+        match self.progress.record_held(own) {
             true => Ok(()),
             false => Err(callers_full()),
         }
@@ -256,8 +258,8 @@
         let Ok(piece) = frame.into_data() else {
             continue;
         };
-        let due = body.size_hint().upper().unwrap_or(u64::MAX) as usize;
-        reading.take(collector.push(&piece, due))?;
+        let due = body.size_hint().upper().unwrap_or(u64::MAX);
+        reading.take(collector.push(&piece, due as usize), due)?;
     }
     Ok(collector.finish())
 }
--- a/src/router/body_reader.rs
+++ b/src/router/body_reader.rs
@@ -39,8 +39,8 @@
         let Ok(piece) = frame.into_data() else {
             continue;
         };
-        progress.record_piece();
         let due = body.size_hint().upper().unwrap_or(max_bytes);
+        progress.record_piece(due);
         held.add(collector.push(&piece, due as usize) as u64);
         if !progress.record_held(held.own()) {
             return Err(callers_full());
@@ -66,7 +66,7 @@
             let mut left = max_bytes;
             while let Some(Ok(frame)) = body.frame().await {
                 let bytes = frame.data_ref().map_or(0, Bytes::len) as u64;
-                progress.record_piece();
+                progress.record_piece(body.size_hint().upper().unwrap_or(u64::MAX));
                 left = left.checked_sub(bytes)?;
             }
             body.is_end_stream().then_some(())
--- a/src/router/caller_server.rs
+++ b/src/router/caller_server.rs
@@ -2,14 +2,9 @@
     super::{
         caller_port::answer_caller, guarded_body::GuardedBody, reply::ReplyBody, router::Router,
     },
-    crate::callers::{BoundedRead, CallerSlot, ConnectionUse},
+    crate::callers::{BodyFraming, BoundedRead, CallerSlot, ConnectionUse},
     http_body_util::BodyExt,
-    hyper::{
-        Request, Response,
-        body::{Body, Incoming},
-        server::conn::http1,
-        service::service_fn,
-    },
+    hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     std::{
         convert::Infallible,
@@ -128,8 +123,8 @@
     connection: &Arc<ConnectionUse>,
     request: Request<Incoming>,
 ) -> impl Future<Output = Result<Response<ReplyBody>, Infallible>> + use<> {
-    let has_body = !request.body().is_end_stream();
-    let progress = connection.start_request(request.headers().len(), has_body);
+    let body = BodyFraming::of(request.body());
+    let progress = connection.start_request(request.headers().len(), body);
     let guard = RequestGuard(connection.clone());
     let answering = tokio::spawn(answer_caller(router, request, progress));
     async move {
