Tests of unruly callers measure growth in one place

Both `what_connections_take_is_counted` measured what a crowd adds to a router, each in its own way. `Growth::measure` does it for both forms. The tests state the same bounds.

--- a/testbed/tests/unruly_callers.rs
+++ b/testbed/tests/unruly_callers.rs
@@ -3,8 +3,8 @@
 
 use {
     archmast_testbed::{
-        fleet::{Fleet, FleetPlan, FleetText, account_key, resident_bytes, wait_until_async},
-        unruly::{Crowd, HostMeter, Shape, counted_bytes},
+        fleet::{Fleet, FleetPlan, FleetText, account_key, wait_until_async},
+        unruly::{Crowd, Growth, HostMeter, Shape},
     },
     reqwest::Method,
     std::time::Duration,
@@ -57,15 +57,6 @@
         .await;
     }
 
-    /// The bytes that the router takes, and those that it counts for its callers.
-    async fn taken_and_counted(&self) -> (usize, usize) {
-        let router = &self.fleet.routers[0];
-        (
-            resident_bytes(router.process.id()),
-            counted_bytes(router.operator).await,
-        )
-    }
-
     /// Plays a crowd: beside it and after it the router serves, within its bounds.
     async fn bears(
         &mut self,
@@ -139,9 +130,6 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn what_connections_take_is_counted() {
-    const CROWD: usize = 300;
-    // Reports of what is counted come once a second.
-    const REPORT: Duration = Duration::from_millis(1200);
     let lines: String = (0..60)
         .map(|number| format!("x-{number}: {number}\r\n"))
         .collect();
@@ -172,18 +160,14 @@
     ] {
         let host = Host::start().await;
         host.answers_a_request().await;
-        tokio::time::sleep(REPORT).await;
-        let before = host.taken_and_counted().await;
-        let crowd = host.gather(CROWD, shape).await;
-        tokio::time::sleep(REPORT).await;
-        let after = host.taken_and_counted().await;
-        let (taken, counted) = (after.0 - before.0, after.1 - before.1);
-        let open = crowd.open();
-        println!(
-            "{what}: {open} open, each takes {} bytes, {} are counted",
-            taken / CROWD,
-            counted / CROWD
-        );
+        println!("{what}");
+        let Growth { taken, counted } = Growth::measure(
+            host.fleet.routers[0].process.id(),
+            host.fleet.routers[0].operator,
+            host.fleet.routers[0].callers,
+            shape,
+        )
+        .await;
         assert!(
             counted >= taken,
             "{what}: {taken} bytes are taken, {counted} counted"
--- a/testbed/tests/unruly_clients.rs
+++ b/testbed/tests/unruly_clients.rs
@@ -11,8 +11,8 @@
             Client, ClientRequest, ConfigText, DirectFleet, Replica, ReplicaAnswer, RouteText,
             forwarding_fleet_with,
         },
-        fleet::{resident_bytes, wait_until, wait_until_async},
-        unruly::{Crowd, HostMeter, Shape, counted_bytes},
+        fleet::{wait_until, wait_until_async},
+        unruly::{Crowd, Growth, HostMeter, Shape},
     },
     rustix::process::{Resource, Rlimit, getrlimit, setrlimit},
     serde_json::Value,
@@ -312,9 +312,6 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn what_connections_take_is_counted() {
-    const CROWD: usize = 300;
-    // Reports of what is counted come once a second.
-    const REPORT: Duration = Duration::from_millis(1200);
     let whole = format!("Content-Length: 1000\r\n{}", header_lines(60));
     for (what, shape) in [
         ("silent connections", Shape::new("")),
@@ -343,25 +340,14 @@
             body: "late".to_owned(),
             after: Duration::from_secs(9),
         });
-        tokio::time::sleep(REPORT).await;
-        let process = host.fleet.routers[0].id();
-        let before = (
-            resident_bytes(process),
-            counted_bytes(host.fleet.operator_addresses[0]).await,
-        );
-        let crowd = host.gather(CROWD, shape).await;
-        tokio::time::sleep(REPORT).await;
-        let after = (
-            resident_bytes(process),
-            counted_bytes(host.fleet.operator_addresses[0]).await,
-        );
-        let (taken, counted) = (after.0 - before.0, after.1 - before.1);
-        let open = crowd.open();
-        println!(
-            "{what}: {open} open, each takes {} bytes, {} are counted",
-            taken / CROWD,
-            counted / CROWD
-        );
+        println!("{what}");
+        let Growth { taken, counted } = Growth::measure(
+            host.fleet.routers[0].id(),
+            host.fleet.operator_addresses[0],
+            host.fleet.caller_addresses[0],
+            shape,
+        )
+        .await;
         assert!(
             counted >= taken,
             "{what}: {taken} bytes are taken, {counted} counted"
