Both forms read callers' connections, bodies and replies through one module

The two forms had a copy each of the accept loop, of the bounded reads, of collecting and discarding a body, and of the reply's body. They are in src/callers now: `accept_callers`, `CallerIo`, `collect_body` and `discard_body`, `ReplyBody`. The product's own form authenticates a request once. `CallerSlot` derives whether it is leaving instead of keeping it twice.

--- a/src/callers/caller_slot.rs
+++ b/src/callers/caller_slot.rs
@@ -21,7 +21,7 @@
     ledger: Arc<CallerLedger>,
     id: u64,
     phase: AtomicU8,
-    since_ms: AtomicU64, // when the phase began; of an idle one, when it was last used
+    since_ms: AtomicU64,          // when the phase began
     buffered: AtomicU64, // bytes of what is read and not processed, beyond the usual buffers
     request: AtomicU64,  // bytes that the request in progress takes besides its body
     unread: AtomicU64,   // bytes that may be in the socket beyond the usual
@@ -30,7 +30,6 @@
     held: AtomicU64,     // bytes that other totals count
     descriptors: AtomicUsize,
     leaving: OnceLock<Usage>, // what it took when it was told to close
-    is_closing: AtomicBool,
     closing: Notify,
 }
 
@@ -59,7 +58,6 @@
             held: AtomicU64::new(0),
             descriptors: AtomicUsize::new(1),
             leaving: OnceLock::new(),
-            is_closing: AtomicBool::new(false),
             closing: Notify::new(),
             ledger,
         };
@@ -74,15 +72,10 @@
     ) {
         let before = self.phase.swap(phase as u8, Ordering::Relaxed);
         if before != phase as u8 {
-            self.touch();
+            self.since_ms.store(self.ledger.now_ms(), Ordering::Relaxed);
         }
     }
 
-    /// Records that the connection was used: the age of its phase begins anew.
-    pub fn touch(&self) {
-        self.since_ms.store(self.ledger.now_ms(), Ordering::Relaxed);
-    }
-
     /// What the connection is in the middle of.
     pub fn phase(&self) -> Phase {
         Phase::from_number(self.phase.load(Ordering::Relaxed))
@@ -158,19 +151,11 @@
         count: usize,
     ) {
         let before = self.descriptors.swap(count, Ordering::Relaxed);
-        if before == count {
-            return;
-        }
-        let total = self.ledger.taken();
-        total.add(Usage {
+        let of = |descriptors| Usage {
             bytes: 0,
-            descriptors: count,
-        });
-        total.subtract(Usage {
-            bytes: 0,
-            descriptors: before,
-        });
-        self.ledger.has_room();
+            descriptors,
+        };
+        self.recount(of(before), of(count));
     }
 
     /// Whether a request that has just come may be run. If not, it is counted as refused.
@@ -184,15 +169,11 @@
 
     /// Waits until the connection must be closed to make room for others.
     pub async fn closed(&self) {
-        while !self.is_closing.load(Ordering::Relaxed) {
+        while self.leaving.get().is_none() {
             self.closing.notified().await;
         }
     }
 
-    pub(super) fn id(&self) -> u64 {
-        self.id
-    }
-
     /// Tells the connection to close. `usage` is counted as leaving until it is gone.
     pub(super) fn close(
         &self,
@@ -201,7 +182,6 @@
         if self.leaving.set(usage).is_err() {
             return log::debug!("a connection is told to close twice");
         }
-        self.is_closing.store(true, Ordering::Relaxed);
         self.closing.notify_one();
     }
 
@@ -242,17 +222,23 @@
         bytes: u64,
     ) {
         let before = part.swap(bytes, Ordering::Relaxed);
-        if before == bytes {
-            return;
-        }
-        let total = self.ledger.taken();
         let of = |bytes| Usage {
             bytes,
             descriptors: 0,
         };
-        total.add(of(bytes));
-        total.subtract(of(before));
-        if bytes > before {
+        self.recount(of(before), of(bytes));
+    }
+
+    /// Replaces a part of what the ledger counts. Where that grows, connections may be closed for it.
+    fn recount(
+        &self,
+        before: Usage,
+        now: Usage,
+    ) {
+        let total = self.ledger.taken();
+        total.add(now);
+        total.subtract(before);
+        if !now.beyond(before).is_none() {
             self.ledger.has_room();
         }
     }
--- a/src/callers/connection_use.rs
+++ b/src/callers/connection_use.rs
@@ -92,27 +92,27 @@
         &self.slot
     }
 
-    /// Records bytes read into a buffer with room for `spare_bytes` more. Returns whether they are
-    /// of a head.
+    /// Records bytes read into a buffer with room for `spare_bytes` more.
     pub fn record_read(
         &self,
         bytes: usize,
         spare_bytes: usize,
-    ) -> bool {
+    ) {
         self.since_head.fetch_add(bytes, Ordering::Relaxed);
         let unprocessed = self.unprocessed.fetch_add(bytes, Ordering::Relaxed) + bytes;
         let buffered = (unprocessed + spare_bytes).saturating_sub(USUAL_BUFFER_BYTES);
         self.slot
             .set_buffered(GROWN_BUFFER_FACTOR * buffered as u64);
-        match (
-            self.is_in_progress.load(Ordering::Relaxed),
-            self.is_body_due(),
-        ) {
-            (true, false) => self.slot.set_sent_more(),
-            (false, false) => self.slot.set_phase(Phase::Receiving),
-            (_, true) => return false,
+        if self.is_reading_head() {
+            self.slot.set_phase(Phase::Receiving);
+        } else if !self.is_body_due() {
+            self.slot.set_sent_more();
         }
-        !self.is_in_progress.load(Ordering::Relaxed)
+    }
+
+    /// Whether what comes next is the head of a request, or more of one.
+    pub fn is_reading_head(&self) -> bool {
+        !self.is_in_progress.load(Ordering::Relaxed) && !self.is_body_due()
     }
 
     /// Records a request whose head was read.
@@ -169,6 +169,11 @@
         self.is_body_due() && known >= LONG_BODY_BYTES
     }
 
+    /// Whether the socket keeps as much as for a long body.
+    pub fn is_long_body(&self) -> bool {
+        self.is_long_body.load(Ordering::Relaxed)
+    }
+
     /// Records whether the socket keeps as much as for a long body. How much that may be is known
     /// with the next piece of the body.
     pub fn record_long_body(
@@ -195,7 +200,7 @@
     ) {
         self.connection.unprocessed.store(0, Ordering::Relaxed);
         self.connection.slot.set_buffered(0);
-        if self.connection.is_long_body.load(Ordering::Relaxed) {
+        if self.connection.is_long_body() {
             let unread = due.min(MAX_UNREAD_OF_LONG_BODY);
             self.connection.slot.set_unread(unread);
         }
--- a/src/callers/ledger.rs
+++ b/src/callers/ledger.rs
@@ -2,7 +2,7 @@
     super::{caller_slot::CallerSlot, ledger_log::LedgerLog},
     crate::{
         ops::{CALLER_BYTES, CALLER_DESCRIPTORS},
-        policy::callers::{ConnectionLoad, Usage, choose_evicted},
+        policy::callers::{Usage, choose_evicted},
     },
     rustix::process::{Resource, getrlimit},
     std::{
@@ -231,13 +231,13 @@
         };
         let now = self.now_ms();
         let loads = slots.iter().filter_map(|slot| slot.load(now));
-        let evicted: Vec<ConnectionLoad> = choose_evicted(loads, excess);
-        let by_id: HashMap<u64, &Arc<CallerSlot>> =
-            slots.iter().map(|slot| (slot.id(), slot)).collect();
-        for load in evicted {
+        for load in choose_evicted(loads, excess) {
+            let Some(slot) = self.slots().get(&load.id).and_then(Weak::upgrade) else {
+                continue;
+            };
             self.log.record_closed(load.phase);
             self.leaving.add(load.usage);
-            by_id[&load.id].close(load.usage);
+            slot.close(load.usage);
         }
     }
 
--- a/src/callers/mod.rs
+++ b/src/callers/mod.rs
@@ -1,21 +1,27 @@
 //! What the connections of callers take of a process's memory and file descriptors, in both forms
 //! of the router. When they take more than they may, those that wait for their caller are closed.
 
-mod bounded_read;
+mod accept;
+mod caller_io;
 mod caller_slot;
 mod caller_socket;
 mod connection_use;
 mod held_bytes;
+mod incoming_body;
 mod ledger;
 mod ledger_log;
+mod reply_body;
 mod request_body;
 
 pub use {
-    bounded_read::{BoundedRead, ReadBytes},
+    accept::accept_callers,
+    caller_io::CallerIo,
     caller_slot::CallerSlot,
     caller_socket::bind_callers,
     connection_use::{BodyFraming, BodyProgress, ConnectionUse},
     held_bytes::HeldBytes,
+    incoming_body::{collect_body, discard_body},
     ledger::{CallerLedger, descriptor_limit},
+    reply_body::{ReplyBody, full_body},
     request_body::{BodyCollector, RequestBody, RequestBodyReader},
 };
--- a/src/conf/router_settings.rs
+++ b/src/conf/router_settings.rs
@@ -16,7 +16,7 @@
     /// HTTP address for callers.
     pub caller_listen: SocketAddr,
     /// Largest body of a request, in bytes.
-    pub max_body: u64,
+    pub max_body: usize,
     /// Largest head of a request, in bytes.
     pub max_head: usize,
     /// Memory in bytes for all that callers decide on.
@@ -81,7 +81,7 @@
             platform: PlatformSettings::read(file)?,
             operator: OperatorSettings::read(file)?,
             caller_listen: callers.parsed("listen", "an IP:port")?,
-            max_body: callers.size("max_body", 1..=64 << 20)?,
+            max_body: callers.size("max_body", 1..=64 << 20)? as usize,
             max_requests: waiting.number("max_requests", 1..=10_000_000)?,
             max_head: callers.size("max_head", 8 << 10..=16 << 20)? as usize,
             caller_memory: max_bytes + callers.size("memory", 1 << 20..=64 << 30)?,
--- a/src/direct/answer_buffer.rs
+++ b/src/direct/answer_buffer.rs
@@ -1,7 +1,7 @@
 use {
-    super::{gateway::Gateway, reply::ReplyBody},
+    super::gateway::Gateway,
     crate::{
-        callers::HeldBytes,
+        callers::{HeldBytes, ReplyBody},
         policy::{
             Moment,
             memory::{MAX_UNREAD_TIME, must_abort_answer},
--- a/src/direct/caller_body.rs
+++ b/src/direct/caller_body.rs
@@ -1,5 +1,6 @@
 use {
-    super::{answer_buffer::AnswerBuffer, connection_activity::RequestGuard, reply::ReplyBody},
+    super::{answer_buffer::AnswerBuffer, connection_activity::RequestGuard},
+    crate::callers::ReplyBody,
     bytes::Bytes,
     hyper::body::{Body, Frame, SizeHint},
     std::{
--- a/src/direct/caller_connections.rs
+++ b/src/direct/caller_connections.rs
@@ -6,7 +6,7 @@
         sockets::configure_caller_socket,
     },
     crate::{
-        callers::{CallerSlot, descriptor_limit},
+        callers::{CallerSlot, accept_callers, descriptor_limit},
         ops::CONNECTIONS_CLOSED,
         routing::RequestLimits,
     },
@@ -23,9 +23,6 @@
 /// served here.
 const FIRST_BYTES_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Delay after a failed accept.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-
 /// Open connections, in multiples of `max_connections`, beyond which idle ones are closed early.
 const CROWDED_FACTOR: usize = 2;
 
@@ -78,19 +75,10 @@
         self: Arc<Self>,
         listener: TcpListener,
     ) {
-        loop {
-            match listener.accept().await {
-                Ok((stream, from)) => {
-                    if let Some(slot) = self.gateway.callers.open().await {
-                        tokio::spawn(self.clone().serve_while_open(stream, from, slot));
-                    }
-                }
-                Err(error) => {
-                    log::warn!("cannot accept a caller's connection: {error}");
-                    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                }
-            }
-        }
+        accept_callers(listener, &self.gateway.callers, |stream, from, slot| {
+            tokio::spawn(self.clone().serve_while_open(stream, from, slot));
+        })
+        .await;
     }
 
     /// Closes idle connections now, and the others after their answers.
--- a/src/direct/caller_stream.rs
+++ b/src/direct/caller_stream.rs
@@ -2,7 +2,7 @@
     super::{
         answer_buffer::AnswerBuffer, connection_activity::ConnectionActivity, sockets::unread_bytes,
     },
-    crate::callers::{BoundedRead, ReadBytes},
+    crate::callers::CallerIo,
     bytes::{Buf, Bytes},
     std::{
         io::{self, IoSlice},
@@ -19,9 +19,8 @@
 /// A caller's connection that reports the bytes written to it, and when all were, to the answer
 /// buffer, and what is read and written to the connection's activity.
 pub struct CallerStream {
-    stream: TcpStream,
+    stream: CallerIo,
     unread: Bytes, // read from the stream, and to be read again
-    bounded: BoundedRead,
     answer: Arc<AnswerBuffer>,
     activity: Arc<ConnectionActivity>,
 }
@@ -29,12 +28,12 @@
 impl Drop for CallerStream {
     fn drop(&mut self) {
         if self.answer.must_reset()
-            && let Err(error) = self.stream.set_zero_linger()
+            && let Err(error) = self.stream.socket().set_zero_linger()
         {
             log::warn!("a cut answer is not reset: {error}");
         }
         self.activity
-            .record_unread(unread_bytes(&self.stream) as usize);
+            .record_unread(unread_bytes(self.stream.socket()) as usize);
     }
 }
 
@@ -46,9 +45,8 @@
         activity: Arc<ConnectionActivity>,
     ) -> Self {
         Self {
-            stream,
+            stream: CallerIo::new(stream, activity.connection().clone()),
             unread: Bytes::new(),
-            bounded: BoundedRead::default(),
             answer,
             activity,
         }
@@ -64,7 +62,7 @@
 
     /// Whether bytes can be read now.
     pub fn has_bytes(&self) -> bool {
-        !self.unread.is_empty() || unread_bytes(&self.stream) > 0
+        !self.unread.is_empty() || unread_bytes(self.stream.socket()) > 0
     }
 
     fn record(
@@ -89,29 +87,23 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let this = &mut *self;
-        let connection = this.activity.connection();
-        if !this.unread.is_empty() {
-            let count = this.unread.len().min(buffer.remaining());
-            buffer.put_slice(&this.unread[..count]);
-            this.unread.advance(count);
-            let is_head = connection.record_read(count, buffer.remaining());
-            this.activity.record_read(ReadBytes { count, is_head });
+        if !self.unread.is_empty() {
+            let length = self.unread.len().min(buffer.remaining());
+            buffer.put_slice(&self.unread[..length]);
+            self.unread.advance(length);
+            let connection = self.activity.connection();
+            connection.record_read(length, buffer.remaining());
+            self.activity.record_read(length);
             return Poll::Ready(Ok(()));
         }
-        let read = this
-            .bounded
-            .poll(&mut this.stream, connection, context, buffer);
-        read.map(|read| match read {
-            Ok(read) => {
-                this.activity.record_read(read);
-                Ok(())
-            }
-            Err(error) => {
-                this.activity.record_failure();
-                Err(error)
-            }
-        })
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        match &read {
+            Poll::Ready(Ok(())) => self.activity.record_read(buffer.filled().len() - before),
+            Poll::Ready(Err(_)) => self.activity.record_failure(),
+            Poll::Pending => {}
+        }
+        read
     }
 }
 
@@ -145,9 +137,6 @@
         // The connection is flushed once the buffer of its writer is empty.
         let flushed = Pin::new(&mut self.stream).poll_flush(context);
         if let Poll::Ready(Ok(())) = &flushed {
-            let this = &mut *self;
-            let connection = this.activity.connection();
-            this.bounded.end_long_body(&this.stream, connection);
             self.answer.record_flushed();
             self.activity.record_flushed();
         }
--- a/src/direct/connection_activity.rs
+++ b/src/direct/connection_activity.rs
@@ -1,6 +1,6 @@
 use {
     super::{close_reason::CloseReason, gateway::Gateway},
-    crate::callers::{BodyFraming, BodyProgress, CallerSlot, ConnectionUse, ReadBytes},
+    crate::callers::{BodyFraming, BodyProgress, CallerSlot, ConnectionUse},
     std::{
         sync::{
             Arc, Mutex,
@@ -78,7 +78,7 @@
     }
 
     /// What the connection is used for.
-    pub fn connection(&self) -> &ConnectionUse {
+    pub fn connection(&self) -> &Arc<ConnectionUse> {
         &self.connection
     }
 
@@ -90,13 +90,14 @@
     /// Records bytes read; none if the caller closed the connection.
     pub fn record_read(
         &self,
-        read: ReadBytes,
+        bytes: usize,
     ) {
-        if read.count == 0 {
+        if bytes == 0 {
             return self.record_failure();
         }
         self.record_byte();
-        if read.is_head && self.part_since_ms.load(Ordering::Relaxed) == 0 {
+        let is_head = self.connection.is_reading_head();
+        if is_head && self.part_since_ms.load(Ordering::Relaxed) == 0 {
             let since = self.now_ms().max(1);
             self.part_since_ms.store(since, Ordering::Relaxed);
         }
--- a/src/direct/neighbour_connection.rs
+++ b/src/direct/neighbour_connection.rs
@@ -3,11 +3,8 @@
 //! answer shows that a request will be looked at.
 
 use {
-    super::{
-        gateway::Gateway,
-        reply::{ReplyBody, full_body},
-        sockets::configure_outgoing_socket,
-    },
+    super::{gateway::Gateway, sockets::configure_outgoing_socket},
+    crate::callers::{ReplyBody, full_body},
     bytes::Bytes,
     http_body_util::{BodyExt, Empty},
     hyper::{
--- a/src/direct/reply.rs
+++ b/src/direct/reply.rs
@@ -1,8 +1,9 @@
 use {
     super::gateway::Gateway,
-    crate::codes::ErrorAnswer,
-    bytes::Bytes,
-    http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody},
+    crate::{
+        callers::{ReplyBody, full_body},
+        codes::ErrorAnswer,
+    },
     hyper::{
         HeaderMap, Response, StatusCode,
         header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER},
@@ -11,10 +12,6 @@
     std::{fmt, io},
 };
 
-/// The body of an answer to a caller. An error closes the connection, so that a truncated
-/// answer never looks complete.
-pub type ReplyBody = UnsyncBoxBody<Bytes, io::Error>;
-
 /// Headers that apply to one connection only, besides those named in `Connection`.
 const HOP_BY_HOP_HEADERS: &[&str] = &[
     "connection",
@@ -43,13 +40,6 @@
     }
 }
 
-/// A body whose bytes are all available.
-pub fn full_body(bytes: Bytes) -> ReplyBody {
-    Full::new(bytes)
-        .map_err(|never| match never {})
-        .boxed_unsync()
-}
-
 /// A replica's answer for a caller, with status and headers as the replica sent them, but for
 /// hop-by-hop headers. `length` sets the content length.
 pub fn replica_reply(
--- a/src/direct/request_reader.rs
+++ b/src/direct/request_reader.rs
@@ -6,14 +6,12 @@
         stream_version::{pick_service, taken_up_version},
     },
     crate::{
-        callers::{BodyCollector, BodyProgress, HeldBytes, RequestBody},
+        callers::{BodyProgress, HeldBytes, RequestBody, collect_body},
         codes::{ErrorAnswer, ResultCode},
-        policy::{
-            Moment, admits_despite_lag, memory::MemoryBudget, name_hash, placement::PromptPart,
-        },
+        policy::{Moment, admits_despite_lag, name_hash, placement::PromptPart},
         routing::{Route, RoutingTable},
     },
-    http_body_util::{BodyExt, LengthLimitError, Limited},
+    http_body_util::LengthLimitError,
     hyper::{
         HeaderMap, Uri,
         body::{Body, Incoming},
@@ -38,7 +36,7 @@
 const BODIES_HELD_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Time-out for reading a body.
-pub(super) const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// The text of a header; empty if it is missing or not plain ASCII.
 pub fn header_text<'h>(
@@ -76,12 +74,7 @@
         return Err(callers_full());
     }
     let held = HeldBytes::new(gateway.request_bytes.clone());
-    let reading = BodyReading {
-        budget: gateway.settings().request_memory,
-        progress,
-        held: &held,
-    };
-    let body = read_body(&table, &head.headers, body, reading).await?;
+    let body = read_body(gateway, &table, &head.headers, body, progress, &held).await?;
     let names = &gateway.dialect.names;
     let deadline_ms: Option<f64> = header_text(&head.headers, &names.deadline_ms).parse().ok();
     let deadline_ms = deadline_ms.filter(|ms| !ms.is_nan());
@@ -192,46 +185,18 @@
     }
 }
 
-/// What a body that is read counts toward.
-struct BodyReading<'r> {
-    budget: MemoryBudget,
-    progress: &'r BodyProgress,
-    held: &'r HeldBytes,
-}
-
-impl BodyReading<'_> {
-    /// Counts memory that the body takes. Fails if there is none left for it.
-    fn take(
-        &self,
-        bytes: usize,
-        due: u64, // at most
-    ) -> Result<(), ErrorAnswer> {
-        self.progress.record_piece(due);
-        if bytes == 0 {
-            return Ok(());
-        }
-        self.held.add(bytes as u64);
-        let (own, others) = (self.held.own(), self.held.others());
-        if !self.budget.permits(own, others) {
-            let error = ErrorAnswer::new(ResultCode::BodiesHeld);
-            return Err(error.retry_after(BODIES_HELD_RETRY_AFTER));
-        }
-        match self.progress.record_held(own) {
-            true => Ok(()),
-            false => Err(callers_full()),
-        }
-    }
-}
-
 fn callers_full() -> ErrorAnswer {
     ErrorAnswer::new(ResultCode::CallersFull).retry_after(BODIES_HELD_RETRY_AFTER)
 }
 
+/// Reads a body to its end, as long as memory permits. What it takes is added to `held`.
 async fn read_body(
+    gateway: &Gateway,
     table: &RoutingTable,
     headers: &HeaderMap,
     body: &mut Incoming,
-    reading: BodyReading<'_>,
+    progress: &BodyProgress,
+    held: &HeldBytes,
 ) -> Result<RequestBody, ErrorAnswer> {
     let max_bytes = table.limits.max_body_bytes;
     let declared: Option<u64> = header_text(headers, &CONTENT_LENGTH).parse().ok();
@@ -241,29 +206,23 @@
     if body.is_end_stream() {
         return Ok(RequestBody::default());
     }
-    let reading = read_within_budget(Limited::new(body, max_bytes), reading);
+    let budget = gateway.settings().request_memory;
+    let check = || {
+        if !budget.permits(held.own(), held.others()) {
+            let error = ErrorAnswer::new(ResultCode::BodiesHeld);
+            return Err(error.retry_after(BODIES_HELD_RETRY_AFTER));
+        }
+        match progress.record_held(held.own()) {
+            true => Ok(()),
+            false => Err(callers_full()),
+        }
+    };
+    let reading = collect_body(body, max_bytes, progress, held, check, body_error);
     tokio::time::timeout(BODY_TIMEOUT, reading)
         .await
         .unwrap_or_else(|_| Err(ErrorAnswer::new(ResultCode::BodyLate)))
 }
 
-/// Reads a body to its end, as long as memory permits.
-async fn read_within_budget(
-    mut body: Limited<&mut Incoming>,
-    reading: BodyReading<'_>,
-) -> Result<RequestBody, ErrorAnswer> {
-    let mut collector = BodyCollector::default();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| body_error(&*error))?;
-        let Ok(piece) = frame.into_data() else {
-            continue;
-        };
-        let due = body.size_hint().upper().unwrap_or(u64::MAX);
-        reading.take(collector.push(&piece, due as usize), due)?;
-    }
-    Ok(collector.finish())
-}
-
 fn body_error(error: &(dyn std::error::Error + Send + Sync + 'static)) -> ErrorAnswer {
     if error.is::<LengthLimitError>() {
         return ErrorAnswer::new(ResultCode::BodyTooLarge);
--- a/src/policy/callers/connection_load.rs
+++ b/src/policy/callers/connection_load.rs
@@ -9,7 +9,7 @@
     /// Identifies the connection.
     pub id: u64,
     pub phase: Phase,
-    /// Time since its phase began; for an idle one, since its last byte.
+    /// Time since its phase began.
     pub age: Duration,
     pub usage: Usage,
     /// Whether an answer that is in progress waits for the caller: it takes nothing of it, or it has
--- a/src/router/caller_port.rs
+++ b/src/router/caller_port.rs
@@ -1,13 +1,13 @@
 use {
     super::{
-        body_reader::{discard_body, read_body},
+        body_reader::read_body,
         classify::{RawRequest, authenticate, classify},
-        reply::{ReplyBody, answer_reply, error_reply, json_reply},
+        reply::{answer_reply, error_reply, json_reply},
         request_flow::answer_request,
         router::Router,
     },
     crate::{
-        callers::{BodyProgress, HeldBytes},
+        callers::{BodyProgress, HeldBytes, ReplyBody, discard_body},
         codes::{ErrorAnswer, ResultCode},
         fleet::{FleetConfig, GroupKind},
         ops::{REQUESTS, catch_panic},
@@ -61,7 +61,7 @@
         })?;
     refuse_while_stopping(router)?;
     let mut raw = raw_request(head, request_id);
-    authenticate(&current.config, &raw)?;
+    let account = authenticate(&current.config, &raw)?;
     let held = HeldBytes::new(router.body_bytes.clone());
     raw.body = read_body(body, router.settings.max_body, progress, &held).await?;
     // A request whose body does not come must not keep the process from stopping.
@@ -71,7 +71,8 @@
         return Ok(models_reply(&current.config));
     }
     let hosts = router.node.hosts.current();
-    let request = classify(&current.config, &hosts, router.settings.prefix_bytes, raw)?;
+    let prefix_bytes = router.settings.prefix_bytes;
+    let request = classify(&current.config, account, &hosts, prefix_bytes, raw)?;
     let answer = Box::pin(answer_request(router, &request)).await?;
     metrics::counter!(REQUESTS, "code" => "0", "ran" => "yes").increment(1);
     let is_chat = request.model.is_some();
--- a/src/router/caller_server.rs
+++ b/src/router/caller_server.rs
@@ -1,21 +1,11 @@
 use {
-    super::{
-        caller_port::answer_caller, guarded_body::GuardedBody, reply::ReplyBody, router::Router,
-    },
-    crate::callers::{BodyFraming, BoundedRead, CallerSlot, ConnectionUse},
+    super::{caller_port::answer_caller, guarded_body::GuardedBody, router::Router},
+    crate::callers::{BodyFraming, CallerIo, CallerSlot, ConnectionUse, ReplyBody, accept_callers},
     http_body_util::BodyExt,
     hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
-    std::{
-        convert::Infallible,
-        io::{self, IoSlice},
-        pin::{Pin, pin},
-        sync::Arc,
-        task::{Context, Poll},
-        time::Duration,
-    },
+    std::{convert::Infallible, pin::pin, sync::Arc, time::Duration},
     tokio::{
-        io::{AsyncRead, AsyncWrite, ReadBuf},
         net::{TcpListener, TcpStream},
         sync::watch,
         time::timeout,
@@ -25,9 +15,6 @@
 /// How long the last bytes may take to reach their callers when the process stops.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Delay after a failed accept.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-
 /// The HTTP server for callers.
 pub struct CallerServer {
     router: Arc<Router>,
@@ -48,19 +35,10 @@
         self: Arc<Self>,
         listener: TcpListener,
     ) {
-        loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    if let Some(slot) = self.router.callers.open().await {
-                        tokio::spawn(self.clone().serve(stream, slot));
-                    }
-                }
-                Err(error) => {
-                    log::warn!("cannot accept a caller's connection: {error}");
-                    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                }
-            }
-        }
+        accept_callers(listener, &self.router.callers, |stream, _, slot| {
+            tokio::spawn(self.clone().serve(stream, slot));
+        })
+        .await;
     }
 
     /// Closes each connection once its answer is sent, and waits for that.
@@ -85,11 +63,7 @@
         }
         let mut stopping = self.stopping.subscribe();
         let connection = ConnectionUse::new(slot.clone());
-        let stream = CallerStream {
-            stream,
-            bounded: BoundedRead::default(),
-            connection: connection.clone(),
-        };
+        let stream = CallerIo::new(stream, connection.clone());
         let service = service_fn(|request| answer(self.router.clone(), &connection, request));
         let serving = http1::Builder::new()
             .timer(TokioTimer::new())
@@ -141,65 +115,3 @@
         self.0.end_request();
     }
 }
-
-/// A caller's connection that records what is read.
-struct CallerStream {
-    stream: TcpStream,
-    bounded: BoundedRead,
-    connection: Arc<ConnectionUse>,
-}
-
-impl AsyncRead for CallerStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let this = &mut *self;
-        let read = this
-            .bounded
-            .poll(&mut this.stream, &this.connection, context, buffer);
-        read.map_ok(|_| ())
-    }
-}
-
-impl AsyncWrite for CallerStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        slices: &[IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<io::Result<()>> {
-        let this = &mut *self;
-        let flushed = Pin::new(&mut this.stream).poll_flush(context);
-        if flushed.is_ready() {
-            this.bounded.end_long_body(&this.stream, &this.connection);
-        }
-        flushed
-    }
-
-    fn poll_shutdown(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
-    }
-}
--- a/src/router/classify.rs
+++ b/src/router/classify.rs
@@ -108,17 +108,17 @@
     prefix: Option<PrefixHash>,
 }
 
-/// Validates a caller's request and determines which hosts may serve it.
+/// Validates a request of an account and determines which hosts may serve it.
 ///
-/// The error tells the caller why the request is refused: an unknown API key, model or
-/// path, an invalid body or header, or no eligible host.
+/// The error tells the caller why the request is refused: an unknown model or path, an invalid body
+/// or header, or no eligible host.
 pub fn classify(
     config: &FleetConfig,
+    account: &Account,
     hosts: &HostList,
     prefix_bytes: usize,
     raw: RawRequest,
 ) -> Result<CallerRequest, ErrorAnswer> {
-    let account = authenticate(config, &raw)?;
     let target = find_target(config, prefix_bytes, &raw)?;
     let group = target.group;
     let caller_labels = parse_labels(&raw)?;
--- a/src/router/guarded_body.rs
+++ b/src/router/guarded_body.rs
@@ -1,5 +1,5 @@
 use {
-    super::reply::ReplyBody,
+    crate::callers::ReplyBody,
     bytes::Bytes,
     hyper::body::{Body, Frame, SizeHint},
     std::{
--- a/src/router/reply.rs
+++ b/src/router/reply.rs
@@ -7,21 +7,21 @@
         request_flow::Answer,
         router::OpenRequest,
     },
-    crate::{codes::ErrorAnswer, ops::REQUESTS},
+    crate::{
+        callers::{ReplyBody, full_body},
+        codes::ErrorAnswer,
+        ops::REQUESTS,
+    },
     bytes::Bytes,
     futures::{TryStreamExt, stream},
-    http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody},
+    http_body_util::{BodyExt, StreamBody},
     hyper::{
         HeaderMap, Response, StatusCode,
         body::Frame,
         header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER},
     },
-    std::io,
 };
 
-/// The body of an answer to a caller. An error closes the connection.
-pub type ReplyBody = UnsyncBoxBody<Bytes, io::Error>;
-
 /// The header that identifies a request at every hop.
 const REQUEST_ID_HEADER: HeaderName = HeaderName::from_static("x-request-id");
 
@@ -137,12 +137,6 @@
     StreamBody::new(stream::empty()).boxed_unsync()
 }
 
-fn full_body(bytes: Bytes) -> ReplyBody {
-    Full::new(bytes)
-        .map_err(|never| match never {})
-        .boxed_unsync()
-}
-
 fn insert_text(
     headers: &mut HeaderMap,
     name: HeaderName,
--- a/tests/caller_ledger.rs
+++ b/tests/caller_ledger.rs
@@ -152,16 +152,15 @@
     let ledger = CallerLedger::new(LARGE, Vec::new());
     let slot = ledger.open().await.expect("room");
     let connection = ConnectionUse::new(slot.clone());
-    assert!(connection.record_read(100, 0));
+    connection.record_read(100, 0);
+    assert!(connection.is_reading_head());
     let first = connection.start_request(1, BodyFraming::Length(500));
     first.record_refusal();
     connection.end_request();
     assert_eq!(slot.phase(), Phase::Refused);
     assert!(connection.is_body_due());
-    assert!(
-        !connection.record_read(100, 0),
-        "bytes of a body are no head"
-    );
+    connection.record_read(100, 0);
+    assert!(!connection.is_reading_head(), "bytes of a body are no head");
     let second = connection.start_request(1, BodyFraming::Length(500));
     // The reader of the first body may notice its end late.
     first.record_end();
