Connections that two threads tell to close are counted as leaving once

Cause: threads that found too much taken at the same time chose the same connections, and each added them to what is leaving. Only one share of it was ever subtracted. What is leaving is not counted as taken, so that more was let in each time, and new connections waited 200 ms each for connections that were long gone.

Change: only the thread whose order to close is the first adds the connection.

--- a/src/callers/caller_slot.rs
+++ b/src/callers/caller_slot.rs
@@ -174,15 +174,17 @@
         }
     }
 
-    /// Tells the connection to close. `usage` is counted as leaving until it is gone.
+    /// Tells the connection to close. `usage` is counted as leaving until it is gone. Returns
+    /// whether it was not told before.
     pub(super) fn close(
         &self,
         usage: Usage,
-    ) {
-        if self.leaving.set(usage).is_err() {
-            return log::debug!("a connection is told to close twice");
+    ) -> bool {
+        let is_new = self.leaving.set(usage).is_ok();
+        if is_new {
+            self.closing.notify_one();
         }
-        self.closing.notify_one();
+        is_new
     }
 
     /// What it takes; `None` if it is being closed.
--- a/src/callers/ledger.rs
+++ b/src/callers/ledger.rs
@@ -235,9 +235,11 @@
             let Some(slot) = self.slots().get(&load.id).and_then(Weak::upgrade) else {
                 continue;
             };
-            self.log.record_closed(load.phase);
-            self.leaving.add(load.usage);
-            slot.close(load.usage);
+            // Another thread may have told it meanwhile, which counts it as leaving.
+            if slot.close(load.usage) {
+                self.log.record_closed(load.phase);
+                self.leaving.add(load.usage);
+            }
         }
     }
 
--- a/tests/caller_ledger.rs
+++ b/tests/caller_ledger.rs
@@ -14,6 +14,7 @@
         },
         time::Duration,
     },
+    tokio::{task::JoinSet, time::timeout},
 };
 
 /// More than any connection takes in these tests.
@@ -147,6 +148,33 @@
     assert!(ledger.has_room());
 }
 
+/// Guards against connections that two threads tell to close, counted as leaving twice: new ones
+/// would wait for room that does not come.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn connections_that_several_threads_close_are_counted_once() {
+    const AT_ONCE: usize = 40;
+    let ledger = CallerLedger::new(AT_ONCE as u64 * LARGE, Vec::new());
+    let mut threads = JoinSet::new();
+    for _ in 0..4 {
+        let ledger = ledger.clone();
+        threads.spawn(async move {
+            let mut connections = JoinSet::new();
+            for _ in 0..2_000 {
+                if let Some(slot) = ledger.open().await {
+                    slot.set_phase(Phase::Receiving);
+                    slot.set_buffered(LARGE);
+                    connections.spawn(async move { slot.closed().await });
+                }
+            }
+            connections.shutdown().await;
+        });
+    }
+    let ended = timeout(Duration::from_secs(30), threads.join_all()).await;
+    assert!(ended.is_ok(), "connections wait for others that are gone");
+    let opened = ledger.open().now_or_never();
+    assert!(opened.is_some_and(|slot| slot.is_some()));
+}
+
 #[tokio::test]
 async fn a_body_is_due_until_its_own_end() {
     let ledger = CallerLedger::new(LARGE, Vec::new());
