Of uploads that do not fit, the last to begin are refused

Cause: since receive buffers are bounded, uploads that come at once are read in turns. The budget of bodies refuses the one that would hold more than is free, which is the one that is furthest. And each socket was let keep 88 KB more as soon as a long body was declared, so that the ledger was full and closed the oldest.

Change: `Uploads` knows the bodies that are being read. Where the budget does not permit a body to grow, the youngest one that holds half as much or more is refused in its place; a body beyond its own limit, or without such a one, is refused itself as before. Sockets keep more for a long body only while half of the limit is free.

--- a/src/callers/caller_slot.rs
+++ b/src/callers/caller_slot.rs
@@ -135,6 +135,11 @@
         self.set(&self.unread, bytes);
     }
 
+    /// Whether more bytes than usual may be left unread in the connection's socket.
+    pub fn may_leave_more_unread(&self) -> bool {
+        self.ledger.has_ample_room()
+    }
+
     /// Records the bytes of its request's body, which another total counts. Returns whether there
     /// is room for them; connections may be closed for it.
     pub fn set_held(
--- a/src/callers/connection_use.rs
+++ b/src/callers/connection_use.rs
@@ -162,11 +162,11 @@
     }
 
     /// Whether a body is due that is long by its declared length, or by what was read of it, so that
-    /// more should be read at once.
+    /// more should be read at once, and there is the memory for that.
     pub fn is_long_body_due(&self) -> bool {
         let known = self.since_head.load(Ordering::Relaxed);
         let known = known.max(self.declared.load(Ordering::Relaxed));
-        self.is_body_due() && known >= LONG_BODY_BYTES
+        self.is_body_due() && known >= LONG_BODY_BYTES && self.slot.may_leave_more_unread()
     }
 
     /// Whether the socket keeps as much as for a long body.
--- a/src/callers/ledger.rs
+++ b/src/callers/ledger.rs
@@ -30,6 +30,9 @@
 const CLOSING_WAIT: Duration = Duration::from_millis(1);
 const MAX_CLOSING_WAITS: u32 = 200;
 
+/// More than is needed is taken only while this part of the limits is free.
+const AMPLE_DIVISOR: u64 = 2;
+
 /// How long to wait after a search that freed too little.
 const SEARCH_PAUSE: Duration = Duration::from_millis(5);
 
@@ -158,6 +161,11 @@
         has_room
     }
 
+    /// Whether callers take so little that one may be given more than it needs.
+    pub(super) fn has_ample_room(&self) -> bool {
+        self.all_taken().bytes <= self.limits().bytes / AMPLE_DIVISOR
+    }
+
     /// Counts a request that is refused for want of room.
     pub(super) fn record_refused_request(&self) {
         self.log.record_refused("request");
--- a/src/direct/gateway.rs
+++ b/src/direct/gateway.rs
@@ -2,7 +2,7 @@
     super::{
         abandoned_attempts::AbandonedAttempts, account_log::AccountLog, dialect::Dialect,
         exit_checks::ExitChecks, forwarding_log::ForwardingLog, neighbour_checks::NeighbourChecks,
-        processor_state::ProcessorState, store_read_state::StoreReadState,
+        processor_state::ProcessorState, store_read_state::StoreReadState, uploads::Uploads,
         upstream_pool::UpstreamPool,
     },
     crate::{
@@ -63,6 +63,7 @@
     pub callers: Arc<CallerLedger>, // what callers' connections take
     pub(super) answer_bytes: Arc<AtomicU64>, // buffered answers
     pub(super) request_bytes: Arc<AtomicU64>, // buffered request bodies
+    pub(super) uploads: Uploads,
     replica_table: Mutex<ReplicaTable>,
     shares: Mutex<ShareTracker>,
     retries: Mutex<RetryWindow>,
@@ -124,6 +125,7 @@
             callers,
             answer_bytes,
             request_bytes,
+            uploads: Uploads::default(),
             replica_table: Mutex::new(replica_table),
             shares: Mutex::new(ShareTracker::new(settings.share_window, settings.peer_age)),
             retries: Mutex::new(retries),
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -65,6 +65,7 @@
 mod successor;
 mod timeout_unless_ready;
 mod unanswered;
+mod uploads;
 mod upstream_connection;
 mod upstream_pool;
 mod wait_while_alive;
--- a/src/direct/request_reader.rs
+++ b/src/direct/request_reader.rs
@@ -189,6 +189,10 @@
     ErrorAnswer::new(ResultCode::CallersFull).retry_after(BODIES_HELD_RETRY_AFTER)
 }
 
+fn bodies_held() -> ErrorAnswer {
+    ErrorAnswer::new(ResultCode::BodiesHeld).retry_after(BODIES_HELD_RETRY_AFTER)
+}
+
 /// Reads a body to its end, as long as memory permits. What it takes is added to `held`.
 async fn read_body(
     gateway: &Gateway,
@@ -207,10 +211,10 @@
         return Ok(RequestBody::default());
     }
     let budget = gateway.settings().request_memory;
+    let upload = gateway.uploads.start();
     let check = || {
-        if !budget.permits(held.own(), held.others()) {
-            let error = ErrorAnswer::new(ResultCode::BodiesHeld);
-            return Err(error.retry_after(BODIES_HELD_RETRY_AFTER));
+        if !upload.admits(budget, held.own(), held.others()) {
+            return Err(bodies_held());
         }
         match progress.record_held(held.own()) {
             true => Ok(()),
@@ -218,9 +222,11 @@
         }
     };
     let reading = collect_body(body, max_bytes, progress, held, check, body_error);
-    tokio::time::timeout(BODY_TIMEOUT, reading)
-        .await
-        .unwrap_or_else(|_| Err(ErrorAnswer::new(ResultCode::BodyLate)))
+    tokio::select! {
+        read = reading => read,
+        () = upload.refused() => Err(bodies_held()),
+        () = tokio::time::sleep(BODY_TIMEOUT) => Err(ErrorAnswer::new(ResultCode::BodyLate)),
+    }
 }
 
 fn body_error(error: &(dyn std::error::Error + Send + Sync + 'static)) -> ErrorAnswer {
--- /dev/null
+++ b/src/direct/uploads.rs
@@ -0,0 +1,121 @@
+//! The bodies of requests that are being read.
+
+use {
+    crate::policy::memory::{MemoryBudget, choose_refused_upload},
+    std::{
+        collections::BTreeMap,
+        sync::{Arc, Mutex, MutexGuard},
+    },
+    tokio::sync::Notify,
+};
+
+/// The bodies that are being read, and which of them are refused for want of memory.
+#[derive(Default)]
+pub struct Uploads(Mutex<Reading>); // a leaf lock
+
+#[derive(Default)]
+struct Reading {
+    next_number: u64,
+    bodies: BTreeMap<u64, HeldBody>, // by the order in which reading began
+    leaving_bytes: u64,              // of bodies that were refused and are still held
+}
+
+/// What a body that is being read holds.
+#[derive(Default)]
+struct HeldBody {
+    bytes: u64,
+    is_refused: bool,
+    refused: Arc<Notify>,
+}
+
+/// One body that is being read, until this is dropped.
+pub struct Upload<'u> {
+    uploads: &'u Uploads,
+    number: u64,
+    refused: Arc<Notify>,
+}
+
+impl Uploads {
+    /// Adds a body of which nothing was read.
+    pub fn start(&self) -> Upload<'_> {
+        let mut reading = self.reading();
+        let number = reading.next_number;
+        reading.next_number += 1;
+        let body = HeldBody::default();
+        let refused = body.refused.clone();
+        reading.bodies.insert(number, body);
+        Upload {
+            uploads: self,
+            number,
+            refused,
+        }
+    }
+
+    fn reading(&self) -> MutexGuard<'_, Reading> {
+        self.0.lock().expect("uploads lock")
+    }
+}
+
+impl Upload<'_> {
+    /// Records that the body holds `own` bytes while others hold `others`. Returns whether it may be
+    /// read on; if the budget does not permit so much, a younger one may be refused instead.
+    pub fn admits(
+        &self,
+        budget: MemoryBudget,
+        own: u64,
+        others: u64,
+    ) -> bool {
+        let mut reading = self.uploads.reading();
+        let staying = others.saturating_sub(reading.leaving_bytes);
+        let Some(body) = reading.bodies.get_mut(&self.number) else {
+            return false;
+        };
+        if body.is_refused {
+            return false;
+        }
+        body.bytes = own;
+        if budget.permits(own, staying) {
+            return true;
+        }
+        if own > budget.per_connection {
+            return false;
+        }
+        let staying = reading.bodies.iter().filter(|(_, body)| !body.is_refused);
+        let staying = staying.map(|(number, body)| (*number, body.bytes));
+        let chosen = choose_refused_upload(self.number, own, staying);
+        if chosen == self.number {
+            return false;
+        }
+        reading.refuse(chosen);
+        true
+    }
+
+    /// Waits until the body is refused in the place of an older one.
+    pub async fn refused(&self) {
+        self.refused.notified().await;
+    }
+}
+
+impl Drop for Upload<'_> {
+    fn drop(&mut self) {
+        let mut reading = self.uploads.reading();
+        if let Some(body) = reading.bodies.remove(&self.number)
+            && body.is_refused
+        {
+            reading.leaving_bytes -= body.bytes;
+        }
+    }
+}
+
+impl Reading {
+    fn refuse(
+        &mut self,
+        number: u64,
+    ) {
+        if let Some(body) = self.bodies.get_mut(&number) {
+            body.is_refused = true;
+            body.refused.notify_one();
+            self.leaving_bytes += body.bytes;
+        }
+    }
+}
--- a/src/policy/direct/memory/mod.rs
+++ b/src/policy/direct/memory/mod.rs
@@ -3,10 +3,12 @@
 
 mod memory_budget;
 mod partial_event;
+mod refused_upload;
 mod unread_answer;
 
 pub use {
     memory_budget::MemoryBudget,
     partial_event::{MAX_EVENT_BYTES, permits_partial_event},
+    refused_upload::choose_refused_upload,
     unread_answer::{MAX_UNREAD_TIME, must_abort_answer},
 };
--- a/tests/memory_budget.rs
+++ b/tests/memory_budget.rs
@@ -2,7 +2,8 @@
 
 use {
     archmast::policy::memory::{
-        MAX_EVENT_BYTES, MemoryBudget, must_abort_answer, permits_partial_event,
+        MAX_EVENT_BYTES, MemoryBudget, choose_refused_upload, must_abort_answer,
+        permits_partial_event,
     },
     std::time::Duration,
 };
@@ -99,3 +100,22 @@
 fn slow_callers_end_no_stream_whose_events_arrive_in_parts() {
     assert!(permits_partial_event(BUDGET, 4 * KB, BUDGET.total));
 }
+
+/// Of uploads that are about as far, those that began first are read to their ends; a short one
+/// makes no room for a longer one.
+#[test]
+fn the_last_upload_of_about_the_same_size_makes_room() {
+    let bodies = [
+        (3, 40 * KB),
+        (5, 30 * KB),
+        (8, 39 * KB),
+        (9, 20 * KB),
+        (11, 2 * KB),
+    ];
+    assert_eq!(choose_refused_upload(3, 40 * KB, bodies), 9);
+    assert_eq!(choose_refused_upload(8, 41 * KB, bodies), 8);
+    assert_eq!(choose_refused_upload(5, 70 * KB, bodies), 8);
+    assert_eq!(choose_refused_upload(5, 200 * KB, bodies), 5);
+    assert_eq!(choose_refused_upload(11, 2 * KB, bodies), 11);
+    assert_eq!(choose_refused_upload(1, KB, []), 1);
+}
