Line ends in streams of events are searched for with memchr

The 64 MB that an event may have were searched byte by byte. The event buffer's tests, a property among them, are unchanged.

--- a/src/router/event_buffer.rs
+++ b/src/router/event_buffer.rs
@@ -1,4 +1,7 @@
-use bytes::{Bytes, BytesMut};
+use {
+    bytes::{Bytes, BytesMut},
+    memchr::memchr2,
+};
 
 /// Holds back the bytes of an event in a stream of server-sent events until it is complete.
 ///
@@ -21,13 +24,11 @@
     ) -> Option<Bytes> {
         self.held.extend_from_slice(bytes);
         let mut boundary = 0;
-        while let Some(byte) = self.held.get(self.scanned).copied() {
-            self.scanned += 1;
-            let is_second_of_pair = byte == b'\n' && self.after_carriage_return;
+        while let Some(offset) = memchr2(b'\n', b'\r', &self.held[self.scanned..]) {
+            let byte = self.held[self.scanned + offset];
+            let is_second_of_pair = byte == b'\n' && offset == 0 && self.after_carriage_return;
+            self.scanned += offset + 1;
             self.after_carriage_return = byte == b'\r';
-            if !matches!(byte, b'\n' | b'\r') {
-                continue;
-            }
             if !is_second_of_pair {
                 self.end_line();
             }
@@ -36,6 +37,10 @@
                 boundary = self.scanned;
             }
         }
+        if self.scanned < self.held.len() {
+            self.scanned = self.held.len();
+            self.after_carriage_return = false;
+        }
         self.scanned -= boundary;
         self.line_start -= boundary;
         (boundary > 0).then(|| self.held.split_to(boundary).freeze())
