Bodies are read on once those refused in their place are gone

Cause: what a refused body held counted as free at once, and others were read into it while its task had not run yet. Blocks of up to 64 KB could not use what smaller ones left behind.

Change: a body waits until the one that was refused in its place is gone, and, as new connections do, until connections that were told to close are gone. Sockets keep more while an eighth of the limit is free; blocks are at most 8 KB.

--- a/src/callers/caller_slot.rs
+++ b/src/callers/caller_slot.rs
@@ -137,17 +137,22 @@
 
     /// Whether more bytes than usual may be left unread in the connection's socket.
     pub fn may_leave_more_unread(&self) -> bool {
-        self.ledger.has_ample_room()
+        self.ledger.has_spare_room()
     }
 
     /// Records the bytes of its request's body, which another total counts. Returns whether there
-    /// is room for them; connections may be closed for it.
-    pub fn set_held(
+    /// is room for them. Connections may be closed for it, and are given the time to do so.
+    pub async fn set_held(
         &self,
         bytes: u64,
     ) -> bool {
         self.held.store(bytes, Ordering::Relaxed);
-        self.ledger.has_room()
+        let has_room = self.ledger.has_room();
+        let stays = self.leaving.get().is_none();
+        if has_room && stays {
+            self.ledger.wait_for_closing().await;
+        }
+        has_room && stays
     }
 
     /// Records the descriptors that it takes, its own among them.
--- a/src/callers/connection_use.rs
+++ b/src/callers/connection_use.rs
@@ -206,12 +206,13 @@
         }
     }
 
-    /// Records what the pieces take that were read so far. Returns whether there is room for them.
-    pub fn record_held(
+    /// Records what the pieces take that were read so far. Returns whether there is room for them,
+    /// once connections that are closed for it had the time to do so.
+    pub async fn record_held(
         &self,
         bytes: u64,
     ) -> bool {
-        self.connection.slot.set_held(bytes)
+        self.connection.slot.set_held(bytes).await
     }
 
     /// Records what the request takes besides its body, beyond what is known from its head.
--- a/src/callers/incoming_body.rs
+++ b/src/callers/incoming_body.rs
@@ -12,33 +12,52 @@
 /// How long the rest of a refused body is read.
 const DISCARD_TIME: Duration = Duration::from_secs(10);
 
-/// Reads a body of at most `max_bytes` to its end. What it takes is added to `held`; after each
-/// addition, `check` says whether there is room for it. Fails with its error, or with what `cut`
-/// makes of a body that is too long or breaks off.
-pub async fn collect_body<E>(
-    body: &mut Incoming,
-    max_bytes: usize,
-    progress: &BodyProgress,
-    held: &HeldBytes,
-    check: impl Fn() -> Result<(), E>,
-    cut: impl Fn(&(dyn Error + Send + Sync + 'static)) -> E,
-) -> Result<RequestBody, E> {
-    let mut body = Limited::new(body, max_bytes);
-    let mut collector = BodyCollector::default();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| cut(&*error))?;
-        let Ok(piece) = frame.into_data() else {
-            continue;
-        };
-        let due = body.size_hint().upper().unwrap_or(u64::MAX);
-        progress.record_piece(due);
-        let taken = collector.push(&piece, due as usize);
-        if taken > 0 {
-            held.add(taken as u64);
-            check()?;
+/// A body that is being read into memory.
+pub struct BodyReading<'b> {
+    body: Limited<&'b mut Incoming>,
+    progress: &'b BodyProgress,
+    held: &'b HeldBytes,
+    collector: BodyCollector,
+}
+
+impl<'b> BodyReading<'b> {
+    /// Begins to read a body of at most `max_bytes`. What it takes is added to `held`.
+    pub fn new(
+        body: &'b mut Incoming,
+        max_bytes: usize,
+        progress: &'b BodyProgress,
+        held: &'b HeldBytes,
+    ) -> Self {
+        Self {
+            body: Limited::new(body, max_bytes),
+            progress,
+            held,
+            collector: BodyCollector::default(),
+        }
+    }
+
+    /// Reads on until the body takes more memory. Returns whether it does; at the end of the body it
+    /// takes no more. Fails if it is too long or breaks off.
+    pub async fn read_more(&mut self) -> Result<bool, Box<dyn Error + Send + Sync>> {
+        while let Some(frame) = self.body.frame().await {
+            let Ok(piece) = frame?.into_data() else {
+                continue;
+            };
+            let due = self.body.size_hint().upper().unwrap_or(u64::MAX);
+            self.progress.record_piece(due);
+            let taken = self.collector.push(&piece, due as usize);
+            if taken > 0 {
+                self.held.add(taken as u64);
+                return Ok(true);
+            }
         }
+        Ok(false)
+    }
+
+    /// The body, after its end.
+    pub fn finish(self) -> RequestBody {
+        self.collector.finish()
     }
-    Ok(collector.finish())
 }
 
 /// Reads the rest of a body whose request is refused in the background, up to `max_bytes`: a
--- a/src/callers/ledger.rs
+++ b/src/callers/ledger.rs
@@ -24,14 +24,14 @@
 /// others be looked at again.
 const FREED_DIVISOR: u64 = 64;
 
-/// New connections wait while more than this part of the limits is taken by others that were told
-/// to close, and for how long.
+/// New connections and further parts of bodies wait while more than this part of the limits is taken
+/// by connections that were told to close, and for how long.
 const CLEARING_DIVISOR: u64 = 16;
 const CLOSING_WAIT: Duration = Duration::from_millis(1);
 const MAX_CLOSING_WAITS: u32 = 200;
 
 /// More than is needed is taken only while this part of the limits is free.
-const AMPLE_DIVISOR: u64 = 2;
+const SPARE_DIVISOR: u64 = 8;
 
 /// How long to wait after a search that freed too little.
 const SEARCH_PAUSE: Duration = Duration::from_millis(5);
@@ -118,12 +118,7 @@
     /// Counts a connection that was accepted, after those that were told to close had the time to do
     /// so. `None` if there is no room for it.
     pub async fn open(self: &Arc<Self>) -> Option<Arc<CallerSlot>> {
-        for _ in 0..MAX_CLOSING_WAITS {
-            if !self.is_clearing() {
-                break;
-            }
-            tokio::time::sleep(CLOSING_WAIT).await;
-        }
+        self.wait_for_closing().await;
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
         let slot = Arc::new(CallerSlot::new(self.clone(), id));
         self.slots().insert(id, Arc::downgrade(&slot));
@@ -134,6 +129,16 @@
         None
     }
 
+    /// Gives connections that were told to close the time to do so, if they take much.
+    pub(super) async fn wait_for_closing(&self) {
+        for _ in 0..MAX_CLOSING_WAITS {
+            if !self.is_clearing() {
+                return;
+            }
+            tokio::time::sleep(CLOSING_WAIT).await;
+        }
+    }
+
     /// Whether callers take no more than they may, apart from connections that are being closed.
     /// Closes connections if they do.
     pub fn has_room(&self) -> bool {
@@ -162,8 +167,9 @@
     }
 
     /// Whether callers take so little that one may be given more than it needs.
-    pub(super) fn has_ample_room(&self) -> bool {
-        self.all_taken().bytes <= self.limits().bytes / AMPLE_DIVISOR
+    pub(super) fn has_spare_room(&self) -> bool {
+        let limit = self.limits().bytes;
+        self.all_taken().bytes <= limit - limit / SPARE_DIVISOR
     }
 
     /// Counts a request that is refused for want of room.
--- a/src/callers/mod.rs
+++ b/src/callers/mod.rs
@@ -20,7 +20,7 @@
     caller_socket::bind_callers,
     connection_use::{BodyFraming, BodyProgress, ConnectionUse},
     held_bytes::HeldBytes,
-    incoming_body::{collect_body, discard_body},
+    incoming_body::{BodyReading, discard_body},
     ledger::{CallerLedger, descriptor_limit},
     reply_body::{ReplyBody, full_body},
     request_body::{BodyCollector, RequestBody, RequestBodyReader},
--- a/src/callers/request_body.rs
+++ b/src/callers/request_body.rs
@@ -12,7 +12,7 @@
 
 /// The smallest and the largest block of memory that a body is read into.
 const MIN_BLOCK_BYTES: usize = 2 << 10;
-const MAX_BLOCK_BYTES: usize = 64 << 10;
+const MAX_BLOCK_BYTES: usize = 8 << 10;
 
 /// A block is at most this part of what has come before.
 const GROWTH_DIVISOR: usize = 8;
--- a/src/direct/request_reader.rs
+++ b/src/direct/request_reader.rs
@@ -4,9 +4,10 @@
         gateway::Gateway,
         reply::remove_hop_by_hop_headers,
         stream_version::{pick_service, taken_up_version},
+        uploads::Upload,
     },
     crate::{
-        callers::{BodyProgress, HeldBytes, RequestBody, collect_body},
+        callers::{BodyProgress, BodyReading, HeldBytes, RequestBody},
         codes::{ErrorAnswer, ResultCode},
         policy::{Moment, admits_despite_lag, name_hash, placement::PromptPart},
         routing::{Route, RoutingTable},
@@ -73,8 +74,20 @@
     if !progress.admits_request() {
         return Err(callers_full());
     }
+    // Dropped after `held`: others wait until what this body holds is free.
+    let upload = gateway.uploads.start();
     let held = HeldBytes::new(gateway.request_bytes.clone());
-    let body = read_body(gateway, &table, &head.headers, body, progress, &held).await?;
+    let body = read_body(
+        gateway,
+        &table,
+        &head.headers,
+        body,
+        progress,
+        &upload,
+        &held,
+    )
+    .await?;
+    drop(upload);
     let names = &gateway.dialect.names;
     let deadline_ms: Option<f64> = header_text(&head.headers, &names.deadline_ms).parse().ok();
     let deadline_ms = deadline_ms.filter(|ms| !ms.is_nan());
@@ -200,6 +213,7 @@
     headers: &HeaderMap,
     body: &mut Incoming,
     progress: &BodyProgress,
+    upload: &Upload<'_>,
     held: &HeldBytes,
 ) -> Result<RequestBody, ErrorAnswer> {
     let max_bytes = table.limits.max_body_bytes;
@@ -211,17 +225,22 @@
         return Ok(RequestBody::default());
     }
     let budget = gateway.settings().request_memory;
-    let upload = gateway.uploads.start();
-    let check = || {
-        if !upload.admits(budget, held.own(), held.others()) {
-            return Err(bodies_held());
-        }
-        match progress.record_held(held.own()) {
-            true => Ok(()),
-            false => Err(callers_full()),
+    let reading = async {
+        let mut reading = BodyReading::new(body, max_bytes, progress, held);
+        while reading
+            .read_more()
+            .await
+            .map_err(|error| body_error(&*error))?
+        {
+            if !upload.wait_for_room(budget, held).await {
+                return Err(bodies_held());
+            }
+            if !progress.record_held(held.own()).await {
+                return Err(callers_full());
+            }
         }
+        Ok(reading.finish())
     };
-    let reading = collect_body(body, max_bytes, progress, held, check, body_error);
     tokio::select! {
         read = reading => read,
         () = upload.refused() => Err(bodies_held()),
--- a/src/direct/uploads.rs
+++ b/src/direct/uploads.rs
@@ -1,9 +1,13 @@
 //! The bodies of requests that are being read.
 
 use {
-    crate::policy::memory::{MemoryBudget, choose_refused_upload},
+    crate::{
+        callers::HeldBytes,
+        policy::memory::{MemoryBudget, choose_refused_upload},
+    },
     std::{
         collections::BTreeMap,
+        pin::pin,
         sync::{Arc, Mutex, MutexGuard},
     },
     tokio::sync::Notify,
@@ -11,7 +15,10 @@
 
 /// The bodies that are being read, and which of them are refused for want of memory.
 #[derive(Default)]
-pub struct Uploads(Mutex<Reading>); // a leaf lock
+pub struct Uploads {
+    reading: Mutex<Reading>, // a leaf lock
+    left: Notify,            // wakes those that wait for a refused body to be gone
+}
 
 #[derive(Default)]
 struct Reading {
@@ -20,6 +27,14 @@
     leaving_bytes: u64,              // of bodies that were refused and are still held
 }
 
+/// Whether a body may be read on.
+enum Verdict {
+    Permitted,
+    /// Once a body that was refused in its place is gone.
+    Later,
+    Refused,
+}
+
 /// What a body that is being read holds.
 #[derive(Default)]
 struct HeldBody {
@@ -52,42 +67,58 @@
     }
 
     fn reading(&self) -> MutexGuard<'_, Reading> {
-        self.0.lock().expect("uploads lock")
+        self.reading.lock().expect("uploads lock")
     }
 }
 
 impl Upload<'_> {
-    /// Records that the body holds `own` bytes while others hold `others`. Returns whether it may be
-    /// read on; if the budget does not permit so much, a younger one may be refused instead.
-    pub fn admits(
+    /// Waits until the budget permits what the body holds. Returns whether it may be read on: if
+    /// there is too little memory, it is refused, or a younger one in its place.
+    pub async fn wait_for_room(
         &self,
         budget: MemoryBudget,
-        own: u64,
-        others: u64,
+        held: &HeldBytes,
     ) -> bool {
+        loop {
+            let mut left = pin!(self.uploads.left.notified());
+            left.as_mut().enable();
+            match self.judge(budget, held) {
+                Verdict::Permitted => return true,
+                Verdict::Later => left.await,
+                Verdict::Refused => return false,
+            }
+        }
+    }
+
+    fn judge(
+        &self,
+        budget: MemoryBudget,
+        held: &HeldBytes,
+    ) -> Verdict {
+        let (own, others) = (held.own(), held.others());
         let mut reading = self.uploads.reading();
         let staying = others.saturating_sub(reading.leaving_bytes);
         let Some(body) = reading.bodies.get_mut(&self.number) else {
-            return false;
+            return Verdict::Refused;
         };
-        if body.is_refused {
-            return false;
+        if body.is_refused || own > budget.per_connection {
+            return Verdict::Refused;
         }
         body.bytes = own;
-        if budget.permits(own, staying) {
-            return true;
+        if budget.permits(own, others) {
+            return Verdict::Permitted;
         }
-        if own > budget.per_connection {
-            return false;
+        if budget.permits(own, staying) {
+            return Verdict::Later;
         }
         let staying = reading.bodies.iter().filter(|(_, body)| !body.is_refused);
         let staying = staying.map(|(number, body)| (*number, body.bytes));
         let chosen = choose_refused_upload(self.number, own, staying);
         if chosen == self.number {
-            return false;
+            return Verdict::Refused;
         }
         reading.refuse(chosen);
-        true
+        Verdict::Later
     }
 
     /// Waits until the body is refused in the place of an older one.
@@ -103,6 +134,7 @@
             && body.is_refused
         {
             reading.leaving_bytes -= body.bytes;
+            self.uploads.left.notify_waiters();
         }
     }
 }
--- a/src/router/body_reader.rs
+++ b/src/router/body_reader.rs
@@ -1,12 +1,12 @@
 use {
     crate::{
-        callers::{BodyProgress, HeldBytes, collect_body},
+        callers::{BodyProgress, BodyReading, HeldBytes},
         codes::{ErrorAnswer, ResultCode},
     },
     bytes::Bytes,
     http_body_util::LengthLimitError,
     hyper::body::{Body, Incoming},
-    std::time::Duration,
+    std::{error::Error, time::Duration},
 };
 
 /// `Retry-After` of a refusal because callers take all the memory that they may.
@@ -25,21 +25,31 @@
     if !progress.admits_request() {
         return Err(callers_full());
     }
-    let check = || match progress.record_held(held.own()) {
-        true => Ok(()),
-        false => Err(callers_full()),
-    };
-    let cut = |error: &(dyn std::error::Error + Send + Sync + 'static)| match error
-        .is::<LengthLimitError>()
+    let mut reading = BodyReading::new(body, max_bytes, progress, held);
+    while reading
+        .read_more()
+        .await
+        .map_err(|error| cut_error(&*error, max_bytes))?
     {
-        true => too_large(max_bytes),
-        false => ErrorAnswer::new(ResultCode::BadBody).detail("the body was cut"),
-    };
-    let body = collect_body(body, max_bytes, progress, held, check, cut).await?;
+        if !progress.record_held(held.own()).await {
+            return Err(callers_full());
+        }
+    }
+    let body = reading.finish();
     progress.record_end();
     Ok(body.into_bytes())
 }
 
+fn cut_error(
+    error: &(dyn Error + Send + Sync + 'static),
+    max_bytes: usize,
+) -> ErrorAnswer {
+    match error.is::<LengthLimitError>() {
+        true => too_large(max_bytes),
+        false => ErrorAnswer::new(ResultCode::BadBody).detail("the body was cut"),
+    }
+}
+
 fn too_large(max_bytes: usize) -> ErrorAnswer {
     ErrorAnswer::new(ResultCode::BodyTooLarge).detail(format!("the body is over {max_bytes} bytes"))
 }
