A connection that has got a request since it was chosen stays open

A request on a connection that a router had handed on was passed on to a replica, and closed without an answer.

Cause: hosts of 88 MB hand on over 1,000 connections there, and at 55 MB counted the idle ones are told to close. Between that and the task that closes, a request could come and be passed on; the task closed all the same.

Change: the task looks again at what the connection is in the middle of, and withdraws it from what is leaving if it would not be chosen now. The new test in caller_ledger states it.

--- a/src/callers/caller_slot.rs
+++ b/src/callers/caller_slot.rs
@@ -1,9 +1,9 @@
 use {
     super::{caller_socket::MAX_UNREAD_BYTES, ledger::CallerLedger},
-    crate::policy::callers::{ConnectionLoad, Phase, Usage},
+    crate::policy::callers::{ConnectionLoad, Phase, Usage, eviction_class},
     std::{
         sync::{
-            Arc, OnceLock,
+            Arc, Mutex, MutexGuard,
             atomic::{AtomicBool, AtomicU8, AtomicU64, AtomicUsize, Ordering},
         },
         time::Duration,
@@ -29,14 +29,14 @@
     is_answer_unread: AtomicBool, // the caller has taken nothing of its answer for some time
     held: AtomicU64,     // bytes that other totals count
     descriptors: AtomicUsize,
-    leaving: OnceLock<Usage>, // what it took when it was told to close
+    leaving: Mutex<Option<Usage>>, // what it took when it was told to close; a leaf lock
     closing: Notify,
 }
 
 impl Drop for CallerSlot {
     fn drop(&mut self) {
         self.ledger.taken().subtract(self.counted());
-        let leaving = self.leaving.get().copied().unwrap_or_default();
+        let leaving = self.leaving().take().unwrap_or_default();
         self.ledger.remove(self.id, leaving);
     }
 }
@@ -57,7 +57,7 @@
             is_answer_unread: AtomicBool::new(false),
             held: AtomicU64::new(0),
             descriptors: AtomicUsize::new(1),
-            leaving: OnceLock::new(),
+            leaving: Mutex::default(),
             closing: Notify::new(),
             ledger,
         };
@@ -148,7 +148,7 @@
     ) -> bool {
         self.held.store(bytes, Ordering::Relaxed);
         let has_room = self.ledger.has_room();
-        let stays = self.leaving.get().is_none();
+        let stays = self.leaving().is_none();
         if has_room && stays {
             self.ledger.wait_for_closing().await;
         }
@@ -177,9 +177,16 @@
         has_room
     }
 
-    /// Waits until the connection must be closed to make room for others.
+    /// Waits until the connection must be closed to make room for others. One that has got a request
+    /// since it was told to close stays open.
     pub async fn closed(&self) {
-        while self.leaving.get().is_none() {
+        loop {
+            if self.leaving().is_some() {
+                if eviction_class(&self.current_load(self.ledger.now_ms())).is_some() {
+                    return;
+                }
+                self.stay();
+            }
             self.closing.notified().await;
         }
     }
@@ -190,32 +197,51 @@
         &self,
         usage: Usage,
     ) -> bool {
-        let is_new = self.leaving.set(usage).is_ok();
+        let mut leaving = self.leaving();
+        let is_new = leaving.is_none();
         if is_new {
+            *leaving = Some(usage);
+            self.ledger.leaving().add(usage);
             self.closing.notify_one();
         }
         is_new
     }
 
+    /// Withdraws that it was told to close.
+    fn stay(&self) {
+        if let Some(usage) = self.leaving().take() {
+            self.ledger.leaving().subtract(usage);
+        }
+    }
+
+    fn leaving(&self) -> MutexGuard<'_, Option<Usage>> {
+        self.leaving.lock().expect("leaving lock")
+    }
+
     /// What it takes; `None` if it is being closed.
     pub(super) fn load(
         &self,
         now_ms: u64,
     ) -> Option<ConnectionLoad> {
-        if self.leaving.get().is_some() {
-            return None;
-        }
+        let is_leaving = self.leaving().is_some();
+        (!is_leaving).then(|| self.current_load(now_ms))
+    }
+
+    fn current_load(
+        &self,
+        now_ms: u64,
+    ) -> ConnectionLoad {
         let since = self.since_ms.load(Ordering::Relaxed);
         let mut usage = self.counted();
         usage.bytes += self.held.load(Ordering::Relaxed);
-        Some(ConnectionLoad {
+        ConnectionLoad {
             id: self.id,
             phase: self.phase(),
             age: Duration::from_millis(now_ms.saturating_sub(since)),
             usage,
             waits_for_caller: self.has_sent_more.load(Ordering::Relaxed)
                 || self.is_answer_unread.load(Ordering::Relaxed),
-        })
+        }
     }
 
     /// What of it the ledger counts itself.
--- a/src/callers/ledger.rs
+++ b/src/callers/ledger.rs
@@ -196,6 +196,10 @@
         &self.taken
     }
 
+    pub(super) fn leaving(&self) -> &SharedUsage {
+        &self.leaving
+    }
+
     /// Forgets a connection. `leaving` is what it took when it was told to close.
     pub(super) fn remove(
         &self,
@@ -249,10 +253,9 @@
             let Some(slot) = self.slots().get(&load.id).and_then(Weak::upgrade) else {
                 continue;
             };
-            // Another thread may have told it meanwhile, which counts it as leaving.
+            // Another thread may have told it meanwhile.
             if slot.close(load.usage) {
                 self.log.record_closed(load.phase);
-                self.leaving.add(load.usage);
             }
         }
     }
--- a/src/policy/callers/eviction.rs
+++ b/src/policy/callers/eviction.rs
@@ -13,7 +13,7 @@
 /// The order of classes in which connections are closed. All that wait for their caller may be:
 /// those first that keep others out longest for the least. `None` for connections whose caller
 /// waits for the router.
-fn eviction_class(load: &ConnectionLoad) -> Option<u8> {
+pub fn eviction_class(load: &ConnectionLoad) -> Option<u8> {
     match load.phase {
         Phase::Refused => Some(0),
         Phase::Receiving if load.age >= USUAL_SENDING_TIME => Some(1),
--- a/src/policy/callers/mod.rs
+++ b/src/policy/callers/mod.rs
@@ -6,4 +6,9 @@
 mod phase;
 mod usage;
 
-pub use {connection_load::ConnectionLoad, eviction::choose_evicted, phase::Phase, usage::Usage};
+pub use {
+    connection_load::ConnectionLoad,
+    eviction::{choose_evicted, eviction_class},
+    phase::Phase,
+    usage::Usage,
+};
--- a/tests/caller_ledger.rs
+++ b/tests/caller_ledger.rs
@@ -148,6 +148,23 @@
     assert!(ledger.has_room());
 }
 
+/// Guards against the loss of a request that comes between the choice of its connection and the close.
+#[tokio::test]
+async fn a_connection_that_has_got_a_request_since_it_was_chosen_stays_open() {
+    let ledger = CallerLedger::new(2 * LARGE, Vec::new());
+    let [first, second] = [(); 2].map(|()| ledger.open().now_or_never().flatten().expect("room"));
+    first.set_phase(Phase::Receiving);
+    first.set_buffered(LARGE);
+    second.set_phase(Phase::Answering);
+    second.set_buffered(LARGE);
+    first.set_phase(Phase::Answering);
+    assert!(!is_closing(&first));
+    // It is still too much, and it can be chosen again.
+    first.set_phase(Phase::Receiving);
+    assert!(ledger.has_room());
+    assert!(is_closing(&first));
+}
+
 /// Guards against connections that two threads tell to close, counted as leaving twice: new ones
 /// would wait for room that does not come.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
